The thin path in one process: library, daemon and embedded mode

Change: ownership by epoch and witnesses, placement core, target pools, records with group commit, peers by Cap'n Proto, callers by volo-http, embedded mode.

--- /dev/null
+++ b/src/bin/crossweir-bench/main.rs
@@ -0,0 +1,3 @@
+//! The experiment tool.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/crossweir/main.rs
@@ -0,0 +1,3 @@
+//! The command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/crossweird/flags.rs
@@ -0,0 +1,15 @@
+//! The command line of the daemon.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Runs one instance of crossweir.
+    cmd crossweird {
+        /// The settings file.
+        optional --settings path: PathBuf
+        /// Checks the settings file and ends.
+        optional --check
+        /// Runs a whole cell in this process, shows one of each kind of work and ends.
+        optional --embedded
+    }
+}
--- /dev/null
+++ b/src/bin/crossweird/main.rs
@@ -0,0 +1,47 @@
+//! The daemon: reads settings, runs one instance.
+
+mod flags;
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use crossweir::config::Config;
+use crossweir::daemon::process;
+use crossweir::{embedded, log};
+
+fn main() -> ExitCode {
+    let flags = flags::Crossweird::from_env_or_exit();
+    match run(&flags) {
+        Ok(code) => code,
+        Err(err) => {
+            eprintln!("crossweird: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: &flags::Crossweird) -> anyhow::Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the runtime")?;
+    if flags.embedded {
+        let well = runtime.block_on(embedded::demonstrate(|line| println!("{line}")))?;
+        return Ok(if well {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        });
+    }
+    let Some(path) = &flags.settings else {
+        anyhow::bail!("no settings: give --settings FILE, or --embedded for a demonstration");
+    };
+    let cfg = Config::load(path)?;
+    if flags.check {
+        println!("{}: no faults", path.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    log::init(&cfg.log);
+    runtime.block_on(process::run(cfg))?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,62 @@
+//! Time as the decision cores see it: monotonic milliseconds, handed in.
+//!
+//! No core reads a clock of its own, so a test can replay any order of events.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time;
+
+/// Milliseconds of one process's monotonic clock.  Readings of two processes
+/// are never compared; see "Clocks" in `docs/DESIGN.md`.
+pub type Millis = u64;
+
+/// A source of monotonic time.
+pub trait Clock: Send + Sync {
+    /// Returns the milliseconds since an arbitrary start.
+    fn now(&self) -> Millis;
+}
+
+/// The clock of the operating system.
+#[derive(Debug)]
+pub struct SystemClock {
+    start: time::Instant,
+}
+
+impl SystemClock {
+    /// Starts counting at one, so that zero can stand for "never".
+    pub fn new() -> Self {
+        Self {
+            start: time::Instant::now(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Millis {
+        self.start.elapsed().as_millis() as Millis + 1
+    }
+}
+
+/// A clock that moves only when it is told to.
+#[derive(Debug, Default)]
+pub struct ManualClock {
+    now: AtomicU64,
+}
+
+impl ManualClock {
+    /// Moves the clock forward by `step` milliseconds.
+    pub fn advance(&self, step: Millis) {
+        self.now.fetch_add(step, Ordering::SeqCst);
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Millis {
+        self.now.load(Ordering::SeqCst)
+    }
+}
--- /dev/null
+++ b/src/daemon/jobs.rs
@@ -0,0 +1,304 @@
+//! Accepting, showing and cancelling jobs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future;
+use tokio::sync::oneshot;
+
+use crate::clock::Millis;
+use crate::daemon::instance::{Instance, State};
+use crate::model::{Dimension, JobSpec, Resources};
+use crate::placement::Part;
+use crate::placement::intake::{self, IntakeError, JobView};
+use crate::placement::part::ENDED_PREFIX;
+use crate::placement::ranges::Ranges;
+use crate::platform::VmRole;
+use crate::routing::Refusal;
+use crate::rpc::PeerError;
+use crate::rpc::message::{PeerCall, PeerReply, Submitted};
+
+/// How long an acceptance may take, in milliseconds.
+const ACCEPT_TIMEOUT: Millis = 5_000;
+/// How long another instance may take to show or cancel a job.
+const PEER_TIMEOUT: Millis = 1_500;
+/// When to come back after a refusal for want of the store or of workers.
+const COME_BACK: Millis = 2_000;
+
+/// Why a job was refused, with what the caller needs to know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum JobAnswer {
+    /// The job is durably accepted under this id.
+    Accepted(String),
+    /// The job was not accepted.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// The dimension that no VM offers, if that is why.
+        dimension: Option<Dimension>,
+        /// When coming back may help, in milliseconds.
+        retry_after_ms: Option<u64>,
+    },
+    /// The job may or may not have been accepted.
+    Unknown,
+}
+
+impl JobAnswer {
+    fn refused(reason: Refusal, retry_after_ms: Option<u64>) -> Self {
+        JobAnswer::Refused {
+            reason,
+            dimension: None,
+            retry_after_ms,
+        }
+    }
+}
+
+impl Instance {
+    /// Accepts a job here or at the instance with the most room.
+    pub async fn submit(&self, spec: JobSpec) -> JobAnswer {
+        if let Some(refusal) = self.refuse_job(&spec) {
+            return refusal;
+        }
+        let id = format!("{}.{}", spec.team, spec.name);
+        let answer = match self.best_acceptor(&spec.resources) {
+            Acceptor::Here => self.accept_here(&id, spec).await,
+            Acceptor::Peer(addr) => self.accept_there(addr, &id, spec).await,
+            Acceptor::Nobody => return JobAnswer::refused(Refusal::NoCapacity, Some(COME_BACK)),
+        };
+        match answer {
+            Submitted::Accepted => JobAnswer::Accepted(id),
+            Submitted::Refused {
+                reason,
+                retry_after_ms,
+            } => JobAnswer::refused(reason, retry_after_ms),
+            Submitted::Unknown => JobAnswer::Unknown,
+        }
+    }
+
+    fn refuse_job(&self, spec: &JobSpec) -> Option<JobAnswer> {
+        let now = self.now();
+        let state = self.lock();
+        if self.is_draining() {
+            return Some(JobAnswer::refused(Refusal::Draining, Some(COME_BACK)));
+        }
+        if !self.is_fresh(&state, now) {
+            return Some(JobAnswer::refused(
+                Refusal::StaleConfiguration,
+                Some(COME_BACK),
+            ));
+        }
+        if !state.configuration.bundle().admits(&spec.team) {
+            return Some(JobAnswer::refused(Refusal::UnknownTeam, None));
+        }
+        let dimension = misfit(&state, &spec.resources)?;
+        Some(JobAnswer::Refused {
+            reason: Refusal::NeverFits,
+            dimension: Some(dimension),
+            retry_after_ms: None,
+        })
+    }
+
+    fn best_acceptor(&self, need: &Resources) -> Acceptor {
+        let now = self.now();
+        let state = self.lock();
+        let (free, capacity) = state.cell.room();
+        let owns = capacity.millicores > 0;
+        if owns && free.millicores >= need.millicores && free.memory_mib >= need.memory_mib {
+            return Acceptor::Here;
+        }
+        let owners = state
+            .members
+            .alive(now)
+            .filter(|(_, _, beat)| beat.owns_workers);
+        let roomiest = owners.max_by_key(|(_, _, beat)| beat.free_millicores);
+        match roomiest {
+            Some((_, peer, beat)) if !owns || beat.free_millicores >= need.millicores => {
+                Acceptor::Peer(peer.rpc)
+            }
+            _ if owns => Acceptor::Here,
+            _ => Acceptor::Nobody,
+        }
+    }
+
+    async fn accept_there(&self, addr: SocketAddr, id: &str, spec: JobSpec) -> Submitted {
+        let call = PeerCall::Submit {
+            job: id.to_owned(),
+            spec,
+        };
+        match self.peers.call(addr, call, ACCEPT_TIMEOUT).await {
+            Ok(PeerReply::Submitted(submitted)) => submitted,
+            Err(PeerError::NotSent) => refused(Refusal::NoOwner, Some(COME_BACK)),
+            _ => Submitted::Unknown,
+        }
+    }
+
+    /// Accepts a job here, and answers when its record is durable.
+    pub async fn accept_here(&self, id: &str, spec: JobSpec) -> Submitted {
+        let Some(ordering) = self.order_job(&spec) else {
+            return refused(Refusal::BadConfiguration, None);
+        };
+        let claim = self.draw();
+        let rx = {
+            let now = self.now();
+            let mut state = self.lock();
+            match state.cell.submit(id, spec, ordering, claim, now) {
+                Ok(_) => {}
+                Err(IntakeError::Exists) => return refused(Refusal::JobExists, None),
+                Err(IntakeError::NoShard) => return refused(Refusal::NoCapacity, Some(COME_BACK)),
+            }
+            let (tx, rx) = oneshot::channel();
+            state.submissions.entry(id.to_owned()).or_default().push(tx);
+            rx
+        };
+        self.plan();
+        let wait = Duration::from_millis(ACCEPT_TIMEOUT / 2);
+        match tokio::time::timeout(wait, rx).await {
+            Ok(Ok(submitted)) => submitted,
+            _ => self.give_up(id),
+        }
+    }
+
+    /// Withdraws a job that has never been sent to the store; else its fate is open.
+    fn give_up(&self, id: &str) -> Submitted {
+        let mut state = self.lock();
+        state.submissions.remove(id);
+        if state.flushing || state.cell.write_attempted(id) {
+            return Submitted::Unknown;
+        }
+        state.cell.withdraw(id);
+        refused(Refusal::StoreUnavailable, Some(COME_BACK))
+    }
+
+    /// Shows how a job stands, here and everywhere.
+    pub async fn view_job(&self, id: &str) -> Option<JobView> {
+        let addrs: Vec<SocketAddr> = self.peer_addrs();
+        let ask = |addr| {
+            self.peers
+                .call(addr, PeerCall::ViewJob(id.to_owned()), PEER_TIMEOUT)
+        };
+        let replies = future::join_all(addrs.into_iter().map(ask)).await;
+        let mut views: Vec<JobView> = replies
+            .into_iter()
+            .filter_map(|reply| match reply {
+                Ok(PeerReply::Job(view)) => view,
+                _ => None,
+            })
+            .collect();
+        views.extend(self.lock().cell.view(id));
+        views.extend(self.ended_views(id).await);
+        views.into_iter().reduce(merge)
+    }
+
+    async fn ended_views(&self, id: &str) -> Vec<JobView> {
+        let prefix = format!("{ENDED_PREFIX}{id}/");
+        let rows = self.platform.store.scan(prefix).await.unwrap_or_default();
+        let parts = rows
+            .iter()
+            .filter_map(|row| serde_json::from_str::<Part>(&row.value).ok());
+        parts.map(|part| view_of_ended(&part)).collect()
+    }
+
+    /// Cancels a job wherever its tasks are; returns whether anybody knows it.
+    pub async fn cancel(&self, id: &str) -> bool {
+        let addrs: Vec<SocketAddr> = self.peer_addrs();
+        let ask = |addr| {
+            self.peers
+                .call(addr, PeerCall::CancelJob(id.to_owned()), PEER_TIMEOUT)
+        };
+        let (here, replies) = future::join(
+            self.cancel_here(id),
+            future::join_all(addrs.into_iter().map(ask)),
+        )
+        .await;
+        here || replies
+            .into_iter()
+            .any(|reply| matches!(reply, Ok(PeerReply::Found(true))))
+    }
+
+    /// Cancels what this instance has of a job.
+    pub async fn cancel_here(&self, id: &str) -> bool {
+        let now = self.now();
+        let found = {
+            let mut state = self.lock();
+            let found = state.cell.cancel(id, now);
+            self.publish(&mut state);
+            found
+        };
+        if found {
+            self.wake_records.notify_one();
+            self.wake_workers.notify_one();
+        }
+        found
+    }
+
+    fn peer_addrs(&self) -> Vec<SocketAddr> {
+        let now = self.now();
+        let state = self.lock();
+        let heard = state
+            .members
+            .peers()
+            .filter(|(name, _)| state.members.is_alive(name, now));
+        heard.map(|(_, peer)| peer.rpc).collect()
+    }
+}
+
+enum Acceptor {
+    Here,
+    Peer(SocketAddr),
+    Nobody,
+}
+
+fn refused(reason: Refusal, retry_after_ms: Option<u64>) -> Submitted {
+    Submitted::Refused {
+        reason,
+        retry_after_ms,
+    }
+}
+
+/// Returns the dimension in which no listed worker could ever hold `need`.
+fn misfit(state: &State, need: &Resources) -> Option<Dimension> {
+    let mut closest = None;
+    let mut any = false;
+    for vm in &state.vms {
+        if let VmRole::Worker { capacity } = vm.role {
+            any = true;
+            match need.first_misfit(&capacity) {
+                None => return None,
+                Some(dimension) => closest = Some(dimension),
+            }
+        }
+    }
+    closest.filter(|_| any)
+}
+
+fn view_of_ended(part: &Part) -> JobView {
+    let mut counts = BTreeMap::new();
+    let mut count = |label: &str, indexes: &Ranges| {
+        if !indexes.is_empty() {
+            counts.insert(label.to_owned(), indexes.len());
+        }
+    };
+    count("succeeded", &part.succeeded);
+    count("failed", &part.failed);
+    count("cancelled", &part.cancelled);
+    count("unknown", &part.unknown);
+    JobView {
+        job: part.job.clone(),
+        kind: part.spec.kind,
+        class: part.ordering.class,
+        counts,
+        waits_for: None,
+        tasks: Vec::new(),
+    }
+}
+
+fn merge(mut a: JobView, b: JobView) -> JobView {
+    for (state, count) in b.counts {
+        *a.counts.entry(state).or_default() += count;
+    }
+    a.waits_for = a.waits_for.or(b.waits_for);
+    a.tasks.extend(b.tasks);
+    a.tasks.truncate(intake::TASKS_IN_VIEW);
+    a
+}
--- /dev/null
+++ b/src/daemon/requests.rs
@@ -0,0 +1,585 @@
+//! The path of a short request: from the caller to a target and back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use crate::clock::Millis;
+use crate::daemon::instance::{Instance, State};
+use crate::daemon::keys::{Entry, KeyTable};
+use crate::daemon::shards;
+use crate::ownership::rendezvous;
+use crate::platform::store::Op;
+use crate::platform::{LinkError, TargetRequest, VmRole};
+use crate::routing::pool::SlotEnd;
+use crate::routing::{Grant, Outcome, Refusal, RequestSpec};
+use crate::rpc::PeerError;
+use crate::rpc::message::{PeerCall, PeerReply};
+
+/// How often a request may be handed over between instances.
+const MAX_HOPS: u8 = 2;
+/// The prefix of the rows of marks.
+const MARK_PREFIX: &str = "mark/";
+/// When to come back after a refusal that a short wait may help, in milliseconds.
+const COME_BACK: Millis = 1_000;
+/// How much longer than the request's own deadline an instance is waited for.
+const HOP_ALLOWANCE: Millis = 100;
+/// How many targets are tried at most.
+const MAX_TRIES: u32 = 4;
+
+/// Where a request may go next.
+enum Way {
+    /// To a target of ours, whose slot has been taken.
+    Here(String, Grant),
+    /// To another instance that owns targets of the service.
+    There(SocketAddr),
+    /// Into our own queue.
+    Queue(String),
+    /// Nowhere.
+    Refused(Outcome),
+}
+
+/// How one try at a target ended.
+enum Try {
+    Done(Outcome),
+    NotSent,
+    Lost,
+    Leaving,
+}
+
+impl Instance {
+    /// Serves a request to its end, whatever becomes of the one who waits for it.
+    ///
+    /// A request whose caller hangs up still occupies its target, so its slot must
+    /// not be given to another before it has ended.
+    pub async fn serve_request(&self, spec: RequestSpec, body: Vec<u8>) -> Outcome {
+        let Some(instance) = self.me() else {
+            return Outcome::refused(Refusal::Draining);
+        };
+        let serving = tokio::spawn(async move { instance.serve_counted(spec, body).await });
+        serving.await.unwrap_or(Outcome::Unknown {
+            reason: Refusal::AnswerLost,
+        })
+    }
+
+    async fn serve_counted(&self, spec: RequestSpec, body: Vec<u8>) -> Outcome {
+        let _guard = self.enter();
+        let fresh = spec.hops == 0;
+        let outcome = self.route(spec, body).await;
+        if fresh {
+            self.metrics.outcome(outcome.label());
+        }
+        if let (true, Outcome::NotRun { reason, .. } | Outcome::Unknown { reason }) =
+            (fresh, &outcome)
+        {
+            self.metrics.refusal(reason.code());
+        }
+        outcome
+    }
+
+    async fn route(&self, spec: RequestSpec, body: Vec<u8>) -> Outcome {
+        if let Some(refused) = self.refuse_request(&spec) {
+            return refused;
+        }
+        let deadline = self.now() + spec.remaining_ms;
+        let Some(key) = home_key(&spec) else {
+            return self.dispatch(&spec, &body, deadline).await;
+        };
+        if spec.hops < MAX_HOPS
+            && let Some(addr) = self.home_of(&key)
+        {
+            match self.forward(addr, &spec, &body, deadline).await {
+                Ok(outcome) => return outcome,
+                Err(PeerError::NotSent) => self.metrics.retry("home_unreachable"),
+                Err(_) => return self.settle_lost(&spec).await,
+            }
+        }
+        self.serve_keyed(&spec, &key, &body, deadline).await
+    }
+
+    fn refuse_request(&self, spec: &RequestSpec) -> Option<Outcome> {
+        let now = self.now();
+        let state = self.lock();
+        if spec.remaining_ms == 0 {
+            return Some(Outcome::refused(Refusal::DeadlineExpired));
+        }
+        if spec.hops > 0 {
+            return None;
+        }
+        if self.is_draining() {
+            return Some(Outcome::come_back(Refusal::Draining, COME_BACK));
+        }
+        if !self.is_fresh(&state, now) {
+            return Some(Outcome::come_back(Refusal::StaleConfiguration, COME_BACK));
+        }
+        if !state.configuration.bundle().admits(&spec.team) {
+            return Some(Outcome::refused(Refusal::UnknownTeam));
+        }
+        drop(state);
+        self.lock().retries.on_fresh();
+        None
+    }
+
+    /// Returns the other instance that a caller's key leads to, if it is not this one.
+    fn home_of(&self, key: &str) -> Option<SocketAddr> {
+        let now = self.now();
+        let state = self.lock();
+        let members = state.members.candidates(self.is_draining(), now);
+        let home = rendezvous::home(key, &members)?;
+        state.members.get(&home.name).map(|peer| peer.rpc)
+    }
+
+    async fn forward(
+        &self,
+        addr: SocketAddr,
+        spec: &RequestSpec,
+        body: &[u8],
+        deadline: Millis,
+    ) -> Result<Outcome, PeerError> {
+        let remaining = deadline.saturating_sub(self.now());
+        if remaining == 0 {
+            return Ok(Outcome::refused(Refusal::DeadlinePassed));
+        }
+        let spec = RequestSpec {
+            hops: spec.hops + 1,
+            remaining_ms: remaining,
+            ..spec.clone()
+        };
+        let call = PeerCall::Forward {
+            spec,
+            body: body.to_vec(),
+        };
+        self.metrics.event("handed_over");
+        match self.peers.call(addr, call, remaining + HOP_ALLOWANCE).await {
+            Ok(PeerReply::Outcome(outcome)) => Ok(outcome),
+            Ok(_) => Err(PeerError::Malformed),
+            Err(err) => Err(err),
+        }
+    }
+
+    /// The home of a key did not answer: if its mark can be taken here, the
+    /// request can never run there, and that is provably so.
+    async fn settle_lost(&self, spec: &RequestSpec) -> Outcome {
+        self.metrics.retry("home_unanswered");
+        if spec.repeatable || spec.order.is_some() {
+            return Outcome::Unknown {
+                reason: Refusal::AnswerLost,
+            };
+        }
+        match self.mark(spec).await {
+            Ok(()) => {
+                self.unmark(spec).await;
+                Outcome::come_back(Refusal::NoOwner, COME_BACK)
+            }
+            Err(_) => Outcome::Unknown {
+                reason: Refusal::AnswerLost,
+            },
+        }
+    }
+
+    /// Serves a request that is ordered or must not be repeated.
+    async fn serve_keyed(
+        &self,
+        spec: &RequestSpec,
+        key: &str,
+        body: &[u8],
+        deadline: Millis,
+    ) -> Outcome {
+        if spec.repeatable {
+            return self.serve_ordered(spec, body, deadline).await;
+        }
+        match self.keys.enter(key) {
+            Entry::Repeat(first) => match KeyTable::wait(first).await {
+                Some(outcome @ Outcome::Answered { .. }) => outcome,
+                _ => Outcome::Unknown {
+                    reason: Refusal::AlreadyMarked,
+                },
+            },
+            Entry::First(tx) => {
+                let outcome = self.serve_once(spec, body, deadline).await;
+                self.keys.finish(key, &tx, &outcome);
+                outcome
+            }
+        }
+    }
+
+    async fn serve_once(&self, spec: &RequestSpec, body: &[u8], deadline: Millis) -> Outcome {
+        match self.mark(spec).await {
+            Ok(()) => {}
+            Err(Refusal::AlreadyMarked) => {
+                return Outcome::Unknown {
+                    reason: Refusal::AlreadyMarked,
+                };
+            }
+            Err(reason) => return Outcome::come_back(reason, COME_BACK),
+        }
+        let outcome = match spec.order {
+            Some(_) => self.serve_ordered(spec, body, deadline).await,
+            None => self.dispatch(spec, body, deadline).await,
+        };
+        if matches!(outcome, Outcome::NotRun { .. }) {
+            self.unmark(spec).await;
+        }
+        outcome
+    }
+
+    async fn serve_ordered(&self, spec: &RequestSpec, body: &[u8], deadline: Millis) -> Outcome {
+        let turn = match self.take_turn(spec, deadline).await {
+            Ok(turn) => turn,
+            Err(reason @ Refusal::OrderPassed) => return Outcome::refused(reason),
+            Err(reason) => return Outcome::come_back(reason, COME_BACK),
+        };
+        let outcome = self.dispatch(spec, body, deadline).await;
+        self.end_turn(turn, matches!(outcome, Outcome::NotRun { .. }));
+        outcome
+    }
+
+    async fn mark(&self, spec: &RequestSpec) -> Result<(), Refusal> {
+        let claim = format!("{:016x}", self.draw());
+        let value = format!("{} {claim}", self.cfg.name);
+        let op = Op::create(mark_key(spec), value);
+        self.marks.write(op, claim).await
+    }
+
+    /// Removes the mark of a request that was provably not run, so that it may be repeated.
+    async fn unmark(&self, spec: &RequestSpec) {
+        if self
+            .platform
+            .store
+            .transact(vec![Op::delete(mark_key(spec))])
+            .await
+            .is_err()
+        {
+            self.metrics.retry("unmark_failed");
+        }
+    }
+
+    /// Sends a request to a target, here or by another instance, trying again where that is safe.
+    async fn dispatch(&self, spec: &RequestSpec, body: &[u8], deadline: Millis) -> Outcome {
+        let mut tried = 0;
+        let mut not_sent: Vec<SocketAddr> = Vec::new();
+        loop {
+            if self.now() >= deadline {
+                return Outcome::refused(Refusal::DeadlinePassed);
+            }
+            let (shard, grant) = match self.find_way(spec, &not_sent) {
+                Way::Here(shard, grant) => (shard, grant),
+                Way::There(addr) => match self.forward(addr, spec, body, deadline).await {
+                    Err(PeerError::NotSent) => {
+                        not_sent.push(addr);
+                        self.metrics.retry("owner_unreachable");
+                        continue;
+                    }
+                    Ok(outcome) => return outcome,
+                    Err(_) => match self.after_lost(spec, tried) {
+                        Some(outcome) => return outcome,
+                        None => {
+                            tried += 1;
+                            continue;
+                        }
+                    },
+                },
+                Way::Queue(shard) => match self.wait_in_queue(shard, spec, deadline).await {
+                    Ok(granted) => granted,
+                    Err(outcome) => return outcome,
+                },
+                Way::Refused(outcome) => return outcome,
+            };
+            tried += 1;
+            let last = match self.try_target(&shard, &grant, spec, body, deadline).await {
+                Try::Done(outcome) => return outcome,
+                Try::NotSent => Refusal::TargetUnreachable,
+                Try::Leaving => Refusal::NoTarget,
+                Try::Lost => match self.after_lost(spec, tried) {
+                    Some(outcome) => return outcome,
+                    None => continue,
+                },
+            };
+            if tried >= MAX_TRIES {
+                return Outcome::come_back(last, COME_BACK);
+            }
+            if !self.lock().retries.try_retry() {
+                return Outcome::come_back(Refusal::RetryBudget, COME_BACK);
+            }
+            self.metrics.retry(last.code());
+        }
+    }
+
+    /// An answer was lost: returns the final outcome unless the request may be tried again.
+    fn after_lost(&self, spec: &RequestSpec, tried: u32) -> Option<Outcome> {
+        // An ordered request that may still be running must not be overtaken by itself.
+        let again = spec.repeatable && spec.order.is_none() && tried < MAX_TRIES;
+        if again && self.lock().retries.try_retry() {
+            self.metrics.retry("answer_lost");
+            return None;
+        }
+        Some(Outcome::Unknown {
+            reason: Refusal::AnswerLost,
+        })
+    }
+
+    fn find_way(&self, spec: &RequestSpec, unreachable: &[SocketAddr]) -> Way {
+        let now = self.now();
+        let mut state = self.lock();
+        let own = own_pools(&state, &spec.service, now);
+        for shard in &own {
+            if let Some(grant) = state
+                .pools
+                .get_mut(shard)
+                .and_then(|pool| pool.try_grant(now))
+            {
+                return Way::Here(shard.clone(), grant);
+            }
+        }
+        if spec.hops < MAX_HOPS
+            && let Some(addr) =
+                best_owner(&mut state, &spec.service, own.is_empty(), unreachable, now)
+        {
+            return Way::There(addr);
+        }
+        let shortest = own.into_iter().min_by_key(|shard| {
+            let pool = state.pools.get(shard);
+            pool.map_or(Millis::MAX, |pool| pool.expected_wait(spec.class))
+        });
+        match shortest {
+            Some(shard) => Way::Queue(shard),
+            None => Way::Refused(no_way(&state, &spec.service)),
+        }
+    }
+
+    async fn wait_in_queue(
+        &self,
+        shard: String,
+        spec: &RequestSpec,
+        deadline: Millis,
+    ) -> Result<(String, Grant), Outcome> {
+        let ticket = self.next_ticket();
+        let (tx, rx) = oneshot::channel();
+        let now = self.now();
+        {
+            let mut state = self.lock();
+            let Some(pool) = state.pools.get_mut(&shard) else {
+                return Err(Outcome::come_back(Refusal::NoOwner, COME_BACK));
+            };
+            if let Err((reason, wait)) = pool.enqueue(ticket, spec.class, deadline, now) {
+                return Err(Outcome::come_back(reason, wait.max(1)));
+            }
+            state.waiters.insert(ticket, tx);
+        }
+        let wait = Duration::from_millis(deadline.saturating_sub(now));
+        let granted = tokio::time::timeout(wait, rx).await;
+        if let Ok(Ok(granted)) = granted {
+            return Ok(granted);
+        }
+        let mut state = self.lock();
+        state.waiters.remove(&ticket);
+        if let Some(pool) = state.pools.get_mut(&shard) {
+            pool.forget(ticket);
+        }
+        match granted {
+            Err(_) => Err(Outcome::refused(Refusal::DeadlinePassed)),
+            Ok(_) => Err(Outcome::come_back(Refusal::NoOwner, COME_BACK)),
+        }
+    }
+
+    async fn try_target(
+        &self,
+        shard: &str,
+        grant: &Grant,
+        spec: &RequestSpec,
+        body: &[u8],
+        deadline: Millis,
+    ) -> Try {
+        let sent_at = self.now();
+        let slot = Slot {
+            instance: self,
+            shard,
+            grant,
+            end: SlotEnd::Failed,
+        };
+        // A slot that was waited for may come after the deadline or after the shard was lost.
+        if sent_at >= deadline || !Self::pool_open(&self.lock(), shard, sent_at) {
+            slot.end(SlotEnd::Unused);
+            return Try::NotSent;
+        }
+        let req = TargetRequest {
+            id: spec.id.clone(),
+            path: spec.path.clone(),
+            body: body.to_vec(),
+            timeout_ms: deadline - sent_at,
+        };
+        let reply = self
+            .platform
+            .targets
+            .send(grant.endpoint.clone(), req)
+            .await;
+        let took = self.now() - sent_at;
+        match reply {
+            Ok(reply) if reply.leaving && reply.status == LEAVING_STATUS => {
+                slot.end(SlotEnd::Leaving);
+                Try::Leaving
+            }
+            Ok(reply) => {
+                slot.end(match reply.leaving {
+                    true => SlotEnd::Leaving,
+                    false => SlotEnd::Answered { took },
+                });
+                self.metrics.wait(
+                    spec.class.label(),
+                    spec.remaining_ms.saturating_sub(deadline - sent_at),
+                );
+                Try::Done(Outcome::Answered {
+                    status: reply.status,
+                    target: grant.name.clone(),
+                    via: self.cfg.name.clone(),
+                    body: reply.body,
+                })
+            }
+            Err(LinkError::NotSent) => {
+                slot.end(SlotEnd::Failed);
+                Try::NotSent
+            }
+            Err(_) => {
+                slot.end(SlotEnd::Failed);
+                Try::Lost
+            }
+        }
+    }
+
+    /// Gives free slots of all groups to those who wait for them.
+    pub fn grant_all(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        let shards: Vec<String> = state.pools.keys().cloned().collect();
+        for shard in shards {
+            self.grant_waiting(&mut state, &shard, now);
+        }
+    }
+
+    fn finish_slot(&self, shard: &str, grant: &Grant, end: SlotEnd) {
+        let now = self.now();
+        let mut state = self.lock();
+        if let Some(pool) = state.pools.get_mut(shard) {
+            pool.finish(grant.key, end, now);
+        }
+        self.grant_waiting(&mut state, shard, now);
+    }
+
+    /// Gives free slots of a group to those who wait for them.
+    pub fn grant_waiting(&self, state: &mut State, shard: &str, now: Millis) {
+        if !Self::pool_open(state, shard, now) {
+            return;
+        }
+        let granted = state
+            .pools
+            .get_mut(shard)
+            .map(|pool| pool.grant_waiting(now))
+            .unwrap_or_default();
+        for (ticket, grant) in granted {
+            let waiter = state.waiters.remove(&ticket);
+            let lost = match waiter {
+                Some(tx) => tx
+                    .send((shard.to_owned(), grant))
+                    .err()
+                    .map(|(_, grant)| grant),
+                None => Some(grant),
+            };
+            if let (Some(grant), Some(pool)) = (lost, state.pools.get_mut(shard)) {
+                pool.finish(grant.key, SlotEnd::Unused, now);
+            }
+        }
+    }
+}
+
+/// The status by which a leaving target refuses a request without running it.
+const LEAVING_STATUS: u16 = 503;
+
+/// A slot in use: it is given back even if the request is dropped half way.
+struct Slot<'a> {
+    instance: &'a Instance,
+    shard: &'a str,
+    grant: &'a Grant,
+    end: SlotEnd,
+}
+
+impl Slot<'_> {
+    fn end(mut self, end: SlotEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.instance.finish_slot(self.shard, self.grant, self.end);
+    }
+}
+
+/// Requests that are ordered or must not be repeated have one instance as their home.
+fn home_key(spec: &RequestSpec) -> Option<String> {
+    match (&spec.order, &spec.key) {
+        (Some(order), _) => Some(format!("{}/{}", spec.service, order.stream)),
+        (None, Some(key)) if !spec.repeatable => Some(format!("{}/{key}", spec.service)),
+        _ => None,
+    }
+}
+
+fn mark_key(spec: &RequestSpec) -> String {
+    let key = spec.key.as_deref().unwrap_or(&spec.id);
+    format!("{MARK_PREFIX}{}/{key}", spec.service)
+}
+
+fn own_pools(state: &State, service: &str, now: Millis) -> Vec<String> {
+    let pools = state
+        .pools
+        .keys()
+        .filter(|shard| shards::service_of(shard) == service);
+    pools
+        .filter(|shard| Instance::pool_open(state, shard, now))
+        .cloned()
+        .collect()
+}
+
+/// Returns the owner with the most free slots by its last word, and notes the use of one.
+///
+/// With nothing free anywhere, an instance that owns no targets of the service
+/// hands the request to the owner with the shortest queue.
+fn best_owner(
+    state: &mut State,
+    service: &str,
+    must: bool,
+    unreachable: &[SocketAddr],
+    now: Millis,
+) -> Option<SocketAddr> {
+    let load_of = |beat: &crate::rpc::message::Beat| {
+        let load = beat.services.iter().find(|load| load.service == service)?;
+        Some((load.free, load.queued))
+    };
+    let owners: Vec<(String, SocketAddr, u32, u32)> = state
+        .members
+        .alive(now)
+        .filter(|(_, peer, _)| !unreachable.contains(&peer.rpc))
+        .filter_map(|(name, peer, beat)| {
+            let (free, queued) = load_of(beat)?;
+            Some((name.clone(), peer.rpc, free, queued))
+        })
+        .collect();
+    let best = owners
+        .iter()
+        .filter(|owner| owner.2 > 0)
+        .max_by_key(|owner| owner.2);
+    let best = best.or_else(|| owners.iter().filter(|_| must).min_by_key(|owner| owner.3))?;
+    state.members.use_slot(&best.0, service);
+    Some(best.1)
+}
+
+fn no_way(state: &State, service: &str) -> Outcome {
+    let listed = state
+        .vms
+        .iter()
+        .any(|vm| matches!(&vm.role, VmRole::Target { service: of, .. } if of == service));
+    match (state.listed, listed) {
+        (true, false) => Outcome::refused(Refusal::NoSuchService),
+        _ => Outcome::come_back(Refusal::NoOwner, COME_BACK),
+    }
+}
--- /dev/null
+++ b/src/daemon/workers.rs
@@ -0,0 +1,158 @@
+//! Speaking to workers: one exchange at a time with each, when it is due.
+
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::daemon::instance::{Instance, State};
+use crate::model::VmBoot;
+use crate::placement::lease::Standing;
+use crate::platform::{Exchange, LinkError, WorkerReply};
+
+/// After a failed exchange, how long to wait before the next, in milliseconds.
+const RETRY_PAUSE: Millis = 300;
+/// How often leases are checked for having run out, in milliseconds.
+const EXPIRE_EVERY: Millis = 250;
+
+/// When a worker is to be spoken to.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WorkerTimes {
+    /// Whether an exchange is under way.
+    pub busy: bool,
+    /// When the next exchange is due, unless something presses.
+    pub next_at: Millis,
+    /// Until when nothing is sent, after a failure.
+    pub pause_until: Millis,
+}
+
+struct Due {
+    vm: String,
+    endpoint: String,
+    standing: Standing,
+    msg: Exchange,
+    asked_at: Millis,
+}
+
+impl Instance {
+    /// Plans, and speaks to workers, whenever something has happened.
+    pub async fn run_workers(self: Arc<Self>) {
+        let mut expire_at = 0;
+        loop {
+            let _ = tokio::time::timeout(self.tick(), self.wake_workers.notified()).await;
+            let now = self.now();
+            if now >= expire_at {
+                expire_at = now + EXPIRE_EVERY;
+                self.lock().cell.expire(now);
+            }
+            self.plan();
+            for due in self.due_exchanges() {
+                let instance = Arc::clone(&self);
+                tokio::spawn(async move { instance.exchange(due).await });
+            }
+        }
+    }
+
+    /// Gives places to waiting tasks.
+    pub fn plan(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.cell.plan(now);
+        self.publish(&mut state);
+        if state.cell.has_writes() {
+            self.wake_records.notify_one();
+        }
+    }
+
+    fn due_exchanges(&self) -> Vec<Due> {
+        let now = self.now();
+        let mut state = self.lock();
+        let vms: Vec<(String, String)> = {
+            let held = state.held.iter().filter(|(_, held)| held.loaded);
+            held.flat_map(|(shard, _)| {
+                let vms = state.cell.vms_of(shard);
+                vms.into_iter().map(move |vm| (shard.clone(), vm))
+            })
+            .collect()
+        };
+        vms.into_iter()
+            .filter_map(|(shard, vm)| self.due_exchange(&mut state, &shard, vm, now))
+            .collect()
+    }
+
+    fn due_exchange(&self, state: &mut State, shard: &str, vm: String, now: Millis) -> Option<Due> {
+        let times = state.worker_times.get(&vm).copied().unwrap_or_default();
+        let due = state.cell.is_pressing(&vm) || now >= times.next_at;
+        if times.busy || now < times.pause_until || !due {
+            return None;
+        }
+        let standing = self.standing(state, &vm, shard, now)?;
+        let endpoint = state.cell.worker(&vm)?.endpoint.clone();
+        let msg = state.cell.exchange(&vm, &standing, now)?;
+        let times = state.worker_times.entry(vm.clone()).or_default();
+        times.busy = true;
+        times.next_at = now + self.cfg.number("leases", "renew_ms");
+        Some(Due {
+            vm,
+            endpoint,
+            standing,
+            msg,
+            asked_at: now,
+        })
+    }
+
+    async fn exchange(&self, due: Due) {
+        let reply = self
+            .platform
+            .workers
+            .exchange(due.endpoint.clone(), due.msg.clone())
+            .await;
+        let now = self.now();
+        let mut state = self.lock();
+        if let Some(times) = state.worker_times.get_mut(&due.vm) {
+            times.busy = false;
+        }
+        match reply {
+            Ok(reply) => self.on_worker_reply(&mut state, &due, &reply, now),
+            Err(err) => self.on_worker_silence(&mut state, &due, err, now),
+        }
+        drop(state);
+        self.wake_workers.notify_one();
+    }
+
+    fn on_worker_reply(&self, state: &mut State, due: &Due, reply: &WorkerReply, now: Millis) {
+        let shard = &due.standing.shard;
+        let Some(held) = state.held.get_mut(shard) else {
+            return;
+        };
+        if held.tenure.epoch() != due.standing.epoch {
+            return;
+        }
+        if !reply.obeyed {
+            held.tenure.on_superseded(reply.epoch);
+            self.drop_lost(state);
+            state.cell.forget_reading(&due.vm);
+            return;
+        }
+        let vm = VmBoot {
+            vm: due.vm.clone(),
+            boot: reply.boot,
+        };
+        let recorded = held.tenure.is_witness(&vm) && !held.releasing;
+        state.cell.on_reply(&due.vm, &due.msg, reply, recorded, now);
+        // The inventory has been taken in, so the worker may now count as fenced.
+        held.tenure.on_ack(&vm, due.asked_at, now);
+        self.allow_inherited(state, now);
+        if state.cell.has_writes() {
+            self.wake_records.notify_one();
+        }
+    }
+
+    fn on_worker_silence(&self, state: &mut State, due: &Due, err: LinkError, now: Millis) {
+        tracing::debug!(vm = due.vm, %err, "a worker could not be spoken to");
+        self.metrics.retry("worker_unanswered");
+        if let Some(times) = state.worker_times.get_mut(&due.vm) {
+            times.pause_until = now + RETRY_PAUSE;
+            times.next_at = now + RETRY_PAUSE;
+        }
+        state.cell.on_silence(&due.vm, now);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! Crossweir is a cluster scheduler for services, batch jobs, gang jobs and
+//! short urgent requests.
+//!
+//! The library holds all of the behaviour; the binaries under `src/bin` only
+//! read settings and call it.  `docs/DESIGN.md` explains how the parts fit.
+
+pub mod clock;
+pub mod config;
+pub mod daemon;
+pub mod embedded;
+pub mod error;
+pub mod http;
+pub mod log;
+pub mod membership;
+pub mod metrics;
+pub mod model;
+pub mod ownership;
+pub mod placement;
+pub mod platform;
+pub mod policy;
+pub mod routing;
+pub mod rpc;
+
+pub use crate::error::{Error, Result};
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,174 @@
+//! Counters and gauges, one registry a process.
+//!
+//! Every refusal and every retry carries its reason as a label; the reasons
+//! are explained, with remedies, in `docs/METRICS.md`.
+
+use prometheus::{Encoder, HistogramVec, IntCounterVec, IntGaugeVec, Registry, TextEncoder};
+
+use crate::error::Result;
+
+/// The upper bounds of the waiting-time buckets, in seconds.
+const WAIT_BUCKETS: [f64; 10] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.3, 10.0, 60.0];
+
+/// All collectors of one process.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    outcomes: IntCounterVec,
+    invariants: IntCounterVec,
+    events: IntCounterVec,
+    store_calls: IntCounterVec,
+    gauges: IntGaugeVec,
+    waits: HistogramVec,
+}
+
+impl Metrics {
+    /// Registers all collectors.
+    ///
+    /// # Errors
+    /// Fails only if two collectors share a name, which is a programming error.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let refusals = counter(
+            &registry,
+            "crossweir_refusals_total",
+            "Refusals by reason.",
+            "reason",
+        )?;
+        let retries = counter(
+            &registry,
+            "crossweir_retries_total",
+            "Retries by reason.",
+            "reason",
+        )?;
+        let outcomes = counter(
+            &registry,
+            "crossweir_outcomes_total",
+            "Final outcomes of requests.",
+            "outcome",
+        )?;
+        let invariants = counter(
+            &registry,
+            "crossweir_invariant_violations_total",
+            "Operations refused because they would break an invariant.",
+            "invariant",
+        )?;
+        let events = counter(
+            &registry,
+            "crossweir_events_total",
+            "Notable events by kind.",
+            "event",
+        )?;
+        let store_calls = counter(
+            &registry,
+            "crossweir_store_calls_total",
+            "Calls to the platform's store.",
+            "call",
+        )?;
+        let gauges = IntGaugeVec::new(
+            prometheus::opts!("crossweir_state", "Present sizes and versions."),
+            &["what"],
+        )?;
+        registry.register(Box::new(gauges.clone()))?;
+        let opts = prometheus::histogram_opts!(
+            "crossweir_wait_seconds",
+            "Time from request to start.",
+            WAIT_BUCKETS.to_vec()
+        );
+        let waits = HistogramVec::new(opts, &["class"])?;
+        registry.register(Box::new(waits.clone()))?;
+        Ok(Self {
+            registry,
+            refusals,
+            retries,
+            outcomes,
+            invariants,
+            events,
+            store_calls,
+            gauges,
+            waits,
+        })
+    }
+
+    /// Counts a refusal; `reason` is one of the codes of `docs/METRICS.md`.
+    pub fn refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retry(&self, reason: &str) {
+        self.retries.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts the final outcome of a request.
+    pub fn outcome(&self, outcome: &str) {
+        self.outcomes.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts and logs an operation that was refused to keep an invariant.
+    pub fn violation(&self, invariant: &str) {
+        tracing::error!(invariant, "operation refused to keep an invariant");
+        self.invariants.with_label_values(&[invariant]).inc();
+    }
+
+    /// Counts a notable event such as a takeover.
+    pub fn event(&self, event: &str) {
+        self.event_by(event, 1);
+    }
+
+    /// Counts `n` notable events of one kind.
+    pub fn event_by(&self, event: &str, n: u64) {
+        self.events.with_label_values(&[event]).inc_by(n);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: &str) {
+        self.store_calls.with_label_values(&[call]).inc();
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, what: &str, value: i64) {
+        self.gauges.with_label_values(&[what]).set(value);
+    }
+
+    /// Records a waiting time in milliseconds.
+    pub fn wait(&self, class: &str, millis: u64) {
+        self.waits
+            .with_label_values(&[class])
+            .observe(millis as f64 / 1000.0);
+    }
+
+    /// Returns the count of a refusal reason, for tests and `diagnose`.
+    pub fn refusal_count(&self, reason: &str) -> u64 {
+        self.refusals.with_label_values(&[reason]).get()
+    }
+
+    /// Returns the number of invariant violations of any kind so far.
+    pub fn violation_count(&self) -> u64 {
+        let families = self.registry.gather();
+        families
+            .iter()
+            .filter(|family| family.name() == "crossweir_invariant_violations_total")
+            .flat_map(|family| family.get_metric())
+            .map(|metric| metric.get_counter().get_value() as u64)
+            .sum()
+    }
+
+    /// Renders the registry in the text format of Prometheus.
+    ///
+    /// # Errors
+    /// Fails if a collector cannot be encoded.
+    pub fn render(&self) -> Result<Vec<u8>> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, label: &str) -> Result<IntCounterVec> {
+    let counter = IntCounterVec::new(prometheus::opts!(name, help), &[label])?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The stand-in.
+
+fn main() {}
