--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -285,6 +285,7 @@
                     held.row = row.clone();
                     held.version = version;
                     state.map.insert(&shard, version, row);
+                    state.cell.press_shard(&shard);
                     self.wake_workers.notify_one();
                 }
                 // The row is not what we left: another has claimed, which the next
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -56,6 +56,8 @@
     pub inherited_open: bool,
     /// How many of its VMs are recorded.
     pub vms: usize,
+    /// How many of its workers may be given work, for a rack.
+    pub usable: usize,
     /// Free slots, for a group of targets.
     pub free_slots: u32,
     /// Waiting requests, for a group of targets.
@@ -87,6 +89,7 @@
                 confirmed_for_ms: held.tenure.confirmed_until().saturating_sub(now),
                 inherited_open: held.tenure.may_start_inherited(now),
                 vms: held.row.witnesses.len(),
+                usable: state.cell.usable_in(shard),
                 free_slots,
                 queued,
             }
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -267,6 +267,12 @@
             .collect()
     }
 
+    /// Returns how many workers of a shard may be given work.
+    pub fn usable_in(&self, shard: &str) -> usize {
+        let index = self.shards.iter().position(|known| known.name == shard);
+        self.workers.values().filter(|worker| Some(worker.shard) == index && worker.usable).count()
+    }
+
     /// Returns the room that is free on usable workers, and the room that they have.
     pub fn room(&self) -> (Resources, Resources) {
         (self.free, self.capacity)
--- a/src/placement/lease.rs
+++ b/src/placement/lease.rs
@@ -377,9 +377,11 @@
         self.worker(vm).is_some_and(|worker| worker.pressing)
     }
 
-    /// Returns the workers that should be spoken to now.
-    pub fn pressing(&self) -> Vec<String> {
-        let pressing = self.workers.values().filter(|worker| worker.pressing);
-        pressing.map(|worker| worker.vm.vm.clone()).collect()
+    /// Has every worker of a shard spoken to without waiting for the next renewal.
+    pub fn press_shard(&mut self, name: &str) {
+        let shard = self.shard_index(name);
+        for worker in self.workers.values_mut().filter(|worker| worker.shard == shard) {
+            worker.pressing = true;
+        }
     }
 }
--- a/src/platform/local_worker.rs
+++ b/src/platform/local_worker.rs
@@ -23,7 +23,7 @@
 }
 
 /// A start or an end that a worker went through, kept for tests.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct RunRecord {
     /// The task.
     pub task: TaskId,
@@ -243,6 +243,17 @@
         Some(f(worker, now))
     }
 
+    /// Returns every run of every worker since it was made, by endpoint.
+    pub fn histories(&self) -> HashMap<String, Vec<RunRecord>> {
+        let now = self.clock.now();
+        let mut workers = self.lock();
+        let history = |(endpoint, worker): (&String, &mut LocalWorker)| {
+            worker.advance(now);
+            (endpoint.clone(), worker.history.clone())
+        };
+        workers.iter_mut().map(history).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, LocalWorker>> {
         self.workers.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/standin/src/main.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! The stand-in.
-
-fn main() {}
