Look at a worker when its tasks are expected to end; learn the members before claiming

Cause: workers are asked and do not call, so the end of a task was seen only at the next lease renewal, up to 3 s late, and its room stood empty until then; and a starting instance claimed every shard before it had found the others, so each had to be handed over again. Ruled out: renewing more often (cost grows for every worker, ends or not). Change: the next look is due at the declared end, corrected by the ratio of real to declared time that is learnt by team and kind, then at an eighth of the run so far; an instance waits three heartbeats before its first claim.

--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -24,6 +24,9 @@
 /// How many shards one step hands over because another instance should own them.
 const MOVES_PER_STEP: usize = 1;
 
+/// How many heartbeats an instance waits after its start before it claims anything.
+const BEATS_BEFORE_CLAIMS: Millis = 3;
+
 /// What became of the write of a row.
 enum Written {
     Yes(Version),
@@ -64,7 +67,9 @@
     fn wanted(&self) -> Vec<String> {
         let now = self.now();
         let state = self.lock();
-        if self.is_draining() || state.shard_revision.is_none() || !state.listed {
+        // A newcomer first learns who else is there, or it would claim what others should own.
+        let fresh = now < self.started_at + BEATS_BEFORE_CLAIMS * self.cfg.beat();
+        if fresh || self.is_draining() || state.shard_revision.is_none() || !state.listed {
             return Vec::new();
         }
         let members = state.members.candidates(false, now);
--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -93,6 +93,8 @@
     pub metrics: Metrics,
     /// A number that tells this start from any other.
     pub incarnation: u64,
+    /// When it was started.
+    pub started_at: Millis,
     /// The bound on writes to the store.
     pub writes: WriteBudget,
     /// The durable marks of requests that must not be repeated.
@@ -159,6 +161,7 @@
             spills: 0,
             rng: StdRng::seed_from_u64(incarnation),
         };
+        let started_at = clock.now();
         let writes = WriteBudget::new(cfg.number("platform", "flush_ms"));
         Arc::new_cyclic(|me| Self {
             cfg,
@@ -167,6 +170,7 @@
             peers,
             metrics,
             incarnation,
+            started_at,
             writes,
             marks: Marks::default(),
             keys: KeyTable::default(),
--- a/src/daemon/polling.rs
+++ b/src/daemon/polling.rs
@@ -166,7 +166,7 @@
     async fn poll_members(&self) -> Result<(), StoreError> {
         let due = {
             let mut state = self.lock();
-            let due = state.polls.is_multiple_of(MEMBERS_EVERY);
+            let due = state.polls < MEMBERS_EVERY || state.polls.is_multiple_of(MEMBERS_EVERY);
             state.polls += 1;
             due
         };
--- a/src/daemon/workers.rs
+++ b/src/daemon/workers.rs
@@ -1,6 +1,7 @@
 //! Speaking to workers: one exchange at a time with each, when it is due.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
@@ -12,6 +13,8 @@
 const RETRY_PAUSE: Millis = 300;
 /// How often leases are checked for having run out, in milliseconds.
 const EXPIRE_EVERY: Millis = 250;
+/// The shortest sleep of the loop, in milliseconds, so that it never spins.
+const SHORTEST_SLEEP: Millis = 2;
 
 /// When a worker is to be spoken to.
 #[derive(Debug, Clone, Copy, Default)]
@@ -37,7 +40,7 @@
     pub async fn run_workers(self: Arc<Self>) {
         let mut expire_at = 0;
         loop {
-            let _ = tokio::time::timeout(self.tick(), self.wake_workers.notified()).await;
+            let _ = tokio::time::timeout(self.until_due(), self.wake_workers.notified()).await;
             let now = self.now();
             if now >= expire_at {
                 expire_at = now + EXPIRE_EVERY;
@@ -51,6 +54,16 @@
         }
     }
 
+    /// Returns how long no worker is due, at most one tick.
+    fn until_due(&self) -> Duration {
+        let now = self.now();
+        let state = self.lock();
+        let idle = state.worker_times.values().filter(|times| !times.busy);
+        let next_at = idle.map(|times| times.next_at.max(times.pause_until)).min();
+        let wait = next_at.map_or(Millis::MAX, |at| at.saturating_sub(now));
+        Duration::from_millis(wait.max(SHORTEST_SLEEP)).min(self.tick())
+    }
+
     /// Gives places to waiting tasks.
     pub fn plan(&self) {
         let now = self.now();
@@ -107,13 +120,15 @@
             .await;
         let now = self.now();
         let mut state = self.lock();
-        if let Some(times) = state.worker_times.get_mut(&due.vm) {
-            times.busy = false;
-        }
         match reply {
             Ok(reply) => self.on_worker_reply(&mut state, &due, &reply, now),
             Err(err) => self.on_worker_silence(&mut state, &due, err, now),
         }
+        let look = state.cell.next_look(&due.vm, now);
+        if let Some(times) = state.worker_times.get_mut(&due.vm) {
+            times.busy = false;
+            times.next_at = times.next_at.min(look.unwrap_or(Millis::MAX));
+        }
         drop(state);
         self.wake_workers.notify_one();
     }
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -10,6 +10,7 @@
 use crate::model::{Epoch, Resources, TaskState, VmBoot};
 use crate::placement::health::Health;
 use crate::placement::index::FreeIndex;
+use crate::placement::pace::Pace;
 use crate::placement::plan::Strategy;
 use crate::placement::queue::Queue;
 use crate::placement::reserve::Reservations;
@@ -121,6 +122,7 @@
     pub(super) urgent: super::plan::UrgentDemand,
     pub(super) holder: Option<JobKey>,
     pub(super) reservations: Reservations,
+    pub(super) pace: Pace,
     pub(super) dirty: BTreeSet<(JobKey, usize)>,
     pub(super) rng: SmallRng,
     /// What happened since the tally was last taken.
@@ -154,6 +156,7 @@
             urgent: super::plan::UrgentDemand::default(),
             holder: None,
             reservations: Reservations::default(),
+            pace: Pace::default(),
             dirty: BTreeSet::new(),
             rng,
             tally: Tally::default(),
@@ -270,7 +273,10 @@
     /// Returns how many workers of a shard may be given work.
     pub fn usable_in(&self, shard: &str) -> usize {
         let index = self.shards.iter().position(|known| known.name == shard);
-        self.workers.values().filter(|worker| Some(worker.shard) == index && worker.usable).count()
+        self.workers
+            .values()
+            .filter(|worker| Some(worker.shard) == index && worker.usable)
+            .count()
     }
 
     /// Returns the room that is free on usable workers, and the room that they have.
--- a/src/placement/intake.rs
+++ b/src/placement/intake.rs
@@ -505,6 +505,7 @@
             inherited: false,
             preempted: false,
             waiting_since: now,
+            running_since: 0,
         });
         self.jobs[job].tasks.insert(index, key);
         self.jobs[job].waiting.insert(index);
--- a/src/placement/lease.rs
+++ b/src/placement/lease.rs
@@ -213,6 +213,7 @@
             return;
         }
         self.tasks[key].phase = Phase::Running;
+        self.tasks[key].running_since = now;
         self.requeue_job(job);
         self.tally.add("task_found");
         if self.jobs[job].cancelling {
@@ -223,6 +224,7 @@
     fn on_started(&mut self, key: TaskKey, now: Millis) {
         let task = &mut self.tasks[key];
         task.phase = Phase::Running;
+        task.running_since = now;
         let waited = now.saturating_sub(task.waiting_since);
         let class = self.jobs[task.job].ordering.class;
         if let Some(worker) = task.worker {
@@ -239,6 +241,7 @@
         match end {
             RunEnd::Succeeded => {
                 self.jobs[job].successes += 1;
+                self.record_pace(key, now);
                 self.workers[worker].health.on_success();
                 match service && !cancelling {
                     true => self.rerun(worker, key, now),
@@ -380,7 +383,11 @@
     /// Has every worker of a shard spoken to without waiting for the next renewal.
     pub fn press_shard(&mut self, name: &str) {
         let shard = self.shard_index(name);
-        for worker in self.workers.values_mut().filter(|worker| worker.shard == shard) {
+        for worker in self
+            .workers
+            .values_mut()
+            .filter(|worker| worker.shard == shard)
+        {
             worker.pressing = true;
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,6 +9,7 @@
 pub mod index;
 pub mod intake;
 pub mod lease;
+pub mod pace;
 pub mod part;
 pub mod plan;
 pub mod preempt;
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -66,6 +66,8 @@
     pub preempted: bool,
     /// When it last began to wait.
     pub waiting_since: Millis,
+    /// When it was first seen to run.
+    pub running_since: Millis,
 }
 
 /// One job, or the parts of it that this cell decides for.
--- a/standin/control.rs
+++ b/standin/control.rs
@@ -78,9 +78,17 @@
 /// Switches a fault on or off.
 pub fn set(world: &World, fault: Fault) {
     match fault {
-        Fault::StoreDown(on) => world.store.set_fault(if on { StoreFault::Down } else { StoreFault::None }),
+        Fault::StoreDown(on) => world.store.set_fault(if on {
+            StoreFault::Down
+        } else {
+            StoreFault::None
+        }),
         Fault::StoreReplyLost(on) => {
-            world.store.set_fault(if on { StoreFault::ReplyLost } else { StoreFault::None });
+            world.store.set_fault(if on {
+                StoreFault::ReplyLost
+            } else {
+                StoreFault::None
+            });
         }
         Fault::StoreSlow(millis) => world.delays().store_ms = millis,
         Fault::Freeze { vm, on } => {
@@ -90,14 +98,18 @@
             world.workers.with(&vm, |worker, _| worker.fail_all = on);
         }
         Fault::Restart { vm, boot } => {
-            world.workers.with(&vm, |worker, now| worker.restart(boot, now));
+            world
+                .workers
+                .with(&vm, |worker, now| worker.restart(boot, now));
         }
         Fault::TargetLeaving { vm, on } => world.targets.set_leaving(&vm, on),
         Fault::ListLeaving { vm } => world.store.edit_vms(|vms| {
             let listed = vms.iter_mut().filter(|listed| listed.name == vm);
             listed.for_each(|listed| listed.state = VmState::Leaving);
         }),
-        Fault::Unlist { vm } => world.store.edit_vms(|vms| vms.retain(|listed| listed.name != vm)),
+        Fault::Unlist { vm } => world
+            .store
+            .edit_vms(|vms| vms.retain(|listed| listed.name != vm)),
         Fault::LoseAnswers(on) => world.targets.set_lose_answers(on),
     }
 }
--- a/standin/main.rs
+++ b/standin/main.rs
@@ -36,16 +36,25 @@
 
 fn main() -> anyhow::Result<()> {
     let flags = Standin::from_env_or_exit();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(run(flags))
 }
 
 async fn run(flags: Standin) -> anyhow::Result<()> {
-    let listen = flags.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listen = flags
+        .listen
+        .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
     let listener = tokio::net::TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
     let size = world::Size {
-        halls: flags.halls.unwrap_or_else(|| String::from("hall-a")).split(',').map(str::to_owned).collect(),
+        halls: flags
+            .halls
+            .unwrap_or_else(|| String::from("hall-a"))
+            .split(',')
+            .map(str::to_owned)
+            .collect(),
         workers: flags.workers.unwrap_or(8),
         per_rack: flags.per_rack.unwrap_or(8),
         cores: flags.cores.unwrap_or(16),
@@ -55,6 +64,8 @@
     };
     let world = Arc::new(world::World::new(&size, address));
     println!("{{\"address\":\"{address}\"}}");
-    let served = Server::new(service::StandinService { world }).run(DefaultIncoming::from(listener)).await;
+    let served = Server::new(service::StandinService { world })
+        .run(DefaultIncoming::from(listener))
+        .await;
     served.map_err(|err| anyhow::anyhow!("the stand-in ended: {err}"))
 }
--- a/standin/service.rs
+++ b/standin/service.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use crossweir::http::{answer, parse};
-use crossweir::platform::remote::{ConflictReply, LEAVING_HEADER, ReadCall, ScanCall, TransactCall, TransactReply};
+use crossweir::platform::remote::{
+    ConflictReply, LEAVING_HEADER, ReadCall, ScanCall, TransactCall, TransactReply,
+};
 use crossweir::platform::{Exchange, Store, StoreError, VmList};
 use serde::Serialize;
 use volo::service::Service;
@@ -76,7 +78,12 @@
                 Err(_) => bad_request(),
             },
             "transact" => match serde_json::from_slice::<TransactCall>(body) {
-                Ok(call) => from_store(store.transact(call.ops).await.map(|version| TransactReply { version })),
+                Ok(call) => from_store(
+                    store
+                        .transact(call.ops)
+                        .await
+                        .map(|version| TransactReply { version }),
+                ),
                 Err(_) => bad_request(),
             },
             _ => answer::json(StatusCode::NOT_FOUND, &()),
@@ -102,7 +109,10 @@
         let Ok(msg) = serde_json::from_slice::<Exchange>(body) else {
             return bad_request();
         };
-        let reply = self.world.workers.with(vm, |worker, now| worker.exchange(&msg, now));
+        let reply = self
+            .world
+            .workers
+            .with(vm, |worker, now| worker.exchange(&msg, now));
         match reply {
             Some(reply) => answer::json(StatusCode::OK, &reply),
             None => answer::json(StatusCode::NOT_FOUND, &()),
@@ -117,14 +127,18 @@
             Answer::Echo { leaving } => leaving,
             Answer::Refused => {
                 let mut response = answer::json(StatusCode::SERVICE_UNAVAILABLE, &());
-                response.headers_mut().insert(LEAVING_HEADER, HeaderValue::from_static("yes"));
+                response
+                    .headers_mut()
+                    .insert(LEAVING_HEADER, HeaderValue::from_static("yes"));
                 return response;
             }
             Answer::Lost => future::pending().await,
         };
         let mut response = answer::with_body(StatusCode::OK, "application/octet-stream", body);
         if leaving {
-            response.headers_mut().insert(LEAVING_HEADER, HeaderValue::from_static("yes"));
+            response
+                .headers_mut()
+                .insert(LEAVING_HEADER, HeaderValue::from_static("yes"));
         }
         response
     }
@@ -137,7 +151,9 @@
 fn from_store<T: Serialize>(result: Result<T, StoreError>) -> Response {
     match result {
         Ok(value) => answer::json(StatusCode::OK, &value),
-        Err(StoreError::Conflict { index }) => answer::json(StatusCode::CONFLICT, &ConflictReply { index }),
+        Err(StoreError::Conflict { index }) => {
+            answer::json(StatusCode::CONFLICT, &ConflictReply { index })
+        }
         Err(StoreError::Unavailable) => answer::json(StatusCode::SERVICE_UNAVAILABLE, &()),
         Err(StoreError::Unanswered) => answer::json(StatusCode::GATEWAY_TIMEOUT, &()),
     }
--- a/standin/world.rs
+++ b/standin/world.rs
@@ -54,7 +54,9 @@
     /// Makes a cell that answers at `address`.
     pub fn new(size: &Size, address: SocketAddr) -> Self {
         let vms = vms(size, address);
-        let workers = vms.iter().filter(|vm| matches!(vm.role, VmRole::Worker { .. }));
+        let workers = vms
+            .iter()
+            .filter(|vm| matches!(vm.role, VmRole::Worker { .. }));
         let names: Vec<String> = workers.map(|vm| vm.name.clone()).collect();
         let store = LocalStore::default();
         store.set_vms(vms);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -29,8 +29,13 @@
 impl Process {
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args([format!("-{name}"), pid]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "cannot send {name}");
+        let sent = Command::new("kill")
+            .args([format!("-{name}"), pid])
+            .status();
+        assert!(
+            sent.is_ok_and(|status| status.success()),
+            "cannot send {name}"
+        );
     }
 
     pub fn kill(&mut self) {
@@ -71,7 +76,11 @@
     /// As [`Cell::start`], with further settings.
     pub async fn start_with(size: &Size, settings: &str) -> Self {
         let standin = start_standin(size);
-        let folder = std::env::temp_dir().join(format!("crossweir-test-{}-{}", std::process::id(), standin.child.id()));
+        let folder = std::env::temp_dir().join(format!(
+            "crossweir-test-{}-{}",
+            std::process::id(),
+            standin.child.id()
+        ));
         std::fs::create_dir_all(&folder).expect("a folder for settings");
         std::fs::write(folder.join("token"), TOKEN).expect("the token file");
         let mut cell = Self {
@@ -95,7 +104,8 @@
         let path = self.folder.join(format!("e{index}.ini"));
         let settings = format!(
             "[instance]\nname = e{index}\nhall = {hall}\nhttp = 127.0.0.1:0\nrpc = 127.0.0.1:0\n\
-             operator_token_file = {}\n[platform]\nurl = http://{}\npoll_ms = 200\nflush_ms = 50\n{}",
+             operator_token_file = {}\n[platform]\nurl = http://{}\npoll_ms = 100\nflush_ms = 50\n\
+             [membership]\nbeat_ms = 100\nsuspect_ms = 1000\nsettle_ms = 500\n{}",
             self.folder.join("token").display(),
             self.standin.address,
             self.settings,
@@ -118,7 +128,9 @@
         self.until("the cell settles", |status| {
             let whole = status.instances.len() == count && status.unowned.is_empty();
             let ready = |instance: &InstanceStatus| {
-                instance.fresh && instance.hears.len() == count - 1 && instance.shards.iter().all(is_ready)
+                instance.fresh
+                    && instance.hears.len() == count - 1
+                    && instance.shards.iter().all(is_ready)
             };
             whole && status.instances.iter().all(ready)
         })
@@ -126,7 +138,11 @@
     }
 
     /// Waits until some running instance sees the cell in the given state.
-    pub async fn until(&self, what: &str, mut holds: impl FnMut(&CellStatus) -> bool) -> CellStatus {
+    pub async fn until(
+        &self,
+        what: &str,
+        mut holds: impl FnMut(&CellStatus) -> bool,
+    ) -> CellStatus {
         let start = Instant::now();
         let mut last = None;
         while start.elapsed() < WAIT_LIMIT {
@@ -146,12 +162,28 @@
     pub async fn status(&self, address: &str) -> Option<CellStatus> {
         let url = format!("http://{address}/v1/operator/status");
         let headers = [(TOKEN_HEADER, TOKEN.to_owned())];
-        let answer = self.http.call(Method::GET, &url, &headers, Vec::new(), Duration::from_secs(2)).await;
+        let answer = self
+            .http
+            .call(
+                Method::GET,
+                &url,
+                &headers,
+                Vec::new(),
+                Duration::from_secs(2),
+            )
+            .await;
         answer.ok()?.json().ok()
     }
 
     /// Calls an instance and expects an answer.
-    pub async fn call(&self, index: usize, method: Method, path: &str, headers: &[(&'static str, &str)], body: &str) -> Answer {
+    pub async fn call(
+        &self,
+        index: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: &str,
+    ) -> Answer {
         let answer = self.try_call(index, method, path, headers, body).await;
         answer.unwrap_or_else(|err| panic!("{path}: {err}"))
     }
@@ -165,17 +197,35 @@
         body: &str,
     ) -> Result<Answer, CallError> {
         let url = format!("http://{}{path}", self.instance(index).address);
-        let headers: Vec<_> = headers.iter().map(|(name, value)| (*name, (*value).to_owned())).collect();
-        self.http.call(method, &url, &headers, body.as_bytes().to_vec(), CALL_LIMIT).await
+        let headers: Vec<_> = headers
+            .iter()
+            .map(|(name, value)| (*name, (*value).to_owned()))
+            .collect();
+        self.http
+            .call(method, &url, &headers, body.as_bytes().to_vec(), CALL_LIMIT)
+            .await
     }
 
     /// Sends a short request to the service `echo`.
-    pub async fn request(&self, index: usize, headers: &[(&'static str, &str)], body: &str) -> Answer {
-        self.call(index, Method::POST, "/v1/services/echo/requests/run", headers, body).await
+    pub async fn request(
+        &self,
+        index: usize,
+        headers: &[(&'static str, &str)],
+        body: &str,
+    ) -> Answer {
+        self.call(
+            index,
+            Method::POST,
+            "/v1/services/echo/requests/run",
+            headers,
+            body,
+        )
+        .await
     }
 
     pub async fn submit(&self, index: usize, job: &Value) -> Answer {
-        self.call(index, Method::POST, "/v1/jobs", &[], &job.to_string()).await
+        self.call(index, Method::POST, "/v1/jobs", &[], &job.to_string())
+            .await
     }
 
     /// Waits until a job has `count` tasks in `state`.
@@ -183,7 +233,9 @@
         let start = Instant::now();
         let mut last = Value::Null;
         while start.elapsed() < WAIT_LIMIT {
-            let answer = self.try_call(index, Method::GET, &format!("/v1/jobs/{id}"), &[], "").await;
+            let answer = self
+                .try_call(index, Method::GET, &format!("/v1/jobs/{id}"), &[], "")
+                .await;
             if let Ok(view) = answer.and_then(|answer| answer.json::<Value>()) {
                 if view["counts"][state] == count {
                     return view;
@@ -198,23 +250,36 @@
     /// Switches a fault of the stand-in.
     pub async fn fault(&self, fault: Value) {
         let url = format!("http://{}/control", self.standin.address);
-        let answer = self.http.post_json(&url, &fault, CALL_LIMIT).await.expect("the stand-in answers");
+        let answer = self
+            .http
+            .post_json(&url, &fault, CALL_LIMIT)
+            .await
+            .expect("the stand-in answers");
         assert_eq!(answer.status, 200, "fault {fault}");
     }
 
     /// Returns what the stand-in has counted.
     pub async fn report(&self) -> Value {
         let url = format!("http://{}/control", self.standin.address);
-        let answer = self.http.call(Method::GET, &url, &[], Vec::new(), CALL_LIMIT).await;
-        answer.expect("the stand-in answers").json().expect("a report")
+        let answer = self
+            .http
+            .call(Method::GET, &url, &[], Vec::new(), CALL_LIMIT)
+            .await;
+        answer
+            .expect("the stand-in answers")
+            .json()
+            .expect("a report")
     }
 
     /// Returns the value of a metric with one label, or zero.
     pub async fn metric(&self, index: usize, name: &str, label: &str) -> u64 {
         let answer = self.call(index, Method::GET, "/metrics", &[], "").await;
         let text = String::from_utf8(answer.body).expect("metrics are text");
-        let line = text.lines().find(|line| line.starts_with(name) && line.contains(&format!("\"{label}\"")));
-        line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+        let line = text
+            .lines()
+            .find(|line| line.starts_with(name) && line.contains(&format!("\"{label}\"")));
+        line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+            .unwrap_or(0)
     }
 
     /// Asserts that no instance has refused anything to keep an invariant, and that
@@ -227,7 +292,11 @@
                 }
             }
         }
-        assert_eq!(double_runs(&self.report().await), Vec::<String>::new(), "tasks in two places");
+        assert_eq!(
+            double_runs(&self.report().await),
+            Vec::<String>::new(),
+            "tasks in two places"
+        );
     }
 }
 
@@ -239,24 +308,34 @@
 
 fn is_ready(shard: &crossweir::daemon::status::ShardStatus) -> bool {
     let pool = shard.shard.starts_with("service:");
-    shard.confirmed_for_ms > 0 && shard.inherited_open && (pool && shard.free_slots > 0 || !pool && shard.usable > 0)
+    shard.confirmed_for_ms > 0
+        && shard.inherited_open
+        && (pool && shard.free_slots > 0 || !pool && shard.usable > 0)
 }
 
 /// Returns the tasks of which two runs overlap in time.
 pub fn double_runs(report: &Value) -> Vec<String> {
     let mut runs: HashMap<String, Vec<(u64, u64)>> = HashMap::new();
-    for history in report["runs"].as_object().into_iter().flat_map(|runs| runs.values()) {
+    for history in report["runs"]
+        .as_object()
+        .into_iter()
+        .flat_map(|runs| runs.values())
+    {
         for run in history.as_array().into_iter().flatten() {
             let task = format!("{}/{}", run["task"]["job"], run["task"]["index"]);
             let ended = run["ended"].as_u64().unwrap_or(u64::MAX);
-            runs.entry(task).or_default().push((run["started"].as_u64().unwrap_or(0), ended));
+            runs.entry(task)
+                .or_default()
+                .push((run["started"].as_u64().unwrap_or(0), ended));
         }
     }
     let overlaps = |runs: &mut Vec<(u64, u64)>| {
         runs.sort_unstable();
         runs.windows(2).any(|pair| pair[1].0 < pair[0].1)
     };
-    runs.into_iter().filter_map(|(task, mut runs)| overlaps(&mut runs).then_some(task)).collect()
+    runs.into_iter()
+        .filter_map(|(task, mut runs)| overlaps(&mut runs).then_some(task))
+        .collect()
 }
 
 /// A job as callers send it.
@@ -274,8 +353,17 @@
 fn start_standin(size: &Size) -> Process {
     let mut command = Command::new(env!("CARGO_BIN_EXE_crossweir-standin"));
     command.args(["--halls", size.halls]);
-    command.args(["--workers", &size.workers.to_string(), "--targets", &size.targets.to_string()]);
-    let mut child = command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("the stand-in starts");
+    command.args([
+        "--workers",
+        &size.workers.to_string(),
+        "--targets",
+        &size.targets.to_string(),
+    ]);
+    let mut child = command
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the stand-in starts");
     let stdout = child.stdout.take().expect("a piped output");
     let address = address_in_log(stdout, "address");
     Process { child, address }
@@ -296,5 +384,6 @@
             }
         }
     });
-    rx.recv_timeout(WAIT_LIMIT).expect("the process says where it listens")
+    rx.recv_timeout(WAIT_LIMIT)
+        .expect("the process says where it listens")
 }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -25,9 +25,17 @@
         ("report", "batch", 60, 2_000, 50, "succeeded"),
         ("rebuild", "gang", 20, 12_000, 50, "succeeded"),
     ] {
-        let answer = cell.submit(0, &common::job(name, kind, tasks, millicores, runtime)).await;
-        assert_eq!(answer.status, 201, "{}", String::from_utf8_lossy(&answer.body));
-        cell.job_reaches(1, &format!("test.{name}"), state, u64::from(tasks)).await;
+        let answer = cell
+            .submit(0, &common::job(name, kind, tasks, millicores, runtime))
+            .await;
+        assert_eq!(
+            answer.status,
+            201,
+            "{}",
+            String::from_utf8_lossy(&answer.body)
+        );
+        cell.job_reaches(1, &format!("test.{name}"), state, u64::from(tasks))
+            .await;
     }
 
     // A request, answered by a target of another hall once its own are full.
@@ -37,8 +45,17 @@
         async move {
             let body = format!("request-{n}");
             let answer = cell.request(0, &[("x-team", "test")], &body).await;
-            assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
-            assert_eq!(answer.body, body.as_bytes(), "each caller gets its own answer");
+            assert_eq!(
+                answer.status,
+                200,
+                "{}",
+                String::from_utf8_lossy(&answer.body)
+            );
+            assert_eq!(
+                answer.body,
+                body.as_bytes(),
+                "each caller gets its own answer"
+            );
             answer.headers["x-via"].to_str().unwrap_or("").to_owned()
         }
     });
@@ -46,7 +63,9 @@
     assert!(halls.len() > 1, "requests are handed over: {halls:?}");
 
     // Cancelling stops the service.
-    let answer = cell.call(2, Method::DELETE, "/v1/jobs/test.tracking", &[], "").await;
+    let answer = cell
+        .call(2, Method::DELETE, "/v1/jobs/test.tracking", &[], "")
+        .await;
     assert_eq!(answer.status, 202);
     cell.job_reaches(0, "test.tracking", "cancelled", 6).await;
     cell.assert_invariants().await;
@@ -55,10 +74,17 @@
 #[tokio::test]
 async fn bad_input_gets_a_typed_answer_and_changes_nothing() {
     // Arrange.
-    let cell = Cell::start(&Size { instances: 1, halls: "north", ..SIZE }).await;
+    let cell = Cell::start(&Size {
+        instances: 1,
+        halls: "north",
+        ..SIZE
+    })
+    .await;
     let huge = "x".repeat(2 << 20);
     let never = common::job("never", "batch", 1, 64_000, 10).to_string();
-    let negative = common::job("n", "batch", 1, 1, 10).to_string().replace(":1,", ":-1,");
+    let negative = common::job("n", "batch", 1, 1, 10)
+        .to_string()
+        .replace(":1,", ":-1,");
     let unknown_field = r#"{"name":"a","team":"t","kind":"batch","tasks":1,"colour":"red","resources":{"millicores":1,"memory_mib":1}}"#;
     let zero_tasks = common::job("zero", "batch", 0, 1_000, 10).to_string();
     let jobs: [(&str, u16, &str); 6] = [
@@ -81,18 +107,40 @@
         let before = cell.metric(0, "crossweir_refusals_total", code).await;
         let answer = cell.call(0, Method::POST, "/v1/jobs", &[], body).await;
         let failure: Value = answer.json().expect("a typed failure");
-        assert_eq!((answer.status.as_u16(), failure["code"].as_str()), (status, Some(code)));
+        assert_eq!(
+            (answer.status.as_u16(), failure["code"].as_str()),
+            (status, Some(code))
+        );
         assert_eq!(failure["outcome"], "not_run");
-        assert_eq!(cell.metric(0, "crossweir_refusals_total", code).await, before + 1);
+        assert_eq!(
+            cell.metric(0, "crossweir_refusals_total", code).await,
+            before + 1
+        );
     }
     for (name, value, status, code) in headers {
         let answer = cell.request(0, &[(name, value)], "body").await;
         let failure: Value = answer.json().expect("a typed failure");
-        assert_eq!((answer.status.as_u16(), failure["code"].as_str()), (status, Some(code)), "{name}: {value}");
+        assert_eq!(
+            (answer.status.as_u16(), failure["code"].as_str()),
+            (status, Some(code)),
+            "{name}: {value}"
+        );
     }
-    let answer = cell.call(0, Method::GET, "/v1/operator/status", &[("x-operator-token", "guess")], "").await;
+    let answer = cell
+        .call(
+            0,
+            Method::GET,
+            "/v1/operator/status",
+            &[("x-operator-token", "guess")],
+            "",
+        )
+        .await;
     assert_eq!(answer.status, 401);
-    assert!(cell.report().await["targets"]["runs"].as_object().is_some_and(|runs| runs.is_empty()));
+    assert!(
+        cell.report().await["targets"]["runs"]
+            .as_object()
+            .is_some_and(|runs| runs.is_empty())
+    );
     cell.assert_invariants().await;
 }
 
@@ -100,8 +148,15 @@
 async fn a_header_line_without_end_is_refused_and_the_daemon_lives() {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     // Arrange.
-    let cell = Cell::start(&Size { instances: 1, halls: "north", ..SIZE }).await;
-    let mut stream = tokio::net::TcpStream::connect(&cell.instance(0).address).await.expect("a connection");
+    let cell = Cell::start(&Size {
+        instances: 1,
+        halls: "north",
+        ..SIZE
+    })
+    .await;
+    let mut stream = tokio::net::TcpStream::connect(&cell.instance(0).address)
+        .await
+        .expect("a connection");
     let line = vec![b'a'; 1 << 20];
 
     // Act.
@@ -112,6 +167,9 @@
 
     // Assert.
     let answer = String::from_utf8_lossy(&answer);
-    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 4"), "{answer}");
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 4"),
+        "{answer}"
+    );
     assert_eq!(cell.request(0, &[], "still there").await.status, 200);
 }
