Random runs of whole instances in virtual time, and the faults they found

Ruled out: a cell simulator; only the interfaces are faked, the instances are real. Found and mended: an ordered request found the outcome of another one of its stream; a record write whose reply was lost left a task in two records (writes are now chained by a writer row, so that a lost one is settled, and one write is under way at a time); the end of an older attempt freed a task of the predecessor too early; a group of targets never opened when its new owner had borne witness itself.

--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -445,7 +445,7 @@
             }
             None => {
                 state.cell.close_shard(shard);
-                !state.flushing && !state.cell.has_writes_for(shard)
+                !state.writer.concerns(shard) && !state.cell.has_writes_for(shard)
             }
         }
     }
--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -1,6 +1,6 @@
 //! The state of one instance, and its loops.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
@@ -8,12 +8,14 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
 
 use crate::clock::{Clock, Millis};
 use crate::config::Config;
 use crate::daemon::configuration::Configuration;
 use crate::daemon::keys::KeyTable;
 use crate::daemon::marks::{self, Marks};
+use crate::daemon::records::Writer;
 use crate::daemon::shards::Held;
 use crate::daemon::streams::Streams;
 use crate::daemon::workers::WorkerTimes;
@@ -44,31 +46,31 @@
     /// The platform's last list of VMs.
     pub vms: Vec<Vm>,
     /// When each VM was last listed, by our clock.
-    pub listed_at: HashMap<String, Millis>,
+    pub listed_at: BTreeMap<String, Millis>,
     /// Whether the list has been read at all.
     pub listed: bool,
     /// The shards that this instance owns.
-    pub held: HashMap<String, Held>,
+    pub held: BTreeMap<String, Held>,
     /// The placement core.
     pub cell: Cell,
     /// The groups of targets that this instance owns.
-    pub pools: HashMap<String, Pool>,
+    pub pools: BTreeMap<String, Pool>,
     /// Requests that wait for a slot.
-    pub waiters: HashMap<TicketId, oneshot::Sender<(String, Grant)>>,
+    pub waiters: BTreeMap<TicketId, oneshot::Sender<(String, Grant)>>,
     /// Callers that wait until a job is durable.
-    pub submissions: HashMap<String, Vec<oneshot::Sender<Submitted>>>,
+    pub submissions: BTreeMap<String, Vec<oneshot::Sender<Submitted>>>,
     /// The highest epoch heard of for each group of targets.
-    pub epochs_heard: HashMap<String, Epoch>,
+    pub epochs_heard: BTreeMap<String, Epoch>,
     /// The configuration in force.
     pub configuration: Configuration,
     /// When each worker is to be spoken to.
-    pub worker_times: HashMap<String, WorkerTimes>,
+    pub worker_times: BTreeMap<String, WorkerTimes>,
     /// Shards that are no longer acted on and whose rows still name this instance.
-    pub unreleased: HashMap<String, (ShardRow, Version)>,
-    /// Whether a write of records is under way.
-    pub flushing: bool,
+    pub unreleased: BTreeMap<String, (ShardRow, Version)>,
+    /// The writes of records.
+    pub writer: Writer,
     /// Rows of incoming tasks that were taken in and may be deleted, by shard and job.
-    pub taken_in: HashMap<(String, String), Vec<String>>,
+    pub taken_in: BTreeMap<(String, String), Vec<String>>,
     /// The retry budget of requests to targets.
     pub retries: RetryBudget,
     /// How often the store has been polled.
@@ -103,11 +105,14 @@
     pub keys: KeyTable,
     /// Ordered streams.
     pub streams: Streams,
+    /// Lets one write of records go at a time.
+    pub record_turn: tokio::sync::Mutex<()>,
     /// Wakes the loop that speaks to workers.
     pub wake_workers: Notify,
     /// Wakes the loop that writes records.
     pub wake_records: Notify,
     me: Weak<Instance>,
+    tasks: Mutex<Vec<AbortHandle>>,
     state: Mutex<State>,
     draining: AtomicBool,
     next_ticket: AtomicU64,
@@ -143,19 +148,19 @@
             map: ShardMap::default(),
             shard_revision: None,
             vms: Vec::new(),
-            listed_at: HashMap::new(),
+            listed_at: BTreeMap::new(),
             listed: false,
-            held: HashMap::new(),
+            held: BTreeMap::new(),
             cell: Cell::new(limits),
-            pools: HashMap::new(),
-            waiters: HashMap::new(),
-            submissions: HashMap::new(),
-            epochs_heard: HashMap::new(),
+            pools: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            submissions: BTreeMap::new(),
+            epochs_heard: BTreeMap::new(),
             configuration: Configuration::default(),
-            worker_times: HashMap::new(),
-            unreleased: HashMap::new(),
-            flushing: false,
-            taken_in: HashMap::new(),
+            worker_times: BTreeMap::new(),
+            unreleased: BTreeMap::new(),
+            writer: Writer::default(),
+            taken_in: BTreeMap::new(),
             retries: RetryBudget::new(cfg.number("limits", "retry_percent")),
             polls: 0,
             spills: 0,
@@ -175,9 +180,11 @@
             marks: Marks::default(),
             keys: KeyTable::default(),
             streams: Streams::default(),
+            record_turn: tokio::sync::Mutex::new(()),
             wake_workers: Notify::new(),
             wake_records: Notify::new(),
             me: me.clone(),
+            tasks: Mutex::default(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
             next_ticket: AtomicU64::new(1),
@@ -193,9 +200,9 @@
         self.every(beat, |instance| async move { instance.beat_all().await });
         self.every(beat, |instance| async move { instance.tend_shards().await });
         self.every(beat, |instance| async move { instance.spill().await });
-        tokio::spawn(Arc::clone(self).run_workers());
-        tokio::spawn(Arc::clone(self).run_records());
-        tokio::spawn(marks::run(Arc::clone(self)));
+        self.spawn(Arc::clone(self).run_workers());
+        self.spawn(Arc::clone(self).run_records());
+        self.spawn(marks::run(Arc::clone(self)));
     }
 
     /// Runs `step` again and again, `period` milliseconds after it last ended.
@@ -205,7 +212,7 @@
         R: Future<Output = ()> + Send,
     {
         let instance = Arc::clone(self);
-        tokio::spawn(async move {
+        self.spawn(async move {
             loop {
                 step(Arc::clone(&instance)).await;
                 tokio::time::sleep(Duration::from_millis(period)).await;
@@ -213,6 +220,22 @@
         });
     }
 
+    /// Runs a task that ends at the latest with [`Instance::stop`].
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let handle = tokio::spawn(task).abort_handle();
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        tasks.retain(|task| !task.is_finished());
+        tasks.push(handle);
+    }
+
+    /// Ends everything at once, wherever it is, as a kill does.
+    pub fn stop(&self) {
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        for task in tasks.drain(..) {
+            task.abort();
+        }
+    }
+
     /// Returns the instance itself, for tasks that outlive a borrow.
     pub fn me(&self) -> Option<Arc<Instance>> {
         self.me.upgrade()
--- a/src/daemon/jobs.rs
+++ b/src/daemon/jobs.rs
@@ -163,7 +163,7 @@
     fn give_up(&self, id: &str) -> Submitted {
         let mut state = self.lock();
         state.submissions.remove(id);
-        if state.flushing || state.cell.write_attempted(id) {
+        if state.cell.write_attempted(id) {
             return Submitted::Unknown;
         }
         state.cell.withdraw(id);
--- a/src/daemon/polling.rs
+++ b/src/daemon/polling.rs
@@ -92,6 +92,21 @@
     fn note_gone(&self, state: &mut State, now: Millis) {
         let lag = self.cfg.number("platform", "list_lag_ms");
         let mut gone = Vec::new();
+        let State { held, members, .. } = &mut *state;
+        for held in held
+            .iter_mut()
+            .filter(|(shard, _)| !shards::is_rack(shard))
+            .map(|(_, held)| held)
+        {
+            let unfenced: Vec<String> = held.tenure.unfenced().map(|vm| vm.vm.clone()).collect();
+            for name in unfenced {
+                // The claim needed most members, so those that bore witness and have
+                // been silent for so long are a minority that cannot confirm anybody.
+                if members.silence(&name, now) > FORGET_AFTER_LAGS * lag {
+                    held.tenure.on_gone(&name, now);
+                }
+            }
+        }
         for (shard, held) in &mut state.held {
             if !shards::is_rack(shard) {
                 continue;
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -3,6 +3,7 @@
 //! One transaction carries all records that have changed, together with checks
 //! that the shards are still ours: a former owner that wakes up can change nothing.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,12 +14,14 @@
 use crate::placement::Part;
 use crate::placement::intake::{PartWrite, WriteBatch};
 use crate::platform::StoreError;
-use crate::platform::store::Op;
+use crate::platform::store::{Change, Expect, Op, Version};
 use crate::routing::Refusal;
 use crate::rpc::message::Submitted;
 
 /// The most jobs whose records go into one transaction.
 const JOBS_PER_WRITE: usize = 64;
+/// The prefix of the rows that chain the writes of one start of an instance.
+const WRITER_PREFIX: &str = "writer/";
 /// The prefix of the rows that name every job ever accepted.
 const JOB_PREFIX: &str = "job/";
 /// How long to wait after the store has failed.
@@ -31,8 +34,43 @@
     accepted_by: String,
 }
 
+/// The writes of one start of this instance, chained so that a lost reply can be settled.
+#[derive(Debug, Default)]
+pub struct Writer {
+    version: Option<Version>,
+    doubt: Option<Doubt>,
+    /// The shards whose records are in a write that is under way or in doubt.
+    shards: BTreeSet<String>,
+}
+
+impl Writer {
+    /// Tells whether a write of a shard's records is under way or in doubt.
+    pub fn concerns(&self, shard: &str) -> bool {
+        self.shards.contains(shard)
+    }
+
+    /// Tells whether the fate of a write is unknown.
+    pub fn in_doubt(&self) -> bool {
+        self.doubt.is_some()
+    }
+
+    /// Returns the shards of the write that is under way or in doubt, and forgets them.
+    pub fn take_shards(&mut self) -> BTreeSet<String> {
+        std::mem::take(&mut self.shards)
+    }
+}
+
+/// A write whose reply was lost.
+#[derive(Debug)]
+struct Doubt {
+    batch: WriteBatch,
+    mark: u64,
+    attempts: Vec<u64>,
+}
+
 /// What a step of a transaction stands for, to make sense of a conflict.
 enum Step {
+    Writer,
     Ownership(String),
     Claim(String, u64),
     Record,
@@ -56,7 +94,11 @@
 
     /// Writes one batch of records, and returns whether it took effect.
     pub async fn flush(&self) -> bool {
-        let Some((batch, ops, steps)) = self.next_batch() else {
+        let _turn = self.record_turn.lock().await;
+        if !self.settle_doubt().await {
+            return false;
+        }
+        let Some((batch, ops, steps, mark)) = self.next_batch() else {
             return true;
         };
         let result = self.platform.store.transact(ops).await;
@@ -65,12 +107,22 @@
             _ => Vec::new(),
         };
         let mut state = self.lock();
-        state.flushing = false;
         for (job, outcome) in resolved {
             resolve(&mut state, &job, outcome);
         }
         match result {
-            Ok(_) => self.on_written(&mut state, &batch),
+            Ok(version) => {
+                state.writer.version = Some(version);
+                self.on_written(&mut state, &batch);
+            }
+            Err(StoreError::Unanswered) => {
+                self.metrics.retry("records_unanswered");
+                state.writer.doubt = Some(Doubt {
+                    batch,
+                    mark,
+                    attempts: Vec::new(),
+                });
+            }
             Err(ref err) => self.on_unwritten(&mut state, &batch, err),
         }
         self.publish(&mut state);
@@ -79,22 +131,84 @@
         result.is_ok()
     }
 
-    fn next_batch(&self) -> Option<(WriteBatch, Vec<Op>, Vec<Step>)> {
+    /// Finds out what became of a write whose reply was lost; returns whether that is known.
+    ///
+    /// Every write of ours replaces our writer's row at the version that the last
+    /// one left.  If that can be done once more, the lost write can never take
+    /// effect; if it cannot, the row tells whose mark it bears.
+    async fn settle_doubt(&self) -> bool {
+        let Some(mut doubt) = self.lock().writer.doubt.take() else {
+            return true;
+        };
+        let (op, mark) = self.writer_op();
+        doubt.attempts.push(mark);
+        let written = match self.platform.store.transact(vec![op]).await {
+            Ok(version) => {
+                self.lock().writer.version = Some(version);
+                Some(false)
+            }
+            Err(StoreError::Conflict { .. }) => self.read_mark(&doubt).await,
+            Err(_) => None,
+        };
+        let mut state = self.lock();
+        match written {
+            Some(true) => self.on_written(&mut state, &doubt.batch),
+            Some(false) => self.on_unwritten(&mut state, &doubt.batch, &StoreError::Unanswered),
+            None => state.writer.doubt = Some(doubt),
+        }
+        written.is_some()
+    }
+
+    async fn read_mark(&self, doubt: &Doubt) -> Option<bool> {
+        let rows = self
+            .platform
+            .store
+            .read(vec![self.writer_key()])
+            .await
+            .ok()?;
+        let row = rows.into_iter().next().flatten()?;
+        let mark = row.value.parse::<u64>().ok()?;
+        let ours = mark == doubt.mark || doubt.attempts.contains(&mark);
+        if ours {
+            self.lock().writer.version = Some(row.version);
+        }
+        Some(mark == doubt.mark)
+    }
+
+    fn writer_key(&self) -> String {
+        format!("{WRITER_PREFIX}{}/{:016x}", self.cfg.name, self.incarnation)
+    }
+
+    /// Builds the step that chains a write to the one before, with its mark.
+    fn writer_op(&self) -> (Op, u64) {
+        let mark = self.draw();
+        let version = self.lock().writer.version;
+        let expect = version.map_or(Expect::Absent, Expect::Version);
+        let op = Op::new(self.writer_key(), expect, Change::Put(mark.to_string()));
+        (op, mark)
+    }
+
+    fn next_batch(&self) -> Option<(WriteBatch, Vec<Op>, Vec<Step>, u64)> {
+        let (op, mark) = self.writer_op();
         let mut state = self.lock();
         let batch = state.cell.take_writes(JOBS_PER_WRITE)?;
-        let mut ops = Vec::new();
-        let mut steps = Vec::new();
+        let mut ops = vec![op];
+        let mut steps = vec![Step::Writer];
         for shard in batch.shards() {
-            if let Some(held) = state.held.get(&shard) {
-                ops.push(Op::check(ShardRow::key(&shard), held.version));
-                steps.push(Step::Ownership(shard));
-            }
+            let Some(held) = state.held.get(&shard) else {
+                // A record of a shard that is not ours must not be written at all.
+                self.metrics.violation("foreign_record");
+                state.cell.unwritten(&batch);
+                return None;
+            };
+            ops.push(Op::check(ShardRow::key(&shard), held.version));
+            steps.push(Step::Ownership(shard));
         }
         for write in &batch.writes {
             self.add_ops(&state, write, &mut ops, &mut steps);
         }
-        state.flushing = true;
-        Some((batch, ops, steps))
+        state.writer.shards = batch.shards();
+        Some((batch, ops, steps, mark))
     }
 
     fn add_ops(&self, state: &State, write: &PartWrite, ops: &mut Vec<Op>, steps: &mut Vec<Step>) {
@@ -137,6 +251,7 @@
 
     fn on_written(&self, state: &mut State, batch: &WriteBatch) {
         self.metrics.event("records_written");
+        state.writer.shards.clear();
         state.cell.written(batch);
         for write in &batch.writes {
             state
@@ -151,15 +266,12 @@
     fn on_unwritten(&self, state: &mut State, batch: &WriteBatch, err: &StoreError) {
         tracing::warn!(%err, "records were not written");
         self.metrics.retry("records_unwritten");
+        state.writer.shards.clear();
         state.cell.unwritten(batch);
         let lost: Vec<String> = batch.writes.iter().map(|write| write.job.clone()).collect();
         for job in lost {
             if state.cell.is_durable(&job).is_none() {
-                let outcome = match err {
-                    StoreError::Unanswered => Submitted::Unknown,
-                    _ => refused(Refusal::NoOwner),
-                };
-                resolve(state, &job, outcome);
+                resolve(state, &job, refused(Refusal::NoOwner));
             }
         }
     }
@@ -176,7 +288,7 @@
                 Vec::new()
             }
             Some(Step::Claim(job, claim)) => self.on_claim_conflict(job, *claim).await,
-            Some(Step::Record) | None => Vec::new(),
+            Some(Step::Writer | Step::Record) | None => Vec::new(),
         }
     }
 
--- a/src/daemon/requests.rs
+++ b/src/daemon/requests.rs
@@ -57,8 +57,11 @@
         let Some(instance) = self.me() else {
             return Outcome::refused(Refusal::Draining);
         };
-        let serving = tokio::spawn(async move { instance.serve_counted(spec, body).await });
-        serving.await.unwrap_or(Outcome::Unknown {
+        let (tx, rx) = oneshot::channel();
+        self.spawn(async move {
+            let _ = tx.send(instance.serve_counted(spec, body).await);
+        });
+        rx.await.unwrap_or(Outcome::Unknown {
             reason: Refusal::AnswerLost,
         })
     }
@@ -95,7 +98,7 @@
                 Err(_) => return self.settle_lost(&spec).await,
             }
         }
-        self.serve_keyed(&spec, &key, &body, deadline).await
+        self.serve_keyed(&spec, &body, deadline).await
     }
 
     fn refuse_request(&self, spec: &RequestSpec) -> Option<Outcome> {
@@ -179,16 +182,12 @@
     }
 
     /// Serves a request that is ordered or must not be repeated.
-    async fn serve_keyed(
-        &self,
-        spec: &RequestSpec,
-        key: &str,
-        body: &[u8],
-        deadline: Millis,
-    ) -> Outcome {
+    async fn serve_keyed(&self, spec: &RequestSpec, body: &[u8], deadline: Millis) -> Outcome {
         if spec.repeatable {
             return self.serve_ordered(spec, body, deadline).await;
         }
+        // The home may be that of a whole stream; the request itself goes by its own key.
+        let key = &mark_key(spec);
         match self.keys.enter(key) {
             Entry::Repeat(first) => match KeyTable::wait(first).await {
                 Some(outcome @ Outcome::Answered { .. }) => outcome,
--- a/src/daemon/shards.rs
+++ b/src/daemon/shards.rs
@@ -65,13 +65,21 @@
         claimed_at: Millis,
     ) {
         let limits = self.limits_of(shard);
-        let tenure = Tenure::new(
+        let mut tenure = Tenure::new(
             row.epoch,
             limits,
             row.witnesses.clone(),
             predecessor,
             claimed_at,
         );
+        if !is_rack(shard) {
+            // We may ourselves have borne witness for the predecessor.
+            let witness = VmBoot {
+                vm: self.cfg.name.clone(),
+                boot: self.incarnation,
+            };
+            tenure.on_ack(&witness, claimed_at, self.now());
+        }
         tracing::info!(shard, epoch = row.epoch, "shard claimed");
         self.metrics.event("shard_claimed");
         state.map.insert(shard, version, row.clone());
@@ -110,6 +118,13 @@
             state.pools.remove(shard);
         }
         state.taken_in.retain(|(taken, _), _| taken != shard);
+        if state.writer.concerns(shard) {
+            // A write that moves work between shards may or may not have taken
+            // effect: all shards of it are read anew from the record.
+            for other in state.writer.take_shards() {
+                self.end_tenure(state, &other, "shard_reloaded");
+            }
+        }
     }
 
     /// Ends the tenures that have been superseded.
--- a/src/daemon/spill.rs
+++ b/src/daemon/spill.rs
@@ -120,6 +120,11 @@
     }
 
     async fn transfer(&self, offer: &Offer, rooms: &[Room], own: Option<&Reserved>) {
+        // Two writes of one record must not be under way together.
+        let _turn = self.record_turn.lock().await;
+        if self.lock().writer.in_doubt() {
+            return;
+        }
         let mut places: BTreeMap<String, u32> = BTreeMap::new();
         for room in rooms {
             for (shard, count) in &room.reserved.shards {
--- a/src/daemon/workers.rs
+++ b/src/daemon/workers.rs
@@ -49,7 +49,7 @@
             self.plan();
             for due in self.due_exchanges() {
                 let instance = Arc::clone(&self);
-                tokio::spawn(async move { instance.exchange(due).await });
+                self.spawn(async move { instance.exchange(due).await });
             }
         }
     }
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -108,7 +108,7 @@
     pub(super) shards: Vec<Shard>,
     pub(super) halls: Vec<String>,
     pub(super) index: Vec<FreeIndex>,
-    pub(super) indexed: HashMap<WorkerKey, Resources>,
+    pub(super) indexed: BTreeMap<WorkerKey, Resources>,
     pub(super) workers: SlotMap<WorkerKey, Worker>,
     pub(super) by_vm: HashMap<String, WorkerKey>,
     pub(super) jobs: SlotMap<JobKey, Job>,
@@ -142,7 +142,7 @@
             shards: Vec::new(),
             halls: Vec::new(),
             index: Vec::new(),
-            indexed: HashMap::new(),
+            indexed: BTreeMap::new(),
             workers: SlotMap::with_key(),
             by_vm: HashMap::new(),
             jobs: SlotMap::with_key(),
@@ -342,9 +342,10 @@
             .map(|(key, _)| key)
     }
 
-    /// A task belongs to the shard that durably holds it, or else to the one that is to.
+    /// A task belongs to the shard that durably holds it, or is just being written to hold it.
     fn belongs(&self, task: &Task, shard: usize) -> bool {
-        task.home.unwrap_or(task.next_home) == shard
+        let coming = task.next_home == shard && (task.home.is_none() || task.in_flux);
+        task.home == Some(shard) || coming
     }
 
     /// Brings the index in line with what is known of a worker.
--- a/src/placement/intake.rs
+++ b/src/placement/intake.rs
@@ -332,6 +332,10 @@
 
     pub(super) fn write_part(&mut self, batch: &mut WriteBatch, key: JobKey, shard: usize) {
         self.jobs[key].attempted = true;
+        for task in self.jobs[key].tasks.values() {
+            let task = &mut self.tasks[*task];
+            task.in_flux |= task.next_home == shard && task.home != Some(shard);
+        }
         let job = &self.jobs[key];
         let mut by_state: HashMap<TaskState, Vec<u32>> = HashMap::new();
         let mut live = Vec::new();
@@ -391,6 +395,7 @@
             return;
         };
         task.home = Some(shard);
+        task.in_flux = false;
         let here = task.next_home == shard;
         match task.phase {
             Phase::Placed if here => self.release(key),
@@ -428,10 +433,15 @@
         }
     }
 
-    /// Records that a batch was not written, so that it is tried again.
+    /// Records that a batch was not written and never will be, so that it is tried again.
     pub fn unwritten(&mut self, batch: &WriteBatch) {
+        for (key, _) in &batch.tasks {
+            if let Some(task) = self.tasks.get_mut(*key) {
+                task.in_flux = false;
+            }
+        }
         for (job, shard) in &batch.parts {
-            if self.jobs.contains_key(*job) {
+            if self.jobs.contains_key(*job) && self.shards[*shard].owned {
                 self.dirty.insert((*job, *shard));
             }
         }
@@ -497,6 +507,7 @@
             phase: Phase::Waiting,
             worker: None,
             home,
+            in_flux: false,
             next_home,
             attempts: 0,
             attempt: 0,
--- a/src/placement/lease.rs
+++ b/src/placement/lease.rs
@@ -199,28 +199,46 @@
 
     /// A task of the predecessor turned up in an inventory.
     fn on_found(&mut self, worker: WorkerKey, key: TaskKey, report: &TaskReport, now: Millis) {
-        let (job, index) = (self.tasks[key].job, self.tasks[key].index);
+        let job = self.tasks[key].job;
+        let retried = matches!(
+            report.end,
+            Some(RunEnd::Failed | RunEnd::Stopped | RunEnd::Lapsed)
+        );
+        if retried && self.jobs[job].spec.repeatable {
+            // The predecessor may have started a later attempt elsewhere, so the end
+            // of this one frees nothing: the task stays inherited.
+            self.on_stray(worker, report);
+            return;
+        }
+        if report.end.is_none() && !self.occupy(key, worker, now) {
+            self.on_stray(worker, report);
+            return;
+        }
         self.tasks[key].attempt = report.attempt;
         self.tasks[key].inherited = false;
-        self.jobs[job].waiting.remove(&index);
+        // The worker has been fenced, so no lease of the predecessor's can begin any more.
+        self.tasks[key].lease_over_at = now + self.limits.over_after(self.limits.lease);
         if let Some(end) = report.end {
+            self.leave_queue(key);
             self.tasks[key].phase = Phase::Running;
             self.on_end(worker, key, end, now);
             return;
         }
-        if !self.occupy(key, worker, now) {
-            self.on_stray(worker, report);
-            return;
-        }
+        self.leave_queue(key);
         self.tasks[key].phase = Phase::Running;
         self.tasks[key].running_since = now;
-        self.requeue_job(job);
         self.tally.add("task_found");
         if self.jobs[job].cancelling {
             self.order_stop(key);
         }
     }
 
+    fn leave_queue(&mut self, key: TaskKey) {
+        let (job, index) = (self.tasks[key].job, self.tasks[key].index);
+        self.jobs[job].waiting.remove(&index);
+        self.requeue_job(job);
+    }
+
     fn on_started(&mut self, key: TaskKey, now: Millis) {
         let task = &mut self.tasks[key];
         task.phase = Phase::Running;
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -194,7 +194,7 @@
         task.next_home = shard;
         task.phase = Phase::Placed;
         self.jobs[job].waiting.remove(&index);
-        if self.tasks[key].home == Some(shard) {
+        if self.tasks[key].home == Some(shard) && !self.tasks[key].in_flux {
             self.release(key);
             return;
         }
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -50,6 +50,11 @@
     pub worker: Option<WorkerKey>,
     /// The shard whose record holds the task, durably.
     pub home: Option<usize>,
+    /// Whether a write that changes `home` is under way, or its fate is unknown.
+    ///
+    /// Until that is known the task must not start anywhere: two records might
+    /// lead two owners to it.
+    pub in_flux: bool,
     /// The shard whose record is to hold the task.
     pub next_home: usize,
     /// How often it has been ordered to start by this owner.
--- a/src/placement/transfer.rs
+++ b/src/placement/transfer.rs
@@ -76,7 +76,7 @@
         tasks
             .filter(|task| {
                 let task = &self.tasks[*task];
-                let settled = task.home == Some(task.next_home);
+                let settled = task.home == Some(task.next_home) && !task.in_flux;
                 settled && (!task.inherited || self.shards[task.next_home].inherited_ok)
             })
             .collect()
--- a/src/platform/local_worker.rs
+++ b/src/platform/local_worker.rs
@@ -44,6 +44,8 @@
     runs: BTreeMap<TaskId, Run>,
     /// Every run since the worker was made, for tests.
     pub history: Vec<RunRecord>,
+    /// The most that tasks have occupied at a time, for tests.
+    pub peak: Resources,
     /// Whether every task fails at once, a fault on request.
     pub fail_all: bool,
     /// Whether the worker says that it is leaving.
@@ -59,6 +61,7 @@
             last_heard: 0,
             runs: BTreeMap::new(),
             history: Vec::new(),
+            peak: Resources::default(),
             fail_all: false,
             leaving: false,
         }
@@ -75,16 +78,19 @@
         self.last_heard = 0;
     }
 
-    /// Ends what is due and enforces leases.
+    /// Ends what is due and enforces leases, each at the time it was due.
     pub fn advance(&mut self, now: Millis) {
-        let due: Vec<(TaskId, RunEnd)> = self
+        let due: Vec<(TaskId, RunEnd, Millis)> = self
             .runs
             .iter()
             .filter(|(_, run)| run.report.end.is_none())
-            .filter_map(|(task, run)| run.due(now).map(|end| (task.clone(), end)))
+            .filter_map(|(task, run)| {
+                let (end, at) = run.due(now)?;
+                Some((task.clone(), end, at))
+            })
             .collect();
-        for (task, end) in due {
-            self.end(&task, end, now);
+        for (task, end, at) in due {
+            self.end(&task, end, at);
         }
     }
 
@@ -163,11 +169,22 @@
             lease_until,
         };
         self.runs.insert(order.task.clone(), run);
+        self.note_peak();
         if self.fail_all {
             self.end(&order.task, RunEnd::Failed, now);
         }
     }
 
+    fn note_peak(&mut self) {
+        let running = self.runs.values().filter(|run| run.report.end.is_none());
+        let total = running.fold(Resources::default(), |sum, run| {
+            sum.plus(&run.report.resources)
+        });
+        self.peak.millicores = self.peak.millicores.max(total.millicores);
+        self.peak.memory_mib = self.peak.memory_mib.max(total.memory_mib);
+        self.peak.accelerators = self.peak.accelerators.max(total.accelerators);
+    }
+
     fn end(&mut self, task: &TaskId, end: RunEnd, now: Millis) {
         let Some(run) = self.runs.get_mut(task) else {
             return;
@@ -200,13 +217,15 @@
 }
 
 impl Run {
-    fn due(&self, now: Millis) -> Option<RunEnd> {
-        if now >= self.lease_until {
-            return Some(RunEnd::Lapsed);
-        }
-        self.ends_at
-            .is_some_and(|at| now >= at)
-            .then_some(RunEnd::Succeeded)
+    /// Returns how and when the run ended, if it has by `now`.
+    fn due(&self, now: Millis) -> Option<(RunEnd, Millis)> {
+        let finished = self.ends_at.map(|at| (RunEnd::Succeeded, at));
+        let lapsed = (RunEnd::Lapsed, self.lease_until);
+        let first = match finished {
+            Some(finished) if finished.1 < lapsed.1 => finished,
+            _ => lapsed,
+        };
+        (now >= first.1).then_some(first)
     }
 }
 
--- a/src/rpc/local.rs
+++ b/src/rpc/local.rs
@@ -26,6 +26,14 @@
             .insert(addr, service);
     }
 
+    /// Makes an instance unreachable for good.
+    pub fn remove(&self, addr: SocketAddr) {
+        self.services
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&addr);
+    }
+
     /// Cuts the link between two instances in both directions, or mends it.
     pub fn set_cut(&self, a: SocketAddr, b: SocketAddr, cut: bool) {
         let mut links = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
