--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -364,11 +364,31 @@
         for (shard, (row, version)) in unreleased {
             self.write_release(&shard, row, version).await;
         }
-        for shard in self.to_hand_over() {
+        let leaving = self.to_hand_over();
+        self.keep_others(&leaving);
+        for shard in leaving {
             self.release(&shard).await;
         }
     }
 
+    /// Opens shards again whose hand-over had begun and is no longer due.
+    fn keep_others(&self, leaving: &[String]) {
+        let mut state = self.lock();
+        let State {
+            held, pools, cell, ..
+        } = &mut *state;
+        let kept = held
+            .iter_mut()
+            .filter(|(shard, held)| held.releasing && !leaving.contains(shard));
+        for (shard, held) in kept {
+            held.releasing = false;
+            match pools.get_mut(shard) {
+                Some(pool) => pool.open(),
+                None => cell.press_shard(shard),
+            }
+        }
+    }
+
     fn to_hand_over(&self) -> Vec<String> {
         let now = self.now();
         let state = self.lock();
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -81,7 +81,7 @@
     pub async fn run_records(self: Arc<Self>) {
         loop {
             let _ = tokio::time::timeout(self.tick(), self.wake_records.notified()).await;
-            while self.lock().cell.has_writes() {
+            while self.has_records_to_write() {
                 let wait = self.writes.take(self.now());
                 tokio::time::sleep(Duration::from_millis(wait)).await;
                 if !self.flush().await {
@@ -92,6 +92,11 @@
         }
     }
 
+    fn has_records_to_write(&self) -> bool {
+        let state = self.lock();
+        state.cell.has_writes() || state.writer.in_doubt()
+    }
+
     /// Writes one batch of records, and returns whether it took effect.
     pub async fn flush(&self) -> bool {
         let _turn = self.record_turn.lock().await;
@@ -252,7 +257,7 @@
     fn on_written(&self, state: &mut State, batch: &WriteBatch) {
         self.metrics.event("records_written");
         state.writer.shards.clear();
-        state.cell.written(batch);
+        state.cell.written(batch, self.now());
         for write in &batch.writes {
             state
                 .taken_in
--- a/src/placement/intake.rs
+++ b/src/placement/intake.rs
@@ -375,14 +375,14 @@
     }
 
     /// Records that a batch is durable: starts may go out and ends may be forgotten.
-    pub fn written(&mut self, batch: &WriteBatch) {
+    pub fn written(&mut self, batch: &WriteBatch, now: Millis) {
         for (job, _) in &batch.parts {
             if let Some(job) = self.jobs.get_mut(*job) {
                 job.claim = None;
             }
         }
         for (key, shard) in &batch.tasks {
-            self.task_written(*key, *shard);
+            self.task_written(*key, *shard, now);
         }
         let jobs: BTreeSet<JobKey> = batch.parts.iter().map(|(job, _)| *job).collect();
         for job in jobs {
@@ -390,7 +390,7 @@
         }
     }
 
-    fn task_written(&mut self, key: TaskKey, shard: usize) {
+    fn task_written(&mut self, key: TaskKey, shard: usize, now: Millis) {
         let Some(task) = self.tasks.get_mut(key) else {
             return;
         };
@@ -399,20 +399,18 @@
         let here = task.next_home == shard;
         match task.phase {
             Phase::Placed if here => self.release(key),
-            Phase::Ended(_) => self.forget_end(key),
+            Phase::Ended(_) => self.forget_end(key, now),
             _ => {}
         }
     }
 
     /// Lets the worker forget an end that is now durable.
-    fn forget_end(&mut self, key: TaskKey) {
+    fn forget_end(&mut self, key: TaskKey, now: Millis) {
         let Some(worker) = self.tasks[key].ended_on.take() else {
             return;
         };
         let id = self.task_id(key);
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.forget.push(id);
-        }
+        self.allow_forget(worker, id, now);
     }
 
     fn drop_if_ended(&mut self, key: JobKey) {
@@ -480,7 +478,7 @@
             committed: false,
             tasks: BTreeMap::new(),
             waiting: BTreeSet::new(),
-            failed_on: BTreeSet::new(),
+            failed_on: BTreeMap::new(),
             successes: 0,
             per_shard: HashMap::new(),
             per_hall: HashMap::new(),
--- a/src/placement/lease.rs
+++ b/src/placement/lease.rs
@@ -49,7 +49,13 @@
         };
         msg.boot = Some(self.workers[key].vm.boot);
         msg.stop = self.workers[key].stop.clone();
-        msg.forget = self.workers[key].forget.clone();
+        let due = |entry: &&(TaskId, Millis)| entry.1 <= now;
+        msg.forget = self.workers[key]
+            .forget
+            .iter()
+            .filter(due)
+            .map(|(task, _)| task.clone())
+            .collect();
         if standing.may_act && standing.recorded {
             msg.start_until = clock + self.limits.start_lease;
             msg.lease_until = clock + self.limits.lease;
@@ -135,7 +141,7 @@
         worker.leaving |= reply.leaving;
         worker.usable = recorded;
         worker.stop.retain(|task| !msg.stop.contains(task));
-        worker.forget.retain(|task| !msg.forget.contains(task));
+        worker.forget.retain(|(task, _)| !msg.forget.contains(task));
         self.reindex(key, now);
         for report in &reply.inventory {
             self.on_report(key, report, now);
@@ -159,7 +165,7 @@
 
     fn on_report(&mut self, worker: WorkerKey, report: &TaskReport, now: Millis) {
         let Some(key) = self.find_task(&report.task) else {
-            self.on_stray(worker, report);
+            self.on_stray(worker, report, now);
             return;
         };
         let task = &self.tasks[key];
@@ -180,21 +186,33 @@
             }
             (true, Some(end), Phase::Running) => self.on_end(worker, key, end, now),
             (_, _, Phase::Ended(_)) if task.ended_on == Some(worker) => {}
-            _ => self.on_stray(worker, report),
+            _ => self.on_stray(worker, report, now),
         }
     }
 
     /// A run that the record does not lead to: it is stopped, or forgotten if it has ended.
-    fn on_stray(&mut self, worker: WorkerKey, report: &TaskReport) {
+    fn on_stray(&mut self, worker: WorkerKey, report: &TaskReport, now: Millis) {
+        if report.end.is_some() {
+            self.allow_forget(worker, report.task.clone(), now);
+            return;
+        }
         let worker = &mut self.workers[worker];
-        let list = match report.end {
-            Some(_) => &mut worker.forget,
-            None => &mut worker.stop,
+        if !worker.stop.contains(&report.task) {
+            worker.stop.push(report.task.clone());
+            worker.pressing = true;
+        }
+    }
+
+    /// Lets a worker forget a run once no start order for it can be valid any more.
+    pub(super) fn allow_forget(&mut self, worker: WorkerKey, task: TaskId, now: Millis) {
+        let from = now + self.limits.over_after(self.limits.start_lease);
+        let Some(worker) = self.workers.get_mut(worker) else {
+            return;
         };
-        if !list.contains(&report.task) {
-            list.push(report.task.clone());
+        match worker.forget.iter_mut().find(|(known, _)| *known == task) {
+            Some((_, known_from)) => *known_from = from,
+            None => worker.forget.push((task, from)),
         }
-        worker.pressing = true;
     }
 
     /// A task of the predecessor turned up in an inventory.
@@ -207,11 +225,11 @@
         if retried && self.jobs[job].spec.repeatable {
             // The predecessor may have started a later attempt elsewhere, so the end
             // of this one frees nothing: the task stays inherited.
-            self.on_stray(worker, report);
+            self.on_stray(worker, report, now);
             return;
         }
         if report.end.is_none() && !self.occupy(key, worker, now) {
-            self.on_stray(worker, report);
+            self.on_stray(worker, report, now);
             return;
         }
         self.tasks[key].attempt = report.attempt;
@@ -280,10 +298,12 @@
     fn on_failed(&mut self, worker: WorkerKey, key: TaskKey, now: Millis) {
         let job = self.tasks[key].job;
         let elsewhere = self.jobs[job].successes > 0;
-        self.jobs[job].failed_on.insert(worker);
-        if self.workers[worker].health.on_failure(job, elsewhere, now) {
+        let quarantined = self.workers[worker].health.on_failure(job, elsewhere, now);
+        if quarantined {
             self.tally.add("worker_quarantined");
             self.jobs[job].failed_on.remove(&worker);
+        } else {
+            self.jobs[job].note_failure(worker, now);
         }
         let condemned = !elsewhere && self.jobs[job].failed_on.len() >= WORKERS_TO_CONDEMN;
         let tired = self.tasks[key].attempts >= self.limits.max_attempts;
@@ -314,8 +334,7 @@
     /// Runs a task again; the worker may forget the run that is over.
     fn rerun(&mut self, worker: WorkerKey, key: TaskKey, now: Millis) {
         let id = self.task_id(key);
-        self.workers[worker].forget.push(id);
-        self.workers[worker].pressing = true;
+        self.allow_forget(worker, id, now);
         self.requeue(key, now);
     }
 
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -272,7 +272,7 @@
                 return Some(worker);
             }
         }
-        if ordinary {
+        if ordinary && self.jobs[key].failed_on.is_empty() {
             self.misfits.push(*need);
         }
         None
@@ -306,6 +306,9 @@
     }
 
     fn may_use(&self, worker: WorkerKey, job: JobKey, need: &Resources, now: Millis) -> bool {
+        if self.jobs[job].avoids(worker, now) {
+            return false;
+        }
         let worker = &self.workers[worker];
         let spec = &self.jobs[job].spec;
         let fits = need.fits(&worker.free) && worker.is_open(now);
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -92,8 +92,8 @@
     pub tasks: BTreeMap<u32, TaskKey>,
     /// The tasks that wait for a place and may be placed, by index.
     pub waiting: BTreeSet<u32>,
-    /// The workers on which a task of it failed.
-    pub failed_on: BTreeSet<WorkerKey>,
+    /// The workers on which a task of it failed, and until when they are avoided.
+    pub failed_on: BTreeMap<WorkerKey, Avoided>,
     /// How many of its tasks succeeded here.
     pub successes: u32,
     /// How many of its tasks occupy each rack, for spreading.
@@ -110,6 +110,37 @@
     pub attempted: bool,
 }
 
+/// How a job avoids a worker on which it failed.
+#[derive(Debug, Clone, Copy)]
+pub struct Avoided {
+    failures: u32,
+    until: Millis,
+}
+
+/// How long a job first avoids a worker on which it failed, in milliseconds.
+const FIRST_AVOIDANCE: Millis = 1_000;
+/// How often that time is doubled at most.
+const MAX_DOUBLINGS: u32 = 8;
+
+impl Job {
+    /// Records that a task of the job failed on a worker.
+    pub fn note_failure(&mut self, worker: WorkerKey, now: Millis) {
+        let avoided = self.failed_on.entry(worker).or_insert(Avoided {
+            failures: 0,
+            until: 0,
+        });
+        avoided.until = now + (FIRST_AVOIDANCE << avoided.failures.min(MAX_DOUBLINGS));
+        avoided.failures += 1;
+    }
+
+    /// Tells whether the job avoids a worker at `now`.
+    pub fn avoids(&self, worker: WorkerKey, now: Millis) -> bool {
+        self.failed_on
+            .get(&worker)
+            .is_some_and(|avoided| now < avoided.until)
+    }
+}
+
 /// Why a job waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/placement/transfer.rs
+++ b/src/placement/transfer.rs
@@ -158,7 +158,7 @@
 
     /// Records that a transfer is durable: the tasks that left are no longer ours.
     pub fn finish_transfer(&mut self, transfer: &Transfer, now: Millis) {
-        self.written(&transfer.batch);
+        self.written(&transfer.batch, now);
         for task in &transfer.staying {
             if self.tasks.contains_key(*task) {
                 self.requeue(*task, now);
--- a/src/placement/worker.rs
+++ b/src/placement/worker.rs
@@ -1,7 +1,7 @@
 //! A worker as the placement core sees it.
 
 use crate::clock::Millis;
-use crate::model::{Resources, VmBoot};
+use crate::model::{Resources, TaskId, VmBoot};
 use crate::placement::health::Health;
 use crate::placement::{JobKey, TaskKey};
 
@@ -37,10 +37,13 @@
     pub held_for: Option<JobKey>,
     /// The last reading of its clock.
     pub reading: Option<Reading>,
-    /// Ended tasks that it may forget.
-    pub forget: Vec<crate::model::TaskId>,
+    /// Ended tasks that it may forget, each from a time on.
+    ///
+    /// A start order may still arrive a second time while it is valid; until then
+    /// the worker must remember the run, or it would run it again.
+    pub forget: Vec<(TaskId, Millis)>,
     /// Tasks that it must stop.
-    pub stop: Vec<crate::model::TaskId>,
+    pub stop: Vec<TaskId>,
     /// Whether it should be spoken to without waiting for the next renewal.
     pub pressing: bool,
 }
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -156,6 +156,11 @@
         self.closed = true;
     }
 
+    /// Grants slots again.
+    pub fn open(&mut self) {
+        self.closed = false;
+    }
+
     /// Tells whether no request holds a slot.
     pub fn is_idle(&self) -> bool {
         self.targets.values().all(|target| target.in_flight == 0)
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -79,20 +79,6 @@
     }
     heal(&mut cell);
     let healed = cell.settle(60_000).await;
-    if !healed {
-        for i in cell.instances.values() {
-            for (n, h) in &i.lock().held {
-                println!(
-                    "DBG {} {n} {:?} now {} rel {} wr {}",
-                    i.cfg.name,
-                    h.tenure,
-                    cell.world.clock.start_ms(),
-                    h.releasing,
-                    h.writing
-                );
-            }
-        }
-    }
     assert!(
         healed,
         "seed {seed}: the cell never healed: {:#?}",
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -40,11 +40,6 @@
     start: tokio::time::Instant,
 }
 
-impl VirtualClock {
-    pub fn start_ms(&self) -> Millis {
-        self.now()
-    }
-}
 impl Clock for VirtualClock {
     fn now(&self) -> Millis {
         self.start.elapsed().as_millis() as Millis + 1
@@ -198,7 +193,7 @@
         // Converting between clocks rounds by up to this much.
         const ROUNDING: Millis = 3;
         let mut runs = self.runs();
-        runs.sort_by(|a, b| (&a.0, a.2).cmp(&(&b.0, b.2)));
+        runs.sort_by(|a, b| (&a.0, a.2, a.3).cmp(&(&b.0, b.2, b.3)));
         let pairs = runs
             .windows(2)
             .filter(|pair| pair[0].0 == pair[1].0 && pair[1].2 + ROUNDING < pair[0].3);
@@ -244,37 +239,23 @@
         let mut workers = self.workers.lock().unwrap_or_else(PoisonError::into_inner);
         let worker = workers.get_mut(name)?;
         let local = worker.local(now);
-        if let Ok(job) = std::env::var("TRACE") {
-            let j: Vec<&str> = job.split('/').collect();
-            let has =
-                |id: &crossweir::model::TaskId| id.job == j[0] && id.index.to_string() == j[1];
-            if msg.start.iter().any(|o| has(&o.task))
-                || msg.renew.iter().any(|t| has(t))
-                || msg.stop.iter().any(|t| has(t))
-                || msg.forget.iter().any(|t| has(t))
-            {
-                println!(
-                    "{now} {name} from {} epoch {} local {local} start_until {} lease_until {} start {:?} renew {} stop {} forget {} our epoch {:?}",
-                    msg.owner,
-                    msg.epoch,
-                    msg.start_until,
-                    msg.lease_until,
-                    msg.start
-                        .iter()
-                        .filter(|o| has(&o.task))
-                        .map(|o| o.attempt)
-                        .collect::<Vec<_>>(),
-                    msg.renew.iter().any(|t| has(t)),
-                    msg.stop.iter().any(|t| has(t)),
-                    msg.forget.iter().any(|t| has(t)),
-                    worker.worker
-                );
-            }
-        }
+        trace(name, msg, now);
         Some(worker.worker.exchange(msg, local))
     }
 }
 
+/// Shows every exchange that names the task in `CROSSWEIR_TRACE`, to explain a failing seed.
+fn trace(worker: &str, msg: &Exchange, now: Millis) {
+    let Ok(task) = std::env::var("CROSSWEIR_TRACE") else {
+        return;
+    };
+    let text = format!("{msg:?}");
+    let (job, index) = task.split_once('/').unwrap_or((&task, ""));
+    if text.contains(&format!("job: {job:?}, index: {index}")) {
+        println!("{now} {worker} {text}");
+    }
+}
+
 fn vm(name: &str, hall: usize, role: VmRole) -> Vm {
     Vm {
         name: name.to_owned(),
