--- a/src/daemon/adoption.rs
+++ b/src/daemon/adoption.rs
@@ -60,6 +60,11 @@
         if !self.lock().held.get(shard).is_some_and(|held| held.loaded) {
             return;
         }
+        // A row that was read before a write of ours deleted it must not be taken in after.
+        let _turn = self.record_turn.lock().await;
+        if self.lock().writer.in_doubt() {
+            return;
+        }
         match self.platform.store.scan(incoming_prefix(shard)).await {
             Ok(rows) => self.take_in_rows(shard, &rows, false),
             Err(_) => self.metrics.retry("take_in"),
@@ -68,6 +73,10 @@
 
     /// Takes in every incoming row of our shards, in case a notice was lost.
     pub async fn take_in_all(&self) {
+        let _turn = self.record_turn.lock().await;
+        if self.lock().writer.in_doubt() {
+            return;
+        }
         let Ok(rows) = self.platform.store.scan(INCOMING_PREFIX.to_owned()).await else {
             return;
         };
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -196,7 +196,13 @@
     fn next_batch(&self) -> Option<(WriteBatch, Vec<Op>, Vec<Step>, u64)> {
         let (op, mark) = self.writer_op();
         let mut state = self.lock();
-        let batch = state.cell.take_writes(JOBS_PER_WRITE)?;
+        let mut batch = state.cell.take_writes(JOBS_PER_WRITE)?;
+        for write in &mut batch.writes {
+            let taken = state
+                .taken_in
+                .get(&(write.shard.clone(), write.job.clone()));
+            write.taken_in = taken.cloned().unwrap_or_default();
+        }
         let mut ops = vec![op];
         let mut steps = vec![Step::Writer];
         for shard in batch.shards() {
@@ -210,13 +216,13 @@
             steps.push(Step::Ownership(shard));
         }
         for write in &batch.writes {
-            self.add_ops(&state, write, &mut ops, &mut steps);
+            self.add_ops(write, &mut ops, &mut steps);
         }
         state.writer.shards = batch.shards();
         Some((batch, ops, steps, mark))
     }
 
-    fn add_ops(&self, state: &State, write: &PartWrite, ops: &mut Vec<Op>, steps: &mut Vec<Step>) {
+    fn add_ops(&self, write: &PartWrite, ops: &mut Vec<Op>, steps: &mut Vec<Step>) {
         let claimed = steps
             .iter()
             .any(|step| matches!(step, Step::Claim(job, _) if *job == write.job));
@@ -242,15 +248,7 @@
             }
             None => ops.push(Op::delete(key)),
         }
-        let taken = state
-            .taken_in
-            .get(&(write.shard.clone(), write.job.clone()));
-        ops.extend(
-            taken
-                .into_iter()
-                .flatten()
-                .map(|row| Op::delete(row.clone())),
-        );
+        ops.extend(write.taken_in.iter().map(|row| Op::delete(row.clone())));
         steps.resize_with(ops.len(), || Step::Record);
     }
 
@@ -259,9 +257,11 @@
         state.writer.shards.clear();
         state.cell.written(batch, self.now());
         for write in &batch.writes {
-            state
-                .taken_in
-                .remove(&(write.shard.clone(), write.job.clone()));
+            let part = (write.shard.clone(), write.job.clone());
+            if let Some(taken) = state.taken_in.get_mut(&part) {
+                taken.retain(|row| !write.taken_in.contains(row));
+            }
+            state.taken_in.retain(|_, taken| !taken.is_empty());
             if write.claim.is_some() {
                 resolve(state, &write.job, Submitted::Accepted);
             }
--- a/src/daemon/requests.rs
+++ b/src/daemon/requests.rs
@@ -40,12 +40,34 @@
     Refused(Outcome),
 }
 
-/// How one try at a target ended.
-enum Try {
-    Done(Outcome),
-    NotSent,
+/// How one attempt ended.
+enum Attempt {
+    /// There is nothing more to try.
+    Final(Outcome),
+    /// Nothing reached a target.
+    NotSent(Refusal),
+    /// It may have run.
     Lost,
-    Leaving,
+}
+
+/// The attempts at one request so far.
+#[derive(Default)]
+struct Tries {
+    count: u32,
+    unreachable: Vec<SocketAddr>,
+    lost: bool,
+}
+
+impl Tries {
+    /// Once an attempt may have run, no later refusal can say that nothing did.
+    fn conclude(&self, outcome: Outcome) -> Outcome {
+        match outcome {
+            Outcome::NotRun { .. } if self.lost => Outcome::Unknown {
+                reason: Refusal::AnswerLost,
+            },
+            outcome => outcome,
+        }
+    }
 }
 
 impl Instance {
@@ -98,7 +120,11 @@
                 Err(_) => return self.settle_lost(&spec).await,
             }
         }
-        self.serve_keyed(&spec, &body, deadline).await
+        let marked = RequestSpec {
+            marked: true,
+            ..spec
+        };
+        self.serve_keyed(&marked, &body, deadline).await
     }
 
     fn refuse_request(&self, spec: &RequestSpec) -> Option<Outcome> {
@@ -256,66 +282,68 @@
 
     /// Sends a request to a target, here or by another instance, trying again where that is safe.
     async fn dispatch(&self, spec: &RequestSpec, body: &[u8], deadline: Millis) -> Outcome {
-        let mut tried = 0;
-        let mut not_sent: Vec<SocketAddr> = Vec::new();
+        let mut tries = Tries::default();
         loop {
-            if self.now() >= deadline {
-                return Outcome::refused(Refusal::DeadlinePassed);
-            }
-            let (shard, grant) = match self.find_way(spec, &not_sent) {
-                Way::Here(shard, grant) => (shard, grant),
-                Way::There(addr) => match self.forward(addr, spec, body, deadline).await {
-                    Err(PeerError::NotSent) => {
-                        not_sent.push(addr);
-                        self.metrics.retry("owner_unreachable");
-                        continue;
-                    }
-                    Ok(outcome) => return outcome,
-                    Err(_) => match self.after_lost(spec, tried) {
-                        Some(outcome) => return outcome,
-                        None => {
-                            tried += 1;
-                            continue;
-                        }
-                    },
-                },
-                Way::Queue(shard) => match self.wait_in_queue(shard, spec, deadline).await {
-                    Ok(granted) => granted,
-                    Err(outcome) => return outcome,
-                },
-                Way::Refused(outcome) => return outcome,
+            let reason = match self.attempt(spec, body, deadline, &mut tries).await {
+                Attempt::Final(outcome) => return tries.conclude(outcome),
+                Attempt::NotSent(reason) => reason,
+                Attempt::Lost => {
+                    tries.lost = true;
+                    Refusal::AnswerLost
+                }
             };
-            tried += 1;
-            let last = match self.try_target(&shard, &grant, spec, body, deadline).await {
-                Try::Done(outcome) => return outcome,
-                Try::NotSent => Refusal::TargetUnreachable,
-                Try::Leaving => Refusal::NoTarget,
-                Try::Lost => match self.after_lost(spec, tried) {
-                    Some(outcome) => return outcome,
-                    None => continue,
-                },
-            };
-            if tried >= MAX_TRIES {
-                return Outcome::come_back(last, COME_BACK);
+            tries.count += 1;
+            // An ordered request that may still be running must not be overtaken by itself.
+            let safe = !tries.lost || (spec.repeatable && spec.order.is_none());
+            if !safe || tries.count >= MAX_TRIES {
+                return tries.conclude(Outcome::come_back(reason, COME_BACK));
             }
             if !self.lock().retries.try_retry() {
-                return Outcome::come_back(Refusal::RetryBudget, COME_BACK);
+                return tries.conclude(Outcome::come_back(Refusal::RetryBudget, COME_BACK));
             }
-            self.metrics.retry(last.code());
+            self.metrics.retry(reason.code());
         }
     }
 
-    /// An answer was lost: returns the final outcome unless the request may be tried again.
-    fn after_lost(&self, spec: &RequestSpec, tried: u32) -> Option<Outcome> {
-        // An ordered request that may still be running must not be overtaken by itself.
-        let again = spec.repeatable && spec.order.is_none() && tried < MAX_TRIES;
-        if again && self.lock().retries.try_retry() {
-            self.metrics.retry("answer_lost");
-            return None;
+    /// Makes one attempt: finds a way, waits for a slot if need be, and sends.
+    async fn attempt(
+        &self,
+        spec: &RequestSpec,
+        body: &[u8],
+        deadline: Millis,
+        tries: &mut Tries,
+    ) -> Attempt {
+        if self.now() >= deadline {
+            return Attempt::Final(Outcome::refused(Refusal::DeadlinePassed));
+        }
+        let (shard, grant) = match self.find_way(spec, &tries.unreachable) {
+            Way::Here(shard, grant) => (shard, grant),
+            Way::There(addr) => return self.attempt_there(addr, spec, body, deadline, tries).await,
+            Way::Queue(shard) => match self.wait_in_queue(shard, spec, deadline).await {
+                Ok(granted) => granted,
+                Err(outcome) => return Attempt::Final(outcome),
+            },
+            Way::Refused(outcome) => return Attempt::Final(outcome),
+        };
+        self.try_target(&shard, &grant, spec, body, deadline).await
+    }
+
+    async fn attempt_there(
+        &self,
+        addr: SocketAddr,
+        spec: &RequestSpec,
+        body: &[u8],
+        deadline: Millis,
+        tries: &mut Tries,
+    ) -> Attempt {
+        match self.forward(addr, spec, body, deadline).await {
+            Ok(outcome) => Attempt::Final(outcome),
+            Err(PeerError::NotSent) => {
+                tries.unreachable.push(addr);
+                Attempt::NotSent(Refusal::NoOwner)
+            }
+            Err(_) => Attempt::Lost,
         }
-        Some(Outcome::Unknown {
-            reason: Refusal::AnswerLost,
-        })
     }
 
     fn find_way(&self, spec: &RequestSpec, unreachable: &[SocketAddr]) -> Way {
@@ -389,7 +417,7 @@
         spec: &RequestSpec,
         body: &[u8],
         deadline: Millis,
-    ) -> Try {
+    ) -> Attempt {
         let sent_at = self.now();
         let slot = Slot {
             instance: self,
@@ -400,7 +428,7 @@
         // A slot that was waited for may come after the deadline or after the shard was lost.
         if sent_at >= deadline || !Self::pool_open(&self.lock(), shard, sent_at) {
             slot.end(SlotEnd::Unused);
-            return Try::NotSent;
+            return Attempt::NotSent(Refusal::NoTarget);
         }
         let req = TargetRequest {
             id: spec.id.clone(),
@@ -417,7 +445,7 @@
         match reply {
             Ok(reply) if reply.leaving && reply.status == LEAVING_STATUS => {
                 slot.end(SlotEnd::Leaving);
-                Try::Leaving
+                Attempt::NotSent(Refusal::NoTarget)
             }
             Ok(reply) => {
                 slot.end(match reply.leaving {
@@ -428,7 +456,7 @@
                     spec.class.label(),
                     spec.remaining_ms.saturating_sub(deadline - sent_at),
                 );
-                Try::Done(Outcome::Answered {
+                Attempt::Final(Outcome::Answered {
                     status: reply.status,
                     target: grant.name.clone(),
                     via: self.cfg.name.clone(),
@@ -437,11 +465,11 @@
             }
             Err(LinkError::NotSent) => {
                 slot.end(SlotEnd::Failed);
-                Try::NotSent
+                Attempt::NotSent(Refusal::TargetUnreachable)
             }
             Err(_) => {
                 slot.end(SlotEnd::Failed);
-                Try::Lost
+                Attempt::Lost
             }
         }
     }
@@ -517,6 +545,7 @@
 /// Requests that are ordered or must not be repeated have one instance as their home.
 fn home_key(spec: &RequestSpec) -> Option<String> {
     match (&spec.order, &spec.key) {
+        _ if spec.marked => None,
         (Some(order), _) => Some(format!("{}/{}", spec.service, order.stream)),
         (None, Some(key)) if !spec.repeatable => Some(format!("{}/{key}", spec.service)),
         _ => None,
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -203,6 +203,7 @@
         key: Some(String::from("demo-1")),
         order: None,
         remaining_ms: 5_000,
+        marked: false,
         hops: 0,
     };
     let outcome = instance.serve_request(spec, b"hello".to_vec()).await;
--- a/src/http/parse.rs
+++ b/src/http/parse.rs
@@ -114,6 +114,7 @@
         key,
         order: order(headers)?,
         remaining_ms,
+        marked: false,
         hops: 0,
     })
 }
--- a/src/placement/index.rs
+++ b/src/placement/index.rs
@@ -53,7 +53,8 @@
     need: &Resources,
     visit: &mut impl FnMut(WorkerKey) -> bool,
 ) -> bool {
-    let lowest = (need.millicores, WorkerKey::default());
+    // The null key sorts after all others, so this is just below the first that may fit.
+    let lowest = (need.millicores.saturating_sub(1), WorkerKey::default());
     let mut seen = 0;
     for (_, key) in set.range(lowest..).take(PROBES) {
         seen += 1;
--- a/src/placement/intake.rs
+++ b/src/placement/intake.rs
@@ -40,6 +40,8 @@
     pub ended: bool,
     /// The claim of a job that has never been written.
     pub claim: Option<u64>,
+    /// The incoming rows that this write makes superfluous.
+    pub taken_in: Vec<String>,
 }
 
 /// Rows that are to be written in one transaction.
@@ -371,6 +373,7 @@
             ended: holds_any && part.live.is_empty(),
             part: holds_any.then_some(part),
             claim: job.claim,
+            taken_in: Vec::new(),
         });
     }
 
--- a/src/routing/outcome.rs
+++ b/src/routing/outcome.rs
@@ -25,6 +25,9 @@
     pub order: Option<OrderKey>,
     /// How long the caller still waits, in milliseconds.
     pub remaining_ms: u64,
+    /// Whether its home has marked it, so that it may go straight to a target.
+    #[serde(default)]
+    pub marked: bool,
     /// How often it has been handed over between instances.
     pub hops: u8,
 }
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -185,6 +185,7 @@
             sequence: told.sequence,
         }),
         remaining_ms: 4_000,
+        marked: false,
         hops: 0,
     };
     // A caller that is unsure asks twice, the second time through another instance.
