--- a/src/daemon/streams.rs
+++ b/src/daemon/streams.rs
@@ -57,8 +57,7 @@
 pub struct Turn {
     guard: OwnedMutexGuard<Stream>,
     key: String,
-    sequence: u64,
-    before: Option<u64>,
+    before: u64,
 }
 
 impl Streams {
@@ -84,12 +83,11 @@
             let moved = self.streams.moved.notified();
             let mut guard = self.streams.cell(&key).lock_owned().await;
             self.learn(&key, &mut guard).await?;
-            let last = guard
-                .known
-                .and_then(|known| known.version.map(|_| known.last));
-            match last {
-                Some(last) if order.sequence <= last => return Err(Refusal::OrderPassed),
-                Some(last) if order.sequence > last + 1 => {
+            // A stream begins at place 1.
+            let last = guard.known.map_or(0, |known| known.last);
+            match order.sequence {
+                place if place <= last => return Err(Refusal::OrderPassed),
+                place if place > last + 1 => {
                     drop(guard);
                     self.wait_for_gap(moved, give_up_at).await?;
                 }
@@ -97,7 +95,6 @@
                     let mut turn = Turn {
                         guard,
                         key,
-                        sequence: order.sequence,
                         before: last,
                     };
                     let busy = deadline.saturating_sub(self.now());
@@ -206,7 +203,7 @@
     /// Ends a turn.  A place whose request was not run is free again here.
     pub fn end_turn(&self, mut turn: Turn, not_run: bool) {
         if not_run && let Some(known) = &mut turn.guard.known {
-            known.last = turn.before.unwrap_or(turn.sequence.saturating_sub(1));
+            known.last = turn.before;
         }
         drop(turn);
         self.streams.moved.notify_waiters();
--- a/src/routing/outcome.rs
+++ b/src/routing/outcome.rs
@@ -37,7 +37,7 @@
 pub struct OrderKey {
     /// The stream.
     pub stream: String,
-    /// The place; it grows by one.
+    /// The place; it begins at 1 and grows by one.
     pub sequence: u64,
 }
 
