--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -307,9 +307,14 @@
         let mut state = self.lock();
         let peers = state.members.witnesses(now);
         let listed: Vec<VmBoot> = self.listed_boots(&state);
+        let settled: Vec<bool> = state
+            .held
+            .keys()
+            .map(|shard| Self::row_may_change(&state, shard, now))
+            .collect();
         let State { held, rng, .. } = &mut *state;
         let mut due = Vec::new();
-        for (shard, held) in held {
+        for ((shard, held), settled) in held.iter_mut().zip(settled) {
             if held.writing || held.releasing || !held.loaded {
                 continue;
             }
@@ -318,6 +323,9 @@
                 due.push((shard.clone(), held.version, row));
                 continue;
             }
+            if !settled {
+                continue;
+            }
             let wanted = match shards::is_rack(shard) {
                 true => rack_witnesses(shard, &held.row, &listed),
                 false => peers.clone(),
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::ownership::shard::ShardRow;
 use crate::placement::Part;
@@ -41,6 +42,10 @@
     doubt: Option<Doubt>,
     /// The shards whose records are in a write that is under way or in doubt.
     shards: BTreeSet<String>,
+    /// Those of them of which the write holds every changed record.
+    complete: BTreeSet<String>,
+    /// When the write was put together.
+    taken_at: Millis,
 }
 
 impl Writer {
@@ -218,7 +223,15 @@
         for write in &batch.writes {
             self.add_ops(write, &mut ops, &mut steps);
         }
-        state.writer.shards = batch.shards();
+        let now = self.now();
+        let State { writer, cell, .. } = &mut *state;
+        writer.shards = batch.shards();
+        writer.complete = batch
+            .shards()
+            .into_iter()
+            .filter(|shard| !cell.has_writes_for(shard))
+            .collect();
+        writer.taken_at = now;
         Some((batch, ops, steps, mark))
     }
 
@@ -255,6 +268,11 @@
     fn on_written(&self, state: &mut State, batch: &WriteBatch) {
         self.metrics.event("records_written");
         state.writer.shards.clear();
+        for shard in std::mem::take(&mut state.writer.complete) {
+            if let Some(held) = state.held.get_mut(&shard) {
+                held.flushed_at = state.writer.taken_at;
+            }
+        }
         state.cell.written(batch, self.now());
         for write in &batch.writes {
             let part = (write.shard.clone(), write.job.clone());
--- a/src/daemon/shards.rs
+++ b/src/daemon/shards.rs
@@ -28,6 +28,10 @@
     pub writing: bool,
     /// A row whose write may or may not have taken effect.
     pub doubtful: Option<ShardRow>,
+    /// When a boot or a former owner was last found to be over.
+    pub changed_at: Millis,
+    /// When the last write of all the shard's changed records that has succeeded was begun.
+    pub flushed_at: Millis,
 }
 
 /// Tells whether a shard is a rack of workers rather than a group of targets.
@@ -97,6 +101,8 @@
             releasing: false,
             writing: false,
             doubtful: None,
+            changed_at: claimed_at,
+            flushed_at: 0,
         };
         state.held.insert(shard.to_owned(), held);
         self.refresh_listed(state);
@@ -153,14 +159,29 @@
 
     /// Allows inherited work where nothing of the predecessor's can overlap any more.
     pub fn allow_inherited(&self, state: &mut State, now: Millis) {
-        for (shard, held) in &state.held {
+        for (shard, held) in &mut state.held {
             if is_rack(shard) && held.loaded && held.tenure.may_start_inherited(now) {
                 let complete = held.tenure.inventory_complete();
-                state.cell.allow_inherited(shard, complete, now);
+                if state.cell.allow_inherited(shard, complete, now) {
+                    held.changed_at = now;
+                }
             }
         }
     }
 
+    /// Tells whether the row of a rack may forget the boots that are over.
+    ///
+    /// The row is what tells a successor which boots may have run work; it must
+    /// name them until what became of that work is recorded.
+    pub fn row_may_change(state: &State, shard: &str, now: Millis) -> bool {
+        let Some(held) = state.held.get(shard) else {
+            return false;
+        };
+        let quiet = !state.writer.concerns(shard) && !state.cell.has_writes_for(shard);
+        let recorded = quiet || held.flushed_at > held.changed_at;
+        !is_rack(shard) || (held.tenure.may_start_inherited(now) && recorded)
+    }
+
     /// Tells whether requests may be sent to the targets of a group now.
     pub fn pool_open(state: &State, shard: &str, now: Millis) -> bool {
         state.held.get(shard).is_some_and(|held| {
--- a/src/daemon/workers.rs
+++ b/src/daemon/workers.rs
@@ -152,6 +152,10 @@
             boot: reply.boot,
         };
         let recorded = held.tenure.is_witness(&vm) && !held.releasing;
+        let known = state.cell.worker(&due.vm).map(|worker| worker.vm.boot);
+        if known != Some(reply.boot) {
+            held.changed_at = now;
+        }
         state.cell.on_reply(&due.vm, &due.msg, reply, recorded, now);
         // The inventory has been taken in, so the worker may now count as fenced.
         held.tenure.on_ack(&vm, due.asked_at, now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod embedded;
 pub mod error;
+pub mod experiment;
 pub mod http;
 pub mod log;
 pub mod membership;
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -284,6 +284,12 @@
         (self.free, self.capacity)
     }
 
+    /// Returns the room that is free on all workers, whether usable or not.
+    pub fn free_everywhere(&self) -> Resources {
+        let free = self.workers.values().map(|worker| worker.free);
+        free.fold(Resources::default(), |sum, free| sum.plus(&free))
+    }
+
     /// Returns how many jobs wait.
     pub fn waiting_jobs(&self) -> usize {
         self.queue.len()
--- a/src/placement/intake.rs
+++ b/src/placement/intake.rs
@@ -171,10 +171,12 @@
     /// `complete` says that every inventory of the predecessor's workers is known,
     /// so that a task in none of them has not run.  Otherwise a task that must not
     /// be repeated is reported as unknown.
-    pub fn allow_inherited(&mut self, shard: &str, complete: bool, now: Millis) {
+    ///
+    /// Returns whether it had not been allowed before.
+    pub fn allow_inherited(&mut self, shard: &str, complete: bool, now: Millis) -> bool {
         let shard = self.shard_index(shard);
         if std::mem::replace(&mut self.shards[shard].inherited_ok, true) {
-            return;
+            return false;
         }
         let inherited: Vec<TaskKey> = self
             .tasks
@@ -195,6 +197,7 @@
             }
         }
         self.misfits.clear();
+        true
     }
 
     /// Cancels a job in one pass; what has started is stopped and reported when it has ended.
