Command-line tool, and measurements on a cell of processes

Ruled out: figures from the debug build or from a cell in one process. Change: crossweir submits, shows, explains, cancels, requests, configures, drains and diagnoses, with an exit code by kind of failure; tests/measure.rs measures latency, rate, idle cost by size, takeover and the spread of a configuration, by hand only.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! The library holds all of the behaviour; the binaries under `src/bin` only
 //! read settings and call it.  `docs/DESIGN.md` explains how the parts fit.
 
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod daemon;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -20,6 +20,17 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(25);
 
+/// Short periods, so that tests are quick.
+const QUICK: &str = "\
+[platform]
+poll_ms = 100
+flush_ms = 50
+[membership]
+beat_ms = 100
+suspect_ms = 1000
+settle_ms = 500
+";
+
 /// A process that is killed when it is dropped.
 pub struct Process {
     pub child: Child,
@@ -75,6 +86,11 @@
 
     /// As [`Cell::start`], with further settings.
     pub async fn start_with(size: &Size, settings: &str) -> Self {
+        Self::start_plain(size, &format!("{QUICK}{settings}")).await
+    }
+
+    /// Starts a cell with just the given settings and the defaults.
+    pub async fn start_plain(size: &Size, settings: &str) -> Self {
         let standin = start_standin(size);
         let folder = std::env::temp_dir().join(format!(
             "crossweir-test-{}-{}",
@@ -104,8 +120,7 @@
         let path = self.folder.join(format!("e{index}.ini"));
         let settings = format!(
             "[instance]\nname = e{index}\nhall = {hall}\nhttp = 127.0.0.1:0\nrpc = 127.0.0.1:0\n\
-             operator_token_file = {}\n[platform]\nurl = http://{}\npoll_ms = 100\nflush_ms = 50\n\
-             [membership]\nbeat_ms = 100\nsuspect_ms = 1000\nsettle_ms = 500\n{}",
+             operator_token_file = {}\n[platform]\nurl = http://{}\n{}",
             self.folder.join("token").display(),
             self.standin.address,
             self.settings,
