A cancellation is confirmed only when it is recorded

Cause: 202 was given before the cancellation was durable, so the death of the owner right after could undo it; and a job meant for an instance that could not be reached was refused although this one could take it. Ruled out: a row of its own for cancellations (the part row already carries the flag). Change: every instance that has tasks of the job says whether the cancellation is recorded; if one does not, the answer is unconfirmed. A job that could not be handed over is accepted here.

--- a/src/daemon/beat.rs
+++ b/src/daemon/beat.rs
@@ -144,7 +144,7 @@
                 PeerReply::Submitted(self.accept_here(&job, spec).await)
             }
             PeerCall::ViewJob(job) => PeerReply::Job(self.lock().cell.view(&job)),
-            PeerCall::CancelJob(job) => PeerReply::Found(self.cancel_here(&job).await),
+            PeerCall::CancelJob(job) => PeerReply::Cancelled(self.cancel_here(&job).await),
             PeerCall::Reserve { need, count, ttl } => {
                 let now = self.now();
                 let mut state = self.lock();
--- a/src/daemon/jobs.rs
+++ b/src/daemon/jobs.rs
@@ -17,12 +17,16 @@
 use crate::platform::VmRole;
 use crate::routing::Refusal;
 use crate::rpc::PeerError;
-use crate::rpc::message::{PeerCall, PeerReply, Submitted};
+use crate::rpc::message::{Cancelled, PeerCall, PeerReply, Submitted};
 
 /// How long an acceptance may take, in milliseconds.
 const ACCEPT_TIMEOUT: Millis = 5_000;
 /// How long another instance may take to show or cancel a job.
 const PEER_TIMEOUT: Millis = 1_500;
+/// How long a cancellation waits to be recorded, in milliseconds.
+const RECORD_TIMEOUT: Millis = 1_000;
+/// How often it looks.
+const RECORD_LOOK: Duration = Duration::from_millis(20);
 /// When to come back after a refusal for want of the store or of workers.
 const COME_BACK: Millis = 2_000;
 
@@ -63,7 +67,11 @@
         let id = format!("{}.{}", spec.team, spec.name);
         let answer = match self.best_acceptor(&spec.resources) {
             Acceptor::Here => self.accept_here(&id, spec).await,
-            Acceptor::Peer(addr) => self.accept_there(addr, &id, spec).await,
+            Acceptor::Peer(addr) => match self.accept_there(addr, &id, spec.clone()).await {
+                // It was not asked, so it may as well be accepted here.
+                None => self.accept_here(&id, spec).await,
+                Some(submitted) => submitted,
+            },
             Acceptor::Nobody => return JobAnswer::refused(Refusal::NoCapacity, Some(COME_BACK)),
         };
         match answer {
@@ -121,15 +129,15 @@
         }
     }
 
-    async fn accept_there(&self, addr: SocketAddr, id: &str, spec: JobSpec) -> Submitted {
+    async fn accept_there(&self, addr: SocketAddr, id: &str, spec: JobSpec) -> Option<Submitted> {
         let call = PeerCall::Submit {
             job: id.to_owned(),
             spec,
         };
         match self.peers.call(addr, call, ACCEPT_TIMEOUT).await {
-            Ok(PeerReply::Submitted(submitted)) => submitted,
-            Err(PeerError::NotSent) => refused(Refusal::NoOwner, Some(COME_BACK)),
-            _ => Submitted::Unknown,
+            Ok(PeerReply::Submitted(submitted)) => Some(submitted),
+            Err(PeerError::NotSent) => None,
+            _ => Some(Submitted::Unknown),
         }
     }
 
@@ -199,25 +207,31 @@
         parts.map(|part| view_of_ended(&part)).collect()
     }
 
-    /// Cancels a job wherever its tasks are; returns whether anybody knows it.
-    pub async fn cancel(&self, id: &str) -> bool {
+    /// Cancels a job wherever its tasks are.
+    pub async fn cancel(&self, id: &str) -> Cancelled {
         let addrs: Vec<SocketAddr> = self.peer_addrs();
         let ask = |addr| {
             self.peers
                 .call(addr, PeerCall::CancelJob(id.to_owned()), PEER_TIMEOUT)
         };
-        let (here, replies) = future::join(
-            self.cancel_here(id),
-            future::join_all(addrs.into_iter().map(ask)),
-        )
-        .await;
-        here || replies
-            .into_iter()
-            .any(|reply| matches!(reply, Ok(PeerReply::Found(true))))
+        let elsewhere = future::join_all(addrs.into_iter().map(ask));
+        let (here, replies) = future::join(self.cancel_here(id), elsewhere).await;
+        let there = replies.into_iter().map(|reply| match reply {
+            Ok(PeerReply::Cancelled(cancelled)) => cancelled,
+            // One that did not answer may have tasks of the job.
+            _ => Cancelled {
+                found: false,
+                recorded: false,
+            },
+        });
+        there.fold(here, |all, one| Cancelled {
+            found: all.found || one.found,
+            recorded: all.recorded && one.recorded,
+        })
     }
 
-    /// Cancels what this instance has of a job.
-    pub async fn cancel_here(&self, id: &str) -> bool {
+    /// Cancels what this instance has of a job, and waits until that is recorded.
+    pub async fn cancel_here(&self, id: &str) -> Cancelled {
         let now = self.now();
         let found = {
             let mut state = self.lock();
@@ -225,11 +239,32 @@
             self.publish(&mut state);
             found
         };
-        if found {
-            self.wake_records.notify_one();
-            self.wake_workers.notify_one();
+        if !found {
+            return Cancelled {
+                found,
+                recorded: true,
+            };
+        }
+        self.wake_records.notify_one();
+        self.wake_workers.notify_one();
+        Cancelled {
+            found,
+            recorded: self.recorded(id, now + RECORD_TIMEOUT).await,
+        }
+    }
+
+    /// Waits until no change of a job is unrecorded, until `deadline` at most.
+    async fn recorded(&self, id: &str, deadline: Millis) -> bool {
+        while self.now() < deadline {
+            {
+                let state = self.lock();
+                if !state.cell.has_writes_of(id) && !state.writer.holds(id) {
+                    return true;
+                }
+            }
+            tokio::time::sleep(RECORD_LOOK).await;
         }
-        found
+        false
     }
 
     fn peer_addrs(&self) -> Vec<SocketAddr> {
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -42,7 +42,9 @@
     doubt: Option<Doubt>,
     /// The shards whose records are in a write that is under way or in doubt.
     shards: BTreeSet<String>,
-    /// Those of them of which the write holds every changed record.
+    /// The jobs whose records are in it.
+    jobs: BTreeSet<String>,
+    /// The shards of which the write holds every changed record.
     complete: BTreeSet<String>,
     /// When the write was put together.
     taken_at: Millis,
@@ -54,6 +56,11 @@
         self.shards.contains(shard)
     }
 
+    /// Tells whether a write of a job's records is under way or in doubt.
+    pub fn holds(&self, job: &str) -> bool {
+        self.jobs.contains(job)
+    }
+
     /// Tells whether the fate of a write is unknown.
     pub fn in_doubt(&self) -> bool {
         self.doubt.is_some()
@@ -226,6 +233,7 @@
         let now = self.now();
         let State { writer, cell, .. } = &mut *state;
         writer.shards = batch.shards();
+        writer.jobs = batch.writes.iter().map(|write| write.job.clone()).collect();
         writer.complete = batch
             .shards()
             .into_iter()
@@ -268,6 +276,7 @@
     fn on_written(&self, state: &mut State, batch: &WriteBatch) {
         self.metrics.event("records_written");
         state.writer.shards.clear();
+        state.writer.jobs.clear();
         for shard in std::mem::take(&mut state.writer.complete) {
             if let Some(held) = state.held.get_mut(&shard) {
                 held.flushed_at = state.writer.taken_at;
@@ -290,6 +299,7 @@
         tracing::warn!(%err, "records were not written");
         self.metrics.retry("records_unwritten");
         state.writer.shards.clear();
+        state.writer.jobs.clear();
         state.cell.unwritten(batch);
         let lost: Vec<String> = batch.writes.iter().map(|write| write.job.clone()).collect();
         for job in lost {
--- a/src/http/api.rs
+++ b/src/http/api.rs
@@ -213,12 +213,17 @@
     }
 
     async fn cancel(&self, id: &str) -> Result<Response, Rejection> {
-        match self.instance.cancel(id).await {
-            true => Ok(answer::json(
+        let cancelled = self.instance.cancel(id).await;
+        match (cancelled.found, cancelled.recorded) {
+            (true, true) => Ok(answer::json(
                 StatusCode::ACCEPTED,
                 &Accepted { job: id.to_owned() },
             )),
-            false => Err(no_such_job(id)),
+            (true, false) => {
+                self.instance.metrics.refusal(Refusal::Unconfirmed.code());
+                Ok(answer::unknown(Refusal::Unconfirmed))
+            }
+            (false, _) => Err(no_such_job(id)),
         }
     }
 
--- a/src/placement/intake.rs
+++ b/src/placement/intake.rs
@@ -459,6 +459,12 @@
         }
     }
 
+    /// Tells whether records of a job wait to be written.
+    pub fn has_writes_of(&self, id: &str) -> bool {
+        let job = self.by_job.get(id);
+        job.is_some_and(|key| self.dirty.iter().any(|(job, _)| job == key))
+    }
+
     /// Tells whether records of one shard wait to be written.
     pub fn has_writes_for(&self, shard: &str) -> bool {
         let index = self.shards.iter().position(|known| known.name == shard);
--- a/src/rpc/codec.rs
+++ b/src/rpc/codec.rs
@@ -9,7 +9,7 @@
 use crate::placement::reserve::Reserved;
 use crate::routing::{Outcome, Refusal};
 use crate::rpc::message::{
-    Beat, Fence, FenceReply, PeerCall, PeerReply, PoolEpoch, ServiceLoad, Submitted,
+    Beat, Cancelled, Fence, FenceReply, PeerCall, PeerReply, PoolEpoch, ServiceLoad, Submitted,
 };
 use crate::rpc::peer_capnp as wire;
 
@@ -125,7 +125,11 @@
         PeerReply::Submitted(submitted) => write_submitted(submitted, to.init_submitted()),
         PeerReply::Job(Some(view)) => to.set_job(&to_json(view)?),
         PeerReply::Job(None) => to.set_job(&[]),
-        PeerReply::Found(found) => to.set_found(*found),
+        PeerReply::Cancelled(cancelled) => {
+            let mut to = to.init_cancelled();
+            to.set_found(cancelled.found);
+            to.set_recorded(cancelled.recorded);
+        }
         PeerReply::Reserved(reserved) => write_reserved(reserved, to.init_reserved()),
         PeerReply::Done => to.set_done(()),
         PeerReply::Status(json) => to.set_status(json),
@@ -157,7 +161,13 @@
             };
             PeerReply::Job(view)
         }
-        Which::Found(found) => PeerReply::Found(found),
+        Which::Cancelled(cancelled) => {
+            let cancelled = cancelled?;
+            PeerReply::Cancelled(Cancelled {
+                found: cancelled.get_found(),
+                recorded: cancelled.get_recorded(),
+            })
+        }
         Which::Reserved(reserved) => PeerReply::Reserved(read_reserved(reserved?)?),
         Which::Done(()) => PeerReply::Done,
         Which::Status(json) => PeerReply::Status(json?.to_vec()),
--- a/src/rpc/message.rs
+++ b/src/rpc/message.rs
@@ -75,8 +75,8 @@
     Submitted(Submitted),
     /// To a question for a job.
     Job(Option<JobView>),
-    /// To a cancellation: whether the job is known.
-    Found(bool),
+    /// To a cancellation.
+    Cancelled(Cancelled),
     /// To a reservation.
     Reserved(Reserved),
     /// To a notice.
@@ -158,6 +158,15 @@
     pub owner_silence: Millis,
 }
 
+/// What became of a cancellation at one instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Cancelled {
+    /// Whether the instance has tasks of the job.
+    pub found: bool,
+    /// Whether the cancellation is durable there.
+    pub recorded: bool,
+}
+
 /// What became of a submission.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Submitted {
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -32,7 +32,7 @@
     submitted @3 :Submitted;
     # JSON of placement::intake::JobView; empty if the job is not known.
     job @4 :Data;
-    found @5 :Bool;
+    cancelled @5 :Cancelled;
     reserved @6 :Reserved;
     done @7 :Void;
     # JSON of daemon::status::InstanceStatus.
@@ -123,6 +123,11 @@
   }
 }
 
+struct Cancelled {
+  found @0 :Bool;
+  recorded @1 :Bool;
+}
+
 struct Reserve {
   millicores @0 :UInt64;
   memoryMib @1 :UInt64;
--- a/src/rpc/peer_capnp.rs
+++ b/src/rpc/peer_capnp.rs
@@ -1170,7 +1170,7 @@
 }
 
 pub mod reply {
-    pub use self::Which::{Beat,Fence,Outcome,Submitted,Job,Found,Reserved,Done,Status};
+    pub use self::Which::{Beat,Fence,Outcome,Submitted,Job,Cancelled,Reserved,Done,Status};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1258,6 +1258,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_cancelled(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 5 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn has_reserved(&self) -> bool {
             if self.reader.get_data_field::<u16>(0) != 6 { return false; }
             !self.reader.get_pointer_field(0).is_null()
@@ -1296,8 +1301,8 @@
                     ))
                 }
                 5 => {
-                    ::core::result::Result::Ok(Found(
-                        self.reader.get_bool_field(16)
+                    ::core::result::Result::Ok(Cancelled(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
                 6 => {
@@ -1448,9 +1453,19 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn set_found(&mut self, value: bool)  {
+        pub fn set_cancelled(&mut self, value: crate::rpc::peer_capnp::cancelled::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 5);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_cancelled(self, ) -> crate::rpc::peer_capnp::cancelled::Builder<'a> {
             self.builder.set_data_field::<u16>(0, 5);
-            self.builder.set_bool_field(16, value);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_cancelled(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 5 { return false; }
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
         pub fn set_reserved(&mut self, value: crate::rpc::peer_capnp::reserved::Reader<'_>) -> ::capnp::Result<()> {
@@ -1515,8 +1530,8 @@
                     ))
                 }
                 5 => {
-                    ::core::result::Result::Ok(Found(
-                        self.builder.get_bool_field(16)
+                    ::core::result::Result::Ok(Cancelled(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
                 6 => {
@@ -1548,7 +1563,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 155] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(161, 2, 107, 151, 132, 167, 153, 229),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -1601,34 +1616,34 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 250, 255, 16, 0, 0, 0),
+            ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(171, 185, 39, 250, 105, 140, 20, 158),
@@ -1670,12 +1685,13 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 110, 99, 101, 108, 108, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(55, 120, 252, 157, 226, 20, 98, 147),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 115, 101, 114, 118, 101, 100),
@@ -1711,7 +1727,7 @@
                 2 => <crate::rpc::peer_capnp::outcome::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::rpc::peer_capnp::submitted::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::rpc::peer_capnp::cancelled::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <crate::rpc::peer_capnp::reserved::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <() as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
@@ -1730,22 +1746,22 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,7,1,5,4,2,6,8,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,7,1,4,2,6,8,3];
         pub(crate) const TYPE_ID: u64 = 0xe599_a784_976b_02a1;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
         Beat(A0),
         Fence(A1),
         Outcome(A2),
         Submitted(A3),
         Job(A4),
-        Found(bool),
-        Reserved(A5),
+        Cancelled(A5),
+        Reserved(A6),
         Done(()),
-        Status(A6),
+        Status(A7),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence_reply::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::outcome::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::submitted::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserved::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence_reply::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::outcome::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::submitted::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserved::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence_reply::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::outcome::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::submitted::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::cancelled::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserved::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence_reply::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::outcome::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::submitted::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::cancelled::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserved::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>>;
 }
 
 pub mod beat {
@@ -5091,6 +5107,230 @@
     pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::not_run::Builder<'a>>>;
 }
 
+pub mod cancelled {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_found(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_recorded(self) -> bool {
+            self.reader.get_bool_field(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_found(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_found(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+        #[inline]
+        pub fn get_recorded(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_recorded(&mut self, value: bool)  {
+            self.builder.set_bool_field(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(55, 120, 252, 157, 226, 20, 98, 147),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(80, 150, 179, 226, 247, 164, 200, 209),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 97, 110, 99, 101),
+            ::capnp::word(108, 108, 101, 100, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 111, 117, 110, 100, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 99, 111, 114, 100, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0x9362_14e2_9dfc_7837;
+    }
+}
+
 pub mod reserve {
     #[derive(Copy, Clone)]
     pub struct Owned(());
