--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -15,6 +15,7 @@
 use crossweir::daemon::jobs::JobAnswer;
 use crossweir::model::{Class, JobKind, JobSpec, Resources};
 use crossweir::platform::local_store::StoreFault;
+use crossweir::policy::Bundle;
 use crossweir::routing::outcome::OrderKey;
 use crossweir::routing::{Outcome, RequestSpec};
 use tokio::task::JoinHandle;
@@ -32,6 +33,9 @@
     requests: Vec<(RequestSpec, JoinHandle<Outcome>)>,
     cancelled: BTreeSet<String>,
     sequence: u64,
+    changes: Vec<JoinHandle<Option<u64>>>,
+    /// The last version seen in force, by instance and start.
+    versions: BTreeMap<(String, u64), u64>,
 }
 
 #[test]
@@ -74,6 +78,7 @@
         let pause = cell.world.random(50..1_500);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         act(&mut cell, &mut told, step);
+        note_versions(&cell, &mut told, seed);
         let doubles = cell.world.double_runs();
         assert!(doubles.is_empty(), "seed {seed}, step {step}: {doubles:?}");
     }
@@ -88,6 +93,7 @@
 
     // Assert.
     assert_safe(&cell, seed);
+    assert_configuration(&cell, &mut told, seed).await;
     assert_jobs(&cell, &mut told, seed).await;
     assert_requests(&cell, &mut told, seed).await;
 }
@@ -99,7 +105,7 @@
     let other = format!("e{}", world.random(0..INSTANCES));
     let workers = world.worker_names();
     let worker = workers[world.random(0..workers.len() as u64) as usize].clone();
-    match world.random(0..24) {
+    match world.random(0..27) {
         0..6 => submit(cell, told, &any, step),
         6..11 => request(cell, told, &any, step),
         11 => cancel(cell, told, &any),
@@ -116,6 +122,8 @@
             cell.start_instance(&any, &format!("h{}", step % 2));
         }
         20 => world.restart_worker(&worker),
+        22 => change_configuration(cell, told, &any),
+        23 => cell.instances[&any].begin_drain(),
         21 => world.set_fail_all(&worker, world.random(0..2) == 0),
         _ => mend(cell),
     }
@@ -136,6 +144,16 @@
 
 fn heal(cell: &mut VirtualCell) {
     *cell.world.faults() = virtual_cell::Faults::default();
+    let names: Vec<String> = cell.instances.keys().cloned().collect();
+    for name in names
+        .iter()
+        .filter(|name| cell.instances[*name].is_draining())
+        .cloned()
+        .collect::<Vec<_>>()
+    {
+        cell.kill(&name);
+        cell.start_instance(&name, "h0");
+    }
     for worker in cell.world.worker_names() {
         cell.world.set_fail_all(&worker, false);
     }
@@ -209,6 +227,67 @@
     tokio::spawn(async move { instance.cancel(&id).await });
 }
 
+fn change_configuration(cell: &VirtualCell, told: &mut Told, name: &str) {
+    let instance: Arc<Instance> = Arc::clone(&cell.instances[name]);
+    let handle = tokio::spawn(async move {
+        let expected = instance.lock().configuration.version();
+        let changed = instance
+            .change_configuration(Bundle::default(), expected, String::new())
+            .await;
+        changed.ok()
+    });
+    told.changes.push(handle);
+}
+
+/// Checks that no running instance has gone back to an older version.
+fn note_versions(cell: &VirtualCell, told: &mut Told, seed: u64) {
+    for (name, instance) in &cell.instances {
+        let version = instance.lock().configuration.version();
+        let start = (name.clone(), instance.incarnation);
+        let before = told.versions.insert(start, version).unwrap_or(0);
+        assert!(
+            version >= before,
+            "seed {seed}: {name} went from version {before} to {version}"
+        );
+    }
+}
+
+/// Checks that no version was accepted twice, and that the last one is in force everywhere.
+async fn assert_configuration(cell: &VirtualCell, told: &mut Told, seed: u64) {
+    let mut accepted = Vec::new();
+    for handle in told.changes.drain(..) {
+        // A change at an instance that was killed has no answer.
+        let limit = Duration::from_secs(5);
+        accepted.extend(
+            tokio::time::timeout(limit, handle)
+                .await
+                .ok()
+                .and_then(Result::ok)
+                .flatten(),
+        );
+    }
+    let distinct: BTreeSet<u64> = accepted.iter().copied().collect();
+    assert_eq!(
+        distinct.len(),
+        accepted.len(),
+        "seed {seed}: a version was accepted twice: {accepted:?}"
+    );
+    let in_force: BTreeSet<u64> = cell
+        .instances
+        .values()
+        .map(|instance| instance.lock().configuration.version())
+        .collect();
+    assert_eq!(
+        in_force.len(),
+        1,
+        "seed {seed}: versions in force: {in_force:?}"
+    );
+    assert!(
+        in_force.first() >= distinct.last(),
+        "seed {seed}: {in_force:?} after {distinct:?}"
+    );
+}
+
 fn assert_safe(cell: &VirtualCell, seed: u64) {
     assert_eq!(
         cell.world.overcommitted(),
