--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -13,7 +13,7 @@
 use crate::http::api::{Accepted, Changed, ConfigurationChange, ConfigurationView};
 use crate::http::client::{Answer, CallError, HttpClient};
 use crate::http::operator::TOKEN_HEADER;
-use crate::placement::intake::JobView;
+use crate::placement::view::JobView;
 use crate::policy::Bundle;
 
 /// How long a call may take.
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write;
 
 use crate::daemon::status::{CellStatus, InstanceStatus};
-use crate::placement::intake::JobView;
 use crate::placement::task::WaitReason;
+use crate::placement::view::JobView;
 use crate::routing::Refusal;
 
 /// Renders how the cell stands.
--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -4,36 +4,27 @@
 //! one instance that should claim, so races are rare; the row decides them.
 
 use futures::future;
-use rand::Rng;
 
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
+use crate::daemon::rows::Written;
 use crate::daemon::shards;
 use crate::model::VmBoot;
 use crate::ownership::rendezvous;
-use crate::ownership::shard::{SHARD_REVISION, ShardRow, VersionedShard};
+use crate::ownership::shard::{ShardRow, VersionedShard};
 use crate::placement::lease::Standing;
-use crate::platform::store::{Change, Expect, Op, Version};
-use crate::platform::{Exchange, StoreError, VmRole};
+use crate::platform::Exchange;
+use crate::platform::store::Expect;
 use crate::rpc::message::{Fence, FenceReply, PeerCall, PeerReply};
 
 /// How long another instance may take to answer a question.
 const PEER_TIMEOUT: Millis = 500;
 /// How many shards one step claims at most, so that a restart does not swamp the store.
 const CLAIMS_PER_STEP: usize = 8;
-/// How many shards one step hands over because another instance should own them.
-const MOVES_PER_STEP: usize = 1;
 
 /// How many heartbeats an instance waits after its start before it claims anything.
 const BEATS_BEFORE_CLAIMS: Millis = 3;
 
-/// What became of the write of a row.
-enum Written {
-    Yes(Version),
-    No,
-    Doubtful,
-}
-
 impl Instance {
     /// Claims what should be ours, hands over what should not, and keeps rows true.
     pub async fn tend_shards(&self) {
@@ -244,248 +235,6 @@
         }
     }
 
-    /// Writes a shard's row; a lost reply is resolved by reading the claim back.
-    async fn write_row(&self, shard: &str, expect: Expect, row: &ShardRow) -> Written {
-        let key = ShardRow::key(shard);
-        let value = serde_json::to_string(row).unwrap_or_default();
-        let ops = vec![
-            Op::new(key.clone(), expect, Change::Put(value)),
-            Op::put(SHARD_REVISION, format!("{:016x}", row.claim)),
-        ];
-        match self.platform.store.transact(ops).await {
-            Ok(version) => Written::Yes(version),
-            Err(StoreError::Unavailable) => Written::No,
-            Err(StoreError::Conflict { .. } | StoreError::Unanswered) => {
-                self.read_back(key, row).await
-            }
-        }
-    }
-
-    async fn read_back(&self, key: String, row: &ShardRow) -> Written {
-        let Ok(rows) = self.platform.store.read(vec![key]).await else {
-            return Written::Doubtful;
-        };
-        let found = rows.into_iter().next().flatten();
-        let ours = found
-            .as_ref()
-            .and_then(|found| serde_json::from_str::<ShardRow>(&found.value).ok());
-        match (found, ours) {
-            (Some(found), Some(ours)) if ours.claim == row.claim => Written::Yes(found.version),
-            _ => Written::No,
-        }
-    }
-
-    /// Brings the witnesses recorded in our rows in line with the boots that answer.
-    async fn renew_rows(&self) {
-        for (shard, expect, row) in self.rows_to_renew() {
-            let written = self.write_row(&shard, Expect::Version(expect), &row).await;
-            let mut state = self.lock();
-            let Some(held) = state.held.get_mut(&shard) else {
-                continue;
-            };
-            held.writing = false;
-            match written {
-                Written::Yes(version) => {
-                    held.tenure.finish_change(true);
-                    held.row = row.clone();
-                    held.version = version;
-                    state.map.insert(&shard, version, row);
-                    state.cell.press_shard(&shard);
-                    self.wake_workers.notify_one();
-                }
-                // The row is not what we left: another has claimed, which the next
-                // poll shows, or the store refused and nothing has changed.
-                Written::No => held.tenure.finish_change(false),
-                // Until the fate of the write is known, both sets of witnesses count.
-                Written::Doubtful => held.doubtful = Some(row),
-            }
-        }
-    }
-
-    fn rows_to_renew(&self) -> Vec<(String, Version, ShardRow)> {
-        let now = self.now();
-        let mut state = self.lock();
-        let peers = state.members.witnesses(now);
-        let listed: Vec<VmBoot> = self.listed_boots(&state);
-        let settled: Vec<bool> = state
-            .held
-            .keys()
-            .map(|shard| Self::row_may_change(&state, shard, now))
-            .collect();
-        let State { held, rng, .. } = &mut *state;
-        let mut due = Vec::new();
-        for ((shard, held), settled) in held.iter_mut().zip(settled) {
-            if held.writing || held.releasing || !held.loaded {
-                continue;
-            }
-            if let Some(row) = held.doubtful.take() {
-                held.writing = true;
-                due.push((shard.clone(), held.version, row));
-                continue;
-            }
-            if !settled {
-                continue;
-            }
-            let wanted = match shards::is_rack(shard) {
-                true => rack_witnesses(shard, &held.row, &listed),
-                false => peers.clone(),
-            };
-            if same_set(&wanted, &held.row.witnesses) {
-                continue;
-            }
-            let row = ShardRow {
-                claim: rng.random(),
-                witnesses: wanted.clone(),
-                ..held.row.clone()
-            };
-            held.tenure.begin_change(wanted);
-            held.writing = true;
-            due.push((shard.clone(), held.version, row));
-        }
-        due
-    }
-
-    /// Returns the listed workers of our shards with the boots that have answered.
-    fn listed_boots(&self, state: &State) -> Vec<VmBoot> {
-        let workers = state
-            .vms
-            .iter()
-            .filter(|vm| matches!(vm.role, VmRole::Worker { .. }));
-        workers
-            .filter(|vm| state.held.contains_key(&vm.shard()))
-            .map(|vm| {
-                let boot = state
-                    .cell
-                    .worker(&vm.name)
-                    .map_or(0, |worker| worker.vm.boot);
-                VmBoot {
-                    vm: format!("{}\u{0}{}", vm.shard(), vm.name),
-                    boot,
-                }
-            })
-            .collect()
-    }
-
-    /// Hands over shards that another instance should own; a leaving one hands over all.
-    async fn hand_over(&self) {
-        let unreleased = std::mem::take(&mut self.lock().unreleased);
-        for (shard, (row, version)) in unreleased {
-            self.write_release(&shard, row, version).await;
-        }
-        let leaving = self.to_hand_over();
-        self.keep_others(&leaving);
-        for shard in leaving {
-            self.release(&shard).await;
-        }
-    }
-
-    /// Opens shards again whose hand-over had begun and is no longer due.
-    fn keep_others(&self, leaving: &[String]) {
-        let mut state = self.lock();
-        let State {
-            held, pools, cell, ..
-        } = &mut *state;
-        let kept = held
-            .iter_mut()
-            .filter(|(shard, held)| held.releasing && !leaving.contains(shard));
-        for (shard, held) in kept {
-            held.releasing = false;
-            match pools.get_mut(shard) {
-                Some(pool) => pool.open(),
-                None => cell.press_shard(shard),
-            }
-        }
-    }
-
-    fn to_hand_over(&self) -> Vec<String> {
-        let now = self.now();
-        let state = self.lock();
-        let draining = self.is_draining();
-        let settled = state.members.settled_for(now) >= self.cfg.number("membership", "settle_ms");
-        if !draining && !settled {
-            return Vec::new();
-        }
-        let members = state.members.candidates(draining, now);
-        let limit = if draining { usize::MAX } else { MOVES_PER_STEP };
-        let elsewhere = |shard: &&String| {
-            let preferred = rendezvous::preferred(shard, shards::hall_of(shard), &members);
-            preferred.is_some_and(|candidate| candidate.name != self.cfg.name)
-        };
-        let idle = |shard: &&String| !state.held[*shard].writing;
-        state
-            .held
-            .keys()
-            .filter(idle)
-            .filter(elsewhere)
-            .take(limit)
-            .cloned()
-            .collect()
-    }
-
-    /// Releases a shard: stops acting on it first, writes its row second.
-    async fn release(&self, shard: &str) {
-        if !self.quiesce(shard) {
-            return;
-        }
-        let Some((row, version)) = self.stop_owning(shard) else {
-            return;
-        };
-        let released = ShardRow {
-            owner: None,
-            claim: self.draw(),
-            ..row
-        };
-        self.write_release(shard, released, version).await;
-    }
-
-    /// Writes the row of a shard that is no longer acted on, again and again if need be.
-    async fn write_release(&self, shard: &str, row: ShardRow, version: Version) {
-        let written = self.write_row(shard, Expect::Version(version), &row).await;
-        let mut state = self.lock();
-        match written {
-            Written::Yes(version) => {
-                self.metrics.event("shard_released");
-                state.map.insert(shard, version, row);
-            }
-            Written::No | Written::Doubtful => {
-                self.metrics.retry("release_unanswered");
-                let taken = state
-                    .map
-                    .get(shard)
-                    .is_some_and(|known| known.version > version);
-                if !taken {
-                    state.unreleased.insert(shard.to_owned(), (row, version));
-                }
-            }
-        }
-    }
-
-    /// Tells whether the shard has nothing in progress that only we can finish.
-    fn quiesce(&self, shard: &str) -> bool {
-        let mut state = self.lock();
-        if let Some(held) = state.held.get_mut(shard) {
-            held.releasing = true;
-        }
-        match state.pools.get_mut(shard) {
-            Some(pool) => {
-                pool.close();
-                pool.is_idle()
-            }
-            None => {
-                state.cell.close_shard(shard);
-                !state.writer.concerns(shard) && !state.cell.has_writes_for(shard)
-            }
-        }
-    }
-
-    fn stop_owning(&self, shard: &str) -> Option<(ShardRow, Version)> {
-        let mut state = self.lock();
-        let held = state.held.get(shard)?;
-        let row = (held.row.clone(), held.version);
-        self.end_tenure(&mut state, shard, "shard_handed_over");
-        Some(row)
-    }
-
     /// Tells the former witnesses of our groups of targets that we own them now.
     async fn fence_pools(&self) {
         let calls = {
@@ -560,27 +309,3 @@
         })
     }
 }
-
-/// The witnesses that a rack's row should name: listed workers that have answered,
-/// and those recorded that have not, since they may yet.
-fn rack_witnesses(shard: &str, row: &ShardRow, listed: &[VmBoot]) -> Vec<VmBoot> {
-    let prefix = format!("{shard}\u{0}");
-    let here = listed
-        .iter()
-        .filter_map(|vm| Some((vm.vm.strip_prefix(&prefix)?, vm.boot)));
-    here.filter_map(|(name, boot)| {
-        let recorded = row.witnesses.iter().find(|old| old.vm == name);
-        match (boot, recorded) {
-            (0, recorded) => recorded.cloned(),
-            (boot, _) => Some(VmBoot {
-                vm: name.to_owned(),
-                boot,
-            }),
-        }
-    })
-    .collect()
-}
-
-fn same_set(a: &[VmBoot], b: &[VmBoot]) -> bool {
-    a.len() == b.len() && a.iter().all(|vm| b.contains(vm))
-}
--- a/src/daemon/jobs.rs
+++ b/src/daemon/jobs.rs
@@ -11,9 +11,10 @@
 use crate::daemon::instance::{Instance, State};
 use crate::model::{Dimension, JobSpec, Resources};
 use crate::placement::Part;
-use crate::placement::intake::{self, IntakeError, JobView};
+use crate::placement::intake::IntakeError;
 use crate::placement::part::ENDED_PREFIX;
 use crate::placement::ranges::Ranges;
+use crate::placement::view::{self, JobView};
 use crate::platform::VmRole;
 use crate::routing::Refusal;
 use crate::rpc::PeerError;
@@ -334,6 +335,6 @@
     }
     a.waits_for = a.waits_for.or(b.waits_for);
     a.tasks.extend(b.tasks);
-    a.tasks.truncate(intake::TASKS_IN_VIEW);
+    a.tasks.truncate(view::TASKS_IN_VIEW);
     a
 }
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -13,7 +13,7 @@
 use crate::daemon::instance::{Instance, State};
 use crate::ownership::shard::ShardRow;
 use crate::placement::Part;
-use crate::placement::intake::{PartWrite, WriteBatch};
+use crate::placement::journal::{PartWrite, WriteBatch};
 use crate::platform::StoreError;
 use crate::platform::store::{Change, Expect, Op, Version};
 use crate::routing::Refusal;
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -14,7 +14,7 @@
 use crate::error::Result;
 use crate::metrics::Metrics;
 use crate::model::{Class, JobKind, JobSpec, Resources};
-use crate::placement::intake::JobView;
+use crate::placement::view::JobView;
 use crate::platform::local_store::LocalStore;
 use crate::platform::local_target::LocalTargets;
 use crate::platform::local_worker::LocalWorkers;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,10 +4,12 @@
 //! which they happened; orders come out as exchanges for workers and rows for
 //! the store.  `docs/DESIGN.md` section "Placement" gives the choices.
 
+pub mod accounts;
 pub mod cell;
 pub mod health;
 pub mod index;
 pub mod intake;
+pub mod journal;
 pub mod lease;
 pub mod pace;
 pub mod part;
@@ -18,6 +20,7 @@
 pub mod reserve;
 pub mod task;
 pub mod transfer;
+pub mod view;
 pub mod worker;
 
 pub use cell::{Cell, Limits};
--- a/src/placement/transfer.rs
+++ b/src/placement/transfer.rs
@@ -9,7 +9,7 @@
 use crate::clock::Millis;
 use crate::model::{JobKind, Resources};
 use crate::placement::cell::Cell;
-use crate::placement::intake::WriteBatch;
+use crate::placement::journal::WriteBatch;
 use crate::placement::part::Part;
 use crate::placement::ranges::Ranges;
 use crate::placement::task::{Phase, WaitReason};
--- a/src/platform/remote.rs
+++ b/src/platform/remote.rs
@@ -2,12 +2,13 @@
 //!
 //! Bodies are JSON except towards targets, whose bodies pass through untouched.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use volo_http::http::{Method, StatusCode};
+use volo_http::http::{Method, StatusCode, header};
 
 use crate::http::client::{Answer, CallError, HttpClient};
 use crate::metrics::Metrics;
@@ -20,6 +21,8 @@
 pub const LEAVING_HEADER: &str = "x-leaving";
 /// The header that carries the id of a request to a target.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// The header by which an unchanged list is not sent again.
+const IF_NONE_MATCH: &str = "if-none-match";
 /// How long a worker may take to answer.
 const WORKER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -64,6 +67,14 @@
     base: String,
     timeout: Duration,
     metrics: Metrics,
+    listed: Mutex<Listed>,
+}
+
+/// The list of VMs as last read, with the tag by which a change is noticed.
+#[derive(Clone, Default)]
+struct Listed {
+    tag: Option<String>,
+    vms: Vec<Vm>,
 }
 
 impl RemotePlatform {
@@ -74,9 +85,14 @@
             base,
             timeout,
             metrics,
+            listed: Mutex::default(),
         }
     }
 
+    fn listed(&self) -> MutexGuard<'_, Listed> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn post<T: Serialize + Sync>(
         &self,
         call: &'static str,
@@ -168,13 +184,31 @@
         async move {
             self.metrics.store_call("vms");
             let url = format!("{}/vms", self.base);
+            let known = self.listed().clone();
+            let headers: Vec<_> = known
+                .tag
+                .iter()
+                .map(|tag| (IF_NONE_MATCH, tag.clone()))
+                .collect();
             let answer = self
                 .http
-                .call(Method::GET, &url, &[], Vec::new(), self.timeout)
-                .await;
-            check(answer.map_err(store_error)?)?
-                .json()
-                .map_err(store_error)
+                .call(Method::GET, &url, &headers, Vec::new(), self.timeout)
+                .await
+                .map_err(store_error)?;
+            if answer.status == StatusCode::NOT_MODIFIED {
+                return Ok(known.vms);
+            }
+            let answer = check(answer)?;
+            let vms: Vec<Vm> = answer.json().map_err(store_error)?;
+            let tag = answer
+                .headers
+                .get(header::ETAG)
+                .and_then(|tag| tag.to_str().ok());
+            *self.listed() = Listed {
+                tag: tag.map(str::to_owned),
+                vms: vms.clone(),
+            };
+            Ok(vms)
         }
         .boxed()
     }
--- a/src/rpc/message.rs
+++ b/src/rpc/message.rs
@@ -4,8 +4,8 @@
 
 use crate::clock::Millis;
 use crate::model::{Epoch, JobId, JobSpec, Resources};
-use crate::placement::intake::JobView;
 use crate::placement::reserve::Reserved;
+use crate::placement::view::JobView;
 use crate::routing::{Outcome, Refusal, RequestSpec};
 
 /// A call to another instance.
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -30,7 +30,7 @@
     fence @1 :FenceReply;
     outcome @2 :Outcome;
     submitted @3 :Submitted;
-    # JSON of placement::intake::JobView; empty if the job is not known.
+    # JSON of placement::view::JobView; empty if the job is not known.
     job @4 :Data;
     cancelled @5 :Cancelled;
     reserved @6 :Reserved;
--- a/standin/service.rs
+++ b/standin/service.rs
@@ -13,10 +13,11 @@
 use serde::Serialize;
 use volo::service::Service;
 use volo_http::context::ServerContext;
-use volo_http::http::header::HeaderValue;
+use volo_http::http::header::{self, HeaderValue};
 use volo_http::http::{Method, StatusCode};
 use volo_http::request::Request;
 use volo_http::response::Response;
+use xxhash_rust::xxh3;
 
 use crate::control;
 use crate::targets::Answer;
@@ -40,15 +41,22 @@
         let (parts, body) = req.into_parts();
         let body = parse::body(body, MAX_BODY).await.unwrap_or_default();
         let path: Vec<&str> = parts.uri.path().trim_matches('/').split('/').collect();
-        Ok(self.answer(&parts.method, &path, body).await)
+        let tag = parts.headers.get(header::IF_NONE_MATCH).cloned();
+        Ok(self.answer(&parts.method, &path, body, tag).await)
     }
 }
 
 impl StandinService {
-    async fn answer(&self, method: &Method, path: &[&str], body: Vec<u8>) -> Response {
+    async fn answer(
+        &self,
+        method: &Method,
+        path: &[&str],
+        body: Vec<u8>,
+        tag: Option<HeaderValue>,
+    ) -> Response {
         match (method.as_str(), path) {
             ("POST", ["table", call]) => self.table(call, &body).await,
-            ("GET", ["vms"]) => from_store(self.world.store.list().await),
+            ("GET", ["vms"]) => self.vms(tag).await,
             (_, ["objects", key]) => self.object(method, key, body).await,
             ("POST", ["workers", vm, "exchange"]) => self.worker(vm, &body).await,
             ("POST", ["targets", vm, ..]) => self.target(vm, body).await,
@@ -64,6 +72,23 @@
         }
     }
 
+    /// Sends the list of VMs, unless the caller has it as it is.
+    async fn vms(&self, known: Option<HeaderValue>) -> Response {
+        let Ok(vms) = self.world.store.list().await else {
+            return from_store::<()>(Err(StoreError::Unavailable));
+        };
+        let body = serde_json::to_vec(&vms).unwrap_or_default();
+        let tag = format!("\"{:016x}\"", xxh3::xxh3_64(&body));
+        if known.is_some_and(|known| known == tag.as_str()) {
+            return answer::with_body(StatusCode::NOT_MODIFIED, "application/json", Vec::new());
+        }
+        let mut response = answer::with_body(StatusCode::OK, "application/json", body);
+        if let Ok(tag) = HeaderValue::from_str(&tag) {
+            response.headers_mut().insert(header::ETAG, tag);
+        }
+        response
+    }
+
     async fn table(&self, call: &str, body: &[u8]) -> Response {
         let pause = self.world.delays().store_ms;
         tokio::time::sleep(Duration::from_millis(pause)).await;
