--- a/src/placement/intake.rs
+++ b/src/placement/intake.rs
@@ -193,6 +193,7 @@
             tasks: BTreeMap::new(),
             waiting: BTreeSet::new(),
             failed_on: BTreeMap::new(),
+            condemned: false,
             successes: 0,
             per_shard: HashMap::new(),
             per_hall: HashMap::new(),
--- a/src/placement/lease.rs
+++ b/src/placement/lease.rs
@@ -305,7 +305,9 @@
         } else {
             self.jobs[job].note_failure(worker, now);
         }
-        let condemned = !elsewhere && self.jobs[job].failed_on.len() >= WORKERS_TO_CONDEMN;
+        let widely = !elsewhere && self.jobs[job].failed_on.len() >= WORKERS_TO_CONDEMN;
+        let newly = widely && !std::mem::replace(&mut self.jobs[job].condemned, widely);
+        let condemned = self.jobs[job].condemned;
         let tired = self.tasks[key].attempts >= self.limits.max_attempts;
         let service = self.jobs[job].spec.kind == JobKind::Service;
         if service || (self.jobs[job].spec.repeatable && !condemned && !tired) {
@@ -313,7 +315,7 @@
         } else {
             self.finish_on(worker, key, TaskState::Failed, now);
         }
-        if condemned && !service {
+        if newly && !service {
             self.condemn(job, now);
         }
         self.reindex(worker, now);
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -94,6 +94,8 @@
     pub waiting: BTreeSet<u32>,
     /// The workers on which a task of it failed, and until when they are avoided.
     pub failed_on: BTreeMap<WorkerKey, Avoided>,
+    /// Whether it fails wherever it runs, so that no task of it is tried again.
+    pub condemned: bool,
     /// How many of its tasks succeeded here.
     pub successes: u32,
     /// How many of its tasks occupy each rack, for spreading.
