Pass a cancellation on to tasks that are on their way; a panic ends the process

Cause: reading the transfer as a newcomer: a cancellation that came while tasks moved to another instance reached neither side; a task that had been dropped meanwhile would have panicked in the loop that moves work, and a loop that panics dies unseen. Ruled out: that the random runs would have shown it, since they did not count panics. Change: the mover passes the cancellation on and a cancellation waits for it; dropping a dropped task does nothing; the daemon ends on a panic, so that its shards are claimed; the random runs count panics and fail on any. No test brings the cancellation in the middle of a transfer about.

--- a/src/bin/crossweird/main.rs
+++ b/src/bin/crossweird/main.rs
@@ -20,6 +20,15 @@
     }
 }
 
+/// Ends the process on any panic: an instance without one of its loops would go on
+/// holding shards, while one that is gone is replaced within seconds.
+fn end_on_panic() {
+    std::panic::set_hook(Box::new(|info| {
+        tracing::error!(%info, "panic");
+        std::process::abort();
+    }));
+}
+
 fn run(flags: &flags::Crossweird) -> anyhow::Result<ExitCode> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -42,6 +51,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     log::init(&cfg.log);
+    end_on_panic();
     runtime.block_on(process::run(cfg))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -44,6 +44,8 @@
     shards: BTreeSet<String>,
     /// The jobs whose records are in it.
     jobs: BTreeSet<String>,
+    /// The job whose tasks are being moved to another instance.
+    moving: Option<String>,
     /// The shards of which the write holds every changed record.
     complete: BTreeSet<String>,
     /// When the write was put together.
@@ -58,7 +60,12 @@
 
     /// Tells whether a write of a job's records is under way or in doubt.
     pub fn holds(&self, job: &str) -> bool {
-        self.jobs.contains(job)
+        self.jobs.contains(job) || self.moving.as_deref() == Some(job)
+    }
+
+    /// Notes the job whose tasks are being moved to another instance.
+    pub fn set_moving(&mut self, job: Option<String>) {
+        self.moving = job;
     }
 
     /// Tells whether the fate of a write is unknown.
--- a/src/daemon/spill.rs
+++ b/src/daemon/spill.rs
@@ -131,31 +131,48 @@
                 *places.entry(shard.clone()).or_default() += count;
             }
         }
-        let prepared = self
-            .lock()
-            .cell
-            .begin_transfer(&offer.job, &places, offer.gang);
-        let Some(transfer) = prepared else {
-            return;
+        let prepared = {
+            let mut state = self.lock();
+            // A cancellation waits until the transfer has passed it on.
+            state.writer.set_moving(Some(offer.job.clone()));
+            state.cell.begin_transfer(&offer.job, &places, offer.gang)
         };
-        let ops = self.transfer_ops(&transfer);
+        if let Some(transfer) = prepared {
+            self.carry_out(offer, rooms, own, &transfer).await;
+        }
+        self.lock().writer.set_moving(None);
+    }
+
+    async fn carry_out(
+        &self,
+        offer: &Offer,
+        rooms: &[Room],
+        own: Option<&Reserved>,
+        transfer: &Transfer,
+    ) {
+        let ops = self.transfer_ops(transfer);
         let result = self.write_transfer(ops).await;
         let now = self.now();
         match result {
             Ok(()) => {
-                {
+                let cancelled = {
                     let mut state = self.lock();
-                    state.cell.finish_transfer(&transfer, now);
+                    let cancelled = state.cell.is_cancelling(&offer.job);
+                    state.cell.finish_transfer(transfer, now);
                     if let Some(own) = own {
                         state.cell.use_own_reservation(own.id, &offer.job, now);
                     }
-                }
+                    cancelled
+                };
                 self.notify_adopters(offer, rooms).await;
+                if cancelled {
+                    self.cancel_at(offer, rooms).await;
+                }
             }
-            Err(StoreError::Unanswered) => self.abandon(&transfer),
+            Err(StoreError::Unanswered) => self.abandon(transfer),
             Err(_) => {
                 self.metrics.retry("transfer_refused");
-                self.lock().cell.undo_transfer(&transfer, now);
+                self.lock().cell.undo_transfer(transfer, now);
             }
         }
         self.wake_records.notify_one();
@@ -241,6 +258,21 @@
         }
     }
 
+    /// Passes on a cancellation that came while the tasks were on their way.
+    async fn cancel_at(&self, offer: &Offer, rooms: &[Room]) {
+        for room in rooms {
+            let call = PeerCall::CancelJob(offer.job.clone());
+            if self
+                .peers
+                .call(room.addr, call, PEER_TIMEOUT)
+                .await
+                .is_err()
+            {
+                self.metrics.retry("cancel_unanswered");
+            }
+        }
+    }
+
     /// Takes in work that was moved here under a reservation of ours.
     pub async fn adopt_reserved(&self, shard: &str, job: &str, reservation: u64) {
         self.take_in(shard).await;
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -356,6 +356,9 @@
 
     /// Removes a task from memory without saying that it ended.
     pub(super) fn drop_task(&mut self, key: TaskKey) {
+        if !self.tasks.contains_key(key) {
+            return;
+        }
         self.vacate(key, 0);
         let Some(task) = self.tasks.remove(key) else {
             return;
--- a/src/placement/intake.rs
+++ b/src/placement/intake.rs
@@ -150,6 +150,13 @@
         true
     }
 
+    /// Tells whether a job has been cancelled.
+    pub fn is_cancelling(&self, id: &str) -> bool {
+        self.by_job
+            .get(id)
+            .is_some_and(|key| self.jobs[*key].cancelling)
+    }
+
     /// An inherited task may be running where we have not yet looked.
     fn may_have_started(&self, key: TaskKey) -> bool {
         let task = &self.tasks[key];
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -9,6 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use crossweir::daemon::Instance;
@@ -26,6 +27,9 @@
 const STEPS: u64 = 120;
 const INSTANCES: u64 = 4;
 
+/// Panics anywhere in the process; one in a loop of an instance would go unseen.
+static PANICS: AtomicUsize = AtomicUsize::new(0);
+
 /// What callers were told, kept to be compared with what happened.
 #[derive(Default)]
 struct Told {
@@ -46,11 +50,21 @@
             .and_then(|value| value.parse().ok())
             .unwrap_or(default)
     };
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        PANICS.fetch_add(1, Ordering::SeqCst);
+        print(info);
+    }));
     let first: u64 = number("CROSSWEIR_SEED", FIRST_SEED);
     for seed in first..first + number("CROSSWEIR_RUNS", RUNS) {
         // The seed is printed first, so that a failure names it.
         println!("seed {seed}");
         run(seed);
+        assert_eq!(
+            PANICS.load(Ordering::SeqCst),
+            0,
+            "seed {seed}: a loop of an instance has panicked"
+        );
     }
 }
 
