One way to ask all instances, one way to build a record; the operator's note survives

Cause: reading for duplicates: four loops asked all instances, two places built a part row, and a pushed version carried no note, so other instances showed an empty one. Ruled out: the note in the push (the row has it and decides anyway). Change: daemon::peers::ask_all, Job::part; a push makes an instance read the row.

--- a/src/daemon/beat.rs
+++ b/src/daemon/beat.rs
@@ -158,8 +158,8 @@
                 self.adopt_reserved(&shard, &job, reservation).await;
                 PeerReply::Done
             }
-            PeerCall::NewVersion { version, claim } => {
-                self.on_new_version(version, claim).await;
+            PeerCall::NewVersion { version } => {
+                self.on_new_version(version).await;
                 PeerReply::Done
             }
             PeerCall::Status => PeerReply::Status(self.status_json()),
--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -148,22 +148,12 @@
     }
 
     async fn peer_silences(&self, shard: &str, owner: &str) -> Vec<FenceReply> {
-        let now = self.now();
-        let addrs: Vec<_> = self
-            .lock()
-            .members
-            .alive(now)
-            .map(|(_, peer, _)| peer.rpc)
-            .collect();
-        let ask = |addr| {
-            let call = PeerCall::Fence(Fence {
-                shard: shard.to_owned(),
-                epoch: 0,
-                owner: owner.to_owned(),
-            });
-            self.peers.call(addr, call, PEER_TIMEOUT)
-        };
-        let replies = future::join_all(addrs.into_iter().map(ask)).await;
+        let call = PeerCall::Fence(Fence {
+            shard: shard.to_owned(),
+            epoch: 0,
+            owner: owner.to_owned(),
+        });
+        let replies = self.ask_all(self.heard_peers(), &call, PEER_TIMEOUT).await;
         replies
             .into_iter()
             .filter_map(|reply| match reply {
--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -185,30 +185,26 @@
     }
 
     async fn push_version(&self, row: &VersionRow) {
-        let addrs: Vec<_> = self
+        let addrs = self
             .lock()
             .members
             .peers()
             .map(|(_, peer)| peer.rpc)
             .collect();
-        let push = |addr| {
-            let call = PeerCall::NewVersion {
-                version: row.version,
-                claim: row.claim,
-            };
-            self.peers.call(addr, call, PUSH_TIMEOUT)
+        let call = PeerCall::NewVersion {
+            version: row.version,
         };
-        futures::future::join_all(addrs.into_iter().map(push)).await;
+        self.ask_all(addrs, &call, PUSH_TIMEOUT).await;
     }
 
-    /// Takes note of a version that another instance has seen accepted.
-    pub async fn on_new_version(&self, version: u64, claim: u64) {
-        let row = VersionRow {
-            version,
-            claim,
-            note: String::new(),
-        };
-        self.fetch_version(row).await;
+    /// Reads the configuration at once, since another instance has seen `version` accepted.
+    pub async fn on_new_version(&self, version: u64) {
+        if self.lock().configuration.version() >= version {
+            return;
+        }
+        if let Ok(Some((_, row))) = self.read_version().await {
+            self.fetch_version(row).await;
+        }
     }
 
     /// Takes note of the row of the configuration, read from the store.
--- a/src/daemon/jobs.rs
+++ b/src/daemon/jobs.rs
@@ -181,12 +181,8 @@
 
     /// Shows how a job stands, here and everywhere.
     pub async fn view_job(&self, id: &str) -> Option<JobView> {
-        let addrs: Vec<SocketAddr> = self.peer_addrs();
-        let ask = |addr| {
-            self.peers
-                .call(addr, PeerCall::ViewJob(id.to_owned()), PEER_TIMEOUT)
-        };
-        let replies = future::join_all(addrs.into_iter().map(ask)).await;
+        let call = PeerCall::ViewJob(id.to_owned());
+        let replies = self.ask_all(self.heard_peers(), &call, PEER_TIMEOUT).await;
         let mut views: Vec<JobView> = replies
             .into_iter()
             .filter_map(|reply| match reply {
@@ -210,12 +206,8 @@
 
     /// Cancels a job wherever its tasks are.
     pub async fn cancel(&self, id: &str) -> Cancelled {
-        let addrs: Vec<SocketAddr> = self.peer_addrs();
-        let ask = |addr| {
-            self.peers
-                .call(addr, PeerCall::CancelJob(id.to_owned()), PEER_TIMEOUT)
-        };
-        let elsewhere = future::join_all(addrs.into_iter().map(ask));
+        let call = PeerCall::CancelJob(id.to_owned());
+        let elsewhere = self.ask_all(self.heard_peers(), &call, PEER_TIMEOUT);
         let (here, replies) = future::join(self.cancel_here(id), elsewhere).await;
         let there = replies.into_iter().map(|reply| match reply {
             Ok(PeerReply::Cancelled(cancelled)) => cancelled,
@@ -267,16 +259,6 @@
         }
         false
     }
-
-    fn peer_addrs(&self) -> Vec<SocketAddr> {
-        let now = self.now();
-        let state = self.lock();
-        let heard = state
-            .members
-            .peers()
-            .filter(|(name, _)| state.members.is_alive(name, now));
-        heard.map(|(_, peer)| peer.rpc).collect()
-    }
 }
 
 enum Acceptor {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 pub mod jobs;
 pub mod keys;
 pub mod marks;
+pub mod peers;
 pub mod polling;
 pub mod process;
 pub mod records;
--- a/src/placement/journal.rs
+++ b/src/placement/journal.rs
@@ -116,16 +116,11 @@
         }
         let mut ranges = |state| Ranges::from_iter(by_state.remove(&state).unwrap_or_default());
         let part = Part {
-            job: job.id.clone(),
-            spec: (*job.spec).clone(),
-            ordering: job.ordering,
-            committed: job.committed,
-            cancelling: job.cancelling,
-            live: Ranges::from_iter(live),
             succeeded: ranges(TaskState::Succeeded),
             failed: ranges(TaskState::Failed),
             cancelled: ranges(TaskState::Cancelled),
             unknown: ranges(TaskState::Unknown),
+            ..job.part(live)
         };
         let holds_any = part.size() > 0;
         batch.parts.push((key, shard));
--- a/src/placement/task.rs
+++ b/src/placement/task.rs
@@ -5,7 +5,8 @@
 
 use crate::clock::Millis;
 use crate::model::{JobId, JobSpec, TaskState};
-use crate::placement::part::Ordering;
+use crate::placement::part::{Ordering, Part};
+use crate::placement::ranges::Ranges;
 use crate::placement::{JobKey, TaskKey, WorkerKey};
 
 /// How far a task has come.
@@ -125,6 +126,22 @@
 const MAX_DOUBLINGS: u32 = 8;
 
 impl Job {
+    /// Builds a record of the job in which just the given tasks live.
+    pub fn part(&self, live: Vec<u32>) -> Part {
+        Part {
+            job: self.id.clone(),
+            spec: (*self.spec).clone(),
+            ordering: self.ordering,
+            committed: self.committed,
+            cancelling: self.cancelling,
+            live: Ranges::from_iter(live),
+            succeeded: Ranges::default(),
+            failed: Ranges::default(),
+            cancelled: Ranges::default(),
+            unknown: Ranges::default(),
+        }
+    }
+
     /// Records that a task of the job failed on a worker.
     pub fn note_failure(&mut self, worker: WorkerKey, now: Millis) {
         let avoided = self.failed_on.entry(worker).or_insert(Avoided {
--- a/src/placement/transfer.rs
+++ b/src/placement/transfer.rs
@@ -11,7 +11,6 @@
 use crate::placement::cell::Cell;
 use crate::placement::journal::WriteBatch;
 use crate::placement::part::Part;
-use crate::placement::ranges::Ranges;
 use crate::placement::task::{Phase, WaitReason};
 use crate::placement::{JobKey, TaskKey};
 
@@ -115,7 +114,7 @@
             }
             transfer
                 .incoming
-                .push((shard.clone(), self.incoming_part(key, live)));
+                .push((shard.clone(), self.jobs[key].part(live)));
         }
         if commit {
             for task in movable {
@@ -140,22 +139,6 @@
         self.jobs[job].waiting.remove(&index);
     }
 
-    fn incoming_part(&self, key: JobKey, live: Vec<u32>) -> Part {
-        let job = &self.jobs[key];
-        Part {
-            job: job.id.clone(),
-            spec: (*job.spec).clone(),
-            ordering: job.ordering,
-            committed: job.committed,
-            cancelling: job.cancelling,
-            live: Ranges::from_iter(live),
-            succeeded: Ranges::default(),
-            failed: Ranges::default(),
-            cancelled: Ranges::default(),
-            unknown: Ranges::default(),
-        }
-    }
-
     /// Records that a transfer is durable: the tasks that left are no longer ours.
     pub fn finish_transfer(&mut self, transfer: &Transfer, now: Millis) {
         self.written(&transfer.batch, now);
--- a/src/rpc/codec.rs
+++ b/src/rpc/codec.rs
@@ -48,11 +48,7 @@
             to.set_job(job);
             to.set_reservation(*reservation);
         }
-        PeerCall::NewVersion { version, claim } => {
-            let mut to = to.init_new_version();
-            to.set_version(*version);
-            to.set_claim(*claim);
-        }
+        PeerCall::NewVersion { version } => to.set_new_version(*version),
         PeerCall::Status => to.set_status(()),
     }
     Ok(())
@@ -100,13 +96,7 @@
                 reservation: adopt.get_reservation(),
             }
         }
-        Which::NewVersion(version) => {
-            let version = version?;
-            PeerCall::NewVersion {
-                version: version.get_version(),
-                claim: version.get_claim(),
-            }
-        }
+        Which::NewVersion(version) => PeerCall::NewVersion { version },
         Which::Status(()) => PeerCall::Status,
     })
 }
--- a/src/rpc/message.rs
+++ b/src/rpc/message.rs
@@ -55,8 +55,6 @@
     NewVersion {
         /// Its number.
         version: u64,
-        /// The claim that names its object.
-        claim: u64,
     },
     /// Tell how you stand, for operators.
     Status,
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -19,7 +19,7 @@
     cancelJob @5 :Text;
     reserve @6 :Reserve;
     adopt @7 :Adopt;
-    newVersion @8 :Version;
+    newVersion @8 :UInt64;
     status @9 :Void;
   }
 }
@@ -152,7 +152,3 @@
   reservation @2 :UInt64;
 }
 
-struct Version {
-  version @0 :UInt64;
-  claim @1 :UInt64;
-}
--- a/src/rpc/peer_capnp.rs
+++ b/src/rpc/peer_capnp.rs
@@ -632,11 +632,6 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn has_new_version(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 8 { return false; }
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -681,7 +676,7 @@
                 }
                 8 => {
                     ::core::result::Result::Ok(NewVersion(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                        self.reader.get_data_field::<u64>(1)
                     ))
                 }
                 9 => {
@@ -696,7 +691,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -867,19 +862,9 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn set_new_version(&mut self, value: crate::rpc::peer_capnp::version::Reader<'_>) -> ::capnp::Result<()> {
+        pub fn set_new_version(&mut self, value: u64)  {
             self.builder.set_data_field::<u16>(0, 8);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-        }
-        #[inline]
-        pub fn init_new_version(self, ) -> crate::rpc::peer_capnp::version::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 8);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
-        }
-        #[inline]
-        pub fn has_new_version(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 8 { return false; }
-            !self.builder.is_pointer_field_null(0)
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
         pub fn set_status(&mut self, _value: ())  {
@@ -930,7 +915,7 @@
                 }
                 8 => {
                     ::core::result::Result::Ok(NewVersion(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                        self.builder.get_data_field::<u64>(1)
                     ))
                 }
                 9 => {
@@ -955,7 +940,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 169] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(39, 125, 186, 92, 115, 62, 111, 238),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(80, 150, 179, 226, 247, 164, 200, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 10, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1026,7 +1011,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 247, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(45, 1, 0, 0, 90, 0, 0, 0),
@@ -1107,11 +1092,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 86, 101, 114, 115, 105),
             ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(63, 110, 172, 135, 5, 33, 30, 158),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 116, 97, 116, 117, 115, 0, 0),
@@ -1133,7 +1118,7 @@
                 5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <crate::rpc::peer_capnp::reserve::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::rpc::peer_capnp::adopt::Owned as ::capnp::introspect::Introspect>::introspect(),
-                8 => <crate::rpc::peer_capnp::version::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -1153,7 +1138,7 @@
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,0,5,1,2,8,6,9,3,4];
         pub(crate) const TYPE_ID: u64 = 0xee6f_3e73_5cba_7d27;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
         Beat(A0),
         Fence(A1),
         Forward(A2),
@@ -1162,11 +1147,11 @@
         CancelJob(A5),
         Reserve(A6),
         Adopt(A7),
-        NewVersion(A8),
+        NewVersion(u64),
         Status(()),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::forward::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::submit::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserve::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::adopt::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::version::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::forward::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::submit::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserve::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::adopt::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::version::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::forward::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::submit::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserve::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::adopt::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::forward::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::submit::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserve::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::adopt::Builder<'a>>>;
 }
 
 pub mod reply {
@@ -6390,226 +6375,3 @@
         pub(crate) const TYPE_ID: u64 = 0xedad_466a_ee01_ed09;
     }
 }
-
-pub mod version {
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-    impl <> ::core::marker::Copy for Reader<'_,>  {}
-    impl <> ::core::clone::Clone for Reader<'_,>  {
-        fn clone(&self) -> Self { *self }
-    }
-
-    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-            Self { reader,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-        fn from(reader: Reader<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <> ::core::fmt::Debug for Reader<'_,>  {
-        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(reader.get_struct(default)?.into())
-        }
-    }
-
-    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-            self.reader
-        }
-    }
-
-    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-        }
-    }
-
-    impl <> Reader<'_,>  {
-        pub fn reborrow(&self) -> Reader<'_,> {
-            Self { .. *self }
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.reader.total_size()
-        }
-        #[inline]
-        pub fn get_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_claim(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-    }
-
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
-    }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
-        }
-    }
-
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-        }
-    }
-
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-        }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-        }
-    }
-
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-    }
-
-    impl <'a,> Builder<'a,>  {
-        pub fn into_reader(self) -> Reader<'a,> {
-            self.builder.into_reader().into()
-        }
-        pub fn reborrow(&mut self) -> Builder<'_,> {
-            Builder { builder: self.builder.reborrow() }
-        }
-        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-            self.builder.as_reader().into()
-        }
-
-        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-            self.builder.as_reader().total_size()
-        }
-        #[inline]
-        pub fn get_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_version(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_claim(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_claim(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-    }
-
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
-        }
-    }
-    impl Pipeline  {
-    }
-    mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
-            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(63, 110, 172, 135, 5, 33, 30, 158),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
-            ::capnp::word(80, 150, 179, 226, 247, 164, 200, 209),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 86, 101, 114, 115, 105),
-            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 108, 97, 105, 109, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ];
-        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-            match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                _ => ::capnp::introspect::panic_invalid_field_index(index),
-            }
-        }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-        }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0x9e1e_2105_87ac_6e3f;
-    }
-}
