--- a/src/bin/crossweir/flags.rs
+++ b/src/bin/crossweir/flags.rs
@@ -49,6 +49,14 @@
             optional --deadline-ms millis: u64
             /// A key by which a repeat is recognised; the request runs at most once.
             optional --once key: String
+            /// The class: urgent, service or batch.
+            optional --class class: String
+            /// The team that asks.
+            optional --team team: String
+            /// The ordered stream, together with --place.
+            optional --stream stream: String
+            /// The place in the stream; it begins at 1.
+            optional --place number: u64
         }
         /// Shows instances, shards, epochs, queues and the freshness of the configuration.
         cmd status { }
@@ -63,6 +71,11 @@
             /// A note for other operators.
             optional --note text: String
         }
+        /// Checks a settings file, as `crossweird --check` does.
+        cmd check {
+            /// The file.
+            required file: PathBuf
+        }
         /// Checks a policy program without setting it.
         cmd check-policy {
             /// The file.
--- a/src/bin/crossweir/main.rs
+++ b/src/bin/crossweir/main.rs
@@ -61,6 +61,7 @@
         CrossweirCmd::Status(_) => Ok(choose(json, &endpoint.status().await?, show::status)),
         CrossweirCmd::Configuration(_) => Ok(pretty(&endpoint.configuration().await?)),
         CrossweirCmd::Configure(cmd) => configure(&endpoint, cmd).await,
+        CrossweirCmd::Check(cmd) => check_settings(&cmd.file),
         CrossweirCmd::CheckPolicy(cmd) => check_policy(&cmd.file),
         CrossweirCmd::Drain(_) => {
             endpoint.drain().await?;
@@ -84,6 +85,18 @@
         headers.push((parse::KEY_HEADER, key));
         headers.push((parse::REPEATABLE_HEADER, String::from("no")));
     }
+    let further = [
+        (parse::CLASS_HEADER, cmd.class),
+        (parse::TEAM_HEADER, cmd.team),
+        (parse::ORDER_KEY_HEADER, cmd.stream),
+        (
+            parse::ORDER_SEQUENCE_HEADER,
+            cmd.place.map(|place| place.to_string()),
+        ),
+    ];
+    for (name, value) in further {
+        headers.extend(value.map(|value| (name, value)));
+    }
     let path = cmd.path.unwrap_or_default();
     let answer: http::client::Answer = endpoint
         .request(&cmd.service, &path, &headers, cmd.body.into_bytes())
@@ -100,6 +113,11 @@
     Ok(format!("version {} is in force", changed.version))
 }
 
+fn check_settings(file: &Path) -> Result<String, CliError> {
+    config::Config::load(file).map_err(|err| content(file, &err))?;
+    Ok(format!("{}: no faults", file.display()))
+}
+
 fn check_policy(file: &Path) -> Result<String, CliError> {
     let source = call::read_text(file)?;
     Program::checked(&source).map_err(|err| content(file, &err))?;
