Give reservations back when a transfer does not come about

Cause: reading the transfer as a newcomer: a gang that found no room asked for it again twice a second and kept what it got for 4 s each time, so it held room from others for as long as it waited; and a gang that had been placed or cancelled between the offer and the transfer was moved in part, or left an empty job behind. Ruled out: a shorter reservation (the write behind it may take as long). Change: unused reservations are given back at once; a transfer begins only if the job still waits as it was offered; a shard that gets no task gets no row.

--- a/src/daemon/beat.rs
+++ b/src/daemon/beat.rs
@@ -162,6 +162,11 @@
                 self.on_new_version(version).await;
                 PeerReply::Done
             }
+            PeerCall::Release(id) => {
+                let now = self.now();
+                self.lock().cell.release_reservation(id, now);
+                PeerReply::Done
+            }
             PeerCall::Status => PeerReply::Status(self.status_json()),
         }
     }
--- a/src/daemon/spill.rs
+++ b/src/daemon/spill.rs
@@ -66,8 +66,9 @@
             found > 0
         };
         let in_time = self.now() < asked_at + RESERVATION / 2;
-        if enough && in_time {
-            self.transfer(offer, &rooms, own.as_ref()).await;
+        let moved = enough && in_time && self.transfer(offer, &rooms, own.as_ref()).await;
+        if !moved {
+            self.release_elsewhere(&rooms).await;
         }
         if let Some(own) = own {
             let now = self.now();
@@ -119,11 +120,27 @@
         rooms
     }
 
-    async fn transfer(&self, offer: &Offer, rooms: &[Room], own: Option<&Reserved>) {
+    /// Gives reservations back at once, or a job that finds no room would keep others from it.
+    async fn release_elsewhere(&self, rooms: &[Room]) {
+        for room in rooms {
+            let call = PeerCall::Release(room.reserved.id);
+            if self
+                .peers
+                .call(room.addr, call, PEER_TIMEOUT)
+                .await
+                .is_err()
+            {
+                self.metrics.retry("release_unused");
+            }
+        }
+    }
+
+    /// Moves tasks into reserved room, and returns whether that was tried.
+    async fn transfer(&self, offer: &Offer, rooms: &[Room], own: Option<&Reserved>) -> bool {
         // Two writes of one record must not be under way together.
         let _turn = self.record_turn.lock().await;
         if self.lock().writer.in_doubt() {
-            return;
+            return false;
         }
         let mut places: BTreeMap<String, u32> = BTreeMap::new();
         for room in rooms {
@@ -135,12 +152,13 @@
             let mut state = self.lock();
             // A cancellation waits until the transfer has passed it on.
             state.writer.set_moving(Some(offer.job.clone()));
-            state.cell.begin_transfer(&offer.job, &places, offer.gang)
+            state.cell.begin_transfer(offer, &places)
         };
-        if let Some(transfer) = prepared {
-            self.carry_out(offer, rooms, own, &transfer).await;
+        if let Some(transfer) = &prepared {
+            self.carry_out(offer, rooms, own, transfer).await;
         }
         self.lock().writer.set_moving(None);
+        prepared.is_some()
     }
 
     async fn carry_out(
--- a/src/placement/transfer.rs
+++ b/src/placement/transfer.rs
@@ -83,23 +83,28 @@
 
     /// Takes waiting tasks of a job out and prepares the rows that move them.
     ///
-    /// `places` says how many tasks go to each shard; `commit` marks the places of
-    /// a gang as decided.
+    /// `places` says how many tasks go to each shard; those of a gang that find no
+    /// place there stay.  Returns nothing if the job no longer waits as it was
+    /// offered, since it may have been placed or cancelled meanwhile.
     pub fn begin_transfer(
         &mut self,
-        job: &str,
+        offer: &Offer,
         places: &BTreeMap<String, u32>,
-        commit: bool,
     ) -> Option<Transfer> {
-        let key = *self.by_job.get(job)?;
-        self.jobs[key].committed |= commit;
-        let mut movable = self.movable(key).into_iter();
+        let key = *self.by_job.get(&offer.job)?;
+        let movable = self.movable(key);
+        let as_offered = movable.len() as u32 == offer.count;
+        if movable.is_empty() || (offer.gang && !as_offered) {
+            return None;
+        }
+        self.jobs[key].committed |= offer.gang;
+        let mut movable = movable.into_iter();
         let mut transfer = Transfer {
             batch: WriteBatch::default(),
             incoming: Vec::new(),
             tasks: Vec::new(),
             staying: Vec::new(),
-            gang: commit,
+            gang: offer.gang,
         };
         let mut homes = std::collections::BTreeSet::new();
         for (shard, count) in places {
@@ -112,11 +117,13 @@
                 self.set_moving(task, to);
                 transfer.tasks.push(task);
             }
-            transfer
-                .incoming
-                .push((shard.clone(), self.jobs[key].part(live)));
+            if !live.is_empty() {
+                transfer
+                    .incoming
+                    .push((shard.clone(), self.jobs[key].part(live)));
+            }
         }
-        if commit {
+        if offer.gang {
             for task in movable {
                 let home = self.tasks[task].next_home;
                 homes.insert(home);
--- a/src/rpc/codec.rs
+++ b/src/rpc/codec.rs
@@ -50,6 +50,7 @@
         }
         PeerCall::NewVersion { version } => to.set_new_version(*version),
         PeerCall::Status => to.set_status(()),
+        PeerCall::Release(id) => to.set_release(*id),
     }
     Ok(())
 }
@@ -98,6 +99,7 @@
         }
         Which::NewVersion(version) => PeerCall::NewVersion { version },
         Which::Status(()) => PeerCall::Status,
+        Which::Release(id) => PeerCall::Release(id),
     })
 }
 
--- a/src/rpc/message.rs
+++ b/src/rpc/message.rs
@@ -42,6 +42,8 @@
         /// How long the room is kept, in milliseconds.
         ttl: Millis,
     },
+    /// A reservation of yours will not be used.
+    Release(u64),
     /// Work has been moved to a shard of yours; its record is written.
     Adopt {
         /// The shard.
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -21,6 +21,8 @@
     adopt @7 :Adopt;
     newVersion @8 :UInt64;
     status @9 :Void;
+    # The number of a reservation that will not be used.
+    release @10 :UInt64;
   }
 }
 
--- a/src/rpc/peer_capnp.rs
+++ b/src/rpc/peer_capnp.rs
@@ -529,7 +529,7 @@
 }
 
 pub mod request {
-    pub use self::Which::{Beat,Fence,Forward,Submit,ViewJob,CancelJob,Reserve,Adopt,NewVersion,Status};
+    pub use self::Which::{Beat,Fence,Forward,Submit,ViewJob,CancelJob,Reserve,Adopt,NewVersion,Status,Release};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -684,6 +684,11 @@
                         ()
                     ))
                 }
+                10 => {
+                    ::core::result::Result::Ok(Release(
+                        self.reader.get_data_field::<u64>(1)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -871,6 +876,11 @@
             self.builder.set_data_field::<u16>(0, 9);
         }
         #[inline]
+        pub fn set_release(&mut self, value: u64)  {
+            self.builder.set_data_field::<u16>(0, 10);
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -923,6 +933,11 @@
                         ()
                     ))
                 }
+                10 => {
+                    ::core::result::Result::Ok(Release(
+                        self.builder.get_data_field::<u64>(1)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -937,94 +952,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 169] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 184] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(39, 125, 186, 92, 115, 62, 111, 238),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(80, 150, 179, 226, 247, 164, 200, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 10, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 11, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
             ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 245, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(171, 185, 39, 250, 105, 140, 20, 158),
@@ -1107,6 +1129,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 101, 97, 115, 101, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1120,6 +1150,7 @@
                 7 => <crate::rpc::peer_capnp::adopt::Owned as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <() as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1134,8 +1165,8 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,0,5,1,2,8,6,9,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,0,5,1,2,8,10,6,9,3,4];
         pub(crate) const TYPE_ID: u64 = 0xee6f_3e73_5cba_7d27;
     }
     pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
@@ -1149,6 +1180,7 @@
         Adopt(A7),
         NewVersion(u64),
         Status(()),
+        Release(u64),
     }
     pub type WhichReader<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::forward::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::submit::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserve::Reader<'a>>,::capnp::Result<crate::rpc::peer_capnp::adopt::Reader<'a>>>;
     pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::rpc::peer_capnp::beat::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::fence::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::forward::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::submit::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::reserve::Builder<'a>>,::capnp::Result<crate::rpc::peer_capnp::adopt::Builder<'a>>>;
