Three tests that a removed mechanism had passed now see it

Change: an inventory that claims too much must be refused and counted; a key must be known after every instance has been replaced; an ending instance must leave no row that names it.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -286,6 +286,20 @@
             .expect("a report")
     }
 
+    /// Returns what the rows of all shards hold in the store.
+    pub async fn shard_rows(&self) -> Vec<Value> {
+        let url = format!("http://{}/table/scan", self.standin.address);
+        let answer = self
+            .http
+            .post_json(&url, &json!({ "prefix": "shard/" }), CALL_LIMIT)
+            .await;
+        let rows: Vec<Value> = answer.expect("the store answers").json().expect("rows");
+        let text = |row: &Value| row["value"].as_str().unwrap_or("").to_owned();
+        rows.iter()
+            .filter_map(|row| serde_json::from_str(&text(row)).ok())
+            .collect()
+    }
+
     /// Returns the value of a metric with one label, or zero.
     pub async fn metric(&self, index: usize, name: &str, label: &str) -> u64 {
         let answer = self.call(index, Method::GET, "/metrics", &[], "").await;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -240,6 +240,32 @@
     cell.assert_invariants().await;
 }
 
+#[tokio::test]
+async fn a_key_is_remembered_by_the_store_when_every_instance_is_gone() {
+    // Arrange.
+    let mut cell = Cell::start(&SIZE).await;
+    let headers = [("x-repeatable", "no"), ("x-request-key", "alert-1")];
+    assert_eq!(cell.request(0, &headers, "alert").await.status, 200);
+
+    // Act: replace every instance, then repeat the request.
+    for index in 0..3 {
+        cell.instances[index] = None;
+    }
+    for index in 0..3 {
+        let started = cell.start_instance(index, ["north", "south"][index % 2]);
+        cell.instances[index] = Some(started);
+    }
+    cell.settled(3).await;
+    let repeated = cell.request(1, &headers, "alert").await;
+
+    // Assert.
+    assert_eq!(
+        failure_code(&repeated.json().expect("json")),
+        "already_marked"
+    );
+    assert_eq!(cell.report().await["targets"]["runs"]["alert"], 1);
+}
+
 #[tokio::test]
 async fn an_ordered_stream_arrives_once_and_in_order_through_any_instance() {
     // Arrange.
@@ -351,6 +377,11 @@
     let mut process = cell.instances[1].take().expect("it ran");
     let ended = process.child.wait().expect("it ends");
     assert!(ended.success(), "{ended}");
+    let rows = cell.shard_rows().await;
+    assert!(
+        !rows.is_empty() && rows.iter().all(|row| row["owner"] != "e1"),
+        "handed over before it ended: {rows:?}"
+    );
     cell.settled(2).await;
     cell.job_reaches(0, "test.live", "running", 8).await;
     assert_eq!(
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 
 use crossweir::clock::Millis;
-use crossweir::model::{Class, JobKind, JobSpec, Resources};
+use crossweir::model::{Class, JobKind, JobSpec, Resources, TaskId};
 use crossweir::placement::cell::WorkerInfo;
 use crossweir::placement::lease::Standing;
 use crossweir::placement::part::Ordering;
 use crossweir::placement::task::WaitReason;
 use crossweir::placement::{Cell, Limits};
 use crossweir::platform::local_worker::LocalWorker;
+use crossweir::platform::{Exchange, TaskReport, WorkerReply};
 
 const CAPACITY: Resources = Resources::new(4_000, 8_192, 1);
 
@@ -300,6 +301,68 @@
     assert_eq!(racks.len(), 4, "{:?}", view.tasks);
 }
 
+#[test]
+fn an_inventory_that_claims_more_than_the_worker_has_is_refused_and_counted() {
+    // Arrange: three tasks of a predecessor, each as large as the worker.
+    let mut bench = bench(1, Limits::default());
+    let shard = "rack:h0:0";
+    bench.submit(
+        "old",
+        JobKind::Batch,
+        3,
+        Resources::new(4_000, 512, 0),
+        60_000,
+        Class::Batch,
+    );
+    let mut batch = bench.cell.take_writes(1).expect("a record");
+    let part = batch.writes.remove(0).part.expect("a part");
+    bench.cell.disown_shard(shard);
+    bench.cell.own_shard(shard, 2);
+    let info = WorkerInfo {
+        name: String::from("w0"),
+        shard: shard.to_owned(),
+        hall: String::from("h0"),
+        endpoint: String::new(),
+        capacity: CAPACITY,
+        leaving: false,
+    };
+    bench.cell.list_worker(&info, bench.now);
+    bench.cell.adopt(shard, &part, true, bench.now);
+
+    // Act: the worker says that all three run.
+    let report = |index| TaskReport {
+        task: TaskId {
+            job: String::from("old"),
+            index,
+        },
+        attempt: 1,
+        resources: Resources::new(4_000, 512, 0),
+        end: None,
+        used: Resources::default(),
+    };
+    let reply = WorkerReply {
+        boot: 1,
+        clock: bench.now,
+        epoch: 2,
+        obeyed: true,
+        owner_silence: 0,
+        leaving: false,
+        inventory: (0..3).map(report).collect(),
+    };
+    bench
+        .cell
+        .on_reply("w0", &Exchange::default(), &reply, true, bench.now);
+
+    // Assert: one is taken over, two are refused, counted and stopped.
+    bench.cell.assert_accounts();
+    assert_eq!(bench.count("old", "running"), 1);
+    assert_eq!(bench.cell.violations.0.get("overcommit"), Some(&2));
+    assert_eq!(
+        bench.cell.worker("w0").map(|worker| worker.stop.len()),
+        Some(2)
+    );
+}
+
 #[test]
 fn work_that_needs_an_accelerator_finds_one_each() {
     // Arrange, act.
