A doubtful write of a shard's row stays in doubt until it is settled

Cause: reading the whole change again: a row write whose reply was lost counted as not done when reading back did not find it, though it may still arrive; and a refusal of its next try ended the doubt. The owner would then count a majority of the old witnesses while a successor reads the new ones. Ruled out: that the random runs would see it: their writes never arrive after the answer. Change: refused, taken by another and doubtful are told apart; only a row that is another's or a first try that was refused ends the change. The boots of listed workers are kept by shard in a map in place of a joined name.

--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -205,7 +205,8 @@
                 let mut state = self.lock();
                 self.begin_tenure(&mut state, shard, row, version, predecessor, claimed_at);
             }
-            Written::No => self.metrics.event("claim_lost"),
+            Written::Taken => self.metrics.event("claim_lost"),
+            Written::Refused => self.metrics.retry("claim_refused"),
             Written::Doubtful => self.metrics.retry("claim_unanswered"),
         }
     }
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -92,7 +92,7 @@
                 self.metrics.event("shard_released");
                 state.map.insert(shard, version, row);
             }
-            Written::No | Written::Doubtful => {
+            Written::Refused | Written::Taken | Written::Doubtful => {
                 self.metrics.retry("release_unanswered");
                 let taken = state
                     .map
--- a/src/daemon/rows.rs
+++ b/src/daemon/rows.rs
@@ -1,5 +1,7 @@
 //! The rows of shards: written with a claim number, and kept true to the boots that answer.
 
+use std::collections::BTreeMap;
+
 use rand::Rng;
 
 use crate::daemon::instance::{Instance, State};
@@ -11,8 +13,13 @@
 
 /// What became of the write of a row.
 pub(super) enum Written {
+    /// It took effect, and the row got this version.
     Yes(Version),
-    No,
+    /// The store did nothing; an earlier try of the same write may still be open.
+    Refused,
+    /// The row is another's, so neither this nor an earlier try can take effect any more.
+    Taken,
+    /// It may have taken effect, or may yet.
     Doubtful,
 }
 
@@ -27,10 +34,13 @@
         ];
         match self.platform.store.transact(ops).await {
             Ok(version) => Written::Yes(version),
-            Err(StoreError::Unavailable) => Written::No,
-            Err(StoreError::Conflict { .. } | StoreError::Unanswered) => {
-                self.read_back(key, row).await
-            }
+            Err(StoreError::Unavailable) => Written::Refused,
+            Err(StoreError::Conflict { .. }) => self.read_back(key, row).await,
+            Err(StoreError::Unanswered) => match self.read_back(key, row).await {
+                // What is not there yet may still arrive.
+                Written::Taken => Written::Doubtful,
+                other => other,
+            },
         }
     }
 
@@ -44,13 +54,13 @@
             .and_then(|found| serde_json::from_str::<ShardRow>(&found.value).ok());
         match (found, ours) {
             (Some(found), Some(ours)) if ours.claim == row.claim => Written::Yes(found.version),
-            _ => Written::No,
+            _ => Written::Taken,
         }
     }
 
     /// Brings the witnesses recorded in our rows in line with the boots that answer.
     pub(super) async fn renew_rows(&self) {
-        for (shard, expect, row) in self.rows_to_renew() {
+        for (shard, expect, row, doubted) in self.rows_to_renew() {
             let written = self.write_row(&shard, Expect::Version(expect), &row).await;
             let mut state = self.lock();
             let Some(held) = state.held.get_mut(&shard) else {
@@ -66,20 +76,22 @@
                     state.cell.press_shard(&shard);
                     self.wake_workers.notify_one();
                 }
-                // The row is not what we left: another has claimed, which the next
-                // poll shows, or the store refused and nothing has changed.
-                Written::No => held.tenure.finish_change(false),
+                // Another has claimed, which the next poll shows.
+                Written::Taken => held.tenure.finish_change(false),
+                Written::Refused if !doubted => held.tenure.finish_change(false),
                 // Until the fate of the write is known, both sets of witnesses count.
-                Written::Doubtful => held.doubtful = Some(row),
+                Written::Refused | Written::Doubtful => held.doubtful = Some(row),
             }
         }
     }
 
-    fn rows_to_renew(&self) -> Vec<(String, Version, ShardRow)> {
+    /// Returns the rows to write, each with the version that it replaces and whether an
+    /// earlier try of the same write is in doubt.
+    fn rows_to_renew(&self) -> Vec<(String, Version, ShardRow, bool)> {
         let now = self.now();
         let mut state = self.lock();
         let peers = state.members.witnesses(now);
-        let listed: Vec<VmBoot> = self.listed_boots(&state);
+        let listed = listed_boots(&state);
         let settled: Vec<bool> = state
             .held
             .keys()
@@ -93,14 +105,14 @@
             }
             if let Some(row) = held.doubtful.take() {
                 held.writing = true;
-                due.push((shard.clone(), held.version, row));
+                due.push((shard.clone(), held.version, row, true));
                 continue;
             }
             if !settled {
                 continue;
             }
             let wanted = match shards::is_rack(shard) {
-                true => rack_witnesses(shard, &held.row, &listed),
+                true => rack_witnesses(&held.row, listed.get(shard)),
                 false => peers.clone(),
             };
             if same_set(&wanted, &held.row.witnesses) {
@@ -113,51 +125,38 @@
             };
             held.tenure.begin_change(wanted);
             held.writing = true;
-            due.push((shard.clone(), held.version, row));
+            due.push((shard.clone(), held.version, row, false));
         }
         due
     }
+}
 
-    /// Returns the listed workers of our shards with the boots that have answered.
-    fn listed_boots(&self, state: &State) -> Vec<VmBoot> {
-        let workers = state
-            .vms
-            .iter()
-            .filter(|vm| matches!(vm.role, VmRole::Worker { .. }));
-        workers
-            .filter(|vm| state.held.contains_key(&vm.shard()))
-            .map(|vm| {
-                let boot = state
-                    .cell
-                    .worker(&vm.name)
-                    .map_or(0, |worker| worker.vm.boot);
-                VmBoot {
-                    vm: format!("{}\u{0}{}", vm.shard(), vm.name),
-                    boot,
-                }
-            })
-            .collect()
+/// Returns the listed workers of our racks, each with the boot that has answered or zero.
+fn listed_boots(state: &State) -> BTreeMap<String, Vec<VmBoot>> {
+    let mut listed: BTreeMap<String, Vec<VmBoot>> = BTreeMap::new();
+    for vm in &state.vms {
+        let shard = vm.shard();
+        if !matches!(vm.role, VmRole::Worker { .. }) || !state.held.contains_key(&shard) {
+            continue;
+        }
+        let worker = state.cell.worker(&vm.name);
+        listed.entry(shard).or_default().push(VmBoot {
+            vm: vm.name.clone(),
+            boot: worker.map_or(0, |worker| worker.vm.boot),
+        });
     }
+    listed
 }
 
 /// The witnesses that a rack's row should name: listed workers that have answered,
 /// and those recorded that have not, since they may yet.
-fn rack_witnesses(shard: &str, row: &ShardRow, listed: &[VmBoot]) -> Vec<VmBoot> {
-    let prefix = format!("{shard}\u{0}");
-    let here = listed
-        .iter()
-        .filter_map(|vm| Some((vm.vm.strip_prefix(&prefix)?, vm.boot)));
-    here.filter_map(|(name, boot)| {
-        let recorded = row.witnesses.iter().find(|old| old.vm == name);
-        match (boot, recorded) {
-            (0, recorded) => recorded.cloned(),
-            (boot, _) => Some(VmBoot {
-                vm: name.to_owned(),
-                boot,
-            }),
-        }
-    })
-    .collect()
+fn rack_witnesses(row: &ShardRow, listed: Option<&Vec<VmBoot>>) -> Vec<VmBoot> {
+    let recorded = |name: &str| row.witnesses.iter().find(|old| old.vm == name);
+    let witness = |vm: &VmBoot| match vm.boot {
+        0 => recorded(&vm.vm).cloned(),
+        _ => Some(vm.clone()),
+    };
+    listed.into_iter().flatten().filter_map(witness).collect()
 }
 
 fn same_set(a: &[VmBoot], b: &[VmBoot]) -> bool {
