Drop what nothing calls; look closely only at workers that are due

Cause: the same reading: a second lease bound, cut links, a busiest target, a refusal count and a final-state check had no caller; refused submissions were built in two places; every wake of the worker loop copied the names of all workers to find the few that are due. Ruled out: keeping them for later. Change: they are gone; Submitted::refused is the one builder; due workers are filtered before anything is copied; the outcome header's name is taken from its constant. The cost of the worker loop was not measured again.

--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -9,7 +9,7 @@
 
 use crate::cli::exit::CliError;
 use crate::daemon::status::CellStatus;
-use crate::http::answer::Failure;
+use crate::http::answer::{self, Failure};
 use crate::http::api::{Accepted, Changed, ConfigurationChange, ConfigurationView};
 use crate::http::client::{Answer, CallError, HttpClient};
 use crate::http::operator::TOKEN_HEADER;
@@ -84,7 +84,7 @@
         let answer = self.raw(Method::POST, &path, headers, body).await?;
         let answered = answer
             .headers
-            .get("x-outcome")
+            .get(answer::OUTCOME_HEADER)
             .is_some_and(|outcome| outcome == "answered");
         if answered {
             Ok(answer)
--- a/src/daemon/jobs.rs
+++ b/src/daemon/jobs.rs
@@ -145,7 +145,7 @@
     /// Accepts a job here, and answers when its record is durable.
     pub async fn accept_here(&self, id: &str, spec: JobSpec) -> Submitted {
         let Some(ordering) = self.order_job(&spec) else {
-            return refused(Refusal::BadConfiguration, None);
+            return Submitted::refused(Refusal::BadConfiguration, None);
         };
         let claim = self.draw();
         let rx = {
@@ -153,8 +153,10 @@
             let mut state = self.lock();
             match state.cell.submit(id, spec, ordering, claim, now) {
                 Ok(_) => {}
-                Err(IntakeError::Exists) => return refused(Refusal::JobExists, None),
-                Err(IntakeError::NoShard) => return refused(Refusal::NoCapacity, Some(COME_BACK)),
+                Err(IntakeError::Exists) => return Submitted::refused(Refusal::JobExists, None),
+                Err(IntakeError::NoShard) => {
+                    return Submitted::refused(Refusal::NoCapacity, Some(COME_BACK));
+                }
             }
             let (tx, rx) = oneshot::channel();
             state.submissions.entry(id.to_owned()).or_default().push(tx);
@@ -176,7 +178,7 @@
             return Submitted::Unknown;
         }
         state.cell.withdraw(id);
-        refused(Refusal::StoreUnavailable, Some(COME_BACK))
+        Submitted::refused(Refusal::StoreUnavailable, Some(COME_BACK))
     }
 
     /// Shows how a job stands, here and everywhere.
@@ -267,13 +269,6 @@
     Nobody,
 }
 
-fn refused(reason: Refusal, retry_after_ms: Option<u64>) -> Submitted {
-    Submitted::Refused {
-        reason,
-        retry_after_ms,
-    }
-}
-
 /// Returns the dimension in which no listed worker could ever hold `need`.
 fn misfit(state: &State, need: &Resources) -> Option<Dimension> {
     let mut closest = None;
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -311,7 +311,7 @@
         let lost: Vec<String> = batch.writes.iter().map(|write| write.job.clone()).collect();
         for job in lost {
             if state.cell.is_durable(&job).is_none() {
-                resolve(state, &job, refused(Refusal::NoOwner));
+                resolve(state, &job, Submitted::refused(Refusal::NoOwner, None));
             }
         }
     }
@@ -352,20 +352,13 @@
             }
             Some(_) => {
                 state.cell.withdraw(job);
-                vec![(job.to_owned(), refused(Refusal::JobExists))]
+                vec![(job.to_owned(), Submitted::refused(Refusal::JobExists, None))]
             }
             None => Vec::new(),
         }
     }
 }
 
-fn refused(reason: Refusal) -> Submitted {
-    Submitted::Refused {
-        reason,
-        retry_after_ms: None,
-    }
-}
-
 fn resolve(state: &mut State, job: &str, outcome: Submitted) {
     for waiter in state.submissions.remove(job).unwrap_or_default() {
         let _ = waiter.send(outcome.clone());
--- a/src/daemon/workers.rs
+++ b/src/daemon/workers.rs
@@ -7,6 +7,7 @@
 use crate::daemon::instance::{Instance, State};
 use crate::model::VmBoot;
 use crate::placement::lease::Standing;
+use crate::placement::worker::Worker;
 use crate::platform::{Exchange, LinkError, WorkerReply};
 
 /// After a failed exchange, how long to wait before the next, in milliseconds.
@@ -78,25 +79,18 @@
     fn due_exchanges(&self) -> Vec<Due> {
         let now = self.now();
         let mut state = self.lock();
-        let vms: Vec<(String, String)> = {
-            let held = state.held.iter().filter(|(_, held)| held.loaded);
-            held.flat_map(|(shard, _)| {
-                let vms = state.cell.vms_of(shard);
-                vms.into_iter().map(move |vm| (shard.clone(), vm))
-            })
-            .collect()
+        let due: Vec<(String, String)> = {
+            let workers = state.cell.workers();
+            let due = workers.filter(|(_, worker)| is_due(&state, worker, now));
+            due.map(|(shard, worker)| (shard.to_owned(), worker.vm.vm.clone()))
+                .collect()
         };
-        vms.into_iter()
+        due.into_iter()
             .filter_map(|(shard, vm)| self.due_exchange(&mut state, &shard, vm, now))
             .collect()
     }
 
     fn due_exchange(&self, state: &mut State, shard: &str, vm: String, now: Millis) -> Option<Due> {
-        let times = state.worker_times.get(&vm).copied().unwrap_or_default();
-        let due = state.cell.is_pressing(&vm) || now >= times.next_at;
-        if times.busy || now < times.pause_until || !due {
-            return None;
-        }
         let standing = self.standing(state, &vm, shard, now)?;
         let endpoint = state.cell.worker(&vm)?.endpoint.clone();
         let msg = state.cell.exchange(&vm, &standing, now)?;
@@ -175,3 +169,14 @@
         state.cell.on_silence(&due.vm, now);
     }
 }
+
+/// Tells whether a worker should be spoken to at `now`.
+fn is_due(state: &State, worker: &Worker, now: Millis) -> bool {
+    let times = state
+        .worker_times
+        .get(&worker.vm.vm)
+        .copied()
+        .unwrap_or_default();
+    let due = worker.pressing || now >= times.next_at;
+    due && !times.busy && now >= times.pause_until
+}
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -20,7 +20,7 @@
 use crate::platform::local_worker::LocalWorkers;
 use crate::platform::{Platform, Vm, VmRole, VmState};
 use crate::routing::{Outcome, RequestSpec};
-use crate::rpc::local::{LocalPeerLink, LocalPeers};
+use crate::rpc::local::LocalPeers;
 
 /// The settings of the embedded instance.
 const SETTINGS: &str = "\
@@ -63,15 +63,11 @@
         workers,
         targets: Arc::new(LocalTargets),
     };
-    let link = LocalPeerLink {
-        peers: Arc::new(LocalPeers::default()),
-        from: cfg.rpc,
-    };
     Ok(Instance::new(
         cfg,
         clock,
         platform,
-        Arc::new(link),
+        Arc::new(LocalPeers::default()),
         Metrics::new()?,
         1,
     ))
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -140,11 +140,6 @@
             .observe(millis as f64 / 1000.0);
     }
 
-    /// Returns the count of a refusal reason, for tests and `diagnose`.
-    pub fn refusal_count(&self, reason: &str) -> u64 {
-        self.refusals.with_label_values(&[reason]).get()
-    }
-
     /// Returns the number of invariant violations of any kind so far.
     pub fn violation_count(&self) -> u64 {
         let families = self.registry.gather();
--- a/src/model.rs
+++ b/src/model.rs
@@ -301,16 +301,6 @@
     Unknown,
 }
 
-impl TaskState {
-    /// Tells whether the state never changes again.
-    pub fn is_final(self) -> bool {
-        matches!(
-            self,
-            TaskState::Succeeded | TaskState::Failed | TaskState::Cancelled | TaskState::Unknown
-        )
-    }
-}
-
 /// A VM of the platform together with the boot that is meant.
 ///
 /// A VM that restarts forgets its fence and its tasks, so a restarted VM is
--- a/src/ownership/tenure.rs
+++ b/src/ownership/tenure.rs
@@ -30,11 +30,6 @@
         let span = self.window + self.lease;
         span + span * self.drift_permille / 1000 + 1
     }
-
-    /// Returns the time after which a lease based on a reading received now is over.
-    pub fn lease_wait(&self) -> Millis {
-        self.lease + self.lease * self.drift_permille / 1000 + 1
-    }
 }
 
 /// How a witness of the predecessor was fenced out.
--- a/src/placement/cell.rs
+++ b/src/placement/cell.rs
@@ -250,6 +250,14 @@
         key
     }
 
+    /// Iterates over all workers with the names of their shards.
+    pub fn workers(&self) -> impl Iterator<Item = (&str, &Worker)> {
+        let shard = |worker: &Worker| self.shards[worker.shard].name.as_str();
+        self.workers
+            .values()
+            .map(move |worker| (shard(worker), worker))
+    }
+
     /// Returns the worker of a VM.
     pub fn worker(&self, vm: &str) -> Option<&Worker> {
         self.by_vm.get(vm).and_then(|key| self.workers.get(*key))
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -178,14 +178,6 @@
         (free, self.queued() as u32)
     }
 
-    /// Returns the most requests in flight at any single target, and its slots, for tests.
-    pub fn busiest(&self) -> Option<(u32, u32)> {
-        self.targets
-            .values()
-            .map(|t| (t.in_flight, t.info.slots))
-            .max()
-    }
-
     fn queued(&self) -> usize {
         self.queues.values().map(VecDeque::len).sum()
     }
--- a/src/rpc/local.rs
+++ b/src/rpc/local.rs
@@ -1,8 +1,8 @@
-//! Instances in one process, for tests and the embedded mode; links can be cut.
+//! Instances in one process, for tests and the embedded mode.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::sync::{Mutex, PoisonError, Weak};
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -14,7 +14,6 @@
 #[derive(Default)]
 pub struct LocalPeers {
     services: Mutex<HashMap<SocketAddr, Weak<dyn PeerService>>>,
-    cut: Mutex<HashSet<(SocketAddr, SocketAddr)>>,
 }
 
 impl LocalPeers {
@@ -33,48 +32,17 @@
             .unwrap_or_else(PoisonError::into_inner)
             .remove(&addr);
     }
-
-    /// Cuts the link between two instances in both directions, or mends it.
-    pub fn set_cut(&self, a: SocketAddr, b: SocketAddr, cut: bool) {
-        let mut links = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
-        for link in [(a, b), (b, a)] {
-            match cut {
-                true => links.insert(link),
-                false => links.remove(&link),
-            };
-        }
-    }
-
-    fn find(&self, from: SocketAddr, to: SocketAddr) -> Option<Arc<dyn PeerService>> {
-        if self
-            .cut
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .contains(&(from, to))
-        {
-            return None;
-        }
-        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        services.get(&to).and_then(Weak::upgrade)
-    }
 }
 
-/// One instance's way to the others.
-pub struct LocalPeerLink {
-    /// All instances.
-    pub peers: Arc<LocalPeers>,
-    /// The address of the instance that calls.
-    pub from: SocketAddr,
-}
-
-impl PeerLink for LocalPeerLink {
+impl PeerLink for LocalPeers {
     fn call(
         &self,
         addr: SocketAddr,
         call: PeerCall,
         _timeout: Millis,
     ) -> BoxFuture<'_, Result<PeerReply, PeerError>> {
-        let service = self.peers.find(self.from, addr);
+        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let service = services.get(&addr).and_then(Weak::upgrade);
         async move {
             match service {
                 Some(service) => Ok(service.serve(call).await),
--- a/src/rpc/message.rs
+++ b/src/rpc/message.rs
@@ -182,3 +182,13 @@
     /// The job may or may not have been accepted.
     Unknown,
 }
+
+impl Submitted {
+    /// Builds a refusal, with the time after which coming back may help.
+    pub fn refused(reason: Refusal, retry_after_ms: Option<u64>) -> Self {
+        Submitted::Refused {
+            reason,
+            retry_after_ms,
+        }
+    }
+}
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -24,7 +24,7 @@
     Exchange, LinkError, Platform, Store, StoreError, TargetLink, TargetReply, TargetRequest, Vm,
     VmList, VmRole, VmState, WorkerLink, WorkerReply,
 };
-use crossweir::rpc::local::{LocalPeerLink, LocalPeers};
+use crossweir::rpc::local::LocalPeers;
 use crossweir::rpc::{PeerCall, PeerError, PeerLink, PeerReply};
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -274,7 +274,7 @@
     world: Arc<World>,
     name: String,
     addr_names: Arc<Mutex<BTreeMap<SocketAddr, String>>>,
-    peers: LocalPeerLink,
+    peers: Arc<LocalPeers>,
 }
 
 const STORE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -585,10 +585,7 @@
             world: Arc::clone(&self.world),
             name: name.to_owned(),
             addr_names: Arc::clone(&self.addr_names),
-            peers: LocalPeerLink {
-                peers: Arc::clone(&self.peers),
-                from: rpc,
-            },
+            peers: Arc::clone(&self.peers),
         });
         let platform = Platform {
             store: links.clone(),
