--- a/src/platform/local_store.rs
+++ b/src/backend/local_store.rs
@@ -6,8 +6,8 @@
 use futures::FutureExt;
 use futures::future::{self, BoxFuture};
 
-use crate::platform::store::{Change, Expect, Op, Row, Store, StoreError, Version};
-use crate::platform::vm::{Vm, VmList};
+use crate::backend::store::{Change, Expect, Op, Row, Store, StoreError, Version};
+use crate::backend::vm::{Vm, VmList};
 
 /// What is wrong with the store, on request.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/src/platform/local_target.rs
+++ b/src/backend/local_target.rs
@@ -3,8 +3,8 @@
 use futures::FutureExt;
 use futures::future::{self, BoxFuture};
 
-use crate::platform::target::{TargetLink, TargetReply, TargetRequest};
-use crate::platform::worker::LinkError;
+use crate::backend::target::{TargetLink, TargetReply, TargetRequest};
+use crate::backend::worker::LinkError;
 
 /// Targets that answer every request with its own body.
 #[derive(Debug, Default)]
--- a/src/platform/local_worker.rs
+++ b/src/backend/local_worker.rs
@@ -6,11 +6,11 @@
 use futures::FutureExt;
 use futures::future::{self, BoxFuture};
 
-use crate::clock::{Clock, Millis};
-use crate::model::{Epoch, Resources, RunEnd, TaskId};
-use crate::platform::worker::{
+use crate::backend::worker::{
     Exchange, LinkError, StartOrder, TaskReport, WorkerLink, WorkerReply,
 };
+use crate::clock::{Clock, Millis};
+use crate::model::{Epoch, Resources, RunEnd, TaskId};
 
 /// How long a task runs when it declares nothing, in milliseconds.
 const DEFAULT_RUNTIME: Millis = 200;
--- a/src/platform/remote.rs
+++ b/src/backend/remote.rs
@@ -10,12 +10,12 @@
 use serde::{Deserialize, Serialize};
 use volo_http::http::{Method, StatusCode, header};
 
+use crate::backend::store::{Op, Row, Store, StoreError, Version};
+use crate::backend::target::{TargetLink, TargetReply, TargetRequest};
+use crate::backend::vm::{Vm, VmList};
+use crate::backend::worker::{Exchange, LinkError, WorkerLink, WorkerReply};
 use crate::http::client::{Answer, CallError, HttpClient};
 use crate::metrics::Metrics;
-use crate::platform::store::{Op, Row, Store, StoreError, Version};
-use crate::platform::target::{TargetLink, TargetReply, TargetRequest};
-use crate::platform::vm::{Vm, VmList};
-use crate::platform::worker::{Exchange, LinkError, WorkerLink, WorkerReply};
 
 /// The header by which a target says that it is leaving.
 pub const LEAVING_HEADER: &str = "x-leaving";
--- a/src/platform/target.rs
+++ b/src/backend/target.rs
@@ -2,7 +2,7 @@
 
 use futures::future::BoxFuture;
 
-use crate::platform::worker::LinkError;
+use crate::backend::worker::LinkError;
 
 /// A request as it goes to a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/platform/vm.rs
+++ b/src/backend/vm.rs
@@ -3,8 +3,8 @@
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 
+use crate::backend::store::StoreError;
 use crate::model::Resources;
-use crate::platform::store::StoreError;
 
 /// What a VM is for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/bin/crossweird/main.rs
+++ b/src/bin/crossweird/main.rs
@@ -1,6 +1,7 @@
 //! The daemon: reads settings, runs one instance.
 
 mod flags;
+mod node;
 
 use std::process::ExitCode;
 
@@ -22,7 +23,7 @@
 
 /// Ends the process on any panic: an instance without one of its loops would go on
 /// holding shards, while one that is gone is replaced within seconds.
-fn end_on_panic() {
+pub(crate) fn end_on_panic() {
     std::panic::set_hook(Box::new(|info| {
         tracing::error!(%info, "panic");
         std::process::abort();
@@ -42,6 +43,9 @@
             ExitCode::FAILURE
         });
     }
+    if flags.node {
+        return node::run(&runtime, flags);
+    }
     let Some(path) = &flags.settings else {
         anyhow::bail!("no settings: give --settings FILE, or --embedded for a demonstration");
     };
--- /dev/null
+++ b/src/bin/crossweird/node.rs
@@ -0,0 +1,87 @@
+//! Running a node of a cell on the users' platform.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use anyhow::Context;
+use crossweir::http::client::HttpClient;
+use crossweir::log;
+use crossweir::node::process::{self, Node};
+use crossweir::node::settings::Settings;
+use crossweir::node::shared::Links;
+use crossweir::platform::advice::PlatformAdvisor;
+use crossweir::platform::decode::PlatformDecoder;
+use crossweir::platform::ingress;
+use crossweir::platform::store::PlatformStore;
+use crossweir::platform::workers::PlatformWorkers;
+use crossweir::rpc::node::NodeLink;
+use tokio::runtime::Runtime;
+use tokio::task::{self, LocalSet};
+
+use crate::flags::Crossweird;
+
+/// The variable that names the settings file if the command line does not.
+const SETTINGS_VARIABLE: &str = "CROSSWEIR_CONFIG";
+
+/// Runs a node until it is told to end.
+pub fn run(runtime: &Runtime, flags: &Crossweird) -> anyhow::Result<ExitCode> {
+    let path = settings_path(flags)?;
+    let settings = Settings::load(&path)?;
+    if flags.check {
+        println!("{}: no faults", path.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let _guard = log::init_stdout(&settings.log);
+    crate::end_on_panic();
+    tracing::info!(node = settings.name, hall = settings.hall, "node starts");
+    LocalSet::new().block_on(runtime, serve(settings, path))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn settings_path(flags: &Crossweird) -> anyhow::Result<PathBuf> {
+    match &flags.settings {
+        Some(path) => Ok(path.clone()),
+        None => std::env::var_os(SETTINGS_VARIABLE)
+            .map(PathBuf::from)
+            .with_context(|| {
+                format!("no settings: give --settings FILE or set {SETTINGS_VARIABLE}")
+            }),
+    }
+}
+
+async fn serve(settings: Settings, path: PathBuf) -> anyhow::Result<()> {
+    let callers = process::bind(settings.callers).await?;
+    let ready = process::bind(settings.ready).await?;
+    let metrics = process::bind(settings.metrics).await?;
+    let node = Node::new(&settings, |peers| links(&settings, peers))?;
+    let front = node.start(settings.peers).await?;
+    task::spawn(ingress::serve(callers, Arc::clone(&front)));
+    task::spawn(ingress::serve_status(ready, Arc::clone(&front)));
+    task::spawn(ingress::serve_status(metrics, Arc::clone(&front)));
+    process::run_to_end(&front, || reload(&settings, &path)).await?;
+    Ok(())
+}
+
+fn links(settings: &Settings, peers: Arc<dyn NodeLink>) -> Links {
+    let client = HttpClient::new();
+    Links {
+        store: Arc::new(PlatformStore::new(client.clone(), settings.store)),
+        workers: Arc::new(PlatformWorkers::new(client.clone())),
+        advisor: settings
+            .advice
+            .map(|address| Arc::new(PlatformAdvisor::new(client, address)) as _),
+        decoder: Arc::new(PlatformDecoder),
+        peers,
+    }
+}
+
+/// Reads the settings again.  Addresses that are bound cannot change while the
+/// process lives, so a change is only told.
+fn reload(settings: &Settings, path: &Path) {
+    match Settings::load(path) {
+        Ok(read) if read == *settings => tracing::info!("settings read again, unchanged"),
+        Ok(read) => tracing::warn!(?read, "settings changed; they count from the next start"),
+        Err(err) => tracing::error!(%err, "settings cannot be read; the former ones stay"),
+    }
+}
--- /dev/null
+++ b/src/cell/intake.rs
@@ -0,0 +1,195 @@
+//! Taking jobs in, cancelling them, and making their steps ready.
+
+use std::sync::Arc;
+
+use crate::cell::job::{Advice, Job, JobState, StepRun, Task};
+use crate::cell::name::StepName;
+use crate::cell::record::{JobRow, Progress};
+use crate::cell::spec::JobId;
+use crate::cell::{Cell, JobKey, StepKey};
+use crate::clock::Millis;
+
+/// What became of a cancellation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cancelling {
+    /// There is no such job.
+    Unknown,
+    /// It was final already, and that is recorded.
+    Final,
+    /// It is decided and waits to be recorded.
+    Decided,
+}
+
+impl Cell {
+    /// Takes in a job whose row is durable; a job that is known already stays as it is.
+    ///
+    /// `progress` is what a former owner recorded, if anything; `predates` tells that
+    /// a former owner may have started its tasks.
+    pub fn accept(
+        &mut self,
+        row: &JobRow,
+        progress: Option<&Progress>,
+        predates: bool,
+        now: Millis,
+    ) {
+        if self.job_ids.contains_key(&row.id) || self.ended.contains_key(&row.id) {
+            return;
+        }
+        let (queue, routed) = match self.config.queue(&row.queue.name) {
+            Some(queue) => (queue.clone(), true),
+            None => (row.queue.clone(), false),
+        };
+        let key = self.jobs.insert(Job {
+            id: row.id,
+            spec: Arc::new(row.spec.clone()),
+            text: Arc::from(row.spec.text.as_str()),
+            queue,
+            routed,
+            state: JobState::Queued,
+            shown: JobState::Queued,
+            since: now,
+            predates,
+            times: Default::default(),
+            dirty: false,
+            recording: false,
+        });
+        self.job_ids.insert(row.id, key);
+        if let Some(progress) = progress {
+            let job = &mut self.jobs[key];
+            job.state = progress.state;
+            job.shown = progress.state;
+        }
+        if self.jobs[key].state.is_final() {
+            return;
+        }
+        if row.spec.schedule.is_none() {
+            self.begin_time(key, 0);
+        } else {
+            self.begin_times();
+        }
+        if let Some(progress) = progress {
+            self.restore(key, progress);
+        }
+    }
+
+    /// A job that has ended and of which only its end is kept.
+    pub fn remember(&mut self, id: JobId, state: JobState) {
+        self.ended.insert(id, state);
+    }
+
+    /// Makes the steps of one time.
+    fn begin_time(&mut self, key: JobKey, time: u32) {
+        let job = &self.jobs[key];
+        let spec = Arc::clone(&job.spec);
+        let id = job.id;
+        let mut keys = Vec::with_capacity(spec.steps.len());
+        for (place, step) in spec.steps.iter().enumerate() {
+            let mut tasks = Vec::with_capacity(step.tasks as usize);
+            tasks.resize_with(step.tasks as usize, Task::default);
+            let step_key = self.steps.insert(StepRun {
+                job: key,
+                name: StepName {
+                    job: id,
+                    time,
+                    step: place as u16,
+                },
+                spec: Arc::clone(&spec),
+                tasks,
+                open: step.tasks,
+                ready: step.after.is_empty(),
+                advice: Advice::default(),
+                gang_failures: (0, 0),
+            });
+            keys.push(step_key);
+            self.open.push(step_key);
+        }
+        self.jobs[key].times.insert(time, keys);
+    }
+
+    /// Begins those times of scheduled jobs that are due.
+    pub(super) fn begin_times(&mut self) {
+        let Some(today) = self.wall else {
+            return;
+        };
+        let due: Vec<(JobKey, u32)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.state.is_final())
+            .filter_map(|(key, job)| {
+                let schedule = job.spec.schedule?;
+                let next = job.times.len() as u32;
+                let at = schedule.first + u64::from(next) * schedule.interval;
+                (next < schedule.times && today >= at).then_some((key, next))
+            })
+            .collect();
+        for (key, time) in due {
+            self.begin_time(key, time);
+        }
+    }
+
+    /// Tells the core the time since 1970 in milliseconds, for scheduled jobs.
+    pub fn tell_wall_clock(&mut self, today: Millis) {
+        self.wall = Some(today);
+    }
+
+    /// After a step is done, makes those ready that waited for it.
+    pub(super) fn make_ready(&mut self, key: JobKey, time: u32) {
+        let Some(keys) = self.jobs[key].times.get(&time).cloned() else {
+            return;
+        };
+        for &step_key in &keys {
+            let step = &self.steps[step_key];
+            let ready = step
+                .step()
+                .after
+                .iter()
+                .all(|&earlier| self.steps[keys[earlier]].open == 0);
+            self.steps[step_key].ready = ready;
+        }
+    }
+
+    /// Ends a job that has no step left to do.
+    pub(super) fn finish_if_done(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let times = job.spec.schedule.map_or(1, |schedule| schedule.times);
+        let begun_all = job.times.len() as u32 >= times;
+        let done = begun_all
+            && job
+                .times
+                .values()
+                .flatten()
+                .all(|&step| self.steps[step].open == 0);
+        if done {
+            self.end_job(key, JobState::Succeeded);
+        }
+    }
+
+    /// Decides the end of a job; it is shown once it is recorded.
+    pub(super) fn end_job(&mut self, key: JobKey, state: JobState) {
+        let job = &mut self.jobs[key];
+        if job.state.is_final() {
+            return;
+        }
+        tracing::info!(job = %job.id, queue = job.queue.name, ?state, "job ends");
+        job.state = state;
+        job.dirty = true;
+        let steps: Vec<StepKey> = job.times.values().flatten().copied().collect();
+        self.open.retain(|step| !steps.contains(step));
+    }
+
+    /// Cancels a job.  Its tasks are stopped when that is recorded.
+    pub fn cancel(&mut self, id: JobId) -> Cancelling {
+        let Some(&key) = self.job_ids.get(&id) else {
+            return match self.ended.contains_key(&id) {
+                true => Cancelling::Final,
+                false => Cancelling::Unknown,
+            };
+        };
+        let job = &self.jobs[key];
+        if job.shown.is_final() {
+            return Cancelling::Final;
+        }
+        self.end_job(key, JobState::Cancelled);
+        Cancelling::Decided
+    }
+}
--- /dev/null
+++ b/src/cell/job.rs
@@ -0,0 +1,187 @@
+//! Jobs, their steps and tasks, and the runs of tasks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::name::{StepName, TaskName};
+use crate::cell::spec::{JobId, JobSpec, Step};
+use crate::cell::{JobKey, RunKey, StepKey, WorkerKey};
+use crate::clock::Millis;
+use crate::queue::Queue;
+
+/// How far a job is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// Nothing has begun.
+    Queued,
+    /// At least one task has begun.
+    Running,
+    /// All tasks have ended well.
+    Succeeded,
+    /// A task has failed too often, or can run nowhere.
+    Failed,
+    /// Its caller has cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Tells whether nothing will run any more.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Succeeded | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// One accepted job.
+#[derive(Debug)]
+pub struct Job {
+    /// Its identity.
+    pub id: JobId,
+    /// What its caller asked for.
+    pub spec: Arc<JobSpec>,
+    /// The text for each task, shared by all orders.
+    pub text: Arc<str>,
+    /// Its queue, as the newest configuration has it.
+    pub queue: Queue,
+    /// The queue is in the configuration in force.
+    pub routed: bool,
+    /// How far it is, as decided.
+    pub state: JobState,
+    /// How far it is, as recorded; only this is shown.
+    pub shown: JobState,
+    /// When it was taken in, by our clock.
+    pub since: Millis,
+    /// A former owner may have started its tasks.
+    pub predates: bool,
+    /// Its steps by time.
+    pub times: BTreeMap<u32, Vec<StepKey>>,
+    /// Its progress has changed since it was last recorded.
+    pub dirty: bool,
+    /// Its progress is on its way to the store.
+    pub recording: bool,
+}
+
+/// A permission to run a step's tasks on a worker.
+#[derive(Debug, Clone)]
+pub struct Ticket {
+    /// The worker that it is for.
+    pub worker: WorkerKey,
+    /// The text that a start must bring.
+    pub text: String,
+    /// When it is no longer good.
+    pub expires: Millis,
+}
+
+/// What is known about where a step may run.
+#[derive(Debug, Default)]
+pub struct Advice {
+    /// The newest ticket of each good worker.
+    pub tickets: Vec<Ticket>,
+    /// Workers that may not run the step; this never changes.
+    pub bad: Vec<WorkerKey>,
+    /// A question is on its way.
+    pub asking: bool,
+    /// When the last question was answered or failed.
+    pub asked: Millis,
+}
+
+/// One step of a job at one time.
+#[derive(Debug)]
+pub struct StepRun {
+    /// The job.
+    pub job: JobKey,
+    /// Its name.
+    pub name: StepName,
+    /// What the caller asked for, shared with the job.
+    pub spec: Arc<JobSpec>,
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub open: u32,
+    /// All steps before it are done and its time has come.
+    pub ready: bool,
+    /// Where it may run.
+    pub advice: Advice,
+    /// For a gang: failed runs of the whole, and the last one that was counted.
+    pub gang_failures: (u32, u64),
+}
+
+impl StepRun {
+    /// What the caller asked for.
+    pub fn step(&self) -> &Step {
+        &self.spec.steps[usize::from(self.name.step)]
+    }
+
+    /// Names one of the tasks.
+    pub fn task_name(&self, index: u32) -> TaskName {
+        TaskName {
+            step: self.name,
+            index,
+        }
+    }
+}
+
+/// One task.
+#[derive(Debug, Default)]
+pub struct Task {
+    /// It has ended well.
+    pub done: bool,
+    /// How many runs have failed.
+    pub failures: u32,
+    /// The number of the last run that failed; an end may be told twice.
+    pub last_failed: u64,
+    /// The newest saved progress; empty for none.
+    pub saved: String,
+    /// Runs that are or may be going on.
+    pub runs: Vec<RunKey>,
+    /// Where it failed or stood still last.
+    pub avoid: Option<WorkerKey>,
+}
+
+/// How sure it is that a run goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// The start is on its way.
+    Sent,
+    /// The start brought no answer: it may run, or begin later.
+    Doubtful,
+    /// The worker has confirmed it.
+    Running,
+}
+
+/// A stop that has been ordered.
+#[derive(Debug, Clone, Copy)]
+pub struct Stop {
+    /// When it was last sent.
+    pub sent: Millis,
+    /// When the worker confirmed it.
+    pub confirmed: Option<Millis>,
+}
+
+/// One run of a task on a worker.
+#[derive(Debug)]
+pub struct Run {
+    /// The step.
+    pub step: StepKey,
+    /// The task's place in it.
+    pub index: u32,
+    /// The worker.
+    pub worker: WorkerKey,
+    /// Rises with each start of the task.
+    pub number: u64,
+    /// How sure it is that it goes on.
+    pub phase: Phase,
+    /// When the start was sent.
+    pub sent: Millis,
+    /// When the start was answered.
+    pub answered: Millis,
+    /// By the worker's clock, when the start can no longer take effect.
+    pub expires: Millis,
+    /// Work done, in hundredths, and when that was seen to change.
+    pub percent: u32,
+    /// When the percent was last seen to rise.
+    pub moved: Millis,
+    /// Set if it is to end.
+    pub stop: Option<Stop>,
+}
--- /dev/null
+++ b/src/cell/mod.rs
@@ -0,0 +1,381 @@
+//! The scheduling core of one cell: which task runs where, on which worker.
+//!
+//! It is pure: events and the time are handed in, orders come out, so a test can
+//! replay any order of events.  `docs/CELL.md` explains the rules it keeps.
+
+pub mod advice;
+pub mod intake;
+pub mod job;
+pub mod look;
+pub mod name;
+pub mod order;
+pub mod record;
+pub mod run;
+pub mod schedule;
+pub mod spec;
+pub mod tuning;
+pub mod worker;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+
+use crate::cell::job::{Job, JobState, Run, StepRun};
+use crate::cell::order::{Addressee, LookOrder, Order, StopOrder};
+use crate::cell::spec::JobId;
+use crate::cell::worker::{Worker, WorkerEntry};
+use crate::clock::Millis;
+use crate::queue::Configuration;
+
+slotmap::new_key_type! {
+    /// A worker of the cell.
+    pub struct WorkerKey;
+    /// A job of the cell.
+    pub struct JobKey;
+    /// A step of a job at one time.
+    pub struct StepKey;
+    /// A run of a task.
+    pub struct RunKey;
+}
+
+/// Counts of what the core did, for metrics.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counts {
+    /// Starts ordered.
+    pub starts: u64,
+    /// Stops ordered.
+    pub stops: u64,
+    /// Questions about where a step may run.
+    pub questions: u64,
+    /// Orders refused since they would have broken a rule.
+    pub violations: u64,
+    /// Runs written off since their lease ran out.
+    pub lapsed: u64,
+    /// Runs taken over from a former owner.
+    pub adopted: u64,
+}
+
+/// The state of one cell in the hands of its owner.
+pub struct Cell {
+    epoch: u64,
+    next_run: u64,
+    config: Arc<Configuration>,
+    workers: SlotMap<WorkerKey, Worker>,
+    worker_ids: HashMap<String, WorkerKey>,
+    jobs: SlotMap<JobKey, Job>,
+    job_ids: HashMap<JobId, JobKey>,
+    /// Jobs that ended under a former owner.
+    ended: HashMap<JobId, JobState>,
+    steps: SlotMap<StepKey, StepRun>,
+    runs: SlotMap<RunKey, Run>,
+    /// Steps that are not done, in the order in which they were taken in.
+    open: Vec<StepKey>,
+    /// Which lanes to the advice service are in use by which kind of question.
+    lanes: Vec<advice::Lane>,
+    /// The share of workers that is good for a step, learned by queue.
+    good_share: HashMap<String, f64>,
+    /// Tasks of former owners' jobs may start.
+    /// Milliseconds since 1970, once told.
+    wall: Option<Millis>,
+    settled: bool,
+    settle_by: Millis,
+    orders: Vec<Order>,
+    counts: Counts,
+}
+
+impl Cell {
+    /// Begins an ownership of the cell at `now` under `epoch`.
+    pub fn new(epoch: u64, config: Arc<Configuration>, now: Millis) -> Self {
+        let window = tuning::LEASE + tuning::LEASE * tuning::DRIFT_PERMILLE / 1_000;
+        Self {
+            epoch,
+            next_run: epoch * tuning::RUNS_PER_EPOCH,
+            config,
+            workers: SlotMap::with_key(),
+            worker_ids: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            job_ids: HashMap::new(),
+            ended: HashMap::new(),
+            steps: SlotMap::with_key(),
+            runs: SlotMap::with_key(),
+            open: Vec::new(),
+            lanes: Vec::new(),
+            good_share: HashMap::new(),
+            wall: None,
+            settled: false,
+            settle_by: now + window + tuning::LEASE_MARGIN + tuning::OWNER_WINDOW,
+            orders: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// The epoch under which orders are given.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// What was done so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Takes the orders that have gathered.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Tells how far a job is, as far as it is recorded.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        if let Some(&state) = self.ended.get(&id) {
+            return Some(state);
+        }
+        let job = self.jobs.get(*self.job_ids.get(&id)?)?;
+        let shown = if job.shown.is_final() || !job.state.is_final() {
+            job.shown.max_progress(job.state)
+        } else {
+            JobState::Running
+        };
+        Some(shown)
+    }
+
+    /// Counts by queue the accepted jobs of which nothing has begun.
+    pub fn pending(&self) -> BTreeMap<String, u32> {
+        let mut pending = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.state == JobState::Queued {
+                *pending.entry(job.queue.name.clone()).or_default() += 1;
+            }
+        }
+        pending
+    }
+
+    /// All workers that are known.
+    pub fn worker_keys(&self) -> Vec<WorkerKey> {
+        self.workers.keys().collect()
+    }
+
+    /// The entries of all workers that are known, for a successor.
+    pub fn worker_entries(&self) -> Vec<WorkerEntry> {
+        self.workers.values().map(|w| w.entry.clone()).collect()
+    }
+
+    /// A newer configuration is in force.
+    pub fn configure(&mut self, config: Arc<Configuration>) {
+        self.config = config;
+        for job in self.jobs.values_mut() {
+            match self.config.queue(&job.queue.name) {
+                Some(queue) => {
+                    job.queue = queue.clone();
+                    job.routed = true;
+                }
+                None => job.routed = false,
+            }
+        }
+    }
+
+    /// The platform lists these workers now, all of them.
+    pub fn list_workers(&mut self, entries: Vec<WorkerEntry>, now: Millis) {
+        for worker in self.workers.values_mut() {
+            worker.listed = false;
+        }
+        for entry in entries {
+            self.list_worker(entry, now);
+        }
+    }
+
+    /// The platform lists this worker, or its entry changed.
+    pub fn list_worker(&mut self, entry: WorkerEntry, now: Millis) {
+        if let Some(&key) = self.worker_ids.get(&entry.id) {
+            let worker = &mut self.workers[key];
+            if entry.leaving.is_some() && worker.leaving_since.is_none() {
+                worker.leaving_since = Some(now);
+                tracing::info!(worker = entry.id, remaining = ?entry.leaving, "worker leaves");
+            }
+            worker.listed = true;
+            worker.entry = entry;
+            return;
+        }
+        self.end_former_life(&entry, now);
+        tracing::info!(worker = entry.id, address = %entry.address, "worker listed");
+        let id = entry.id.clone();
+        let leaving = entry.leaving.is_some();
+        let key = self.workers.insert(Worker::new(entry));
+        self.worker_ids.insert(id, key);
+        if leaving {
+            self.workers[key].leaving_since = Some(now);
+        }
+    }
+
+    /// A new life of a machine proves that the former one is over.
+    fn end_former_life(&mut self, entry: &WorkerEntry, now: Millis) {
+        let former = self
+            .workers
+            .iter()
+            .find(|(_, w)| w.entry.machine == entry.machine && w.entry.address == entry.address)
+            .map(|(key, _)| key);
+        if let Some(key) = former {
+            self.lose_worker(key, now, "restarted");
+        }
+    }
+
+    /// The platform does not list this worker any more.
+    pub fn unlist_worker(&mut self, id: &str) {
+        if let Some(&key) = self.worker_ids.get(id) {
+            self.workers[key].listed = false;
+        }
+    }
+
+    /// Everything on this worker is over, and it does not come back under this id.
+    pub fn lose_worker(&mut self, key: WorkerKey, now: Millis, reason: &'static str) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        tracing::info!(
+            worker = worker.entry.id,
+            reason,
+            runs = worker.runs.len(),
+            "worker lost"
+        );
+        self.write_off(key, now);
+        if let Some(worker) = self.workers.remove(key) {
+            self.worker_ids.remove(&worker.entry.id);
+        }
+        for step in self.steps.values_mut() {
+            step.advice.tickets.retain(|ticket| ticket.worker != key);
+            step.advice.bad.retain(|&bad| bad != key);
+        }
+    }
+
+    /// Time passes: leases run out, stops are repeated, ownership settles.
+    pub fn tick(&mut self, now: Millis) {
+        self.settle(now);
+        self.begin_times();
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        for key in keys {
+            self.tick_worker(key, now);
+        }
+        self.repeat_stops(now);
+    }
+
+    fn tick_worker(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        if !worker.silent || now <= worker.lease_end {
+            return;
+        }
+        if !worker.runs.is_empty() {
+            tracing::info!(
+                worker = worker.entry.id,
+                heard_ms_ago = now.saturating_sub(worker.heard),
+                runs = worker.runs.len(),
+                "lease ran out"
+            );
+            self.counts.lapsed += worker.runs.len() as u64;
+            self.write_off(key, now);
+        }
+        let worker = &self.workers[key];
+        if !worker.listed && self.settled {
+            self.lose_worker(key, now, "not listed and silent");
+        }
+    }
+
+    /// From here on the tasks of jobs that a former owner knew may start: it has no
+    /// run left that we do not know of.
+    fn settle(&mut self, now: Millis) {
+        if self.settled {
+            return;
+        }
+        let fenced = !self.workers.is_empty() && self.workers.values().all(|w| w.fenced);
+        if !fenced && now < self.settle_by {
+            return;
+        }
+        self.settled = true;
+        tracing::info!(epoch = self.epoch, fenced, "ownership settled");
+        self.break_partial_gangs(now);
+    }
+
+    /// A former owner's gang that is not whole is stopped.
+    fn break_partial_gangs(&mut self, now: Millis) {
+        let partial: Vec<StepKey> = self
+            .steps
+            .iter()
+            .filter(|(_, step)| step.step().gang && step.open > 0)
+            .filter(|(_, step)| {
+                let running = step.tasks.iter().filter(|t| !t.runs.is_empty()).count();
+                running > 0 && running < step.tasks.len()
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in partial {
+            self.stop_step(key, now, "gang is not whole");
+        }
+    }
+
+    /// Addresses a worker under our epoch.
+    fn addressee(&self, key: WorkerKey) -> Addressee {
+        let entry = &self.workers[key].entry;
+        Addressee {
+            worker: key,
+            id: entry.id.clone(),
+            address: entry.address,
+            epoch: self.epoch,
+        }
+    }
+
+    /// Says how to look at a worker next; none if it is gone.
+    pub fn look_order(&mut self, key: WorkerKey, now: Millis) -> Option<LookOrder> {
+        let worker = self.workers.get(key)?;
+        let lasting_silence = worker.silent || worker.clock.is_none();
+        let order = LookOrder {
+            to: self.addressee(key),
+            forget: worker.recorded_end,
+            due: match worker.clock_at(now) {
+                Some(clock) if !lasting_silence => Some(clock + tuning::LEASE),
+                _ => None,
+            },
+            wait: if lasting_silence || worker.seen_end > worker.recorded_end {
+                0
+            } else {
+                tuning::LOOK_WAIT
+            },
+        };
+        if order.due.is_some() {
+            self.workers[key].lease_sent(now, tuning::LEASE);
+        }
+        Some(order)
+    }
+
+    /// Tells whether ends of this worker wait to be recorded.
+    pub fn unrecorded(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(key)
+            .is_some_and(|worker| worker.seen_end > worker.recorded_end)
+    }
+
+    fn order_stop(
+        &mut self,
+        worker: WorkerKey,
+        run: Option<RunKey>,
+        task: name::TaskName,
+        number: u64,
+    ) {
+        self.counts.stops += 1;
+        let order = StopOrder {
+            to: self.addressee(worker),
+            run,
+            task,
+            number,
+        };
+        self.orders.push(Order::Stop(order));
+    }
+}
+
+impl JobState {
+    /// A job that has begun is shown as running without being recorded as such.
+    fn max_progress(self, decided: JobState) -> JobState {
+        match (self, decided) {
+            (JobState::Queued, JobState::Running) => JobState::Running,
+            (shown, _) => shown,
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/record.rs
@@ -0,0 +1,201 @@
+//! What of a job is kept in the store, and taking it up again.
+//!
+//! A job has two rows: the job as it was accepted, written once by the node that
+//! took it in, and its progress, written by the owner of the cell.
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::job::JobState;
+use crate::cell::spec::{JobId, JobSpec};
+use crate::cell::{Cell, JobKey, WorkerKey};
+use crate::clock::Millis;
+use crate::queue::Queue;
+
+/// The row of an accepted job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRow {
+    /// The job's identity.
+    pub id: JobId,
+    /// The queue as it was when the job was accepted.
+    pub queue: Queue,
+    /// What the caller asked for.
+    pub spec: JobSpec,
+}
+
+/// The row of a job's progress.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Progress {
+    /// How far the job is.
+    pub state: JobState,
+    /// What is known of tasks that are done, have failed or have saved progress.
+    pub tasks: Vec<TaskProgress>,
+}
+
+/// What is kept of one task.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TaskProgress {
+    /// Time, step and index.
+    pub place: (u32, u16, u32),
+    /// It has ended well.
+    pub done: bool,
+    /// How many runs have failed.
+    pub failures: u32,
+    /// The number of the last run that failed.
+    pub last_failed: u64,
+    /// The newest saved progress.
+    pub saved: String,
+}
+
+/// What goes to the store in one transaction.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// Jobs with their progress.
+    pub rows: Vec<(JobKey, JobId, Progress)>,
+    /// For each worker the last end that is in the rows.
+    pub ends: Vec<(WorkerKey, u64)>,
+}
+
+impl Batch {
+    /// Tells whether there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.ends.is_empty()
+    }
+}
+
+impl Cell {
+    /// Gathers what has changed, at most `most` jobs.  Ends are passed on only if
+    /// every change is in, since a worker forgets them afterwards.
+    pub fn take_batch(&mut self, most: usize) -> Batch {
+        let dirty: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.dirty)
+            .map(|(key, _)| key)
+            .collect();
+        let mut batch = Batch::default();
+        for &key in dirty.iter().take(most) {
+            let progress = self.progress(key);
+            let job = &mut self.jobs[key];
+            job.dirty = false;
+            job.recording = true;
+            batch.rows.push((key, job.id, progress));
+        }
+        if dirty.len() <= most {
+            batch.ends = self
+                .workers
+                .iter()
+                .filter(|(_, w)| w.seen_end > w.recorded_end)
+                .map(|(key, w)| (key, w.seen_end))
+                .collect();
+        }
+        batch
+    }
+
+    /// Tells whether a job's progress waits to be recorded.
+    pub fn has_unrecorded(&self) -> bool {
+        self.jobs.values().any(|job| job.dirty)
+    }
+
+    fn progress(&self, key: JobKey) -> Progress {
+        let job = &self.jobs[key];
+        let mut tasks = Vec::new();
+        if !job.state.is_final() {
+            for &step_key in job.times.values().flatten() {
+                let step = &self.steps[step_key];
+                for (index, task) in step.tasks.iter().enumerate() {
+                    if !task.done && task.failures == 0 && task.saved.is_empty() {
+                        continue;
+                    }
+                    let saved = if task.done { "" } else { task.saved.as_str() };
+                    tasks.push(TaskProgress {
+                        place: (step.name.time, step.name.step, index as u32),
+                        done: task.done,
+                        failures: task.failures,
+                        last_failed: task.last_failed,
+                        saved: saved.to_owned(),
+                    });
+                }
+            }
+        }
+        Progress {
+            state: job.state,
+            tasks,
+        }
+    }
+
+    /// The batch is durable.
+    pub fn recorded(&mut self, batch: Batch, now: Millis) {
+        for (key, _, progress) in batch.rows {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            job.recording = false;
+            job.shown = progress.state;
+            if progress.state.is_final() {
+                self.close_job(key, now);
+            }
+        }
+        for (key, place) in batch.ends {
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.recorded_end = worker.recorded_end.max(place);
+            }
+        }
+    }
+
+    /// The batch did not come about; its jobs are recorded with the next one.
+    pub fn not_recorded(&mut self, batch: Batch) {
+        for (key, _, _) in batch.rows {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.recording = false;
+                job.dirty = true;
+            }
+        }
+    }
+
+    /// Stops what is left of a job that has ended.
+    fn close_job(&mut self, key: JobKey, now: Millis) {
+        let steps: Vec<_> = self.jobs[key].times.values().flatten().copied().collect();
+        for step in steps {
+            self.stop_step(step, now, "job has ended");
+        }
+    }
+
+    /// Takes up the progress that a former owner recorded.
+    pub(super) fn restore(&mut self, key: JobKey, progress: &Progress) {
+        let mut times: Vec<u32> = progress.tasks.iter().map(|t| t.place.0).collect();
+        times.sort_unstable();
+        times.dedup();
+        for record in &progress.tasks {
+            let (time, place, index) = record.place;
+            let step_key = self.jobs[key]
+                .times
+                .get(&time)
+                .and_then(|steps| steps.get(usize::from(place)).copied());
+            let Some(step_key) = step_key else {
+                tracing::warn!(job = %self.jobs[key].id, ?record.place, "progress of an unknown step");
+                continue;
+            };
+            let step = &mut self.steps[step_key];
+            let Some(task) = step.tasks.get_mut(index as usize) else {
+                tracing::warn!(job = %self.jobs[key].id, ?record.place, "progress of an unknown task");
+                continue;
+            };
+            if record.done && !task.done {
+                step.open -= 1;
+            }
+            task.done = record.done;
+            task.failures = record.failures;
+            task.last_failed = record.last_failed;
+            task.saved = record.saved.clone();
+            if step.spec.steps[usize::from(place)].gang {
+                step.gang_failures.0 = step.gang_failures.0.max(record.failures);
+                step.gang_failures.1 = step.gang_failures.1.max(record.last_failed);
+            }
+        }
+        for time in times {
+            self.make_ready(key, time);
+        }
+        self.open.retain(|&step| self.steps[step].open > 0);
+        self.finish_if_done(key);
+    }
+}
--- /dev/null
+++ b/src/cell/run.rs
@@ -0,0 +1,359 @@
+//! The life of a run: from its start to its end, or to being written off.
+
+use crate::cell::job::{JobState, Phase, Run, Stop};
+use crate::cell::name::TaskName;
+use crate::cell::order::{EndEntry, EndKind, Refusal, StartOutcome};
+use crate::cell::{Cell, JobKey, RunKey, StepKey, WorkerKey, tuning};
+use crate::clock::Millis;
+
+impl Cell {
+    /// Finds the step of a task by name.
+    pub(super) fn find_step(&self, task: TaskName) -> Option<StepKey> {
+        let job = self.jobs.get(*self.job_ids.get(&task.step.job)?)?;
+        let steps = job.times.get(&task.step.time)?;
+        let key = steps.get(usize::from(task.step.step)).copied()?;
+        let known = (task.index as usize) < self.steps[key].tasks.len();
+        known.then_some(key)
+    }
+
+    /// Finds a run of ours on a worker.
+    pub(super) fn find_run(
+        &self,
+        worker: WorkerKey,
+        task: TaskName,
+        number: u64,
+    ) -> Option<RunKey> {
+        let step = self.find_step(task)?;
+        self.steps[step].tasks[task.index as usize]
+            .runs
+            .iter()
+            .copied()
+            .find(|&run| self.runs[run].worker == worker && self.runs[run].number == number)
+    }
+
+    /// Takes room for a run and notes it with its task and worker.
+    pub(super) fn add_run(&mut self, run: Run) -> RunKey {
+        let (step_key, index, worker_key) = (run.step, run.index, run.worker);
+        let key = self.runs.insert(run);
+        let step = &mut self.steps[step_key];
+        step.tasks[index as usize].runs.push(key);
+        let spec = step.step();
+        let worker = &mut self.workers[worker_key];
+        worker.used.add(&spec.room());
+        worker.serving += u32::from(spec.serves());
+        if spec.filler {
+            worker.fillers += 1;
+            worker.filler_millicores += spec.demand.millicores;
+        }
+        worker.runs.push(key);
+        key
+    }
+
+    /// Gives a run's room back and forgets it.
+    pub(super) fn remove_run(&mut self, key: RunKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        let step = &mut self.steps[run.step];
+        step.tasks[run.index as usize]
+            .runs
+            .retain(|&other| other != key);
+        let spec = step.step();
+        if let Some(worker) = self.workers.get_mut(run.worker) {
+            worker.used = worker.used.minus(&spec.room());
+            worker.serving -= u32::from(spec.serves());
+            if spec.filler {
+                worker.fillers -= 1;
+                worker.filler_millicores -= spec.demand.millicores;
+            }
+            worker.runs.retain(|&other| other != key);
+        }
+        Some(run)
+    }
+
+    /// Takes in what became of a start.
+    pub fn start_answered(
+        &mut self,
+        key: RunKey,
+        outcome: StartOutcome,
+        clock: Option<Millis>,
+        now: Millis,
+    ) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        let worker_key = run.worker;
+        if let Some(clock) = clock {
+            self.workers[worker_key].clock = Some((clock, now));
+        }
+        let run = &mut self.runs[key];
+        match outcome {
+            StartOutcome::Started => {
+                run.answered = now;
+                if run.phase == Phase::Sent {
+                    run.phase = Phase::Running;
+                    run.moved = now;
+                }
+                let step = run.step;
+                self.job_begins(self.steps[step].job);
+            }
+            StartOutcome::Unanswered => {
+                if run.phase == Phase::Sent {
+                    run.phase = Phase::Doubtful;
+                }
+                self.workers[worker_key].silent = true;
+                self.stop_run(key, now, "start was not answered");
+            }
+            StartOutcome::Refused(refusal) => self.start_refused(key, refusal, now),
+        }
+    }
+
+    fn start_refused(&mut self, key: RunKey, refusal: Refusal, now: Millis) {
+        let run = &self.runs[key];
+        let (step_key, worker_key) = (run.step, run.worker);
+        let task = self.steps[step_key].task_name(run.index);
+        tracing::info!(
+            request = %task.step.job,
+            %task,
+            run = run.number,
+            worker = self.workers[worker_key].entry.id,
+            reason = refusal.code(),
+            "start refused"
+        );
+        self.remove_run(key);
+        let worker = &mut self.workers[worker_key];
+        match refusal {
+            Refusal::Gone => return self.lose_worker(worker_key, now, "another life answers"),
+            Refusal::NotSent => worker.silent = true,
+            Refusal::Unhealthy => {
+                worker.health.shunned_until = now + tuning::UNHEALTHY_PAUSE;
+            }
+            Refusal::Late => worker.clock = None,
+            Refusal::Ticket => self.steps[step_key]
+                .advice
+                .tickets
+                .iter_mut()
+                .filter(|ticket| ticket.worker == worker_key)
+                .for_each(|ticket| ticket.expires = 0),
+            Refusal::Room => worker.health.shunned_until = now + tuning::UNHEALTHY_PAUSE,
+            Refusal::UnknownTask | Refusal::Epoch | Refusal::OldRun => {}
+        }
+        if self.steps[step_key].step().gang {
+            self.stop_step(step_key, now, "a member of the gang was refused");
+        }
+    }
+
+    pub(super) fn job_begins(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+        }
+    }
+
+    /// Orders the stop of a run, unless that was done just now.
+    pub(super) fn stop_run(&mut self, key: RunKey, now: Millis, reason: &'static str) {
+        let run = &mut self.runs[key];
+        if run.stop.is_some() {
+            return;
+        }
+        run.stop = Some(Stop {
+            sent: now,
+            confirmed: None,
+        });
+        let (worker, number) = (run.worker, run.number);
+        let task = self.steps[run.step].task_name(run.index);
+        tracing::info!(request = %task.step.job, %task, run = number, reason, "run is stopped");
+        self.order_stop(worker, Some(key), task, number);
+    }
+
+    /// Orders the stop of all runs of a step.
+    pub(super) fn stop_step(&mut self, key: StepKey, now: Millis, reason: &'static str) {
+        let runs: Vec<RunKey> = self.steps[key]
+            .tasks
+            .iter()
+            .flat_map(|task| task.runs.iter().copied())
+            .collect();
+        for run in runs {
+            self.stop_run(run, now, reason);
+        }
+    }
+
+    /// A worker has confirmed a stop: the run ends soon, or never begins.
+    pub fn stop_confirmed(&mut self, key: RunKey, now: Millis) {
+        if let Some(stop) = self.runs.get_mut(key).and_then(|run| run.stop.as_mut()) {
+            stop.confirmed = Some(now);
+        }
+    }
+
+    /// Sends again the stops that were not confirmed.
+    pub(super) fn repeat_stops(&mut self, now: Millis) {
+        let due: Vec<RunKey> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| {
+                run.stop.is_some_and(|stop| {
+                    stop.confirmed.is_none() && stop.sent + tuning::STOP_RETRY <= now
+                })
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in due {
+            let run = &mut self.runs[key];
+            if let Some(stop) = run.stop.as_mut() {
+                stop.sent = now;
+            }
+            let (worker, number) = (run.worker, run.number);
+            let task = self.steps[run.step].task_name(run.index);
+            self.order_stop(worker, Some(key), task, number);
+        }
+    }
+
+    /// Takes in the end of a run of ours.
+    pub(super) fn run_ended(&mut self, key: RunKey, end: &EndEntry, now: Millis) {
+        let Some(run) = self.remove_run(key) else {
+            return;
+        };
+        let job_key = self.steps[run.step].job;
+        let closed = self.jobs[job_key].state.is_final();
+        if !end.saved.is_empty() && !closed {
+            self.save_progress(run.step, run.index, &end.saved);
+            self.jobs[job_key].dirty = true;
+        }
+        match end.how {
+            EndKind::Done => self.task_done(run.step, run.index, end.number, now),
+            EndKind::Failed => self.task_failed(run.step, run.index, end.number, run.worker, now),
+            EndKind::Alone | EndKind::Broken | EndKind::Stopped | EndKind::Lapsed => {}
+        }
+        self.judge_worker(run.worker, end.how, now);
+        if end.how != EndKind::Done && self.steps[run.step].step().gang {
+            self.stop_step(run.step, now, "a member of the gang has ended");
+        }
+    }
+
+    /// Notes progress that a task has saved; a gang shares it.
+    pub(super) fn save_progress(&mut self, step: StepKey, index: u32, saved: &str) {
+        let step = &mut self.steps[step];
+        if step.step().gang {
+            for task in &mut step.tasks {
+                task.saved = saved.to_owned();
+            }
+        } else {
+            step.tasks[index as usize].saved = saved.to_owned();
+        }
+    }
+
+    /// A task has ended well; for a gang that counts for all members.
+    pub(super) fn task_done(&mut self, key: StepKey, index: u32, number: u64, now: Millis) {
+        let step = &mut self.steps[key];
+        if step.step().lasting {
+            return;
+        }
+        let job_key = step.job;
+        let name = step.name;
+        if step.step().gang {
+            step.tasks.iter_mut().for_each(|task| task.done = true);
+            step.open = 0;
+        } else if !step.tasks[index as usize].done {
+            step.tasks[index as usize].done = true;
+            step.open -= 1;
+        }
+        tracing::info!(request = %name.job, step = %name, index, run = number, open = step.open, "task done");
+        let copies: Vec<RunKey> = step.tasks[index as usize].runs.clone();
+        for copy in copies {
+            self.stop_run(copy, now, "another copy is done");
+        }
+        if self.jobs[job_key].state.is_final() {
+            return;
+        }
+        self.jobs[job_key].dirty = true;
+        if self.steps[key].open == 0 {
+            self.open.retain(|&open| open != key);
+            self.make_ready(job_key, name.time);
+            self.finish_if_done(job_key);
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        key: StepKey,
+        index: u32,
+        number: u64,
+        worker: WorkerKey,
+        now: Millis,
+    ) {
+        let step = &mut self.steps[key];
+        let lasting = step.step().lasting;
+        let gang = step.step().gang;
+        let job_key = step.job;
+        let task = &mut step.tasks[index as usize];
+        if number <= task.last_failed {
+            return;
+        }
+        task.last_failed = number;
+        task.failures += 1;
+        task.avoid = Some(worker);
+        let mut failures = task.failures;
+        if gang {
+            if step.gang_failures.1 < number {
+                step.gang_failures = (step.gang_failures.0 + 1, number);
+            }
+            failures = step.gang_failures.0;
+            step.tasks[index as usize].failures = failures;
+        }
+        let name = step.task_name(index);
+        let job = &mut self.jobs[job_key];
+        tracing::info!(request = %job.id, task = %name, run = number, failures, attempts = job.queue.attempts, "task failed");
+        if lasting || job.state.is_final() {
+            return;
+        }
+        job.dirty = true;
+        if failures >= job.queue.attempts {
+            self.end_job(job_key, JobState::Failed);
+            self.stop_step(key, now, "job has failed");
+        }
+    }
+
+    /// A failure of a run that this owner did not start counts as well.
+    pub(super) fn count_former_failure(&mut self, key: StepKey, end: &EndEntry, now: Millis) {
+        let nowhere = WorkerKey::default();
+        self.task_failed(key, end.task.index, end.number, nowhere, now);
+    }
+
+    /// Learns from an end how far the worker can be trusted.
+    fn judge_worker(&mut self, key: WorkerKey, how: EndKind, now: Millis) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        match how {
+            EndKind::Done => {
+                worker.health.failures = 0;
+                worker.health.on_trial = false;
+            }
+            EndKind::Failed => {
+                worker.health.failures += 1;
+                if worker.health.failures >= tuning::FAILURES_IN_ROW {
+                    worker.health.shunned_until = now + tuning::SHUN;
+                    worker.health.on_trial = true;
+                    tracing::info!(
+                        worker = worker.entry.id,
+                        failures = worker.health.failures,
+                        "worker shunned"
+                    );
+                }
+            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+    }
+
+    /// All runs on a worker are over without a word.
+    pub(super) fn write_off(&mut self, key: WorkerKey, now: Millis) {
+        let runs = self.workers[key].runs.clone();
+        for run_key in runs {
+            let Some(run) = self.remove_run(run_key) else {
+                continue;
+            };
+            if self.steps[run.step].step().gang {
+                self.stop_step(run.step, now, "a member of the gang is lost");
+            }
+        }
+        self.workers[key].strangers = 0;
+    }
+}
--- /dev/null
+++ b/src/cell/schedule.rs
@@ -0,0 +1,293 @@
+//! Deciding which waiting task starts where.
+
+use crate::cell::job::{Phase, Run, StepRun};
+use crate::cell::order::{Order, StartOrder};
+use crate::cell::spec::Step;
+use crate::cell::{Cell, StepKey, WorkerKey, tuning};
+use crate::clock::Millis;
+
+/// Where a task may go, with the room that is left for more of its step.
+struct Place {
+    worker: WorkerKey,
+    fit: u32,
+    score: u64,
+}
+
+impl Cell {
+    /// Starts what can start now and asks about what lacks tickets.
+    pub fn schedule(&mut self, now: Millis) {
+        let mut order: Vec<(u32, usize, StepKey)> = Vec::new();
+        for (place, &key) in self.open.iter().enumerate() {
+            let step = &self.steps[key];
+            if !step.ready {
+                continue;
+            }
+            let job = &self.jobs[step.job];
+            if !job.routed || (job.predates && !self.settled) {
+                continue;
+            }
+            order.push((job.queue.priority, place, key));
+        }
+        order.sort_unstable();
+        for (_, _, key) in order {
+            self.schedule_step(key, now);
+        }
+    }
+
+    fn schedule_step(&mut self, key: StepKey, now: Millis) {
+        let waiting = self.waiting_tasks(key);
+        if waiting.is_empty() {
+            return;
+        }
+        if self.steps[key].step().gang {
+            self.schedule_gang(key, &waiting, now);
+            return;
+        }
+        let mut left = waiting.len() as u32;
+        for index in waiting {
+            let avoid = self.steps[key].tasks[index as usize].avoid;
+            let Some(worker) = self.best_place(key, avoid, now) else {
+                break;
+            };
+            self.start(key, index, worker, None, now);
+            left -= 1;
+        }
+        if left > 0 {
+            self.ask(key, left, now);
+        }
+    }
+
+    /// The tasks that neither run nor are done.
+    fn waiting_tasks(&self, key: StepKey) -> Vec<u32> {
+        self.steps[key]
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| !task.done && task.runs.is_empty())
+            .map(|(index, _)| index as u32)
+            .collect()
+    }
+
+    /// How many tasks of the step a worker holds.
+    pub(super) fn tasks_here(&self, key: StepKey, worker: WorkerKey) -> u32 {
+        self.workers[worker]
+            .runs
+            .iter()
+            .filter(|&&run| self.runs[run].step == key)
+            .count() as u32
+    }
+
+    /// The places where a task of the step could start now.
+    fn places(&self, key: StepKey, now: Millis) -> Vec<Place> {
+        let step = &self.steps[key];
+        let queue = &self.jobs[step.job].queue;
+        let spec = step.step();
+        let mut places = Vec::new();
+        if queue.advice.is_some() {
+            for ticket in &step.advice.tickets {
+                if ticket.expires > now + tuning::TICKET_MARGIN {
+                    places.extend(self.place(key, step, ticket.worker, &queue.service, now));
+                }
+            }
+        } else {
+            for worker in self.workers.keys() {
+                places.extend(self.place(key, step, worker, &queue.service, now));
+            }
+        }
+        places.sort_unstable_by_key(|place| (place.score, place.worker));
+        debug_assert!(places.iter().all(|place| place.fit > 0), "{spec:?}");
+        places
+    }
+
+    fn place(
+        &self,
+        key: StepKey,
+        step: &StepRun,
+        worker_key: WorkerKey,
+        service: &str,
+        now: Millis,
+    ) -> Option<Place> {
+        let worker = self.workers.get(worker_key)?;
+        let spec = step.step();
+        if !worker.takes_work(now) || !worker.allows(spec, service) {
+            return None;
+        }
+        let here = self.tasks_here(key, worker_key);
+        let fit = worker.fit(spec, here);
+        (fit > 0).then(|| Place {
+            worker: worker_key,
+            fit,
+            score: self.score(spec, worker_key),
+        })
+    }
+
+    /// Lower is better: tightest fit, but lasting tasks and fillers spread out; the
+    /// rack where the data lies goes first.
+    fn score(&self, spec: &Step, key: WorkerKey) -> u64 {
+        let worker = &self.workers[key];
+        let free = worker.free();
+        let far = match &spec.near {
+            Some(rack) if worker.entry.rack.as_ref() != Some(rack) => 1_000_000_000,
+            _ => 0,
+        };
+        let spread = spec.lasting || spec.filler;
+        let left = free.millicores.saturating_sub(spec.room().millicores);
+        far + if spread {
+            100_000_000 - left.min(100_000_000)
+        } else {
+            left
+        }
+    }
+
+    fn best_place(&self, key: StepKey, avoid: Option<WorkerKey>, now: Millis) -> Option<WorkerKey> {
+        let places = self.places(key, now);
+        places
+            .iter()
+            .find(|place| Some(place.worker) != avoid)
+            .or(places.first())
+            .map(|place| place.worker)
+    }
+
+    /// Starts all members of a gang, or none.
+    fn schedule_gang(&mut self, key: StepKey, waiting: &[u32], now: Millis) {
+        let size = self.steps[key].tasks.len();
+        if waiting.len() < size {
+            return;
+        }
+        let places = self.places(key, now);
+        let Some(chosen) = self.gang_places(key, &places, size) else {
+            let ticketed: u32 = places.iter().map(|place| place.fit).sum();
+            self.ask(key, (size as u32).saturating_sub(ticketed), now);
+            return;
+        };
+        let number = self.next_number();
+        for (index, worker) in chosen.into_iter().enumerate() {
+            self.start(key, index as u32, worker, Some(number), now);
+        }
+    }
+
+    /// Finds places for all members, within one rack if that is wanted and possible.
+    fn gang_places(&self, key: StepKey, places: &[Place], size: usize) -> Option<Vec<WorkerKey>> {
+        let expand = |places: &mut dyn Iterator<Item = &Place>| -> Option<Vec<WorkerKey>> {
+            let mut chosen = Vec::with_capacity(size);
+            for place in places {
+                for _ in 0..place.fit.min((size - chosen.len()) as u32) {
+                    chosen.push(place.worker);
+                }
+            }
+            (chosen.len() == size).then_some(chosen)
+        };
+        if self.steps[key].step().same_rack {
+            let mut racks: Vec<&Option<String>> = Vec::new();
+            for place in places {
+                let rack = &self.workers[place.worker].entry.rack;
+                if !racks.contains(&rack) {
+                    racks.push(rack);
+                }
+            }
+            for rack in racks {
+                let mut within = places
+                    .iter()
+                    .filter(|place| &self.workers[place.worker].entry.rack == rack);
+                if let Some(chosen) = expand(&mut within) {
+                    return Some(chosen);
+                }
+            }
+        }
+        expand(&mut places.iter())
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.next_run += 1;
+        self.next_run
+    }
+
+    /// Orders a start, after checking once more that it breaks no rule.
+    fn start(
+        &mut self,
+        key: StepKey,
+        index: u32,
+        worker_key: WorkerKey,
+        number: Option<u64>,
+        now: Millis,
+    ) {
+        let number = number.unwrap_or_else(|| self.next_number());
+        let Some(due) = self.workers[worker_key].clock_at(now) else {
+            return;
+        };
+        let due = due + tuning::START_VALID;
+        if let Err(rule) = self.check_start(key, index, worker_key) {
+            self.counts.violations += 1;
+            tracing::error!(task = %self.steps[key].task_name(index), rule, "start withheld");
+            return;
+        }
+        self.workers[worker_key].lease_sent(now, tuning::START_VALID);
+        let run = self.add_run(Run {
+            step: key,
+            index,
+            worker: worker_key,
+            number,
+            phase: Phase::Sent,
+            sent: now,
+            answered: 0,
+            expires: due,
+            percent: 0,
+            moved: now,
+            stop: None,
+        });
+        let step = &self.steps[key];
+        let ticket = step
+            .advice
+            .tickets
+            .iter()
+            .find(|ticket| ticket.worker == worker_key)
+            .map(|ticket| ticket.text.clone());
+        self.counts.starts += 1;
+        let task = step.task_name(index);
+        tracing::info!(
+            request = %task.step.job,
+            %task,
+            run = number,
+            worker = self.workers[worker_key].entry.id,
+            free_millicores = self.workers[worker_key].free().millicores,
+            heard_ms_ago = now.saturating_sub(self.workers[worker_key].heard),
+            "start ordered"
+        );
+        let order = StartOrder {
+            to: self.addressee(worker_key),
+            run,
+            task,
+            number,
+            text: std::sync::Arc::clone(&self.jobs[step.job].text),
+            due,
+            ticket,
+            saved: step.tasks[index as usize].saved.clone(),
+        };
+        self.orders.push(Order::Start(order));
+    }
+
+    /// The rules that no start may break, whatever was decided.
+    fn check_start(&self, key: StepKey, index: u32, worker: WorkerKey) -> Result<(), &'static str> {
+        let step = &self.steps[key];
+        let job = &self.jobs[step.job];
+        let task = &step.tasks[index as usize];
+        let worker = &self.workers[worker];
+        let attempts = job.queue.attempts.max(1);
+        if !step.step().room().fits(&worker.free()) {
+            return Err("room");
+        }
+        if task.done || (!task.runs.is_empty() && !step.step().copies) {
+            return Err("single run");
+        }
+        if !step.ready || job.state.is_final() {
+            return Err("order");
+        }
+        if task.failures >= attempts && !step.step().lasting {
+            return Err("attempts");
+        }
+        if !worker.allows(step.step(), &job.queue.service) {
+            return Err("route");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cell/tuning.rs
@@ -0,0 +1,46 @@
+//! Times and weights of the scheduling core, each with where it comes from.
+
+use crate::clock::Millis;
+
+/// The lease of everything on a worker.  Lost work starts again after this; each
+/// renewal costs a look.  3.5 s survives two lost looks of a second each.
+pub const LEASE: Millis = 3_500;
+/// How long a start may still take effect.  A late start must find its time over,
+/// so this bounds how long its room is held back.
+pub const START_VALID: Millis = 2_500;
+/// The most that a worker's clock may be slow, in thousandths; the platform's figure.
+pub const DRIFT_PERMILLE: Millis = 21;
+/// Added to a lease for readings of a worker's clock that are a few seconds old.
+pub const LEASE_MARGIN: Millis = 200;
+/// A worker that has not answered for so long gets nothing new: two looks of a second.
+pub const STALE_AFTER: Millis = 2_500;
+/// How long a look waits at the worker for an end.
+pub const LOOK_WAIT: Millis = 1_000;
+/// How long after an unanswered or unconfirmed stop it is sent again.
+pub const STOP_RETRY: Millis = 300;
+/// A ticket is not used when less than this of its time remains: a start takes
+/// a few milliseconds, an owner's stall some tens.
+pub const TICKET_MARGIN: Millis = 150;
+/// The share of workers expected to be good for a step until answers tell better.
+pub const FIRST_GOOD_SHARE: f64 = 0.5;
+/// The weight of one answer in the learned share of good workers.
+pub const GOOD_SHARE_WEIGHT: f64 = 0.1;
+/// Expected room of the workers named in a question, against the room that is needed.
+pub const ADVICE_SURPLUS: f64 = 1.3;
+/// The most workers in one question; the platform takes 100.
+pub const ADVICE_MOST: usize = 48;
+/// How long after a question about a step the next one may follow.
+pub const ADVICE_PAUSE: Millis = 250;
+/// Questions longer than this leave one lane to short ones.
+pub const LONG_ADVICE: Millis = 150;
+/// After so many failures in a row, from tasks of more than one job or not, a worker is shunned.
+pub const FAILURES_IN_ROW: u32 = 3;
+/// How long a worker is shunned.
+pub const SHUN: Millis = 4_000;
+/// How long a worker that says it is not healthy is left alone.
+pub const UNHEALTHY_PAUSE: Millis = 500;
+/// Run numbers of one owner begin at its epoch times this, above all of its predecessors'.
+pub const RUNS_PER_EPOCH: u64 = 1_000_000;
+/// How long a successor waits for workers that it cannot reach, beyond the lease:
+/// a former owner stops within this time after it was last confirmed.
+pub const OWNER_WINDOW: Millis = 2_000;
--- /dev/null
+++ b/src/cell/worker.rs
@@ -0,0 +1,187 @@
+//! What the owner of a cell knows of one worker.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::spec::{Demand, Step};
+use crate::cell::{RunKey, tuning};
+use crate::clock::Millis;
+
+/// One life of a worker as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerEntry {
+    /// Names this life; a restarted worker has another id.
+    pub id: String,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// The machine, which outlives the life.
+    pub machine: String,
+    /// The service whose tasks it runs.
+    pub service: String,
+    /// The data hall.
+    pub hall: String,
+    /// All of its room.
+    pub capacity: Demand,
+    /// Its labels, the rack's among them.
+    pub labels: Vec<String>,
+    /// Its rack, if it tells one.
+    pub rack: Option<String>,
+    /// Set if it will leave: at least so many milliseconds remain, if it said how many.
+    pub leaving: Option<Millis>,
+}
+
+/// How far a worker's results can be trusted.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Health {
+    /// Runs that failed since the last one that ended well.
+    pub failures: u32,
+    /// Nothing is placed there before.
+    pub shunned_until: Millis,
+    /// After a pause only one task is tried, until it ends well.
+    pub on_trial: bool,
+}
+
+/// One worker of the cell.
+#[derive(Debug)]
+pub struct Worker {
+    /// What the platform lists.
+    pub entry: WorkerEntry,
+    /// The platform still lists it.
+    pub listed: bool,
+    /// It has answered under our epoch, so predecessors' orders are refused there.
+    pub fenced: bool,
+    /// When it last answered.
+    pub heard: Millis,
+    /// The last call brought no answer.
+    pub silent: bool,
+    /// When it said that it leaves.
+    pub leaving_since: Option<Millis>,
+    /// A reading of its clock, and when that arrived.
+    pub clock: Option<(Millis, Millis)>,
+    /// By our clock, when everything that runs there must have ended unless the lease is renewed.
+    pub lease_end: Millis,
+    /// All runs that may take room there.
+    pub runs: Vec<RunKey>,
+    /// The room that they take.
+    pub used: Demand,
+    /// Processors that fillers would like to use, in millicores.
+    pub filler_millicores: u64,
+    /// How many of the runs serve users of their own.
+    pub serving: u32,
+    /// How many of the runs are fillers.
+    pub fillers: u32,
+    /// The number of the last end that was taken in.
+    pub seen_end: u64,
+    /// The number of the last end that is recorded, so the worker may forget it.
+    pub recorded_end: u64,
+    /// Runs that it lists and that are none of ours; they are being stopped.
+    pub strangers: usize,
+    /// How far its results can be trusted.
+    pub health: Health,
+}
+
+impl Worker {
+    /// Makes a worker of which nothing but its entry is known.
+    pub fn new(entry: WorkerEntry) -> Self {
+        Self {
+            entry,
+            listed: true,
+            fenced: false,
+            heard: 0,
+            silent: false,
+            leaving_since: None,
+            clock: None,
+            lease_end: 0,
+            runs: Vec::new(),
+            used: Demand::default(),
+            filler_millicores: 0,
+            serving: 0,
+            fillers: 0,
+            seen_end: 0,
+            recorded_end: 0,
+            strangers: 0,
+            health: Health::default(),
+        }
+    }
+
+    /// The room that is free.
+    pub fn free(&self) -> Demand {
+        self.entry.capacity.minus(&self.used)
+    }
+
+    /// Reads the worker's clock as it should stand now; never ahead of it but for drift.
+    pub fn clock_at(&self, now: Millis) -> Option<Millis> {
+        let (reading, at) = self.clock?;
+        Some(reading + now.saturating_sub(at))
+    }
+
+    /// Notes that an order with a lease of `lease` is sent now.
+    pub fn lease_sent(&mut self, now: Millis, lease: Millis) {
+        let longest = lease + lease * tuning::DRIFT_PERMILLE / 1_000 + tuning::LEASE_MARGIN;
+        self.lease_end = self.lease_end.max(now + longest);
+    }
+
+    /// Tells whether new tasks may be placed here at all.
+    pub fn takes_work(&self, now: Millis) -> bool {
+        self.fenced
+            && !self.silent
+            && self.entry.leaving.is_none()
+            && self.strangers == 0
+            && self.health.shunned_until <= now
+            && now.saturating_sub(self.heard) < tuning::STALE_AFTER
+    }
+
+    /// Tells whether the worker is one that may run `step` for `service`.
+    pub fn allows(&self, step: &Step, service: &str) -> bool {
+        if self.entry.service != service {
+            return false;
+        }
+        match &step.label {
+            Some(label) => self.entry.labels.contains(label),
+            None => true,
+        }
+    }
+
+    /// Counts how many tasks of `step` fit beside what is there, given `here` of them already.
+    pub fn fit(&self, step: &Step, here: u32) -> u32 {
+        if step.filler && self.serving > 0 {
+            return 0;
+        }
+        if step.serves() && self.fillers > 0 {
+            return 0;
+        }
+        let free = self.free();
+        let room = step.room();
+        let mut fit = u64::from(u32::MAX);
+        for (wanted, there) in [
+            (room.millicores, free.millicores),
+            (room.memory, free.memory),
+            (room.gpus, free.gpus),
+        ] {
+            if let Some(times) = there.checked_div(wanted) {
+                fit = fit.min(times);
+            }
+        }
+        if step.filler {
+            fit = fit.min(self.filler_room(step));
+        }
+        if step.per_worker > 0 {
+            fit = fit.min(u64::from(step.per_worker.saturating_sub(here)));
+        }
+        if self.health.on_trial {
+            fit = fit.min(u64::from(self.runs.is_empty()));
+        }
+        fit as u32
+    }
+
+    /// How many more fillers would find processors that nobody else uses.
+    fn filler_room(&self, step: &Step) -> u64 {
+        let idle = self
+            .free()
+            .millicores
+            .saturating_sub(self.filler_millicores);
+        idle.checked_div(step.demand.millicores)
+            .unwrap_or(u64::from(u32::MAX))
+    }
+}
--- a/src/daemon/adoption.rs
+++ b/src/daemon/adoption.rs
@@ -1,11 +1,11 @@
 //! Reading the durable record of shards that this instance has come to own.
 
+use crate::backend::StoreError;
+use crate::backend::store::Row;
 use crate::daemon::instance::Instance;
 use crate::daemon::shards;
 use crate::placement::Part;
 use crate::placement::part::INCOMING_PREFIX;
-use crate::platform::StoreError;
-use crate::platform::store::Row;
 
 impl Instance {
     /// Reads the records of shards that have been claimed and not yet read.
--- a/src/daemon/claims.rs
+++ b/src/daemon/claims.rs
@@ -5,6 +5,8 @@
 
 use futures::future;
 
+use crate::backend::Exchange;
+use crate::backend::store::Expect;
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::daemon::rows::Written;
@@ -13,8 +15,6 @@
 use crate::ownership::rendezvous;
 use crate::ownership::shard::{ShardRow, VersionedShard};
 use crate::placement::lease::Standing;
-use crate::platform::Exchange;
-use crate::platform::store::Expect;
 use crate::rpc::message::{Fence, FenceReply, PeerCall, PeerReply};
 
 /// How long another instance may take to answer a question.
--- a/src/daemon/configuration.rs
+++ b/src/daemon/configuration.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
+use crate::backend::StoreError;
+use crate::backend::store::{Op, Row};
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::model::JobSpec;
 use crate::placement::part::Ordering;
-use crate::platform::StoreError;
-use crate::platform::store::{Op, Row};
 use crate::policy::bundle::{self, BundleError, CONFIG_ROW};
 use crate::policy::program::BUILT_IN;
 use crate::policy::{Bundle, Program, VersionRow};
--- a/src/daemon/dispatch.rs
+++ b/src/daemon/dispatch.rs
@@ -5,11 +5,11 @@
 
 use tokio::sync::oneshot;
 
+use crate::backend::{LinkError, TargetRequest, VmRole};
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::daemon::requests::{COME_BACK, MAX_HOPS};
 use crate::daemon::shards;
-use crate::platform::{LinkError, TargetRequest, VmRole};
 use crate::routing::pool::SlotEnd;
 use crate::routing::{Grant, Outcome, Refusal, RequestSpec};
 use crate::rpc::PeerError;
--- a/src/daemon/handover.rs
+++ b/src/daemon/handover.rs
@@ -1,11 +1,11 @@
 //! Handing shards over: to the instance that should own them, or all of them on leaving.
 
+use crate::backend::store::{Expect, Version};
 use crate::daemon::instance::{Instance, State};
 use crate::daemon::rows::Written;
 use crate::daemon::shards;
 use crate::ownership::rendezvous;
 use crate::ownership::shard::ShardRow;
-use crate::platform::store::{Expect, Version};
 
 /// How many shards one step hands over because another instance should own them.
 const MOVES_PER_STEP: usize = 1;
--- a/src/daemon/instance.rs
+++ b/src/daemon/instance.rs
@@ -10,6 +10,8 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
+use crate::backend::store::Version;
+use crate::backend::{Platform, Vm};
 use crate::clock::{Clock, Millis};
 use crate::config::Config;
 use crate::daemon::configuration::Configuration;
@@ -26,8 +28,6 @@
 use crate::ownership::ShardMap;
 use crate::ownership::shard::ShardRow;
 use crate::placement::{Cell, Limits, Strategy};
-use crate::platform::store::Version;
-use crate::platform::{Platform, Vm};
 use crate::routing::{Grant, Pool, RetryBudget, TicketId};
 use crate::rpc::PeerLink;
 use crate::rpc::message::Submitted;
--- a/src/daemon/jobs.rs
+++ b/src/daemon/jobs.rs
@@ -7,6 +7,7 @@
 use futures::future;
 use tokio::sync::oneshot;
 
+use crate::backend::VmRole;
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::model::{Dimension, JobSpec, Resources};
@@ -15,7 +16,6 @@
 use crate::placement::part::ENDED_PREFIX;
 use crate::placement::ranges::Ranges;
 use crate::placement::view::{self, JobView};
-use crate::platform::VmRole;
 use crate::routing::Refusal;
 use crate::rpc::PeerError;
 use crate::rpc::message::{Cancelled, PeerCall, PeerReply, Submitted};
--- a/src/daemon/marks.rs
+++ b/src/daemon/marks.rs
@@ -9,9 +9,9 @@
 
 use tokio::sync::{Notify, oneshot};
 
+use crate::backend::StoreError;
+use crate::backend::store::Op;
 use crate::daemon::instance::Instance;
-use crate::platform::StoreError;
-use crate::platform::store::Op;
 use crate::routing::Refusal;
 
 /// The most marks that go into one transaction.
--- a/src/daemon/polling.rs
+++ b/src/daemon/polling.rs
@@ -3,14 +3,14 @@
 //! One read of a few small rows a second tells whether anything has changed;
 //! the shards are scanned only when their revision row has.
 
+use crate::backend::store::{Op, Row};
+use crate::backend::{StoreError, Vm, VmRole, VmState};
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::daemon::shards;
 use crate::ownership::ShardMap;
 use crate::ownership::shard::{SHARD_PREFIX, SHARD_REVISION};
 use crate::placement::cell::WorkerInfo;
-use crate::platform::store::{Op, Row};
-use crate::platform::{StoreError, Vm, VmRole, VmState};
 use crate::policy::bundle::CONFIG_ROW;
 use crate::routing::pool::TargetInfo;
 
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -10,6 +10,8 @@
 use tokio::net::TcpListener;
 use tokio::task::{self, LocalSet};
 
+use crate::backend::Platform;
+use crate::backend::remote::{RemotePlatform, RemoteVms};
 use crate::clock::{Clock, Millis, SystemClock};
 use crate::config::Config;
 use crate::daemon::Instance;
@@ -18,8 +20,6 @@
 use crate::http::operator::OperatorToken;
 use crate::http::server;
 use crate::metrics::Metrics;
-use crate::platform::Platform;
-use crate::platform::remote::{RemotePlatform, RemoteVms};
 use crate::rpc;
 
 /// How often a leaving instance looks whether it may go.
--- a/src/daemon/records.rs
+++ b/src/daemon/records.rs
@@ -9,13 +9,13 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::backend::StoreError;
+use crate::backend::store::{Change, Expect, Op, Version};
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::ownership::shard::ShardRow;
 use crate::placement::Part;
 use crate::placement::journal::{PartWrite, WriteBatch};
-use crate::platform::StoreError;
-use crate::platform::store::{Change, Expect, Op, Version};
 use crate::routing::Refusal;
 use crate::rpc::message::Submitted;
 
--- a/src/daemon/requests.rs
+++ b/src/daemon/requests.rs
@@ -4,11 +4,11 @@
 
 use tokio::sync::oneshot;
 
+use crate::backend::store::Op;
 use crate::clock::Millis;
 use crate::daemon::instance::Instance;
 use crate::daemon::keys::{Entry, KeyTable};
 use crate::ownership::rendezvous;
-use crate::platform::store::Op;
 use crate::routing::{Outcome, Refusal, RequestSpec};
 use crate::rpc::PeerError;
 use crate::rpc::message::{PeerCall, PeerReply};
--- a/src/daemon/rows.rs
+++ b/src/daemon/rows.rs
@@ -4,12 +4,12 @@
 
 use rand::Rng;
 
+use crate::backend::store::{Change, Expect, Op, Version};
+use crate::backend::{StoreError, VmRole};
 use crate::daemon::instance::{Instance, State};
 use crate::daemon::shards;
 use crate::model::VmBoot;
 use crate::ownership::shard::{SHARD_REVISION, ShardRow};
-use crate::platform::store::{Change, Expect, Op, Version};
-use crate::platform::{StoreError, VmRole};
 
 /// What became of the write of a row.
 pub(super) enum Written {
--- a/src/daemon/shards.rs
+++ b/src/daemon/shards.rs
@@ -1,11 +1,11 @@
 //! The shards that this instance owns.
 
+use crate::backend::store::Version;
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::model::{Epoch, VmBoot};
 use crate::ownership::shard::ShardRow;
 use crate::ownership::{Tenure, TenureLimits};
-use crate::platform::store::Version;
 use crate::routing::Pool;
 
 /// The prefix of the names of racks of workers.
--- a/src/daemon/spill.rs
+++ b/src/daemon/spill.rs
@@ -6,6 +6,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use crate::backend::StoreError;
+use crate::backend::store::Op;
 use crate::clock::Millis;
 use crate::daemon::instance::Instance;
 use crate::model::Resources;
@@ -14,8 +16,6 @@
 use crate::placement::part::INCOMING_PREFIX;
 use crate::placement::reserve::Reserved;
 use crate::placement::transfer::{Offer, Transfer};
-use crate::platform::StoreError;
-use crate::platform::store::Op;
 use crate::rpc::message::{PeerCall, PeerReply};
 
 /// How long a reservation is kept, in milliseconds.
--- a/src/daemon/streams.rs
+++ b/src/daemon/streams.rs
@@ -10,9 +10,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Mutex as AsyncMutex, Notify, OwnedMutexGuard};
 
+use crate::backend::store::{Expect, Op, Version};
 use crate::clock::Millis;
 use crate::daemon::instance::Instance;
-use crate::platform::store::{Expect, Op, Version};
 use crate::routing::{Refusal, RequestSpec};
 
 /// The prefix of the rows of streams.
@@ -174,7 +174,7 @@
         let op = Op::new(
             turn.key.clone(),
             expect,
-            crate::platform::store::Change::Put(value),
+            crate::backend::store::Change::Put(value),
         );
         let marked = self.marks.write(op, format!("\"claim\":{claim}}}")).await;
         // The version that the row got is learnt by reading it, and so is its
--- a/src/daemon/workers.rs
+++ b/src/daemon/workers.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::backend::{Exchange, LinkError, WorkerReply};
 use crate::clock::Millis;
 use crate::daemon::instance::{Instance, State};
 use crate::model::VmBoot;
 use crate::placement::lease::Standing;
 use crate::placement::worker::Worker;
-use crate::platform::{Exchange, LinkError, WorkerReply};
 
 /// After a failed exchange, how long to wait before the next, in milliseconds.
 const RETRY_PAUSE: Millis = 300;
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -7,6 +7,10 @@
 
 use serde_json::json;
 
+use crate::backend::local_store::LocalStore;
+use crate::backend::local_target::LocalTargets;
+use crate::backend::local_worker::LocalWorkers;
+use crate::backend::{Platform, Vm, VmRole, VmState};
 use crate::clock::{Clock, SystemClock};
 use crate::config::Config;
 use crate::daemon::Instance;
@@ -15,10 +19,6 @@
 use crate::metrics::Metrics;
 use crate::model::{Class, JobKind, JobSpec, Resources};
 use crate::placement::view::JobView;
-use crate::platform::local_store::LocalStore;
-use crate::platform::local_target::LocalTargets;
-use crate::platform::local_worker::LocalWorkers;
-use crate::platform::{Platform, Vm, VmRole, VmState};
 use crate::routing::{Outcome, RequestSpec};
 use crate::rpc::local::LocalPeers;
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::path;
 
-use crate::platform;
+use crate::backend;
 
 /// The result type of the library.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -35,7 +35,7 @@
     },
     /// The platform's store refused or did not answer.
     #[error(transparent)]
-    Store(#[from] platform::StoreError),
+    Store(#[from] backend::StoreError),
     /// The metrics registry refused a collector.
     #[error("metrics registry: {0}")]
     Metrics(#[from] prometheus::Error),
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -8,13 +8,13 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
+use crate::backend::local_worker::LocalWorker;
 use crate::clock::Millis;
 use crate::experiment::arrivals::{self, Load};
 use crate::model::Resources;
 use crate::placement::cell::WorkerInfo;
 use crate::placement::lease::Standing;
 use crate::placement::{Cell, Limits, Strategy};
-use crate::platform::local_worker::LocalWorker;
 
 /// The step of virtual time.
 const TICK: Millis = 10;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! The library holds all of the behaviour; the binaries under `src/bin` only
 //! read settings and call it.  `docs/DESIGN.md` explains how the parts fit.
 
+pub mod backend;
+pub mod cell;
 pub mod cli;
 pub mod clock;
 pub mod config;
@@ -16,11 +18,15 @@
 pub mod membership;
 pub mod metrics;
 pub mod model;
+pub mod node;
 pub mod ownership;
 pub mod placement;
+#[path = "../platform/mod.rs"]
 pub mod platform;
 pub mod policy;
+pub mod queue;
 pub mod routing;
 pub mod rpc;
+pub mod store;
 
 pub use crate::error::{Error, Result};
--- /dev/null
+++ b/src/node/election.rs
@@ -0,0 +1,275 @@
+//! Finding out who owns the cell, and claiming it when its owner is gone.
+//!
+//! The owner tells of itself some times a second.  When it is silent, the others
+//! compare what they heard; the first of those that reach the store claims the
+//! row of ownership at its version, so only one claim of several succeeds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+
+use crate::clock::Millis;
+use crate::node::engine::Engine;
+use crate::node::recording::OwnerRow;
+use crate::node::shared::{PARTITION, Shared};
+use crate::rpc::node::{Beat, NodeCall, NodeReply};
+use crate::store::{RowKey, StoreCall, StoreError, StoreReply, Table, Transaction, Version};
+
+/// How often the owner tells of itself.  Each heartbeat costs every node some
+/// tens of microseconds.
+const BEAT: Duration = Duration::from_millis(200);
+/// How long a heartbeat may take.
+const BEAT_TIMEOUT: Millis = 400;
+/// How often the others look whether the owner is silent.
+const LOOK: Duration = Duration::from_millis(100);
+/// An owner that was not heard for so long is suspected: three heartbeats and some.
+const SUSPECT: Millis = 750;
+/// A node that heard the owner within this time speaks for it.
+const VOUCH: Millis = 550;
+/// A later candidate waits so long for each one before it.
+const RANK_PAUSE: Duration = Duration::from_millis(120);
+/// After a claim that failed the winner has so long to be heard.
+const GRACE: Millis = 700;
+/// How often a node writes where it is, until that succeeded.
+const REGISTER_RETRY: Duration = Duration::from_millis(300);
+
+/// Writes this node's address to the store and reads the others'.
+pub async fn register(shared: Arc<Shared>) {
+    let key = RowKey::new(Table::Nodes, PARTITION, &shared.name);
+    let mut tx = Transaction::default();
+    tx.puts.push((key, shared.address.to_string()));
+    let mut written = false;
+    loop {
+        if !written {
+            written = shared.store(StoreCall::Commit(tx.clone())).await.is_ok();
+        }
+        match crate::node::loading::list(&shared, Table::Nodes, PARTITION).await {
+            Ok((rows, _)) => {
+                let now = shared.now();
+                for row in &rows {
+                    shared
+                        .members()
+                        .relocate(&row.key, &row.value, &shared.name, now);
+                }
+                if written {
+                    break;
+                }
+            }
+            Err(err) => tracing::info!(%err, "nodes cannot be listed"),
+        }
+        tokio::time::sleep(REGISTER_RETRY).await;
+    }
+    tell_all(&shared).await;
+}
+
+/// Tells the owner's heartbeats, or watches for them, until the process ends.
+pub async fn run(shared: Arc<Shared>) {
+    greet_seeds(&shared).await;
+    loop {
+        if shared.engine().is_some() {
+            tokio::time::sleep(BEAT).await;
+            beat_as_owner(&shared).await;
+            continue;
+        }
+        tokio::time::sleep(LOOK).await;
+        let silence = shared.now().saturating_sub(shared.owner().heard);
+        let ownerless = shared.owner().address.is_none();
+        if !shared.leaving() && (silence > SUSPECT || ownerless) {
+            consider_claim(&shared).await;
+        }
+    }
+}
+
+async fn greet_seeds(shared: &Arc<Shared>) {
+    let own = shared.address;
+    let seeds: Vec<SocketAddr> = shared.seeds.iter().copied().filter(|s| *s != own).collect();
+    join_all(seeds.into_iter().map(|seed| exchange(shared, seed))).await;
+}
+
+/// Exchanges heartbeats with one node.
+async fn exchange(shared: &Arc<Shared>, address: SocketAddr) -> Option<Beat> {
+    let beat = shared.beat();
+    match shared
+        .peers
+        .call(address, NodeCall::Beat(beat), BEAT_TIMEOUT)
+        .await
+    {
+        Ok(NodeReply::Beat(beat)) => {
+            shared.hear(&beat);
+            Some(beat)
+        }
+        _ => None,
+    }
+}
+
+/// Exchanges heartbeats with all nodes.
+pub async fn tell_all(shared: &Arc<Shared>) -> Vec<Beat> {
+    let addresses = shared.members().addresses();
+    let exchanges = addresses
+        .into_iter()
+        .map(|(_, address)| exchange(shared, address));
+    join_all(exchanges).await.into_iter().flatten().collect()
+}
+
+async fn beat_as_owner(shared: &Arc<Shared>) {
+    for (_, address) in shared.members().addresses() {
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move {
+            exchange(&shared, address).await;
+        });
+    }
+    let now = shared.now();
+    shared.members().forget_silent(now);
+    if let Some(engine) = shared.engine() {
+        engine.set_lanes();
+    }
+}
+
+/// The owner is silent: claims the cell if most say so and nobody goes before us.
+async fn consider_claim(shared: &Arc<Shared>) {
+    let beats = tell_all(shared).await;
+    let silence = shared.now().saturating_sub(shared.owner().heard);
+    if silence <= SUSPECT && shared.owner().address.is_some() {
+        return;
+    }
+    let epoch = shared.owner().epoch;
+    let vouching = beats
+        .iter()
+        .filter(|beat| beat.epoch >= epoch && beat.owner_silence < VOUCH)
+        .count();
+    if vouching > 0 && vouching * 2 >= beats.len() {
+        return;
+    }
+    let rank = rank_among(shared, &beats);
+    tokio::time::sleep(RANK_PAUSE * rank).await;
+    if shared.now().saturating_sub(shared.owner().heard) <= SUSPECT {
+        return;
+    }
+    claim(shared).await;
+}
+
+/// How many candidates go before us: nodes of a lower name that reach the store.
+fn rank_among(shared: &Shared, beats: &[Beat]) -> u32 {
+    let before = beats
+        .iter()
+        .filter(|beat| !beat.leaving && beat.reaches_store && beat.name < shared.name)
+        .count() as u32;
+    before + u32::from(!shared.reaches_store())
+}
+
+/// Claims the cell, unless somebody else just did.
+async fn claim(shared: &Arc<Shared>) {
+    let call = StoreCall::row(Table::Cells, PARTITION, crate::node::recording::OWNER_KEY);
+    let Ok(StoreReply::Rows { rows, .. }) = shared.store(call).await else {
+        tracing::info!("the row of ownership cannot be read");
+        return;
+    };
+    let (version, former) = match rows.first() {
+        Some(row) => (row.version, OwnerRow::read(row)),
+        None => (0, None),
+    };
+    let epoch = former.as_ref().map_or(0, |owner| owner.epoch);
+    if epoch > shared.owner().epoch
+        && let Some(owner) = &former
+        && owner.boot != shared.boot
+        && !owner.released
+    {
+        tracing::info!(
+            epoch,
+            owner = owner.name,
+            "another node has claimed the cell"
+        );
+        note_claim(shared, owner);
+        return;
+    }
+    let claimed = OwnerRow {
+        name: shared.name.clone(),
+        address: shared.address.to_string(),
+        boot: shared.boot,
+        epoch: epoch + 1,
+        batch: 0,
+        released: false,
+    };
+    tracing::info!(epoch = claimed.epoch, former = ?former.map(|owner| owner.name), "cell is claimed");
+    match write_claim(shared, &claimed, version).await {
+        Some(version) => become_owner(shared, claimed.epoch, version).await,
+        None => shared.metrics.event("claim_lost"),
+    }
+}
+
+/// Gives the winner of another claim some time to be heard.
+fn note_claim(shared: &Shared, row: &OwnerRow) {
+    let now = shared.now();
+    let mut owner = shared.owner();
+    owner.epoch = row.epoch;
+    owner.address = row.address.parse().ok();
+    owner.heard = now.saturating_sub(SUSPECT) + GRACE.min(SUSPECT);
+}
+
+/// Writes a claim; returns the version of the row if it is ours now.
+async fn write_claim(shared: &Arc<Shared>, claim: &OwnerRow, version: Version) -> Option<Version> {
+    let mut tx = Transaction::default();
+    tx.expected.push((OwnerRow::key(), version));
+    tx.puts.push((OwnerRow::key(), claim.write()));
+    match shared.store(StoreCall::Commit(tx)).await {
+        Ok(StoreReply::Committed(version)) => return Some(version),
+        Ok(StoreReply::Conflict(_)) | Err(StoreError::Unanswered) => {}
+        Ok(_) | Err(_) => return None,
+    }
+    // An earlier, unanswered try may have taken effect.
+    let call = StoreCall::row(Table::Cells, PARTITION, crate::node::recording::OWNER_KEY);
+    let Ok(StoreReply::Rows { rows, .. }) = shared.store(call).await else {
+        return None;
+    };
+    let row = rows.first()?;
+    let owner = OwnerRow::read(row)?;
+    if owner == *claim {
+        return Some(row.version);
+    }
+    note_claim(shared, &owner);
+    None
+}
+
+async fn become_owner(shared: &Arc<Shared>, epoch: u64, version: Version) {
+    shared.metrics.event("claimed");
+    {
+        let mut owner = shared.owner();
+        owner.epoch = epoch;
+        owner.address = Some(shared.address);
+        owner.heard = shared.now();
+    }
+    match Engine::start(shared, epoch, version).await {
+        Ok(engine) => {
+            if shared.owner().epoch > epoch {
+                engine.retire("a higher epoch was heard of while loading");
+                return;
+            }
+            shared.set_engine(Some(Arc::clone(&engine)));
+            engine.configure();
+            engine.set_lanes();
+            beat_as_owner(shared).await;
+        }
+        Err(err) => {
+            tracing::warn!(%err, epoch, "the cell cannot be loaded");
+            shared.owner().address = None;
+        }
+    }
+}
+
+/// Gives the cell up before the process ends, so that another takes it at once.
+pub async fn hand_over(shared: &Arc<Shared>) {
+    if let Some(engine) = shared.engine() {
+        engine.record_once(true).await;
+        engine.retire("the process is about to end");
+    }
+    {
+        let mut owner = shared.owner();
+        if owner.address == Some(shared.address) {
+            owner.address = None;
+            owner.heard = 0;
+        }
+    }
+    tell_all(shared).await;
+}
--- /dev/null
+++ b/src/node/engine.rs
@@ -0,0 +1,430 @@
+//! The owner's side of a node: drives the scheduling core of the cell.
+//!
+//! An engine lives for one epoch.  It begins by loading the cell's rows, runs a
+//! handful of loops, and retires when a higher epoch is heard of.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+use crate::cell::intake::Cancelling;
+use crate::cell::job::JobState;
+use crate::cell::record::JobRow;
+use crate::cell::spec::JobId;
+use crate::cell::{Cell, WorkerKey, tuning};
+use crate::clock::Millis;
+use crate::node::loading;
+use crate::node::recording::OwnerRow;
+use crate::node::shared::{PARTITION, Shared};
+use crate::rpc::node::NodeReply;
+use crate::store::{StoreCall, StoreReply, Table, Version};
+
+/// Scheduling runs at least so often, for leases and retries.
+const TICK: Duration = Duration::from_millis(50);
+/// Events that come within this time are decided on together.
+const GATHER: Duration = Duration::from_millis(4);
+/// How often the list of workers is read: leaving workers must be known within 2 s.
+const WORKERS_POLL: Duration = Duration::from_millis(400);
+/// How often jobs are looked for of which no node told: those of nodes that died.
+const JOBS_POLL: Duration = Duration::from_millis(1_000);
+/// How often the owner looks whether it is still confirmed.
+const CONFIRM_POLL: Duration = Duration::from_millis(250);
+/// An ownership that was confirmed within this time is not asked about again.
+const CONFIRM_AFTER: Millis = 700;
+/// A peer heard within this time bears witness: some heartbeats.
+const WITNESS_WINDOW: Millis = 1_000;
+/// How long a cancellation waits to be recorded: callers wait 3 s.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(2_200);
+/// The pause after a failed call to the store.
+const STORE_PAUSE: Duration = Duration::from_millis(150);
+
+/// What the owner of a cell holds.
+pub struct Engine {
+    /// The epoch of this ownership.
+    pub epoch: u64,
+    pub(super) shared: Arc<Shared>,
+    cell: Mutex<Cell>,
+    pub(super) wake: Notify,
+    pub(super) record: Notify,
+    pub(super) recorded: Notify,
+    /// The version of the row of ownership as we last wrote it, and the batch in it.
+    pub(super) row: tokio::sync::Mutex<(Version, u64)>,
+    pub(super) workers_changed: AtomicBool,
+    retired: AtomicBool,
+    confirmed: AtomicU64,
+    looked_after: Mutex<HashSet<WorkerKey>>,
+    lanes: Mutex<Vec<String>>,
+    tasks: Mutex<Vec<AbortHandle>>,
+}
+
+impl Engine {
+    /// Loads the cell and begins to act as its owner under `epoch`, which was claimed
+    /// by the transaction `version`.
+    ///
+    /// # Errors
+    /// Fails if the store cannot be read; the claim stands and may be loaded again.
+    pub async fn start(
+        shared: &Arc<Shared>,
+        epoch: u64,
+        version: Version,
+    ) -> Result<Arc<Self>, crate::store::StoreError> {
+        let loaded = loading::load(shared, epoch, version).await?;
+        let engine = Arc::new(Self {
+            epoch,
+            shared: Arc::clone(shared),
+            cell: Mutex::new(loaded.cell),
+            wake: Notify::new(),
+            record: Notify::new(),
+            recorded: Notify::new(),
+            row: tokio::sync::Mutex::new((version, 0)),
+            workers_changed: AtomicBool::new(true),
+            retired: AtomicBool::new(false),
+            confirmed: AtomicU64::new(shared.now()),
+            looked_after: Mutex::default(),
+            lanes: Mutex::new(vec![shared.name.clone()]),
+            tasks: Mutex::default(),
+        });
+        engine.spawn(Arc::clone(&engine).schedule_loop());
+        engine.spawn(Arc::clone(&engine).record_loop());
+        engine.spawn(Arc::clone(&engine).confirm_loop());
+        engine.spawn(Arc::clone(&engine).workers_loop(loaded.workers_version));
+        engine.spawn(Arc::clone(&engine).jobs_loop(loaded.jobs_version));
+        engine.look_after_workers();
+        Ok(engine)
+    }
+
+    pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let handle = tokio::spawn(task).abort_handle();
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        tasks.retain(|task| !task.is_finished());
+        tasks.push(handle);
+    }
+
+    pub(super) fn cell(&self) -> MutexGuard<'_, Cell> {
+        self.cell.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether this ownership is over.
+    pub fn is_retired(&self) -> bool {
+        self.retired.load(Ordering::Relaxed)
+    }
+
+    /// Ends this ownership: nothing is ordered any more.
+    pub fn retire(&self, reason: &'static str) {
+        if self.retired.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        tracing::info!(epoch = self.epoch, reason, "ownership ends");
+        self.shared.set_engine(None);
+        for task in self
+            .tasks
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .drain(..)
+        {
+            task.abort();
+        }
+    }
+
+    /// Tells whether orders may be given: the ownership was confirmed of late.
+    pub(super) fn is_active(&self) -> bool {
+        let confirmed = self.confirmed.load(Ordering::Relaxed);
+        !self.is_retired() && self.shared.now().saturating_sub(confirmed) < tuning::OWNER_WINDOW
+    }
+
+    /// The row of ownership was seen to be ours by a call that was sent at `sent`.
+    pub(super) fn confirm(&self, sent: Millis) {
+        self.confirmed.fetch_max(sent, Ordering::Relaxed);
+    }
+
+    /// A newer configuration is in force.
+    pub fn configure(&self) {
+        if let Some(config) = self.shared.config() {
+            self.cell().configure(config);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Jobs of which nothing has begun, by queue.
+    pub fn pending(&self) -> Vec<(String, u32)> {
+        self.cell().pending().into_iter().collect()
+    }
+
+    /// Passes the core's counts on to the metrics.
+    pub fn count(&self, metrics: &crate::metrics::Metrics) {
+        let counts = self.cell().counts();
+        for (what, value) in [
+            ("starts", counts.starts),
+            ("stops", counts.stops),
+            ("questions", counts.questions),
+            ("withheld_starts", counts.violations),
+            ("lapsed_runs", counts.lapsed),
+            ("adopted_runs", counts.adopted),
+        ] {
+            metrics.gauge(what, value as i64);
+        }
+    }
+
+    /// Takes in a job whose row is durable.
+    pub fn accepted(&self, row: &JobRow) {
+        let now = self.shared.now();
+        self.cell().accept(row, None, false, now);
+        self.wake.notify_one();
+    }
+
+    /// How far a job is, as recorded; none if it is not known here.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        self.cell().state(id)
+    }
+
+    /// Cancels a job and waits until that is recorded.
+    pub async fn cancel(&self, id: JobId) -> NodeReply {
+        let mut decided = self.cell().cancel(id);
+        if decided == Cancelling::Unknown {
+            match self.find_job(id).await {
+                Ok(true) => decided = self.cell().cancel(id),
+                Ok(false) => return NodeReply::UnknownJob,
+                Err(_) => return NodeReply::Unavailable,
+            }
+        }
+        if decided != Cancelling::Decided {
+            return NodeReply::Cancelled;
+        }
+        self.record.notify_one();
+        let wait = async {
+            loop {
+                let recorded = self.recorded.notified();
+                if self.cell().cancel(id) == Cancelling::Final {
+                    return;
+                }
+                recorded.await;
+            }
+        };
+        match tokio::time::timeout(CANCEL_TIMEOUT, wait).await {
+            Ok(()) => NodeReply::Cancelled,
+            Err(_) => NodeReply::Unavailable,
+        }
+    }
+
+    /// Looks in the store for a job of which nobody told yet.
+    async fn find_job(&self, id: JobId) -> Result<bool, crate::store::StoreError> {
+        let call = StoreCall::row(Table::Jobs, PARTITION, &id.to_string());
+        let StoreReply::Rows { rows, .. } = self.shared.store(call).await? else {
+            return Ok(false);
+        };
+        let row = rows.first().and_then(|row| loading::job_row(&row.value));
+        if let Some(row) = &row {
+            self.accepted(row);
+        }
+        Ok(row.is_some())
+    }
+
+    async fn schedule_loop(self: Arc<Self>) {
+        loop {
+            // Either something happened, or it is time to look at leases.
+            let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
+            tokio::time::sleep(GATHER).await;
+            if !self.is_active() {
+                continue;
+            }
+            let now = self.shared.now();
+            let orders = {
+                let mut cell = self.cell();
+                cell.tell_wall_clock(wall_clock());
+                cell.tick(now);
+                cell.schedule(now);
+                cell.take_orders()
+            };
+            for order in orders {
+                self.spawn(Arc::clone(&self).carry_out(order));
+            }
+        }
+    }
+
+    /// Begins to look after workers that are new.
+    pub(super) fn look_after_workers(self: &Arc<Self>) {
+        let keys = self.cell().worker_keys();
+        let mut looked_after = self
+            .looked_after
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for key in keys {
+            if looked_after.insert(key) {
+                self.spawn(Arc::clone(self).look_loop(key));
+            }
+        }
+    }
+
+    /// Tells the core which nodes' ways to the advice service can be used.
+    pub fn set_lanes(&self) {
+        let now = self.shared.now();
+        let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut up: HashMap<String, bool> = HashMap::new();
+        up.insert(self.shared.name.clone(), self.shared.advisor.is_some());
+        for (name, member) in self.shared.members().iter() {
+            let heard = member.heard > 0 && now.saturating_sub(member.heard) < WITNESS_WINDOW;
+            up.insert(name.clone(), heard && !member.leaving);
+            if !lanes.contains(name) {
+                lanes.push(name.clone());
+            }
+        }
+        let flags: Vec<bool> = lanes
+            .iter()
+            .map(|name| up.get(name).copied().unwrap_or(false))
+            .collect();
+        drop(lanes);
+        self.cell().set_lanes(&flags);
+    }
+
+    /// The node whose lane this is; none for our own.
+    pub(super) fn lane_member(&self, lane: usize) -> Option<std::net::SocketAddr> {
+        let name = {
+            let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+            lanes.get(lane)?.clone()
+        };
+        let members = self.shared.members();
+        let found = members.iter().find(|(other, _)| **other == name);
+        found.map(|(_, member)| member.address)
+    }
+
+    async fn confirm_loop(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(CONFIRM_POLL).await;
+            let sent = self.shared.now();
+            if sent.saturating_sub(self.confirmed.load(Ordering::Relaxed)) < CONFIRM_AFTER {
+                continue;
+            }
+            self.ask_store_for_confirmation(sent).await;
+        }
+    }
+
+    /// Reads the row of ownership; without the store, other nodes' word must do.
+    async fn ask_store_for_confirmation(&self, sent: Millis) {
+        let call = StoreCall::row(Table::Cells, PARTITION, crate::node::recording::OWNER_KEY);
+        match self.shared.store(call).await {
+            Ok(StoreReply::Rows { rows, .. }) => match rows.first().and_then(OwnerRow::read) {
+                Some(row) if row.epoch == self.epoch && row.boot == self.shared.boot => {
+                    self.confirm(sent);
+                }
+                _ => self.retire("the row of ownership names another"),
+            },
+            Ok(_) => tracing::warn!("the store's answer about ownership is of the wrong kind"),
+            Err(err) => {
+                if self.witnessed() {
+                    self.confirm(sent);
+                } else {
+                    tracing::info!(%err, active = self.is_active(), "ownership is not confirmed");
+                }
+            }
+        }
+    }
+
+    /// Most other nodes were heard of late, none of them reaches the store, so none
+    /// can have claimed the cell, and none knows of a higher epoch.
+    fn witnessed(&self) -> bool {
+        let now = self.shared.now();
+        let members = self.shared.members();
+        let total = members.iter().count() + 1;
+        let witnesses = members
+            .iter()
+            .filter(|(_, m)| m.heard > 0 && now.saturating_sub(m.heard) < WITNESS_WINDOW)
+            .filter(|(_, m)| m.epoch <= self.epoch)
+            .count()
+            + 1;
+        witnesses * 2 > total
+    }
+
+    async fn workers_loop(self: Arc<Self>, mut after: Version) {
+        loop {
+            tokio::time::sleep(WORKERS_POLL).await;
+            let call = StoreCall::Changes {
+                table: Table::Workers,
+                after,
+                wait: 0,
+            };
+            match self.shared.store(call).await {
+                Ok(StoreReply::Rows { rows, version, .. }) => {
+                    after = version.max(after);
+                    self.take_worker_rows(&rows);
+                }
+                Ok(_) => match loading::list(&self.shared, Table::Workers, "").await {
+                    Ok((rows, version)) => {
+                        after = version;
+                        let entries = loading::worker_entries(&self.shared, &rows);
+                        self.cell().list_workers(entries, self.shared.now());
+                        self.workers_changed.store(true, Ordering::Relaxed);
+                    }
+                    Err(err) => tracing::info!(%err, "workers cannot be listed"),
+                },
+                Err(_) => tokio::time::sleep(STORE_PAUSE).await,
+            }
+            self.look_after_workers();
+        }
+    }
+
+    fn take_worker_rows(&self, rows: &[crate::store::Row]) {
+        let now = self.shared.now();
+        let mut cell = self.cell();
+        let before = cell.worker_keys().len();
+        for row in rows {
+            if row.dropped {
+                cell.unlist_worker(&row.key);
+                continue;
+            }
+            match self.shared.decoder.worker(&row.key, &row.value) {
+                Ok(entry) => cell.list_worker(entry, now),
+                Err(err) => tracing::warn!(worker = row.key, %err, "worker left out"),
+            }
+        }
+        if cell.worker_keys().len() != before {
+            self.workers_changed.store(true, Ordering::Relaxed);
+        }
+    }
+
+    async fn jobs_loop(self: Arc<Self>, mut after: Version) {
+        loop {
+            tokio::time::sleep(JOBS_POLL).await;
+            let call = StoreCall::Changes {
+                table: Table::Jobs,
+                after,
+                wait: 0,
+            };
+            let rows = match self.shared.store(call).await {
+                Ok(StoreReply::Rows { rows, version, .. }) => {
+                    after = version.max(after);
+                    rows
+                }
+                Ok(_) => match loading::list(&self.shared, Table::Jobs, PARTITION).await {
+                    Ok((rows, version)) => {
+                        after = version;
+                        rows
+                    }
+                    Err(err) => {
+                        tracing::info!(%err, "jobs cannot be listed");
+                        continue;
+                    }
+                },
+                Err(_) => {
+                    tokio::time::sleep(STORE_PAUSE).await;
+                    continue;
+                }
+            };
+            for row in rows.iter().filter(|row| !row.dropped) {
+                if let Some(row) = loading::job_row(&row.value) {
+                    self.accepted(&row);
+                }
+            }
+        }
+    }
+}
+
+/// Milliseconds since 1970.
+fn wall_clock() -> Millis {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as Millis)
+}
--- /dev/null
+++ b/src/node/front.rs
@@ -0,0 +1,337 @@
+//! Serving callers and other nodes.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+
+use crate::cell::job::JobState;
+use crate::cell::record::{JobRow, Progress};
+use crate::cell::spec::{JobId, JobSpec};
+use crate::clock::Millis;
+use crate::node::loading;
+use crate::node::shared::{PARTITION, Shared};
+use crate::queue::Queue;
+use crate::rpc::node::{NodeCall, NodeReply, NodeService};
+use crate::store::{RowKey, StoreCall, StoreError, StoreReply, Table, Transaction};
+
+/// How long the owner may take to take in a job or to tell its state.
+const OWNER_TIMEOUT: Millis = 600;
+/// How long the owner may take to record a cancellation: callers wait 3 s.
+const CANCEL_TIMEOUT: Millis = 2_500;
+/// How often telling the owner of a job is tried; it finds the row by itself as well.
+const TELL_TRIES: u32 = 3;
+/// How often a doubtful write of a job is repeated before the caller is told so.
+const WRITE_TRIES: u32 = 2;
+/// When to come back after a refusal: the store's outages last some seconds.
+pub const RETRY_AFTER_S: u32 = 1;
+/// A count of the owner's that is older than this is not passed on: callers accept 2 s.
+const PENDING_VALID: Millis = 1_800;
+
+/// What became of a job that a caller handed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Submitted {
+    /// It is kept, now or since before.
+    Accepted,
+    /// It was not taken and never will be.
+    Refused,
+    /// It may have been taken; the caller should hand it in again.
+    Doubtful,
+}
+
+/// What became of a question or a cancellation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// How far the job is.
+    State(JobState),
+    /// There is no such job.
+    Unknown,
+    /// The cancellation is recorded.
+    Cancelled,
+    /// It cannot be told now.
+    Unavailable,
+}
+
+/// The side of a node that callers and other nodes see.
+pub struct Front {
+    /// What all parts of the node share.
+    pub shared: Arc<Shared>,
+    /// Callers' requests that are being answered.
+    requests: Arc<AtomicUsize>,
+}
+
+/// One request that is being answered; dropping it ends the count.
+pub struct Busy(Arc<AtomicUsize>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Front {
+    /// Makes the front of a node.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            requests: Arc::default(),
+        }
+    }
+
+    /// Counts a request for as long as the value lives.
+    pub fn busy(&self) -> Busy {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        Busy(Arc::clone(&self.requests))
+    }
+
+    /// Tells whether no request is being answered.
+    pub fn is_idle(&self) -> bool {
+        self.requests.load(Ordering::Relaxed) == 0
+    }
+
+    /// Tells whether the node should get new connections.
+    pub fn is_ready(&self) -> bool {
+        self.shared.config().is_some() && !self.shared.leaving()
+    }
+
+    /// Takes a job in.  It is durable before this says so.
+    pub async fn submit(&self, queue: &Queue, id: JobId, spec: JobSpec) -> Submitted {
+        let row = JobRow {
+            id,
+            queue: queue.clone(),
+            spec,
+        };
+        let began = self.shared.now();
+        let outcome = self.write_job(&row).await;
+        let now = self.shared.now();
+        tracing::info!(
+            request = %id,
+            queue = queue.name,
+            configuration = self.shared.config_version(),
+            ?outcome,
+            ms = now.saturating_sub(began),
+            "job handed in"
+        );
+        self.shared
+            .metrics
+            .wait("accept", now.saturating_sub(began));
+        match outcome {
+            Submitted::Accepted => {
+                self.shared.metrics.outcome("accepted");
+                tokio::spawn(tell_owner(Arc::clone(&self.shared), row));
+            }
+            Submitted::Refused => self.shared.metrics.refusal("store_unavailable"),
+            Submitted::Doubtful => self.shared.metrics.refusal("doubtful"),
+        }
+        outcome
+    }
+
+    async fn write_job(&self, row: &JobRow) -> Submitted {
+        let id = row.id.to_string();
+        let value = match serde_json::to_string(row) {
+            Ok(value) => value,
+            Err(err) => {
+                tracing::error!(%err, request = %row.id, "a job cannot be encoded");
+                return Submitted::Refused;
+            }
+        };
+        let key = RowKey::new(Table::Jobs, PARTITION, &id);
+        let mut tx = Transaction::default();
+        tx.expected.push((key.clone(), 0));
+        tx.expected
+            .push((RowKey::new(Table::Progress, PARTITION, &id), 0));
+        tx.puts.push((key, value));
+        let mut doubt = false;
+        for _ in 0..WRITE_TRIES {
+            match self.shared.store(StoreCall::Commit(tx.clone())).await {
+                Ok(StoreReply::Committed(_) | StoreReply::Conflict(_)) => {
+                    return Submitted::Accepted;
+                }
+                Ok(_) => tracing::error!("the store's answer to a job is of the wrong kind"),
+                Err(StoreError::Unanswered | StoreError::Malformed) => {
+                    doubt = true;
+                    self.shared.metrics.retry("job_write_unanswered");
+                    continue;
+                }
+                Err(StoreError::Rejected(status)) => {
+                    tracing::error!(status, request = %row.id, "the store rejects a job");
+                }
+                Err(StoreError::Unavailable) => {}
+            }
+            break;
+        }
+        if doubt {
+            Submitted::Doubtful
+        } else {
+            Submitted::Refused
+        }
+    }
+
+    /// Tells how far a job is.
+    pub async fn state(&self, id: JobId) -> Told {
+        match ask_owner(&self.shared, NodeCall::State(id), OWNER_TIMEOUT).await {
+            Some(NodeReply::State(state)) => Told::State(state),
+            _ => self.stored_state(id).await,
+        }
+    }
+
+    /// Reads a job's state from its rows.
+    async fn stored_state(&self, id: JobId) -> Told {
+        let key = id.to_string();
+        let progress = StoreCall::row(Table::Progress, PARTITION, &key);
+        let job = StoreCall::row(Table::Jobs, PARTITION, &key);
+        let (progress, job) = tokio::join!(self.shared.store(progress), self.shared.store(job));
+        let (Ok(StoreReply::Rows { rows: progress, .. }), Ok(StoreReply::Rows { rows: job, .. })) =
+            (progress, job)
+        else {
+            self.shared.metrics.refusal("state_unavailable");
+            return Told::Unavailable;
+        };
+        if let Some(row) = progress.first() {
+            return match serde_json::from_str::<Progress>(&row.value) {
+                Ok(progress) => Told::State(progress.state),
+                Err(err) => {
+                    tracing::error!(%err, request = %id, "progress cannot be read");
+                    Told::Unavailable
+                }
+            };
+        }
+        match job.first().and_then(|row| loading::job_row(&row.value)) {
+            Some(row) => {
+                tokio::spawn(tell_owner(Arc::clone(&self.shared), row));
+                Told::State(JobState::Queued)
+            }
+            None => Told::Unknown,
+        }
+    }
+
+    /// Cancels a job; it is recorded before this says so.
+    pub async fn cancel(&self, id: JobId) -> Told {
+        let told = match ask_owner(&self.shared, NodeCall::Cancel(id), CANCEL_TIMEOUT).await {
+            Some(NodeReply::Cancelled) => Told::Cancelled,
+            Some(NodeReply::UnknownJob) => Told::Unknown,
+            _ => Told::Unavailable,
+        };
+        tracing::info!(request = %id, ?told, "cancellation");
+        told
+    }
+
+    /// How many jobs of a queue have not begun; none if that is not known.
+    pub fn pending(&self, queue: &str) -> Option<u32> {
+        let pending = match self.shared.engine() {
+            Some(engine) => engine.pending(),
+            None => {
+                let owner = self.shared.owner();
+                let age = self.shared.now().saturating_sub(owner.heard);
+                if owner.address.is_none() || age > PENDING_VALID {
+                    return None;
+                }
+                owner.pending.clone()
+            }
+        };
+        let count = pending.iter().find(|(name, _)| name == queue);
+        Some(count.map_or(0, |(_, jobs)| *jobs))
+    }
+
+    async fn serve_call(&self, call: NodeCall) -> NodeReply {
+        let shared = &self.shared;
+        match call {
+            NodeCall::Beat(beat) => {
+                shared.hear(&beat);
+                NodeReply::Beat(shared.beat())
+            }
+            NodeCall::Accepted(_) | NodeCall::State(_) | NodeCall::Cancel(_) => {
+                serve_as_owner(shared, call).await
+            }
+            NodeCall::Advise { step, workers } => match &shared.advisor {
+                Some(advisor) => match advisor.advise(&step, &workers).await {
+                    Some(tickets) => NodeReply::Tickets(tickets),
+                    None => NodeReply::Unavailable,
+                },
+                None => NodeReply::Unavailable,
+            },
+            NodeCall::Configuration(above) => match shared.config() {
+                Some(config) if config.version > above => serde_json::to_vec(&*config)
+                    .map_or(NodeReply::Unavailable, NodeReply::Configuration),
+                _ => NodeReply::Unavailable,
+            },
+            NodeCall::Relay(body) => relay(shared, &body).await,
+        }
+    }
+}
+
+impl NodeService for Front {
+    fn serve(&self, call: NodeCall) -> BoxFuture<'_, NodeReply> {
+        self.serve_call(call).boxed()
+    }
+}
+
+async fn relay(shared: &Arc<Shared>, body: &[u8]) -> NodeReply {
+    let call = match serde_json::from_slice(body) {
+        Ok(call) => call,
+        Err(err) => {
+            tracing::error!(%err, "a call to relay cannot be read");
+            return NodeReply::Unavailable;
+        }
+    };
+    let reply = shared.store_direct(call).await;
+    serde_json::to_vec(&reply).map_or(NodeReply::Unavailable, NodeReply::Relayed)
+}
+
+/// Answers a call that only the owner can answer.
+async fn serve_as_owner(shared: &Arc<Shared>, call: NodeCall) -> NodeReply {
+    let Some(engine) = shared.engine() else {
+        return NodeReply::NotOwner;
+    };
+    match call {
+        NodeCall::Accepted(row) => match serde_json::from_slice::<JobRow>(&row) {
+            Ok(row) => {
+                engine.accepted(&row);
+                NodeReply::Taken
+            }
+            Err(err) => {
+                tracing::error!(%err, "a job from another node cannot be read");
+                NodeReply::Unavailable
+            }
+        },
+        NodeCall::State(id) => match engine.state(id) {
+            Some(state) => NodeReply::State(state),
+            None => NodeReply::UnknownJob,
+        },
+        NodeCall::Cancel(id) => engine.cancel(id).await,
+        _ => NodeReply::NotOwner,
+    }
+}
+
+/// Asks the owner, wherever it is; none if it cannot be asked or gave no answer.
+async fn ask_owner(shared: &Arc<Shared>, call: NodeCall, timeout: Millis) -> Option<NodeReply> {
+    if shared.engine().is_some() {
+        return Some(serve_as_owner(shared, call).await);
+    }
+    let address = shared.owner().address?;
+    match shared.peers.call(address, call, timeout).await {
+        Ok(NodeReply::NotOwner | NodeReply::Unavailable) => None,
+        Ok(reply) => Some(reply),
+        Err(err) => {
+            tracing::debug!(%err, %address, "the owner does not answer");
+            shared.metrics.retry("owner_unanswered");
+            None
+        }
+    }
+}
+
+/// Tells the owner of a job, so that it need not find the row by itself.
+async fn tell_owner(shared: Arc<Shared>, row: JobRow) {
+    let Ok(body) = serde_json::to_vec(&row) else {
+        return;
+    };
+    for _ in 0..TELL_TRIES {
+        let call = NodeCall::Accepted(body.clone());
+        if let Some(NodeReply::Taken) = ask_owner(&shared, call, OWNER_TIMEOUT).await {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(OWNER_TIMEOUT / 2)).await;
+    }
+    tracing::info!(request = %row.id, "the owner was not told; it finds the row");
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,17 @@
+//! One node of a cell: takes jobs from callers, and owns the cell if it is its turn.
+//!
+//! `docs/CELL.md` explains how the nodes of a cell act together.
+
+pub mod configuration;
+pub mod election;
+pub mod engine;
+pub mod front;
+pub mod links;
+pub mod loading;
+pub mod members;
+pub mod orders;
+pub mod process;
+pub mod recording;
+pub mod route;
+pub mod settings;
+pub mod shared;
--- /dev/null
+++ b/src/node/orders.rs
@@ -0,0 +1,143 @@
+//! Carrying out what the core orders: starts, stops, looks, questions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::cell::WorkerKey;
+use crate::cell::order::{
+    AdviceOrder, LookFailure, Order, Refusal, StartOrder, StartOutcome, StopOrder,
+};
+use crate::clock::Millis;
+use crate::node::engine::Engine;
+use crate::node::links::Tickets;
+use crate::rpc::node::{NodeCall, NodeReply};
+
+/// The pause after a look that brought nothing.
+const FAILED_LOOK_PAUSE: Duration = Duration::from_millis(250);
+/// Ends wait at most so long to be recorded before the worker is looked at again.
+const RECORD_WAIT: Duration = Duration::from_millis(400);
+/// The least time between two looks at a worker, so that ends which come close
+/// together cost one look.
+const LOOK_PAUSE: Duration = Duration::from_millis(15);
+/// What a question through another node may take beyond its expected time.
+const ADVICE_SLACK: Millis = 500;
+
+impl Engine {
+    pub(super) async fn carry_out(self: Arc<Self>, order: Order) {
+        match order {
+            Order::Start(order) => self.start_run(order).await,
+            Order::Stop(order) => self.stop_run(order).await,
+            Order::Advise(order) => self.advise(order).await,
+        }
+    }
+
+    async fn start_run(&self, order: StartOrder) {
+        let (outcome, clock) = self.shared.workers.start(&order).await;
+        let now = self.shared.now();
+        if let StartOutcome::Refused(refusal) = outcome {
+            self.shared.metrics.refusal(refusal.code());
+        }
+        self.cell().start_answered(order.run, outcome, clock, now);
+        if outcome != StartOutcome::Started {
+            self.wake.notify_one();
+        }
+    }
+
+    async fn stop_run(&self, order: StopOrder) {
+        let answer = self.shared.workers.stop(&order).await;
+        let now = self.shared.now();
+        match (answer, order.run) {
+            (Ok(()), Some(run)) => self.cell().stop_confirmed(run, now),
+            (Ok(()), None) => {}
+            (Err(Some(Refusal::Gone)), _) => {
+                self.cell()
+                    .look_failed(order.to.worker, LookFailure::Refused(Refusal::Gone), now);
+                self.wake.notify_one();
+            }
+            (Err(refusal), _) => {
+                let reason = refusal.map_or("stop_unanswered", Refusal::code);
+                self.shared.metrics.retry(reason);
+            }
+        }
+    }
+
+    async fn advise(&self, order: AdviceOrder) {
+        let tickets = self.ask_lane(&order).await;
+        if tickets.is_none() {
+            self.shared.metrics.retry("advice_failed");
+        }
+        let now = self.shared.now();
+        self.cell().advised(&order, tickets, now);
+        self.wake.notify_one();
+    }
+
+    async fn ask_lane(&self, order: &AdviceOrder) -> Option<Tickets> {
+        let step = order.name.to_string();
+        let workers: Vec<String> = order.workers.iter().map(|(_, id)| id.clone()).collect();
+        let limit = order.expected + ADVICE_SLACK;
+        let Some(address) = self.lane_member(order.lane) else {
+            let advisor = self.shared.advisor.as_ref()?;
+            let asking = advisor.advise(&step, &workers);
+            return tokio::time::timeout(Duration::from_millis(limit), asking)
+                .await
+                .ok()
+                .flatten();
+        };
+        let call = NodeCall::Advise { step, workers };
+        match self.shared.peers.call(address, call, limit).await {
+            Ok(NodeReply::Tickets(tickets)) => Some(tickets),
+            _ => None,
+        }
+    }
+
+    /// Looks at one worker again and again, until it is gone or the ownership ends.
+    pub(super) async fn look_loop(self: Arc<Self>, key: WorkerKey) {
+        loop {
+            if !self.is_active() {
+                tokio::time::sleep(FAILED_LOOK_PAUSE).await;
+                continue;
+            }
+            let sent = self.shared.now();
+            let Some(order) = self.cell().look_order(key, sent) else {
+                return;
+            };
+            let answer = self.shared.workers.look(&order).await;
+            let now = self.shared.now();
+            match answer {
+                Ok(look) => {
+                    let news = !look.ended.is_empty() || order.due.is_none();
+                    self.cell().looked(key, sent, &look, now);
+                    if news {
+                        self.wake.notify_one();
+                        self.record.notify_one();
+                    }
+                    self.pause_after_look(key).await;
+                }
+                Err(failure) => {
+                    self.cell().look_failed(key, failure, now);
+                    if failure == LookFailure::Refused(Refusal::Epoch) {
+                        self.shared.metrics.refusal(Refusal::Epoch.code());
+                    }
+                    self.wake.notify_one();
+                    tokio::time::sleep(FAILED_LOOK_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Ends that are not recorded would come again at once, so their record is awaited.
+    async fn pause_after_look(&self, key: WorkerKey) {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        let recorded = async {
+            loop {
+                let recorded = self.recorded.notified();
+                if !self.cell().unrecorded(key) {
+                    return;
+                }
+                recorded.await;
+            }
+        };
+        // If the store is away the worker is looked at all the same.
+        let _ = tokio::time::timeout(RECORD_WAIT, recorded).await;
+    }
+}
--- /dev/null
+++ b/src/node/process.rs
@@ -0,0 +1,118 @@
+//! Putting a node together and running it to its end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::net::TcpListener;
+use tokio::signal::unix;
+
+use crate::clock::SystemClock;
+use crate::error::{Error, Result};
+use crate::metrics::Metrics;
+use crate::node::front::Front;
+use crate::node::settings::Settings;
+use crate::node::shared::{Links, Shared};
+use crate::node::{configuration, election};
+use crate::rpc::node as rpc;
+
+/// After the order to end, callers are served so long: the balancer needs two
+/// questions of a second each to notice.
+pub const LINGER: Duration = Duration::from_millis(2_300);
+
+/// How often a leaving node looks whether its last request is answered.
+const IDLE_LOOK: Duration = Duration::from_millis(20);
+/// How long the last requests may take: the platform ends a process after 6 s.
+const LAST_REQUESTS: Duration = Duration::from_millis(3_000);
+
+/// A node that runs.
+pub struct Node {
+    /// What callers and other nodes see.
+    pub front: Arc<Front>,
+    /// Carries calls to other nodes; must run inside a `LocalSet`.
+    pub driver: rpc::RpcNodeDriver,
+}
+
+impl Node {
+    /// Makes a node; `links` is told the way to other nodes.
+    ///
+    /// # Errors
+    /// Fails if a collector of metrics cannot be registered.
+    pub fn new(
+        settings: &Settings,
+        links: impl FnOnce(Arc<dyn rpc::NodeLink>) -> Links,
+    ) -> Result<Self> {
+        let (link, driver) = rpc::link();
+        let boot = StdRng::from_os_rng().random();
+        let shared = Shared::new(
+            settings.name.clone(),
+            boot,
+            settings.peers,
+            settings.seeds.clone(),
+            Arc::new(SystemClock::new()),
+            Metrics::new()?,
+            links(Arc::new(link)),
+        );
+        Ok(Self {
+            front: Arc::new(Front::new(shared)),
+            driver,
+        })
+    }
+
+    /// Serves other nodes, follows the configuration and takes part in ownership.
+    ///
+    /// # Errors
+    /// Fails if the address for other nodes cannot be bound.
+    pub async fn start(self, peers: SocketAddr) -> Result<Arc<Front>> {
+        let listener = bind(peers).await?;
+        let shared = &self.front.shared;
+        tokio::task::spawn_local(self.driver.run());
+        tokio::task::spawn_local(rpc::serve(listener, self.front.clone()));
+        tokio::spawn(election::register(Arc::clone(shared)));
+        tokio::spawn(configuration::follow_store(Arc::clone(shared)));
+        tokio::spawn(configuration::follow_members(Arc::clone(shared)));
+        tokio::spawn(election::run(Arc::clone(shared)));
+        Ok(self.front)
+    }
+}
+
+/// Waits for the order to end, then hands the cell over and goes on serving until
+/// new callers go elsewhere and the last request is answered.
+///
+/// # Errors
+/// Fails if signals cannot be listened for.
+pub async fn run_to_end(front: &Front, reload: impl Fn()) -> std::io::Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => reload(),
+        }
+    }
+    tracing::info!("node is told to end");
+    front.shared.leave();
+    election::hand_over(&front.shared).await;
+    tokio::time::sleep(LINGER).await;
+    let idle = async {
+        while !front.is_idle() {
+            tokio::time::sleep(IDLE_LOOK).await;
+        }
+    };
+    let finished = tokio::time::timeout(LAST_REQUESTS, idle).await.is_ok();
+    tracing::info!(finished, "node ends");
+    Ok(())
+}
+
+/// Binds an address.
+///
+/// # Errors
+/// Names the address that cannot be bound.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen { address, source })
+}
--- /dev/null
+++ b/src/node/recording.rs
@@ -0,0 +1,205 @@
+//! Writing what the owner has decided.
+//!
+//! Every transaction of an owner names the version of the row of ownership and
+//! writes that row anew.  So a former owner's transaction fails, and so does a
+//! repeated one that took effect after all: the row then shows its number.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::record::Batch;
+use crate::node::engine::Engine;
+use crate::node::shared::PARTITION;
+use crate::store::{Row, RowKey, StoreCall, StoreError, StoreReply, Table, Transaction};
+
+/// The key of the row of ownership.
+pub const OWNER_KEY: &str = "owner";
+/// The key of the row that lists the workers an owner uses.
+pub const WORKERS_KEY: &str = "workers";
+
+/// The least time between two transactions: callers hardly notice it, and each
+/// transaction has its price.
+const RECORD_PAUSE: Duration = Duration::from_millis(20);
+/// Without any change the loop looks at the core so often.
+const RECORD_TICK: Duration = Duration::from_millis(200);
+/// The most jobs in a transaction; with two rows a job the store takes 100 entries.
+const MOST_JOBS: usize = 45;
+/// The pause after a failed transaction.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+
+/// The row of ownership.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerRow {
+    /// The owner's name.
+    pub name: String,
+    /// Where it answers other nodes.
+    pub address: String,
+    /// Names the start of its process.
+    pub boot: u64,
+    /// Rises with each claim.
+    pub epoch: u64,
+    /// Counts the owner's transactions.
+    pub batch: u64,
+    /// The owner has given the cell up.
+    pub released: bool,
+}
+
+impl OwnerRow {
+    /// Reads the row; one that cannot be read is logged.
+    pub fn read(row: &Row) -> Option<Self> {
+        match serde_json::from_str(&row.value) {
+            Ok(owner) => Some(owner),
+            Err(err) => {
+                tracing::error!(%err, "the row of ownership cannot be read");
+                None
+            }
+        }
+    }
+
+    /// The row as it is written.
+    pub fn write(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// The name of the row.
+    pub fn key() -> RowKey {
+        RowKey::new(Table::Cells, PARTITION, OWNER_KEY)
+    }
+}
+
+impl Engine {
+    pub(super) async fn record_loop(self: Arc<Self>) {
+        loop {
+            // Woken by a change, or to see whether one was missed.
+            let _ = tokio::time::timeout(RECORD_TICK, self.record.notified()).await;
+            self.record_once(false).await;
+            if self.cell().has_unrecorded() {
+                self.record.notify_one();
+            }
+            tokio::time::sleep(RECORD_PAUSE).await;
+        }
+    }
+
+    /// Writes what has changed; `release` gives the cell up with it.
+    pub(super) async fn record_once(&self, release: bool) {
+        let batch = self.cell().take_batch(MOST_JOBS);
+        let list_workers = self.workers_changed.swap(false, Ordering::Relaxed);
+        if batch.rows.is_empty() && !list_workers && !release {
+            if !batch.ends.is_empty() {
+                self.finish(batch);
+            }
+            return;
+        }
+        let mut row = self.row.lock().await;
+        let number = row.1 + 1;
+        let tx = self.transaction(&batch, number, list_workers, release);
+        loop {
+            if self.is_retired() {
+                return;
+            }
+            let sent = self.shared.now();
+            let mut tx = tx.clone();
+            tx.expected.push((OwnerRow::key(), row.0));
+            match self.shared.store(StoreCall::Commit(tx)).await {
+                Ok(StoreReply::Committed(version)) => {
+                    *row = (version, number);
+                    self.confirm(sent);
+                    break;
+                }
+                Ok(StoreReply::Conflict(rows)) => match self.settle_conflict(&rows, number) {
+                    Conflict::TookEffect(version) => {
+                        *row = (version, number);
+                        self.confirm(sent);
+                        break;
+                    }
+                    Conflict::Lost => return self.retire("a successor writes"),
+                },
+                Ok(_) => {
+                    tracing::error!("the store's answer to a transaction is of the wrong kind")
+                }
+                Err(StoreError::Rejected(status)) => {
+                    tracing::error!(
+                        status,
+                        rows = batch.rows.len(),
+                        "the store rejects a transaction"
+                    );
+                    self.shared.metrics.violation("rejected_transaction");
+                    self.cell().not_recorded(batch);
+                    return;
+                }
+                Err(err) => tracing::info!(%err, number, "transaction is repeated"),
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        self.finish(batch);
+    }
+
+    fn finish(&self, batch: Batch) {
+        let now = self.shared.now();
+        self.cell().recorded(batch, now);
+        self.recorded.notify_waiters();
+        self.wake.notify_one();
+    }
+
+    fn transaction(
+        &self,
+        batch: &Batch,
+        number: u64,
+        list_workers: bool,
+        release: bool,
+    ) -> Transaction {
+        let mut tx = Transaction::default();
+        let owner = OwnerRow {
+            name: self.shared.name.clone(),
+            address: self.shared.address.to_string(),
+            boot: self.shared.boot,
+            epoch: self.epoch,
+            batch: number,
+            released: release,
+        };
+        tx.puts.push((OwnerRow::key(), owner.write()));
+        if list_workers {
+            let entries = self.cell().worker_entries();
+            let key = RowKey::new(Table::Cells, PARTITION, WORKERS_KEY);
+            tx.puts
+                .push((key, serde_json::to_string(&entries).unwrap_or_default()));
+        }
+        for (_, id, progress) in &batch.rows {
+            let id = id.to_string();
+            let value = serde_json::to_string(progress).unwrap_or_default();
+            tx.puts
+                .push((RowKey::new(Table::Progress, PARTITION, &id), value));
+            if progress.state.is_final() {
+                tx.drops.push(RowKey::new(Table::Jobs, PARTITION, &id));
+            }
+        }
+        tx
+    }
+
+    fn settle_conflict(&self, rows: &[Row], number: u64) -> Conflict {
+        let found = rows
+            .iter()
+            .find(|row| row.key == OWNER_KEY)
+            .and_then(|row| Some((row.version, OwnerRow::read(row)?)));
+        match found {
+            Some((version, owner))
+                if owner.epoch == self.epoch
+                    && owner.boot == self.shared.boot
+                    && owner.batch == number =>
+            {
+                Conflict::TookEffect(version)
+            }
+            _ => Conflict::Lost,
+        }
+    }
+}
+
+enum Conflict {
+    /// An earlier try of this transaction took effect as this version.
+    TookEffect(u64),
+    /// Somebody else has written the row of ownership.
+    Lost,
+}
--- /dev/null
+++ b/src/node/shared.rs
@@ -0,0 +1,281 @@
+//! What all parts of a node share.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use crate::clock::{Clock, Millis};
+use crate::metrics::Metrics;
+use crate::node::engine::Engine;
+use crate::node::links::{Advisor, Decoder, Workers};
+use crate::node::members::Members;
+use crate::node::route::RoutedStore;
+use crate::queue::Configuration;
+use crate::rpc::node::{Beat, NodeLink};
+use crate::store::{StoreCall, StoreError, StoreReply};
+
+/// Every cell's rows lie in a partition of their own.  There is one cell so far.
+pub const PARTITION: &str = "c0";
+
+/// Who owns the cell, as far as this node knows.
+#[derive(Debug, Clone, Default)]
+pub struct Owner {
+    /// The highest epoch heard of.
+    pub epoch: u64,
+    /// Where its owner answers; none while there is no known owner.
+    pub address: Option<SocketAddr>,
+    /// When it was last heard.
+    pub heard: Millis,
+    /// Jobs of which nothing has begun by queue, as it last said.
+    pub pending: Vec<(String, u32)>,
+}
+
+/// The way to the outside, given to a node when it is made.
+pub struct Links {
+    /// The store.
+    pub store: Arc<dyn crate::store::Store>,
+    /// Workers.
+    pub workers: Arc<dyn Workers>,
+    /// The advice service, if there is one.
+    pub advisor: Option<Arc<dyn Advisor>>,
+    /// The meaning of rows that others write.
+    pub decoder: Arc<dyn Decoder>,
+    /// Other nodes.
+    pub peers: Arc<dyn NodeLink>,
+}
+
+/// What all parts of a node share.
+pub struct Shared {
+    /// The node's name.
+    pub name: String,
+    /// Names this start of the process.
+    pub boot: u64,
+    /// Where this node answers other nodes.
+    pub address: SocketAddr,
+    /// Nodes to ask when the store is not reached.
+    pub seeds: Vec<SocketAddr>,
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Workers.
+    pub workers: Arc<dyn Workers>,
+    /// The advice service, if there is one.
+    pub advisor: Option<Arc<dyn Advisor>>,
+    /// The meaning of rows that others write.
+    pub decoder: Arc<dyn Decoder>,
+    /// Other nodes.
+    pub peers: Arc<dyn NodeLink>,
+    /// Wakes whoever waits for a newer configuration.
+    pub config_changed: tokio::sync::Notify,
+    store: RoutedStore,
+    members: Mutex<Members>,
+    config: RwLock<Option<Arc<Configuration>>>,
+    owner: Mutex<Owner>,
+    engine: Mutex<Option<Arc<Engine>>>,
+    leaving: std::sync::atomic::AtomicBool,
+}
+
+impl Shared {
+    /// Puts a node's shared state together.
+    pub fn new(
+        name: String,
+        boot: u64,
+        address: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        clock: Arc<dyn Clock>,
+        metrics: Metrics,
+        links: Links,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            name,
+            boot,
+            address,
+            seeds,
+            clock,
+            metrics,
+            workers: links.workers,
+            advisor: links.advisor,
+            decoder: links.decoder,
+            peers: links.peers,
+            config_changed: tokio::sync::Notify::new(),
+            store: RoutedStore::new(links.store),
+            members: Mutex::default(),
+            config: RwLock::new(None),
+            owner: Mutex::default(),
+            engine: Mutex::new(None),
+            leaving: std::sync::atomic::AtomicBool::new(false),
+        })
+    }
+
+    /// The time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The other nodes.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Who owns the cell.
+    pub fn owner(&self) -> MutexGuard<'_, Owner> {
+        self.owner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The engine, if this node owns the cell.
+    pub fn engine(&self) -> Option<Arc<Engine>> {
+        self.engine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// This node owns the cell, or does not any more.
+    pub fn set_engine(&self, engine: Option<Arc<Engine>>) {
+        *self.engine.lock().unwrap_or_else(PoisonError::into_inner) = engine;
+    }
+
+    /// The configuration in force, if one is known.
+    pub fn config(&self) -> Option<Arc<Configuration>> {
+        self.config
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a configuration in force if it is newer; never goes back.
+    pub fn adopt_config(&self, config: Configuration, source: &'static str) {
+        let mut held = self.config.write().unwrap_or_else(PoisonError::into_inner);
+        let version = held.as_ref().map_or(0, |config| config.version);
+        if config.version <= version {
+            return;
+        }
+        tracing::info!(
+            version = config.version,
+            former = version,
+            source,
+            queues = config.queues.len(),
+            "configuration in force"
+        );
+        *held = Some(Arc::new(config));
+        drop(held);
+        self.config_changed.notify_waiters();
+        if let Some(engine) = self.engine() {
+            engine.configure();
+        }
+    }
+
+    /// The version of the configuration in force; zero for none.
+    pub fn config_version(&self) -> u64 {
+        self.config().map_or(0, |config| config.version)
+    }
+
+    /// The node is about to end.
+    pub fn leave(&self) {
+        self.leaving
+            .store(true, std::sync::atomic::Ordering::Relaxed);
+    }
+
+    /// Tells whether the node is about to end.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(std::sync::atomic::Ordering::Relaxed)
+    }
+
+    /// Renders counters and histograms as text.
+    ///
+    /// # Errors
+    /// Fails if a collector cannot be encoded.
+    pub fn render_metrics(&self) -> crate::error::Result<String> {
+        if let Some(engine) = self.engine() {
+            engine.count(&self.metrics);
+        }
+        let owns = i64::from(self.engine().is_some());
+        self.metrics.gauge("owns_cell", owns);
+        self.metrics
+            .gauge("configuration", self.config_version() as i64);
+        let text = self.metrics.render()?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Makes a call to the store by any way.
+    ///
+    /// # Errors
+    /// See [`StoreError`].
+    pub async fn store(self: &Arc<Self>, call: StoreCall) -> Result<StoreReply, StoreError> {
+        self.store.call(self, call).await
+    }
+
+    /// Makes a call to the store by the direct way only, as for a peer.
+    ///
+    /// # Errors
+    /// See [`StoreError`].
+    pub async fn store_direct(self: &Arc<Self>, call: StoreCall) -> Result<StoreReply, StoreError> {
+        self.store.call_direct(Arc::clone(self), call).await
+    }
+
+    /// Tells whether the direct way to the store works.
+    pub fn reaches_store(&self) -> bool {
+        self.store.direct_works()
+    }
+
+    /// What this node says of itself.
+    pub fn beat(&self) -> Beat {
+        let now = self.now();
+        let owner = self.owner().clone();
+        let engine = self.engine();
+        let members = self
+            .members()
+            .addresses()
+            .into_iter()
+            .map(|(name, address)| (name, address.to_string()))
+            .collect();
+        let pending = match &engine {
+            Some(engine) => engine.pending(),
+            None => Vec::new(),
+        };
+        Beat {
+            name: self.name.clone(),
+            boot: self.boot,
+            address: self.address.to_string(),
+            epoch: owner.epoch,
+            owns: engine.is_some(),
+            leaving: self.leaving(),
+            configuration: self.config_version(),
+            reaches_store: self.reaches_store(),
+            owner_silence: if engine.is_some() {
+                0
+            } else {
+                now.saturating_sub(owner.heard)
+            },
+            members,
+            pending,
+        }
+    }
+
+    /// Takes in what another node says of itself.
+    pub fn hear(&self, beat: &Beat) {
+        let now = self.now();
+        self.members().hear(beat, &self.name, now);
+        let mut owner = self.owner();
+        if beat.owns && beat.epoch >= owner.epoch {
+            let news = owner.epoch != beat.epoch || owner.address.is_none();
+            if news {
+                tracing::info!(epoch = beat.epoch, owner = beat.name, "owner of the cell");
+            }
+            owner.epoch = beat.epoch;
+            owner.address = beat.address.parse().ok();
+            owner.heard = now;
+            owner.pending.clone_from(&beat.pending);
+        } else if beat.epoch > owner.epoch {
+            owner.epoch = beat.epoch;
+            owner.address = None;
+        }
+        let epoch = owner.epoch;
+        drop(owner);
+        if let Some(engine) = self.engine()
+            && epoch > engine.epoch
+        {
+            engine.retire("a higher epoch was heard of");
+        }
+    }
+}
--- a/src/ownership/shard.rs
+++ b/src/ownership/shard.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::backend::store::{Row, Version};
 use crate::model::{Epoch, VmBoot};
-use crate::platform::store::{Row, Version};
 
 /// The prefix of the rows of shards.
 pub const SHARD_PREFIX: &str = "shard/";
--- a/src/placement/lease.rs
+++ b/src/placement/lease.rs
@@ -7,13 +7,13 @@
 //! lengthened by the bound, whatever delays the message; see "Clocks" in
 //! `docs/DESIGN.md`.
 
+use crate::backend::{Exchange, StartOrder, TaskReport, WorkerReply};
 use crate::clock::Millis;
 use crate::model::{Epoch, JobKind, RunEnd, TaskId, TaskState};
 use crate::placement::cell::Cell;
 use crate::placement::task::Phase;
 use crate::placement::worker::Reading;
 use crate::placement::{TaskKey, WorkerKey};
-use crate::platform::{Exchange, StartOrder, TaskReport, WorkerReply};
 
 /// After how many workers on which it failed, with no success, a job is condemned.
 const WORKERS_TO_CONDEMN: usize = 3;
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -7,12 +7,17 @@
 mod codec;
 pub mod local;
 pub mod message;
+pub mod node;
 pub mod server;
 
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 #[rustfmt::skip]
 pub mod peer_capnp;
 
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+pub mod node_capnp;
+
 pub use message::{PeerCall, PeerReply};
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/src/rpc/node.capnp
@@ -0,0 +1,82 @@
+@0xb7d35be0f4a1c6d2;
+# The protocol between nodes of one cell.  Generated code is committed as node_capnp.rs:
+#   capnp compile -orust:src/rpc --src-prefix=src/rpc src/rpc/node.capnp
+
+annotation parentModule @0xabee386cd1450364 (file) :Text;
+$parentModule("rpc");
+
+interface Node {
+  call @0 (request :Request) -> (reply :Reply);
+}
+
+struct Request {
+  union {
+    # A heartbeat, from the owner or from a node that looks for one.
+    beat @0 :Beat;
+    # A job whose row is durable: JSON of cell::record::JobRow.
+    accepted @1 :Data;
+    # The state of the job with this id.
+    state @2 :UInt64;
+    # Cancels the job with this id.
+    cancel @3 :UInt64;
+    # Asks the receiver to make one call to the advice service.
+    advise @4 :Advise;
+    # JSON of queue::Configuration is wanted if it is newer than this version.
+    configuration @5 :UInt64;
+    # JSON of store::StoreCall, to be made on behalf of the sender.
+    relay @6 :Data;
+  }
+}
+
+struct Reply {
+  union {
+    beat @0 :Beat;
+    # The receiver does not own the cell.
+    notOwner @1 :Void;
+    taken @2 :Void;
+    state @3 :UInt16;
+    unknownJob @4 :Void;
+    # The cancellation is recorded.
+    cancelled @5 :Void;
+    # The call could not be made or brought no answer; it may be made again.
+    unavailable @6 :Void;
+    tickets @7 :List(Ticket);
+    configuration @8 :Data;
+    relayed @9 :Data;
+  }
+}
+
+struct Beat {
+  name @0 :Text;
+  boot @1 :UInt64;
+  address @2 :Text;
+  epoch @3 :UInt64;
+  owns @4 :Bool;
+  leaving @5 :Bool;
+  configuration @6 :UInt64;
+  reachesStore @7 :Bool;
+  # Milliseconds since the sender last heard the owner of `epoch`.
+  ownerSilence @8 :UInt64;
+  members @9 :List(Member);
+  pending @10 :List(Pending);
+}
+
+struct Member {
+  name @0 :Text;
+  address @1 :Text;
+}
+
+struct Pending {
+  queue @0 :Text;
+  jobs @1 :UInt32;
+}
+
+struct Advise {
+  step @0 :Text;
+  workers @1 :List(Text);
+}
+
+struct Ticket {
+  worker @0 :Text;
+  ticket @1 :Text;
+}
--- /dev/null
+++ b/src/rpc/node.rs
@@ -0,0 +1,456 @@
+//! Calls between the nodes of a cell: messages, client and server.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::future::BoxFuture;
+use futures::{AsyncReadExt, FutureExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::cell::job::JobState;
+use crate::cell::spec::JobId;
+use crate::clock::Millis;
+use crate::rpc::PeerError;
+use crate::rpc::node_capnp as wire;
+
+/// How many calls may wait to be picked up; some seconds of the busiest node's calls.
+const QUEUE_LENGTH: usize = 4_096;
+/// How long a connection may take to come about: halls are milliseconds apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// What a node says of itself.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Beat {
+    /// Its name.
+    pub name: String,
+    /// Names this start of its process.
+    pub boot: u64,
+    /// Where it answers other nodes.
+    pub address: String,
+    /// The highest epoch that it knows.
+    pub epoch: u64,
+    /// It owns the cell under that epoch.
+    pub owns: bool,
+    /// It is about to end.
+    pub leaving: bool,
+    /// The version of the configuration in force there.
+    pub configuration: u64,
+    /// Its own way to the store works.
+    pub reaches_store: bool,
+    /// Milliseconds since it last heard the owner.
+    pub owner_silence: Millis,
+    /// Nodes that it knows, by name and address.
+    pub members: Vec<(String, String)>,
+    /// From the owner: jobs of which nothing has begun, by queue.
+    pub pending: Vec<(String, u32)>,
+}
+
+/// A call to another node.
+#[derive(Debug, Clone)]
+pub enum NodeCall {
+    /// Tells how the sender is.
+    Beat(Beat),
+    /// A job whose row is durable: JSON of [`crate::cell::record::JobRow`].
+    Accepted(Vec<u8>),
+    /// Asks for a job's state.
+    State(JobId),
+    /// Cancels a job.
+    Cancel(JobId),
+    /// Asks the receiver to make a call to the advice service.
+    Advise {
+        /// The step's name.
+        step: String,
+        /// The workers' ids.
+        workers: Vec<String>,
+    },
+    /// Asks for the configuration if it is newer than this version.
+    Configuration(u64),
+    /// JSON of a [`crate::store::StoreCall`] to make for the sender.
+    Relay(Vec<u8>),
+}
+
+/// The answer of another node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NodeReply {
+    /// How the receiver is.
+    Beat(Beat),
+    /// The receiver does not own the cell.
+    NotOwner,
+    /// The job is taken in.
+    Taken,
+    /// How far a job is.
+    State(JobState),
+    /// There is no such job.
+    UnknownJob,
+    /// The cancellation is recorded.
+    Cancelled,
+    /// It could not be done now; it may be tried again.
+    Unavailable,
+    /// The workers that may run the step, with their tickets.
+    Tickets(Vec<(String, String)>),
+    /// JSON of a [`crate::queue::Configuration`].
+    Configuration(Vec<u8>),
+    /// JSON of the store's answer: a `Result<StoreReply, StoreError>`.
+    Relayed(Vec<u8>),
+}
+
+/// The way to other nodes.
+pub trait NodeLink: Send + Sync {
+    /// Calls the node at `addr` and waits at most `timeout` milliseconds.
+    fn call(
+        &self,
+        addr: SocketAddr,
+        call: NodeCall,
+        timeout: Millis,
+    ) -> BoxFuture<'_, Result<NodeReply, PeerError>>;
+}
+
+/// What answers other nodes.
+pub trait NodeService: Send + Sync {
+    /// Answers one call.
+    fn serve(&self, call: NodeCall) -> BoxFuture<'_, NodeReply>;
+}
+
+struct Pending {
+    addr: SocketAddr,
+    call: NodeCall,
+    timeout: Duration,
+    answer: oneshot::Sender<Result<NodeReply, PeerError>>,
+}
+
+/// The sending half: it may be used from any task.
+pub struct RpcNodeLink {
+    tx: mpsc::Sender<Pending>,
+}
+
+/// The half that owns the connections; it must run inside a `LocalSet`.
+pub struct RpcNodeDriver {
+    rx: mpsc::Receiver<Pending>,
+}
+
+/// Makes both halves.
+pub fn link() -> (RpcNodeLink, RpcNodeDriver) {
+    let (tx, rx) = mpsc::channel(QUEUE_LENGTH);
+    (RpcNodeLink { tx }, RpcNodeDriver { rx })
+}
+
+impl NodeLink for RpcNodeLink {
+    fn call(
+        &self,
+        addr: SocketAddr,
+        call: NodeCall,
+        timeout: Millis,
+    ) -> BoxFuture<'_, Result<NodeReply, PeerError>> {
+        async move {
+            let (answer, rx) = oneshot::channel();
+            let pending = Pending {
+                addr,
+                call,
+                timeout: Duration::from_millis(timeout),
+                answer,
+            };
+            self.tx.try_send(pending).map_err(|_| PeerError::NotSent)?;
+            rx.await.unwrap_or(Err(PeerError::Unanswered))
+        }
+        .boxed()
+    }
+}
+
+type Connections = Rc<Mutex<HashMap<SocketAddr, wire::node::Client>>>;
+
+impl RpcNodeDriver {
+    /// Carries out calls until the sending half is gone.
+    pub async fn run(mut self) {
+        let connections = Connections::default();
+        while let Some(pending) = self.rx.recv().await {
+            let connections = Rc::clone(&connections);
+            task::spawn_local(async move {
+                let reply = carry_out(&connections, &pending).await;
+                // The asker may have given up; then nobody needs the reply.
+                let _ = pending.answer.send(reply);
+            });
+        }
+    }
+}
+
+async fn carry_out(connections: &Connections, pending: &Pending) -> Result<NodeReply, PeerError> {
+    let client = connection(connections, pending.addr).await?;
+    let answer = tokio::time::timeout(pending.timeout, send(&client, &pending.call)).await;
+    let answer = answer.unwrap_or(Err(PeerError::Unanswered));
+    if answer == Err(PeerError::Unanswered) {
+        lock(connections).remove(&pending.addr);
+    }
+    answer
+}
+
+async fn send(client: &wire::node::Client, call: &NodeCall) -> Result<NodeReply, PeerError> {
+    let mut req = client.call_request();
+    write_call(call, req.get().init_request());
+    let response = req
+        .send()
+        .promise
+        .await
+        .map_err(|_| PeerError::Unanswered)?;
+    let reply = response
+        .get()
+        .and_then(|results| results.get_reply())
+        .map_err(|_| PeerError::Malformed)?;
+    read_reply(reply).map_err(|_| PeerError::Malformed)
+}
+
+async fn connection(
+    connections: &Connections,
+    addr: SocketAddr,
+) -> Result<wire::node::Client, PeerError> {
+    if let Some(client) = lock(connections).get(&addr).cloned() {
+        return Ok(client);
+    }
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let stream = connecting
+        .map_err(|_| PeerError::NotSent)?
+        .map_err(|_| PeerError::NotSent)?;
+    let mut system = RpcSystem::new(
+        Box::new(network(stream, rpc_twoparty_capnp::Side::Client)),
+        None,
+    );
+    let client: wire::node::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let forget = Rc::clone(connections);
+    task::spawn_local(async move {
+        if let Err(err) = system.await {
+            tracing::debug!(%err, %addr, "connection to a node ended");
+        }
+        lock(&forget).remove(&addr);
+    });
+    lock(connections).insert(addr, client.clone());
+    Ok(client)
+}
+
+fn network(
+    stream: TcpStream,
+    side: rpc_twoparty_capnp::Side,
+) -> twoparty::VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
+    if let Err(err) = stream.set_nodelay(true) {
+        tracing::debug!(%err, "small messages to a node may be delayed");
+    }
+    let (reader, writer) = stream.compat().split();
+    twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        side,
+        Default::default(),
+    )
+}
+
+fn lock(
+    connections: &Connections,
+) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, wire::node::Client>> {
+    connections.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+struct NodeServer {
+    service: Arc<dyn NodeService>,
+}
+
+impl wire::node::Server for NodeServer {
+    async fn call(
+        self: Rc<Self>,
+        params: wire::node::CallParams,
+        mut results: wire::node::CallResults,
+    ) -> Result<(), capnp::Error> {
+        let call = read_call(params.get()?.get_request()?)?;
+        let reply = self.service.serve(call).await;
+        write_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+}
+
+/// Serves calls that arrive at `listener` for as long as the task lives.
+///
+/// Must run inside a `LocalSet`, as Cap'n Proto's objects stay on one thread.
+pub async fn serve(listener: TcpListener, service: Arc<dyn NodeService>) {
+    let node: wire::node::Client = capnp_rpc::new_client(NodeServer { service });
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let network = network(stream, rpc_twoparty_capnp::Side::Server);
+                let system = RpcSystem::new(Box::new(network), Some(node.clone().client));
+                task::spawn_local(async move {
+                    if let Err(err) = system.await {
+                        tracing::debug!(%err, "a node's connection ended");
+                    }
+                });
+            }
+            Err(err) => {
+                tracing::warn!(%err, "a node's connection was not accepted");
+                task::yield_now().await;
+            }
+        }
+    }
+}
+
+fn write_beat(beat: &Beat, mut out: wire::beat::Builder) {
+    out.set_name(&beat.name);
+    out.set_boot(beat.boot);
+    out.set_address(&beat.address);
+    out.set_epoch(beat.epoch);
+    out.set_owns(beat.owns);
+    out.set_leaving(beat.leaving);
+    out.set_configuration(beat.configuration);
+    out.set_reaches_store(beat.reaches_store);
+    out.set_owner_silence(beat.owner_silence);
+    let mut members = out.reborrow().init_members(beat.members.len() as u32);
+    for (place, (name, address)) in beat.members.iter().enumerate() {
+        let mut member = members.reborrow().get(place as u32);
+        member.set_name(name);
+        member.set_address(address);
+    }
+    let mut pending = out.init_pending(beat.pending.len() as u32);
+    for (place, (queue, jobs)) in beat.pending.iter().enumerate() {
+        let mut entry = pending.reborrow().get(place as u32);
+        entry.set_queue(queue);
+        entry.set_jobs(*jobs);
+    }
+}
+
+fn read_beat(beat: wire::beat::Reader) -> capnp::Result<Beat> {
+    let mut members = Vec::new();
+    for member in beat.get_members()? {
+        members.push((
+            member.get_name()?.to_string()?,
+            member.get_address()?.to_string()?,
+        ));
+    }
+    let mut pending = Vec::new();
+    for entry in beat.get_pending()? {
+        pending.push((entry.get_queue()?.to_string()?, entry.get_jobs()));
+    }
+    Ok(Beat {
+        name: beat.get_name()?.to_string()?,
+        boot: beat.get_boot(),
+        address: beat.get_address()?.to_string()?,
+        epoch: beat.get_epoch(),
+        owns: beat.get_owns(),
+        leaving: beat.get_leaving(),
+        configuration: beat.get_configuration(),
+        reaches_store: beat.get_reaches_store(),
+        owner_silence: beat.get_owner_silence(),
+        members,
+        pending,
+    })
+}
+
+fn write_call(call: &NodeCall, mut out: wire::request::Builder) {
+    match call {
+        NodeCall::Beat(beat) => write_beat(beat, out.init_beat()),
+        NodeCall::Accepted(row) => out.set_accepted(row),
+        NodeCall::State(id) => out.set_state(id.0),
+        NodeCall::Cancel(id) => out.set_cancel(id.0),
+        NodeCall::Advise { step, workers } => {
+            let mut advise = out.init_advise();
+            advise.set_step(step);
+            let mut list = advise.init_workers(workers.len() as u32);
+            for (place, worker) in workers.iter().enumerate() {
+                list.set(place as u32, worker);
+            }
+        }
+        NodeCall::Configuration(version) => out.set_configuration(*version),
+        NodeCall::Relay(call) => out.set_relay(call),
+    }
+}
+
+fn read_call(call: wire::request::Reader) -> capnp::Result<NodeCall> {
+    Ok(match call.which()? {
+        wire::request::Beat(beat) => NodeCall::Beat(read_beat(beat?)?),
+        wire::request::Accepted(row) => NodeCall::Accepted(row?.to_vec()),
+        wire::request::State(id) => NodeCall::State(JobId(id)),
+        wire::request::Cancel(id) => NodeCall::Cancel(JobId(id)),
+        wire::request::Advise(advise) => {
+            let advise = advise?;
+            let mut workers = Vec::new();
+            for worker in advise.get_workers()? {
+                workers.push(worker?.to_string()?);
+            }
+            NodeCall::Advise {
+                step: advise.get_step()?.to_string()?,
+                workers,
+            }
+        }
+        wire::request::Configuration(version) => NodeCall::Configuration(version),
+        wire::request::Relay(call) => NodeCall::Relay(call?.to_vec()),
+    })
+}
+
+fn write_reply(reply: &NodeReply, mut out: wire::reply::Builder) {
+    match reply {
+        NodeReply::Beat(beat) => write_beat(beat, out.init_beat()),
+        NodeReply::NotOwner => out.set_not_owner(()),
+        NodeReply::Taken => out.set_taken(()),
+        NodeReply::State(state) => out.set_state(state_number(*state)),
+        NodeReply::UnknownJob => out.set_unknown_job(()),
+        NodeReply::Cancelled => out.set_cancelled(()),
+        NodeReply::Unavailable => out.set_unavailable(()),
+        NodeReply::Tickets(tickets) => {
+            let mut list = out.init_tickets(tickets.len() as u32);
+            for (place, (worker, ticket)) in tickets.iter().enumerate() {
+                let mut entry = list.reborrow().get(place as u32);
+                entry.set_worker(worker);
+                entry.set_ticket(ticket);
+            }
+        }
+        NodeReply::Configuration(body) => out.set_configuration(body),
+        NodeReply::Relayed(body) => out.set_relayed(body),
+    }
+}
+
+fn read_reply(reply: wire::reply::Reader) -> capnp::Result<NodeReply> {
+    Ok(match reply.which()? {
+        wire::reply::Beat(beat) => NodeReply::Beat(read_beat(beat?)?),
+        wire::reply::NotOwner(()) => NodeReply::NotOwner,
+        wire::reply::Taken(()) => NodeReply::Taken,
+        wire::reply::State(number) => NodeReply::State(numbered_state(number)?),
+        wire::reply::UnknownJob(()) => NodeReply::UnknownJob,
+        wire::reply::Cancelled(()) => NodeReply::Cancelled,
+        wire::reply::Unavailable(()) => NodeReply::Unavailable,
+        wire::reply::Tickets(tickets) => {
+            let mut list = Vec::new();
+            for entry in tickets? {
+                list.push((
+                    entry.get_worker()?.to_string()?,
+                    entry.get_ticket()?.to_string()?,
+                ));
+            }
+            NodeReply::Tickets(list)
+        }
+        wire::reply::Configuration(body) => NodeReply::Configuration(body?.to_vec()),
+        wire::reply::Relayed(body) => NodeReply::Relayed(body?.to_vec()),
+    })
+}
+
+const STATES: [JobState; 5] = [
+    JobState::Queued,
+    JobState::Running,
+    JobState::Succeeded,
+    JobState::Failed,
+    JobState::Cancelled,
+];
+
+fn state_number(state: JobState) -> u16 {
+    STATES
+        .iter()
+        .position(|&other| other == state)
+        .unwrap_or_default() as u16
+}
+
+fn numbered_state(number: u16) -> capnp::Result<JobState> {
+    STATES
+        .get(usize::from(number))
+        .copied()
+        .ok_or_else(|| capnp::Error::failed(format!("no job state has the number {number}")))
+}
--- a/standin/control.rs
+++ b/standin/control.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
-use crossweir::platform::VmState;
-use crossweir::platform::local_store::StoreFault;
-use crossweir::platform::local_worker::RunRecord;
+use crossweir::backend::VmState;
+use crossweir::backend::local_store::StoreFault;
+use crossweir::backend::local_worker::RunRecord;
 use serde::{Deserialize, Serialize};
 
 use crate::targets::Counts;
--- a/standin/service.rs
+++ b/standin/service.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossweir::http::{answer, parse};
-use crossweir::platform::remote::{
+use crossweir::backend::remote::{
     ConflictReply, LEAVING_HEADER, ReadCall, ScanCall, TransactCall, TransactReply,
 };
-use crossweir::platform::{Exchange, Store, StoreError, VmList};
+use crossweir::backend::{Exchange, Store, StoreError, VmList};
+use crossweir::http::{answer, parse};
 use serde::Serialize;
 use volo::service::Service;
 use volo_http::context::ServerContext;
--- a/standin/world.rs
+++ b/standin/world.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crossweir::backend::local_store::LocalStore;
+use crossweir::backend::local_worker::LocalWorkers;
+use crossweir::backend::{Vm, VmRole, VmState};
 use crossweir::clock::SystemClock;
 use crossweir::model::Resources;
-use crossweir::platform::local_store::LocalStore;
-use crossweir::platform::local_worker::LocalWorkers;
-use crossweir::platform::{Vm, VmRole, VmState};
 
 use crate::targets::Targets;
 
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -12,10 +12,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use crossweir::backend::local_store::StoreFault;
 use crossweir::daemon::Instance;
 use crossweir::daemon::jobs::JobAnswer;
 use crossweir::model::{Class, JobKind, JobSpec, Resources};
-use crossweir::platform::local_store::StoreFault;
 use crossweir::policy::Bundle;
 use crossweir::routing::outcome::OrderKey;
 use crossweir::routing::{Outcome, RequestSpec};
--- a/tests/cores_model.rs
+++ b/tests/cores_model.rs
@@ -3,13 +3,13 @@
 //! `PROPTEST_CASES=5000 cargo test --release --test cores_model` runs it longer;
 //! the seed is fixed, so that CI gives the same verdict every time.
 
+use crossweir::backend::local_worker::LocalWorker;
 use crossweir::clock::Millis;
 use crossweir::model::{Class, JobKind, JobSpec, Resources};
 use crossweir::placement::cell::WorkerInfo;
 use crossweir::placement::lease::Standing;
 use crossweir::placement::part::Ordering;
 use crossweir::placement::{Cell, Limits, Strategy as Choice};
-use crossweir::platform::local_worker::LocalWorker;
 use crossweir::routing::pool::{SlotEnd, TargetInfo};
 use crossweir::routing::{Grant, Pool};
 use proptest::prelude::*;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use crossweir::backend::local_worker::LocalWorker;
+use crossweir::backend::{Exchange, TaskReport, WorkerReply};
 use crossweir::clock::Millis;
 use crossweir::model::{Class, JobKind, JobSpec, Resources, TaskId};
 use crossweir::placement::cell::WorkerInfo;
@@ -9,8 +11,6 @@
 use crossweir::placement::part::Ordering;
 use crossweir::placement::task::WaitReason;
 use crossweir::placement::{Cell, Limits};
-use crossweir::platform::local_worker::LocalWorker;
-use crossweir::platform::{Exchange, TaskReport, WorkerReply};
 
 const CAPACITY: Resources = Resources::new(4_000, 8_192, 1);
 
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -11,19 +11,19 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use crossweir::backend::local_store::{LocalStore, StoreFault};
+use crossweir::backend::local_worker::LocalWorker;
+use crossweir::backend::store::{Op, Row, Version};
+use crossweir::backend::{
+    Exchange, LinkError, Platform, Store, StoreError, TargetLink, TargetReply, TargetRequest, Vm,
+    VmList, VmRole, VmState, WorkerLink, WorkerReply,
+};
 use crossweir::clock::{Clock, Millis};
 use crossweir::config::Config;
 use crossweir::daemon::Instance;
 use crossweir::daemon::status::InstanceStatus;
 use crossweir::metrics::Metrics;
 use crossweir::model::Resources;
-use crossweir::platform::local_store::{LocalStore, StoreFault};
-use crossweir::platform::local_worker::LocalWorker;
-use crossweir::platform::store::{Op, Row, Version};
-use crossweir::platform::{
-    Exchange, LinkError, Platform, Store, StoreError, TargetLink, TargetReply, TargetRequest, Vm,
-    VmList, VmRole, VmState, WorkerLink, WorkerReply,
-};
 use crossweir::rpc::local::LocalPeers;
 use crossweir::rpc::{PeerCall, PeerError, PeerLink, PeerReply};
 use futures::FutureExt;
