Jobs lie in eight partitions and are written in groups; a leaving owner is replaced at once

A new process waited 0.7 s for an owner that it could have known to be gone. Change: a node gathers jobs into one transaction, in a partition of its own choice, and repeats it elsewhere after a failure; rows may be there twice, since the owner knows jobs by id. Rows of ended jobs are dropped later. Another start of the former owner's process, or its word that it leaves, ends the wait.

--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -35,6 +35,8 @@
         if self.job_ids.contains_key(&row.id) || self.ended.contains_key(&row.id) {
             return;
         }
+        let unclaimed = self.unclaimed.remove(&row.id);
+        let progress = progress.or(unclaimed.as_ref());
         let (queue, routed) = match self.config.queue(&row.queue.name) {
             Some(queue) => (queue.clone(), true),
             None => (row.queue.clone(), false),
@@ -72,9 +74,22 @@
         }
     }
 
-    /// A job that has ended and of which only its end is kept.
-    pub fn remember(&mut self, id: JobId, state: JobState) {
-        self.ended.insert(id, state);
+    /// Progress that a former owner recorded of a job whose row is not there: it has
+    /// ended, or its row could not be read yet.
+    pub fn remember(&mut self, id: JobId, progress: Progress) {
+        if self.job_ids.contains_key(&id) {
+            return;
+        }
+        if progress.state.is_final() {
+            self.ended.insert(id, progress.state);
+        } else {
+            self.unclaimed.insert(id, progress);
+        }
+    }
+
+    /// Some jobs' rows could not be read, so runs of unknown jobs may be ours.
+    pub fn set_incomplete(&mut self, incomplete: bool) {
+        self.incomplete = incomplete;
     }
 
     /// Makes the steps of one time.
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -112,7 +112,12 @@
         self.remove_unlisted(key, sent, look.clock, &listed, now);
     }
 
+    /// Stops a run that no job of ours accounts for; while some jobs could not be
+    /// read it may belong to one of them.
     fn stop_stranger(&mut self, worker: WorkerKey, task: TaskName, number: u64) {
+        if self.incomplete && !self.job_ids.contains_key(&task.step.job) {
+            return;
+        }
         tracing::info!(
             request = %task.step.job,
             %task,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -67,6 +67,9 @@
     job_ids: HashMap<JobId, JobKey>,
     /// Jobs that ended under a former owner.
     ended: HashMap<JobId, JobState>,
+    /// Recorded progress of jobs whose rows could not be read yet.
+    unclaimed: HashMap<JobId, record::Progress>,
+    incomplete: bool,
     steps: SlotMap<StepKey, StepRun>,
     runs: SlotMap<RunKey, Run>,
     /// Steps that are not done, in the order in which they were taken in.
@@ -97,6 +100,8 @@
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             ended: HashMap::new(),
+            unclaimed: HashMap::new(),
+            incomplete: false,
             steps: SlotMap::with_key(),
             runs: SlotMap::with_key(),
             open: Vec::new(),
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -32,6 +32,8 @@
 const RANK_PAUSE: Duration = Duration::from_millis(120);
 /// After a claim that failed the winner has so long to be heard.
 const GRACE: Millis = 700;
+/// How long giving the cell up may take; the process must end within some seconds.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(900);
 /// How often a node writes where it is, until that succeeded.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 
@@ -173,8 +175,8 @@
     let epoch = former.as_ref().map_or(0, |owner| owner.epoch);
     if epoch > shared.owner().epoch
         && let Some(owner) = &former
-        && owner.boot != shared.boot
         && !owner.released
+        && !is_over(shared, owner).await
     {
         tracing::info!(
             epoch,
@@ -199,6 +201,21 @@
     }
 }
 
+/// Tells whether the process that claimed the cell is known to have ended: another
+/// start of it answers.
+async fn is_over(shared: &Arc<Shared>, owner: &OwnerRow) -> bool {
+    if owner.name == shared.name {
+        return owner.boot != shared.boot;
+    }
+    let Ok(address) = owner.address.parse() else {
+        return false;
+    };
+    match exchange(shared, address).await {
+        Some(beat) => beat.name == owner.name && beat.boot != owner.boot,
+        None => false,
+    }
+}
+
 /// Gives the winner of another claim some time to be heard.
 fn note_claim(shared: &Shared, row: &OwnerRow) {
     let now = shared.now();
@@ -261,7 +278,9 @@
 /// Gives the cell up before the process ends, so that another takes it at once.
 pub async fn hand_over(shared: &Arc<Shared>) {
     if let Some(engine) = shared.engine() {
-        engine.record_once(true).await;
+        // Without the store the cell is given up unwritten, and claimed by suspicion.
+        let released = tokio::time::timeout(RELEASE_TIMEOUT, engine.record_once(true)).await;
+        tracing::info!(released = released.is_ok(), "cell is given up");
         engine.retire("the process is about to end");
     }
     {
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -17,7 +17,8 @@
 use crate::cell::spec::JobId;
 use crate::cell::{Cell, WorkerKey, tuning};
 use crate::clock::Millis;
-use crate::node::loading;
+use crate::node::cleaning::Cleaner;
+use crate::node::loading::{self, JobRows};
 use crate::node::recording::OwnerRow;
 use crate::node::shared::{PARTITION, Shared};
 use crate::rpc::node::NodeReply;
@@ -46,6 +47,8 @@
 pub struct Engine {
     /// The epoch of this ownership.
     pub epoch: u64,
+    /// The transaction that claimed it.
+    claimed: Version,
     pub(super) shared: Arc<Shared>,
     cell: Mutex<Cell>,
     pub(super) wake: Notify,
@@ -75,6 +78,7 @@
         let loaded = loading::load(shared, epoch, version).await?;
         let engine = Arc::new(Self {
             epoch,
+            claimed: version,
             shared: Arc::clone(shared),
             cell: Mutex::new(loaded.cell),
             wake: Notify::new(),
@@ -92,7 +96,7 @@
         engine.spawn(Arc::clone(&engine).record_loop());
         engine.spawn(Arc::clone(&engine).confirm_loop());
         engine.spawn(Arc::clone(&engine).workers_loop(loaded.workers_version));
-        engine.spawn(Arc::clone(&engine).jobs_loop(loaded.jobs_version));
+        engine.spawn(Arc::clone(&engine).jobs_loop(loaded.jobs));
         engine.look_after_workers();
         Ok(engine)
     }
@@ -185,9 +189,12 @@
     pub async fn cancel(&self, id: JobId) -> NodeReply {
         let mut decided = self.cell().cancel(id);
         if decided == Cancelling::Unknown {
-            match self.find_job(id).await {
-                Ok(true) => decided = self.cell().cancel(id),
-                Ok(false) => return NodeReply::UnknownJob,
+            match loading::find_job(&self.shared, id).await {
+                Ok(Some(row)) => {
+                    self.accepted(&row);
+                    decided = self.cell().cancel(id);
+                }
+                Ok(None) => return NodeReply::UnknownJob,
                 Err(_) => return NodeReply::Unavailable,
             }
         }
@@ -210,19 +217,6 @@
         }
     }
 
-    /// Looks in the store for a job of which nobody told yet.
-    async fn find_job(&self, id: JobId) -> Result<bool, crate::store::StoreError> {
-        let call = StoreCall::row(Table::Jobs, PARTITION, &id.to_string());
-        let StoreReply::Rows { rows, .. } = self.shared.store(call).await? else {
-            return Ok(false);
-        };
-        let row = rows.first().and_then(|row| loading::job_row(&row.value));
-        if let Some(row) = &row {
-            self.accepted(row);
-        }
-        Ok(row.is_some())
-    }
-
     async fn schedule_loop(self: Arc<Self>) {
         loop {
             // Either something happened, or it is time to look at leases.
@@ -385,40 +379,55 @@
         }
     }
 
-    async fn jobs_loop(self: Arc<Self>, mut after: Version) {
+    async fn jobs_loop(self: Arc<Self>, loaded: JobRows) {
+        let mut after = loaded.version;
+        let mut unread = loaded.unread;
+        let mut cleaner = Cleaner::default();
+        cleaner.note(&loaded.rows);
         loop {
             tokio::time::sleep(JOBS_POLL).await;
+            if !unread.is_empty() {
+                let missing = loading::list_job_partitions(&self.shared, &unread).await;
+                self.take_job_rows(&missing.rows);
+                cleaner.note(&missing.rows);
+                unread = missing.unread;
+                self.cell().set_incomplete(!unread.is_empty());
+            }
             let call = StoreCall::Changes {
                 table: Table::Jobs,
                 after,
                 wait: 0,
             };
-            let rows = match self.shared.store(call).await {
+            match self.shared.store(call).await {
                 Ok(StoreReply::Rows { rows, version, .. }) => {
                     after = version.max(after);
-                    rows
-                }
-                Ok(_) => match loading::list(&self.shared, Table::Jobs, PARTITION).await {
-                    Ok((rows, version)) => {
-                        after = version;
-                        rows
-                    }
-                    Err(err) => {
-                        tracing::info!(%err, "jobs cannot be listed");
-                        continue;
-                    }
-                },
-                Err(_) => {
-                    tokio::time::sleep(STORE_PAUSE).await;
-                    continue;
+                    self.take_job_rows(&rows);
+                    cleaner.note(&rows);
                 }
-            };
-            for row in rows.iter().filter(|row| !row.dropped) {
-                if let Some(row) = loading::job_row(&row.value) {
-                    self.accepted(&row);
+                Ok(_) => {
+                    tracing::info!(after, "the store has forgotten changes of jobs");
+                    let jobs = loading::list_jobs(&self.shared).await;
+                    self.take_job_rows(&jobs.rows);
+                    cleaner.note(&jobs.rows);
+                    unread.extend(jobs.unread);
+                    after = jobs.version;
                 }
+                Err(_) => tokio::time::sleep(STORE_PAUSE).await,
             }
+            cleaner.clean(&self).await;
+        }
+    }
+
+    fn take_job_rows(&self, rows: &[crate::store::Row]) {
+        for row in rows.iter().filter(|row| !row.dropped) {
+            let Some(job) = loading::job_row(&row.value) else {
+                continue;
+            };
+            let predates = row.version < self.claimed;
+            let now = self.shared.now();
+            self.cell().accept(&job, None, predates, now);
         }
+        self.wake.notify_one();
     }
 }
 
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -10,11 +10,12 @@
 use crate::cell::record::{JobRow, Progress};
 use crate::cell::spec::{JobId, JobSpec};
 use crate::clock::Millis;
+use crate::node::intake::{Intake, Submitted};
 use crate::node::loading;
 use crate::node::shared::{PARTITION, Shared};
 use crate::queue::Queue;
 use crate::rpc::node::{NodeCall, NodeReply, NodeService};
-use crate::store::{RowKey, StoreCall, StoreError, StoreReply, Table, Transaction};
+use crate::store::{StoreCall, StoreReply, Table};
 
 /// How long the owner may take to take in a job or to tell its state.
 const OWNER_TIMEOUT: Millis = 600;
@@ -22,24 +23,11 @@
 const CANCEL_TIMEOUT: Millis = 2_500;
 /// How often telling the owner of a job is tried; it finds the row by itself as well.
 const TELL_TRIES: u32 = 3;
-/// How often a doubtful write of a job is repeated before the caller is told so.
-const WRITE_TRIES: u32 = 2;
 /// When to come back after a refusal: the store's outages last some seconds.
 pub const RETRY_AFTER_S: u32 = 1;
 /// A count of the owner's that is older than this is not passed on: callers accept 2 s.
 const PENDING_VALID: Millis = 1_800;
 
-/// What became of a job that a caller handed in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Submitted {
-    /// It is kept, now or since before.
-    Accepted,
-    /// It was not taken and never will be.
-    Refused,
-    /// It may have been taken; the caller should hand it in again.
-    Doubtful,
-}
-
 /// What became of a question or a cancellation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Told {
@@ -57,6 +45,7 @@
 pub struct Front {
     /// What all parts of the node share.
     pub shared: Arc<Shared>,
+    intake: Intake,
     /// Callers' requests that are being answered.
     requests: Arc<AtomicUsize>,
 }
@@ -74,6 +63,7 @@
     /// Makes the front of a node.
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
+            intake: Intake::start(Arc::clone(&shared)),
             shared,
             requests: Arc::default(),
         }
@@ -103,7 +93,7 @@
             spec,
         };
         let began = self.shared.now();
-        let outcome = self.write_job(&row).await;
+        let outcome = self.intake.write(&row).await;
         let now = self.shared.now();
         tracing::info!(
             request = %id,
@@ -127,47 +117,6 @@
         outcome
     }
 
-    async fn write_job(&self, row: &JobRow) -> Submitted {
-        let id = row.id.to_string();
-        let value = match serde_json::to_string(row) {
-            Ok(value) => value,
-            Err(err) => {
-                tracing::error!(%err, request = %row.id, "a job cannot be encoded");
-                return Submitted::Refused;
-            }
-        };
-        let key = RowKey::new(Table::Jobs, PARTITION, &id);
-        let mut tx = Transaction::default();
-        tx.expected.push((key.clone(), 0));
-        tx.expected
-            .push((RowKey::new(Table::Progress, PARTITION, &id), 0));
-        tx.puts.push((key, value));
-        let mut doubt = false;
-        for _ in 0..WRITE_TRIES {
-            match self.shared.store(StoreCall::Commit(tx.clone())).await {
-                Ok(StoreReply::Committed(_) | StoreReply::Conflict(_)) => {
-                    return Submitted::Accepted;
-                }
-                Ok(_) => tracing::error!("the store's answer to a job is of the wrong kind"),
-                Err(StoreError::Unanswered | StoreError::Malformed) => {
-                    doubt = true;
-                    self.shared.metrics.retry("job_write_unanswered");
-                    continue;
-                }
-                Err(StoreError::Rejected(status)) => {
-                    tracing::error!(status, request = %row.id, "the store rejects a job");
-                }
-                Err(StoreError::Unavailable) => {}
-            }
-            break;
-        }
-        if doubt {
-            Submitted::Doubtful
-        } else {
-            Submitted::Refused
-        }
-    }
-
     /// Tells how far a job is.
     pub async fn state(&self, id: JobId) -> Told {
         match ask_owner(&self.shared, NodeCall::State(id), OWNER_TIMEOUT).await {
@@ -178,17 +127,16 @@
 
     /// Reads a job's state from its rows.
     async fn stored_state(&self, id: JobId) -> Told {
-        let key = id.to_string();
-        let progress = StoreCall::row(Table::Progress, PARTITION, &key);
-        let job = StoreCall::row(Table::Jobs, PARTITION, &key);
-        let (progress, job) = tokio::join!(self.shared.store(progress), self.shared.store(job));
-        let (Ok(StoreReply::Rows { rows: progress, .. }), Ok(StoreReply::Rows { rows: job, .. })) =
-            (progress, job)
-        else {
+        let progress = StoreCall::row(Table::Progress, PARTITION, &id.to_string());
+        let (progress, job) = tokio::join!(
+            self.shared.store(progress),
+            loading::find_job(&self.shared, id)
+        );
+        let (Ok(StoreReply::Rows { rows, .. }), Ok(job)) = (progress, job) else {
             self.shared.metrics.refusal("state_unavailable");
             return Told::Unavailable;
         };
-        if let Some(row) = progress.first() {
+        if let Some(row) = rows.first() {
             return match serde_json::from_str::<Progress>(&row.value) {
                 Ok(progress) => Told::State(progress.state),
                 Err(err) => {
@@ -197,7 +145,7 @@
                 }
             };
         }
-        match job.first().and_then(|row| loading::job_row(&row.value)) {
+        match job {
             Some(row) => {
                 tokio::spawn(tell_owner(Arc::clone(&self.shared), row));
                 Told::State(JobState::Queued)
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -3,11 +3,14 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use futures::future::join_all;
+
 use crate::cell::Cell;
 use crate::cell::record::{JobRow, Progress};
+use crate::cell::spec::JobId;
 use crate::cell::worker::WorkerEntry;
 use crate::node::recording::WORKERS_KEY;
-use crate::node::shared::{PARTITION, Shared};
+use crate::node::shared::{JOB_PARTITIONS, PARTITION, Shared, job_partition};
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
 
 /// How many rows one call reads; the store gives at most as many.
@@ -19,8 +22,8 @@
     pub cell: Cell,
     /// Follow changes of workers from here.
     pub workers_version: Version,
-    /// Follow changes of jobs from here.
-    pub jobs_version: Version,
+    /// The jobs as they were read.
+    pub jobs: JobRows,
 }
 
 /// Reads all rows of a partition.
@@ -72,12 +75,13 @@
     claimed: Version,
 ) -> Result<Loaded, StoreError> {
     let former = StoreCall::row(Table::Cells, PARTITION, WORKERS_KEY);
-    let (workers, former, jobs, progress) = tokio::try_join!(
+    let (workers, former, progress, jobs) = tokio::join!(
         list(shared, Table::Workers, ""),
         shared.store(former),
-        list(shared, Table::Jobs, PARTITION),
         list(shared, Table::Progress, PARTITION),
-    )?;
+        list_jobs(shared),
+    );
+    let (workers, former, progress) = (workers?, former?, progress?);
     let now = shared.now();
     let config = shared.config().unwrap_or_default();
     let mut cell = Cell::new(epoch, config, now);
@@ -94,33 +98,107 @@
             Err(err) => tracing::error!(job = row.key, %err, "progress cannot be read"),
         }
     }
-    for row in &jobs.0 {
+    for row in &jobs.rows {
         let Some(job) = job_row(&row.value) else {
             continue;
         };
         let predates = row.version < claimed;
-        cell.accept(&job, recorded.remove(&row.key).as_ref(), predates, now);
+        cell.accept(&job, recorded.get(&row.key), predates, now);
     }
     for (key, progress) in recorded {
         if let Ok(id) = key.parse() {
-            cell.remember(id, progress.state);
+            cell.remember(id, progress);
         }
     }
+    cell.set_incomplete(!jobs.unread.is_empty());
     tracing::info!(
         epoch,
         workers = workers.0.len(),
-        jobs = jobs.0.len(),
+        jobs = jobs.rows.len(),
+        unread = ?jobs.unread,
         progress = progress.0.len(),
-        version = jobs.1,
+        version = jobs.version,
         "cell loaded"
     );
     Ok(Loaded {
         cell,
         workers_version: workers.1,
-        jobs_version: jobs.1,
+        jobs,
     })
 }
 
+/// Rows of jobs from all partitions that could be read.
+pub struct JobRows {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Partitions that could not be read.
+    pub unread: Vec<usize>,
+    /// Follow changes from here.
+    pub version: Version,
+}
+
+/// Reads the jobs of all partitions; some may be away while others are read.
+pub async fn list_jobs(shared: &Arc<Shared>) -> JobRows {
+    let numbers: Vec<usize> = (0..JOB_PARTITIONS).collect();
+    list_job_partitions(shared, &numbers).await
+}
+
+/// Reads the jobs of some partitions.
+pub async fn list_job_partitions(shared: &Arc<Shared>, numbers: &[usize]) -> JobRows {
+    let names: Vec<String> = numbers
+        .iter()
+        .map(|&number| job_partition(number))
+        .collect();
+    let lists = join_all(names.iter().map(|name| list(shared, Table::Jobs, name))).await;
+    let mut jobs = JobRows {
+        rows: Vec::new(),
+        unread: Vec::new(),
+        version: Version::MAX,
+    };
+    for (&number, list) in numbers.iter().zip(lists) {
+        match list {
+            Ok((rows, version)) => {
+                jobs.rows.extend(rows);
+                jobs.version = jobs.version.min(version);
+            }
+            Err(err) => {
+                tracing::info!(%err, number, "jobs of a partition cannot be read");
+                jobs.unread.push(number);
+            }
+        }
+    }
+    if jobs.version == Version::MAX {
+        jobs.version = 0;
+    }
+    jobs
+}
+
+/// Looks for a job of which nobody told yet, in all partitions.
+///
+/// # Errors
+/// Fails if it is in none of those that can be read, and some cannot.
+pub async fn find_job(shared: &Arc<Shared>, id: JobId) -> Result<Option<JobRow>, StoreError> {
+    let key = id.to_string();
+    let calls = (0..JOB_PARTITIONS)
+        .map(|number| shared.store(StoreCall::row(Table::Jobs, &job_partition(number), &key)));
+    let mut failed = None;
+    for reply in join_all(calls).await {
+        match reply {
+            Ok(StoreReply::Rows { rows, .. }) => {
+                if let Some(row) = rows.first() {
+                    return Ok(job_row(&row.value));
+                }
+            }
+            Ok(_) => failed = Some(StoreError::Malformed),
+            Err(err) => failed = Some(err),
+        }
+    }
+    match failed {
+        Some(err) => Err(err),
+        None => Ok(None),
+    }
+}
+
 /// Reads the row of a job; one that cannot be read is logged and left out.
 pub fn job_row(value: &str) -> Option<JobRow> {
     match serde_json::from_str(value) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! `docs/CELL.md` explains how the nodes of a cell act together.
 
+pub mod cleaning;
 pub mod configuration;
 pub mod election;
 pub mod engine;
 pub mod front;
+pub mod intake;
 pub mod links;
 pub mod loading;
 pub mod members;
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -25,8 +25,8 @@
 const RECORD_PAUSE: Duration = Duration::from_millis(20);
 /// Without any change the loop looks at the core so often.
 const RECORD_TICK: Duration = Duration::from_millis(200);
-/// The most jobs in a transaction; with two rows a job the store takes 100 entries.
-const MOST_JOBS: usize = 45;
+/// The most jobs in a transaction; the store takes 100 entries.
+const MOST_JOBS: usize = 90;
 /// The pause after a failed transaction.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -172,9 +172,6 @@
             let value = serde_json::to_string(progress).unwrap_or_default();
             tx.puts
                 .push((RowKey::new(Table::Progress, PARTITION, &id), value));
-            if progress.state.is_final() {
-                tx.drops.push(RowKey::new(Table::Jobs, PARTITION, &id));
-            }
         }
         tx
     }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -16,6 +16,16 @@
 /// Every cell's rows lie in a partition of their own.  There is one cell so far.
 pub const PARTITION: &str = "c0";
 
+/// Accepted jobs lie in so many partitions.  Each node writes to one of its own
+/// choice, and to the next if that one is away; some of a store's partitions may
+/// be down or slow while others work.
+pub const JOB_PARTITIONS: usize = 8;
+
+/// The name of a partition of jobs.
+pub fn job_partition(number: usize) -> String {
+    format!("j{}", number % JOB_PARTITIONS)
+}
+
 /// Who owns the cell, as far as this node knows.
 #[derive(Debug, Clone, Default)]
 pub struct Owner {
@@ -266,6 +276,18 @@
             owner.address = beat.address.parse().ok();
             owner.heard = now;
             owner.pending.clone_from(&beat.pending);
+        } else if beat.leaving
+            && owner
+                .address
+                .is_some_and(|own| own.to_string() == beat.address)
+        {
+            tracing::info!(
+                epoch = owner.epoch,
+                owner = beat.name,
+                "owner gives the cell up"
+            );
+            owner.address = None;
+            owner.heard = 0;
         } else if beat.epoch > owner.epoch {
             owner.epoch = beat.epoch;
             owner.address = None;
--- a/src/store.rs
+++ b/src/store.rs
@@ -56,6 +56,8 @@
 /// One row as it was read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
+    /// The partition.
+    pub partition: String,
     /// The key within its table and partition.
     pub key: String,
     /// The value; empty if the row was dropped.
