Failed runs are kept by number, so that ends told out of order all count

Ruled out: a successor counting an end twice, since it checks the number. Change: the numbers of failed runs are kept with the task and recorded. Test: failures_that_are_told_out_of_order_all_count failed before, passes now; nine more tests of the core come with it.

--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -113,7 +113,6 @@
                 open: step.tasks,
                 ready: step.after.is_empty(),
                 advice: Advice::default(),
-                gang_failures: (0, 0),
             });
             keys.push(step_key);
             self.open.push(step_key);
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -103,8 +103,6 @@
     pub ready: bool,
     /// Where it may run.
     pub advice: Advice,
-    /// For a gang: failed runs of the whole, and the last one that was counted.
-    pub gang_failures: (u32, u64),
 }
 
 impl StepRun {
@@ -127,10 +125,9 @@
 pub struct Task {
     /// It has ended well.
     pub done: bool,
-    /// How many runs have failed.
-    pub failures: u32,
-    /// The number of the last run that failed; an end may be told twice.
-    pub last_failed: u64,
+    /// The numbers of the runs that have failed.  An end may be told twice, and that
+    /// of an earlier run after that of a later one.
+    pub failed: Vec<u64>,
     /// The newest saved progress; empty for none.
     pub saved: String,
     /// Runs that are or may be going on.
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -38,10 +38,8 @@
     pub place: (u32, u16, u32),
     /// It has ended well.
     pub done: bool,
-    /// How many runs have failed.
-    pub failures: u32,
-    /// The number of the last run that failed.
-    pub last_failed: u64,
+    /// The numbers of the runs that have failed.
+    pub failed: Vec<u64>,
     /// The newest saved progress.
     pub saved: String,
 }
@@ -103,15 +101,14 @@
             for &step_key in job.times.values().flatten() {
                 let step = &self.steps[step_key];
                 for (index, task) in step.tasks.iter().enumerate() {
-                    if !task.done && task.failures == 0 && task.saved.is_empty() {
+                    if !task.done && task.failed.is_empty() && task.saved.is_empty() {
                         continue;
                     }
                     let saved = if task.done { "" } else { task.saved.as_str() };
                     tasks.push(TaskProgress {
                         place: (step.name.time, step.name.step, index as u32),
                         done: task.done,
-                        failures: task.failures,
-                        last_failed: task.last_failed,
+                        failed: task.failed.clone(),
                         saved: saved.to_owned(),
                     });
                 }
@@ -184,13 +181,8 @@
                 step.open -= 1;
             }
             task.done = record.done;
-            task.failures = record.failures;
-            task.last_failed = record.last_failed;
+            task.failed.clone_from(&record.failed);
             task.saved = record.saved.clone();
-            if step.spec.steps[usize::from(place)].gang {
-                step.gang_failures.0 = step.gang_failures.0.max(record.failures);
-                step.gang_failures.1 = step.gang_failures.1.max(record.last_failed);
-            }
         }
         for time in times {
             self.make_ready(key, time);
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -283,29 +283,23 @@
         let lasting = step.step().lasting;
         let gang = step.step().gang;
         let job_key = step.job;
-        let task = &mut step.tasks[index as usize];
-        if number <= task.last_failed {
+        step.tasks[index as usize].avoid = Some(worker);
+        // A gang fails as a whole, once for each run, whoever of it told.
+        let counted = if gang { 0 } else { index as usize };
+        let failed = &mut step.tasks[counted].failed;
+        if failed.contains(&number) || lasting {
             return;
         }
-        task.last_failed = number;
-        task.failures += 1;
-        task.avoid = Some(worker);
-        let mut failures = task.failures;
-        if gang {
-            if step.gang_failures.1 < number {
-                step.gang_failures = (step.gang_failures.0 + 1, number);
-            }
-            failures = step.gang_failures.0;
-            step.tasks[index as usize].failures = failures;
-        }
+        failed.push(number);
+        let failures = failed.len();
         let name = step.task_name(index);
         let job = &mut self.jobs[job_key];
         tracing::info!(request = %job.id, task = %name, run = number, failures, attempts = job.queue.attempts, "task failed");
-        if lasting || job.state.is_final() {
+        if job.state.is_final() {
             return;
         }
         job.dirty = true;
-        if failures >= job.queue.attempts {
+        if failures >= job.queue.attempts.max(1) as usize {
             self.end_job(job_key, JobState::Failed);
             self.stop_step(key, now, "job has failed");
         }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -282,7 +282,7 @@
         if !step.ready || job.state.is_final() {
             return Err("order");
         }
-        if task.failures >= attempts && !step.step().lasting {
+        if task.failed.len() >= attempts as usize && !step.step().lasting {
             return Err("attempts");
         }
         if !worker.allows(step.step(), &job.queue.service) {
--- /dev/null
+++ b/tests/cell.rs
@@ -0,0 +1,231 @@
+//! The scheduling core of a cell, event by event, with the time handed in.
+
+mod cell_core;
+
+use cell_core::{Bench, advised_queue, job, questions, queue, starts, step, stops};
+use crossweir::cell::intake::Cancelling;
+use crossweir::cell::job::JobState;
+use crossweir::cell::order::{EndKind, LookFailure, Refusal, StartOutcome};
+use crossweir::cell::spec::{JobId, Step};
+
+#[test]
+fn a_job_runs_its_steps_in_order_and_is_shown_when_recorded() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    let second = Step {
+        after: vec![0],
+        ..step(1, 1_000)
+    };
+    bench.accept(&job(1, &q, vec![step(2, 1_000), second]));
+    let first = bench.start_all();
+    assert_eq!(first.len(), 2);
+    bench.end(first[0].task, first[0].number, EndKind::Done);
+    bench.look_at_all();
+    assert!(bench.start_all().is_empty(), "the first step is not done");
+    bench.end(first[1].task, first[1].number, EndKind::Done);
+    bench.look_at_all();
+    let last = bench.start_all();
+    assert_eq!(last.len(), 1);
+    bench.end(last[0].task, last[0].number, EndKind::Done);
+    bench.look_at_all();
+    assert_eq!(bench.state(1), Some(JobState::Running), "not recorded yet");
+    bench.record();
+    assert_eq!(bench.state(1), Some(JobState::Succeeded));
+}
+
+#[test]
+fn room_is_never_given_twice() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(5, 4_000)]));
+    let orders = starts(&bench.decide());
+    assert_eq!(orders.len(), 4, "16 cores hold four tasks of 4");
+    assert!(starts(&bench.decide()).is_empty());
+}
+
+#[test]
+fn failures_that_are_told_out_of_order_all_count() {
+    // The first run is written off; the second fails; then the worker of the first is
+    // back and tells that the first had failed as well: that makes two of two attempts.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(1, 1_000)]));
+    let first = bench.start_all().remove(0);
+    let lost = first.to.worker;
+    bench.end(first.task, first.number, EndKind::Failed);
+    bench.cell.look_failed(lost, LookFailure::Unanswered, bench.now);
+    for _ in 0..50 {
+        bench.pass(100);
+        let other = (0..2).map(|n| bench.worker(n)).find(|&key| key != lost);
+        bench.look_at(other.expect("another worker"));
+    }
+    let second = bench.start_all().remove(0);
+    bench.end(second.task, second.number, EndKind::Failed);
+    bench.look_at(second.to.worker);
+    bench.look_at(lost);
+    assert!(bench.start_all().is_empty(), "both attempts have failed");
+    bench.record();
+    assert_eq!(bench.state(1), Some(JobState::Failed));
+}
+
+#[test]
+fn an_unanswered_start_blocks_its_task_until_it_is_settled() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(1, 1_000)]));
+    let order = starts(&bench.decide()).remove(0);
+    bench
+        .cell
+        .start_answered(order.run, StartOutcome::Unanswered, None, bench.now);
+    let stop = stops(&bench.cell.take_orders()).remove(0);
+    assert_eq!((stop.task, stop.number), (order.task, order.number));
+    bench.look_at_all();
+    assert!(bench.start_all().is_empty(), "it may still begin");
+    bench.cell.stop_confirmed(order.run, bench.now);
+    bench.look_at_all();
+    let again = bench.start_all().remove(0);
+    assert!(again.number > order.number);
+}
+
+#[test]
+fn a_silent_workers_tasks_start_elsewhere_only_after_the_lease() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(1, 1_000)]));
+    let order = bench.start_all().remove(0);
+    let lost = order.to.worker;
+    bench.look_at_all();
+    let began = bench.now;
+    let other = (0..2).map(|n| bench.worker(n)).find(|&key| key != lost);
+    let other = other.expect("another worker");
+    bench.cell.look_failed(lost, LookFailure::Unanswered, bench.now);
+    let mut again = Vec::new();
+    while again.is_empty() && bench.now < began + 10_000 {
+        bench.pass(50);
+        bench.look_at(other);
+        again = bench.start_all();
+    }
+    assert!(bench.now - began > 3_500, "the lease of 3.5 s has run out");
+    assert_eq!(again[0].to.worker, other);
+}
+
+#[test]
+fn another_life_at_the_address_proves_the_former_one_over() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(1, 1_000)]));
+    let order = bench.start_all().remove(0);
+    bench.cell.look_failed(
+        order.to.worker,
+        LookFailure::Refused(Refusal::Gone),
+        bench.now,
+    );
+    let again = bench.start_all();
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].to.worker, order.to.worker);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    let gang = Step {
+        gang: true,
+        ..step(9, 4_000)
+    };
+    bench.accept(&job(1, &q, vec![gang.clone()]));
+    assert!(bench.start_all().is_empty(), "eight places for nine members");
+    let eight = Step {
+        tasks: 8,
+        ..gang
+    };
+    bench.accept(&job(2, &q, vec![eight]));
+    let members = bench.start_all();
+    assert_eq!(members.len(), 8);
+    assert!(members.iter().all(|m| m.number == members[0].number));
+    bench.end(members[3].task, members[3].number, EndKind::Done);
+    bench.look_at_all();
+    bench.record();
+    assert_eq!(bench.state(2), Some(JobState::Succeeded), "one end counts for all");
+}
+
+#[test]
+fn a_start_brings_a_ticket_and_old_ones_are_not_used() {
+    let q = advised_queue("q", 0);
+    let mut bench = Bench::new(4, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(4, 8_000)]));
+    let question = questions(&bench.decide()).remove(0);
+    let good = vec![(question.workers[0].1.clone(), String::from("t1"))];
+    bench.cell.advised(&question, Some(good), bench.now);
+    let first = bench.start_all();
+    assert_eq!(first.len(), 2, "one good worker holds two tasks of 8 cores");
+    assert!(first.iter().all(|s| s.ticket.as_deref() == Some("t1")));
+    for order in &first {
+        bench.end(order.task, order.number, EndKind::Done);
+    }
+    bench.pass(2_600);
+    bench.look_at_all();
+    let orders = bench.decide();
+    assert!(starts(&orders).is_empty(), "the ticket is too old");
+    assert_eq!(questions(&orders)[0].workers[0].1, question.workers[0].1);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_when_that_is_recorded() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(2, 1_000)]));
+    bench.start_all();
+    assert_eq!(bench.cell.cancel(JobId(9)), Cancelling::Unknown);
+    assert_eq!(bench.cell.cancel(JobId(1)), Cancelling::Decided);
+    assert!(stops(&bench.decide()).is_empty());
+    bench.record();
+    assert_eq!(stops(&bench.decide()).len(), 2);
+    assert_eq!(bench.cell.cancel(JobId(1)), Cancelling::Final);
+}
+
+#[test]
+fn a_successor_takes_over_what_runs_and_starts_the_rest_when_settled() {
+    let q = queue("q", 0);
+    let mut former = Bench::new(2, std::slice::from_ref(&q));
+    let row = job(1, &q, vec![step(2, 10_000)]);
+    former.accept(&row);
+    let orders = former.start_all();
+    let mut next = Bench::under(2, 2, std::slice::from_ref(&q));
+    // A third worker does not answer, so what ran there is not known.
+    let silent = cell_core::worker(7);
+    let mut cell = crossweir::cell::Cell::new(2, cell_core::configuration(std::slice::from_ref(&q)), next.now);
+    cell.list_workers(vec![cell_core::worker(0), cell_core::worker(1), silent], next.now);
+    next.cell = cell;
+    next.cell.accept(&row, None, true, next.now);
+    let keys = next.cell.worker_keys();
+    let at = |id: &str| orders.iter().find(|order| order.to.id == id).expect("a start");
+    let zero = at("w0");
+    let look = crossweir::cell::order::Look {
+        clock: next.now,
+        running: vec![crossweir::cell::order::RunningEntry {
+            task: zero.task,
+            number: zero.number,
+            saved: String::new(),
+            percent: 1,
+            figure: None,
+        }],
+        ended: Vec::new(),
+    };
+    let empty = crossweir::cell::order::Look {
+        clock: next.now,
+        ..Default::default()
+    };
+    next.cell.looked(keys[0], next.now, &look, next.now);
+    next.cell.looked(keys[1], next.now, &empty, next.now);
+    next.cell.tick(next.now);
+    assert!(starts(&next.decide()).is_empty(), "the other may run on the silent worker");
+    next.now += 6_000;
+    next.cell.looked(keys[0], next.now, &look, next.now);
+    next.cell.looked(keys[1], next.now, &empty, next.now);
+    next.cell.tick(next.now);
+    let late = starts(&next.decide());
+    assert_eq!(late.len(), 1, "only the one that was not found");
+    assert_ne!(late[0].task, zero.task);
+    assert!(late[0].number > zero.number);
+}
--- /dev/null
+++ b/tests/cell_core/mod.rs
@@ -0,0 +1,266 @@
+//! Fixtures for tests of the scheduling core of a cell.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crossweir::cell::job::JobState;
+use crossweir::cell::name::TaskName;
+use crossweir::cell::order::{
+    AdviceOrder, EndEntry, EndKind, Look, Order, RunningEntry, StartOrder, StartOutcome, StopOrder,
+};
+use crossweir::cell::record::{Batch, JobRow};
+use crossweir::cell::spec::{Demand, JobId, JobSpec, Step};
+use crossweir::cell::worker::WorkerEntry;
+use crossweir::cell::{Cell, WorkerKey};
+use crossweir::clock::Millis;
+use crossweir::queue::{AdvicePolicy, Configuration, Queue};
+
+/// The service of all workers here.
+pub const SERVICE: &str = "svc";
+
+/// A queue without a placement policy.
+pub fn queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: String::from("host.example"),
+        prefix: format!("/{name}/"),
+        service: SERVICE.to_owned(),
+        priority,
+        attempts: 2,
+        stretch: 1.5,
+        slack: 250,
+        advice: None,
+    }
+}
+
+/// A queue whose policy must be asked.
+pub fn advised_queue(name: &str, priority: u32) -> Queue {
+    Queue {
+        advice: Some(AdvicePolicy {
+            base_ms: 20.0,
+            per_worker_ms: 0.3,
+            valid: 2_500,
+        }),
+        ..queue(name, priority)
+    }
+}
+
+/// A configuration with these queues.
+pub fn configuration(queues: &[Queue]) -> Arc<Configuration> {
+    Arc::new(Configuration {
+        version: 1,
+        queues: queues.to_vec(),
+        guarded_services: Vec::new(),
+        max_body: 262_144,
+    })
+}
+
+/// A worker with 16 cores.
+pub fn worker(number: u16) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("w{number}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
+        machine: format!("m{number}"),
+        service: SERVICE.to_owned(),
+        hall: String::from("north"),
+        capacity: Demand {
+            millicores: 16_000,
+            memory: 32_768,
+            gpus: 0,
+        },
+        labels: vec![String::from("a"), format!("r{}", number / 8)],
+        rack: Some(format!("r{}", number / 8)),
+        leaving: None,
+    }
+}
+
+/// A step of equal tasks.
+pub fn step(tasks: u32, millicores: u64) -> Step {
+    Step {
+        tasks,
+        demand: Demand {
+            millicores,
+            memory: 100,
+            gpus: 0,
+        },
+        estimate: 800,
+        ..Step::default()
+    }
+}
+
+/// A job's row.
+pub fn job(id: u64, queue: &Queue, steps: Vec<Step>) -> JobRow {
+    JobRow {
+        id: JobId(id),
+        queue: queue.clone(),
+        spec: JobSpec {
+            text: String::from("work"),
+            steps,
+            schedule: None,
+        },
+    }
+}
+
+/// A core with workers that play along: starts succeed and run until they are ended.
+pub struct Bench {
+    /// The core.
+    pub cell: Cell,
+    /// The time.
+    pub now: Millis,
+    /// What runs, by worker.
+    pub running: BTreeMap<WorkerKey, Vec<(TaskName, u64)>>,
+    ends: BTreeMap<WorkerKey, Vec<EndEntry>>,
+    keys: Vec<WorkerKey>,
+}
+
+impl Bench {
+    /// Makes a core under epoch 1 with `workers` workers that are fenced.
+    pub fn new(workers: u16, queues: &[Queue]) -> Self {
+        Self::under(1, workers, queues)
+    }
+
+    /// Makes a core under an epoch.
+    pub fn under(epoch: u64, workers: u16, queues: &[Queue]) -> Self {
+        let mut cell = Cell::new(epoch, configuration(queues), 1_000);
+        cell.set_lanes(&[true, true]);
+        cell.list_workers((0..workers).map(worker).collect(), 1_000);
+        let keys = cell.worker_keys();
+        let mut bench = Self {
+            cell,
+            now: 1_000,
+            running: keys.iter().map(|&key| (key, Vec::new())).collect(),
+            ends: keys.iter().map(|&key| (key, Vec::new())).collect(),
+            keys,
+        };
+        bench.look_at_all();
+        bench.cell.tick(bench.now);
+        bench
+    }
+
+    /// The worker with this number.
+    pub fn worker(&self, number: usize) -> WorkerKey {
+        self.keys[number]
+    }
+
+    /// Takes a new job in.
+    pub fn accept(&mut self, row: &JobRow) {
+        self.cell.accept(row, None, false, self.now);
+    }
+
+    /// Lets time pass without a word from anybody.
+    pub fn pass(&mut self, time: Millis) {
+        self.now += time;
+        self.cell.tick(self.now);
+    }
+
+    /// Decides, and returns the orders.
+    pub fn decide(&mut self) -> Vec<Order> {
+        self.cell.schedule(self.now);
+        self.cell.take_orders()
+    }
+
+    /// Decides, and carries all starts out.
+    pub fn start_all(&mut self) -> Vec<StartOrder> {
+        let starts = starts(&self.decide());
+        for start in &starts {
+            self.start(start);
+        }
+        starts
+    }
+
+    /// Carries one start out.
+    pub fn start(&mut self, order: &StartOrder) {
+        let runs = self.running.get_mut(&order.to.worker).expect("a known worker");
+        runs.push((order.task, order.number));
+        self.cell
+            .start_answered(order.run, StartOutcome::Started, Some(self.now), self.now);
+    }
+
+    /// Ends a run that goes on.
+    pub fn end(&mut self, task: TaskName, number: u64, how: EndKind) {
+        for (key, runs) in &mut self.running {
+            if let Some(place) = runs.iter().position(|run| *run == (task, number)) {
+                runs.remove(place);
+                let ends = self.ends.get_mut(key).expect("a known worker");
+                ends.push(EndEntry {
+                    place: ends.len() as u64 + 1,
+                    task,
+                    number,
+                    how,
+                    saved: String::new(),
+                });
+            }
+        }
+    }
+
+    /// Looks at one worker.
+    pub fn look_at(&mut self, key: WorkerKey) {
+        let running = self.running[&key].iter().map(|&(task, number)| RunningEntry {
+            task,
+            number,
+            saved: String::new(),
+            percent: 10,
+            figure: None,
+        });
+        let look = Look {
+            clock: self.now,
+            running: running.collect(),
+            ended: self.ends[&key].clone(),
+        };
+        let _ = self.cell.look_order(key, self.now);
+        self.cell.looked(key, self.now, &look, self.now);
+    }
+
+    /// Looks at all workers, a moment later.
+    pub fn look_at_all(&mut self) {
+        self.now += 10;
+        for key in self.keys.clone() {
+            self.look_at(key);
+        }
+    }
+
+    /// Records all that has changed.
+    pub fn record(&mut self) -> Batch {
+        let batch = self.cell.take_batch(100);
+        let copy = Batch {
+            rows: batch.rows.clone(),
+            ends: batch.ends.clone(),
+        };
+        self.cell.recorded(batch, self.now);
+        copy
+    }
+
+    /// How far a job is.
+    pub fn state(&self, id: u64) -> Option<JobState> {
+        self.cell.state(JobId(id))
+    }
+}
+
+/// The starts among orders.
+pub fn starts(orders: &[Order]) -> Vec<StartOrder> {
+    let start = |order: &Order| match order {
+        Order::Start(start) => Some(start.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(start).collect()
+}
+
+/// The stops among orders.
+pub fn stops(orders: &[Order]) -> Vec<StopOrder> {
+    let stop = |order: &Order| match order {
+        Order::Stop(stop) => Some(stop.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(stop).collect()
+}
+
+/// The questions among orders.
+pub fn questions(orders: &[Order]) -> Vec<AdviceOrder> {
+    let question = |order: &Order| match order {
+        Order::Advise(question) => Some(question.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(question).collect()
+}
