A silent way to the store is probed aside; successors know who may hold work; shorter looks

Every 250 ms one of its calls tried the direct way and hung for 1.2 s, its commits among them. A look whose answer was lost delayed the news of ends by 1.75 s. Takeovers settled after 5.8 s when the former owner's list held workers that had long left. An isolated node stayed ready and refused everything. Two nodes claimed one after the other at the start, as the first was still loading. Ruled out: room (the workers had more than half free), advice (26 ms). Change: calls use the direct way only while probes on it succeed; ready means that the store is reached by some way; a claimant is given time to load; the recorded list holds those workers on which something may run, and a worker is used only once it is in it; a look waits 600 ms.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -91,7 +91,7 @@
         let share = self.learned_share(&job.queue.name);
         let mut candidates: Vec<(bool, u32, WorkerKey)> = Vec::new();
         for (worker_key, worker) in &self.workers {
-            if !worker.takes_work(now) || !worker.allows(spec, &job.queue.service) {
+            if !self.takes_work(worker_key, now) || !worker.allows(spec, &job.queue.service) {
                 continue;
             }
             if step.advice.bad.contains(&worker_key) || self.valid_ticket(key, worker_key, now) {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -63,6 +63,10 @@
     config: Arc<Configuration>,
     workers: SlotMap<WorkerKey, Worker>,
     worker_ids: HashMap<String, WorkerKey>,
+    /// Rises whenever the roster changes: the workers that a successor must know of.
+    roster: u64,
+    /// The version of the roster that is recorded.
+    roster_recorded: u64,
     jobs: SlotMap<JobKey, Job>,
     job_ids: HashMap<JobId, JobKey>,
     /// Jobs that ended under a former owner.
@@ -97,6 +101,8 @@
             config,
             workers: SlotMap::with_key(),
             worker_ids: HashMap::new(),
+            roster: 1,
+            roster_recorded: 0,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             ended: HashMap::new(),
@@ -160,9 +166,52 @@
         self.workers.keys().collect()
     }
 
-    /// The entries of all workers that are known, for a successor.
-    pub fn worker_entries(&self) -> Vec<WorkerEntry> {
-        self.workers.values().map(|w| w.entry.clone()).collect()
+    /// The version of the roster, and the workers in it: those on which something may
+    /// run.  A successor must hear from each of them, or wait their leases out.
+    pub fn roster(&self) -> (u64, Vec<WorkerEntry>) {
+        let rostered = self.workers.values().filter(|w| w.rostered > 0);
+        (self.roster, rostered.map(|w| w.entry.clone()).collect())
+    }
+
+    /// The version of the roster.
+    pub fn roster_version(&self) -> u64 {
+        self.roster
+    }
+
+    /// The roster of this version is durable; the workers in it may be used.
+    pub fn roster_is_recorded(&mut self, version: u64) {
+        self.roster_recorded = self.roster_recorded.max(version);
+    }
+
+    /// Brings the roster up to date.
+    fn update_roster(&mut self, now: Millis) {
+        for worker in self.workers.values_mut() {
+            let wanted = worker.may_hold_work(now);
+            if wanted == (worker.rostered > 0) {
+                continue;
+            }
+            self.roster += 1;
+            worker.rostered = if wanted { self.roster } else { 0 };
+        }
+    }
+
+    /// A former owner may have used these workers.
+    pub fn list_former_workers(&mut self, entries: Vec<WorkerEntry>, now: Millis) {
+        for entry in entries {
+            let id = entry.id.clone();
+            self.list_worker(entry, now);
+            if let Some(&key) = self.worker_ids.get(&id) {
+                self.workers[key].former = true;
+            }
+        }
+    }
+
+    /// Tells whether a task may be placed on a worker at all.
+    fn takes_work(&self, key: WorkerKey, now: Millis) -> bool {
+        self.workers.get(key).is_some_and(|worker| {
+            let rostered = worker.rostered > 0 && worker.rostered <= self.roster_recorded;
+            rostered && worker.takes_work(now)
+        })
     }
 
     /// A newer configuration is in force.
@@ -245,6 +294,7 @@
         self.write_off(key, now);
         if let Some(worker) = self.workers.remove(key) {
             self.worker_ids.remove(&worker.entry.id);
+            self.roster += 1;
         }
         for step in self.steps.values_mut() {
             step.advice.tickets.retain(|ticket| ticket.worker != key);
@@ -255,6 +305,7 @@
     /// Time passes: leases run out, stops are repeated, ownership settles.
     pub fn tick(&mut self, now: Millis) {
         self.settle(now);
+        self.update_roster(now);
         self.begin_times();
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
@@ -290,7 +341,7 @@
         if self.settled {
             return;
         }
-        let fenced = !self.workers.is_empty() && self.workers.values().all(|w| w.fenced);
+        let fenced = self.workers.values().all(|w| w.fenced || !w.former);
         if !fenced && now < self.settle_by {
             return;
         }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -109,7 +109,7 @@
     ) -> Option<Place> {
         let worker = self.workers.get(worker_key)?;
         let spec = step.step();
-        if !worker.takes_work(now) || !worker.allows(spec, service) {
+        if !self.takes_work(worker_key, now) || !worker.allows(spec, service) {
             return None;
         }
         let here = self.tasks_here(key, worker_key);
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -14,8 +14,9 @@
 pub const LEASE_MARGIN: Millis = 200;
 /// A worker that has not answered for so long gets nothing new: two looks of a second.
 pub const STALE_AFTER: Millis = 2_500;
-/// How long a look waits at the worker for an end.
-pub const LOOK_WAIT: Millis = 1_000;
+/// How long a look waits at the worker for an end.  An answer that is lost delays
+/// the news of ends by this and a bit, and urgent jobs have 0.9 s to spare.
+pub const LOOK_WAIT: Millis = 600;
 /// How long after an unanswered or unconfirmed stop it is sent again.
 pub const STOP_RETRY: Millis = 300;
 /// A ticket is not used when less than this of its time remains: a start takes
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -49,6 +49,10 @@
     pub entry: WorkerEntry,
     /// The platform still lists it.
     pub listed: bool,
+    /// A former owner may have used it.
+    pub former: bool,
+    /// The version of the roster since which it is in it; zero if it is not.
+    pub rostered: u64,
     /// It has answered under our epoch, so predecessors' orders are refused there.
     pub fenced: bool,
     /// When it last answered.
@@ -87,6 +91,8 @@
         Self {
             entry,
             listed: true,
+            former: false,
+            rostered: 0,
             fenced: false,
             heard: 0,
             silent: false,
@@ -105,6 +111,13 @@
         }
     }
 
+    /// Tells whether something may run here, or soon may: a successor must know of it.
+    pub fn may_hold_work(&self, now: Millis) -> bool {
+        let empty = self.runs.is_empty() && self.strangers == 0;
+        let lost = self.silent && now > self.lease_end;
+        !(empty && (self.entry.leaving.is_some() || lost))
+    }
+
     /// The room that is free.
     pub fn free(&self) -> Demand {
         self.entry.capacity.minus(&self.used)
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -56,7 +56,9 @@
 
 async fn whole(shared: &Arc<Shared>) -> Result<StoreReply, StoreError> {
     let key = shared.decoder.configuration_key();
-    shared.store(StoreCall::row(Table::Operator, "", key)).await
+    shared
+        .store_direct(StoreCall::row(Table::Operator, "", key))
+        .await
 }
 
 fn take_rows(shared: &Shared, rows: &[Row]) {
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -30,8 +30,6 @@
 const VOUCH: Millis = 550;
 /// A later candidate waits so long for each one before it.
 const RANK_PAUSE: Duration = Duration::from_millis(120);
-/// After a claim that failed the winner has so long to be heard.
-const GRACE: Millis = 700;
 /// How long giving the cell up may take; the process must end within some seconds.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(900);
 /// How often a node writes where it is, until that succeeded.
@@ -76,9 +74,8 @@
             continue;
         }
         tokio::time::sleep(LOOK).await;
-        let silence = shared.now().saturating_sub(shared.owner().heard);
-        let ownerless = shared.owner().address.is_none();
-        if !shared.leaving() && (silence > SUSPECT || ownerless) {
+        let silence = shared.owner().silence(shared.now());
+        if !shared.leaving() && silence > SUSPECT {
             consider_claim(&shared).await;
         }
     }
@@ -132,8 +129,7 @@
 /// The owner is silent: claims the cell if most say so and nobody goes before us.
 async fn consider_claim(shared: &Arc<Shared>) {
     let beats = tell_all(shared).await;
-    let silence = shared.now().saturating_sub(shared.owner().heard);
-    if silence <= SUSPECT && shared.owner().address.is_some() {
+    if shared.owner().silence(shared.now()) <= SUSPECT {
         return;
     }
     let epoch = shared.owner().epoch;
@@ -146,7 +142,7 @@
     }
     let rank = rank_among(shared, &beats);
     tokio::time::sleep(RANK_PAUSE * rank).await;
-    if shared.now().saturating_sub(shared.owner().heard) <= SUSPECT {
+    if shared.owner().silence(shared.now()) <= SUSPECT {
         return;
     }
     claim(shared).await;
@@ -222,7 +218,7 @@
     let mut owner = shared.owner();
     owner.epoch = row.epoch;
     owner.address = row.address.parse().ok();
-    owner.heard = now.saturating_sub(SUSPECT) + GRACE.min(SUSPECT);
+    owner.heard = Some(now);
 }
 
 /// Writes a claim; returns the version of the row if it is ours now.
@@ -255,7 +251,7 @@
         let mut owner = shared.owner();
         owner.epoch = epoch;
         owner.address = Some(shared.address);
-        owner.heard = shared.now();
+        owner.heard = Some(shared.now());
     }
     match Engine::start(shared, epoch, version).await {
         Ok(engine) => {
@@ -270,7 +266,9 @@
         }
         Err(err) => {
             tracing::warn!(%err, epoch, "the cell cannot be loaded");
-            shared.owner().address = None;
+            let mut owner = shared.owner();
+            owner.address = None;
+            owner.heard = None;
         }
     }
 }
@@ -287,7 +285,7 @@
         let mut owner = shared.owner();
         if owner.address == Some(shared.address) {
             owner.address = None;
-            owner.heard = 0;
+            owner.heard = None;
         }
     }
     tell_all(shared).await;
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -56,7 +56,8 @@
     pub(super) recorded: Notify,
     /// The version of the row of ownership as we last wrote it, and the batch in it.
     pub(super) row: tokio::sync::Mutex<(Version, u64)>,
-    pub(super) workers_changed: AtomicBool,
+    /// The version of the roster that is recorded.
+    pub(super) roster_recorded: AtomicU64,
     retired: AtomicBool,
     confirmed: AtomicU64,
     looked_after: Mutex<HashSet<WorkerKey>>,
@@ -85,7 +86,7 @@
             record: Notify::new(),
             recorded: Notify::new(),
             row: tokio::sync::Mutex::new((version, 0)),
-            workers_changed: AtomicBool::new(true),
+            roster_recorded: AtomicU64::new(0),
             retired: AtomicBool::new(false),
             confirmed: AtomicU64::new(shared.now()),
             looked_after: Mutex::default(),
@@ -231,6 +232,9 @@
                 cell.tell_wall_clock(wall_clock());
                 cell.tick(now);
                 cell.schedule(now);
+                if cell.roster_version() != self.roster_recorded.load(Ordering::Relaxed) {
+                    self.record.notify_one();
+                }
                 cell.take_orders()
             };
             for order in orders {
@@ -350,7 +354,6 @@
                         after = version;
                         let entries = loading::worker_entries(&self.shared, &rows);
                         self.cell().list_workers(entries, self.shared.now());
-                        self.workers_changed.store(true, Ordering::Relaxed);
                     }
                     Err(err) => tracing::info!(%err, "workers cannot be listed"),
                 },
@@ -363,7 +366,6 @@
     fn take_worker_rows(&self, rows: &[crate::store::Row]) {
         let now = self.shared.now();
         let mut cell = self.cell();
-        let before = cell.worker_keys().len();
         for row in rows {
             if row.dropped {
                 cell.unlist_worker(&row.key);
@@ -374,9 +376,6 @@
                 Err(err) => tracing::warn!(worker = row.key, %err, "worker left out"),
             }
         }
-        if cell.worker_keys().len() != before {
-            self.workers_changed.store(true, Ordering::Relaxed);
-        }
     }
 
     async fn jobs_loop(self: Arc<Self>, loaded: JobRows) {
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -80,9 +80,9 @@
         self.requests.load(Ordering::Relaxed) == 0
     }
 
-    /// Tells whether the node should get new connections.
+    /// Tells whether the node should get new connections: it can take jobs.
     pub fn is_ready(&self) -> bool {
-        self.shared.config().is_some() && !self.shared.leaving()
+        self.shared.config().is_some() && !self.shared.leaving() && self.shared.has_store()
     }
 
     /// Takes a job in.  It is durable before this says so.
@@ -171,7 +171,7 @@
             Some(engine) => engine.pending(),
             None => {
                 let owner = self.shared.owner();
-                let age = self.shared.now().saturating_sub(owner.heard);
+                let age = owner.silence(self.shared.now());
                 if owner.address.is_none() || age > PENDING_VALID {
                     return None;
                 }
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -85,9 +85,7 @@
     let now = shared.now();
     let config = shared.config().unwrap_or_default();
     let mut cell = Cell::new(epoch, config, now);
-    for entry in former_workers(&former) {
-        cell.list_worker(entry, now);
-    }
+    cell.list_former_workers(former_workers(&former), now);
     cell.list_workers(worker_entries(shared, &workers.0), now);
     let mut recorded: HashMap<String, Progress> = HashMap::new();
     for row in &progress.0 {
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -12,7 +12,9 @@
 use crate::node::links::Tickets;
 use crate::rpc::node::{NodeCall, NodeReply};
 
-/// The pause after a look that brought nothing.
+/// The pause after a first look that brought nothing: its answer may just be lost.
+const FIRST_LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// The pause after further ones.
 const FAILED_LOOK_PAUSE: Duration = Duration::from_millis(250);
 /// Ends wait at most so long to be recorded before the worker is looked at again.
 const RECORD_WAIT: Duration = Duration::from_millis(400);
@@ -92,6 +94,7 @@
 
     /// Looks at one worker again and again, until it is gone or the ownership ends.
     pub(super) async fn look_loop(self: Arc<Self>, key: WorkerKey) {
+        let mut failures = 0;
         loop {
             if !self.is_active() {
                 tokio::time::sleep(FAILED_LOOK_PAUSE).await;
@@ -105,6 +108,7 @@
             let now = self.shared.now();
             match answer {
                 Ok(look) => {
+                    failures = 0;
                     let news = !look.ended.is_empty() || order.due.is_none();
                     self.cell().looked(key, sent, &look, now);
                     if news {
@@ -119,7 +123,14 @@
                         self.shared.metrics.refusal(Refusal::Epoch.code());
                     }
                     self.wake.notify_one();
-                    tokio::time::sleep(FAILED_LOOK_PAUSE).await;
+                    failures += 1;
+                    let first = failures == 1;
+                    tokio::time::sleep(if first {
+                        FIRST_LOOK_PAUSE
+                    } else {
+                        FAILED_LOOK_PAUSE
+                    })
+                    .await;
                 }
             }
         }
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -71,6 +71,7 @@
         let shared = &self.front.shared;
         tokio::task::spawn_local(self.driver.run());
         tokio::task::spawn_local(rpc::serve(listener, self.front.clone()));
+        tokio::spawn(Arc::clone(shared).probe_store());
         tokio::spawn(election::register(Arc::clone(shared)));
         tokio::spawn(configuration::follow_store(Arc::clone(shared)));
         tokio::spawn(configuration::follow_members(Arc::clone(shared)));
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -86,7 +86,8 @@
     /// Writes what has changed; `release` gives the cell up with it.
     pub(super) async fn record_once(&self, release: bool) {
         let batch = self.cell().take_batch(MOST_JOBS);
-        let list_workers = self.workers_changed.swap(false, Ordering::Relaxed);
+        let roster = self.cell().roster_version();
+        let list_workers = roster != self.roster_recorded.load(Ordering::Relaxed);
         if batch.rows.is_empty() && !list_workers && !release {
             if !batch.ends.is_empty() {
                 self.finish(batch);
@@ -134,6 +135,8 @@
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
+        self.roster_recorded.store(roster, Ordering::Relaxed);
+        self.cell().roster_is_recorded(roster);
         self.finish(batch);
     }
 
@@ -162,7 +165,7 @@
         };
         tx.puts.push((OwnerRow::key(), owner.write()));
         if list_workers {
-            let entries = self.cell().worker_entries();
+            let (_, entries) = self.cell().roster();
             let key = RowKey::new(Table::Cells, PARTITION, WORKERS_KEY);
             tx.puts
                 .push((key, serde_json::to_string(&entries).unwrap_or_default()));
--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -3,79 +3,75 @@
 //! The store may turn single VMs away while it serves others.  Repeating a call
 //! through a peer is safe, since every transaction names the versions it expects.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
+use tokio::sync::Notify;
 
 use crate::clock::Millis;
 use crate::node::shared::Shared;
 use crate::rpc::node::{NodeCall, NodeReply};
-use crate::store::{Store, StoreCall, StoreError, StoreReply};
+use crate::store::{Store, StoreCall, StoreError, StoreReply, Table};
 
-/// After a failure the direct way is not tried again for so long: many callers must
-/// not each wait for a silent store.
-const RETRY_DIRECT: Millis = 250;
+/// How often a direct way that does not work is probed.
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
+/// How long a probe may take: a read takes 6 ms, and some 400 ms from a slow store.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long a relayed call may take: the store's own limit and a hop.
 const RELAY_TIMEOUT: Millis = 1_200;
 /// How many peers are asked for one call.
 const MOST_RELAYS: usize = 2;
 /// A peer that was not heard for so long is not asked: three heartbeats.
-const RELAY_WINDOW: Millis = 1_000;
-
-#[derive(Debug, Default)]
-struct Direct {
-    failed: Millis,
-    works: bool,
-    tried: bool,
-}
+pub const RELAY_WINDOW: Millis = 1_000;
 
 /// The store of a node.
 pub struct RoutedStore {
     direct: Arc<dyn Store>,
-    state: Mutex<Direct>,
+    works: AtomicBool,
+    doubted: Notify,
 }
 
 impl RoutedStore {
-    /// Wraps the direct way.
+    /// Wraps the direct way, which counts as working until a probe fails.
     pub fn new(direct: Arc<dyn Store>) -> Self {
         Self {
             direct,
-            state: Mutex::default(),
+            works: AtomicBool::new(true),
+            doubted: Notify::new(),
         }
     }
 
-    /// Tells whether the last direct call worked; true before the first.
+    /// Tells whether the direct way works, as far as is known.
     pub fn direct_works(&self) -> bool {
-        let state = self.lock();
-        state.works || !state.tried
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, Direct> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.works.load(Ordering::Relaxed)
     }
 
-    fn may_try(&self, now: Millis) -> bool {
-        let mut state = self.lock();
-        if state.works || !state.tried {
-            return true;
-        }
-        if state.failed + RETRY_DIRECT > now {
-            return false;
-        }
-        state.failed = now;
-        true
-    }
-
-    fn note(&self, works: bool, now: Millis) {
-        let mut state = self.lock();
-        if state.works != works || !state.tried {
-            tracing::info!(works, "direct way to the store");
-        }
-        state.works = works;
-        state.tried = true;
-        if !works {
-            state.failed = now;
+    /// Probes the direct way when a call has failed on it, and until it works again.
+    ///
+    /// One failed call proves little: a partition of the store may be away alone.  And
+    /// calls that somebody waits for must not each try a way that says nothing.
+    pub async fn probe(&self, shared: Arc<Shared>) {
+        loop {
+            if self.direct_works() {
+                self.doubted.notified().await;
+            } else {
+                tokio::time::sleep(PROBE_PAUSE).await;
+            }
+            let key = shared.decoder.configuration_key();
+            let call = StoreCall::row(Table::Operator, "", key);
+            let reply = tokio::time::timeout(PROBE_TIMEOUT, self.direct.call(call)).await;
+            let works = matches!(reply, Ok(Ok(_)));
+            if self.works.swap(works, Ordering::Relaxed) != works {
+                tracing::info!(works, "direct way to the store");
+                shared.metrics.event(if works {
+                    "store_regained"
+                } else {
+                    "store_lost"
+                });
+            }
         }
     }
 
@@ -87,10 +83,9 @@
     ) -> BoxFuture<'_, Result<StoreReply, StoreError>> {
         async move {
             let reply = self.direct.call(call).await;
-            let works = !matches!(reply, Err(StoreError::Unavailable | StoreError::Unanswered));
-            self.note(works, shared.now());
             if let Err(err) = &reply {
                 shared.metrics.retry(store_error_code(err));
+                self.doubted.notify_one();
             }
             reply
         }
@@ -104,7 +99,7 @@
         call: StoreCall,
     ) -> Result<StoreReply, StoreError> {
         let mut doubt = false;
-        if self.may_try(shared.now()) {
+        if self.direct_works() {
             match self.call_direct(Arc::clone(shared), call.clone()).await {
                 Err(StoreError::Unavailable) => {}
                 Err(StoreError::Unanswered | StoreError::Malformed) => doubt = true,
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -8,7 +8,7 @@
 use crate::node::engine::Engine;
 use crate::node::links::{Advisor, Decoder, Workers};
 use crate::node::members::Members;
-use crate::node::route::RoutedStore;
+use crate::node::route::{RELAY_WINDOW, RoutedStore};
 use crate::queue::Configuration;
 use crate::rpc::node::{Beat, NodeLink};
 use crate::store::{StoreCall, StoreError, StoreReply};
@@ -33,12 +33,21 @@
     pub epoch: u64,
     /// Where its owner answers; none while there is no known owner.
     pub address: Option<SocketAddr>,
-    /// When it was last heard.
-    pub heard: Millis,
+    /// When it was last heard, or a node was heard that has just claimed the cell;
+    /// none if there is nobody to wait for.
+    pub heard: Option<Millis>,
     /// Jobs of which nothing has begun by queue, as it last said.
     pub pending: Vec<(String, u32)>,
 }
 
+impl Owner {
+    /// How long the owner has been silent; for ever if there is nobody to wait for.
+    pub fn silence(&self, now: Millis) -> Millis {
+        self.heard
+            .map_or(Millis::MAX, |heard| now.saturating_sub(heard))
+    }
+}
+
 /// The way to the outside, given to a node when it is made.
 pub struct Links {
     /// The store.
@@ -223,6 +232,17 @@
         self.store.call_direct(Arc::clone(self), call).await
     }
 
+    /// Watches the direct way to the store until the process ends.
+    pub async fn probe_store(self: Arc<Self>) {
+        self.store.probe(Arc::clone(&self)).await;
+    }
+
+    /// Tells whether the store is reached by any way.
+    pub fn has_store(&self) -> bool {
+        let relays = || self.members().relays(self.now(), RELAY_WINDOW);
+        self.reaches_store() || !relays().is_empty()
+    }
+
     /// Tells whether the direct way to the store works.
     pub fn reaches_store(&self) -> bool {
         self.store.direct_works()
@@ -255,7 +275,7 @@
             owner_silence: if engine.is_some() {
                 0
             } else {
-                now.saturating_sub(owner.heard)
+                owner.silence(now)
             },
             members,
             pending,
@@ -274,7 +294,7 @@
             }
             owner.epoch = beat.epoch;
             owner.address = beat.address.parse().ok();
-            owner.heard = now;
+            owner.heard = Some(now);
             owner.pending.clone_from(&beat.pending);
         } else if beat.leaving
             && owner
@@ -287,10 +307,12 @@
                 "owner gives the cell up"
             );
             owner.address = None;
-            owner.heard = 0;
+            owner.heard = None;
         } else if beat.epoch > owner.epoch {
+            // Its claimant is loading the cell and soon tells of itself.
             owner.epoch = beat.epoch;
             owner.address = None;
+            owner.heard = Some(now);
         }
         let epoch = owner.epoch;
         drop(owner);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -53,7 +53,9 @@
     let first = bench.start_all().remove(0);
     let lost = first.to.worker;
     bench.end(first.task, first.number, EndKind::Failed);
-    bench.cell.look_failed(lost, LookFailure::Unanswered, bench.now);
+    bench
+        .cell
+        .look_failed(lost, LookFailure::Unanswered, bench.now);
     for _ in 0..50 {
         bench.pass(100);
         let other = (0..2).map(|n| bench.worker(n)).find(|&key| key != lost);
@@ -98,7 +100,9 @@
     let began = bench.now;
     let other = (0..2).map(|n| bench.worker(n)).find(|&key| key != lost);
     let other = other.expect("another worker");
-    bench.cell.look_failed(lost, LookFailure::Unanswered, bench.now);
+    bench
+        .cell
+        .look_failed(lost, LookFailure::Unanswered, bench.now);
     let mut again = Vec::new();
     while again.is_empty() && bench.now < began + 10_000 {
         bench.pass(50);
@@ -134,11 +138,11 @@
         ..step(9, 4_000)
     };
     bench.accept(&job(1, &q, vec![gang.clone()]));
-    assert!(bench.start_all().is_empty(), "eight places for nine members");
-    let eight = Step {
-        tasks: 8,
-        ..gang
-    };
+    assert!(
+        bench.start_all().is_empty(),
+        "eight places for nine members"
+    );
+    let eight = Step { tasks: 8, ..gang };
     bench.accept(&job(2, &q, vec![eight]));
     let members = bench.start_all();
     assert_eq!(members.len(), 8);
@@ -146,7 +150,11 @@
     bench.end(members[3].task, members[3].number, EndKind::Done);
     bench.look_at_all();
     bench.record();
-    assert_eq!(bench.state(2), Some(JobState::Succeeded), "one end counts for all");
+    assert_eq!(
+        bench.state(2),
+        Some(JobState::Succeeded),
+        "one end counts for all"
+    );
 }
 
 #[test]
@@ -194,12 +202,22 @@
     let mut next = Bench::under(2, 2, std::slice::from_ref(&q));
     // A third worker does not answer, so what ran there is not known.
     let silent = cell_core::worker(7);
-    let mut cell = crossweir::cell::Cell::new(2, cell_core::configuration(std::slice::from_ref(&q)), next.now);
-    cell.list_workers(vec![cell_core::worker(0), cell_core::worker(1), silent], next.now);
+    let mut cell = crossweir::cell::Cell::new(
+        2,
+        cell_core::configuration(std::slice::from_ref(&q)),
+        next.now,
+    );
+    let listed = vec![cell_core::worker(0), cell_core::worker(1), silent];
+    cell.list_former_workers(listed, next.now);
     next.cell = cell;
     next.cell.accept(&row, None, true, next.now);
     let keys = next.cell.worker_keys();
-    let at = |id: &str| orders.iter().find(|order| order.to.id == id).expect("a start");
+    let at = |id: &str| {
+        orders
+            .iter()
+            .find(|order| order.to.id == id)
+            .expect("a start")
+    };
     let zero = at("w0");
     let look = crossweir::cell::order::Look {
         clock: next.now,
@@ -218,14 +236,52 @@
     };
     next.cell.looked(keys[0], next.now, &look, next.now);
     next.cell.looked(keys[1], next.now, &empty, next.now);
-    next.cell.tick(next.now);
-    assert!(starts(&next.decide()).is_empty(), "the other may run on the silent worker");
+    next.pass(0);
+    assert!(
+        starts(&next.decide()).is_empty(),
+        "the other may run on the silent worker"
+    );
     next.now += 6_000;
     next.cell.looked(keys[0], next.now, &look, next.now);
     next.cell.looked(keys[1], next.now, &empty, next.now);
-    next.cell.tick(next.now);
+    next.pass(0);
     let late = starts(&next.decide());
     assert_eq!(late.len(), 1, "only the one that was not found");
     assert_ne!(late[0].task, zero.task);
     assert!(late[0].number > zero.number);
 }
+
+#[test]
+fn a_worker_is_used_only_when_a_successor_would_know_of_it() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(8, 4_000)]));
+    assert_eq!(bench.start_all().len(), 4, "the one worker is full");
+    bench.cell.list_worker(cell_core::worker(1), bench.now);
+    let key = bench.cell.worker_keys()[1];
+    bench
+        .cell
+        .looked(key, bench.now, &Default::default(), bench.now);
+    bench.cell.tick(bench.now);
+    let (version, roster) = bench.cell.roster();
+    assert_eq!(roster.len(), 2);
+    assert!(
+        starts(&bench.decide()).is_empty(),
+        "the roster is not recorded"
+    );
+    bench.cell.roster_is_recorded(version);
+    assert_eq!(starts(&bench.decide()).len(), 4);
+}
+
+#[test]
+fn a_successor_need_not_wait_for_a_worker_that_has_left_empty() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    let mut leaving = cell_core::worker(1);
+    leaving.leaving = Some(5_000);
+    bench.cell.list_worker(leaving, bench.now);
+    bench.pass(50);
+    let (_, roster) = bench.cell.roster();
+    let ids: Vec<&str> = roster.iter().map(|entry| entry.id.as_str()).collect();
+    assert_eq!(ids, ["w0"]);
+}
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -136,6 +136,7 @@
         };
         bench.look_at_all();
         bench.cell.tick(bench.now);
+        bench.cell.roster_is_recorded(bench.cell.roster_version());
         bench
     }
 
@@ -153,6 +154,7 @@
     pub fn pass(&mut self, time: Millis) {
         self.now += time;
         self.cell.tick(self.now);
+        self.cell.roster_is_recorded(self.cell.roster_version());
     }
 
     /// Decides, and returns the orders.
@@ -172,7 +174,10 @@
 
     /// Carries one start out.
     pub fn start(&mut self, order: &StartOrder) {
-        let runs = self.running.get_mut(&order.to.worker).expect("a known worker");
+        let runs = self
+            .running
+            .get_mut(&order.to.worker)
+            .expect("a known worker");
         runs.push((order.task, order.number));
         self.cell
             .start_answered(order.run, StartOutcome::Started, Some(self.now), self.now);
@@ -197,13 +202,15 @@
 
     /// Looks at one worker.
     pub fn look_at(&mut self, key: WorkerKey) {
-        let running = self.running[&key].iter().map(|&(task, number)| RunningEntry {
-            task,
-            number,
-            saved: String::new(),
-            percent: 10,
-            figure: None,
-        });
+        let running = self.running[&key]
+            .iter()
+            .map(|&(task, number)| RunningEntry {
+                task,
+                number,
+                saved: String::new(),
+                percent: 10,
+                figure: None,
+            });
         let look = Look {
             clock: self.now,
             running: running.collect(),
