A gang is stopped whole whenever one member cannot start

All three are real: a start without an answer stopped only itself while the others waited; a member refused by another life at the address stopped nobody if it was alone there; a worker whose clock was unknown was chosen and then passed over, which started a part of the gang. Ruled out: members told to start twice, since a gang starts only when none of its runs is left. Change: the whole gang is stopped in the first two cases, the worker is not chosen in the third. Tests: three, each failed before and passes now.

--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -100,7 +100,12 @@
                     run.phase = Phase::Doubtful;
                 }
                 self.workers[worker_key].silent = true;
-                self.stop_run(key, now, "start was not answered");
+                let step = self.runs[key].step;
+                if self.steps[step].step().gang {
+                    self.stop_step(step, now, "a start of the gang was not answered");
+                } else {
+                    self.stop_run(key, now, "start was not answered");
+                }
             }
             StartOutcome::Refused(refusal) => self.start_refused(key, refusal, now),
         }
@@ -121,7 +126,7 @@
         self.remove_run(key);
         let worker = &mut self.workers[worker_key];
         match refusal {
-            Refusal::Gone => return self.lose_worker(worker_key, now, "another life answers"),
+            Refusal::Gone => self.lose_worker(worker_key, now, "another life answers"),
             Refusal::NotSent => worker.silent = true,
             Refusal::Unhealthy => {
                 worker.health.shunned_until = now + tuning::UNHEALTHY_PAUSE;
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -139,6 +139,7 @@
     pub fn takes_work(&self, now: Millis) -> bool {
         self.fenced
             && !self.silent
+            && self.clock.is_some()
             && self.entry.leaving.is_none()
             && self.strangers == 0
             && self.health.shunned_until <= now
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -285,3 +285,59 @@
     let ids: Vec<&str> = roster.iter().map(|entry| entry.id.as_str()).collect();
     assert_eq!(ids, ["w0"]);
 }
+
+/// A gang of eight on two workers of four places each, with its starts ordered.
+fn gang_of_eight(bench: &mut Bench, q: &crossweir::queue::Queue) {
+    let gang = Step {
+        gang: true,
+        ..step(8, 4_000)
+    };
+    bench.accept(&job(1, q, vec![gang]));
+}
+
+#[test]
+fn a_gang_is_stopped_when_a_members_worker_turns_out_to_be_gone() {
+    // One member is alone on the third worker, so nothing else there speaks for it.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(3, std::slice::from_ref(&q));
+    let gang = Step {
+        gang: true,
+        ..step(9, 4_000)
+    };
+    bench.accept(&job(1, &q, vec![gang]));
+    let orders = starts(&bench.decide());
+    let single = orders
+        .iter()
+        .find(|a| orders.iter().filter(|b| b.to.id == a.to.id).count() == 1)
+        .expect("a member alone on its worker");
+    let gone = StartOutcome::Refused(Refusal::Gone);
+    bench.cell.start_answered(single.run, gone, None, bench.now);
+    assert_eq!(stops(&bench.decide()).len(), 8, "the other members");
+}
+
+#[test]
+fn a_gang_does_not_start_where_the_workers_clock_is_unknown() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.accept(&job(9, &q, vec![step(1, 100)]));
+    let probe = starts(&bench.decide()).remove(0);
+    let late = StartOutcome::Refused(Refusal::Late);
+    bench.cell.start_answered(probe.run, late, None, bench.now);
+    bench.cell.cancel(JobId(9));
+    gang_of_eight(&mut bench, &q);
+    assert!(starts(&bench.decide()).is_empty(), "not one member");
+    bench.look_at_all();
+    assert_eq!(starts(&bench.decide()).len(), 8);
+}
+
+#[test]
+fn a_gang_is_stopped_whole_when_one_start_brings_no_answer() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    gang_of_eight(&mut bench, &q);
+    let orders = starts(&bench.decide());
+    bench
+        .cell
+        .start_answered(orders[0].run, StartOutcome::Unanswered, None, bench.now);
+    assert_eq!(stops(&bench.decide()).len(), 8);
+}
