An owner that is told to end keeps the cell while the store is away

Ruled out: a longer wait for the store alone, since the engine must go on meanwhile. Change: the engine works on until the release is written or 4.5 s are over; a claim compares the row with the epoch that was suspected when the poll began.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -34,8 +34,9 @@
 const VOUCH: Millis = 300;
 /// A later candidate waits so long for each one before it: a claim takes 15 ms.
 const RANK_PAUSE: Duration = Duration::from_millis(60);
-/// How long giving the cell up may take; the process must end within some seconds.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long the cell is kept while the store cannot be told that it is given up:
+/// nobody else can claim it meanwhile, and the process must end within 6 s.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(4_500);
 /// How often a node writes where it is, until that succeeded.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 
@@ -128,6 +129,7 @@
 
 /// The owner is silent: claims the cell if most say so and nobody goes before us.
 async fn consider_claim(shared: &Arc<Shared>) {
+    let suspected = shared.owner().epoch;
     let beats = tell_all(shared, POLL_TIMEOUT).await;
     if shared.owner().silence(shared.now()) <= SUSPECT {
         return;
@@ -145,7 +147,7 @@
     if shared.owner().silence(shared.now()) <= SUSPECT {
         return;
     }
-    claim(shared).await;
+    claim(shared, suspected).await;
 }
 
 /// How many candidates go before us: nodes of a lower name that reach the store.
@@ -157,8 +159,8 @@
     before + u32::from(!shared.reaches_store())
 }
 
-/// Claims the cell, unless somebody else just did.
-async fn claim(shared: &Arc<Shared>) {
+/// Claims the cell from its owner of the epoch `suspected`, unless somebody else just did.
+async fn claim(shared: &Arc<Shared>, suspected: u64) {
     let call = StoreCall::row(Table::Cells, PARTITION, crate::node::recording::OWNER_KEY);
     let Ok(StoreReply::Rows { rows, .. }) = shared.store(call).await else {
         tracing::info!("the row of ownership cannot be read");
@@ -169,7 +171,7 @@
         None => (0, None),
     };
     let epoch = former.as_ref().map_or(0, |owner| owner.epoch);
-    if epoch > shared.owner().epoch
+    if epoch > suspected
         && let Some(owner) = &former
         && !owner.released
         && !is_over(shared, owner).await
@@ -276,7 +278,7 @@
 /// Gives the cell up before the process ends, so that another takes it at once.
 pub async fn hand_over(shared: &Arc<Shared>) {
     if let Some(engine) = shared.engine() {
-        // Without the store the cell is given up unwritten, and claimed by suspicion.
+        // The engine goes on working until this is written, or the time is over.
         let released = tokio::time::timeout(RELEASE_TIMEOUT, engine.record_once(true)).await;
         tracing::info!(released = released.is_ok(), "cell is given up");
         engine.retire("the process is about to end");
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -26,7 +26,7 @@
 /// How often a leaving node looks whether its last request is answered.
 const IDLE_LOOK: Duration = Duration::from_millis(20);
 /// How long the last requests may take: the platform ends a process after 6 s.
-const LAST_REQUESTS: Duration = Duration::from_millis(3_000);
+const LAST_REQUESTS: Duration = Duration::from_millis(1_000);
 
 /// A node that runs.
 pub struct Node {
@@ -96,8 +96,10 @@
     }
     tracing::info!("node is told to end");
     front.shared.leave();
-    election::hand_over(&front.shared).await;
-    tokio::time::sleep(LINGER).await;
+    tokio::join!(
+        election::hand_over(&front.shared),
+        tokio::time::sleep(LINGER)
+    );
     let idle = async {
         while !front.is_idle() {
             tokio::time::sleep(IDLE_LOOK).await;
