A stand-in that speaks the platform's protocol, and eleven tests of real nodes against it

Change: platform/standin plays store, workers and advice on loopback with faults; tests/node.rs starts the real daemon and kills, stops, hangs up, drains, crashes, refuses and loses replies. A node may listen on any port and tells which in its log; taking ports that had just been free failed once in the first run (address in use).

--- a/src/bin/crossweird/node.rs
+++ b/src/bin/crossweird/node.rs
@@ -51,11 +51,13 @@
 }
 
 async fn serve(settings: Settings, path: PathBuf) -> anyhow::Result<()> {
-    let callers = process::bind(settings.callers).await?;
-    let ready = process::bind(settings.ready).await?;
-    let metrics = process::bind(settings.metrics).await?;
-    let node = Node::new(&settings, |peers| links(&settings, peers))?;
-    let front = node.start(settings.peers).await?;
+    let (callers, callers_at) = process::bind(settings.callers).await?;
+    let (ready, ready_at) = process::bind(settings.ready).await?;
+    let (metrics, metrics_at) = process::bind(settings.metrics).await?;
+    let (peers, peers_at) = process::bind(settings.peers).await?;
+    tracing::info!(callers = %callers_at, ready = %ready_at, peers = %peers_at, metrics = %metrics_at, "node listens");
+    let node = Node::new(&settings, peers_at, |peers| links(&settings, peers))?;
+    let front = node.start(peers);
     task::spawn(ingress::serve(callers, Arc::clone(&front)));
     task::spawn(ingress::serve_status(ready, Arc::clone(&front)));
     task::spawn(ingress::serve_status(metrics, Arc::clone(&front)));
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -37,12 +37,13 @@
 }
 
 impl Node {
-    /// Makes a node; `links` is told the way to other nodes.
+    /// Makes a node that other nodes reach at `address`; `links` is told the way to them.
     ///
     /// # Errors
     /// Fails if a collector of metrics cannot be registered.
     pub fn new(
         settings: &Settings,
+        address: SocketAddr,
         links: impl FnOnce(Arc<dyn rpc::NodeLink>) -> Links,
     ) -> Result<Self> {
         let (link, driver) = rpc::link();
@@ -50,7 +51,7 @@
         let shared = Shared::new(
             settings.name.clone(),
             boot,
-            settings.peers,
+            address,
             settings.seeds.clone(),
             Arc::new(SystemClock::new()),
             Metrics::new()?,
@@ -62,21 +63,17 @@
         })
     }
 
-    /// Serves other nodes, follows the configuration and takes part in ownership.
-    ///
-    /// # Errors
-    /// Fails if the address for other nodes cannot be bound.
-    pub async fn start(self, peers: SocketAddr) -> Result<Arc<Front>> {
-        let listener = bind(peers).await?;
+    /// Serves other nodes at `peers`, follows the configuration and takes part in ownership.
+    pub fn start(self, peers: TcpListener) -> Arc<Front> {
         let shared = &self.front.shared;
         tokio::task::spawn_local(self.driver.run());
-        tokio::task::spawn_local(rpc::serve(listener, self.front.clone()));
+        tokio::task::spawn_local(rpc::serve(peers, self.front.clone()));
         tokio::spawn(Arc::clone(shared).probe_store());
         tokio::spawn(election::register(Arc::clone(shared)));
         tokio::spawn(configuration::follow_store(Arc::clone(shared)));
         tokio::spawn(configuration::follow_members(Arc::clone(shared)));
         tokio::spawn(election::run(Arc::clone(shared)));
-        Ok(self.front)
+        self.front
     }
 }
 
@@ -110,12 +107,13 @@
     Ok(())
 }
 
-/// Binds an address.
+/// Binds an address and tells the one in use, which differs if any port would do.
 ///
 /// # Errors
 /// Names the address that cannot be bound.
-pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Listen { address, source })
+pub async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let failed = |source| Error::Listen { address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
 }
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,392 @@
+//! Nodes as real processes against a stand-in that speaks the platform's protocol.
+
+#[path = "../platform/standin/mod.rs"]
+#[allow(dead_code)]
+mod standin;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use crossweir::http::client::{Answer, CallError, HttpClient};
+use serde_json::{Value, json};
+use standin::{HOST, StandIn, StoreFault};
+use volo_http::http::{Method, StatusCode};
+
+/// How long a condition is polled before the test fails: far beyond any takeover.
+const PATIENCE: Duration = Duration::from_secs(40);
+const POLL: Duration = Duration::from_millis(20);
+
+struct Node {
+    child: Child,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+    _settings: tempfile::NamedTempFile,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Node {
+    /// Sends a signal to the process, which this test has started.
+    fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .args([signal, &self.child.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+}
+
+/// Starts a node on ports that the kernel gives, which the node tells in its log.
+fn start_node(platform: &StandIn, name: &str) -> Node {
+    let mut settings = tempfile::NamedTempFile::new().expect("a file for settings");
+    let any = "127.0.0.1:0";
+    let text = format!(
+        "[node]\nname = {name}\nhall = north\n\
+         [listen]\ncallers = {any}\nready = {any}\npeers = {any}\nmetrics = {any}\n\
+         [store]\naddress = {}\n[advice]\naddress = {}\n",
+        platform.store, platform.advice
+    );
+    settings
+        .write_all(text.as_bytes())
+        .expect("settings are written");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_crossweird"))
+        .arg("--node")
+        .arg("--settings")
+        .arg(settings.path())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the daemon starts");
+    let mut log = BufReader::new(child.stdout.take().expect("a log")).lines();
+    let listens = log
+        .by_ref()
+        .filter_map(|line| serde_json::from_str::<Value>(&line.expect("a line")).ok())
+        .find(|line| line["message"] == "node listens")
+        .expect("the node tells where it listens");
+    std::thread::spawn(move || log.for_each(drop));
+    let address = |name: &str| {
+        let text = listens[name].as_str().expect("an address");
+        text.parse().expect("an address")
+    };
+    Node {
+        callers: address("callers"),
+        ready: address("ready"),
+        metrics: address("metrics"),
+        child,
+        _settings: settings,
+    }
+}
+
+async fn start_ready(platform: &StandIn, names: &[&str]) -> Vec<Node> {
+    let nodes: Vec<Node> = names
+        .iter()
+        .map(|name| start_node(platform, name))
+        .collect();
+    for node in &nodes {
+        until("the node is ready", || async {
+            let answer = call(Method::GET, node.ready, "/ready", Value::Null).await;
+            answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+    nodes
+}
+
+async fn until<F, C>(what: &str, mut condition: C)
+where
+    C: FnMut() -> F,
+    F: Future<Output = bool>,
+{
+    let poll = async {
+        while !condition().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    assert!(
+        tokio::time::timeout(PATIENCE, poll).await.is_ok(),
+        "never: {what}"
+    );
+}
+
+async fn call(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Value,
+) -> Result<Answer, CallError> {
+    let url = format!("http://{address}{path}");
+    let headers = [("host", HOST.to_owned())];
+    let body = if body.is_null() {
+        Vec::new()
+    } else {
+        body.to_string().into_bytes()
+    };
+    HttpClient::new()
+        .call(method, &url, &headers, body, Duration::from_secs(5))
+        .await
+}
+
+/// A job with one step of tasks that each run for `ms`.
+fn job(tasks: u32, ms: u64) -> Value {
+    json!({"spec": ms.to_string(), "steps": [{"count": tasks, "cpu": 1_000, "mem_mb": 100, "est_ms": ms}]})
+}
+
+/// Hands a job in until it is accepted.
+async fn submit(node: &Node, path: &str, body: &Value) {
+    until("the job is accepted", || async {
+        let answer = call(Method::POST, node.callers, path, body.clone()).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+}
+
+async fn state(node: &Node, path: &str) -> Option<String> {
+    let answer = call(Method::GET, node.callers, path, Value::Null)
+        .await
+        .ok()?;
+    let body: Value = answer.json().ok()?;
+    body["state"].as_str().map(str::to_owned)
+}
+
+async fn until_state(node: &Node, path: &str, wanted: &str) {
+    until(wanted, || async {
+        state(node, path).await.as_deref() == Some(wanted)
+    })
+    .await;
+}
+
+/// No two runs of one task overlap, and none begins after one that ended well.
+fn assert_single_runs(platform: &StandIn) {
+    let started = platform.started();
+    for (place, later) in started.iter().enumerate() {
+        for earlier in started[..place].iter().filter(|e| e.task == later.task) {
+            let over = earlier.until.is_some_and(|until| until <= later.from);
+            assert!(over && !earlier.done, "{earlier:?} and {later:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_job_goes_from_any_node_to_the_workers_and_back() {
+    let platform = StandIn::start(4).await;
+    let nodes = start_ready(&platform, &["n1", "n2", "n3"]).await;
+    submit(&nodes[0], "/plain/00000000000000a1", &job(6, 60)).await;
+    submit(&nodes[1], "/advised/00000000000000a2", &job(3, 60)).await;
+    submit(&nodes[2], "/plain/00000000000000a1", &job(6, 60)).await;
+    until_state(&nodes[2], "/plain/00000000000000a1", "succeeded").await;
+    until_state(&nodes[0], "/advised/00000000000000a2", "succeeded").await;
+    assert_eq!(platform.started().len(), 9, "the same id is one job");
+    assert_single_runs(&platform);
+}
+
+#[tokio::test]
+async fn the_owners_death_costs_no_task() {
+    let platform = StandIn::start(2).await;
+    let mut nodes = start_ready(&platform, &["n1", "n2", "n3"]).await;
+    submit(&nodes[1], "/plain/00000000000000b1", &job(8, 1_500)).await;
+    until("tasks run", || async { platform.started().len() == 8 }).await;
+    let mut owner = None;
+    for (place, node) in nodes.iter().enumerate() {
+        let answer = call(Method::GET, node.metrics, "/metrics", Value::Null).await;
+        let text = String::from_utf8_lossy(&answer.expect("metrics").body).into_owned();
+        if text.contains("crossweir_state{what=\"owns_cell\"} 1") {
+            owner = Some(place);
+        }
+    }
+    let killed = nodes.remove(owner.expect("one node owns the cell"));
+    drop(killed);
+    until_state(&nodes[0], "/plain/00000000000000b1", "succeeded").await;
+    assert_eq!(platform.started().len(), 8, "what ran was taken over");
+    assert_single_runs(&platform);
+}
+
+#[tokio::test]
+async fn a_planned_stop_ends_the_process_and_the_work_goes_on() {
+    let platform = StandIn::start(2).await;
+    let mut nodes = start_ready(&platform, &["n1", "n2"]).await;
+    submit(&nodes[0], "/plain/00000000000000c1", &job(4, 800)).await;
+    let mut leaving = nodes.remove(0);
+    leaving.signal("-TERM");
+    until("the process ends", || {
+        let ended = matches!(leaving.child.try_wait(), Ok(Some(_)));
+        async move { ended }
+    })
+    .await;
+    until_state(&nodes[0], "/plain/00000000000000c1", "succeeded").await;
+    assert_single_runs(&platform);
+}
+
+#[tokio::test]
+async fn a_hangup_reads_the_settings_again_and_ends_nothing() {
+    let platform = StandIn::start(1).await;
+    let nodes = start_ready(&platform, &["n1"]).await;
+    nodes[0].signal("-HUP");
+    submit(&nodes[0], "/plain/00000000000000d1", &job(1, 30)).await;
+    until_state(&nodes[0], "/plain/00000000000000d1", "succeeded").await;
+}
+
+#[tokio::test]
+async fn without_the_store_a_job_is_refused_with_when_to_come_back() {
+    let platform = StandIn::start(1).await;
+    let nodes = start_ready(&platform, &["n1", "n2"]).await;
+    platform.set_store_fault(StoreFault::Busy);
+    let path = "/plain/00000000000000e1";
+    let answer = call(Method::POST, nodes[0].callers, path, job(1, 30)).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    platform.set_store_fault(StoreFault::None);
+    until("the store knows no such job", || async {
+        let answer = call(Method::GET, nodes[1].callers, path, Value::Null).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::GONE)
+    })
+    .await;
+    assert!(
+        platform.started().is_empty(),
+        "what was refused does not run"
+    );
+}
+
+#[tokio::test]
+async fn a_lost_reply_leaves_it_open_and_the_job_runs_once() {
+    let platform = StandIn::start(1).await;
+    let nodes = start_ready(&platform, &["n1"]).await;
+    platform.set_store_fault(StoreFault::LostReplies);
+    let path = "/plain/00000000000000f1";
+    let answer = call(Method::POST, nodes[0].callers, path, job(1, 30)).await;
+    if let Ok(answer) = answer {
+        assert_eq!(
+            answer.status,
+            StatusCode::GATEWAY_TIMEOUT,
+            "it may have been taken"
+        );
+    }
+    platform.set_store_fault(StoreFault::None);
+    submit(&nodes[0], path, &job(1, 30)).await;
+    until_state(&nodes[0], path, "succeeded").await;
+    assert_eq!(platform.started().len(), 1);
+}
+
+#[tokio::test]
+async fn a_crashed_workers_tasks_run_elsewhere_after_the_lease() {
+    let platform = StandIn::start(2).await;
+    let nodes = start_ready(&platform, &["n1"]).await;
+    submit(&nodes[0], "/plain/0000000000000101", &job(2, 1_000)).await;
+    until("tasks run", || async { platform.started().len() == 2 }).await;
+    let first = platform.started()[0].worker.clone();
+    let number = usize::from(first == "w1");
+    platform.crash_worker(number);
+    until_state(&nodes[0], "/plain/0000000000000101", "succeeded").await;
+    let again = platform.started().split_off(2);
+    assert!(again.iter().all(|started| started.worker != first));
+}
+
+#[tokio::test]
+async fn a_leaving_worker_gets_no_new_task() {
+    let platform = StandIn::start(2).await;
+    let nodes = start_ready(&platform, &["n1"]).await;
+    submit(&nodes[0], "/plain/0000000000000111", &job(2, 30)).await;
+    until_state(&nodes[0], "/plain/0000000000000111", "succeeded").await;
+    platform.drain_worker(0);
+    until("the leaving worker is known", || async {
+        let before = platform.started().len();
+        let path = format!("/plain/{before:016x}");
+        submit(&nodes[0], &path, &job(16, 10)).await;
+        until_state(&nodes[0], &path, "succeeded").await;
+        platform.started()[before..]
+            .iter()
+            .all(|started| started.worker == "w1")
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_configuration_adds_and_removes_queues_everywhere() {
+    let platform = StandIn::start(1).await;
+    let nodes = start_ready(&platform, &["n1", "n2"]).await;
+    platform.configure(5, &["plain", "added"]);
+    for node in &nodes {
+        until("the added queue is there", || async {
+            let answer = call(Method::GET, node.callers, "/added/", Value::Null).await;
+            answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+        let answer = call(Method::GET, node.callers, "/advised/", Value::Null).await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::NOT_FOUND);
+    }
+}
+
+#[tokio::test]
+async fn a_cancelled_job_stops_and_stays_cancelled() {
+    let platform = StandIn::start(1).await;
+    let nodes = start_ready(&platform, &["n1", "n2"]).await;
+    let path = "/plain/0000000000000121";
+    submit(&nodes[0], path, &job(2, 60_000)).await;
+    until("tasks run", || async { platform.started().len() == 2 }).await;
+    until("the cancellation is recorded", || async {
+        let answer = call(Method::DELETE, nodes[1].callers, path, Value::Null).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+    assert_eq!(state(&nodes[0], path).await.as_deref(), Some("canceled"));
+    until("tasks end", || async {
+        platform
+            .started()
+            .iter()
+            .all(|started| started.until.is_some())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn bad_input_is_refused_with_a_reason_and_changes_nothing() {
+    let platform = StandIn::start(1).await;
+    let nodes = start_ready(&platform, &["n1"]).await;
+    let id = "/plain/0000000000000131";
+    let step = json!({"count": 1, "cpu": 10});
+    let cycle = json!({"count": 1, "cpu": 10, "after": [0]});
+    let cases = [
+        ("/plain/xyz", job(1, 10), "bad_id"),
+        (id, json!("text"), "malformed"),
+        (id, json!({"spec": "10", "steps": []}), "step_count"),
+        (id, json!({"spec": "10", "steps": [cycle]}), "step_order"),
+        (
+            id,
+            json!({"spec": "10", "steps": [{"count": 0}]}),
+            "task_count",
+        ),
+        (
+            id,
+            json!({"spec": "10", "steps": [{"count": -1}]}),
+            "malformed",
+        ),
+        (
+            id,
+            json!({"spec": "10", "steps": [{"count": 1, "cpu": 99_000_000_000_u64}]}),
+            "demand",
+        ),
+        (
+            id,
+            json!({"spec": "x".repeat(4_001), "steps": [step]}),
+            "text_too_long",
+        ),
+    ];
+    for (path, body, reason) in cases {
+        let answer = call(Method::POST, nodes[0].callers, path, body)
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status, StatusCode::BAD_REQUEST, "{reason}");
+        let told: Value = answer.json().expect("a reason");
+        assert_eq!(told["reason"], reason);
+    }
+    let answer = call(Method::GET, nodes[0].callers, id, Value::Null)
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, StatusCode::GONE);
+}
