Runs that stand still or crawl start elsewhere; leaving workers are emptied in time

Ruled out: judging by our clock, since a stalled owner would take itself for a sick worker. Change: a run that is watched for 0.4 s of the worker's clock and has under 0.4 of the rate of its step elsewhere, or of half its guess, is stopped, or copied where allowed.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cell::name::{StepName, TaskName};
+use crate::cell::progress::Progress;
 use crate::cell::spec::{JobId, JobSpec, Step};
 use crate::cell::{JobKey, RunKey, StepKey, WorkerKey};
 use crate::clock::Millis;
@@ -175,10 +176,10 @@
     pub answered: Millis,
     /// By the worker's clock, when the start can no longer take effect.
     pub expires: Millis,
-    /// Work done, in hundredths, and when that was seen to change.
-    pub percent: u32,
-    /// When the percent was last seen to rise.
-    pub moved: Millis,
+    /// It goes on from saved progress.
+    pub restored: bool,
+    /// What was seen of its progress.
+    pub progress: Progress,
     /// Set if it is to end.
     pub stop: Option<Stop>,
 }
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -100,7 +100,7 @@
             match known.or_else(|| self.adopt(key, entry, now)) {
                 Some(run) => {
                     listed.insert(run);
-                    self.take_progress(run, entry, now);
+                    self.take_progress(run, entry, look.clock, now);
                 }
                 None => {
                     strangers += 1;
@@ -155,27 +155,22 @@
             sent: now,
             answered: now,
             expires: 0,
-            percent: entry.percent,
-            moved: now,
+            restored: false,
+            progress: Default::default(),
             stop: None,
         }))
     }
 
-    fn take_progress(&mut self, key: RunKey, entry: &RunningEntry, now: Millis) {
+    fn take_progress(&mut self, key: RunKey, entry: &RunningEntry, clock: Millis, now: Millis) {
         let run = &mut self.runs[key];
-        if run.phase != Phase::Running {
-            run.phase = Phase::Running;
-            run.moved = now;
-        }
-        if entry.percent > run.percent {
-            run.percent = entry.percent;
-            run.moved = now;
-        }
+        run.phase = Phase::Running;
+        run.note_progress(entry.percent, clock, now);
         let (step, index) = (run.step, run.index);
         if !entry.saved.is_empty() && self.steps[step].tasks[index as usize].saved != entry.saved {
             self.save_progress(step, index, &entry.saved);
         }
         self.job_begins(self.steps[step].job);
+        self.judge_progress(key, now);
     }
 
     /// Runs that the worker does not list are over, unless their start may be on its way.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -9,6 +9,7 @@
 pub mod look;
 pub mod name;
 pub mod order;
+pub mod progress;
 pub mod record;
 pub mod run;
 pub mod schedule;
@@ -315,6 +316,7 @@
     }
 
     fn tick_worker(&mut self, key: WorkerKey, now: Millis) {
+        self.evacuate(key, now);
         let worker = &self.workers[key];
         if !worker.silent || now <= worker.lease_end {
             return;
--- /dev/null
+++ b/src/cell/progress.rs
@@ -0,0 +1,158 @@
+//! Judging runs by their progress: those that stand still or crawl are given up, and
+//! those that a leaving worker would take with it are moved.
+//!
+//! Times here are the worker's own, so that a stall of ours is not taken for one of
+//! the worker's.
+
+use crate::cell::job::{Phase, Run};
+use crate::cell::{Cell, RunKey, WorkerKey, tuning};
+use crate::clock::Millis;
+
+/// What was seen of a run's progress.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Progress {
+    /// The first percent that counts, and the worker's clock then.
+    pub first: Option<(u32, Millis)>,
+    /// The newest.
+    pub last: (u32, Millis),
+    /// It is far slower than it should be.
+    pub slow: bool,
+}
+
+impl Progress {
+    /// Hundredths of the work for each second, if watched for long enough.
+    pub fn rate(&self) -> Option<f64> {
+        let (first, from) = self.first?;
+        let (last, until) = self.last;
+        let watched = until.saturating_sub(from);
+        if watched < tuning::WATCH {
+            return None;
+        }
+        Some(f64::from(last.saturating_sub(first)) * 1_000.0 / watched as f64)
+    }
+}
+
+impl Run {
+    /// Notes the progress that a look tells; while saved progress is being restored
+    /// nothing moves, so a while after the start does not count.
+    pub(super) fn note_progress(&mut self, percent: u32, clock: Millis, now: Millis) {
+        self.progress.last = (percent, clock);
+        let settled = !self.restored || now >= self.answered + tuning::RESTORE;
+        if self.progress.first.is_none() && settled {
+            self.progress.first = Some((percent, clock));
+        }
+    }
+
+    /// Estimates how long the run still takes at its present rate.
+    fn remaining(&self, estimate: Millis) -> Millis {
+        let left = f64::from(100_u32.saturating_sub(self.progress.last.0));
+        match self.progress.rate() {
+            Some(rate) if rate > 0.0 => (left / rate * 1_000.0) as Millis,
+            Some(_) => Millis::MAX,
+            None => estimate * left as Millis / 100,
+        }
+    }
+}
+
+impl Cell {
+    /// Gives a run up if it is so slow that a new start elsewhere is done sooner.
+    pub(super) fn judge_progress(&mut self, key: RunKey, now: Millis) {
+        let run = &self.runs[key];
+        let step = &self.steps[run.step];
+        let spec = step.step();
+        if spec.lasting || spec.filler || spec.gang || run.stop.is_some() || run.progress.slow {
+            return;
+        }
+        let Some(rate) = run.progress.rate() else {
+            return;
+        };
+        let expected = self.expected_rate(key);
+        if rate >= expected * tuning::SLOW_SHARE {
+            return;
+        }
+        let here = run.remaining(spec.estimate);
+        let there = (100.0 / expected * 1_000.0) as Millis + tuning::RESTART_COST;
+        if here <= there + there / 2 {
+            return;
+        }
+        let (step_key, worker, index) = (run.step, run.worker, run.index);
+        let task = step.task_name(index);
+        let copies = spec.copies;
+        tracing::info!(
+            request = %task.step.job,
+            %task,
+            run = run.number,
+            worker = self.workers[worker].entry.id,
+            percent = run.progress.last.0,
+            rate,
+            expected,
+            "run is slow"
+        );
+        self.runs[key].progress.slow = true;
+        self.steps[step_key].tasks[index as usize].avoid = Some(worker);
+        self.shun(worker, now);
+        if !copies {
+            self.stop_run(key, now, "too slow");
+        }
+    }
+
+    /// The rate that a run should have: that of the same step elsewhere, else what its
+    /// caller guessed, of which only half is expected.
+    fn expected_rate(&self, key: RunKey) -> f64 {
+        let run = &self.runs[key];
+        let step = &self.steps[run.step];
+        let elsewhere = step
+            .tasks
+            .iter()
+            .flat_map(|task| &task.runs)
+            .map(|&other| &self.runs[other])
+            .filter(|other| other.worker != run.worker)
+            .filter_map(|other| other.progress.rate())
+            .fold(0.0, f64::max);
+        let guessed = 100_000.0 / step.step().estimate.max(1) as f64 / 2.0;
+        if elsewhere > 0.0 { elsewhere } else { guessed }
+    }
+
+    /// Places nothing on a worker for a while, and then one task to try it.
+    pub(super) fn shun(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &mut self.workers[key];
+        worker.health.shunned_until = now + tuning::SHUN;
+        worker.health.on_trial = true;
+        tracing::info!(
+            worker = worker.entry.id,
+            failures = worker.health.failures,
+            "worker shunned"
+        );
+    }
+
+    /// Moves what a leaving worker would take with it.
+    pub(super) fn evacuate(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        let (Some(since), Some(notice)) = (worker.leaving_since, worker.entry.leaving) else {
+            return;
+        };
+        let left = (since + notice).saturating_sub(now);
+        let late: Vec<RunKey> = worker
+            .runs
+            .iter()
+            .copied()
+            .filter(|&run| self.outlasts(run, left))
+            .collect();
+        for run in late {
+            self.stop_run(run, now, "the worker leaves");
+        }
+    }
+
+    fn outlasts(&self, key: RunKey, left: Millis) -> bool {
+        let run = &self.runs[key];
+        let spec = self.steps[run.step].step();
+        if run.phase != Phase::Running || run.stop.is_some() {
+            return false;
+        }
+        spec.lasting
+            || run
+                .remaining(spec.estimate)
+                .saturating_add(tuning::LEAVE_MARGIN)
+                > left
+    }
+}
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -90,7 +90,6 @@
                 run.answered = now;
                 if run.phase == Phase::Sent {
                     run.phase = Phase::Running;
-                    run.moved = now;
                 }
                 let step = run.step;
                 self.job_begins(self.steps[step].job);
@@ -329,13 +328,7 @@
             EndKind::Failed => {
                 worker.health.failures += 1;
                 if worker.health.failures >= tuning::FAILURES_IN_ROW {
-                    worker.health.shunned_until = now + tuning::SHUN;
-                    worker.health.on_trial = true;
-                    tracing::info!(
-                        worker = worker.entry.id,
-                        failures = worker.health.failures,
-                        "worker shunned"
-                    );
+                    self.shun(key, now);
                 }
             }
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -3,7 +3,7 @@
 use crate::cell::job::{Phase, Run, StepRun};
 use crate::cell::order::{Order, StartOrder};
 use crate::cell::spec::Step;
-use crate::cell::{Cell, StepKey, WorkerKey, tuning};
+use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
 /// Where a task may go, with the room that is left for more of its step.
@@ -57,17 +57,26 @@
         }
     }
 
-    /// The tasks that neither run nor are done.
+    /// The tasks that neither run nor are done, and those of which a copy should run.
     fn waiting_tasks(&self, key: StepKey) -> Vec<u32> {
         self.steps[key]
             .tasks
             .iter()
             .enumerate()
-            .filter(|(_, task)| !task.done && task.runs.is_empty())
+            .filter(|(_, task)| !task.done)
+            .filter(|(_, task)| task.runs.is_empty() || self.wants_copy(key, &task.runs))
             .map(|(index, _)| index as u32)
             .collect()
     }
 
+    /// Tells whether a second copy of a task should run beside a slow one.
+    fn wants_copy(&self, key: StepKey, runs: &[RunKey]) -> bool {
+        let [only] = runs else {
+            return false;
+        };
+        self.steps[key].step().copies && self.runs[*only].progress.slow
+    }
+
     /// How many tasks of the step a worker holds.
     pub(super) fn tasks_here(&self, key: StepKey, worker: WorkerKey) -> u32 {
         self.workers[worker]
@@ -231,8 +240,8 @@
             sent: now,
             answered: 0,
             expires: due,
-            percent: 0,
-            moved: now,
+            restored: !self.steps[key].tasks[index as usize].saved.is_empty(),
+            progress: Default::default(),
             stop: None,
         });
         let step = &self.steps[key];
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -40,6 +40,19 @@
 pub const SHUN: Millis = 4_000;
 /// How long a worker that says it is not healthy is left alone.
 pub const UNHEALTHY_PAUSE: Millis = 500;
+/// How long a run is watched before it is judged: most of an urgent task's time, and
+/// enough for some hundredths of a long one's work.
+pub const WATCH: Millis = 400;
+/// A run below this share of the rate that it should have is slow.  Sound workers
+/// differ by some 15%, sick ones by four times or more.
+pub const SLOW_SHARE: f64 = 0.4;
+/// What a new start costs beyond the work: a stop, advice, an order.
+pub const RESTART_COST: Millis = 300;
+/// How long a start that goes on from saved progress may show none: the platform
+/// restores within 600 ms.
+pub const RESTORE: Millis = 700;
+/// A run must end so long before a leaving worker does, or it is moved.
+pub const LEAVE_MARGIN: Millis = 400;
 /// Run numbers of one owner begin at its epoch times this, above all of its predecessors'.
 pub const RUNS_PER_EPOCH: u64 = 1_000_000;
 /// How long a successor waits for workers that it cannot reach, beyond the lease:
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -341,3 +341,75 @@
         .start_answered(orders[0].run, StartOutcome::Unanswered, None, bench.now);
     assert_eq!(stops(&bench.decide()).len(), 8);
 }
+
+/// Two tasks of eight cores on two workers, one of which stands still.
+fn one_of_two_stands_still(step: Step) -> (Bench, crossweir::cell::order::StartOrder) {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(3, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step]));
+    let order = bench.start_all().remove(0);
+    bench.still.insert(order.to.worker, 5);
+    bench.look_at_all();
+    for _ in 0..5 {
+        bench.pass(100);
+        bench.look_at_all();
+    }
+    (bench, order)
+}
+
+#[test]
+fn a_run_that_stands_still_is_stopped_and_starts_elsewhere() {
+    let (mut bench, order) = one_of_two_stands_still(step(2, 16_000));
+    let stop = stops(&bench.decide()).remove(0);
+    assert_eq!((stop.task, stop.number), (order.task, order.number));
+    bench.end(order.task, order.number, EndKind::Stopped);
+    bench.look_at_all();
+    let again = bench.start_all().remove(0);
+    assert_eq!(again.task, order.task);
+    assert_ne!(again.to.worker, order.to.worker);
+}
+
+#[test]
+fn a_copy_starts_beside_a_slow_run_where_copies_are_allowed() {
+    let copied = Step {
+        copies: true,
+        ..step(2, 16_000)
+    };
+    let (mut bench, order) = one_of_two_stands_still(copied);
+    let orders = bench.decide();
+    assert!(stops(&orders).is_empty(), "the slow run goes on");
+    let copy = starts(&orders).remove(0);
+    assert_eq!(copy.task, order.task);
+    bench.start(&copy);
+    bench.end(copy.task, copy.number, EndKind::Done);
+    bench.look_at_all();
+    let stop = stops(&bench.decide()).remove(0);
+    assert_eq!(
+        stop.number, order.number,
+        "the other copy is not needed any more"
+    );
+}
+
+#[test]
+fn a_run_that_a_leaving_worker_would_take_with_it_is_moved() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    let long = Step {
+        estimate: 10_000,
+        ..step(1, 1_000)
+    };
+    bench.accept(&job(1, &q, vec![long]));
+    let order = bench.start_all().remove(0);
+    let number = order
+        .to
+        .id
+        .trim_start_matches('w')
+        .parse()
+        .expect("a number");
+    let mut entry = cell_core::worker(number);
+    entry.leaving = Some(3_000);
+    bench.cell.list_worker(entry, bench.now);
+    bench.pass(10);
+    let stop = stops(&bench.decide()).remove(0);
+    assert_eq!(stop.task, order.task);
+}
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -111,6 +111,8 @@
     pub now: Millis,
     /// What runs, by worker.
     pub running: BTreeMap<WorkerKey, Vec<(TaskName, u64)>>,
+    /// Work done by workers that stand still, in hundredths; others are as far as time.
+    pub still: BTreeMap<WorkerKey, u32>,
     ends: BTreeMap<WorkerKey, Vec<EndEntry>>,
     keys: Vec<WorkerKey>,
 }
@@ -130,6 +132,7 @@
         let mut bench = Self {
             cell,
             now: 1_000,
+            still: BTreeMap::new(),
             running: keys.iter().map(|&key| (key, Vec::new())).collect(),
             ends: keys.iter().map(|&key| (key, Vec::new())).collect(),
             keys,
@@ -200,15 +203,17 @@
         }
     }
 
-    /// Looks at one worker.
+    /// Looks at one worker.  Work goes on by a hundredth each 10 ms.
     pub fn look_at(&mut self, key: WorkerKey) {
+        let moving = (self.now / 10 % 100) as u32;
+        let percent = self.still.get(&key).copied().unwrap_or(moving);
         let running = self.running[&key]
             .iter()
             .map(|&(task, number)| RunningEntry {
                 task,
                 number,
                 saved: String::new(),
-                percent: 10,
+                percent,
                 figure: None,
             });
         let look = Look {
