Guesses of run times count only as far as the queue's runs bear them out

Ruled out: a laxer share (0.4 to 0.2 would still have stopped 60 of the 140 by their logged rates). Change: a guess is stretched by the worst ratio seen in the queue of late, and used after 20 runs.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -81,6 +81,8 @@
     open: Vec<StepKey>,
     /// Which lanes to the advice service are in use by which kind of question.
     lanes: Vec<advice::Lane>,
+    /// How far callers' guesses are off, by queue.
+    guesses: HashMap<String, progress::Guesses>,
     /// The share of workers that is good for a step, learned by queue.
     good_share: HashMap<String, f64>,
     /// Tasks of former owners' jobs may start.
@@ -113,6 +115,7 @@
             runs: SlotMap::with_key(),
             open: Vec::new(),
             lanes: Vec::new(),
+            guesses: HashMap::new(),
             good_share: HashMap::new(),
             wall: None,
             settled: false,
--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// How far the guesses of a queue's callers are off.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Guesses {
+    /// Runs that ended well.
+    pub seen: u32,
+    /// The largest share of a guess that a run took of late.
+    pub worst: f64,
+}
+
 impl Run {
     /// Notes the progress that a look tells; while saved progress is being restored
     /// nothing moves, so a while after the start does not count.
@@ -66,7 +75,9 @@
         let Some(rate) = run.progress.rate() else {
             return;
         };
-        let expected = self.expected_rate(key);
+        let Some(expected) = self.expected_rate(key) else {
+            return;
+        };
         if rate >= expected * tuning::SLOW_SHARE {
             return;
         }
@@ -96,9 +107,9 @@
         }
     }
 
-    /// The rate that a run should have: that of the same step elsewhere, else what its
-    /// caller guessed, of which only half is expected.
-    fn expected_rate(&self, key: RunKey) -> f64 {
+    /// The rate that a run should have: that of the same step elsewhere, else that of
+    /// the queue's worst guess so far; none if there is nothing to compare with.
+    fn expected_rate(&self, key: RunKey) -> Option<f64> {
         let run = &self.runs[key];
         let step = &self.steps[run.step];
         let elsewhere = step
@@ -109,8 +120,28 @@
             .filter(|other| other.worker != run.worker)
             .filter_map(|other| other.progress.rate())
             .fold(0.0, f64::max);
-        let guessed = 100_000.0 / step.step().estimate.max(1) as f64 / 2.0;
-        if elsewhere > 0.0 { elsewhere } else { guessed }
+        if elsewhere > 0.0 {
+            return Some(elsewhere);
+        }
+        let queue = &self.jobs[step.job].queue.name;
+        let guesses = self.guesses.get(queue)?;
+        let enough = guesses.seen >= tuning::GUESSES_NEEDED;
+        let longest = step.step().estimate.max(1) as f64 * guesses.worst;
+        enough.then_some(100_000.0 / longest)
+    }
+
+    /// Learns how far a queue's guesses are off, from a run that ended well.
+    pub(super) fn learn_guess(&mut self, run: &Run, now: Millis) {
+        let step = &self.steps[run.step];
+        let estimate = step.step().estimate;
+        if run.restored || run.answered == 0 || estimate == 0 || step.step().gang {
+            return;
+        }
+        let took = now.saturating_sub(run.answered) as f64 / estimate as f64;
+        let queue = self.jobs[step.job].queue.name.clone();
+        let guesses = self.guesses.entry(queue).or_default();
+        guesses.seen += 1;
+        guesses.worst = took.max(guesses.worst * tuning::GUESS_FADE);
     }
 
     /// Places nothing on a worker for a while, and then one task to try it.
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -222,7 +222,10 @@
             self.jobs[job_key].dirty = true;
         }
         match end.how {
-            EndKind::Done => self.task_done(run.step, run.index, end.number, now),
+            EndKind::Done => {
+                self.learn_guess(&run, now);
+                self.task_done(run.step, run.index, end.number, now);
+            }
             EndKind::Failed => self.task_failed(run.step, run.index, end.number, run.worker, now),
             EndKind::Alone | EndKind::Broken | EndKind::Stopped | EndKind::Lapsed => {}
         }
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -46,6 +46,11 @@
 /// A run below this share of the rate that it should have is slow.  Sound workers
 /// differ by some 15%, sick ones by four times or more.
 pub const SLOW_SHARE: f64 = 0.4;
+/// A queue's guesses are used after so many runs: some seconds of urgent ones.
+pub const GUESSES_NEEDED: u32 = 20;
+/// With each run the worst guess fades by this, so that one sick worker is forgotten
+/// after some hundred runs.
+pub const GUESS_FADE: f64 = 0.995;
 /// What a new start costs beyond the work: a stop, advice, an order.
 pub const RESTART_COST: Millis = 300;
 /// How long a start that goes on from saved progress may show none: the platform
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -413,3 +413,20 @@
     let stop = stops(&bench.decide()).remove(0);
     assert_eq!(stop.task, order.task);
 }
+
+#[test]
+fn a_wrong_guess_alone_does_not_make_a_run_slow() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    let guessed = Step {
+        estimate: 100,
+        ..step(1, 1_000)
+    };
+    bench.accept(&job(1, &q, vec![guessed]));
+    bench.start_all();
+    for _ in 0..9 {
+        bench.pass(100);
+        bench.look_at_all();
+    }
+    assert!(stops(&bench.decide()).is_empty());
+}
