--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -57,6 +57,26 @@
     pub adopted: u64,
 }
 
+/// A time that a job has waited, for metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wait {
+    /// What it waited for.
+    pub what: Waited,
+    /// The priority of its queue.
+    pub priority: u32,
+    /// How long, since the job was taken in.
+    pub time: Millis,
+}
+
+/// What a job has waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Waited {
+    /// Its first start.
+    FirstStart,
+    /// Its end.
+    End,
+}
+
 /// The state of one cell in the hands of its owner.
 pub struct Cell {
     epoch: u64,
@@ -91,6 +111,7 @@
     settled: bool,
     settle_by: Millis,
     orders: Vec<Order>,
+    waits: Vec<Wait>,
     counts: Counts,
 }
 
@@ -121,6 +142,7 @@
             settled: false,
             settle_by: now + window + tuning::LEASE_MARGIN + tuning::OWNER_WINDOW,
             orders: Vec::new(),
+            waits: Vec::new(),
             counts: Counts::default(),
         }
     }
@@ -140,6 +162,21 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Takes the waiting times that have gathered.
+    pub fn take_waits(&mut self) -> Vec<Wait> {
+        std::mem::take(&mut self.waits)
+    }
+
+    /// Notes how long a job has waited.
+    fn note_wait(&mut self, key: JobKey, what: Waited, now: Millis) {
+        let job = &self.jobs[key];
+        self.waits.push(Wait {
+            what,
+            priority: job.queue.priority,
+            time: now.saturating_sub(job.since),
+        });
+    }
+
     /// Tells how far a job is, as far as it is recorded.
     pub fn state(&self, id: JobId) -> Option<JobState> {
         if let Some(&state) = self.ended.get(&id) {
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -7,7 +7,7 @@
 
 use crate::cell::job::JobState;
 use crate::cell::spec::{JobId, JobSpec};
-use crate::cell::{Cell, JobKey, WorkerKey};
+use crate::cell::{Cell, JobKey, Waited, WorkerKey};
 use crate::clock::Millis;
 use crate::queue::Queue;
 
@@ -129,6 +129,7 @@
             job.recording = false;
             job.shown = progress.state;
             if progress.state.is_final() {
+                self.note_wait(key, Waited::End, now);
                 self.close_job(key, now);
             }
         }
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -3,7 +3,7 @@
 use crate::cell::job::{JobState, Phase, Run, Stop};
 use crate::cell::name::TaskName;
 use crate::cell::order::{EndEntry, EndKind, Refusal, StartOutcome};
-use crate::cell::{Cell, JobKey, RunKey, StepKey, WorkerKey, tuning};
+use crate::cell::{Cell, JobKey, RunKey, StepKey, Waited, WorkerKey, tuning};
 use crate::clock::Millis;
 
 impl Cell {
@@ -91,8 +91,11 @@
                 if run.phase == Phase::Sent {
                     run.phase = Phase::Running;
                 }
-                let step = run.step;
-                self.job_begins(self.steps[step].job);
+                let job = self.steps[run.step].job;
+                if self.jobs[job].state == JobState::Queued {
+                    self.note_wait(job, Waited::FirstStart, now);
+                }
+                self.job_begins(job);
             }
             StartOutcome::Unanswered => {
                 if run.phase == Phase::Sent {
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -15,7 +15,7 @@
 use crate::cell::job::JobState;
 use crate::cell::record::JobRow;
 use crate::cell::spec::JobId;
-use crate::cell::{Cell, WorkerKey, tuning};
+use crate::cell::{Cell, Waited, WorkerKey, tuning};
 use crate::clock::Millis;
 use crate::node::cleaning::Cleaner;
 use crate::node::loading::{self, JobRows};
@@ -227,7 +227,7 @@
                 continue;
             }
             let now = self.shared.now();
-            let orders = {
+            let (orders, waits) = {
                 let mut cell = self.cell();
                 cell.tell_wall_clock(wall_clock());
                 cell.tick(now);
@@ -235,8 +235,13 @@
                 if cell.roster_version() != self.roster_recorded.load(Ordering::Relaxed) {
                     self.record.notify_one();
                 }
-                cell.take_orders()
+                (cell.take_orders(), cell.take_waits())
             };
+            for wait in waits {
+                self.shared
+                    .metrics
+                    .wait(wait_class(wait.what, wait.priority), wait.time);
+            }
             for order in orders {
                 self.spawn(Arc::clone(&self).carry_out(order));
             }
@@ -430,6 +435,18 @@
     }
 }
 
+/// The label of a waiting time; queues beyond the third priority share one.
+fn wait_class(what: Waited, priority: u32) -> &'static str {
+    match (what, priority) {
+        (Waited::FirstStart, 0) => "first_start_p0",
+        (Waited::FirstStart, 1) => "first_start_p1",
+        (Waited::FirstStart, _) => "first_start_p2",
+        (Waited::End, 0) => "end_p0",
+        (Waited::End, 1) => "end_p1",
+        (Waited::End, _) => "end_p2",
+    }
+}
+
 /// Milliseconds since 1970.
 fn wall_clock() -> Millis {
     std::time::SystemTime::now()
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -119,10 +119,14 @@
 
     /// Tells how far a job is.
     pub async fn state(&self, id: JobId) -> Told {
-        match ask_owner(&self.shared, NodeCall::State(id), OWNER_TIMEOUT).await {
-            Some(NodeReply::State(state)) => Told::State(state),
-            _ => self.stored_state(id).await,
-        }
+        let asked = ask_owner(&self.shared, NodeCall::State(id), OWNER_TIMEOUT).await;
+        let (told, source) = match asked {
+            Some(NodeReply::State(state)) => (Told::State(state), "owner"),
+            _ => (self.stored_state(id).await, "rows"),
+        };
+        let epoch = self.shared.owner().epoch;
+        tracing::info!(request = %id, ?told, source, epoch, "state told");
+        told
     }
 
     /// Reads a job's state from its rows.
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -64,7 +64,10 @@
     }
 
     async fn advise(&self, order: AdviceOrder) {
+        let asked = self.shared.now();
         let tickets = self.ask_lane(&order).await;
+        let took = self.shared.now().saturating_sub(asked);
+        self.shared.metrics.wait("advice", took);
         if tickets.is_none() {
             self.shared.metrics.retry("advice_failed");
         }
--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -82,7 +82,13 @@
         call: StoreCall,
     ) -> BoxFuture<'_, Result<StoreReply, StoreError>> {
         async move {
+            let held = matches!(call, StoreCall::Changes { .. });
+            let began = shared.now();
             let reply = self.direct.call(call).await;
+            if !held {
+                let took = shared.now().saturating_sub(began);
+                shared.metrics.wait("store", took);
+            }
             if let Err(err) = &reply {
                 shared.metrics.retry(store_error_code(err));
                 self.doubted.notify_one();
