Cheap advice names more workers and is asked again sooner

Ruled out: lanes (three of seven were free). Change: further workers are named while they cost less than 4 ms together; the pause is at most twice the fixed time of an answer.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -50,7 +50,8 @@
         let Some(policy) = self.jobs[step.job].queue.advice else {
             return;
         };
-        let pause_over = step.advice.asked == 0 || step.advice.asked + tuning::ADVICE_PAUSE <= now;
+        let pause = tuning::ADVICE_PAUSE.min(2 * policy.duration(0));
+        let pause_over = step.advice.asked == 0 || step.advice.asked + pause <= now;
         if step.advice.asking || !pause_over {
             return;
         }
@@ -89,6 +90,7 @@
         let job = &self.jobs[step.job];
         let spec = step.step();
         let share = self.learned_share(&job.queue.name);
+        let each = job.queue.advice.map_or(0.0, |policy| policy.per_worker_ms);
         let mut candidates: Vec<(bool, u32, WorkerKey)> = Vec::new();
         for (worker_key, worker) in &self.workers {
             if !self.takes_work(worker_key, now) || !worker.allows(spec, &job.queue.service) {
@@ -109,7 +111,8 @@
         let mut expected = 0.0;
         let mut chosen = Vec::new();
         for (good, fit, worker) in candidates {
-            if expected >= wanted || chosen.len() >= tuning::ADVICE_MOST {
+            let cheap = each * (chosen.len() as f64) < tuning::CHEAP_ADVICE_MS;
+            if (expected >= wanted && !cheap) || chosen.len() >= tuning::ADVICE_MOST {
                 break;
             }
             expected += f64::from(fit) * if good { 1.0 } else { share };
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -30,8 +30,12 @@
 pub const ADVICE_SURPLUS: f64 = 1.3;
 /// The most workers in one question; the platform takes 100.
 pub const ADVICE_MOST: usize = 48;
-/// How long after a question about a step the next one may follow.
+/// How long after a question about a step the next one may follow, at most; twice the
+/// fixed part of an answer's time if that is less.
 pub const ADVICE_PAUSE: Millis = 250;
+/// More workers than needed are named as long as they cost less than this together, in
+/// milliseconds: a second question costs 20 ms and more.
+pub const CHEAP_ADVICE_MS: f64 = 4.0;
 /// Questions longer than this leave one lane to short ones.
 pub const LONG_ADVICE: Millis = 150;
 /// After so many failures in a row, from tasks of more than one job or not, a worker is shunned.
