--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -70,6 +70,7 @@
             self.begin_times();
         }
         if let Some(progress) = progress {
+            self.begin_recorded_times(key, progress);
             self.restore(key, progress);
         }
     }
@@ -122,25 +123,38 @@
 
     /// Begins those times of scheduled jobs that are due.
     pub(super) fn begin_times(&mut self) {
-        let Some(today) = self.wall else {
-            return;
-        };
-        let due: Vec<(JobKey, u32)> = self
+        let scheduled: Vec<JobKey> = self
             .jobs
             .iter()
-            .filter(|(_, job)| !job.state.is_final())
-            .filter_map(|(key, job)| {
-                let schedule = job.spec.schedule?;
-                let next = job.times.len() as u32;
-                let at = schedule.first + u64::from(next) * schedule.interval;
-                (next < schedule.times && today >= at).then_some((key, next))
-            })
+            .filter(|(_, job)| job.spec.schedule.is_some() && !job.state.is_final())
+            .map(|(key, _)| key)
             .collect();
-        for (key, time) in due {
+        for key in scheduled {
+            while let Some(time) = self.due_time(key) {
+                self.begin_time(key, time);
+            }
+        }
+    }
+
+    /// A former owner's time of day may have been ahead of ours.
+    fn begin_recorded_times(&mut self, key: JobKey, progress: &Progress) {
+        let recorded = progress.tasks.iter().map(|task| task.place.0 + 1).max();
+        let begun = self.jobs[key].times.len() as u32;
+        for time in begun..recorded.unwrap_or_default() {
             self.begin_time(key, time);
         }
     }
 
+    /// The next time of a scheduled job, if it is due.
+    fn due_time(&self, key: JobKey) -> Option<u32> {
+        let today = self.wall?;
+        let job = &self.jobs[key];
+        let schedule = job.spec.schedule?;
+        let next = job.times.len() as u32;
+        let at = schedule.first + u64::from(next) * schedule.interval;
+        (next < schedule.times && today >= at).then_some(next)
+    }
+
     /// Tells the core the time since 1970 in milliseconds, for scheduled jobs.
     pub fn tell_wall_clock(&mut self, today: Millis) {
         self.wall = Some(today);
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -53,13 +53,6 @@
     pub ends: Vec<(WorkerKey, u64)>,
 }
 
-impl Batch {
-    /// Tells whether there is nothing to do.
-    pub fn is_empty(&self) -> bool {
-        self.rows.is_empty() && self.ends.is_empty()
-    }
-}
-
 impl Cell {
     /// Gathers what has changed, at most `most` jobs.  Ends are passed on only if
     /// every change is in, since a worker forgets them afterwards.
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -9,6 +9,14 @@
 /// are never compared; see "Clocks" in `docs/DESIGN.md`.
 pub type Millis = u64;
 
+/// Milliseconds since 1970 by the VM's time of day, which only scheduled jobs need; a
+/// time of day before 1970 counts as 1970.
+pub fn since_1970() -> Millis {
+    time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as Millis)
+}
+
 /// A source of monotonic time.
 pub trait Clock: Send + Sync {
     /// Returns the milliseconds since an arbitrary start.
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -16,7 +16,7 @@
 use crate::cell::record::JobRow;
 use crate::cell::spec::JobId;
 use crate::cell::{Cell, Waited, WorkerKey, tuning};
-use crate::clock::Millis;
+use crate::clock::{self, Millis};
 use crate::node::cleaning::Cleaner;
 use crate::node::loading::{self, JobRows};
 use crate::node::recording::OwnerRow;
@@ -229,7 +229,7 @@
             let now = self.shared.now();
             let (orders, waits) = {
                 let mut cell = self.cell();
-                cell.tell_wall_clock(wall_clock());
+                cell.tell_wall_clock(clock::since_1970());
                 cell.tick(now);
                 cell.schedule(now);
                 if cell.roster_version() != self.roster_recorded.load(Ordering::Relaxed) {
@@ -446,10 +446,3 @@
         (Waited::End, _) => "end_p2",
     }
 }
-
-/// Milliseconds since 1970.
-fn wall_clock() -> Millis {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as Millis)
-}
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -9,6 +9,7 @@
 use crate::cell::record::{JobRow, Progress};
 use crate::cell::spec::JobId;
 use crate::cell::worker::WorkerEntry;
+use crate::clock;
 use crate::node::recording::WORKERS_KEY;
 use crate::node::shared::{JOB_PARTITIONS, PARTITION, Shared, job_partition};
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
@@ -85,6 +86,7 @@
     let now = shared.now();
     let config = shared.config().unwrap_or_default();
     let mut cell = Cell::new(epoch, config, now);
+    cell.tell_wall_clock(clock::since_1970());
     cell.list_former_workers(former_workers(&former), now);
     cell.list_workers(worker_entries(shared, &workers.0), now);
     let mut recorded: HashMap<String, Progress> = HashMap::new();
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -52,8 +52,6 @@
     pub version: u64,
     /// All queues.
     pub queues: Vec<Queue>,
-    /// The services whose workers refuse what does not fit by themselves.
-    pub guarded_services: Vec<String>,
     /// The largest body of a request, in bytes.
     pub max_body: usize,
 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -6,7 +6,7 @@
 use crossweir::cell::intake::Cancelling;
 use crossweir::cell::job::JobState;
 use crossweir::cell::order::{EndKind, LookFailure, Refusal, StartOutcome};
-use crossweir::cell::spec::{JobId, Step};
+use crossweir::cell::spec::{JobId, Schedule, Step};
 
 #[test]
 fn a_job_runs_its_steps_in_order_and_is_shown_when_recorded() {
@@ -430,3 +430,54 @@
     }
     assert!(stops(&bench.decide()).is_empty());
 }
+
+/// A job of one task that runs three times, a second apart from time 10,000 on.
+fn timed_job(q: &crossweir::queue::Queue) -> crossweir::cell::record::JobRow {
+    let mut row = job(1, q, vec![step(1, 1_000)]);
+    row.spec.schedule = Some(Schedule {
+        times: 3,
+        first: 10_000,
+        interval: 1_000,
+    });
+    row
+}
+
+#[test]
+fn a_scheduled_job_runs_at_its_times_and_not_before() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.cell.tell_wall_clock(9_999);
+    bench.accept(&timed_job(&q));
+    assert!(bench.start_all().is_empty());
+    bench.cell.tell_wall_clock(12_000);
+    bench.pass(10);
+    let orders = bench.start_all();
+    let times: Vec<u32> = orders.iter().map(|order| order.task.step.time).collect();
+    assert_eq!(times, [0, 1, 2]);
+    for order in &orders {
+        bench.end(order.task, order.number, EndKind::Done);
+    }
+    bench.look_at_all();
+    bench.record();
+    assert_eq!(bench.state(1), Some(JobState::Succeeded));
+}
+
+#[test]
+fn a_successor_knows_which_times_of_a_scheduled_job_are_done() {
+    let q = queue("q", 0);
+    let mut former = Bench::new(1, std::slice::from_ref(&q));
+    former.cell.tell_wall_clock(11_000);
+    former.accept(&timed_job(&q));
+    let second = former.start_all().remove(1);
+    former.end(second.task, second.number, EndKind::Done);
+    former.look_at_all();
+    let progress = former.record().rows.remove(0).2;
+    let mut next = Bench::under(2, 1, std::slice::from_ref(&q));
+    next.cell.tell_wall_clock(11_000);
+    let now = next.now;
+    next.cell
+        .accept(&timed_job(&q), Some(&progress), false, now);
+    let again = next.start_all();
+    let times: Vec<u32> = again.iter().map(|order| order.task.step.time).collect();
+    assert_eq!(times, [0], "the second time is done, the third is not due");
+}
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -52,7 +52,6 @@
     Arc::new(Configuration {
         version: 1,
         queues: queues.to_vec(),
-        guarded_services: Vec::new(),
         max_body: 262_144,
     })
 }
