One transport under both protocols between processes

Cause: the node's protocol had repeated the queue, the kept connections and the accepting loop of the older one. Change: src/rpc/transport.rs holds them once.

--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -1,29 +1,20 @@
 //! Calls between the nodes of a cell: messages, client and server.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::Arc;
 
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::FutureExt;
 use futures::future::BoxFuture;
-use futures::{AsyncReadExt, FutureExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::task;
-use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::cell::job::JobState;
 use crate::cell::spec::JobId;
 use crate::clock::Millis;
-use crate::rpc::PeerError;
 use crate::rpc::node_capnp as wire;
-
-/// How many calls may wait to be picked up; some seconds of the busiest node's calls.
-const QUEUE_LENGTH: usize = 4_096;
-/// How long a connection may take to come about: halls are milliseconds apart.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+use crate::rpc::{PeerError, transport};
 
 /// What a node says of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -118,27 +109,20 @@
     fn serve(&self, call: NodeCall) -> BoxFuture<'_, NodeReply>;
 }
 
-struct Pending {
-    addr: SocketAddr,
-    call: NodeCall,
-    timeout: Duration,
-    answer: oneshot::Sender<Result<NodeReply, PeerError>>,
-}
-
 /// The sending half: it may be used from any task.
 pub struct RpcNodeLink {
-    tx: mpsc::Sender<Pending>,
+    calls: transport::Calls<NodeCall, NodeReply>,
 }
 
 /// The half that owns the connections; it must run inside a `LocalSet`.
 pub struct RpcNodeDriver {
-    rx: mpsc::Receiver<Pending>,
+    rx: mpsc::Receiver<transport::Pending<NodeCall, NodeReply>>,
 }
 
 /// Makes both halves.
 pub fn link() -> (RpcNodeLink, RpcNodeDriver) {
-    let (tx, rx) = mpsc::channel(QUEUE_LENGTH);
-    (RpcNodeLink { tx }, RpcNodeDriver { rx })
+    let (calls, rx) = transport::queue();
+    (RpcNodeLink { calls }, RpcNodeDriver { rx })
 }
 
 impl NodeLink for RpcNodeLink {
@@ -148,46 +132,35 @@
         call: NodeCall,
         timeout: Millis,
     ) -> BoxFuture<'_, Result<NodeReply, PeerError>> {
-        async move {
-            let (answer, rx) = oneshot::channel();
-            let pending = Pending {
-                addr,
-                call,
-                timeout: Duration::from_millis(timeout),
-                answer,
-            };
-            self.tx.try_send(pending).map_err(|_| PeerError::NotSent)?;
-            rx.await.unwrap_or(Err(PeerError::Unanswered))
-        }
-        .boxed()
+        self.calls.call(addr, call, timeout).boxed()
     }
 }
 
-type Connections = Rc<Mutex<HashMap<SocketAddr, wire::node::Client>>>;
+type Connections = transport::Connections<wire::node::Client>;
 
 impl RpcNodeDriver {
     /// Carries out calls until the sending half is gone.
     pub async fn run(mut self) {
-        let connections = Connections::default();
+        let connections = Connections::new();
         while let Some(pending) = self.rx.recv().await {
             let connections = Rc::clone(&connections);
             task::spawn_local(async move {
                 let reply = carry_out(&connections, &pending).await;
-                // The asker may have given up; then nobody needs the reply.
-                let _ = pending.answer.send(reply);
+                pending.answer(reply);
             });
         }
     }
 }
 
-async fn carry_out(connections: &Connections, pending: &Pending) -> Result<NodeReply, PeerError> {
-    let client = connection(connections, pending.addr).await?;
-    let answer = tokio::time::timeout(pending.timeout, send(&client, &pending.call)).await;
-    let answer = answer.unwrap_or(Err(PeerError::Unanswered));
-    if answer == Err(PeerError::Unanswered) {
-        lock(connections).remove(&pending.addr);
-    }
-    answer
+async fn carry_out(
+    connections: &Rc<Connections>,
+    pending: &transport::Pending<NodeCall, NodeReply>,
+) -> Result<NodeReply, PeerError> {
+    let client = connections.get(pending.addr).await?;
+    let exchange = send(&client, &pending.call);
+    connections
+        .bounded(pending.addr, pending.timeout, exchange)
+        .await
 }
 
 async fn send(client: &wire::node::Client, call: &NodeCall) -> Result<NodeReply, PeerError> {
@@ -205,55 +178,6 @@
     read_reply(reply).map_err(|_| PeerError::Malformed)
 }
 
-async fn connection(
-    connections: &Connections,
-    addr: SocketAddr,
-) -> Result<wire::node::Client, PeerError> {
-    if let Some(client) = lock(connections).get(&addr).cloned() {
-        return Ok(client);
-    }
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
-    let stream = connecting
-        .map_err(|_| PeerError::NotSent)?
-        .map_err(|_| PeerError::NotSent)?;
-    let mut system = RpcSystem::new(
-        Box::new(network(stream, rpc_twoparty_capnp::Side::Client)),
-        None,
-    );
-    let client: wire::node::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-    let forget = Rc::clone(connections);
-    task::spawn_local(async move {
-        if let Err(err) = system.await {
-            tracing::debug!(%err, %addr, "connection to a node ended");
-        }
-        lock(&forget).remove(&addr);
-    });
-    lock(connections).insert(addr, client.clone());
-    Ok(client)
-}
-
-fn network(
-    stream: TcpStream,
-    side: rpc_twoparty_capnp::Side,
-) -> twoparty::VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
-    if let Err(err) = stream.set_nodelay(true) {
-        tracing::debug!(%err, "small messages to a node may be delayed");
-    }
-    let (reader, writer) = stream.compat().split();
-    twoparty::VatNetwork::new(
-        futures::io::BufReader::new(reader),
-        futures::io::BufWriter::new(writer),
-        side,
-        Default::default(),
-    )
-}
-
-fn lock(
-    connections: &Connections,
-) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, wire::node::Client>> {
-    connections.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 struct NodeServer {
     service: Arc<dyn NodeService>,
 }
@@ -276,23 +200,7 @@
 /// Must run inside a `LocalSet`, as Cap'n Proto's objects stay on one thread.
 pub async fn serve(listener: TcpListener, service: Arc<dyn NodeService>) {
     let node: wire::node::Client = capnp_rpc::new_client(NodeServer { service });
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let network = network(stream, rpc_twoparty_capnp::Side::Server);
-                let system = RpcSystem::new(Box::new(network), Some(node.clone().client));
-                task::spawn_local(async move {
-                    if let Err(err) = system.await {
-                        tracing::debug!(%err, "a node's connection ended");
-                    }
-                });
-            }
-            Err(err) => {
-                tracing::warn!(%err, "a node's connection was not accepted");
-                task::yield_now().await;
-            }
-        }
-    }
+    transport::serve(listener, node.client).await;
 }
 
 fn write_beat(beat: &Beat, mut out: wire::beat::Builder) {
--- a/src/rpc/server.rs
+++ b/src/rpc/server.rs
@@ -3,14 +3,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
-use futures::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task;
-use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio::net::TcpListener;
 
 use crate::rpc::peer_capnp as wire;
-use crate::rpc::{PeerService, codec};
+use crate::rpc::{PeerService, codec, transport};
 
 struct PeerServer {
     service: Arc<dyn PeerService>,
@@ -33,30 +29,5 @@
 /// Must run inside a `LocalSet`, as Cap'n Proto's objects stay on one thread.
 pub async fn serve(listener: TcpListener, service: Arc<dyn PeerService>) {
     let peer: wire::peer::Client = capnp_rpc::new_client(PeerServer { service });
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => serve_connection(stream, &peer),
-            Err(err) => {
-                tracing::warn!(%err, "an instance's connection was not accepted");
-                task::yield_now().await;
-            }
-        }
-    }
-}
-
-fn serve_connection(stream: TcpStream, peer: &wire::peer::Client) {
-    let _ = stream.set_nodelay(true);
-    let (reader, writer) = stream.compat().split();
-    let network = twoparty::VatNetwork::new(
-        futures::io::BufReader::new(reader),
-        futures::io::BufWriter::new(writer),
-        rpc_twoparty_capnp::Side::Server,
-        Default::default(),
-    );
-    let system = RpcSystem::new(Box::new(network), Some(peer.clone().client));
-    task::spawn_local(async move {
-        if let Err(err) = system.await {
-            tracing::debug!(%err, "an instance's connection ended");
-        }
-    });
+    transport::serve(listener, peer.client).await;
 }
--- /dev/null
+++ b/src/rpc/transport.rs
@@ -0,0 +1,180 @@
+//! What both protocols between our processes share: a queue of calls that any task may
+//! fill, kept connections, and the loop that accepts them.
+//!
+//! Cap'n Proto's objects stay on one thread, so connections live inside a `LocalSet`,
+//! while callers may be anywhere.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use capnp::capability::FromClientHook;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+use crate::clock::Millis;
+use crate::rpc::PeerError;
+
+/// How many calls may wait to be picked up: some seconds of the busiest process's calls.
+const QUEUE_LENGTH: usize = 4_096;
+/// How long a connection may take to come about: halls are milliseconds apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A call that waits to be carried out.
+pub struct Pending<C, R> {
+    /// The process that is called.
+    pub addr: SocketAddr,
+    /// The call.
+    pub call: C,
+    /// How long the answer may take.
+    pub timeout: Duration,
+    answer: oneshot::Sender<Result<R, PeerError>>,
+}
+
+impl<C, R> Pending<C, R> {
+    /// Passes the answer on; whoever asked may have given up.
+    pub fn answer(self, reply: Result<R, PeerError>) {
+        let _ = self.answer.send(reply);
+    }
+}
+
+/// The sending end of a queue of calls: it may be used from any task.
+pub struct Calls<C, R> {
+    tx: mpsc::Sender<Pending<C, R>>,
+}
+
+/// Makes both ends of a queue of calls.
+pub fn queue<C, R>() -> (Calls<C, R>, mpsc::Receiver<Pending<C, R>>) {
+    let (tx, rx) = mpsc::channel(QUEUE_LENGTH);
+    (Calls { tx }, rx)
+}
+
+impl<C, R> Calls<C, R> {
+    /// Queues a call and waits for its answer.
+    ///
+    /// # Errors
+    /// See [`PeerError`]; a full queue counts as not sent.
+    pub async fn call(&self, addr: SocketAddr, call: C, timeout: Millis) -> Result<R, PeerError> {
+        let (answer, rx) = oneshot::channel();
+        let pending = Pending {
+            addr,
+            call,
+            timeout: Duration::from_millis(timeout),
+            answer,
+        };
+        self.tx.try_send(pending).map_err(|_| PeerError::NotSent)?;
+        rx.await.unwrap_or(Err(PeerError::Unanswered))
+    }
+}
+
+/// Connections that are kept, by address.
+pub struct Connections<C> {
+    known: Mutex<HashMap<SocketAddr, C>>,
+}
+
+impl<C: FromClientHook + Clone + 'static> Connections<C> {
+    /// Makes an empty set.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            known: Mutex::default(),
+        })
+    }
+
+    /// The connection to `addr`, made if there is none.
+    ///
+    /// # Errors
+    /// Fails with [`PeerError::NotSent`] if none comes about.
+    pub async fn get(self: &Rc<Self>, addr: SocketAddr) -> Result<C, PeerError> {
+        if let Some(client) = self.lock().get(&addr).cloned() {
+            return Ok(client);
+        }
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let stream = connecting
+            .map_err(|_| PeerError::NotSent)?
+            .map_err(|_| PeerError::NotSent)?;
+        let network = network(stream, rpc_twoparty_capnp::Side::Client);
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: C = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        let connections = Rc::clone(self);
+        task::spawn_local(async move {
+            if let Err(err) = system.await {
+                tracing::debug!(%err, %addr, "connection ended");
+            }
+            connections.forget(addr);
+        });
+        self.lock().insert(addr, client.clone());
+        Ok(client)
+    }
+
+    /// Does not use the connection to `addr` any more.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.lock().remove(&addr);
+    }
+
+    /// Waits for an answer, and gives the connection up if none comes in time.
+    ///
+    /// # Errors
+    /// Passes on the error of `exchange`, or [`PeerError::Unanswered`].
+    pub async fn bounded<R>(
+        &self,
+        addr: SocketAddr,
+        timeout: Duration,
+        exchange: impl Future<Output = Result<R, PeerError>>,
+    ) -> Result<R, PeerError> {
+        let answer = tokio::time::timeout(timeout, exchange).await;
+        let answer = answer.unwrap_or(Err(PeerError::Unanswered));
+        if matches!(answer, Err(PeerError::Unanswered)) {
+            self.forget(addr);
+        }
+        answer
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, C>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Serves calls that arrive at `listener` for as long as the task lives.
+///
+/// Must run inside a `LocalSet`.
+pub async fn serve(listener: TcpListener, server: capnp::capability::Client) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let network = network(stream, rpc_twoparty_capnp::Side::Server);
+                let system = RpcSystem::new(Box::new(network), Some(server.clone()));
+                task::spawn_local(async move {
+                    if let Err(err) = system.await {
+                        tracing::debug!(%err, "a connection from another process ended");
+                    }
+                });
+            }
+            Err(err) => {
+                tracing::warn!(%err, "a connection from another process was not accepted");
+                task::yield_now().await;
+            }
+        }
+    }
+}
+
+fn network(
+    stream: TcpStream,
+    side: rpc_twoparty_capnp::Side,
+) -> twoparty::VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
+    if let Err(err) = stream.set_nodelay(true) {
+        tracing::debug!(%err, "small messages may be delayed");
+    }
+    let (reader, writer) = stream.compat().split();
+    twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader),
+        futures::io::BufWriter::new(writer),
+        side,
+        Default::default(),
+    )
+}
