Transactions are given up on as soon as the store's own pace allows, and repeated

Ruled out: repeating less often, since a repeated transaction is settled by its versions. Change: the limit follows the answers that come, 200 to 1,200 ms, doubled after a silence; jobs are repeated after 20 ms in the next partition.

--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -25,7 +25,7 @@
 /// after an answer that leaves it open.
 const SETTLE_FOR: Millis = 2_000;
 /// The pause between two tries.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// How many transactions may be on their way at once, each in another partition.
 const LANES: usize = 3;
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 pub mod loading;
 pub mod members;
 pub mod orders;
+pub mod patience;
 pub mod process;
 pub mod recording;
 pub mod route;
--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -3,8 +3,8 @@
 //! The store may turn single VMs away while it serves others.  Repeating a call
 //! through a peer is safe, since every transaction names the versions it expects.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Millis;
+use crate::node::patience::Patience;
 use crate::node::shared::Shared;
 use crate::rpc::node::{NodeCall, NodeReply};
 use crate::store::{Store, StoreCall, StoreError, StoreReply, Table};
@@ -32,6 +33,7 @@
     direct: Arc<dyn Store>,
     works: AtomicBool,
     doubted: Notify,
+    patience: Mutex<Patience>,
 }
 
 impl RoutedStore {
@@ -41,6 +43,7 @@
             direct,
             works: AtomicBool::new(true),
             doubted: Notify::new(),
+            patience: Mutex::default(),
         }
     }
 
@@ -84,7 +87,10 @@
         async move {
             let held = matches!(call, StoreCall::Changes { .. });
             let began = shared.now();
-            let reply = self.direct.call(call).await;
+            let reply = match call {
+                StoreCall::Commit(_) => self.commit(&shared, call).await,
+                _ => self.direct.call(call).await,
+            };
             if !held {
                 let took = shared.now().saturating_sub(began);
                 shared.metrics.wait("store", took);
@@ -98,6 +104,30 @@
         .boxed()
     }
 
+    /// Sends a transaction and waits as long as its answer can be expected to take.
+    async fn commit(&self, shared: &Shared, call: StoreCall) -> Result<StoreReply, StoreError> {
+        let limit = self.patience().limit();
+        let began = shared.now();
+        let sent = self.direct.call(call);
+        let reply = tokio::time::timeout(Duration::from_millis(limit), sent).await;
+        let took = shared.now().saturating_sub(began);
+        match reply {
+            Ok(Ok(reply)) => {
+                self.patience().answered(took);
+                Ok(reply)
+            }
+            Ok(Err(err)) => Err(err),
+            Err(_) => {
+                self.patience().gave_up();
+                Err(StoreError::Unanswered)
+            }
+        }
+    }
+
+    fn patience(&self) -> MutexGuard<'_, Patience> {
+        self.patience.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Makes a call by any way.
     pub async fn call(
         &self,
