--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -137,8 +137,8 @@
             .any(|t| t.worker == worker && t.expires > now + tuning::TICKET_MARGIN)
     }
 
-    /// Takes in an answer: `good` are those of the `asked` workers that may run the step.
-    /// `sent` is when the question was sent; none in `good` means no answer came.
+    /// Takes in the answer to `order`: the workers that may run the step, with their
+    /// tickets, or nothing if no answer came.
     pub fn advised(
         &mut self,
         order: &AdviceOrder,
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -17,8 +17,8 @@
 use crate::rpc::node::{Beat, NodeCall, NodeReply};
 use crate::store::{RowKey, StoreCall, StoreError, StoreReply, Table, Transaction, Version};
 
-/// How often the owner tells of itself.  Each heartbeat costs every node some
-/// tens of microseconds.
+/// How often the owner tells of itself: a heartbeat costs its receiver some tens of
+/// microseconds, and four may be missed before the owner is suspected.
 const BEAT: Duration = Duration::from_millis(100);
 /// How long a heartbeat may take.
 const BEAT_TIMEOUT: Millis = 300;
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -17,38 +17,26 @@
 use crate::cell::spec::JobId;
 use crate::cell::{Cell, Waited, WorkerKey, tuning};
 use crate::clock::{self, Millis};
-use crate::node::cleaning::Cleaner;
-use crate::node::loading::{self, JobRows};
-use crate::node::recording::OwnerRow;
-use crate::node::shared::{PARTITION, Shared};
+use crate::node::loading;
+use crate::node::shared::Shared;
 use crate::rpc::node::NodeReply;
-use crate::store::{StoreCall, StoreReply, Table, Version};
+use crate::store::Version;
 
 /// Scheduling runs at least so often, for leases and retries.
 const TICK: Duration = Duration::from_millis(50);
 /// Events that come within this time are decided on together.
 const GATHER: Duration = Duration::from_millis(4);
-/// How often the list of workers is read: leaving workers must be known within 2 s.
-const WORKERS_POLL: Duration = Duration::from_millis(400);
-/// How often jobs are looked for of which no node told: those of nodes that died.
-const JOBS_POLL: Duration = Duration::from_millis(1_000);
-/// How often the owner looks whether it is still confirmed.
-const CONFIRM_POLL: Duration = Duration::from_millis(250);
-/// An ownership that was confirmed within this time is not asked about again.
-const CONFIRM_AFTER: Millis = 700;
 /// A peer heard within this time bears witness: some heartbeats.
-const WITNESS_WINDOW: Millis = 1_000;
+pub(super) const WITNESS_WINDOW: Millis = 1_000;
 /// How long a cancellation waits to be recorded: callers wait 3 s.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(2_200);
-/// The pause after a failed call to the store.
-const STORE_PAUSE: Duration = Duration::from_millis(150);
 
 /// What the owner of a cell holds.
 pub struct Engine {
     /// The epoch of this ownership.
     pub epoch: u64,
     /// The transaction that claimed it.
-    claimed: Version,
+    pub(super) claimed: Version,
     pub(super) shared: Arc<Shared>,
     cell: Mutex<Cell>,
     pub(super) wake: Notify,
@@ -59,7 +47,7 @@
     /// The version of the roster that is recorded.
     pub(super) roster_recorded: AtomicU64,
     retired: AtomicBool,
-    confirmed: AtomicU64,
+    pub(super) confirmed: AtomicU64,
     looked_after: Mutex<HashSet<WorkerKey>>,
     lanes: Mutex<Vec<String>>,
     tasks: Mutex<Vec<AbortHandle>>,
@@ -293,146 +281,6 @@
         let found = members.iter().find(|(other, _)| **other == name);
         found.map(|(_, member)| member.address)
     }
-
-    async fn confirm_loop(self: Arc<Self>) {
-        loop {
-            tokio::time::sleep(CONFIRM_POLL).await;
-            let sent = self.shared.now();
-            if sent.saturating_sub(self.confirmed.load(Ordering::Relaxed)) < CONFIRM_AFTER {
-                continue;
-            }
-            self.ask_store_for_confirmation(sent).await;
-        }
-    }
-
-    /// Reads the row of ownership; without the store, other nodes' word must do.
-    async fn ask_store_for_confirmation(&self, sent: Millis) {
-        let call = StoreCall::row(Table::Cells, PARTITION, crate::node::recording::OWNER_KEY);
-        match self.shared.store(call).await {
-            Ok(StoreReply::Rows { rows, .. }) => match rows.first().and_then(OwnerRow::read) {
-                Some(row) if row.epoch == self.epoch && row.boot == self.shared.boot => {
-                    self.confirm(sent);
-                }
-                _ => self.retire("the row of ownership names another"),
-            },
-            Ok(_) => tracing::warn!("the store's answer about ownership is of the wrong kind"),
-            Err(err) => {
-                if self.witnessed() {
-                    self.confirm(sent);
-                } else {
-                    tracing::info!(%err, active = self.is_active(), "ownership is not confirmed");
-                }
-            }
-        }
-    }
-
-    /// Most other nodes were heard of late, none of them reaches the store, so none
-    /// can have claimed the cell, and none knows of a higher epoch.
-    fn witnessed(&self) -> bool {
-        let now = self.shared.now();
-        let members = self.shared.members();
-        let total = members.iter().count() + 1;
-        let witnesses = members
-            .iter()
-            .filter(|(_, m)| m.heard > 0 && now.saturating_sub(m.heard) < WITNESS_WINDOW)
-            .filter(|(_, m)| m.epoch <= self.epoch)
-            .count()
-            + 1;
-        witnesses * 2 > total
-    }
-
-    async fn workers_loop(self: Arc<Self>, mut after: Version) {
-        loop {
-            tokio::time::sleep(WORKERS_POLL).await;
-            let call = StoreCall::Changes {
-                table: Table::Workers,
-                after,
-                wait: 0,
-            };
-            match self.shared.store(call).await {
-                Ok(StoreReply::Rows { rows, version, .. }) => {
-                    after = version.max(after);
-                    self.take_worker_rows(&rows);
-                }
-                Ok(_) => match loading::list(&self.shared, Table::Workers, "").await {
-                    Ok((rows, version)) => {
-                        after = version;
-                        let entries = loading::worker_entries(&self.shared, &rows);
-                        self.cell().list_workers(entries, self.shared.now());
-                    }
-                    Err(err) => tracing::info!(%err, "workers cannot be listed"),
-                },
-                Err(_) => tokio::time::sleep(STORE_PAUSE).await,
-            }
-            self.look_after_workers();
-        }
-    }
-
-    fn take_worker_rows(&self, rows: &[crate::store::Row]) {
-        let now = self.shared.now();
-        let mut cell = self.cell();
-        for row in rows {
-            if row.dropped {
-                cell.unlist_worker(&row.key);
-                continue;
-            }
-            match self.shared.decoder.worker(&row.key, &row.value) {
-                Ok(entry) => cell.list_worker(entry, now),
-                Err(err) => tracing::warn!(worker = row.key, %err, "worker left out"),
-            }
-        }
-    }
-
-    async fn jobs_loop(self: Arc<Self>, loaded: JobRows) {
-        let mut after = loaded.version;
-        let mut unread = loaded.unread;
-        let mut cleaner = Cleaner::default();
-        cleaner.note(&loaded.rows);
-        loop {
-            tokio::time::sleep(JOBS_POLL).await;
-            if !unread.is_empty() {
-                let missing = loading::list_job_partitions(&self.shared, &unread).await;
-                self.take_job_rows(&missing.rows);
-                cleaner.note(&missing.rows);
-                unread = missing.unread;
-                self.cell().set_incomplete(!unread.is_empty());
-            }
-            let call = StoreCall::Changes {
-                table: Table::Jobs,
-                after,
-                wait: 0,
-            };
-            match self.shared.store(call).await {
-                Ok(StoreReply::Rows { rows, version, .. }) => {
-                    after = version.max(after);
-                    self.take_job_rows(&rows);
-                    cleaner.note(&rows);
-                }
-                Ok(_) => {
-                    tracing::info!(after, "the store has forgotten changes of jobs");
-                    let jobs = loading::list_jobs(&self.shared).await;
-                    self.take_job_rows(&jobs.rows);
-                    cleaner.note(&jobs.rows);
-                    unread.extend(jobs.unread);
-                    after = jobs.version;
-                }
-                Err(_) => tokio::time::sleep(STORE_PAUSE).await,
-            }
-            cleaner.clean(&self).await;
-        }
-    }
-
-    fn take_job_rows(&self, rows: &[crate::store::Row]) {
-        for row in rows.iter().filter(|row| !row.dropped) {
-            let Some(job) = loading::job_row(&row.value) else {
-                continue;
-            };
-            let predates = row.version < self.claimed;
-            let now = self.shared.now();
-            self.cell().accept(&job, None, predates, now);
-        }
-        self.wake.notify_one();
-    }
 }
 
 /// The label of a waiting time; queues beyond the third priority share one.
--- /dev/null
+++ b/src/node/following.rs
@@ -0,0 +1,111 @@
+//! Following the rows that others write: workers' entries and accepted jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::node::cleaning::Cleaner;
+use crate::node::engine::Engine;
+use crate::node::loading::{self, JobRows};
+use crate::store::{Row, StoreCall, StoreReply, Table, Version};
+
+/// How often the list of workers is read: leaving workers must be known within 2 s.
+const WORKERS_POLL: Duration = Duration::from_millis(400);
+/// How often jobs are looked for of which no node told: those of nodes that died.
+const JOBS_POLL: Duration = Duration::from_millis(1_000);
+/// The pause after a failed call to the store.
+const STORE_PAUSE: Duration = Duration::from_millis(150);
+
+impl Engine {
+    pub(super) async fn workers_loop(self: Arc<Self>, mut after: Version) {
+        loop {
+            tokio::time::sleep(WORKERS_POLL).await;
+            let call = StoreCall::Changes {
+                table: Table::Workers,
+                after,
+                wait: 0,
+            };
+            match self.shared.store(call).await {
+                Ok(StoreReply::Rows { rows, version, .. }) => {
+                    after = version.max(after);
+                    self.take_worker_rows(&rows);
+                }
+                Ok(_) => match loading::list(&self.shared, Table::Workers, "").await {
+                    Ok((rows, version)) => {
+                        after = version;
+                        let entries = loading::worker_entries(&self.shared, &rows);
+                        self.cell().list_workers(entries, self.shared.now());
+                    }
+                    Err(err) => tracing::info!(%err, "workers cannot be listed"),
+                },
+                Err(_) => tokio::time::sleep(STORE_PAUSE).await,
+            }
+            self.look_after_workers();
+        }
+    }
+
+    fn take_worker_rows(&self, rows: &[Row]) {
+        let now = self.shared.now();
+        let mut cell = self.cell();
+        for row in rows {
+            if row.dropped {
+                cell.unlist_worker(&row.key);
+                continue;
+            }
+            match self.shared.decoder.worker(&row.key, &row.value) {
+                Ok(entry) => cell.list_worker(entry, now),
+                Err(err) => tracing::warn!(worker = row.key, %err, "worker left out"),
+            }
+        }
+    }
+
+    pub(super) async fn jobs_loop(self: Arc<Self>, loaded: JobRows) {
+        let mut after = loaded.version;
+        let mut unread = loaded.unread;
+        let mut cleaner = Cleaner::default();
+        cleaner.note(&loaded.rows);
+        loop {
+            tokio::time::sleep(JOBS_POLL).await;
+            if !unread.is_empty() {
+                let missing = loading::list_job_partitions(&self.shared, &unread).await;
+                self.take_job_rows(&missing.rows);
+                cleaner.note(&missing.rows);
+                unread = missing.unread;
+                self.cell().set_incomplete(!unread.is_empty());
+            }
+            let call = StoreCall::Changes {
+                table: Table::Jobs,
+                after,
+                wait: 0,
+            };
+            match self.shared.store(call).await {
+                Ok(StoreReply::Rows { rows, version, .. }) => {
+                    after = version.max(after);
+                    self.take_job_rows(&rows);
+                    cleaner.note(&rows);
+                }
+                Ok(_) => {
+                    tracing::info!(after, "the store has forgotten changes of jobs");
+                    let jobs = loading::list_jobs(&self.shared).await;
+                    self.take_job_rows(&jobs.rows);
+                    cleaner.note(&jobs.rows);
+                    unread.extend(jobs.unread);
+                    after = jobs.version;
+                }
+                Err(_) => tokio::time::sleep(STORE_PAUSE).await,
+            }
+            cleaner.clean(&self).await;
+        }
+    }
+
+    fn take_job_rows(&self, rows: &[Row]) {
+        for row in rows.iter().filter(|row| !row.dropped) {
+            let Some(job) = loading::job_row(&row.value) else {
+                continue;
+            };
+            let predates = row.version < self.claimed;
+            let now = self.shared.now();
+            self.cell().accept(&job, None, predates, now);
+        }
+        self.wake.notify_one();
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,8 +4,10 @@
 
 pub mod cleaning;
 pub mod configuration;
+pub mod confirming;
 pub mod election;
 pub mod engine;
+pub mod following;
 pub mod front;
 pub mod intake;
 pub mod links;
