An owner without the store asks every node that may reach it

Cause: when an owner reached the store neither directly nor through two peers, the word of most nodes confirmed it, whether or not one of them reached the store. A successor could have claimed the cell there, and the word could be a second old. Found by reading. Ruled out: taking the peers' own flag for it; the flag lags a silent store by up to 2 s. Change: the row of ownership is read through every node heard of late, at once, beside the owner's own read when that takes longer than 150 ms. One reading decides. Without any, most known nodes must answer that the store is away for them too.

--- a/src/embedded.rs
+++ b/src/embedded/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! It shows the main job on one machine and keeps nothing.
 
+pub mod store;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -3,20 +3,48 @@
 //! An owner gives no orders unless this was confirmed of late; a successor relies on
 //! that when it cannot reach a worker (see "Ownership" in `docs/CELL.md`).
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::future::join_all;
+
 use crate::clock::Millis;
 use crate::node::engine::{Engine, WITNESS_WINDOW};
 use crate::node::recording::{OWNER_KEY, OwnerRow};
+use crate::node::route;
 use crate::node::shared::PARTITION;
-use crate::store::{StoreCall, StoreReply, Table};
+use crate::store::{StoreCall, StoreError, StoreReply, Table};
 
 /// How often the owner looks whether it is still confirmed.
 const CONFIRM_POLL: Duration = Duration::from_millis(250);
 /// An ownership that was confirmed within this time is not asked about again.
 const CONFIRM_AFTER: Millis = 700;
+/// When the store has not answered for so long, the other nodes are asked as well: a
+/// read takes 6 ms, and whatever is lost here shortens the window of 2 s.
+const HEDGE_AFTER: Duration = Duration::from_millis(150);
+/// How long one read of the row of ownership may take: 400 ms from a slow store.
+const READ_LIMIT: Millis = 700;
+
+/// What one node can tell about the row of ownership.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Word {
+    /// The row, as the store shows it; none if it cannot be understood.
+    Row(Option<OwnerRow>),
+    /// The node says that it does not reach the store, so it has not claimed the cell.
+    Away,
+    /// The node has not answered.
+    Silent,
+}
+
+/// What the words of all nodes come to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Holds,
+    Lost,
+    Unknown,
+}
 
 impl Engine {
     pub(super) async fn confirm_loop(self: Arc<Self>) {
@@ -26,43 +54,108 @@
             if sent.saturating_sub(self.confirmed.load(Ordering::Relaxed)) < CONFIRM_AFTER {
                 continue;
             }
-            self.ask_store_for_confirmation(sent).await;
+            let words = self.gather_words().await;
+            self.take_words(sent, &words);
         }
     }
 
-    /// Reads the row of ownership; without the store, other nodes' word must do.
-    async fn ask_store_for_confirmation(&self, sent: Millis) {
-        let call = StoreCall::row(Table::Cells, PARTITION, OWNER_KEY);
-        match self.shared.store(call).await {
-            Ok(StoreReply::Rows { rows, .. }) => match rows.first().and_then(OwnerRow::read) {
-                Some(row) if row.epoch == self.epoch && row.boot == self.shared.boot => {
-                    self.confirm(sent);
-                }
-                _ => self.retire("the row of ownership names another"),
-            },
-            Ok(_) => tracing::warn!("the store's answer about ownership is of the wrong kind"),
-            Err(err) => {
-                if self.witnessed() {
-                    self.confirm(sent);
-                } else {
-                    tracing::info!(%err, active = self.is_active(), "ownership is not confirmed");
-                }
-            }
+    /// Asks the store, and if it is silent or away every other node that was heard of late.
+    async fn gather_words(&self) -> Vec<Word> {
+        let own = self.own_word();
+        tokio::pin!(own);
+        let early = tokio::time::timeout(HEDGE_AFTER, &mut own).await.ok();
+        if let Some(word @ Word::Row(_)) = early {
+            return vec![word];
+        }
+        let others = join_all(self.witnesses().into_iter().map(|addr| self.word_of(addr)));
+        let (mut words, own) = match early {
+            Some(word) => (others.await, word),
+            None => tokio::join!(others, own),
+        };
+        words.push(own);
+        words
+    }
+
+    fn take_words(&self, sent: Millis, words: &[Word]) {
+        match self.verdict(words) {
+            Verdict::Holds => self.confirm(sent),
+            Verdict::Lost => self.retire("the row of ownership names another"),
+            Verdict::Unknown => tracing::info!(
+                ?words,
+                active = self.is_active(),
+                "ownership is not confirmed"
+            ),
+        }
+    }
+
+    /// One reading of the row decides.  Without any, most nodes that we know must say
+    /// that they do not reach the store, since only a node that does can claim the cell.
+    fn verdict(&self, words: &[Word]) -> Verdict {
+        let rows: Vec<&Option<OwnerRow>> = words
+            .iter()
+            .filter_map(|word| match word {
+                Word::Row(row) => Some(row),
+                Word::Away | Word::Silent => None,
+            })
+            .collect();
+        let is_ours = |row: &Option<OwnerRow>| {
+            row.as_ref()
+                .is_some_and(|row| row.epoch == self.epoch && row.boot == self.shared.boot)
+        };
+        if rows.iter().any(|row| !is_ours(row)) {
+            return Verdict::Lost;
+        }
+        let known = self.shared.members().iter().count() + 1;
+        let away = words.iter().filter(|word| **word == Word::Away).count();
+        if !rows.is_empty() || away * 2 > known {
+            return Verdict::Holds;
         }
+        Verdict::Unknown
     }
 
-    /// Most nodes that we know, ourselves included, were heard of late and know of no
-    /// higher epoch.  Whether they reach the store is not looked at.
-    fn witnessed(&self) -> bool {
+    async fn own_word(&self) -> Word {
+        if !self.shared.reaches_store() {
+            return Word::Away;
+        }
+        let limit = Duration::from_millis(READ_LIMIT);
+        let read = self.shared.store_direct(owner_row());
+        match tokio::time::timeout(limit, read).await {
+            Ok(reply) => word(reply),
+            Err(_) => Word::Away,
+        }
+    }
+
+    async fn word_of(&self, addr: SocketAddr) -> Word {
+        match route::ask_to_relay(&self.shared, addr, &owner_row(), READ_LIMIT).await {
+            Ok(reply) => word(reply),
+            Err(_) => Word::Silent,
+        }
+    }
+
+    /// Nodes that were heard of late and know of no higher epoch.
+    fn witnesses(&self) -> Vec<SocketAddr> {
         let now = self.shared.now();
-        let members = self.shared.members();
-        let total = members.iter().count() + 1;
-        let witnesses = members
+        self.shared
+            .members()
             .iter()
             .filter(|(_, m)| m.heard > 0 && now.saturating_sub(m.heard) < WITNESS_WINDOW)
             .filter(|(_, m)| m.epoch <= self.epoch)
-            .count()
-            + 1;
-        witnesses * 2 > total
+            .map(|(_, m)| m.address)
+            .collect()
+    }
+}
+
+fn owner_row() -> StoreCall {
+    StoreCall::row(Table::Cells, PARTITION, OWNER_KEY)
+}
+
+fn word(reply: Result<StoreReply, StoreError>) -> Word {
+    match reply {
+        Ok(StoreReply::Rows { rows, .. }) => Word::Row(rows.first().and_then(OwnerRow::read)),
+        Ok(_) => {
+            tracing::warn!("the store's answer about ownership is of the wrong kind");
+            Word::Silent
+        }
+        Err(_) => Word::Away,
     }
 }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -124,7 +124,7 @@
     }
 
     /// Tells whether orders may be given: the ownership was confirmed of late.
-    pub(super) fn is_active(&self) -> bool {
+    pub fn is_active(&self) -> bool {
         let confirmed = self.confirmed.load(Ordering::Relaxed);
         !self.is_retired() && self.shared.now().saturating_sub(confirmed) < tuning::OWNER_WINDOW
     }
--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -3,6 +3,7 @@
 //! The store may turn single VMs away while it serves others.  Repeating a call
 //! through a peer is safe, since every transaction names the versions it expects.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use crate::clock::Millis;
 use crate::node::patience::Patience;
 use crate::node::shared::Shared;
+use crate::rpc::PeerError;
 use crate::rpc::node::{NodeCall, NodeReply};
 use crate::store::{Store, StoreCall, StoreError, StoreReply, Table};
 
@@ -168,25 +170,42 @@
     }
 }
 
-async fn relay(
+/// Hands a call to another node and tells what the store said to it.
+///
+/// # Errors
+/// Fails if the node itself was not reached or did not answer.
+pub async fn ask_to_relay(
     shared: &Arc<Shared>,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     call: &StoreCall,
-) -> Result<StoreReply, StoreError> {
+    timeout: Millis,
+) -> Result<Result<StoreReply, StoreError>, PeerError> {
     let body = serde_json::to_vec(call).map_err(|err| {
         tracing::error!(%err, "a call to the store cannot be encoded");
-        StoreError::Unavailable
+        PeerError::NotSent
     })?;
     shared.metrics.event("store_call_relayed");
-    match shared
-        .peers
-        .call(address, NodeCall::Relay(body), RELAY_TIMEOUT)
-        .await
-    {
-        Ok(NodeReply::Relayed(body)) => {
-            serde_json::from_slice(&body).unwrap_or(Err(StoreError::Malformed))
+    let call = NodeCall::Relay(body);
+    match shared.peers.call(address, call, timeout).await? {
+        NodeReply::Relayed(body) => serde_json::from_slice(&body).map_err(|err| {
+            tracing::error!(%err, %address, "a relayed answer cannot be read");
+            PeerError::Malformed
+        }),
+        reply => {
+            tracing::error!(?reply, %address, "a relayed answer is of the wrong kind");
+            Err(PeerError::Malformed)
         }
-        Ok(_) | Err(crate::rpc::PeerError::NotSent) => Err(StoreError::Unavailable),
-        Err(_) => Err(StoreError::Unanswered),
+    }
+}
+
+async fn relay(
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+    call: &StoreCall,
+) -> Result<StoreReply, StoreError> {
+    match ask_to_relay(shared, address, call, RELAY_TIMEOUT).await {
+        Ok(reply) => reply,
+        Err(PeerError::NotSent) => Err(StoreError::Unavailable),
+        Err(PeerError::Unanswered | PeerError::Malformed) => Err(StoreError::Unanswered),
     }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -15,7 +15,7 @@
 pub type Version = u64;
 
 /// The tables that the system reads or writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Table {
     /// The workers' own entries; read only.
     Workers,
