An end is shown without the store once a second node knows of it

The owner knew the ends all the while. Change: while a transaction has to be repeated the owner names decided ends in its heartbeats; an end is shown when another node has answered. A node keeps a former owner's ends until a successor has heard them, and a successor takes them in before it starts anything. Rows are dropped only for recorded ends.

--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -48,7 +48,8 @@
             queue,
             routed,
             state: JobState::Queued,
-            shown: JobState::Queued,
+            recorded: JobState::Queued,
+            witnessed: false,
             since: now,
             predates,
             times: Default::default(),
@@ -58,7 +59,7 @@
         if let Some(progress) = progress {
             let job = &mut self.jobs[key];
             job.state = progress.state;
-            job.shown = progress.state;
+            job.recorded = progress.state;
         }
         if self.jobs[key].state.is_final() {
             return;
@@ -72,6 +73,50 @@
             self.begin_recorded_times(key, progress);
             self.restore(key, progress);
         }
+        if let Some(state) = self.early_ends.remove(&row.id) {
+            self.take_early_end(key, state);
+        }
+    }
+
+    /// Another node tells that a job has ended, which a former owner could not record.
+    pub fn believe_end(&mut self, id: JobId, state: JobState) {
+        match self.job_ids.get(&id) {
+            Some(&key) => self.take_early_end(key, state),
+            // Its row may not have been read yet.
+            None if !self.ended.contains_key(&id) => {
+                self.early_ends.insert(id, state);
+            }
+            None => {}
+        }
+    }
+
+    fn take_early_end(&mut self, key: JobKey, state: JobState) {
+        self.end_job(key, state);
+        self.jobs[key].witnessed = true;
+    }
+
+    /// Ends that are decided and wait to be recorded.  A cancellation is not told
+    /// before it is recorded, since no worker keeps it.
+    pub fn unrecorded_ends(&self) -> Vec<(JobId, JobState)> {
+        self.jobs
+            .values()
+            .filter(|job| matches!(job.state, JobState::Succeeded | JobState::Failed))
+            .filter(|job| !job.recorded.is_final())
+            .map(|job| (job.id, job.state))
+            .collect()
+    }
+
+    /// Another node knows of these ends now.
+    pub fn ends_are_witnessed(&mut self, ends: &[(JobId, JobState)]) {
+        for (id, state) in ends {
+            let Some(job) = self.job_ids.get(id).and_then(|&key| self.jobs.get_mut(key)) else {
+                continue;
+            };
+            if job.state == *state && !job.witnessed {
+                job.witnessed = true;
+                tracing::info!(request = %id, ?state, "end is shown before it is recorded");
+            }
+        }
     }
 
     /// Progress that a former owner recorded of a job whose row is not there: it has
@@ -213,7 +258,7 @@
             };
         };
         let job = &self.jobs[key];
-        if job.shown.is_final() {
+        if job.recorded.is_final() {
             return Cancelling::Final;
         }
         self.end_job(key, JobState::Cancelled);
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -49,8 +49,10 @@
     pub routed: bool,
     /// How far it is, as decided.
     pub state: JobState,
-    /// How far it is, as recorded; only this is shown.
-    pub shown: JobState,
+    /// How far it is, as recorded.
+    pub recorded: JobState,
+    /// Another node knows of its end, so that may be shown before it is recorded.
+    pub witnessed: bool,
     /// When it was taken in, by our clock.
     pub since: Millis,
     /// A former owner may have started its tasks.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -94,6 +94,8 @@
     ended: HashMap<JobId, JobState>,
     /// Recorded progress of jobs whose rows could not be read yet.
     unclaimed: HashMap<JobId, record::Progress>,
+    /// Ends that other nodes told of, of jobs whose rows were not read yet.
+    early_ends: HashMap<JobId, JobState>,
     incomplete: bool,
     steps: SlotMap<StepKey, StepRun>,
     runs: SlotMap<RunKey, Run>,
@@ -131,6 +133,7 @@
             job_ids: HashMap::new(),
             ended: HashMap::new(),
             unclaimed: HashMap::new(),
+            early_ends: HashMap::new(),
             incomplete: false,
             steps: SlotMap::with_key(),
             runs: SlotMap::with_key(),
@@ -172,14 +175,16 @@
         });
     }
 
-    /// Tells how far a job is, as far as it is recorded.
+    /// Tells how far a job is; an end counts once it is recorded or another node knows of it.
     pub fn state(&self, id: JobId) -> Option<JobState> {
-        if let Some(&state) = self.ended.get(&id) {
+        if let Some(&state) = self.ended.get(&id).or(self.early_ends.get(&id)) {
             return Some(state);
         }
         let job = self.jobs.get(*self.job_ids.get(&id)?)?;
-        Some(if job.shown.is_final() {
-            job.shown
+        Some(if job.recorded.is_final() {
+            job.recorded
+        } else if job.state.is_final() && job.witnessed {
+            job.state
         } else if job.state.is_final() {
             JobState::Running
         } else {
@@ -187,6 +192,16 @@
         })
     }
 
+    /// Tells whether the end of a job is recorded.
+    pub fn is_end_recorded(&self, id: JobId) -> bool {
+        let recorded = |key| {
+            self.jobs
+                .get(key)
+                .is_some_and(|job: &Job| job.recorded.is_final())
+        };
+        self.ended.contains_key(&id) || self.job_ids.get(&id).is_some_and(|&key| recorded(key))
+    }
+
     /// Tells whether a job is known, ended ones included.
     pub fn knows(&self, id: JobId) -> bool {
         self.job_ids.contains_key(&id) || self.ended.contains_key(&id)
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -118,7 +118,7 @@
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
-            job.shown = progress.state;
+            job.recorded = progress.state;
             if progress.state.is_final() {
                 self.note_wait(key, Waited::End, now);
                 self.close_job(key, now);
--- a/src/node/cleaning.rs
+++ b/src/node/cleaning.rs
@@ -43,7 +43,7 @@
             let ended: Vec<JobId> = ids
                 .iter()
                 .copied()
-                .filter(|&id| engine.state(id).is_some_and(|state| state.is_final()))
+                .filter(|&id| engine.is_end_recorded(id))
                 .take(MOST_ROWS)
                 .collect();
             if ended.is_empty() {
--- /dev/null
+++ b/src/node/early.rs
@@ -0,0 +1,52 @@
+//! Ends that an owner has decided and that the store could not take yet.
+//!
+//! While the store is away, the workers keep the ends of runs and the owner tells the
+//! other nodes which jobs are over.  As soon as one of them knows, the end is shown:
+//! a successor learns of it from any node (see "Ends without the store" in `docs/CELL.md`).
+
+use crate::cell::job::JobState;
+use crate::cell::spec::JobId;
+use crate::rpc::node::Beat;
+
+/// The ends that a node was told of.
+#[derive(Debug, Default)]
+pub struct EarlyEnds {
+    /// The epoch of the owner that told of them.
+    epoch: u64,
+    ends: Vec<(JobId, JobState)>,
+    /// The epoch of a later owner that has been told of them.
+    passed_on: u64,
+}
+
+impl EarlyEnds {
+    /// Takes in an owner's heartbeat, which names all ends that it could not record.
+    ///
+    /// What a former owner told is kept until its successor has had an answer from us.
+    pub fn hear(&mut self, beat: &Beat) {
+        if beat.epoch < self.epoch {
+            return;
+        }
+        let may_not_know = beat.epoch > self.epoch && !self.ends.is_empty();
+        if may_not_know && self.passed_on < beat.epoch {
+            self.passed_on = beat.epoch;
+            return;
+        }
+        self.epoch = beat.epoch;
+        self.ends.clone_from(&beat.ends);
+    }
+
+    /// The ends that the owner under `epoch` may not know of.
+    pub fn unknown_to(&self, epoch: u64) -> Vec<(JobId, JobState)> {
+        if epoch > self.epoch {
+            self.ends.clone()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// The end of a job, if we were told of one.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let found = self.ends.iter().find(|(job, _)| *job == id);
+        found.map(|(_, state)| *state)
+    }
+}
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -128,7 +128,11 @@
         let shared = Arc::clone(shared);
         let beat = beat.clone();
         tokio::spawn(async move {
-            exchange(&shared, address, beat, BEAT_TIMEOUT).await;
+            let ends = beat.ends.clone();
+            let answer = exchange(&shared, address, beat, BEAT_TIMEOUT).await;
+            if let (Some(_), Some(engine)) = (answer, shared.engine()) {
+                engine.ends_are_witnessed(&ends);
+            }
         });
     }
     let now = shared.now();
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -47,6 +47,8 @@
     /// The version of the roster that is recorded.
     pub(super) roster_recorded: AtomicU64,
     retired: AtomicBool,
+    /// A transaction has to be repeated, so ends wait to be recorded.
+    pub(super) stalled: AtomicBool,
     pub(super) confirmed: AtomicU64,
     looked_after: Mutex<HashSet<WorkerKey>>,
     lanes: Mutex<Vec<String>>,
@@ -76,6 +78,7 @@
             row: tokio::sync::Mutex::new((version, 0)),
             roster_recorded: AtomicU64::new(0),
             retired: AtomicBool::new(false),
+            stalled: AtomicBool::new(false),
             confirmed: AtomicU64::new(shared.now()),
             looked_after: Mutex::default(),
             lanes: Mutex::new(vec![shared.name.clone()]),
@@ -169,7 +172,37 @@
         self.wake.notify_one();
     }
 
-    /// How far a job is, as recorded; none if it is not known here.
+    /// Ends that the store could not take so far; none while it takes them.
+    pub fn early_ends(&self) -> Vec<(JobId, JobState)> {
+        if self.stalled.load(Ordering::Relaxed) {
+            self.cell().unrecorded_ends()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Another node knows of these ends now.
+    pub fn ends_are_witnessed(&self, ends: &[(JobId, JobState)]) {
+        if !ends.is_empty() {
+            self.cell().ends_are_witnessed(ends);
+        }
+    }
+
+    /// Another node tells of ends that a former owner could not record.
+    pub fn believe_ends(&self, ends: &[(JobId, JobState)]) {
+        for &(id, state) in ends {
+            tracing::info!(request = %id, ?state, "end was decided by a former owner");
+            self.cell().believe_end(id, state);
+        }
+        self.record.notify_one();
+    }
+
+    /// Tells whether the end of a job is recorded.
+    pub fn is_end_recorded(&self, id: JobId) -> bool {
+        self.cell().is_end_recorded(id)
+    }
+
+    /// How far a job is; none if it is not known here.
     pub fn state(&self, id: JobId) -> Option<JobState> {
         self.cell().state(id)
     }
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -120,8 +120,10 @@
     /// Tells how far a job is.
     pub async fn state(&self, id: JobId) -> Told {
         let asked = ask_owner(&self.shared, NodeCall::State(id), OWNER_TIMEOUT).await;
-        let (told, source) = match asked {
-            Some(NodeReply::State(state)) => (Told::State(state), "owner"),
+        let early = self.shared.early_ends().state(id);
+        let (told, source) = match (asked, early) {
+            (Some(NodeReply::State(state)), _) => (Told::State(state), "owner"),
+            (_, Some(state)) => (Told::State(state), "early ends"),
             _ => (self.stored_state(id).await, "rows"),
         };
         let epoch = self.shared.owner().epoch;
@@ -209,6 +211,7 @@
                 _ => NodeReply::Unavailable,
             },
             NodeCall::Relay(body) => relay(shared, &body).await,
+            NodeCall::Explain(_) => NodeReply::Unavailable,
         }
     }
 }
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -110,6 +110,9 @@
             cell.remember(id, progress);
         }
     }
+    for (id, state) in shared.early_ends().unknown_to(epoch) {
+        cell.believe_end(id, state);
+    }
     cell.set_incomplete(!jobs.unread.is_empty());
     tracing::info!(
         epoch,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,6 +5,7 @@
 pub mod cleaning;
 pub mod configuration;
 pub mod confirming;
+pub mod early;
 pub mod election;
 pub mod engine;
 pub mod following;
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -131,10 +131,14 @@
                     self.cell().not_recorded(batch);
                     return;
                 }
-                Err(err) => tracing::info!(%err, number, "transaction is repeated"),
+                Err(err) => {
+                    tracing::info!(%err, number, "transaction is repeated");
+                    self.stalled.store(true, Ordering::Relaxed);
+                }
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
+        self.stalled.store(false, Ordering::Relaxed);
         self.roster_recorded.store(roster, Ordering::Relaxed);
         self.cell().roster_is_recorded(roster);
         self.finish(batch);
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
+use crate::node::early::EarlyEnds;
 use crate::node::engine::Engine;
 use crate::node::links::{Advisor, Decoder, Workers};
 use crate::node::members::Members;
@@ -88,6 +89,7 @@
     members: Mutex<Members>,
     config: RwLock<Option<Arc<Configuration>>>,
     owner: Mutex<Owner>,
+    early_ends: Mutex<EarlyEnds>,
     engine: Mutex<Option<Arc<Engine>>>,
     leaving: std::sync::atomic::AtomicBool,
 }
@@ -118,6 +120,7 @@
             members: Mutex::default(),
             config: RwLock::new(None),
             owner: Mutex::default(),
+            early_ends: Mutex::default(),
             engine: Mutex::new(None),
             leaving: std::sync::atomic::AtomicBool::new(false),
         })
@@ -138,6 +141,13 @@
         self.owner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Ends that an owner told of and could not record.
+    pub fn early_ends(&self) -> MutexGuard<'_, EarlyEnds> {
+        self.early_ends
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The engine, if this node owns the cell.
     pub fn engine(&self) -> Option<Arc<Engine>> {
         self.engine
@@ -255,9 +265,9 @@
             .into_iter()
             .map(|(name, address)| (name, address.to_string()))
             .collect();
-        let pending = match &engine {
-            Some(engine) => engine.pending(),
-            None => Vec::new(),
+        let (pending, ends) = match &engine {
+            Some(engine) => (engine.pending(), engine.early_ends()),
+            None => (Vec::new(), self.early_ends().unknown_to(owner.epoch)),
         };
         Beat {
             name: self.name.clone(),
@@ -275,6 +285,15 @@
             },
             members,
             pending,
+            ends,
+        }
+    }
+
+    fn hear_ends(&self, beat: &Beat) {
+        match self.engine() {
+            _ if beat.owns => self.early_ends().hear(beat),
+            Some(engine) if !beat.ends.is_empty() => engine.believe_ends(&beat.ends),
+            _ => {}
         }
     }
 
@@ -282,6 +301,7 @@
     pub fn hear(&self, beat: &Beat) {
         let now = self.now();
         self.members().hear(beat, &self.name, now);
+        self.hear_ends(beat);
         let mut owner = self.owner();
         if beat.owns && beat.epoch >= owner.epoch {
             let news = owner.epoch != beat.epoch || owner.address.is_none();
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -25,6 +25,8 @@
     configuration @5 :UInt64;
     # JSON of store::StoreCall, to be made on behalf of the sender.
     relay @6 :Data;
+    # How the job with this id stands, in detail.
+    explain @7 :UInt64;
   }
 }
 
@@ -43,6 +45,8 @@
     tickets @7 :List(Ticket);
     configuration @8 :Data;
     relayed @9 :Data;
+    # JSON of cell::view::JobView.
+    explained @10 :Data;
   }
 }
 
@@ -59,6 +63,13 @@
   ownerSilence @8 :UInt64;
   members @9 :List(Member);
   pending @10 :List(Pending);
+  # Jobs that have ended and whose end could not be recorded yet.
+  ends @11 :List(End);
+}
+
+struct End {
+  job @0 :UInt64;
+  state @1 :UInt16;
 }
 
 struct Member {
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -39,6 +39,8 @@
     pub members: Vec<(String, String)>,
     /// From the owner: jobs of which nothing has begun, by queue.
     pub pending: Vec<(String, u32)>,
+    /// Jobs that have ended and whose end could not be recorded yet.
+    pub ends: Vec<(JobId, JobState)>,
 }
 
 /// A call to another node.
@@ -63,6 +65,8 @@
     Configuration(u64),
     /// JSON of a [`crate::store::StoreCall`] to make for the sender.
     Relay(Vec<u8>),
+    /// Asks how a job stands, in detail.
+    Explain(JobId),
 }
 
 /// The answer of another node.
@@ -88,6 +92,8 @@
     Configuration(Vec<u8>),
     /// JSON of the store's answer: a `Result<StoreReply, StoreError>`.
     Relayed(Vec<u8>),
+    /// JSON of a [`crate::cell::view::JobView`].
+    Explained(Vec<u8>),
 }
 
 /// The way to other nodes.
@@ -197,12 +203,18 @@
         member.set_name(name);
         member.set_address(address);
     }
-    let mut pending = out.init_pending(beat.pending.len() as u32);
+    let mut pending = out.reborrow().init_pending(beat.pending.len() as u32);
     for (place, (queue, jobs)) in beat.pending.iter().enumerate() {
         let mut entry = pending.reborrow().get(place as u32);
         entry.set_queue(queue);
         entry.set_jobs(*jobs);
     }
+    let mut ends = out.init_ends(beat.ends.len() as u32);
+    for (place, (job, state)) in beat.ends.iter().enumerate() {
+        let mut entry = ends.reborrow().get(place as u32);
+        entry.set_job(job.0);
+        entry.set_state(state_number(*state));
+    }
 }
 
 fn read_beat(beat: wire::beat::Reader) -> capnp::Result<Beat> {
@@ -217,6 +229,10 @@
     for entry in beat.get_pending()? {
         pending.push((entry.get_queue()?.to_string()?, entry.get_jobs()));
     }
+    let mut ends = Vec::new();
+    for entry in beat.get_ends()? {
+        ends.push((JobId(entry.get_job()), numbered_state(entry.get_state())?));
+    }
     Ok(Beat {
         name: beat.get_name()?.to_string()?,
         boot: beat.get_boot(),
@@ -229,6 +245,7 @@
         owner_silence: beat.get_owner_silence(),
         members,
         pending,
+        ends,
     })
 }
 
@@ -248,6 +265,7 @@
         }
         NodeCall::Configuration(version) => out.set_configuration(*version),
         NodeCall::Relay(call) => out.set_relay(call),
+        NodeCall::Explain(id) => out.set_explain(id.0),
     }
 }
 
@@ -270,6 +288,7 @@
         }
         wire::request::Configuration(version) => NodeCall::Configuration(version),
         wire::request::Relay(call) => NodeCall::Relay(call?.to_vec()),
+        wire::request::Explain(id) => NodeCall::Explain(JobId(id)),
     })
 }
 
@@ -292,6 +311,7 @@
         }
         NodeReply::Configuration(body) => out.set_configuration(body),
         NodeReply::Relayed(body) => out.set_relayed(body),
+        NodeReply::Explained(view) => out.set_explained(view),
     }
 }
 
@@ -316,6 +336,7 @@
         }
         wire::reply::Configuration(body) => NodeReply::Configuration(body?.to_vec()),
         wire::reply::Relayed(body) => NodeReply::Relayed(body?.to_vec()),
+        wire::reply::Explained(view) => NodeReply::Explained(view?.to_vec()),
     })
 }
 
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -481,3 +481,60 @@
     let times: Vec<u32> = again.iter().map(|order| order.task.step.time).collect();
     assert_eq!(times, [0], "the second time is done, the third is not due");
 }
+
+fn ended_and_not_recorded(q: &crossweir::queue::Queue) -> Bench {
+    let mut bench = Bench::new(1, std::slice::from_ref(q));
+    bench.accept(&job(1, q, vec![step(1, 1_000)]));
+    let start = bench.start_all().remove(0);
+    bench.end(start.task, start.number, EndKind::Done);
+    bench.look_at_all();
+    bench
+}
+
+#[test]
+fn an_end_is_shown_before_it_is_recorded_once_another_node_knows_of_it() {
+    // Arrange.
+    let q = queue("q", 0);
+    let mut bench = ended_and_not_recorded(&q);
+    let before = bench.state(1);
+
+    // Act.
+    let ends = bench.cell.unrecorded_ends();
+    bench.cell.ends_are_witnessed(&ends);
+
+    // Assert.
+    assert_eq!(before, Some(JobState::Running));
+    assert_eq!(bench.state(1), Some(JobState::Succeeded));
+    assert!(!bench.cell.is_end_recorded(JobId(1)), "its row must stay");
+    bench.record();
+    assert!(bench.cell.is_end_recorded(JobId(1)));
+    assert_eq!(bench.cell.unrecorded_ends(), []);
+}
+
+#[test]
+fn a_successor_starts_nothing_of_a_job_whose_end_another_node_tells() {
+    // Arrange: the worker that has listed the end is gone together with the owner.
+    let q = queue("q", 0);
+    let ends = ended_and_not_recorded(&q).cell.unrecorded_ends();
+    let mut next = Bench::under(2, 2, std::slice::from_ref(&q));
+
+    // Act: one node tells before the row is read, another one after.
+    for (id, state) in &ends {
+        next.cell.believe_end(*id, *state);
+    }
+    let unread = next.state(1);
+    next.accept(&job(1, &q, vec![step(1, 1_000)]));
+    for (id, state) in &ends {
+        next.cell.believe_end(*id, *state);
+    }
+
+    // Assert.
+    assert_eq!(unread, Some(JobState::Succeeded));
+    assert_eq!(next.start_all().len(), 0);
+    assert_eq!(next.state(1), Some(JobState::Succeeded));
+    assert_eq!(
+        next.record().rows.len(),
+        1,
+        "it is recorded by the successor"
+    );
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -138,6 +138,22 @@
 }
 
 /// Hands a job in until it is accepted.
+/// The place of the node that owns the cell, if one says so.
+async fn find_owner(nodes: &[Node]) -> Option<usize> {
+    for (place, node) in nodes.iter().enumerate() {
+        let answer = call(Method::GET, node.metrics, "/metrics", Value::Null).await;
+        let text = String::from_utf8_lossy(&answer.expect("metrics").body).into_owned();
+        if text.contains("crossweir_state{what=\"owns_cell\"} 1") {
+            return Some(place);
+        }
+    }
+    None
+}
+
+async fn owner_among(nodes: &[Node]) -> usize {
+    find_owner(nodes).await.expect("one node owns the cell")
+}
+
 async fn submit(node: &Node, path: &str, body: &Value) {
     until("the job is accepted", || async {
         let answer = call(Method::POST, node.callers, path, body.clone()).await;
@@ -191,16 +207,8 @@
     let mut nodes = start_ready(&platform, &["n1", "n2", "n3"]).await;
     submit(&nodes[1], "/plain/00000000000000b1", &job(8, 1_500)).await;
     until("tasks run", || async { platform.started().len() == 8 }).await;
-    let mut owner = None;
-    for (place, node) in nodes.iter().enumerate() {
-        let answer = call(Method::GET, node.metrics, "/metrics", Value::Null).await;
-        let text = String::from_utf8_lossy(&answer.expect("metrics").body).into_owned();
-        if text.contains("crossweir_state{what=\"owns_cell\"} 1") {
-            owner = Some(place);
-        }
-    }
-    let killed = nodes.remove(owner.expect("one node owns the cell"));
-    drop(killed);
+    let owner = owner_among(&nodes).await;
+    drop(nodes.remove(owner));
     until_state(&nodes[0], "/plain/00000000000000b1", "succeeded").await;
     assert_eq!(platform.started().len(), 8, "what ran was taken over");
     assert_single_runs(&platform);
@@ -390,3 +398,30 @@
         .expect("an answer");
     assert_eq!(answer.status, StatusCode::GONE);
 }
+
+#[tokio::test]
+async fn an_end_is_shown_while_the_store_is_away_and_outlives_its_owner() {
+    // Arrange: a job ends while the store takes nothing.
+    let platform = StandIn::start(1).await;
+    let mut nodes = start_ready(&platform, &["n1", "n2", "n3"]).await;
+    let path = "/plain/0000000000000021";
+    submit(&nodes[0], path, &job(2, 600)).await;
+    until("tasks run", || async { platform.started().len() == 2 }).await;
+    platform.set_store_fault(StoreFault::Busy);
+
+    // Act.
+    until_state(&nodes[0], path, "succeeded").await;
+    let owner = owner_among(&nodes).await;
+    platform.crash_worker(0);
+    drop(nodes.remove(owner));
+    platform.add_worker().await;
+    platform.set_store_fault(StoreFault::None);
+
+    // Assert: a successor, which can ask neither the former owner nor the worker.
+    until("another node owns the cell", || async {
+        find_owner(&nodes).await.is_some()
+    })
+    .await;
+    until_state(&nodes[0], path, "succeeded").await;
+    assert_eq!(platform.started().len(), 2, "nothing ran again");
+}
