Callers are answered while they still have time to ask again

A write in doubt was repeated for 2 s whatever the caller had left, and a state was looked for in three ways after one another. Change: an answer takes at most 40% of what the caller has left; a write goes on behind it and settles the job for the next try.

--- a/src/embedded/mod.rs
+++ b/src/embedded/mod.rs
@@ -220,7 +220,7 @@
     let Sample { what, queue, spec } = sample;
     let lasting = spec.steps.iter().any(|step| step.lasting);
     let queue = queue_named(front, queue);
-    if front.submit(&queue, id, spec).await != Submitted::Accepted {
+    if front.submit(&queue, id, spec, None).await != Submitted::Accepted {
         say(format!("{what}: not accepted."));
         return false;
     }
@@ -267,7 +267,7 @@
 }
 
 async fn end_service(front: &Front, id: JobId, say: &mut impl FnMut(String)) -> bool {
-    let cancelled = front.cancel(id).await == Told::Cancelled;
+    let cancelled = front.cancel(id, None).await == Told::Cancelled;
     say(String::from(if cancelled {
         "The service was cancelled."
     } else {
--- a/src/http/api.rs
+++ b/src/http/api.rs
@@ -186,7 +186,7 @@
         let Some(queue) = config.queue(&submission.queue) else {
             return Err(Refusal::NoQueue.into());
         };
-        match self.front.submit(queue, id, submission.job).await {
+        match self.front.submit(queue, id, submission.job, None).await {
             Submitted::Accepted => Ok(accepted(id)),
             Submitted::Refused => Err(Refusal::StoreUnavailable.into()),
             Submitted::Doubtful => Err(Refusal::Doubtful.into()),
@@ -206,7 +206,7 @@
     }
 
     async fn cancel(&self, id: JobId) -> Result<Response, Rejection> {
-        match self.front.cancel(id).await {
+        match self.front.cancel(id, None).await {
             Told::Cancelled | Told::State(_) => Ok(accepted(id)),
             Told::Unknown => Err(Refusal::NoSuchJob.into()),
             Told::Unavailable => Err(Refusal::OwnerUnavailable.into()),
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -24,6 +25,11 @@
 const CANCEL_TIMEOUT: Millis = 2_500;
 /// How often telling the owner of a job is tried; it finds the row by itself as well.
 const TELL_TRIES: u32 = 3;
+/// The share of the time that a caller has left which an answer may take, in percent: a
+/// caller that gets none must have time to ask again, at this node or another.
+const HOLD_PERCENT: Millis = 40;
+/// What a caller that names no deadline is taken to have left.
+const USUAL_DEADLINE: Millis = 3_000;
 /// When to come back after a refusal: the store's outages last some seconds.
 pub const RETRY_AFTER: Millis = 1_000;
 /// A count of the owner's that is older than this is not passed on: callers accept 2 s.
@@ -86,15 +92,24 @@
         self.shared.config().is_some() && !self.shared.leaving() && self.shared.has_store()
     }
 
-    /// Takes a job in.  It is durable before this says so.
-    pub async fn submit(&self, queue: &Queue, id: JobId, spec: JobSpec) -> Submitted {
+    /// Takes a job in.  It is durable before this says so; `deadline` is the time that
+    /// the caller has left, if it told.
+    pub async fn submit(
+        &self,
+        queue: &Queue,
+        id: JobId,
+        spec: JobSpec,
+        deadline: Option<Millis>,
+    ) -> Submitted {
         let row = JobRow {
             id,
             queue: queue.clone(),
             spec,
         };
         let began = self.shared.now();
-        let outcome = self.intake.write(&row).await;
+        let writing = tokio::time::timeout(hold(deadline), self.intake.write(&row));
+        // The write goes on: the job may yet be taken.
+        let outcome = writing.await.unwrap_or(Submitted::Doubtful);
         let now = self.shared.now();
         tracing::info!(
             request = %id,
@@ -114,8 +129,16 @@
         outcome
     }
 
-    /// Tells how far a job is.
-    pub async fn state(&self, id: JobId) -> Told {
+    /// Tells how far a job is, to a caller that has `deadline` left.
+    pub async fn state(&self, id: JobId, deadline: Option<Millis>) -> Told {
+        let asking = tokio::time::timeout(hold(deadline), self.find_state(id));
+        asking.await.unwrap_or_else(|_| {
+            tracing::info!(request = %id, ?deadline, "state is not found in time");
+            Told::Unavailable
+        })
+    }
+
+    async fn find_state(&self, id: JobId) -> Told {
         let asked = ask_owner(&self.shared, NodeCall::State(id), OWNER_TIMEOUT).await;
         let early = self.shared.early_ends().state(id);
         let (told, source) = match (asked, early) {
@@ -166,18 +189,24 @@
                 Err(err) => tracing::error!(%err, request = %id, "a view cannot be read"),
             }
         }
-        Err(self.state(id).await)
+        Err(self.state(id, None).await)
+    }
+
+    /// Cancels a job, for a caller that has `deadline` left; it is recorded before this
+    /// says so.
+    pub async fn cancel(&self, id: JobId, deadline: Option<Millis>) -> Told {
+        let cancelling = tokio::time::timeout(hold(deadline), self.ask_to_cancel(id));
+        let told = cancelling.await.unwrap_or(Told::Unavailable);
+        tracing::info!(request = %id, ?told, "cancellation");
+        told
     }
 
-    /// Cancels a job; it is recorded before this says so.
-    pub async fn cancel(&self, id: JobId) -> Told {
-        let told = match ask_owner(&self.shared, NodeCall::Cancel(id), CANCEL_TIMEOUT).await {
+    async fn ask_to_cancel(&self, id: JobId) -> Told {
+        match ask_owner(&self.shared, NodeCall::Cancel(id), CANCEL_TIMEOUT).await {
             Some(NodeReply::Cancelled) => Told::Cancelled,
             Some(NodeReply::UnknownJob) => Told::Unknown,
             _ => Told::Unavailable,
-        };
-        tracing::info!(request = %id, ?told, "cancellation");
-        told
+        }
     }
 
     /// How many jobs of a queue have not begun; none if that is not known.
@@ -186,7 +215,7 @@
             Some(engine) => engine.pending(),
             None => {
                 let owner = self.shared.owner();
-                let age = owner.silence(self.shared.now());
+                let age = owner.unheard(self.shared.now());
                 if owner.address.is_none() || age > PENDING_VALID {
                     return None;
                 }
@@ -225,6 +254,12 @@
     }
 }
 
+/// How long a caller that has `deadline` left may be kept waiting.
+fn hold(deadline: Option<Millis>) -> Duration {
+    let left = deadline.unwrap_or(USUAL_DEADLINE);
+    Duration::from_millis(left * HOLD_PERCENT / 100)
+}
+
 impl NodeService for Front {
     fn serve(&self, call: NodeCall) -> BoxFuture<'_, NodeReply> {
         self.serve_call(call).boxed()
@@ -303,7 +338,7 @@
         if let Some(NodeReply::Taken) = ask_owner(&shared, call, OWNER_TIMEOUT).await {
             return;
         }
-        tokio::time::sleep(std::time::Duration::from_millis(OWNER_TIMEOUT / 2)).await;
+        tokio::time::sleep(Duration::from_millis(OWNER_TIMEOUT / 2)).await;
     }
     tracing::info!(request = %row.id, "the owner was not told; it finds the row");
 }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -21,8 +21,8 @@
 /// The most jobs in one transaction: the store takes 1 MB and a job is below 64 KB,
 /// mostly 2 KB.
 const MOST_JOBS: usize = 15;
-/// How long a doubtful write is repeated.  Callers wait 3 s, and may not ask again
-/// after an answer that leaves it open.
+/// How long a doubtful write is repeated.  Its callers have had their answer by then
+/// (`node::front`); the job is taken for when they ask again.
 const SETTLE_FOR: Millis = 2_000;
 /// The pause between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
