A successor passes on workers that it never reached

Cause: a worker that a former owner used and that a successor had not reached counted as lost after its first unanswered look, since the successor had given it no lease. It left the recorded roster, so a third owner settled at once and could start its tasks again while it ran on, cut off, under the first owner's lease. Ruled out: late orders (the run that went on was the first owner's own). Change: until ownership is settled such a worker stays in the roster. Tests: the random runs have cut workers now; a test of the core, which fails without the change.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -260,7 +260,9 @@
     /// Brings the roster up to date.
     fn update_roster(&mut self, now: Millis) {
         for worker in self.workers.values_mut() {
-            let wanted = worker.may_hold_work(now);
+            // What a former owner left on a worker that we have not reached is not known.
+            let unknown = worker.former && !worker.fenced && !self.settled;
+            let wanted = unknown || worker.may_hold_work(now);
             if wanted == (worker.rostered > 0) {
                 continue;
             }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -2,7 +2,10 @@
 
 mod cell_core;
 
-use cell_core::{Bench, advised_queue, job, questions, queue, starts, step, stops};
+use cell_core::{
+    Bench, advised_queue, configuration, job, questions, queue, starts, step, stops, worker,
+};
+use crossweir::cell::Cell;
 use crossweir::cell::intake::Cancelling;
 use crossweir::cell::job::JobState;
 use crossweir::cell::order::{EndKind, LookFailure, Refusal, StartOutcome};
@@ -538,3 +541,19 @@
         "it is recorded by the successor"
     );
 }
+
+#[test]
+fn a_successor_passes_on_a_worker_that_it_never_reached() {
+    // Arrange: a former owner used a worker that is cut off since, and runs on.
+    let mut cell = Cell::new(2, configuration(&[]), 1_000);
+    cell.list_former_workers(vec![worker(9)], 1_000);
+    let cut = cell.worker_keys()[0];
+
+    // Act.
+    cell.look_failed(cut, LookFailure::Unanswered, 1_050);
+    cell.tick(1_100);
+
+    // Assert: the next owner must wait for it as well.
+    let (_, roster) = cell.roster();
+    assert!(roster.iter().any(|entry| entry.id == "w9"), "{roster:?}");
+}
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -71,6 +71,8 @@
     /// Nothing goes wrong any more.
     calm: bool,
     store_down_until: Millis,
+    /// Until when a worker is cut off and runs on, by id.
+    cut_until: BTreeMap<String, Millis>,
 }
 
 impl World {
@@ -102,6 +104,7 @@
             queue,
             calm: false,
             store_down_until: 0,
+            cut_until: BTreeMap::new(),
         };
         world.take_over();
         world
@@ -115,6 +118,12 @@
         self.now >= self.store_down_until
     }
 
+    fn is_cut(&self, id: &str) -> bool {
+        self.cut_until
+            .get(id)
+            .is_some_and(|&until| self.now < until)
+    }
+
     /// A successor claims the cell and reads its rows.
     fn take_over(&mut self) {
         if !self.store_is_up() {
@@ -144,6 +153,7 @@
         }
         self.calm = true;
         self.store_down_until = 0;
+        self.cut_until.clear();
         while self.now < TROUBLE + QUIET && !self.is_done() {
             self.turn();
         }
@@ -165,6 +175,11 @@
         if self.chance(1) {
             self.cancel();
         }
+        if self.chance(1) && self.rng.random_ratio(1, 2) {
+            let place = self.rng.random_range(0..self.entries.len());
+            let until = self.now + self.rng.random_range(200..8_000);
+            self.cut_until.insert(self.entries[place].id.clone(), until);
+        }
     }
 
     fn submit(&mut self) {
@@ -264,7 +279,7 @@
     }
 
     fn look_at(&mut self, key: WorkerKey, order: &LookOrder) {
-        let lost_before = self.chance(4);
+        let lost_before = self.chance(4) || self.is_cut(&order.to.id);
         let lost_after = self.chance(4);
         let answer = match self.workers.get_mut(&order.to.id) {
             _ if lost_before => Err(LookFailure::Unanswered),
@@ -293,7 +308,9 @@
 
     fn start(&mut self, order: StartOrder) {
         let (run, now) = (order.run, self.now);
-        let outcome = if self.chance(5) {
+        let outcome = if self.is_cut(&order.to.id) {
+            StartOutcome::Unanswered
+        } else if self.chance(5) {
             let at = now + self.rng.random_range(0..MOST_LATE);
             self.late.push((at, Late::Start(order)));
             StartOutcome::Unanswered
@@ -308,6 +325,9 @@
     }
 
     fn stop(&mut self, order: StopOrder) {
+        if self.is_cut(&order.to.id) {
+            return;
+        }
         if self.chance(10) {
             let at = self.now + self.rng.random_range(0..MOST_LATE);
             self.late.push((at, Late::Stop(order)));
