A successor waits for a silent worker only with the jobs that it may run

Ruled out: a shorter lease or window (each costs looks, and pauses of an owner when the store is silent); recording starts (170 to 350 a second). Change: a worker that has been silent for 150 ms is recorded in the roster with the jobs of its runs, and gets nothing new before an entry without them is recorded. A successor holds back just those jobs. The roster has a module of its own (cell::roster).

--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -15,7 +15,7 @@
             return;
         };
         worker.heard = now;
-        worker.silent = false;
+        worker.silent_since = None;
         worker.clock = Some((look.clock, now));
         let first = !worker.fenced;
         worker.fenced = true;
@@ -44,7 +44,7 @@
                 self.lose_worker(key, now, "another life answers");
             }
             LookFailure::Refused(_) | LookFailure::Unanswered => {
-                if !worker.silent {
+                if !worker.is_silent() {
                     tracing::info!(
                         worker = worker.entry.id,
                         heard_ms_ago = now.saturating_sub(worker.heard),
@@ -52,7 +52,7 @@
                         "worker does not answer"
                     );
                 }
-                worker.silent = true;
+                worker.fall_silent(now);
             }
         }
     }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -11,6 +11,7 @@
 pub mod order;
 pub mod progress;
 pub mod record;
+pub mod roster;
 pub mod run;
 pub mod schedule;
 pub mod spec;
@@ -116,6 +117,8 @@
     wall: Option<Millis>,
     /// Tasks of former owners' jobs may start.
     settled: bool,
+    /// Until then, what a former owner may have left running.
+    unsettled: roster::Unsettled,
     settle_by: Millis,
     orders: Vec<Order>,
     waits: Vec<Wait>,
@@ -150,6 +153,7 @@
             good_share: HashMap::new(),
             wall: None,
             settled: false,
+            unsettled: roster::Unsettled::Any,
             settle_by: now + window + tuning::LEASE_MARGIN + tuning::OWNER_WINDOW,
             orders: Vec::new(),
             waits: Vec::new(),
@@ -240,56 +244,6 @@
         (used, capacity)
     }
 
-    /// The version of the roster, and the workers in it: those on which something may
-    /// run.  A successor must hear from each of them, or wait their leases out.
-    pub fn roster(&self) -> (u64, Vec<WorkerEntry>) {
-        let rostered = self.workers.values().filter(|w| w.rostered > 0);
-        (self.roster, rostered.map(|w| w.entry.clone()).collect())
-    }
-
-    /// The version of the roster.
-    pub fn roster_version(&self) -> u64 {
-        self.roster
-    }
-
-    /// The roster of this version is durable; the workers in it may be used.
-    pub fn roster_is_recorded(&mut self, version: u64) {
-        self.roster_recorded = self.roster_recorded.max(version);
-    }
-
-    /// Brings the roster up to date.
-    fn update_roster(&mut self, now: Millis) {
-        for worker in self.workers.values_mut() {
-            // What a former owner left on a worker that we have not reached is not known.
-            let unknown = worker.former && !worker.fenced && !self.settled;
-            let wanted = unknown || worker.may_hold_work(now);
-            if wanted == (worker.rostered > 0) {
-                continue;
-            }
-            self.roster += 1;
-            worker.rostered = if wanted { self.roster } else { 0 };
-        }
-    }
-
-    /// A former owner may have used these workers.
-    pub fn list_former_workers(&mut self, entries: Vec<WorkerEntry>, now: Millis) {
-        for entry in entries {
-            let id = entry.id.clone();
-            self.list_worker(entry, now);
-            if let Some(&key) = self.worker_ids.get(&id) {
-                self.workers[key].former = true;
-            }
-        }
-    }
-
-    /// Tells whether a task may be placed on a worker at all.
-    fn takes_work(&self, key: WorkerKey, now: Millis) -> bool {
-        self.workers.get(key).is_some_and(|worker| {
-            let rostered = worker.rostered > 0 && worker.rostered <= self.roster_recorded;
-            rostered && worker.takes_work(now)
-        })
-    }
-
     /// A newer configuration is in force.
     pub fn configure(&mut self, config: Arc<Configuration>) {
         self.config = config;
@@ -402,7 +356,7 @@
     fn tick_worker(&mut self, key: WorkerKey, now: Millis) {
         self.evacuate(key, now);
         let worker = &self.workers[key];
-        if !worker.silent || now <= worker.lease_end {
+        if !worker.is_silent() || now <= worker.lease_end {
             return;
         }
         if !worker.runs.is_empty() {
@@ -421,38 +375,6 @@
         }
     }
 
-    /// From here on the tasks of jobs that a former owner knew may start: it has no
-    /// run left that we do not know of.
-    fn settle(&mut self, now: Millis) {
-        if self.settled {
-            return;
-        }
-        let fenced = self.workers.values().all(|w| w.fenced || !w.former);
-        if !fenced && now < self.settle_by {
-            return;
-        }
-        self.settled = true;
-        tracing::info!(epoch = self.epoch, fenced, "ownership settled");
-        self.break_partial_gangs(now);
-    }
-
-    /// A former owner's gang that is not whole is stopped.
-    fn break_partial_gangs(&mut self, now: Millis) {
-        let partial: Vec<StepKey> = self
-            .steps
-            .iter()
-            .filter(|(_, step)| step.step().gang && step.open > 0)
-            .filter(|(_, step)| {
-                let running = step.tasks.iter().filter(|t| !t.runs.is_empty()).count();
-                running > 0 && running < step.tasks.len()
-            })
-            .map(|(key, _)| key)
-            .collect();
-        for key in partial {
-            self.stop_step(key, now, "gang is not whole");
-        }
-    }
-
     /// Addresses a worker under our epoch.
     fn addressee(&self, key: WorkerKey) -> Addressee {
         let entry = &self.workers[key].entry;
@@ -467,7 +389,7 @@
     /// Says how to look at a worker next; none if it is gone.
     pub fn look_order(&mut self, key: WorkerKey, now: Millis) -> Option<LookOrder> {
         let worker = self.workers.get(key)?;
-        let lasting_silence = worker.silent || worker.clock.is_none();
+        let lasting_silence = worker.is_silent() || worker.clock.is_none();
         let order = LookOrder {
             to: self.addressee(key),
             forget: worker.recorded_end,
--- /dev/null
+++ b/src/cell/roster.rs
@@ -0,0 +1,216 @@
+//! The roster: on which workers something may run, for a successor to know.
+//!
+//! A successor may start a task of a job that it found only when no run of it can go on
+//! elsewhere.  It learns that from the workers, once they answer under its epoch.  For
+//! one that was silent already, the roster names the jobs that it may still run, so that
+//! all others need not wait for it (see "Ownership" in `docs/DESIGN.md`).
+
+use std::collections::HashSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::job::StepRun;
+use crate::cell::spec::JobId;
+use crate::cell::worker::{Worker, WorkerEntry};
+use crate::cell::{Cell, StepKey, WorkerKey, tuning};
+use crate::clock::Millis;
+
+/// One worker of the recorded roster.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// The worker.
+    #[serde(flatten)]
+    pub worker: WorkerEntry,
+    /// The only jobs of which something may run there; none if it may be any.  The owner
+    /// starts nothing there before it has recorded an entry without this.
+    #[serde(default)]
+    pub jobs: Option<Vec<JobId>>,
+}
+
+/// How a worker stands in the roster.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Listing {
+    /// It is not in it: nothing runs there.
+    #[default]
+    Absent,
+    /// Anything may run there.
+    Usable,
+    /// Only the jobs that are named may run there.
+    Named,
+}
+
+/// What a former owner may have left on a worker that has not answered us yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeftWork {
+    /// Tasks of any job.
+    Any,
+    /// Tasks of these jobs.
+    Jobs(Vec<JobId>),
+}
+
+/// Jobs of which a former owner may have left runs that we do not know of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unsettled {
+    /// Any job that it knew.
+    Any,
+    /// Only these.
+    Jobs(HashSet<JobId>),
+}
+
+impl Unsettled {
+    /// Tells whether runs of the job may go on unknown to us.
+    pub fn covers(&self, id: JobId) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Jobs(jobs) => jobs.contains(&id),
+        }
+    }
+}
+
+impl Cell {
+    /// The version of the roster, and its entries.  A successor must hear from each
+    /// worker, or wait its lease out.
+    pub fn roster(&self) -> (u64, Vec<RosterEntry>) {
+        let entries = self
+            .workers
+            .values()
+            .filter(|worker| worker.listing != Listing::Absent)
+            .map(|worker| RosterEntry {
+                worker: worker.entry.clone(),
+                jobs: self.named_jobs(worker),
+            });
+        (self.roster, entries.collect())
+    }
+
+    fn named_jobs(&self, worker: &Worker) -> Option<Vec<JobId>> {
+        if worker.listing != Listing::Named {
+            return None;
+        }
+        if let (false, Some(LeftWork::Jobs(jobs))) = (worker.fenced, &worker.left) {
+            return Some(jobs.clone());
+        }
+        let mut jobs: Vec<JobId> = worker
+            .runs
+            .iter()
+            .map(|&run| self.steps[self.runs[run].step].name.job)
+            .collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        Some(jobs)
+    }
+
+    /// The version of the roster.
+    pub fn roster_version(&self) -> u64 {
+        self.roster
+    }
+
+    /// The roster of this version is durable; the workers in it may be used.
+    pub fn roster_is_recorded(&mut self, version: u64) {
+        self.roster_recorded = self.roster_recorded.max(version);
+    }
+
+    /// Brings the roster up to date.
+    pub(super) fn update_roster(&mut self, now: Millis) {
+        for worker in self.workers.values_mut() {
+            let wanted = wanted_listing(worker, self.settled, now);
+            if wanted == worker.listing {
+                continue;
+            }
+            self.roster += 1;
+            worker.listing = wanted;
+            worker.rostered = self.roster;
+        }
+    }
+
+    /// A former owner may have used these workers.
+    pub fn list_former_workers(&mut self, entries: Vec<RosterEntry>, now: Millis) {
+        for RosterEntry { worker, jobs } in entries {
+            let id = worker.id.clone();
+            self.list_worker(worker, now);
+            if let Some(&key) = self.worker_ids.get(&id) {
+                self.workers[key].left = Some(jobs.map_or(LeftWork::Any, LeftWork::Jobs));
+            }
+        }
+    }
+
+    /// Tells whether a task may be placed on a worker at all: a successor would know.
+    pub(super) fn takes_work(&self, key: WorkerKey, now: Millis) -> bool {
+        self.workers.get(key).is_some_and(|worker| {
+            let recorded = worker.rostered <= self.roster_recorded;
+            worker.listing == Listing::Usable && recorded && worker.takes_work(now)
+        })
+    }
+
+    /// From here on the tasks of jobs that a former owner knew may start: it has no
+    /// run left that we do not know of.
+    pub(super) fn settle(&mut self, now: Millis) {
+        if self.settled {
+            return;
+        }
+        self.unsettled = self.find_unsettled();
+        let fenced = self.unsettled == Unsettled::Jobs(HashSet::new());
+        if !fenced && now < self.settle_by {
+            return;
+        }
+        self.settled = true;
+        self.unsettled = Unsettled::Jobs(HashSet::new());
+        tracing::info!(epoch = self.epoch, fenced, "ownership settled");
+        self.break_partial_gangs(now);
+    }
+
+    fn find_unsettled(&self) -> Unsettled {
+        let mut unsettled = HashSet::new();
+        for worker in self.workers.values().filter(|worker| !worker.fenced) {
+            match &worker.left {
+                Some(LeftWork::Any) => return Unsettled::Any,
+                Some(LeftWork::Jobs(jobs)) => unsettled.extend(jobs),
+                None => {}
+            }
+        }
+        Unsettled::Jobs(unsettled)
+    }
+
+    /// Tells whether tasks of a step must wait since a former owner may still run them.
+    pub(super) fn is_unsettled(&self, step: &StepRun) -> bool {
+        self.jobs[step.job].predates && self.unsettled.covers(step.name.job)
+    }
+
+    /// A former owner's gang that is not whole is stopped.
+    fn break_partial_gangs(&mut self, now: Millis) {
+        let partial: Vec<StepKey> = self
+            .steps
+            .iter()
+            .filter(|(_, step)| step.step().gang && step.open > 0)
+            .filter(|(_, step)| {
+                let running = step.tasks.iter().filter(|t| !t.runs.is_empty()).count();
+                running > 0 && running < step.tasks.len()
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in partial {
+            self.stop_step(key, now, "gang is not whole");
+        }
+    }
+}
+
+fn wanted_listing(worker: &Worker, settled: bool, now: Millis) -> Listing {
+    if !worker.fenced && !settled {
+        // What a former owner left there is known only as far as it was recorded.
+        return match &worker.left {
+            Some(LeftWork::Jobs(_)) => Listing::Named,
+            Some(LeftWork::Any) => Listing::Usable,
+            None if worker.may_hold_work(now) => Listing::Usable,
+            None => Listing::Absent,
+        };
+    }
+    if !worker.may_hold_work(now) {
+        return Listing::Absent;
+    }
+    let silent_for = worker.silent_since.map(|since| now.saturating_sub(since));
+    let known = worker.fenced && worker.strangers == 0;
+    if known && silent_for.is_some_and(|time| time >= tuning::NAME_JOBS_AFTER) {
+        Listing::Named
+    } else {
+        Listing::Usable
+    }
+}
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -107,7 +107,7 @@
                 if run.phase == Phase::Sent {
                     run.phase = Phase::Doubtful;
                 }
-                self.workers[worker_key].silent = true;
+                self.workers[worker_key].fall_silent(now);
                 let step = self.runs[key].step;
                 self.break_gang(step, now, "a start of the gang was not answered");
                 self.stop_run(key, now, "start was not answered");
@@ -132,7 +132,7 @@
         let worker = &mut self.workers[worker_key];
         match refusal {
             Refusal::Gone => self.lose_worker(worker_key, now, "another life answers"),
-            Refusal::NotSent => worker.silent = true,
+            Refusal::NotSent => worker.fall_silent(now),
             Refusal::Unhealthy => {
                 worker.health.shunned_until = now + tuning::UNHEALTHY_PAUSE;
             }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -22,7 +22,7 @@
                 continue;
             }
             let job = &self.jobs[step.job];
-            if !job.routed || (job.predates && !self.settled) {
+            if !job.routed || self.is_unsettled(step) {
                 continue;
             }
             order.push((job.ordering.priority, place, key));
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -116,7 +116,7 @@
         if !job.routed {
             return WaitReason::NoQueue;
         }
-        if job.predates && !self.settled {
+        if self.is_unsettled(step) {
             return WaitReason::Settling;
         }
         if !self.is_within_quota(key, 1) {
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cell::roster::{LeftWork, Listing};
 use crate::cell::spec::{Demand, Step};
 use crate::cell::{RunKey, tuning};
 use crate::clock::Millis;
@@ -49,16 +50,18 @@
     pub entry: WorkerEntry,
     /// The platform still lists it.
     pub listed: bool,
-    /// A former owner may have used it.
-    pub former: bool,
-    /// The version of the roster since which it is in it; zero if it is not.
+    /// What a former owner may have left there, if it may have used it.
+    pub left: Option<LeftWork>,
+    /// How it stands in the roster.
+    pub listing: Listing,
+    /// The version of the roster since which it stands there so.
     pub rostered: u64,
     /// It has answered under our epoch, so predecessors' orders are refused there.
     pub fenced: bool,
     /// When it last answered.
     pub heard: Millis,
-    /// The last call brought no answer.
-    pub silent: bool,
+    /// Since when calls bring no answer; none if the last one did.
+    pub silent_since: Option<Millis>,
     /// When it said that it leaves.
     pub leaving_since: Option<Millis>,
     /// A reading of its clock, and when that arrived.
@@ -91,11 +94,12 @@
         Self {
             entry,
             listed: true,
-            former: false,
+            left: None,
+            listing: Listing::Absent,
             rostered: 0,
             fenced: false,
             heard: 0,
-            silent: false,
+            silent_since: None,
             leaving_since: None,
             clock: None,
             lease_end: 0,
@@ -111,10 +115,20 @@
         }
     }
 
+    /// Tells whether the last call brought no answer.
+    pub fn is_silent(&self) -> bool {
+        self.silent_since.is_some()
+    }
+
+    /// A call brought no answer.
+    pub fn fall_silent(&mut self, now: Millis) {
+        self.silent_since.get_or_insert(now);
+    }
+
     /// Tells whether something may run here, or soon may: a successor must know of it.
     pub fn may_hold_work(&self, now: Millis) -> bool {
         let empty = self.runs.is_empty() && self.strangers == 0;
-        let lost = self.silent && now > self.lease_end;
+        let lost = self.is_silent() && now > self.lease_end;
         !(empty && (self.entry.leaving.is_some() || lost))
     }
 
@@ -138,7 +152,7 @@
     /// Tells whether new tasks may be placed here at all.
     pub fn takes_work(&self, now: Millis) -> bool {
         self.fenced
-            && !self.silent
+            && !self.is_silent()
             && self.clock.is_some()
             && self.entry.leaving.is_none()
             && self.strangers == 0
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -7,6 +7,7 @@
 
 use crate::cell::Cell;
 use crate::cell::record::{JobRow, Progress};
+use crate::cell::roster::RosterEntry;
 use crate::cell::spec::JobId;
 use crate::cell::worker::WorkerEntry;
 use crate::clock;
@@ -231,7 +232,7 @@
     }
 }
 
-fn former_workers(reply: &StoreReply) -> Vec<WorkerEntry> {
+fn former_workers(reply: &StoreReply) -> Vec<RosterEntry> {
     let StoreReply::Rows { rows, .. } = reply else {
         return Vec::new();
     };
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -9,7 +9,9 @@
 use crossweir::cell::intake::Cancelling;
 use crossweir::cell::job::JobState;
 use crossweir::cell::order::{EndKind, LookFailure, Refusal, StartOutcome};
+use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::{JobId, Schedule, Step};
+use crossweir::cell::worker::WorkerEntry;
 
 #[test]
 fn a_job_runs_its_steps_in_order_and_is_shown_when_recorded() {
@@ -210,7 +212,8 @@
         cell_core::configuration(std::slice::from_ref(&q)),
         next.now,
     );
-    let listed = vec![cell_core::worker(0), cell_core::worker(1), silent];
+    let listed = [cell_core::worker(0), cell_core::worker(1), silent];
+    let listed = listed.into_iter().map(|entry| left(entry, None)).collect();
     cell.list_former_workers(listed, next.now);
     next.cell = cell;
     next.cell.accept(&row, None, true, next.now);
@@ -285,7 +288,10 @@
     bench.cell.list_worker(leaving, bench.now);
     bench.pass(50);
     let (_, roster) = bench.cell.roster();
-    let ids: Vec<&str> = roster.iter().map(|entry| entry.id.as_str()).collect();
+    let ids: Vec<&str> = roster
+        .iter()
+        .map(|entry| entry.worker.id.as_str())
+        .collect();
     assert_eq!(ids, ["w0"]);
 }
 
@@ -542,11 +548,16 @@
     );
 }
 
+/// A worker as a former owner's roster names it, with the jobs that it may run.
+fn left(worker: WorkerEntry, jobs: Option<Vec<JobId>>) -> RosterEntry {
+    RosterEntry { worker, jobs }
+}
+
 #[test]
 fn a_successor_passes_on_a_worker_that_it_never_reached() {
     // Arrange: a former owner used a worker that is cut off since, and runs on.
     let mut cell = Cell::new(2, configuration(&[]), 1_000);
-    cell.list_former_workers(vec![worker(9)], 1_000);
+    cell.list_former_workers(vec![left(worker(9), None)], 1_000);
     let cut = cell.worker_keys()[0];
 
     // Act.
@@ -555,5 +566,77 @@
 
     // Assert: the next owner must wait for it as well.
     let (_, roster) = cell.roster();
-    assert!(roster.iter().any(|entry| entry.id == "w9"), "{roster:?}");
+    assert!(
+        roster.iter().any(|entry| entry.worker.id == "w9"),
+        "{roster:?}"
+    );
+}
+
+#[test]
+fn a_silent_worker_is_recorded_with_its_jobs_and_used_again_only_when_that_is_taken_back() {
+    // Arrange: a job runs, its worker is silent for a while.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(1, 1_000)]));
+    bench.start_all();
+    let silent = bench.worker(0);
+    bench
+        .cell
+        .look_failed(silent, LookFailure::Unanswered, bench.now);
+    bench.pass(200);
+    let (_, named) = bench.cell.roster();
+
+    // Act: it answers again, and another job comes.
+    bench.now += 10;
+    bench.look_at(silent);
+    bench.accept(&job(2, &q, vec![step(1, 1_000)]));
+    bench.cell.tick(bench.now);
+    let before = bench.start_all().len();
+    let (version, plain) = bench.cell.roster();
+    bench.cell.roster_is_recorded(version);
+    let after = bench.start_all().len();
+
+    // Assert.
+    assert_eq!(named[0].jobs, Some(vec![JobId(1)]));
+    assert_eq!(plain[0].jobs, None);
+    assert_eq!((before, after), (0, 1));
+}
+
+#[test]
+fn a_successor_waits_for_a_lost_worker_only_with_the_jobs_that_it_may_run() {
+    // Arrange: of two workers one is dark; it may run job 1 alone.
+    let q = queue("q", 0);
+    let mut cell = Cell::new(2, configuration(std::slice::from_ref(&q)), 1_000);
+    let roster = vec![left(worker(0), None), left(worker(1), Some(vec![JobId(1)]))];
+    cell.list_former_workers(roster, 1_000);
+    let mut bench = Bench::with(cell, 1_000);
+    for id in [1, 2] {
+        let row = job(id, &q, vec![step(1, 1_000)]);
+        bench.cell.accept(&row, None, true, bench.now);
+    }
+
+    // Act.
+    let lost = bench.worker(1);
+    let reached = bench.worker(0);
+    bench.look_at(reached);
+    bench
+        .cell
+        .look_failed(lost, LookFailure::Unanswered, bench.now);
+    bench.pass(100);
+    let early = bench.start_all();
+    let (_, passed_on) = bench.cell.roster();
+    bench.pass(6_000);
+    bench.look_at(reached);
+    let late = bench.start_all();
+
+    // Assert.
+    let job_of = |starts: &[crossweir::cell::order::StartOrder]| {
+        let ids = starts.iter().map(|start| start.task.step.job);
+        ids.collect::<Vec<JobId>>()
+    };
+    assert_eq!(job_of(&early), [JobId(2)]);
+    let entry = passed_on.iter().find(|entry| entry.worker.id == "w1");
+    let jobs = entry.and_then(|entry| entry.jobs.clone());
+    assert_eq!(jobs, Some(vec![JobId(1)]), "a third owner must know");
+    assert_eq!(job_of(&late), [JobId(1)]);
 }
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -127,19 +127,24 @@
         let mut cell = Cell::new(epoch, configuration(queues), 1_000);
         cell.set_lanes(&[true, true]);
         cell.list_workers((0..workers).map(worker).collect(), 1_000);
+        let mut bench = Self::with(cell, 1_000);
+        bench.look_at_all();
+        bench.cell.tick(bench.now);
+        bench.cell.roster_is_recorded(bench.cell.roster_version());
+        bench
+    }
+
+    /// Puts workers behind a core of which none has answered yet.
+    pub fn with(cell: Cell, now: Millis) -> Self {
         let keys = cell.worker_keys();
-        let mut bench = Self {
+        Self {
             cell,
-            now: 1_000,
+            now,
             still: BTreeMap::new(),
             running: keys.iter().map(|&key| (key, Vec::new())).collect(),
             ends: keys.iter().map(|&key| (key, Vec::new())).collect(),
             keys,
-        };
-        bench.look_at_all();
-        bench.cell.tick(bench.now);
-        bench.cell.roster_is_recorded(bench.cell.roster_version());
-        bench
+        }
     }
 
     /// The worker with this number.
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -15,6 +15,7 @@
     EndKind, LookFailure, LookOrder, Order, Refusal, StartOrder, StartOutcome, StopOrder,
 };
 use crossweir::cell::record::{JobRow, Progress};
+use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::JobId;
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::cell::{Cell, WorkerKey, tuning};
@@ -63,7 +64,7 @@
     late: Vec<(Millis, Late)>,
     rows: BTreeMap<u64, JobRow>,
     progress: BTreeMap<JobId, Progress>,
-    roster: Vec<WorkerEntry>,
+    roster: Vec<RosterEntry>,
     cancelled: BTreeSet<JobId>,
     owner: Owner,
     epoch: u64,
