--- a/src/embedded/mod.rs
+++ b/src/embedded/mod.rs
@@ -129,17 +129,7 @@
 }
 
 fn queue(name: &str, priority: u32) -> Queue {
-    Queue {
-        name: name.to_owned(),
-        host: String::from("localhost"),
-        prefix: format!("/{name}/"),
-        service: SERVICE.to_owned(),
-        priority,
-        attempts: 3,
-        stretch: 2.0,
-        slack: 250,
-        advice: None,
-    }
+    Queue::local(name, SERVICE, priority)
 }
 
 /// One job of the demonstration.
--- a/src/embedded/worker.rs
+++ b/src/embedded/worker.rs
@@ -116,6 +116,20 @@
         *barred = number.max(*barred);
     }
 
+    /// Tells whether ends wait to be taken note of.
+    pub fn has_ends(&mut self, now: Millis) -> bool {
+        self.settle(now);
+        !self.ended.is_empty()
+    }
+
+    /// This life is over, and nothing more is told of it.
+    pub fn crash(&mut self, now: Millis) {
+        self.settle(now);
+        for run in self.going.drain(..) {
+            self.history[run.record].ended = Some((now, EndKind::Lapsed));
+        }
+    }
+
     /// Carries a start out.
     pub fn start(&mut self, order: &StartOrder, now: Millis) -> StartOutcome {
         self.settle(now);
--- a/src/policy/program.rs
+++ b/src/policy/program.rs
@@ -184,17 +184,7 @@
 
 /// Jobs of every kind, short and long, in queues of two priorities.
 fn samples() -> Vec<(Queue, JobSpec)> {
-    let queue = |priority| Queue {
-        name: String::from("sample"),
-        host: String::from("sample"),
-        prefix: String::from("/"),
-        service: String::from("sample"),
-        priority,
-        attempts: 2,
-        stretch: 2.0,
-        slack: 250,
-        advice: None,
-    };
+    let queue = |priority| Queue::local("sample", "sample", priority);
     let spec = |change: fn(&mut Step), estimate| {
         let mut step = Step {
             tasks: 3,
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -45,6 +45,24 @@
     pub advice: Option<AdvicePolicy>,
 }
 
+impl Queue {
+    /// A queue of `service` at this machine, without advice, whose jobs may take twice
+    /// their work and 250 ms; for cells without an operator.
+    pub fn local(name: &str, service: &str, priority: u32) -> Self {
+        Self {
+            name: name.to_owned(),
+            host: String::from("localhost"),
+            prefix: format!("/{name}/"),
+            service: service.to_owned(),
+            priority,
+            attempts: 3,
+            stretch: 2.0,
+            slack: 250,
+            advice: None,
+        }
+    }
+}
+
 /// A version of the configuration, whole.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
