Ended jobs are forgotten, in the store and in memory

Cause: rows of progress were never dropped, so each takeover read the end of every job there had ever been, and an owner kept every job with all steps and tasks in memory for its life. Ruled out: dropping the end together with the job's row; callers ask for 120 s, and a doubtful write of the row may come seconds late and must find the end. Change: five minutes after the job's row is gone the row of its progress is dropped, and then the owner forgets the job, unless something of it still runs. A successor does the same with ends that it found. Not run against the former code, which has no call to forget.

--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -7,7 +7,7 @@
 
 use crate::cell::job::JobState;
 use crate::cell::spec::{JobId, JobSpec};
-use crate::cell::{Cell, JobKey, Waited, WorkerKey};
+use crate::cell::{Cell, JobKey, StepKey, Waited, WorkerKey};
 use crate::clock::Millis;
 use crate::queue::Queue;
 
@@ -148,6 +148,32 @@
         }
     }
 
+    /// Jobs that ended under a former owner and whose rows are gone.
+    pub fn ended_before(&self) -> Vec<JobId> {
+        self.ended.keys().copied().collect()
+    }
+
+    /// Forgets a job whose end has been recorded for long; false if something of it may
+    /// still run.
+    pub fn forget(&mut self, id: JobId) -> bool {
+        self.ended.remove(&id);
+        let Some(&key) = self.job_ids.get(&id) else {
+            return true;
+        };
+        let steps: Vec<StepKey> = self.jobs[key].times.values().flatten().copied().collect();
+        let mut tasks = steps.iter().flat_map(|&step| &self.steps[step].tasks);
+        let runs = tasks.any(|task| !task.runs.is_empty());
+        if runs || !self.jobs[key].recorded.is_final() {
+            return false;
+        }
+        for step in steps {
+            self.steps.remove(step);
+        }
+        self.jobs.remove(key);
+        self.job_ids.remove(&id);
+        true
+    }
+
     /// Takes up the progress that a former owner recorded.
     pub(super) fn restore(&mut self, key: JobKey, progress: &Progress) {
         let mut times: Vec<u32> = progress.tasks.iter().map(|t| t.place.0).collect();
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -204,6 +204,11 @@
         self.record.notify_one();
     }
 
+    /// Forgets a job that ended long ago; false if something of it may still run.
+    pub fn forget(&self, id: JobId) -> bool {
+        self.cell().forget(id)
+    }
+
     /// How a job stands, in detail; none if it is not known here.
     pub fn view(&self, id: JobId) -> Option<JobView> {
         self.cell().view(id, self.shared.now())
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -60,6 +60,7 @@
         let mut unread = loaded.unread;
         let mut cleaner = Cleaner::default();
         cleaner.note(&loaded.rows);
+        cleaner.note_ended(self.cell().ended_before(), self.shared.now());
         loop {
             tokio::time::sleep(JOBS_POLL).await;
             if !unread.is_empty() {
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -640,3 +640,29 @@
     assert_eq!(jobs, Some(vec![JobId(1)]), "a third owner must know");
     assert_eq!(job_of(&late), [JobId(1)]);
 }
+
+#[test]
+fn a_job_is_forgotten_only_when_its_end_is_recorded_and_nothing_of_it_runs() {
+    // Arrange: a cancelled job whose task has not stopped yet.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(1, 1_000)]));
+    let start = bench.start_all().remove(0);
+    bench.cell.cancel(JobId(1));
+    let unrecorded = bench.cell.forget(JobId(1));
+    bench.record();
+    let running = bench.cell.forget(JobId(1));
+
+    // Act.
+    bench.end(start.task, start.number, EndKind::Stopped);
+    bench.look_at_all();
+    let over = bench.cell.forget(JobId(1));
+
+    // Assert.
+    assert_eq!((unrecorded, running, over), (false, false, true));
+    assert_eq!(bench.state(1), None);
+    assert!(
+        bench.cell.forget(JobId(1)),
+        "there is nothing left to forget"
+    );
+}
