A slow store is asked beside, not again

Writes of jobs were given up after 200, 400 and 800 ms while the store, which takes 0.6 to 1 s for each then, carried them all out one after the other; 135 calls got 504 and 15 of 51 jobs from 4 s on were not served. Change: a try that is late stays open, and the next one goes beside it, into another partition and through another node, three at once at most; the first that succeeds counts. Relayed writes are waited for as long as the store may take. Tests: a_store_that_turns_slow_still_takes_jobs (virtual time) failed before.

--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -8,11 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cell::record::JobRow;
-use crate::clock::Millis;
 use crate::node::shared::{JOB_PARTITIONS, Shared, job_partition};
 use crate::store::{RowKey, StoreCall, StoreError, StoreReply, Table, Transaction};
 
@@ -23,8 +25,10 @@
 const MOST_JOBS: usize = 15;
 /// How long a doubtful write is repeated.  Its callers have had their answer by then
 /// (`node::front`); the job is taken for when they ask again.
-const SETTLE_FOR: Millis = 2_000;
-/// The pause between two tries.
+const SETTLE_FOR: Duration = Duration::from_millis(2_000);
+/// How many tries of one batch may be on their way at once, each in another partition.
+const MOST_TRIES: usize = 3;
+/// The pause between two tries while one is open.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// How many transactions may be on their way at once, each in another partition.
 const LANES: usize = 3;
@@ -120,45 +124,81 @@
     }
 }
 
+/// Writes a batch, and while the store leaves it open, again into other partitions.
+///
+/// A try whose answer is late is not given up: a slow store would only be given more to
+/// do.  The next one goes beside it, by another way.
 async fn write_batch(shared: &Arc<Shared>, batch: &[Waiting], home: usize) -> Submitted {
-    let began = shared.now();
+    let until = Instant::now() + SETTLE_FOR;
+    let mut tries = FuturesUnordered::new();
+    let mut begun = 0;
     let mut doubt = false;
-    for attempt in 0.. {
-        let partition = job_partition(home + attempt);
-        match shared
-            .store(StoreCall::Commit(transaction(batch, &partition)))
-            .await
-        {
-            Ok(StoreReply::Committed(_)) => return Submitted::Accepted,
-            Ok(reply) => {
-                tracing::error!(?reply, "the store's answer to jobs is of the wrong kind");
-                doubt = true;
-            }
-            Err(StoreError::Rejected(status)) => {
-                tracing::error!(status, jobs = batch.len(), "the store rejects jobs");
-                break;
-            }
-            Err(StoreError::Unavailable) => {}
-            Err(StoreError::Unanswered | StoreError::Malformed) => {
+    loop {
+        if tries.len() < MOST_TRIES {
+            let call = StoreCall::Commit(transaction(batch, &job_partition(home + begun)));
+            tries.push(write_once(shared, call, begun));
+            begun += 1;
+        }
+        let wait = if tries.len() < MOST_TRIES {
+            until.min(Instant::now() + shared.store_patience())
+        } else {
+            until
+        };
+        match tokio::time::timeout_at(wait, tries.next()).await {
+            Ok(Some(Written::Yes)) => return Submitted::Accepted,
+            Ok(Some(Written::No)) => {}
+            Ok(Some(Written::Perhaps)) => {
                 doubt = true;
                 shared.metrics.retry("job_write_unanswered");
             }
+            Ok(Some(Written::Never)) => break,
+            Ok(None) | Err(_) => {}
         }
-        let elapsed = shared.now().saturating_sub(began);
-        if elapsed > SETTLE_FOR || (!doubt && attempt + 1 >= JOB_PARTITIONS / 2) {
+        let open = doubt || !tries.is_empty();
+        if Instant::now() >= until || (!open && begun >= JOB_PARTITIONS / 2) {
             break;
         }
-        if doubt {
+        if open {
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
-    if doubt {
+    if doubt || !tries.is_empty() {
         Submitted::Doubtful
     } else {
         Submitted::Refused
     }
 }
 
+/// What one try came to.
+enum Written {
+    Yes,
+    No,
+    Perhaps,
+    /// The store rejects the jobs, however often they are sent.
+    Never,
+}
+
+async fn write_once(shared: &Arc<Shared>, call: StoreCall, number: usize) -> Written {
+    let reply = if number.is_multiple_of(2) {
+        shared.store_unhurried(call).await
+    } else {
+        shared.store_elsewhere(call).await
+    };
+    match reply {
+        Ok(StoreReply::Committed(_)) => Written::Yes,
+        Ok(reply) => {
+            tracing::error!(?reply, "the store's answer to jobs is of the wrong kind");
+            Written::Perhaps
+        }
+        Err(StoreError::Rejected(status)) => {
+            tracing::error!(status, "the store rejects jobs");
+            Written::Never
+        }
+        Err(StoreError::Unavailable) => Written::No,
+        Err(StoreError::Unanswered | StoreError::Malformed) => Written::Perhaps,
+    }
+}
+
 fn transaction(batch: &[Waiting], partition: &str) -> Transaction {
     let puts = batch.iter().map(|waiting| {
         let key = RowKey::new(Table::Jobs, partition, &waiting.key);
--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -8,8 +8,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use futures::FutureExt;
-use futures::future::BoxFuture;
 use tokio::sync::Notify;
 
 use crate::clock::Millis;
@@ -30,6 +28,15 @@
 /// A peer that was not heard for so long is not asked: three heartbeats.
 pub const RELAY_WINDOW: Millis = 1_000;
 
+/// How long the answer to a transaction is waited for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pace {
+    /// As long as it can be expected to take; the caller repeats the transaction.
+    Hurried,
+    /// As long as the store may take at all; the caller has other tries beside it.
+    Unhurried,
+}
+
 /// The store of a node.
 pub struct RoutedStore {
     direct: Arc<dyn Store>,
@@ -81,52 +88,62 @@
     }
 
     /// Makes a call by the direct way only.
-    pub fn call_direct(
+    pub async fn call_direct(
         &self,
-        shared: Arc<Shared>,
+        shared: &Shared,
         call: StoreCall,
-    ) -> BoxFuture<'_, Result<StoreReply, StoreError>> {
-        async move {
-            let held = matches!(call, StoreCall::Changes { .. });
-            let began = shared.now();
-            let reply = match call {
-                StoreCall::Commit(_) => self.commit(&shared, call).await,
-                _ => self.direct.call(call).await,
-            };
-            if !held {
-                let took = shared.now().saturating_sub(began);
-                shared.metrics.wait("store", took);
-            }
-            if let Err(err) = &reply {
-                shared.metrics.retry(store_error_code(err));
-                self.doubted.notify_one();
-            }
-            reply
+        pace: Pace,
+    ) -> Result<StoreReply, StoreError> {
+        let held = matches!(call, StoreCall::Changes { .. });
+        let began = shared.now();
+        let reply = match call {
+            StoreCall::Commit(_) => self.commit(shared, call, pace).await,
+            _ => self.direct.call(call).await,
+        };
+        if !held {
+            let took = shared.now().saturating_sub(began);
+            shared.metrics.wait("store", took);
         }
-        .boxed()
+        if let Err(err) = &reply {
+            shared.metrics.retry(store_error_code(err));
+            self.doubted.notify_one();
+        }
+        reply
     }
 
-    /// Sends a transaction and waits as long as its answer can be expected to take.
-    async fn commit(&self, shared: &Shared, call: StoreCall) -> Result<StoreReply, StoreError> {
-        let limit = self.patience().limit();
+    /// Sends a transaction, and learns from how long its answer takes.
+    async fn commit(
+        &self,
+        shared: &Shared,
+        call: StoreCall,
+        pace: Pace,
+    ) -> Result<StoreReply, StoreError> {
         let began = shared.now();
         let sent = self.direct.call(call);
-        let reply = tokio::time::timeout(Duration::from_millis(limit), sent).await;
+        let reply = match pace {
+            Pace::Hurried => tokio::time::timeout(self.patience(), sent).await,
+            Pace::Unhurried => Ok(sent.await),
+        };
         let took = shared.now().saturating_sub(began);
         match reply {
             Ok(Ok(reply)) => {
-                self.patience().answered(took);
+                self.lock_patience().answered(took);
                 Ok(reply)
             }
             Ok(Err(err)) => Err(err),
             Err(_) => {
-                self.patience().gave_up();
+                self.lock_patience().gave_up();
                 Err(StoreError::Unanswered)
             }
         }
     }
 
-    fn patience(&self) -> MutexGuard<'_, Patience> {
+    /// How long the answer to a transaction can be expected to take at most.
+    pub fn patience(&self) -> Duration {
+        Duration::from_millis(self.lock_patience().limit())
+    }
+
+    fn lock_patience(&self) -> MutexGuard<'_, Patience> {
         self.patience.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -135,19 +152,34 @@
         &self,
         shared: &Arc<Shared>,
         call: StoreCall,
+        pace: Pace,
     ) -> Result<StoreReply, StoreError> {
-        let mut doubt = false;
-        if self.direct_works() {
-            match self.call_direct(Arc::clone(shared), call.clone()).await {
-                Err(StoreError::Unavailable) => {}
-                Err(StoreError::Unanswered | StoreError::Malformed) => doubt = true,
-                settled => return settled,
-            }
+        if !self.direct_works() {
+            return self.call_relayed(shared, &call).await;
+        }
+        let direct = self.call_direct(shared, call.clone(), pace).await;
+        let doubt = match direct {
+            Err(StoreError::Unavailable) => false,
+            Err(StoreError::Unanswered | StoreError::Malformed) => true,
+            settled => return settled,
+        };
+        match self.call_relayed(shared, &call).await {
+            Err(StoreError::Unavailable) if doubt => Err(StoreError::Unanswered),
+            reply => reply,
         }
+    }
+
+    /// Makes a call through other nodes only.
+    pub async fn call_relayed(
+        &self,
+        shared: &Arc<Shared>,
+        call: &StoreCall,
+    ) -> Result<StoreReply, StoreError> {
+        let mut doubt = false;
         let now = shared.now();
         let relays = shared.members().relays(now, RELAY_WINDOW);
         for address in relays.into_iter().take(MOST_RELAYS) {
-            match relay(shared, address, &call).await {
+            match relay(shared, address, call).await {
                 Err(StoreError::Unavailable) => {}
                 Err(StoreError::Unanswered | StoreError::Malformed) => doubt = true,
                 settled => return settled,
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -9,7 +9,7 @@
 use crate::node::engine::Engine;
 use crate::node::links::{Advisor, Decoder, Workers};
 use crate::node::members::Members;
-use crate::node::route::{RELAY_WINDOW, RoutedStore};
+use crate::node::route::{Pace, RELAY_WINDOW, RoutedStore};
 use crate::queue::Configuration;
 use crate::rpc::node::{Beat, NodeLink};
 use crate::store::{StoreCall, StoreError, StoreReply};
@@ -259,7 +259,38 @@
     /// # Errors
     /// See [`StoreError`].
     pub async fn store(self: &Arc<Self>, call: StoreCall) -> Result<StoreReply, StoreError> {
-        self.store.call(self, call).await
+        self.store.call(self, call, Pace::Hurried).await
+    }
+
+    /// Makes a call to the store by any way, and waits for its answer as long as it may
+    /// take: the caller has other tries beside this one.
+    ///
+    /// # Errors
+    /// See [`StoreError`].
+    pub async fn store_unhurried(
+        self: &Arc<Self>,
+        call: StoreCall,
+    ) -> Result<StoreReply, StoreError> {
+        self.store.call(self, call, Pace::Unhurried).await
+    }
+
+    /// Makes a call to the store through other nodes, or directly if there are none.
+    ///
+    /// # Errors
+    /// See [`StoreError`].
+    pub async fn store_elsewhere(
+        self: &Arc<Self>,
+        call: StoreCall,
+    ) -> Result<StoreReply, StoreError> {
+        match self.store.call_relayed(self, &call).await {
+            Err(StoreError::Unavailable) => self.store_unhurried(call).await,
+            reply => reply,
+        }
+    }
+
+    /// How long the answer to a transaction can be expected to take at most.
+    pub fn store_patience(&self) -> std::time::Duration {
+        self.store.patience()
     }
 
     /// Makes a call to the store by the direct way only, as for a peer.
@@ -267,7 +298,7 @@
     /// # Errors
     /// See [`StoreError`].
     pub async fn store_direct(self: &Arc<Self>, call: StoreCall) -> Result<StoreReply, StoreError> {
-        self.store.call_direct(Arc::clone(self), call).await
+        self.store.call_direct(self, call, Pace::Unhurried).await
     }
 
     /// Watches the direct way to the store until the process ends.
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -3,18 +3,27 @@
 mod cell_core;
 mod virtual_node;
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use cell_core::{queue, step};
 use crossweir::cell::spec::{JobId, JobSpec};
 use crossweir::node::front::{Front, Told};
 use crossweir::node::intake::Submitted;
+use crossweir::rpc::node::Beat;
 use tokio::time::Instant;
-use virtual_node::virtual_node;
+use virtual_node::{Relay, virtual_node};
 
 /// What the caller has left, in milliseconds.
 const LEFT: u64 = 900;
 
+fn spec() -> JobSpec {
+    JobSpec {
+        steps: vec![step(1, 1_000)],
+        ..JobSpec::default()
+    }
+}
+
 fn front_with_a_silent_store() -> Front {
     let node = virtual_node(&[]);
     node.guarded.silent.store(true, Ordering::Relaxed);
@@ -25,15 +34,11 @@
 async fn a_caller_learns_in_time_that_its_job_may_not_be_taken() {
     // Arrange.
     let front = front_with_a_silent_store();
-    let spec = JobSpec {
-        steps: vec![step(1, 1_000)],
-        ..JobSpec::default()
-    };
 
     // Act.
     let began = Instant::now();
     let outcome = front
-        .submit(&queue("q", 0), JobId(1), spec, Some(LEFT))
+        .submit(&queue("q", 0), JobId(1), spec(), Some(LEFT))
         .await;
 
     // Assert.
@@ -49,3 +54,46 @@
     assert_eq!(told, Told::Unavailable);
     assert!(began.elapsed().as_millis() < u128::from(LEFT / 2));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_turns_slow_still_takes_jobs() {
+    // Arrange: a node that is used to a fast store.
+    let node = virtual_node(&[]);
+    let guarded = Arc::clone(&node.guarded);
+    let front = Front::new(node.shared);
+    let q = queue("q", 0);
+    for id in 1..20 {
+        let outcome = front.submit(&q, JobId(id), spec(), None).await;
+        assert_eq!(outcome, Submitted::Accepted);
+    }
+
+    // Act: every answer takes 500 ms from now on, and the caller has 2 s left.
+    guarded.delay.store(500, Ordering::Relaxed);
+    let outcome = front.submit(&q, JobId(20), spec(), Some(2_000)).await;
+
+    // Assert.
+    assert_eq!(outcome, Submitted::Accepted);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_goes_by_another_node_when_the_store_is_silent_to_this_one() {
+    // Arrange.
+    let node = virtual_node(&[Relay::Works]);
+    node.shared.hear(&Beat {
+        name: String::from("n1"),
+        boot: 1,
+        address: String::from("127.0.0.1:1"),
+        reaches_store: true,
+        ..Beat::default()
+    });
+    node.guarded.silent.store(true, Ordering::Relaxed);
+    let front = Front::new(node.shared);
+
+    // Act.
+    let outcome = front
+        .submit(&queue("q", 0), JobId(1), spec(), Some(1_500))
+        .await;
+
+    // Assert.
+    assert_eq!(outcome, Submitted::Accepted);
+}
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -3,7 +3,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use crossweir::cell::order::{Look, LookFailure, LookOrder, StartOrder, StartOutcome, StopOrder};
 use crossweir::cell::worker::WorkerEntry;
@@ -37,6 +38,8 @@
     pub shut: AtomicBool,
     /// The node under test gets no answers.
     pub silent: AtomicBool,
+    /// How long the store takes for each answer, in milliseconds.
+    pub delay: AtomicU64,
 }
 
 impl Store for Guarded {
@@ -47,7 +50,12 @@
         if self.silent.load(Ordering::Relaxed) {
             return std::future::pending().boxed();
         }
-        self.store.call(call)
+        async move {
+            let delay = Duration::from_millis(self.delay.load(Ordering::Relaxed));
+            tokio::time::sleep(delay).await;
+            self.store.call(call).await
+        }
+        .boxed()
     }
 }
 
@@ -153,6 +161,7 @@
         store: Arc::clone(&store),
         shut: AtomicBool::new(false),
         silent: AtomicBool::new(false),
+        delay: AtomicU64::new(0),
     });
     let links = Links {
         store: guarded.clone(),
