A slow store gets few large transactions, in all partitions alike

Each partition carries out some five transactions a second then; each node wrote up to three small ones at once, three tries each, and by the hash of their names some partitions had several nodes. Ruled out: giving tries up sooner (that was the state before). Change: while answers take ten times the usual, a node has one transaction on its way, with all jobs that gathered (bounded by bytes); partitions are taken in turn; a third try waits longer than the second.

--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -20,9 +20,11 @@
 
 /// How many jobs may wait for the next transaction: seconds of a burst.
 const QUEUE_LENGTH: usize = 512;
-/// The most jobs in one transaction: the store takes 1 MB and a job is below 64 KB,
-/// mostly 2 KB.
-const MOST_JOBS: usize = 15;
+/// The most jobs in one transaction; the store takes 100 entries.
+const MOST_JOBS: usize = 90;
+/// No job is added to a transaction that holds so many bytes: the store takes 1 MB, a row
+/// is below 64 KB, and the platform's form makes three bytes four.
+const MOST_BYTES: usize = 600_000;
 /// How long a doubtful write is repeated.  Its callers have had their answer by then
 /// (`node::front`); the job is taken for when they ask again.
 const SETTLE_FOR: Duration = Duration::from_millis(2_000);
@@ -31,7 +33,9 @@
 /// The pause between two tries while one is open.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// How many transactions may be on their way at once, each in another partition.
-const LANES: usize = 3;
+const LANES: u32 = 3;
+/// Beyond this patience the store is slow: an answer takes ten times the usual.
+const SLOW_PATIENCE: Duration = Duration::from_millis(400);
 
 /// What became of a job that a caller handed in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,22 +91,19 @@
 
 async fn run(shared: Arc<Shared>, mut rx: mpsc::Receiver<Waiting>) {
     let home = xxh3_64(shared.name.as_bytes()) as usize;
-    let lanes = Arc::new(tokio::sync::Semaphore::new(LANES));
+    let lanes = Arc::new(tokio::sync::Semaphore::new(LANES as usize));
     let mut batches = 0;
     while let Some(first) = rx.recv().await {
+        // A slow store gets few large transactions instead of many small ones.
+        let slow = shared.store_patience() > SLOW_PATIENCE;
+        let share = if slow { LANES } else { 1 };
         // The semaphore is never closed.
-        let Ok(lane) = Arc::clone(&lanes).acquire_owned().await else {
+        let Ok(lane) = Arc::clone(&lanes).acquire_many_owned(share).await else {
             return;
         };
-        let mut batch = vec![first];
-        while batch.len() < MOST_JOBS {
-            match rx.try_recv() {
-                Ok(waiting) => batch.push(waiting),
-                Err(_) => break,
-            }
-        }
-        let busy = LANES - lanes.available_permits() - 1;
-        let partition = home + busy;
+        let batch = gather(first, &mut rx);
+        // Nodes begin at different places and all go round, so partitions share the work.
+        let partition = home + batches;
         batches += 1;
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
@@ -124,6 +125,20 @@
     }
 }
 
+/// Takes as many of the waiting jobs as one transaction may hold.
+fn gather(first: Waiting, rx: &mut mpsc::Receiver<Waiting>) -> Vec<Waiting> {
+    let mut bytes = first.value.len();
+    let mut batch = vec![first];
+    while batch.len() < MOST_JOBS && bytes < MOST_BYTES {
+        let Ok(waiting) = rx.try_recv() else {
+            break;
+        };
+        bytes += waiting.value.len();
+        batch.push(waiting);
+    }
+    batch
+}
+
 /// Writes a batch, and while the store leaves it open, again into other partitions.
 ///
 /// A try whose answer is late is not given up: a slow store would only be given more to
@@ -140,7 +155,9 @@
             begun += 1;
         }
         let wait = if tries.len() < MOST_TRIES {
-            until.min(Instant::now() + shared.store_patience())
+            // Each further try waits longer: it may be that the store has turned slow.
+            let patience = shared.store_patience() * tries.len() as u32;
+            until.min(Instant::now() + patience)
         } else {
             until
         };
