--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -27,7 +27,7 @@
 const TELL_TRIES: u32 = 3;
 /// The share of the time that a caller has left which an answer may take, in percent: a
 /// caller that gets none must have time to ask again, at this node or another.
-const HOLD_PERCENT: Millis = 40;
+const HOLD_PERCENT: Millis = 45;
 /// What a caller that names no deadline is taken to have left.
 const USUAL_DEADLINE: Millis = 3_000;
 /// When to come back after a refusal: the store's outages last some seconds.
