The return of a silent store is noticed within a probe's pause

A probe that hung was waited for (700 ms) before the next, and calls that hung since the outage kept their lanes until their own limits. Tests: two of tests/route.rs in virtual time, both failed before.

--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -8,6 +8,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use tokio::sync::Notify;
 
 use crate::clock::Millis;
@@ -17,7 +19,7 @@
 use crate::rpc::node::{NodeCall, NodeReply};
 use crate::store::{Store, StoreCall, StoreError, StoreReply, Table};
 
-/// How often a direct way that does not work is probed.
+/// How often a direct way that does not work is probed: callers come back by the second.
 const PROBE_PAUSE: Duration = Duration::from_millis(200);
 /// How long a probe may take: a read takes 6 ms, and some 400 ms from a slow store.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -42,6 +44,7 @@
     direct: Arc<dyn Store>,
     works: AtomicBool,
     doubted: Notify,
+    regained: Notify,
     patience: Mutex<Patience>,
 }
 
@@ -52,6 +55,7 @@
             direct,
             works: AtomicBool::new(true),
             doubted: Notify::new(),
+            regained: Notify::new(),
             patience: Mutex::default(),
         }
     }
@@ -67,26 +71,50 @@
     /// calls that somebody waits for must not each try a way that says nothing.
     pub async fn probe(&self, shared: Arc<Shared>) {
         loop {
-            if self.direct_works() {
-                self.doubted.notified().await;
-            } else {
-                tokio::time::sleep(PROBE_PAUSE).await;
+            self.doubted.notified().await;
+            if self.probe_once(&shared).await {
+                continue;
             }
-            let key = shared.decoder.configuration_key();
-            let call = StoreCall::row(Table::Operator, "", key);
-            let reply = tokio::time::timeout(PROBE_TIMEOUT, self.direct.call(call)).await;
-            let works = matches!(reply, Ok(Ok(_)));
-            if self.works.swap(works, Ordering::Relaxed) != works {
-                tracing::info!(works, "direct way to the store");
-                shared.metrics.event(if works {
-                    "store_regained"
-                } else {
-                    "store_lost"
-                });
+            self.turn(&shared, false);
+            self.probe_until_answered(&shared).await;
+            self.turn(&shared, true);
+            self.regained.notify_waiters();
+        }
+    }
+
+    fn turn(&self, shared: &Shared, works: bool) {
+        self.works.store(works, Ordering::Relaxed);
+        tracing::info!(works, "direct way to the store");
+        shared.metrics.event(if works {
+            "store_regained"
+        } else {
+            "store_lost"
+        });
+    }
+
+    /// A probe that hangs does not hold up the next one.
+    async fn probe_until_answered(&self, shared: &Shared) {
+        let mut probes = FuturesUnordered::new();
+        loop {
+            probes.push(self.probe_once(shared));
+            let pause = tokio::time::sleep(PROBE_PAUSE);
+            tokio::pin!(pause);
+            loop {
+                tokio::select! {
+                    () = &mut pause => break,
+                    Some(works) = probes.next() => if works { return },
+                }
             }
         }
     }
 
+    async fn probe_once(&self, shared: &Shared) -> bool {
+        let key = shared.decoder.configuration_key();
+        let call = StoreCall::row(Table::Operator, "", key);
+        let reply = tokio::time::timeout(PROBE_TIMEOUT, self.direct.call(call)).await;
+        matches!(reply, Ok(Ok(_)))
+    }
+
     /// Makes a call by the direct way only.
     pub async fn call_direct(
         &self,
@@ -119,7 +147,13 @@
         pace: Pace,
     ) -> Result<StoreReply, StoreError> {
         let began = shared.now();
-        let sent = self.direct.call(call);
+        let sent = async {
+            // What hangs since the store was away gets no answer any more.
+            tokio::select! {
+                reply = self.direct.call(call) => reply,
+                () = self.regained.notified() => Err(StoreError::Unanswered),
+            }
+        };
         let reply = match pace {
             Pace::Hurried => tokio::time::timeout(self.patience(), sent).await,
             Pace::Unhurried => Ok(sent.await),
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,52 @@
+//! How soon a node notices that its way to the store works again.
+
+mod virtual_node;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crossweir::store::{StoreCall, StoreError, Transaction};
+use virtual_node::{VirtualNode, virtual_node};
+
+/// A node that has lost its way to a store that says nothing, 2.3 s after the first call.
+async fn lost() -> VirtualNode {
+    let node = virtual_node(&[]);
+    tokio::spawn(Arc::clone(&node.shared).probe_store());
+    node.guarded.silent.store(true, Ordering::Relaxed);
+    let call = StoreCall::Commit(Transaction::default());
+    let reply = node.shared.store(call).await;
+    assert_eq!(reply, Err(StoreError::Unanswered));
+    tokio::time::sleep(Duration::from_millis(1_900)).await;
+    assert!(!node.shared.reaches_store());
+    node
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_was_silent_is_noticed_soon_after_its_return() {
+    let node = lost().await;
+    node.guarded.silent.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(260)).await;
+    assert!(node.shared.reaches_store());
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_that_hang_are_given_up_when_the_store_is_back() {
+    // Arrange: a write hangs that may wait as long as the store may take.
+    let node = lost().await;
+    node.guarded.shut.store(false, Ordering::Relaxed);
+    let shared = Arc::clone(&node.shared);
+    let write = tokio::spawn(async move {
+        let call = StoreCall::Commit(Transaction::default());
+        shared.store_direct(call).await
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    // Act.
+    node.guarded.silent.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    // Assert.
+    assert!(write.is_finished());
+    assert_eq!(write.await.expect("it ran"), Err(StoreError::Unanswered));
+}
