--- a/src/bin/crossweir/main.rs
+++ b/src/bin/crossweir/main.rs
@@ -8,7 +8,8 @@
 use crossweir::cell::spec::JobId;
 use crossweir::cli::{self, CliError, Endpoint, Exit, call, show};
 use crossweir::http::api::PolicyChange;
-use crossweir::node::settings::{self, Settings};
+use crossweir::node::setting_keys;
+use crossweir::node::settings::Settings;
 use crossweir::policy::Program;
 use flags::CrossweirCmd;
 use serde::Serialize;
@@ -61,7 +62,7 @@
         CrossweirCmd::CheckPolicy(cmd) => check_policy(&cmd.file),
         CrossweirCmd::Diagnose(_) => Ok(cli::diagnose::report(&endpoint).await),
         CrossweirCmd::Reference(cmd) => Ok(match cmd.what.as_str() {
-            "settings" => settings::reference(),
+            "settings" => setting_keys::reference(),
             _ => show::refusals(),
         }),
     }
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -14,17 +14,14 @@
 use crate::clock::Millis;
 use crate::node::intake::{Intake, Submitted};
 use crate::node::loading;
+use crate::node::owner_calls::{OWNER_TIMEOUT, ask_owner, serve_as_owner, tell_owner};
 use crate::node::shared::{PARTITION, Shared};
 use crate::queue::Queue;
 use crate::rpc::node::{NodeCall, NodeReply, NodeService};
 use crate::store::{StoreCall, StoreReply, Table};
 
-/// How long the owner may take to take in a job or to tell its state.
-const OWNER_TIMEOUT: Millis = 600;
 /// How long the owner may take to record a cancellation: callers wait 3 s.
 const CANCEL_TIMEOUT: Millis = 2_500;
-/// How often telling the owner of a job is tried; it finds the row by itself as well.
-const TELL_TRIES: u32 = 3;
 /// The share of the time that a caller has left which an answer may take, in percent: a
 /// caller that gets none must have time to ask again, at this node or another.
 const HOLD_PERCENT: Millis = 45;
@@ -277,68 +274,3 @@
     let reply = shared.store_direct(call).await;
     serde_json::to_vec(&reply).map_or(NodeReply::Unavailable, NodeReply::Relayed)
 }
-
-/// Answers a call that only the owner can answer.
-async fn serve_as_owner(shared: &Arc<Shared>, call: NodeCall) -> NodeReply {
-    let Some(engine) = shared.engine() else {
-        return NodeReply::NotOwner;
-    };
-    match call {
-        NodeCall::Accepted(row) => match serde_json::from_slice::<JobRow>(&row) {
-            Ok(row) => {
-                engine.accepted(&row);
-                NodeReply::Taken
-            }
-            Err(err) => {
-                tracing::error!(%err, "a job from another node cannot be read");
-                NodeReply::Unavailable
-            }
-        },
-        NodeCall::State(id) => match engine.state(id) {
-            Some(state) => NodeReply::State(state),
-            None => NodeReply::UnknownJob,
-        },
-        NodeCall::Explain(id) => match engine.view(id).map(|view| serde_json::to_vec(&view)) {
-            Some(Ok(view)) => NodeReply::Explained(view),
-            Some(Err(err)) => {
-                tracing::error!(%err, request = %id, "a view cannot be encoded");
-                NodeReply::Unavailable
-            }
-            None => NodeReply::UnknownJob,
-        },
-        NodeCall::Cancel(id) => engine.cancel(id).await,
-        _ => NodeReply::NotOwner,
-    }
-}
-
-/// Asks the owner, wherever it is; none if it cannot be asked or gave no answer.
-async fn ask_owner(shared: &Arc<Shared>, call: NodeCall, timeout: Millis) -> Option<NodeReply> {
-    if shared.engine().is_some() {
-        return Some(serve_as_owner(shared, call).await);
-    }
-    let address = shared.owner().address?;
-    match shared.peers.call(address, call, timeout).await {
-        Ok(NodeReply::NotOwner | NodeReply::Unavailable) => None,
-        Ok(reply) => Some(reply),
-        Err(err) => {
-            tracing::debug!(%err, %address, "the owner does not answer");
-            shared.metrics.retry("owner_unanswered");
-            None
-        }
-    }
-}
-
-/// Tells the owner of a job, so that it need not find the row by itself.
-async fn tell_owner(shared: Arc<Shared>, row: JobRow) {
-    let Ok(body) = serde_json::to_vec(&row) else {
-        return;
-    };
-    for _ in 0..TELL_TRIES {
-        let call = NodeCall::Accepted(body.clone());
-        if let Some(NodeReply::Taken) = ask_owner(&shared, call, OWNER_TIMEOUT).await {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(OWNER_TIMEOUT / 2)).await;
-    }
-    tracing::info!(request = %row.id, "the owner was not told; it finds the row");
-}
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -9,6 +9,7 @@
 use crate::node::engine::Engine;
 use crate::node::links::{Advisor, Decoder, Workers};
 use crate::node::members::Members;
+use crate::node::owner::Owner;
 use crate::node::route::{Pace, RELAY_WINDOW, RoutedStore};
 use crate::queue::Configuration;
 use crate::rpc::node::{Beat, NodeLink};
@@ -17,9 +18,8 @@
 /// Every cell's rows lie in a partition of their own.  There is one cell so far.
 pub const PARTITION: &str = "c0";
 
-/// Accepted jobs lie in so many partitions.  Each node writes to one of its own
-/// choice, and to the next if that one is away; some of a store's partitions may
-/// be down or slow while others work.
+/// Accepted jobs lie in so many partitions, which every node writes in turn: some of a
+/// store's partitions may be down while others work, and a slow one takes few writes.
 pub const JOB_PARTITIONS: usize = 8;
 
 /// The name of a partition of jobs.
@@ -27,60 +27,6 @@
     format!("j{}", number % JOB_PARTITIONS)
 }
 
-/// Who owns the cell, as far as this node knows.
-#[derive(Debug, Clone, Default)]
-pub struct Owner {
-    /// The highest epoch heard of.
-    pub epoch: u64,
-    /// Where its owner answers; none while there is no known owner.
-    pub address: Option<SocketAddr>,
-    /// When it was last heard itself; none if it never was.
-    pub heard: Option<Millis>,
-    /// Since when a node that has just claimed the cell is given time to load it.
-    pub expected: Option<Millis>,
-    /// Jobs of which nothing has begun by queue, as it last said.
-    pub pending: Vec<(String, u32)>,
-}
-
-impl Owner {
-    /// How long the owner has been silent; for ever if there is nobody to wait for.
-    pub fn silence(&self, now: Millis) -> Millis {
-        elapsed(self.heard.max(self.expected), now)
-    }
-
-    /// How long ago the owner itself was heard; for ever if it never was.
-    pub fn unheard(&self, now: Millis) -> Millis {
-        elapsed(self.heard, now)
-    }
-
-    /// There is nobody to wait for.
-    pub fn forget(&mut self) {
-        self.address = None;
-        self.heard = None;
-        self.expected = None;
-    }
-
-    /// Somebody has claimed the cell under `epoch` and needs time to load it.
-    pub fn expect(&mut self, epoch: u64, address: Option<SocketAddr>, now: Millis) {
-        self.epoch = epoch;
-        self.address = address;
-        self.heard = None;
-        self.expected = Some(now);
-    }
-
-    /// The owner under `epoch` was heard.
-    pub fn hear(&mut self, epoch: u64, address: Option<SocketAddr>, now: Millis) {
-        self.epoch = epoch;
-        self.address = address;
-        self.heard = Some(now);
-        self.expected = None;
-    }
-}
-
-fn elapsed(since: Option<Millis>, now: Millis) -> Millis {
-    since.map_or(Millis::MAX, |since| now.saturating_sub(since))
-}
-
 /// The way to the outside, given to a node when it is made.
 pub struct Links {
     /// The store.
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -4,7 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use crossweir::cli::show;
-use crossweir::node::settings::{self, Settings};
+use crossweir::node::setting_keys;
+use crossweir::node::settings::Settings;
 use crossweir::policy::Program;
 
 fn page(name: &str) -> String {
@@ -43,7 +44,7 @@
 
 #[test]
 fn the_settings_page_is_what_the_code_says() {
-    assert_eq!(page("docs/SETTINGS.md"), settings::reference());
+    assert_eq!(page("docs/SETTINGS.md"), setting_keys::reference());
 }
 
 #[test]
