--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,7 +2,6 @@
 //!
 //! No core reads a clock of its own, so a test can replay any order of events.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time;
 
 /// Milliseconds of one process's monotonic clock.  Readings of two processes
@@ -49,22 +48,3 @@
         self.start.elapsed().as_millis() as Millis + 1
     }
 }
-
-/// A clock that moves only when it is told to.
-#[derive(Debug, Default)]
-pub struct ManualClock {
-    now: AtomicU64,
-}
-
-impl ManualClock {
-    /// Moves the clock forward by `step` milliseconds.
-    pub fn advance(&self, step: Millis) {
-        self.now.fetch_add(step, Ordering::SeqCst);
-    }
-}
-
-impl Clock for ManualClock {
-    fn now(&self) -> Millis {
-        self.now.load(Ordering::SeqCst)
-    }
-}
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,4 +1,4 @@
-//! The errors of the library, and the stable codes that callers see.
+//! The errors of the library; what callers are told stands in `refusal`.
 
 use std::io;
 use std::path;
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,19 +1,10 @@
-//! Logs as JSON lines: on standard error, or without ever blocking on standard output.
+//! Logs as JSON lines on standard output, which never hold the program up.
 
 use std::error::Error;
 
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
-/// Installs the process-wide logger.
-///
-/// `filter` uses the directives of `tracing`, for example `info` or
-/// `crossweir=debug`.  A second call is ignored, so that tests may call it.
-pub fn init(filter: &str) {
-    // The error says only that a logger is installed already.
-    let _ = install(filter, std::io::stderr);
-}
-
 fn install<W>(filter: &str, writer: W) -> Result<(), Box<dyn Error + Send + Sync>>
 where
     W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
@@ -35,6 +26,8 @@
 
 /// Installs a logger of JSON lines on standard output that never blocks.
 ///
+/// `filter` uses the directives of `tracing`, for example `info` or `crossweir=debug`.
+///
 /// The guard writes out what waits when it is dropped.
 pub fn init_stdout(filter: &str) -> tracing_appender::non_blocking::WorkerGuard {
     let (writer, guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -19,7 +19,6 @@
     outcomes: IntCounterVec,
     invariants: IntCounterVec,
     events: IntCounterVec,
-    store_calls: IntCounterVec,
     gauges: IntGaugeVec,
     waits: HistogramVec,
 }
@@ -61,12 +60,6 @@
             "Notable events by kind.",
             "event",
         )?;
-        let store_calls = counter(
-            &registry,
-            "crossweir_store_calls_total",
-            "Calls to the platform's store.",
-            "call",
-        )?;
         let gauges = IntGaugeVec::new(
             prometheus::opts!("crossweir_state", "Present sizes and versions."),
             &["what"],
@@ -86,7 +79,6 @@
             outcomes,
             invariants,
             events,
-            store_calls,
             gauges,
             waits,
         })
@@ -115,17 +107,7 @@
 
     /// Counts a notable event such as a takeover.
     pub fn event(&self, event: &str) {
-        self.event_by(event, 1);
-    }
-
-    /// Counts `n` notable events of one kind.
-    pub fn event_by(&self, event: &str, n: u64) {
-        self.events.with_label_values(&[event]).inc_by(n);
-    }
-
-    /// Counts a call to the store.
-    pub fn store_call(&self, call: &str) {
-        self.store_calls.with_label_values(&[call]).inc();
+        self.events.with_label_values(&[event]).inc();
     }
 
     /// Sets a gauge.
@@ -140,17 +122,6 @@
             .observe(millis as f64 / 1000.0);
     }
 
-    /// Returns the number of invariant violations of any kind so far.
-    pub fn violation_count(&self) -> u64 {
-        let families = self.registry.gather();
-        families
-            .iter()
-            .filter(|family| family.name() == "crossweir_invariant_violations_total")
-            .flat_map(|family| family.get_metric())
-            .map(|metric| metric.get_counter().get_value() as u64)
-            .sum()
-    }
-
     /// Renders the registry in the text format of Prometheus.
     ///
     /// # Errors
--- a/src/rpc/transport.rs
+++ b/src/rpc/transport.rs
@@ -1,4 +1,4 @@
-//! What both protocols between our processes share: a queue of calls that any task may
+//! The plumbing under the protocol between nodes: a queue of calls that any task may
 //! fill, kept connections, and the loop that accepts them.
 //!
 //! Cap'n Proto's objects stay on one thread, so connections live inside a `LocalSet`,
@@ -73,7 +73,7 @@
     }
 }
 
-/// What differs between the protocols: the interface, and one exchange over it.
+/// What a protocol brings along: the interface, and one exchange over it.
 pub trait Protocol: 'static {
     /// The interface of the other process.
     type Client: FromClientHook + Clone + 'static;
