Writing a batch of jobs reads as steps of their own

Cause: write_batch had grown to forty lines with three subjects. Change: a type for the tries of one batch; nothing else. Tests as they were.

--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -8,8 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
+use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
+use futures::{FutureExt, StreamExt};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -140,49 +141,95 @@
 }
 
 /// Writes a batch, and while the store leaves it open, again into other partitions.
-///
-/// A try whose answer is late is not given up: a slow store would only be given more to
-/// do.  The next one goes beside it, by another way.
 async fn write_batch(shared: &Arc<Shared>, batch: &[Waiting], home: usize) -> Submitted {
     let until = Instant::now() + SETTLE_FOR;
-    let mut tries = FuturesUnordered::new();
-    let mut begun = 0;
-    let mut doubt = false;
-    loop {
-        if tries.len() < MOST_TRIES {
-            let call = StoreCall::Commit(transaction(batch, &job_partition(home + begun)));
-            tries.push(write_once(shared, call, begun));
-            begun += 1;
-        }
-        let wait = if tries.len() < MOST_TRIES {
-            // Each further try waits longer: it may be that the store has turned slow.
-            let patience = shared.store_patience() * tries.len() as u32;
-            until.min(Instant::now() + patience)
-        } else {
-            until
-        };
-        match tokio::time::timeout_at(wait, tries.next()).await {
-            Ok(Some(Written::Yes)) => return Submitted::Accepted,
-            Ok(Some(Written::No)) => {}
-            Ok(Some(Written::Perhaps)) => {
-                doubt = true;
-                shared.metrics.retry("job_write_unanswered");
-            }
-            Ok(Some(Written::Never)) => break,
-            Ok(None) | Err(_) => {}
+    let mut writing = Writing::new(shared, batch, home);
+    while Instant::now() < until {
+        writing.begin_try();
+        match writing.next(until).await {
+            Some(Written::Yes) => return Submitted::Accepted,
+            Some(Written::Never) => break,
+            Some(Written::No | Written::Perhaps) | None => {}
         }
-        let open = doubt || !tries.is_empty();
-        if Instant::now() >= until || (!open && begun >= JOB_PARTITIONS / 2) {
+        if writing.is_open() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        } else if writing.begun >= JOB_PARTITIONS / 2 {
             break;
         }
-        if open {
-            tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    writing.outcome()
+}
+
+/// The tries of one batch.
+///
+/// One whose answer is late is not given up: a slow store would only be given more to
+/// do.  The next one goes beside it, by another way.
+struct Writing<'a> {
+    shared: &'a Arc<Shared>,
+    batch: &'a [Waiting],
+    home: usize,
+    tries: FuturesUnordered<BoxFuture<'a, Written>>,
+    begun: usize,
+    /// A try that has ended may have taken effect.
+    doubt: bool,
+}
+
+impl<'a> Writing<'a> {
+    fn new(shared: &'a Arc<Shared>, batch: &'a [Waiting], home: usize) -> Self {
+        Self {
+            shared,
+            batch,
+            home,
+            tries: FuturesUnordered::new(),
+            begun: 0,
+            doubt: false,
         }
     }
-    if doubt || !tries.is_empty() {
-        Submitted::Doubtful
-    } else {
-        Submitted::Refused
+
+    /// Begins another try, unless enough are on their way.
+    fn begin_try(&mut self) {
+        if self.tries.len() >= MOST_TRIES {
+            return;
+        }
+        let partition = job_partition(self.home + self.begun);
+        let call = StoreCall::Commit(transaction(self.batch, &partition));
+        let attempt = write_once(self.shared, call, self.begun);
+        self.tries.push(attempt.boxed());
+        self.begun += 1;
+    }
+
+    /// Waits for a try to end, or until it is time for another; none if none has ended.
+    async fn next(&mut self, until: Instant) -> Option<Written> {
+        let wait = self.until_next_try(until);
+        let written = tokio::time::timeout_at(wait, self.tries.next()).await;
+        let written = written.ok().flatten();
+        if let Some(Written::Perhaps) = written {
+            self.doubt = true;
+            self.shared.metrics.retry("job_write_unanswered");
+        }
+        written
+    }
+
+    /// Each further try waits longer: it may be that the store has turned slow.
+    fn until_next_try(&self, until: Instant) -> Instant {
+        if self.tries.len() >= MOST_TRIES {
+            return until;
+        }
+        let patience = self.shared.store_patience() * self.tries.len() as u32;
+        until.min(Instant::now() + patience)
+    }
+
+    /// The jobs may have been written, or may be yet.
+    fn is_open(&self) -> bool {
+        self.doubt || !self.tries.is_empty()
+    }
+
+    fn outcome(&self) -> Submitted {
+        if self.is_open() {
+            Submitted::Doubtful
+        } else {
+            Submitted::Refused
+        }
     }
 }
 
