With no way to the store a job is answered at once, also behind writes in doubt

What is given up must get its answer at once. Ruled out: more lanes (any number can be in doubt). Change: a node that reaches the store neither directly nor through another refuses a job without queueing it, and ends a doubt as soon as nothing is on its way any more. Tests: two of tests/front.rs in virtual time; both failed before.

--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -104,9 +104,7 @@
             spec,
         };
         let began = self.shared.now();
-        let writing = tokio::time::timeout(hold(deadline), self.intake.write(&row));
-        // The write goes on: the job may yet be taken.
-        let outcome = writing.await.unwrap_or(Submitted::Doubtful);
+        let outcome = self.write(&row, deadline).await;
         let now = self.shared.now();
         tracing::info!(
             request = %id,
@@ -126,6 +124,15 @@
         outcome
     }
 
+    async fn write(&self, row: &JobRow, deadline: Option<Millis>) -> Submitted {
+        if !self.shared.has_store() {
+            return Submitted::Refused;
+        }
+        let writing = tokio::time::timeout(hold(deadline), self.intake.write(row));
+        // The write goes on: the job may yet be taken.
+        writing.await.unwrap_or(Submitted::Doubtful)
+    }
+
     /// Tells how far a job is, to a caller that has `deadline` left.
     pub async fn state(&self, id: JobId, deadline: Option<Millis>) -> Told {
         let asking = tokio::time::timeout(hold(deadline), self.find_state(id));
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -31,7 +31,7 @@
 const SETTLE_FOR: Duration = Duration::from_millis(2_000);
 /// How many tries of one batch may be on their way at once, each in another partition.
 const MOST_TRIES: usize = 3;
-/// The pause between two tries while one is open.
+/// The pause between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// How many transactions may be on their way at once, each in another partition.
 const LANES: u32 = 3;
@@ -151,11 +151,10 @@
             Some(Written::Never) => break,
             Some(Written::No | Written::Perhaps) | None => {}
         }
-        if writing.is_open() {
-            tokio::time::sleep(RETRY_PAUSE).await;
-        } else if writing.begun >= JOB_PARTITIONS / 2 {
+        if writing.is_hopeless() {
             break;
         }
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
     writing.outcome()
 }
@@ -224,6 +223,12 @@
         self.doubt || !self.tries.is_empty()
     }
 
+    /// Nothing is on its way, and further tries would come to nothing either.
+    fn is_hopeless(&self) -> bool {
+        let enough = !self.doubt && self.begun >= JOB_PARTITIONS / 2;
+        self.tries.is_empty() && (enough || !self.shared.has_store())
+    }
+
     fn outcome(&self) -> Submitted {
         if self.is_open() {
             Submitted::Doubtful
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -5,12 +5,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use cell_core::{queue, step};
 use crossweir::cell::spec::{JobId, JobSpec};
 use crossweir::node::front::{Front, Told};
 use crossweir::node::intake::Submitted;
 use crossweir::rpc::node::Beat;
+use crossweir::store::{StoreCall, StoreError, Transaction};
 use tokio::time::Instant;
 use virtual_node::{Relay, virtual_node};
 
@@ -97,3 +99,46 @@
     // Assert.
     assert_eq!(outcome, Submitted::Accepted);
 }
+
+#[tokio::test(start_paused = true)]
+async fn while_the_store_is_away_a_job_is_refused_at_once_whatever_is_in_doubt() {
+    // Arrange: writes hang in a store that has gone silent, and the node has noticed.
+    let node = virtual_node(&[]);
+    tokio::spawn(Arc::clone(&node.shared).probe_store());
+    node.guarded.silent.store(true, Ordering::Relaxed);
+    let front = Arc::new(Front::new(Arc::clone(&node.shared)));
+    for id in 1..=3 {
+        let front = Arc::clone(&front);
+        tokio::spawn(async move { front.submit(&queue("q", 0), JobId(id), spec(), None).await });
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let call = StoreCall::Commit(Transaction::default());
+    let lost = node.shared.store(call).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+
+    // Act.
+    let began = Instant::now();
+    let outcome = front.submit(&queue("q", 0), JobId(4), spec(), None).await;
+
+    // Assert.
+    assert_eq!(lost, Err(StoreError::Unanswered));
+    assert_eq!(outcome, Submitted::Refused);
+    assert!(began.elapsed() < Duration::from_millis(50));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_doubt_is_told_at_once_when_no_way_to_the_store_is_left() {
+    // Arrange.
+    let node = virtual_node(&[]);
+    tokio::spawn(Arc::clone(&node.shared).probe_store());
+    node.guarded.lossy.store(true, Ordering::Relaxed);
+    let front = Front::new(Arc::clone(&node.shared));
+
+    // Act.
+    let began = Instant::now();
+    let outcome = front.submit(&queue("q", 0), JobId(1), spec(), None).await;
+
+    // Assert.
+    assert_eq!(outcome, Submitted::Doubtful);
+    assert!(began.elapsed() < Duration::from_millis(200));
+}
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -38,6 +38,8 @@
     pub shut: AtomicBool,
     /// The node under test gets no answers.
     pub silent: AtomicBool,
+    /// The node under test is cut off in the middle of every call.
+    pub lossy: AtomicBool,
     /// How long the store takes for each answer, in milliseconds.
     pub delay: AtomicU64,
 }
@@ -47,6 +49,9 @@
         if self.shut.load(Ordering::Relaxed) {
             return async { Err(StoreError::Unavailable) }.boxed();
         }
+        if self.lossy.load(Ordering::Relaxed) {
+            return async { Err(StoreError::Unanswered) }.boxed();
+        }
         if self.silent.load(Ordering::Relaxed) {
             return std::future::pending().boxed();
         }
@@ -171,6 +176,7 @@
         store: Arc::clone(&store),
         shut: AtomicBool::new(false),
         silent: AtomicBool::new(false),
+        lossy: AtomicBool::new(false),
         delay: AtomicU64::new(0),
     });
     let links = Links {
