The tool says so when an answer cannot be printed; a constant's name

Cause: an answer that could not be encoded was printed as nothing. Change: it is an error of the tool; LANES_OF_SLOW is SLOW_LANES. All tests pass.

--- a/src/bin/crossweir/main.rs
+++ b/src/bin/crossweir/main.rs
@@ -45,18 +45,14 @@
     let json = flags.json;
     match flags.subcommand {
         CrossweirCmd::Submit(cmd) => submit(&endpoint, json, cmd).await,
-        CrossweirCmd::Job(cmd) => Ok(choose(json, &endpoint.job(&cmd.id).await?, show::job)),
-        CrossweirCmd::Explain(cmd) => {
-            Ok(choose(json, &endpoint.job(&cmd.id).await?, show::explain))
-        }
+        CrossweirCmd::Job(cmd) => choose(json, &endpoint.job(&cmd.id).await?, show::job),
+        CrossweirCmd::Explain(cmd) => choose(json, &endpoint.job(&cmd.id).await?, show::explain),
         CrossweirCmd::Cancel(cmd) => {
             let cancelled = endpoint.cancel(&cmd.id).await?;
-            Ok(choose(json, &cancelled, |job| {
-                format!("cancelled {}", job.id)
-            }))
+            choose(json, &cancelled, |job| format!("cancelled {}", job.id))
         }
-        CrossweirCmd::Status(_) => Ok(choose(json, &endpoint.status().await?, show::status)),
-        CrossweirCmd::Policy(_) => Ok(pretty(&endpoint.policy().await?)),
+        CrossweirCmd::Status(_) => choose(json, &endpoint.status().await?, show::status),
+        CrossweirCmd::Policy(_) => pretty(&endpoint.policy().await?),
         CrossweirCmd::SetPolicy(cmd) => set_policy(&endpoint, cmd).await,
         CrossweirCmd::Check(cmd) => check_settings(&cmd.file),
         CrossweirCmd::CheckPolicy(cmd) => check_policy(&cmd.file),
@@ -74,9 +70,7 @@
     let id = cmd.id.unwrap_or_else(|| JobId(rand::random()).to_string());
     let body = json!({"id": id, "queue": cmd.queue, "job": job});
     let accepted = endpoint.submit(call::to_json(&body)?).await?;
-    Ok(choose(json, &accepted, |job| {
-        format!("accepted as {}", job.id)
-    }))
+    choose(json, &accepted, |job| format!("accepted as {}", job.id))
 }
 
 async fn set_policy(endpoint: &Endpoint, cmd: flags::SetPolicy) -> Result<String, CliError> {
@@ -107,10 +101,18 @@
     }
 }
 
-fn choose<T: Serialize>(json: bool, value: &T, table: impl Fn(&T) -> String) -> String {
-    if json { pretty(value) } else { table(value) }
+fn choose<T: Serialize>(
+    json: bool,
+    value: &T,
+    table: impl Fn(&T) -> String,
+) -> Result<String, CliError> {
+    if json {
+        pretty(value)
+    } else {
+        Ok(table(value))
+    }
 }
 
-fn pretty<T: Serialize>(value: &T) -> String {
-    serde_json::to_string_pretty(value).unwrap_or_default()
+fn pretty<T: Serialize>(value: &T) -> Result<String, CliError> {
+    serde_json::to_string_pretty(value).map_err(|source| CliError::Encode { source })
 }
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -38,7 +38,7 @@
 /// How many of the lanes a transaction takes while the store is slow: two are on their way
 /// then, and a job waits for half of one instead of a whole one.  With one, more jobs found
 /// no answer in time (docs/FINDINGS.md tells of the day).
-const LANES_OF_SLOW: u32 = 2;
+const SLOW_LANES: u32 = 2;
 /// Beyond this patience the store is slow: an answer takes ten times the usual.
 const SLOW_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -101,7 +101,7 @@
     while let Some(first) = rx.recv().await {
         // A slow store gets few large transactions instead of many small ones.
         let slow = shared.store_patience() > SLOW_PATIENCE;
-        let share = if slow { LANES_OF_SLOW } else { 1 };
+        let share = if slow { SLOW_LANES } else { 1 };
         // The semaphore is never closed.
         let Ok(lane) = Arc::clone(&lanes).acquire_many_owned(share).await else {
             return;
