--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -47,7 +47,13 @@
         }
         worker.runs.push(key);
         let queue = &self.jobs[step.job].queue.name;
-        *self.held.entry(queue.clone()).or_default() += spec.room().millicores;
+        let millicores = spec.room().millicores;
+        match self.held.get_mut(queue) {
+            Some(held) => *held += millicores,
+            None => {
+                self.held.insert(queue.clone(), millicores);
+            }
+        }
         key
     }
 
--- a/src/http/api.rs
+++ b/src/http/api.rs
@@ -5,7 +5,6 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use http_body_util::{BodyExt, Limited};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -19,7 +18,7 @@
 use crate::cell::spec::{JobId, JobSpec, SpecError};
 use crate::cell::view::JobView;
 use crate::http::operator::OperatorToken;
-use crate::http::{answer, keys};
+use crate::http::{answer, body, keys};
 use crate::node::front::{Front, RETRY_AFTER, Told};
 use crate::node::intake::Submitted;
 use crate::node::policy::{self, Change, PolicyRow};
@@ -265,13 +264,7 @@
     async fn read<T: DeserializeOwned + Serialize>(&self, body: Body) -> Result<T, Rejection> {
         let config = self.front.shared.config();
         let most = config.map_or(DEFAULT_MAX_BODY, |config| config.max_body);
-        let bytes = match Limited::new(body, most).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(err) => {
-                tracing::debug!(%err, "a body was not read");
-                return Err(Refusal::BodySize.into());
-            }
-        };
+        let bytes = body::read(body, most).await?;
         let malformed = |err: serde_json::Error| Rejection {
             refusal: Refusal::Spec(SpecError::Malformed),
             detail: Some(err.to_string()),
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod api;
+pub mod body;
 pub mod client;
 pub mod keys;
 pub mod operator;
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -187,12 +187,15 @@
                 "The change may or may not have taken effect.",
                 "Read the policy before setting it again.",
             ),
-            Self::Internal => open(
-                "internal",
-                500,
-                "The program failed; its log says how.",
-                "Report it with the output of `crossweir diagnose`.",
-            ),
+            Self::Internal => Description {
+                again: false,
+                ..open(
+                    "internal",
+                    500,
+                    "The program failed; its log says how.",
+                    "Report it with the output of `crossweir diagnose`.",
+                )
+            },
         }
     }
 }
@@ -228,7 +231,7 @@
 ) -> Description {
     Description {
         not_run: false,
-        again: status != 500,
+        again: true,
         ..never(code, status, meaning, remedy)
     }
 }
