A step that waits for room asks first where it may run

Cause: a question named only workers that had room at that moment, one or two of 13, every 750 ms. Ruled out: lack of lanes (nine, 202 s of answers in 34 s of nine lanes); room itself (the accelerators were free at times, for other steps). Change: the first question names workers by what they could ever hold, as long as the answer takes no more than half again its fixed part; known good ones are asked about again shortly before room should come free there, foreseen from the progress of what runs (cell::forecast).

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -20,6 +20,17 @@
     pub long: bool,
 }
 
+/// A worker that a question may name.
+struct Candidate {
+    worker: WorkerKey,
+    /// It is known to be good for the step.
+    good: bool,
+    /// How many tasks of the step have room there now.
+    fit: u32,
+    /// When the first of them should have room.
+    free_at: Millis,
+}
+
 impl Cell {
     /// Tells which lanes there are; lanes keep their places.
     pub fn set_lanes(&mut self, up: &[bool]) {
@@ -83,44 +94,83 @@
         }));
     }
 
-    /// Chooses the workers to name: those known to be good whose tickets are gone,
-    /// then unknown ones with the most room, until enough room is expected.
+    /// Chooses the workers to name: those known to be good whose tickets are gone, then
+    /// unknown ones, each time those with the most room first.
+    ///
+    /// What is good for a step never changes, so the first question also names workers
+    /// that have no room yet: a step that waits for room knows where to wait for it.
     fn worth_asking(&self, key: StepKey, needed: u32, now: Millis) -> Vec<WorkerKey> {
         let step = &self.steps[key];
         let job = &self.jobs[step.job];
-        let spec = step.step();
+        let Some(policy) = job.queue.advice else {
+            return Vec::new();
+        };
         let share = self.learned_share(&job.queue.name);
-        let each = job.queue.advice.map_or(0.0, |policy| policy.per_worker_ms);
-        let mut candidates: Vec<(bool, u32, WorkerKey)> = Vec::new();
-        for (worker_key, worker) in &self.workers {
-            if !self.takes_work(worker_key, now) || !worker.allows(spec, &job.queue.service) {
-                continue;
-            }
-            if step.advice.bad.contains(&worker_key) || self.valid_ticket(key, worker_key, now) {
-                continue;
-            }
-            let here = self.tasks_here(key, worker_key);
-            let fit = worker.fit(spec, here).min(needed);
-            if fit > 0 {
-                let good = step.advice.tickets.iter().any(|t| t.worker == worker_key);
-                candidates.push((good, fit, worker_key));
-            }
-        }
-        candidates.sort_unstable_by_key(|&(good, fit, worker)| (!good, u32::MAX - fit, worker));
+        let answer_by = now + policy.duration(tuning::ADVICE_MOST) + tuning::ADVICE_AHEAD;
+        let mut candidates = self.advice_candidates(key, needed, now);
+        candidates.retain(|candidate| !candidate.good || candidate.free_at <= answer_by);
+        candidates.sort_unstable_by_key(|candidate| {
+            let less_room = u32::MAX - candidate.fit;
+            (
+                !candidate.good,
+                less_room,
+                candidate.free_at,
+                candidate.worker,
+            )
+        });
         let wanted = f64::from(needed) * tuning::ADVICE_SURPLUS;
         let mut expected = 0.0;
         let mut chosen = Vec::new();
-        for (good, fit, worker) in candidates {
-            let cheap = each * (chosen.len() as f64) < tuning::CHEAP_ADVICE_MS;
+        for candidate in candidates {
+            let cost = policy.per_worker_ms * chosen.len() as f64;
+            let cheap = cost <= policy.base_ms * tuning::ADVICE_EXTRA;
             if (expected >= wanted && !cheap) || chosen.len() >= tuning::ADVICE_MOST {
                 break;
             }
-            expected += f64::from(fit) * if good { 1.0 } else { share };
-            chosen.push(worker);
+            expected += f64::from(candidate.fit) * if candidate.good { 1.0 } else { share };
+            chosen.push(candidate.worker);
         }
         chosen
     }
 
+    /// The workers that might run the step, now or later, and for which it has no ticket.
+    fn advice_candidates(&self, key: StepKey, needed: u32, now: Millis) -> Vec<Candidate> {
+        let step = &self.steps[key];
+        let service = &self.jobs[step.job].queue.service;
+        let spec = step.step();
+        let mut candidates = Vec::new();
+        for (worker_key, worker) in &self.workers {
+            if !self.will_take_work(worker_key, now) || !worker.allows(spec, service) {
+                continue;
+            }
+            let known_bad = step.advice.bad.contains(&worker_key);
+            if known_bad || self.valid_ticket(key, worker_key, now) {
+                continue;
+            }
+            if !spec.room().fits(&worker.entry.capacity) {
+                continue;
+            }
+            let fit = match self.takes_work(worker_key, now) {
+                true => worker
+                    .fit(spec, self.tasks_here(key, worker_key))
+                    .min(needed),
+                false => 0,
+            };
+            let free_at = match fit {
+                0 => self.forecast(worker_key, now).room_for(&spec.room()),
+                _ => now,
+            };
+            let good = step.advice.tickets.iter().any(|t| t.worker == worker_key);
+            candidates.push(Candidate {
+                worker: worker_key,
+                good,
+                fit,
+                free_at,
+            });
+        }
+        candidates
+    }
+
     fn learned_share(&self, queue: &str) -> f64 {
         self.good_share
             .get(queue)
--- /dev/null
+++ b/src/cell/forecast.rs
@@ -0,0 +1,70 @@
+//! When room comes free on a worker, as far as the progress of its runs tells.
+
+use crate::cell::job::Run;
+use crate::cell::spec::Demand;
+use crate::cell::{Cell, RunKey, WorkerKey, tuning};
+use crate::clock::Millis;
+
+/// The room of one worker, now and as its runs are expected to end.
+#[derive(Debug, Clone)]
+pub(super) struct Forecast {
+    /// The room that is free now.
+    free: Demand,
+    /// What is given back and when, the soonest first; lasting runs are left out.
+    releases: Vec<(Millis, Demand)>,
+    /// Nothing starts there before.
+    not_before: Millis,
+}
+
+impl Forecast {
+    /// When there should be room for `wanted`; [`Millis::MAX`] if that cannot be foreseen.
+    pub(super) fn room_for(&self, wanted: &Demand) -> Millis {
+        let mut free = self.free;
+        if wanted.fits(&free) {
+            return self.not_before;
+        }
+        for (at, room) in &self.releases {
+            free.add(room);
+            if wanted.fits(&free) {
+                return self.not_before.max(*at);
+            }
+        }
+        Millis::MAX
+    }
+}
+
+impl Cell {
+    /// Foresees when room comes free on a worker.
+    pub(super) fn forecast(&self, key: WorkerKey, now: Millis) -> Forecast {
+        let worker = &self.workers[key];
+        let mut releases: Vec<(Millis, Demand)> = worker
+            .runs
+            .iter()
+            .filter_map(|&run| Some((self.expected_end(run, now)?, self.run_room(run))))
+            .collect();
+        releases.sort_unstable_by_key(|(at, _)| *at);
+        Forecast {
+            free: worker.free(),
+            releases,
+            not_before: now.max(worker.health.shunned_until),
+        }
+    }
+
+    /// When a run should have ended; none for one that lasts.
+    fn expected_end(&self, key: RunKey, now: Millis) -> Option<Millis> {
+        let run = &self.runs[key];
+        if run.stop.is_some() {
+            return Some(now + tuning::STOP_TIME);
+        }
+        let spec = self.steps[run.step].step();
+        if spec.lasting {
+            return None;
+        }
+        Some(now.saturating_add(run.remaining(spec.estimate)))
+    }
+
+    fn run_room(&self, key: RunKey) -> Demand {
+        let run: &Run = &self.runs[key];
+        self.steps[run.step].step().room()
+    }
+}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -4,6 +4,7 @@
 //! replay any order of events.  `docs/DESIGN.md` explains the rules it keeps.
 
 pub mod advice;
+mod forecast;
 pub mod intake;
 pub mod job;
 pub mod look;
--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -53,7 +53,7 @@
     }
 
     /// Estimates how long the run still takes at its present rate.
-    fn remaining(&self, estimate: Millis) -> Millis {
+    pub(super) fn remaining(&self, estimate: Millis) -> Millis {
         let left = f64::from(100_u32.saturating_sub(self.progress.last.0));
         match self.progress.rate() {
             Some(rate) if rate > 0.0 => (left / rate * 1_000.0) as Millis,
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -141,6 +141,14 @@
         })
     }
 
+    /// Tells whether tasks may be placed on a worker now or in a while.
+    pub(super) fn will_take_work(&self, key: WorkerKey, now: Millis) -> bool {
+        self.workers.get(key).is_some_and(|worker| {
+            let stays = worker.entry.leaving.is_none() && !worker.is_gone(now);
+            worker.listing == Listing::Usable && stays && !worker.is_silent()
+        })
+    }
+
     /// From here on the tasks of jobs that a former owner knew may start: it has no
     /// run left that we do not know of.
     pub(super) fn settle(&mut self, now: Millis) {
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -19,6 +19,9 @@
 pub const LOOK_WAIT: Millis = 600;
 /// How long after an unanswered or unconfirmed stop it is sent again.
 pub const STOP_RETRY: Millis = 300;
+/// How long a stop may take until its end is known: the platform's bounds lie between
+/// 200 and 900 ms, and most stops are quicker.
+pub const STOP_TIME: Millis = 300;
 /// A ticket is not used when less than this of its time remains: a start takes
 /// a few milliseconds, an owner's stall some tens.
 pub const TICKET_MARGIN: Millis = 150;
@@ -33,9 +36,12 @@
 /// How long after a question about a step the next one may follow, at most; twice the
 /// fixed part of an answer's time if that is less.
 pub const ADVICE_PAUSE: Millis = 250;
-/// More workers than needed are named as long as they cost less than this together, in
-/// milliseconds: a second question costs 20 ms and more.
-pub const CHEAP_ADVICE_MS: f64 = 4.0;
+/// More workers than needed are named as long as that lengthens the answer by no more
+/// than this share of its fixed part: a second question costs the fixed part again.
+pub const ADVICE_EXTRA: f64 = 0.5;
+/// A worker that should have room so soon after the answer is asked about as well: run
+/// times are guesses, and a ticket that comes late costs as much as one that runs out.
+pub const ADVICE_AHEAD: Millis = 300;
 /// Questions longer than this leave one lane to short ones.
 pub const LONG_ADVICE: Millis = 150;
 /// After so many failures in a row, from tasks of more than one job or not, a worker is shunned.
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,79 @@
+//! Where tasks go, and what waiting steps do until there is room.
+
+mod cell_core;
+
+use cell_core::{Bench, advised_queue, job, questions, queue, starts, step};
+use crossweir::cell::order::{AdviceOrder, EndKind, StartOrder};
+use crossweir::cell::spec::Step;
+use crossweir::queue::Queue;
+
+/// A step of one task that takes a whole worker.
+fn wide_step() -> Step {
+    step(1, 16_000)
+}
+
+/// Fills each worker with two tasks of half its processors.
+fn fill(bench: &mut Bench, q: &Queue, workers: u32) -> Vec<StartOrder> {
+    bench.accept(&job(1, q, vec![step(2 * workers, 8_000)]));
+    let started = bench.start_all();
+    assert_eq!(started.len() as u32, 2 * workers);
+    started
+}
+
+/// Answers a question: every worker that it names is good.
+fn all_good(bench: &mut Bench, order: &AdviceOrder) {
+    let good = order
+        .workers
+        .iter()
+        .map(|(_, id)| (id.clone(), format!("ticket of {id}")));
+    bench.cell.advised(order, Some(good.collect()), bench.now);
+}
+
+#[test]
+fn a_step_without_room_asks_at_once_about_all_workers_that_could_run_it() {
+    let plain = queue("plain", 0);
+    let advised = advised_queue("advised", 1);
+    let mut bench = Bench::new(4, &[plain.clone(), advised.clone()]);
+    fill(&mut bench, &plain, 4);
+    bench.accept(&job(2, &advised, vec![wide_step()]));
+
+    let asked = questions(&bench.decide());
+
+    assert_eq!(asked.len(), 1);
+    assert_eq!(asked[0].workers.len(), 4);
+}
+
+#[test]
+fn a_ticket_that_ran_out_is_renewed_before_the_room_comes_free() {
+    let plain = queue("plain", 0);
+    let advised = advised_queue("advised", 1);
+    let mut bench = Bench::new(1, &[plain.clone(), advised.clone()]);
+    bench.accept(&job(
+        1,
+        &plain,
+        vec![Step {
+            estimate: 20_000,
+            ..step(2, 8_000)
+        }],
+    ));
+    let running = bench.start_all();
+    bench.accept(&job(2, &advised, vec![wide_step()]));
+    let first = questions(&bench.decide());
+    all_good(&mut bench, &first[0]);
+    bench.pass(3_000);
+    bench.look_at_all();
+    assert!(
+        questions(&bench.decide()).is_empty(),
+        "the room is far from free"
+    );
+
+    bench.end(running[0].task, running[0].number, EndKind::Done);
+    bench.end(running[1].task, running[1].number, EndKind::Done);
+    bench.look_at_all();
+    let again = questions(&bench.decide());
+    all_good(&mut bench, &again[0]);
+    let started = starts(&bench.decide());
+
+    assert_eq!(started.len(), 1);
+    assert!(started[0].ticket.is_some());
+}
