Waiting steps reserve the room that comes free first; shorter tasks fill it meanwhile

Change: each round, a step that waits reserves room where it comes free first among the workers that it may use (all members of a gang at one time); tasks behind it must end by then or fit beside (cell::reservation). At most 32 steps reserve in a round. Tests fail with none.

--- a/src/cell/forecast.rs
+++ b/src/cell/forecast.rs
@@ -31,6 +31,15 @@
         }
         Millis::MAX
     }
+
+    /// The room that should be free at a time.
+    pub(super) fn free_at(&self, at: Millis) -> Demand {
+        let mut free = self.free;
+        for (_, room) in self.releases.iter().take_while(|(end, _)| *end <= at) {
+            free.add(room);
+        }
+        free
+    }
 }
 
 impl Cell {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -12,6 +12,7 @@
 pub mod order;
 pub mod progress;
 pub mod record;
+mod reservation;
 pub mod roster;
 pub mod run;
 pub mod schedule;
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -4,6 +4,7 @@
 
 use crate::cell::job::{Phase, Run, StepRun};
 use crate::cell::order::{Order, StartOrder};
+use crate::cell::reservation::Round;
 use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
@@ -30,18 +31,19 @@
             order.push((job.ordering.priority, place, key));
         }
         order.sort_unstable();
+        let mut round = Round::new(now);
         for (_, _, key) in order {
-            self.schedule_step(key, now);
+            self.schedule_step(key, &mut round);
         }
     }
 
-    fn schedule_step(&mut self, key: StepKey, now: Millis) {
+    fn schedule_step(&mut self, key: StepKey, round: &mut Round) {
         let waiting = self.waiting_tasks(key);
         if waiting.is_empty() {
             return;
         }
         if self.steps[key].step().gang {
-            self.schedule_gang(key, &waiting, now);
+            self.schedule_gang(key, &waiting, round);
             return;
         }
         let mut left = waiting.len() as u32;
@@ -50,14 +52,15 @@
                 return;
             }
             let avoid = self.steps[key].tasks[index as usize].avoid;
-            let Some(worker) = self.best_place(key, avoid, now) else {
+            let Some(worker) = self.best_place(key, avoid, round) else {
                 break;
             };
-            self.start(key, index, worker, None, now);
+            self.start(key, index, worker, None, round.now);
             left -= 1;
         }
         if left > 0 {
-            self.ask(key, left, now);
+            self.ask(key, left, round.now);
+            self.reserve(key, left, round);
         }
     }
 
@@ -102,20 +105,20 @@
     }
 
     /// The places where a task of the step could start now.
-    pub(super) fn places(&self, key: StepKey, now: Millis) -> Vec<Place> {
+    pub(super) fn places(&self, key: StepKey, round: &Round) -> Vec<Place> {
         let step = &self.steps[key];
         let queue = &self.jobs[step.job].queue;
         let spec = step.step();
         let mut places = Vec::new();
         if queue.advice.is_some() {
             for ticket in &step.advice.tickets {
-                if ticket.expires > now + tuning::TICKET_MARGIN {
-                    places.extend(self.place(key, step, ticket.worker, &queue.service, now));
+                if ticket.expires > round.now + tuning::TICKET_MARGIN {
+                    places.extend(self.place(key, step, ticket.worker, &queue.service, round));
                 }
             }
         } else {
             for worker in self.workers.keys() {
-                places.extend(self.place(key, step, worker, &queue.service, now));
+                places.extend(self.place(key, step, worker, &queue.service, round));
             }
         }
         places.sort_unstable_by_key(|place| (place.score, place.worker));
@@ -129,15 +132,16 @@
         step: &StepRun,
         worker_key: WorkerKey,
         service: &str,
-        now: Millis,
+        round: &Round,
     ) -> Option<Place> {
         let worker = self.workers.get(worker_key)?;
         let spec = step.step();
-        if !self.takes_work(worker_key, now) || !worker.allows(spec, service) {
+        if !self.takes_work(worker_key, round.now) || !worker.allows(spec, service) {
             return None;
         }
         let here = self.tasks_here(key, worker_key);
         let fit = worker.fit(spec, here);
+        let fit = self.unreserved(spec, worker_key, fit, round);
         (fit > 0).then(|| Place {
             worker: worker_key,
             fit,
@@ -171,8 +175,13 @@
             }
     }
 
-    fn best_place(&self, key: StepKey, avoid: Option<WorkerKey>, now: Millis) -> Option<WorkerKey> {
-        let places = self.places(key, now);
+    fn best_place(
+        &self,
+        key: StepKey,
+        avoid: Option<WorkerKey>,
+        round: &Round,
+    ) -> Option<WorkerKey> {
+        let places = self.places(key, round);
         places
             .iter()
             .find(|place| Some(place.worker) != avoid)
@@ -181,20 +190,21 @@
     }
 
     /// Starts all members of a gang, or none.
-    fn schedule_gang(&mut self, key: StepKey, waiting: &[u32], now: Millis) {
+    fn schedule_gang(&mut self, key: StepKey, waiting: &[u32], round: &mut Round) {
         let size = self.steps[key].tasks.len();
         if waiting.len() < size || !self.is_within_quota(key, size as u64) {
             return;
         }
-        let places = self.places(key, now);
+        let places = self.places(key, round);
         let Some(chosen) = self.gang_places(key, &places, size) else {
             let ticketed: u32 = places.iter().map(|place| place.fit).sum();
-            self.ask(key, (size as u32).saturating_sub(ticketed), now);
+            self.ask(key, (size as u32).saturating_sub(ticketed), round.now);
+            self.reserve(key, size as u32, round);
             return;
         };
         let number = self.next_number();
         for (index, worker) in chosen.into_iter().enumerate() {
-            self.start(key, index as u32, worker, Some(number), now);
+            self.start(key, index as u32, worker, Some(number), round.now);
         }
     }
 
--- a/src/cell/spec.rs
+++ b/src/cell/spec.rs
@@ -55,6 +55,20 @@
         self.millicores <= room.millicores && self.memory <= room.memory && self.gpus <= room.gpus
     }
 
+    /// How many times `wanted` fits into this; without bound if it wants nothing.
+    pub fn times(&self, wanted: &Demand) -> u32 {
+        let dimensions = [
+            (self.millicores, wanted.millicores),
+            (self.memory, wanted.memory),
+            (self.gpus, wanted.gpus),
+        ];
+        let times = dimensions
+            .iter()
+            .filter_map(|(have, want)| have.checked_div(*want));
+        let least = times.min().unwrap_or(u64::from(u32::MAX));
+        u32::try_from(least).unwrap_or(u32::MAX)
+    }
+
     /// Adds `other`.
     pub fn add(&mut self, other: &Demand) {
         self.millicores += other.millicores;
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -42,6 +42,9 @@
 /// A worker that should have room so soon after the answer is asked about as well: run
 /// times are guesses, and a ticket that comes late costs as much as one that runs out.
 pub const ADVICE_AHEAD: Millis = 300;
+/// The most steps that reserve room in one round of decisions, so that a round's work is
+/// bounded when hundreds wait; those behind them find little room anyway.
+pub const MOST_RESERVING: usize = 32;
 /// Questions longer than this leave one lane to short ones.
 pub const LONG_ADVICE: Millis = 150;
 /// After so many failures in a row, from tasks of more than one job or not, a worker is shunned.
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cell::job::{JobState, Task};
+use crate::cell::reservation::Round;
 use crate::cell::spec::JobId;
 use crate::cell::{Cell, JobKey, StepKey};
 use crate::clock::Millis;
@@ -122,7 +123,7 @@
         if !self.is_within_quota(key, 1) {
             return WaitReason::Quota;
         }
-        if !self.places(key, now).is_empty() {
+        if !self.places(key, &Round::new(now)).is_empty() {
             return WaitReason::Soon;
         }
         if job.queue.advice.is_some() && step.advice.tickets.is_empty() {
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -190,37 +190,29 @@
         if step.serves() && self.fillers > 0 {
             return 0;
         }
-        let free = self.free();
-        let room = step.room();
-        let mut fit = u64::from(u32::MAX);
-        for (wanted, there) in [
-            (room.millicores, free.millicores),
-            (room.memory, free.memory),
-            (room.gpus, free.gpus),
-        ] {
-            if let Some(times) = there.checked_div(wanted) {
-                fit = fit.min(times);
-            }
-        }
+        let mut fit = self.free().times(&step.room());
         if step.filler {
             fit = fit.min(self.filler_room(step));
         }
         if step.per_worker > 0 {
-            fit = fit.min(u64::from(step.per_worker.saturating_sub(here)));
+            fit = fit.min(step.per_worker.saturating_sub(here));
         }
         if self.health.on_trial {
-            fit = fit.min(u64::from(self.runs.is_empty()));
+            fit = fit.min(u32::from(self.runs.is_empty()));
         }
-        fit as u32
+        fit
     }
 
     /// How many more fillers would find processors that nobody else uses.
-    fn filler_room(&self, step: &Step) -> u64 {
-        let idle = self
-            .free()
-            .millicores
-            .saturating_sub(self.filler_millicores);
-        idle.checked_div(step.demand.millicores)
-            .unwrap_or(u64::from(u32::MAX))
+    fn filler_room(&self, step: &Step) -> u32 {
+        let others = Demand {
+            millicores: self.filler_millicores,
+            ..Demand::default()
+        };
+        let wanted = Demand {
+            millicores: step.demand.millicores,
+            ..Demand::default()
+        };
+        self.free().minus(&others).times(&wanted)
     }
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -77,3 +77,91 @@
     assert_eq!(started.len(), 1);
     assert!(started[0].ticket.is_some());
 }
+
+/// Two workers, each half full: one until 2 s from now and the other until 8 s.
+fn half_full(bench: &mut Bench, q: &Queue) {
+    for (id, estimate) in [(1, 2_000), (2, 8_000)] {
+        let half = Step {
+            estimate,
+            ..step(1, 9_000)
+        };
+        bench.accept(&job(id, q, vec![half]));
+        assert_eq!(bench.start_all().len(), 1);
+    }
+}
+
+fn small_step(estimate: u64) -> Step {
+    Step {
+        estimate,
+        ..step(1, 4_000)
+    }
+}
+
+#[test]
+fn room_that_comes_free_first_is_kept_for_a_wide_task() {
+    let (urgent, later) = (queue("urgent", 1), queue("later", 2));
+    let mut bench = Bench::new(2, &[urgent.clone(), later.clone()]);
+    half_full(&mut bench, &later);
+    let kept = bench.worker(0);
+    bench.accept(&job(3, &urgent, vec![wide_step()]));
+    bench.accept(&job(
+        4,
+        &later,
+        vec![Step {
+            tasks: 2,
+            ..small_step(5_000)
+        }],
+    ));
+
+    let started = bench.start_all();
+
+    assert_eq!(started.len(), 1, "the other worker has room for one of two");
+    assert_ne!(started[0].to.worker, kept);
+}
+
+#[test]
+fn a_task_that_ends_in_time_may_use_room_that_is_kept() {
+    let (urgent, later) = (queue("urgent", 1), queue("later", 2));
+    let mut bench = Bench::new(1, &[urgent.clone(), later.clone()]);
+    bench.accept(&job(
+        1,
+        &later,
+        vec![Step {
+            estimate: 5_000,
+            ..step(1, 8_000)
+        }],
+    ));
+    bench.start_all();
+    bench.accept(&job(2, &urgent, vec![wide_step()]));
+    bench.accept(&job(3, &later, vec![small_step(4_000)]));
+    bench.accept(&job(4, &later, vec![small_step(6_000)]));
+
+    let started = bench.start_all();
+
+    let jobs: Vec<u64> = started.iter().map(|s| s.task.step.job.0).collect();
+    assert_eq!(jobs, [3]);
+}
+
+#[test]
+fn a_gang_keeps_room_only_until_its_last_member_has_some() {
+    let (urgent, later) = (queue("urgent", 1), queue("later", 2));
+    let mut bench = Bench::new(2, &[urgent.clone(), later.clone()]);
+    half_full(&mut bench, &later);
+    let gang = Step {
+        gang: true,
+        ..step(2, 16_000)
+    };
+    bench.accept(&job(3, &urgent, vec![gang]));
+    bench.accept(&job(
+        4,
+        &later,
+        vec![Step {
+            tasks: 2,
+            ..small_step(7_000)
+        }],
+    ));
+
+    let started = bench.start_all();
+
+    assert_eq!(started.len(), 2, "both end before the gang can start");
+}
