A slow store gets few transactions, each node's in partitions of its own

Change: (1) a store that has answered nothing for 100 ms while transactions wait counts as slow, not only after its first late answer; (2) while it is slow a node keeps to partitions by its rank among the nodes, two transactions at most, second tries late, refused ones after 250 ms; (3) 24 partitions, so that nine nodes with two each hardly share any.

--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -34,13 +34,16 @@
 /// The pause between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// How many transactions may be on their way at once, each in another partition.
-const LANES: u32 = 4;
-/// How many of the lanes a transaction takes while the store is slow: two are on their way
-/// then, and a job waits for half of one instead of a whole one.  With one, more jobs found
-/// no answer in time (docs/FINDINGS.md tells of the day).
-const SLOW_LANES: u32 = 2;
-/// Beyond this patience the store is slow: an answer takes ten times the usual.
-const SLOW_PATIENCE: Duration = Duration::from_millis(400);
+const LANES: usize = 4;
+/// How many at most while the store is slow: two are on their way then, and a job waits
+/// for half of one instead of a whole one.  With one, more jobs found no answer in time
+/// (docs/FINDINGS.md tells of the day).
+const SLOW_LANES: usize = 2;
+/// While the store is slow, another try goes beside an unanswered one only after so many
+/// times the usual patience: it takes the place of other jobs' first tries.
+const SLOW_PATIENCE: u32 = 2;
+/// The pause after a slow store has refused a transaction: half of what one takes.
+const SLOW_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// What became of a job that a caller handed in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,25 +97,66 @@
     }
 }
 
+/// Where the tries of one batch go.
+///
+/// A partition takes its transactions one after the other.  While all is well nodes begin
+/// at different places and go round, so that the partitions share the work.  A slow store
+/// takes two a second in each: then every node keeps to partitions of its own, as far as
+/// there are enough, and sends few large transactions.  Otherwise nodes queue behind one
+/// another until the store refuses most of what it is sent.
+#[derive(Debug, Clone, Copy)]
+struct Plan {
+    first: usize,
+    step: usize,
+    slow: bool,
+}
+
+impl Plan {
+    fn new(shared: &Shared, batch: usize) -> Self {
+        let slow = shared.store_is_slow();
+        let (rank, nodes) = shared.rank();
+        if slow {
+            return Self {
+                first: rank + nodes * (batch % slow_lanes(nodes)),
+                step: nodes,
+                slow,
+            };
+        }
+        Self {
+            first: xxh3_64(shared.name.as_bytes()) as usize % JOB_PARTITIONS + batch,
+            step: 1,
+            slow,
+        }
+    }
+
+    fn partition(&self, number: usize) -> String {
+        job_partition(self.first + self.step * number)
+    }
+}
+
+/// How many transactions a node may have on their way to a slow store.
+fn slow_lanes(nodes: usize) -> usize {
+    (JOB_PARTITIONS / nodes).clamp(1, SLOW_LANES)
+}
+
 async fn run(shared: Arc<Shared>, mut rx: mpsc::Receiver<Waiting>) {
-    let home = xxh3_64(shared.name.as_bytes()) as usize;
-    let lanes = Arc::new(tokio::sync::Semaphore::new(LANES as usize));
+    let lanes = Arc::new(tokio::sync::Semaphore::new(LANES));
     let mut batches = 0;
     while let Some(first) = rx.recv().await {
-        // A slow store gets few large transactions instead of many small ones.
-        let slow = shared.store_patience() > SLOW_PATIENCE;
-        let share = if slow { SLOW_LANES } else { 1 };
+        let share = match shared.store_is_slow() {
+            true => LANES / slow_lanes(shared.rank().1),
+            false => 1,
+        };
         // The semaphore is never closed.
-        let Ok(lane) = Arc::clone(&lanes).acquire_many_owned(share).await else {
+        let Ok(lane) = Arc::clone(&lanes).acquire_many_owned(share as u32).await else {
             return;
         };
         let batch = gather(first, &mut rx);
-        // Nodes begin at different places and all go round, so partitions share the work.
-        let partition = home + batches;
+        let plan = Plan::new(&shared, batches);
         batches += 1;
         let shared = Arc::clone(&shared);
         tokio::spawn(async move {
-            let outcome = write_batch(&shared, &batch, partition).await;
+            let outcome = write_batch(&shared, &batch, plan).await;
             if outcome != Submitted::Accepted {
                 tracing::info!(
                     jobs = batch.len(),
@@ -145,9 +189,9 @@
 }
 
 /// Writes a batch, and while the store leaves it open, again into other partitions.
-async fn write_batch(shared: &Arc<Shared>, batch: &[Waiting], home: usize) -> Submitted {
+async fn write_batch(shared: &Arc<Shared>, batch: &[Waiting], plan: Plan) -> Submitted {
     let until = Instant::now() + SETTLE_FOR;
-    let mut writing = Writing::new(shared, batch, home);
+    let mut writing = Writing::new(shared, batch, plan);
     while Instant::now() < until {
         writing.begin_try();
         match writing.next(until).await {
@@ -158,7 +202,7 @@
         if writing.is_hopeless() {
             break;
         }
-        tokio::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(writing.retry_pause()).await;
     }
     writing.outcome()
 }
@@ -170,7 +214,7 @@
 struct Writing<'a> {
     shared: &'a Arc<Shared>,
     batch: &'a [Waiting],
-    home: usize,
+    plan: Plan,
     tries: FuturesUnordered<BoxFuture<'a, Written>>,
     begun: usize,
     /// A try that has ended may have taken effect.
@@ -178,11 +222,11 @@
 }
 
 impl<'a> Writing<'a> {
-    fn new(shared: &'a Arc<Shared>, batch: &'a [Waiting], home: usize) -> Self {
+    fn new(shared: &'a Arc<Shared>, batch: &'a [Waiting], plan: Plan) -> Self {
         Self {
             shared,
             batch,
-            home,
+            plan,
             tries: FuturesUnordered::new(),
             begun: 0,
             doubt: false,
@@ -194,7 +238,7 @@
         if self.tries.len() >= MOST_TRIES {
             return;
         }
-        let partition = job_partition(self.home + self.begun);
+        let partition = self.plan.partition(self.begun);
         let call = StoreCall::Commit(transaction(self.batch, &partition));
         let attempt = write_once(self.shared, call, self.begun);
         self.tries.push(attempt.boxed());
@@ -218,10 +262,19 @@
         if self.tries.len() >= MOST_TRIES {
             return until;
         }
-        let patience = self.shared.store_patience() * self.tries.len() as u32;
+        let times = if self.plan.slow { SLOW_PATIENCE } else { 1 };
+        let patience = self.shared.store_patience() * self.tries.len() as u32 * times;
         until.min(Instant::now() + patience)
     }
 
+    fn retry_pause(&self) -> Duration {
+        if self.plan.slow {
+            SLOW_RETRY_PAUSE
+        } else {
+            RETRY_PAUSE
+        }
+    }
+
     /// The jobs may have been written, or may be yet.
     fn is_open(&self) -> bool {
         self.doubt || !self.tries.is_empty()
--- a/src/node/patience.rs
+++ b/src/node/patience.rs
@@ -15,15 +15,29 @@
 /// After an answer the limit falls to no less than this part, in hundredths.
 const FALL: Millis = 80;
 
-/// The limit, as it stands.
+/// Beyond this limit the store is slow: an answer takes ten times the usual.
+const SLOW: Millis = 400;
+/// A store that has answered nothing for so long, while transactions are on their way,
+/// counts as slow before the first late answer tells: eight times the usual.
+const SILENT: Millis = 100;
+
+/// The limit, as it stands, and what is on its way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Patience {
     limit: Millis,
+    /// Transactions that wait for an answer.
+    on_their_way: usize,
+    /// Since when they wait without any of them being answered.
+    silent_since: Millis,
 }
 
 impl Default for Patience {
     fn default() -> Self {
-        Self { limit: 2 * LEAST }
+        Self {
+            limit: 2 * LEAST,
+            on_their_way: 0,
+            silent_since: 0,
+        }
     }
 }
 
@@ -33,8 +47,28 @@
         self.limit
     }
 
+    /// Tells whether the store is slow, or may have turned so just now.
+    pub fn is_slow(&self, now: Millis) -> bool {
+        let silent = self.on_their_way > 0 && now.saturating_sub(self.silent_since) > SILENT;
+        silent || self.limit > SLOW
+    }
+
+    /// A transaction is sent.
+    pub fn sent(&mut self, now: Millis) {
+        if self.on_their_way == 0 {
+            self.silent_since = now;
+        }
+        self.on_their_way += 1;
+    }
+
+    /// A transaction is over, with an answer or without.
+    pub fn over(&mut self) {
+        self.on_their_way -= 1;
+    }
+
     /// An answer came after `took`.
-    pub fn answered(&mut self, took: Millis) {
+    pub fn answered(&mut self, took: Millis, now: Millis) {
+        self.silent_since = now;
         let wanted = (SPREAD * took).clamp(LEAST, MOST);
         self.limit = wanted.max(self.limit * FALL / 100);
     }
--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -147,6 +147,7 @@
         pace: Pace,
     ) -> Result<StoreReply, StoreError> {
         let began = shared.now();
+        let _on_its_way = OnItsWay::new(&self.patience, began);
         let sent = async {
             // What hangs since the store was away gets no answer any more.
             tokio::select! {
@@ -158,10 +159,11 @@
             Pace::Hurried => tokio::time::timeout(self.patience(), sent).await,
             Pace::Unhurried => Ok(sent.await),
         };
-        let took = shared.now().saturating_sub(began);
+        let now = shared.now();
         match reply {
             Ok(Ok(reply)) => {
-                self.lock_patience().answered(took);
+                self.lock_patience()
+                    .answered(now.saturating_sub(began), now);
                 Ok(reply)
             }
             Ok(Err(err)) => Err(err),
@@ -177,8 +179,13 @@
         Duration::from_millis(self.lock_patience().limit())
     }
 
+    /// Tells whether the store is slow, or may have turned so just now.
+    pub fn is_slow(&self, now: Millis) -> bool {
+        self.lock_patience().is_slow(now)
+    }
+
     fn lock_patience(&self) -> MutexGuard<'_, Patience> {
-        self.patience.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.patience)
     }
 
     /// Makes a call by any way.
@@ -227,6 +234,26 @@
     }
 }
 
+fn lock(patience: &Mutex<Patience>) -> MutexGuard<'_, Patience> {
+    patience.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a transaction as on its way, also when whoever waits for it gives up.
+struct OnItsWay<'a>(&'a Mutex<Patience>);
+
+impl<'a> OnItsWay<'a> {
+    fn new(patience: &'a Mutex<Patience>, now: Millis) -> Self {
+        lock(patience).sent(now);
+        Self(patience)
+    }
+}
+
+impl Drop for OnItsWay<'_> {
+    fn drop(&mut self) {
+        lock(self.0).over();
+    }
+}
+
 fn store_error_code(err: &StoreError) -> &'static str {
     match err {
         StoreError::Unavailable => "store_unavailable",
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -20,7 +20,7 @@
 
 /// Accepted jobs lie in so many partitions, which every node writes in turn: some of a
 /// store's partitions may be down while others work, and a slow one takes few writes.
-pub const JOB_PARTITIONS: usize = 8;
+pub const JOB_PARTITIONS: usize = 24;
 
 /// The name of a partition of jobs.
 pub fn job_partition(number: usize) -> String {
@@ -239,6 +239,18 @@
         self.store.patience()
     }
 
+    /// Tells whether the store is slow, or may have turned so just now.
+    pub fn store_is_slow(&self) -> bool {
+        self.store.is_slow(self.now())
+    }
+
+    /// Our place among all nodes that we know, by name, and how many there are.
+    pub fn rank(&self) -> (usize, usize) {
+        let members = self.members();
+        let before = members.iter().filter(|(name, _)| **name < self.name);
+        (before.count(), members.iter().count() + 1)
+    }
+
     /// Makes a call to the store by the direct way only, as for a peer.
     ///
     /// # Errors
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -3,6 +3,7 @@
 mod cell_core;
 mod virtual_node;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -11,10 +12,11 @@
 use crossweir::cell::spec::{JobId, JobSpec};
 use crossweir::node::front::{Front, Told};
 use crossweir::node::intake::Submitted;
+use crossweir::node::shared::{JOB_PARTITIONS, job_partition};
 use crossweir::rpc::node::Beat;
-use crossweir::store::{StoreCall, StoreError, Transaction};
+use crossweir::store::{Store, StoreCall, StoreError, StoreReply, Table, Transaction};
 use tokio::time::Instant;
-use virtual_node::{Relay, virtual_node};
+use virtual_node::{Relay, VirtualNode, virtual_node};
 
 /// What the caller has left, in milliseconds.
 const LEFT: u64 = 900;
@@ -77,6 +79,55 @@
     assert_eq!(outcome, Submitted::Accepted);
 }
 
+/// In which partitions rows of jobs lie, with how many.
+async fn rows_by_partition(node: &VirtualNode) -> BTreeMap<String, usize> {
+    let mut found = BTreeMap::new();
+    for partition in (0..JOB_PARTITIONS).map(job_partition) {
+        let call = StoreCall::List {
+            table: Table::Jobs,
+            partition: partition.clone(),
+            from: String::new(),
+            until: String::new(),
+            limit: 500,
+        };
+        match node.store.call(call).await {
+            Ok(StoreReply::Rows { rows, .. }) if rows.is_empty() => {}
+            Ok(StoreReply::Rows { rows, .. }) => drop(found.insert(partition, rows.len())),
+            other => panic!("not listed: {other:?}"),
+        }
+    }
+    found
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_store_gets_jobs_in_partitions_that_no_other_node_uses() {
+    // Arrange: the first by name of four nodes, and a store that takes 600 ms.
+    let node = virtual_node(&[]);
+    for name in ["n1", "n2", "n3"] {
+        node.shared.hear(&Beat {
+            name: name.to_owned(),
+            address: String::from("127.0.0.1:1"),
+            ..Beat::default()
+        });
+    }
+    node.guarded.delay.store(600, Ordering::Relaxed);
+    let front = Arc::new(Front::new(Arc::clone(&node.shared)));
+
+    // Act: jobs come every 50 ms; those of the first 100 ms cannot know how slow it is.
+    for id in 0..40 {
+        let front = Arc::clone(&front);
+        tokio::spawn(async move { front.submit(&queue("q", 0), JobId(id), spec(), None).await });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    // Assert.
+    let found = rows_by_partition(&node).await;
+    let ours = ["j0", "j4"].iter().filter_map(|name| found.get(*name));
+    let others = found.values().sum::<usize>() - ours.sum::<usize>();
+    assert!(others <= 4, "{found:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_job_goes_by_another_node_when_the_store_is_silent_to_this_one() {
     // Arrange.
