The roster lies in sixteen bounded rows, and only changed ones are written

Cause: with 350 workers the roster was one row of some 100 KB; the store takes 64 KB, so nothing was recorded any more, and each try encoded and sent it all again. Change: sixteen rows by a hash of the worker's id (20 KB at 1,100 workers); those that differ from what was last written go with the next transaction; a row that is too long names no jobs. A rejected transaction is split until the job at fault is alone; that job fails, others are recorded.

--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -140,6 +140,18 @@
         }
     }
 
+    /// The store will never take the batch: its jobs fail, which takes a short row, so that
+    /// they do not hold up the record of all others.
+    pub fn cannot_be_recorded(&mut self, batch: Batch) {
+        for (key, id, progress) in batch.rows {
+            tracing::error!(request = %id, tasks = progress.tasks.len(), "job fails: its progress cannot be recorded");
+            if self.jobs.contains_key(key) {
+                self.jobs[key].dirty = true;
+                self.end_job(key, JobState::Failed);
+            }
+        }
+    }
+
     /// Stops what is left of a job that has ended.
     fn close_job(&mut self, key: JobKey, now: Millis) {
         let steps: Vec<_> = self.jobs[key].times.values().flatten().copied().collect();
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -68,7 +68,7 @@
 }
 
 impl Cell {
-    /// The version of the roster, and its entries.  A successor must hear from each
+    /// The version of the roster, and its entries by id.  A successor must hear from each
     /// worker, or wait its lease out.
     pub fn roster(&self) -> (u64, Vec<RosterEntry>) {
         let entries = self
@@ -79,7 +79,9 @@
                 worker: worker.entry.clone(),
                 jobs: self.named_jobs(worker),
             });
-        (self.roster, entries.collect())
+        let mut entries: Vec<RosterEntry> = entries.collect();
+        entries.sort_unstable_by(|a, b| a.worker.id.cmp(&b.worker.id));
+        (self.roster, entries)
     }
 
     fn named_jobs(&self, worker: &Worker) -> Option<Vec<JobId>> {
--- a/src/embedded/store.rs
+++ b/src/embedded/store.rs
@@ -13,6 +13,13 @@
     Row, RowKey, Store, StoreCall, StoreError, StoreReply, Table, Transaction, Version,
 };
 
+/// The longest row, in bytes, as the users' platform has it.
+pub const MOST_ROW_BYTES: usize = 65_536;
+/// The most rows that a transaction may name, as the users' platform has it.
+pub const MOST_ENTRIES: usize = 100;
+/// What a store answers to a transaction beyond its limits.
+const TOO_LARGE: StoreError = StoreError::Rejected(413);
+
 /// Where a row lies: table, partition, key.
 type Place = (Table, String, String);
 
@@ -64,8 +71,9 @@
         StoreReply::Committed(version)
     }
 
-    async fn answer(&self, call: StoreCall) -> StoreReply {
-        match call {
+    async fn answer(&self, call: StoreCall) -> Result<StoreReply, StoreError> {
+        Ok(match call {
+            StoreCall::Commit(tx) if is_too_large(&tx) => return Err(TOO_LARGE),
             StoreCall::Commit(tx) => self.commit(&tx),
             StoreCall::List {
                 table,
@@ -75,7 +83,7 @@
                 limit,
             } => self.lock().list(table, &partition, &from, &until, limit),
             StoreCall::Changes { table, after, wait } => self.changes(table, after, wait).await,
-        }
+        })
     }
 
     async fn changes(&self, table: Table, after: Version, wait: Millis) -> StoreReply {
@@ -103,10 +111,16 @@
 
 impl Store for MemoryStore {
     fn call(&self, call: StoreCall) -> BoxFuture<'_, Result<StoreReply, StoreError>> {
-        self.answer(call).map(Ok).boxed()
+        self.answer(call).boxed()
     }
 }
 
+fn is_too_large(tx: &Transaction) -> bool {
+    let entries = tx.expected.len() + tx.puts.len() + tx.drops.len();
+    let longest = tx.puts.iter().map(|(_, value)| value.len()).max();
+    entries > MOST_ENTRIES || longest.is_some_and(|bytes| bytes > MOST_ROW_BYTES)
+}
+
 impl Contents {
     fn find(&self, key: &RowKey) -> Option<&Row> {
         let place = (key.table, key.partition.clone(), key.key.clone());
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -4,7 +4,7 @@
 //! handful of loops, and retires when a higher epoch is heard of.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -19,6 +19,8 @@
 use crate::cell::{Cell, Waited, WorkerKey, tuning};
 use crate::clock::{self, Millis};
 use crate::node::loading;
+use crate::node::recording::MOST_JOBS;
+use crate::node::roster_rows::RosterRows;
 use crate::node::shared::Shared;
 use crate::rpc::node::NodeReply;
 use crate::store::Version;
@@ -45,6 +47,9 @@
     pub(super) recorded: Notify,
     /// The version of the row of ownership as we last wrote it, and the batch in it.
     pub(super) row: tokio::sync::Mutex<(Version, u64)>,
+    roster_rows: Mutex<RosterRows>,
+    /// The most jobs in a transaction; fewer after one that the store has rejected.
+    pub(super) most_jobs: AtomicUsize,
     /// The version of the roster that is recorded.
     pub(super) roster_recorded: AtomicU64,
     retired: AtomicBool,
@@ -77,6 +82,8 @@
             record: Notify::new(),
             recorded: Notify::new(),
             row: tokio::sync::Mutex::new((version, 0)),
+            roster_rows: Mutex::default(),
+            most_jobs: AtomicUsize::new(MOST_JOBS),
             roster_recorded: AtomicU64::new(0),
             retired: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
@@ -106,6 +113,12 @@
         self.cell.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn roster_rows(&self) -> MutexGuard<'_, RosterRows> {
+        self.roster_rows
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells whether this ownership is over.
     pub fn is_retired(&self) -> bool {
         self.retired.load(Ordering::Relaxed)
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -7,11 +7,10 @@
 
 use crate::cell::Cell;
 use crate::cell::record::{JobRow, Progress};
-use crate::cell::roster::RosterEntry;
 use crate::cell::spec::JobId;
 use crate::cell::worker::WorkerEntry;
 use crate::clock;
-use crate::node::recording::WORKERS_KEY;
+use crate::node::roster_rows;
 use crate::node::shared::{JOB_PARTITIONS, PARTITION, Shared, job_partition};
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
 
@@ -76,10 +75,9 @@
     epoch: u64,
     claimed: Version,
 ) -> Result<Loaded, StoreError> {
-    let former = StoreCall::row(Table::Cells, PARTITION, WORKERS_KEY);
     let (workers, former, progress, jobs) = tokio::join!(
         list(shared, Table::Workers, ""),
-        shared.store(former),
+        list(shared, Table::Cells, PARTITION),
         list(shared, Table::Progress, PARTITION),
         list_jobs(shared),
     );
@@ -88,7 +86,7 @@
     let config = shared.config().unwrap_or_default();
     let mut cell = Cell::new(epoch, config, now);
     cell.tell_wall_clock(clock::since_1970());
-    cell.list_former_workers(former_workers(&former), now);
+    cell.list_former_workers(roster_rows::read(&former.0), now);
     cell.list_workers(worker_entries(shared, &workers.0), now);
     let mut recorded: HashMap<String, Progress> = HashMap::new();
     for row in &progress.0 {
@@ -231,16 +229,3 @@
         }
     }
 }
-
-fn former_workers(reply: &StoreReply) -> Vec<RosterEntry> {
-    let StoreReply::Rows { rows, .. } = reply else {
-        return Vec::new();
-    };
-    let Some(row) = rows.first() else {
-        return Vec::new();
-    };
-    serde_json::from_str(&row.value).unwrap_or_else(|err| {
-        tracing::error!(%err, "the former owner's list of workers cannot be read");
-        Vec::new()
-    })
-}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,6 +21,7 @@
 pub mod policy;
 pub mod process;
 pub mod recording;
+pub mod roster_rows;
 pub mod route;
 pub mod setting_keys;
 pub mod settings;
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -12,21 +12,21 @@
 
 use crate::cell::record::Batch;
 use crate::node::engine::Engine;
+use crate::node::roster_rows::ChangedRows;
 use crate::node::shared::PARTITION;
 use crate::store::{self, Row, RowKey, StoreCall, StoreError, StoreReply, Table, Transaction};
 
 /// The key of the row of ownership.
 pub const OWNER_KEY: &str = "owner";
-/// The key of the row that lists the workers an owner uses.
-pub const WORKERS_KEY: &str = "workers";
 
 /// The least time between two transactions: callers hardly notice it, and each
 /// transaction has its price.
 const RECORD_PAUSE: Duration = Duration::from_millis(20);
 /// Without any change the loop looks at the core so often.
 const RECORD_TICK: Duration = Duration::from_millis(200);
-/// The most jobs in a transaction; the store takes 100 entries.
-const MOST_JOBS: usize = 90;
+/// The most jobs in a transaction; the store takes 100 entries, and the row of ownership
+/// and those of the roster go with them.
+pub(super) const MOST_JOBS: usize = 80;
 /// The pause after a failed transaction.
 const RETRY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -85,10 +85,11 @@
 
     /// Writes what has changed; `release` gives the cell up with it.
     pub(super) async fn record_once(&self, release: bool) {
-        let batch = self.cell().take_batch(MOST_JOBS);
-        let roster = self.cell().roster_version();
-        let list_workers = roster != self.roster_recorded.load(Ordering::Relaxed);
-        if batch.rows.is_empty() && !list_workers && !release {
+        let batch = self
+            .cell()
+            .take_batch(self.most_jobs.load(Ordering::Relaxed));
+        let (roster, workers) = self.changed_roster();
+        if batch.rows.is_empty() && workers.is_none() && !release {
             if !batch.ends.is_empty() {
                 self.finish(batch);
             }
@@ -96,7 +97,7 @@
         }
         let mut row = self.row.lock().await;
         let number = row.1 + 1;
-        let tx = self.transaction(&batch, number, list_workers, release);
+        let tx = self.transaction(&batch, number, workers.as_ref(), release);
         loop {
             if self.is_retired() {
                 return;
@@ -128,7 +129,7 @@
                         "the store rejects a transaction"
                     );
                     self.shared.metrics.violation("rejected_transaction");
-                    self.cell().not_recorded(batch);
+                    self.rejected(batch);
                     return;
                 }
                 Err(err) => {
@@ -139,11 +140,37 @@
             tokio::time::sleep(RETRY_PAUSE).await;
         }
         self.stalled.store(false, Ordering::Relaxed);
+        self.most_jobs.store(MOST_JOBS, Ordering::Relaxed);
+        if let Some(rows) = workers {
+            self.roster_rows().are_written(rows);
+        }
         self.roster_recorded.store(roster, Ordering::Relaxed);
         self.cell().roster_is_recorded(roster);
         self.finish(batch);
     }
 
+    /// The next transactions are smaller, until the job at fault is alone in one.
+    fn rejected(&self, batch: Batch) {
+        match batch.rows.len() {
+            0 => {}
+            1 => self.cell().cannot_be_recorded(batch),
+            jobs => {
+                self.most_jobs.store(jobs / 2, Ordering::Relaxed);
+                self.cell().not_recorded(batch);
+            }
+        }
+    }
+
+    /// The version of the roster, and its rows that are to be written, if it has changed.
+    fn changed_roster(&self) -> (u64, Option<ChangedRows>) {
+        let version = self.cell().roster_version();
+        if version == self.roster_recorded.load(Ordering::Relaxed) {
+            return (version, None);
+        }
+        let (version, entries) = self.cell().roster();
+        (version, Some(self.roster_rows().changed(&entries)))
+    }
+
     fn finish(&self, batch: Batch) {
         let now = self.shared.now();
         self.cell().recorded(batch, now);
@@ -155,7 +182,7 @@
         &self,
         batch: &Batch,
         number: u64,
-        list_workers: bool,
+        workers: Option<&ChangedRows>,
         release: bool,
     ) -> Transaction {
         let mut tx = Transaction::default();
@@ -168,10 +195,8 @@
             released: release,
         };
         tx.puts.push((OwnerRow::key(), owner.write()));
-        if list_workers {
-            let (_, entries) = self.cell().roster();
-            let key = RowKey::new(Table::Cells, PARTITION, WORKERS_KEY);
-            tx.puts.push((key, store::encode(&entries)));
+        if let Some(rows) = workers {
+            tx.puts.extend(rows.puts());
         }
         for (_, id, progress) in &batch.rows {
             let id = id.to_string();
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -724,3 +724,22 @@
     assert_eq!(bench.cell.counts().adopted, 0);
     assert_eq!(bench.start_all().len(), 1);
 }
+
+#[test]
+fn a_job_whose_progress_cannot_be_recorded_fails_with_a_short_row() {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(2, 1_000)]));
+    let first = bench.start_all().remove(0);
+    bench.end(first.task, first.number, EndKind::Done);
+    bench.look_at_all();
+    let batch = bench.cell.take_batch(1);
+    assert_eq!(batch.rows[0].2.tasks.len(), 1);
+
+    bench.cell.cannot_be_recorded(batch);
+    let short = bench.record();
+
+    assert!(short.rows[0].2.tasks.is_empty());
+    assert_eq!(bench.state(1), Some(JobState::Failed));
+    assert_eq!(stops(&bench.decide()).len(), 1, "what still ran is stopped");
+}
