Strong nodes own the cell: weak and slowed ones claim it last and give it up

The owner of 350 workers takes 0.2 of a core on the average. Ruled out: that calls to 350 workers through one VM are too many as such (a VM of half a core carries them). Change: settings tell a node the processors of its VM; heartbeats tell strength, which is zero while the node's own turns come late (node::load); candidates are ranked by it, nodes with less than a quarter of a core claim up to 0.5 s later, and an owner gives the cell up when a node that can claim it is twice as strong. A heartbeat of the owner that does not own any more is believed.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -4,6 +4,7 @@
 //! compare what they heard; the first of those that reach the store claims the
 //! row of ownership at its version, so only one claim of several succeeds.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,19 @@
 const VOUCH: Millis = 300;
 /// A later candidate waits so long for each one before it: a claim takes 15 ms.
 const RANK_PAUSE: Duration = Duration::from_millis(60);
+/// What owning a cell of several hundred workers takes at its peak, in thousandths of a
+/// core: 350 workers take 200 on an ordinary day.
+const OWNER_MILLICORES: u32 = 250;
+/// A node with less claims the cell later, by at most this: all nodes of a site start
+/// within 300 ms, and those that start first do not know yet who else there is.
+const WEAK_PAUSE: Millis = 500;
+/// An owner gives the cell up to a node that has so many times its strength.
+const STRONGER: u32 = 2;
+/// It does so only if it has owned the cell for so long, since each change of owners stops
+/// decisions for some 150 ms.
+const LEAST_TERM: Millis = 3_000;
+/// How long giving the cell up to a stronger node may take: one transaction.
+const YIELD_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long the cell is kept while the store cannot be told that it is given up:
 /// nobody else can claim it meanwhile, and the process must end within 6 s.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(4_500);
@@ -140,7 +154,41 @@
     shared.members().forget_silent(now);
     if let Some(engine) = shared.engine() {
         engine.set_lanes();
+        if is_outdone(shared, &engine, now) {
+            yield_cell(shared, &engine).await;
+        }
+    }
+}
+
+/// Tells whether another node that could claim the cell is far stronger than we are.
+fn is_outdone(shared: &Shared, engine: &Engine, now: Millis) -> bool {
+    if now.saturating_sub(engine.since) < LEAST_TERM || !shared.reaches_store() {
+        return false;
+    }
+    let enough = STRONGER * shared.load.strength().max(1);
+    shared
+        .members()
+        .iter()
+        .filter(|(_, m)| m.reaches_store && !m.leaving)
+        .filter(|(_, m)| now.saturating_sub(m.heard) < VOUCH)
+        .any(|(_, m)| m.strength >= enough)
+}
+
+/// Gives the cell up to a stronger node, which claims it first.
+async fn yield_cell(shared: &Arc<Shared>, engine: &Engine) {
+    let released = tokio::time::timeout(YIELD_TIMEOUT, engine.record_once(true)).await;
+    if released.is_err() {
+        return;
     }
+    tracing::info!(
+        epoch = engine.epoch,
+        late_ms = shared.load.late(),
+        "cell is given up to a stronger node"
+    );
+    shared.metrics.event("cell_yielded");
+    engine.retire("another node is stronger");
+    shared.owner().forget();
+    tell_all(shared, BEAT_TIMEOUT).await;
 }
 
 /// The owner is silent: claims the cell if most say so and nobody goes before us.
@@ -159,18 +207,27 @@
         return;
     }
     let rank = rank_among(shared, &beats);
-    tokio::time::sleep(RANK_PAUSE * rank).await;
+    tokio::time::sleep(RANK_PAUSE * rank + weak_pause(shared.load.strength())).await;
     if shared.owner().silence(shared.now()) <= SUSPECT {
         return;
     }
     claim(shared, suspected).await;
 }
 
-/// How many candidates go before us: nodes of a lower name that reach the store.
+/// How much later than others a node of this strength claims the cell.
+fn weak_pause(strength: u32) -> Duration {
+    let missing = OWNER_MILLICORES.saturating_sub(strength);
+    Duration::from_millis(WEAK_PAUSE * u64::from(missing) / u64::from(OWNER_MILLICORES))
+}
+
+/// How many candidates go before us: stronger nodes that reach the store, and equal ones
+/// of a lower name.
 fn rank_among(shared: &Shared, beats: &[Beat]) -> u32 {
+    let ours = (Reverse(shared.load.strength()), shared.name.as_str());
     let before = beats
         .iter()
-        .filter(|beat| !beat.leaving && beat.reaches_store && beat.name < shared.name)
+        .filter(|beat| !beat.leaving && beat.reaches_store)
+        .filter(|beat| (Reverse(beat.strength), beat.name.as_str()) < ours)
         .count() as u32;
     before + u32::from(!shared.reaches_store())
 }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -38,6 +38,8 @@
 pub struct Engine {
     /// The epoch of this ownership.
     pub epoch: u64,
+    /// Since when it is held, by our clock.
+    pub since: Millis,
     /// The transaction that claimed it.
     pub(super) claimed: Version,
     pub(super) shared: Arc<Shared>,
@@ -75,6 +77,7 @@
         let loaded = loading::load(shared, epoch, version).await?;
         let engine = Arc::new(Self {
             epoch,
+            since: shared.now(),
             claimed: version,
             shared: Arc::clone(shared),
             cell: Mutex::new(loaded.cell),
--- /dev/null
+++ b/src/node/load.rs
@@ -0,0 +1,83 @@
+//! How much a node can do, and whether it is behind with what it does.
+//!
+//! Whoever owns the cell speaks to every worker.  On a VM too weak for that, or slowed down,
+//! everything it does comes late, so strength decides who claims the cell and who gives
+//! it up (`node::election`).
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crate::clock::Millis;
+use crate::node::shared::Shared;
+
+/// How often the node looks how late it is.
+const LOOK: Duration = Duration::from_millis(50);
+/// The weight of the newest look, in percent: a look that is late by a second, as after a
+/// frozen process wakes, is forgotten after some ten looks.
+const WEIGHT: Millis = 20;
+/// A node whose turns come so late on the average is behind: urgent jobs have 0.9 s to
+/// spare, and an order goes through a handful of turns.
+const BEHIND: Millis = 80;
+
+/// How much a node can do.
+#[derive(Debug)]
+pub struct Load {
+    /// Thousandths of a core that the VM gives.
+    millicores: u32,
+    /// How late turns come, on the average.
+    late: AtomicU64,
+}
+
+impl Load {
+    /// A node that is not behind, on a VM that gives `millicores`.
+    pub fn new(millicores: u32) -> Self {
+        Self {
+            millicores,
+            late: AtomicU64::new(0),
+        }
+    }
+
+    /// A turn came late by so much.
+    pub fn note(&self, late: Millis) {
+        let before = self.late.load(Ordering::Relaxed);
+        let after = (before * (100 - WEIGHT) + late * WEIGHT) / 100;
+        self.late.store(after, Ordering::Relaxed);
+    }
+
+    /// How late turns come, on the average.
+    pub fn late(&self) -> Millis {
+        self.late.load(Ordering::Relaxed)
+    }
+
+    /// Thousandths of a core that the node can spend on owning the cell; zero while it is
+    /// behind.
+    pub fn strength(&self) -> u32 {
+        if self.late() > BEHIND {
+            0
+        } else {
+            self.millicores
+        }
+    }
+}
+
+/// Watches how late the node's turns come, until the process ends.
+pub async fn watch(shared: Arc<Shared>) {
+    let mut behind = false;
+    loop {
+        let began = shared.now();
+        tokio::time::sleep(LOOK).await;
+        let took = shared.now().saturating_sub(began);
+        shared
+            .load
+            .note(took.saturating_sub(LOOK.as_millis() as Millis));
+        let now_behind = shared.load.strength() == 0;
+        if now_behind != behind {
+            behind = now_behind;
+            tracing::info!(behind, late_ms = shared.load.late(), "load of the node");
+            shared
+                .metrics
+                .event(if behind { "behind" } else { "caught_up" });
+        }
+    }
+}
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -29,6 +29,8 @@
     pub configuration: u64,
     /// The highest epoch that it knows.
     pub epoch: u64,
+    /// Thousandths of a core that it can spend on owning the cell.
+    pub strength: u32,
     /// How long it had not heard the owner when it was last heard.
     pub owner_silence: Millis,
 }
@@ -55,6 +57,7 @@
         member.leaving = beat.leaving;
         member.configuration = beat.configuration;
         member.epoch = beat.epoch;
+        member.strength = beat.strength;
         member.owner_silence = beat.owner_silence;
         if let Ok(address) = beat.address.parse() {
             member.address = address;
@@ -80,6 +83,7 @@
             leaving: false,
             configuration: 0,
             epoch: 0,
+            strength: 0,
             owner_silence: 0,
         };
         self.known.insert(name.to_owned(), member);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod intake;
 pub mod links;
+pub mod load;
 pub mod loading;
 pub mod members;
 pub mod orders;
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
+use crate::rpc::node::Beat;
 
 /// Who owns the cell, as far as this node knows.
 #[derive(Debug, Clone, Default)]
@@ -30,6 +31,16 @@
         elapsed(self.heard, now)
     }
 
+    /// Tells whether the owner says by this heartbeat that it does not own the cell any more.
+    pub fn gives_up(&self, beat: &Beat) -> bool {
+        let is_owner = self
+            .address
+            .is_some_and(|own| own.to_string() == beat.address);
+        // One that has claimed the cell and still loads it was not heard as its owner.
+        let retired = self.heard.is_some() && beat.epoch == self.epoch && !beat.owns;
+        is_owner && (beat.leaving || retired)
+    }
+
     /// There is nobody to wait for.
     pub fn forget(&mut self) {
         self.address = None;
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -14,8 +14,9 @@
 use crate::error::{Error, Result};
 use crate::metrics::Metrics;
 use crate::node::front::Front;
+use crate::node::load::{self, Load};
 use crate::node::settings::Settings;
-use crate::node::shared::{Links, Shared};
+use crate::node::shared::{Identity, Links, Shared};
 use crate::node::{configuration, election};
 use crate::rpc::node as rpc;
 
@@ -49,11 +50,14 @@
         let (link, driver) = rpc::link();
         let boot = StdRng::from_os_rng().random();
         let shared = Shared::new(
-            settings.name.clone(),
-            boot,
-            address,
+            Identity {
+                name: settings.name.clone(),
+                boot,
+                address,
+            },
             settings.seeds.clone(),
             Arc::new(SystemClock::new()),
+            Load::new(settings.millicores),
             Metrics::new()?,
             links(Arc::new(link)),
         );
@@ -69,6 +73,7 @@
         tokio::task::spawn_local(self.driver.run());
         tokio::task::spawn_local(rpc::serve(peers, self.front.clone()));
         tokio::spawn(Arc::clone(shared).probe_store());
+        tokio::spawn(load::watch(Arc::clone(shared)));
         tokio::spawn(election::register(Arc::clone(shared)));
         tokio::spawn(configuration::follow_store(Arc::clone(shared)));
         tokio::spawn(configuration::follow_members(Arc::clone(shared)));
--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -30,6 +30,12 @@
         "text",
         "The data hall that the VM stands in.",
     ),
+    optional(
+        "node",
+        "processors",
+        "number",
+        "Cores that the VM gives the node, also a fraction; 1 if not given.  The strongest nodes own the cell first.",
+    ),
     optional(
         "node",
         "log",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -15,6 +15,8 @@
     pub name: String,
     /// The hall that its VM stands in.
     pub hall: String,
+    /// The processors that the VM gives the node, in thousandths of a core.
+    pub millicores: u32,
     /// Which lines are logged, in the directives of `tracing`.
     pub log: String,
     /// Where callers are served in the platform's manner.
@@ -39,6 +41,10 @@
 
 /// The lines that are logged if the settings do not say.
 const DEFAULT_LOG: &str = "info";
+/// The processors of a VM of which the settings say nothing: a whole core.
+const DEFAULT_MILLICORES: u32 = 1_000;
+/// The most processors that a VM may be said to give, in cores.
+const MOST_CORES: f64 = 1_024.0;
 
 impl Settings {
     /// Reads and checks a file.
@@ -100,10 +106,12 @@
         let api = self.optional_address("listen", "api");
         let advice = self.optional_address("advice", "address");
         let seeds = self.addresses("peers", "seeds");
+        let millicores = self.millicores();
         self.check_distinct(&[callers, ready, peers, metrics, api]);
         Some(Settings {
             name: self.text("node", "name")?,
             hall: self.text("node", "hall")?,
+            millicores,
             log: self.text("node", "log").unwrap_or(DEFAULT_LOG.to_owned()),
             callers: callers?,
             ready: ready?,
@@ -171,6 +179,21 @@
             .map(str::to_owned)
     }
 
+    fn millicores(&mut self) -> u32 {
+        let (section, key) = ("node", "processors");
+        let Some(value) = self.text(section, key) else {
+            return DEFAULT_MILLICORES;
+        };
+        match value.parse::<f64>() {
+            Ok(cores) if cores > 0.0 && cores <= MOST_CORES => (cores * 1_000.0).ceil() as u32,
+            _ => {
+                let expected = "a number of cores above 0 and up to 1024";
+                self.fault(section, key, SettingsRule::WrongType { value, expected });
+                DEFAULT_MILLICORES
+            }
+        }
+    }
+
     fn address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
         let value = self.text(section, key)?;
         let address = value.parse().ok();
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -8,6 +8,7 @@
 use crate::node::early::EarlyEnds;
 use crate::node::engine::Engine;
 use crate::node::links::{Advisor, Decoder, Workers};
+use crate::node::load::Load;
 use crate::node::members::Members;
 use crate::node::owner::Owner;
 use crate::node::route::{Pace, RELAY_WINDOW, RoutedStore};
@@ -41,6 +42,16 @@
     pub peers: Arc<dyn NodeLink>,
 }
 
+/// Which node this is.
+pub struct Identity {
+    /// Its name, unique in the cell.
+    pub name: String,
+    /// Names this start of the process.
+    pub boot: u64,
+    /// Where it answers other nodes.
+    pub address: SocketAddr,
+}
+
 /// What all parts of a node share.
 pub struct Shared {
     /// The node's name.
@@ -53,6 +64,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The time.
     pub clock: Arc<dyn Clock>,
+    /// How much this node can do.
+    pub load: Load,
     /// Counters.
     pub metrics: Metrics,
     /// Workers.
@@ -75,20 +88,20 @@
 impl Shared {
     /// Puts a node's shared state together.
     pub fn new(
-        name: String,
-        boot: u64,
-        address: SocketAddr,
+        identity: Identity,
         seeds: Vec<SocketAddr>,
         clock: Arc<dyn Clock>,
+        load: Load,
         metrics: Metrics,
         links: Links,
     ) -> Arc<Self> {
         Arc::new(Self {
-            name,
-            boot,
-            address,
+            name: identity.name,
+            boot: identity.boot,
+            address: identity.address,
             seeds,
             clock,
+            load,
             metrics,
             workers: links.workers,
             advisor: links.advisor,
@@ -196,6 +209,7 @@
         self.metrics.gauge("owns_cell", owns);
         self.metrics
             .gauge("configuration", self.config_version() as i64);
+        self.metrics.gauge("late_ms", self.load.late() as i64);
         let text = self.metrics.render()?;
         Ok(String::from_utf8_lossy(&text).into_owned())
     }
@@ -305,6 +319,7 @@
                 owner.unheard(now)
             },
             members,
+            strength: self.load.strength(),
             pending,
             ends,
         }
@@ -331,11 +346,7 @@
             }
             owner.hear(beat.epoch, beat.address.parse().ok(), now);
             owner.pending.clone_from(&beat.pending);
-        } else if beat.leaving
-            && owner
-                .address
-                .is_some_and(|own| own.to_string() == beat.address)
-        {
+        } else if owner.gives_up(beat) {
             tracing::info!(
                 epoch = owner.epoch,
                 owner = beat.name,
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -65,6 +65,8 @@
   pending @10 :List(Pending);
   # Jobs that have ended and whose end could not be recorded yet.
   ends @11 :List(End);
+  # Thousandths of a core that the sender can spend on owning the cell.
+  strength @12 :UInt32;
 }
 
 struct End {
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -39,6 +39,8 @@
     pub members: Vec<(String, String)>,
     /// From the owner: jobs of which nothing has begun, by queue.
     pub pending: Vec<(String, u32)>,
+    /// Thousandths of a core that it can spend on owning the cell; zero while it is behind.
+    pub strength: u32,
     /// Jobs that have ended and whose end could not be recorded yet.
     pub ends: Vec<(JobId, JobState)>,
 }
@@ -197,6 +199,7 @@
     out.set_configuration(beat.configuration);
     out.set_reaches_store(beat.reaches_store);
     out.set_owner_silence(beat.owner_silence);
+    out.set_strength(beat.strength);
     let mut members = out.reborrow().init_members(beat.members.len() as u32);
     for (place, (name, address)) in beat.members.iter().enumerate() {
         let mut member = members.reborrow().get(place as u32);
@@ -243,6 +246,7 @@
         configuration: beat.get_configuration(),
         reaches_store: beat.get_reaches_store(),
         owner_silence: beat.get_owner_silence(),
+        strength: beat.get_strength(),
         members,
         pending,
         ends,
--- a/src/rpc/node_capnp.rs
+++ b/src/rpc/node_capnp.rs
@@ -1777,6 +1777,10 @@
         pub fn has_ends(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_strength(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1967,6 +1971,14 @@
         pub fn has_ends(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_strength(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_strength(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1978,7 +1990,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 211] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 227] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(3, 62, 160, 251, 87, 11, 78, 175),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
@@ -1988,97 +2000,104 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 167, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2190,6 +2209,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 114, 101, 110, 103, 116, 104),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2205,6 +2233,7 @@
                 9 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::pending::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::end::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2218,9 +2247,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,6,11,3,5,9,0,8,4,10,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,6,11,3,5,9,0,8,4,10,7,12];
         pub(crate) const TYPE_ID: u64 = 0xaf4e_0b57_fba0_3e03;
     }
 }
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -9,7 +9,7 @@
 use crossweir::node::recording::OwnerRow;
 use crossweir::rpc::node::Beat;
 use crossweir::store::{Store, StoreCall, StoreReply, Table};
-use virtual_node::{Relay, VirtualNode, claim, virtual_node};
+use virtual_node::{Relay, VirtualNode, claim, virtual_node, virtual_node_of};
 
 /// A heartbeat of a node that has just started and knows of epoch 5.
 fn started_beat() -> Beat {
@@ -65,3 +65,67 @@
     tokio::time::sleep(Duration::from_millis(120)).await;
     assert!(node.shared.beat().owner_silence <= 120);
 }
+
+/// Milliseconds until the node, alone with a store, owns the cell.
+async fn time_to_claim(node: &VirtualNode) -> u64 {
+    tokio::spawn(election::run(Arc::clone(&node.shared)));
+    let began = node.shared.now();
+    while node.shared.engine().is_none() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    node.shared.now() - began
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_weak_node_claims_the_cell_later_but_does() {
+    let (strong, weak) = (virtual_node_of(500, &[]), virtual_node_of(100, &[]));
+
+    let (strong, weak) = (time_to_claim(&strong).await, time_to_claim(&weak).await);
+
+    assert!(strong < 200, "{strong}");
+    assert!((strong + 250..strong + 600).contains(&weak), "{weak}");
+}
+
+/// The owner hears another node of this strength for some seconds.
+async fn owner_beside(strength: u32) -> VirtualNode {
+    let node = virtual_node_of(100, &[]);
+    time_to_claim(&node).await;
+    for _ in 0..50 {
+        node.shared.hear(&Beat {
+            strength,
+            epoch: 1,
+            ..started_beat()
+        });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    node
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_gives_the_cell_up_to_a_far_stronger_node() {
+    let node = owner_beside(500).await;
+    let row = owner_row(&node).await;
+    assert!(row.released || row.epoch > 1, "{row:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_keeps_the_cell_beside_a_node_that_is_little_stronger() {
+    let node = owner_beside(150).await;
+    let row = owner_row(&node).await;
+    assert_eq!((row.epoch, row.released), (1, false));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_others_need_not_wait_for_an_owner_that_has_given_the_cell_up() {
+    let node = virtual_node(&[Relay::Gone]);
+    let owning = Beat {
+        owns: true,
+        ..started_beat()
+    };
+    node.shared.hear(&owning);
+    node.shared.hear(&Beat {
+        owns: false,
+        ..owning
+    });
+    assert_eq!(node.shared.owner().address, None);
+}
--- /dev/null
+++ b/tests/load.rs
@@ -0,0 +1,25 @@
+//! How a node tells that it is behind.
+
+use crossweir::node::load::Load;
+
+#[test]
+fn a_node_that_is_late_again_and_again_is_behind_until_it_has_caught_up() {
+    let load = Load::new(500);
+    for _ in 0..10 {
+        load.note(300);
+    }
+    assert_eq!(load.strength(), 0);
+
+    for _ in 0..10 {
+        load.note(0);
+    }
+
+    assert_eq!(load.strength(), 500);
+}
+
+#[test]
+fn a_single_late_turn_does_not_make_a_node_weak() {
+    let load = Load::new(500);
+    load.note(300);
+    assert_eq!(load.strength(), 500);
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -29,6 +29,7 @@
     unknown_key = { "[advice]\ncolour = red", "test.ini: [advice] colour: no such key" },
     unknown_section = { "[lease]\nwindow_ms = 1", "test.ini: [lease] window_ms: no such key" },
     wrong_type = { "[advice]\naddress = here", "test.ini: [advice] address: `here` is not an IP number and port" },
+
     section_twice = { "[node]\nlog = info", "test.ini: [node] : the section stands there twice" },
     bad_seed = { "[peers]\nseeds = 127.0.0.1:9,there", "test.ini: [peers] seeds: `there` is not an IP number and port" },
 )]
@@ -48,3 +49,18 @@
     let found = faults("[node]\nname = n0\n[store]\naddress = x\n");
     assert_eq!(found.len(), 6, "{found:#?}");
 }
+
+#[parameterized(
+    none = { "", Some(1_000) },
+    part = { "processors = 0.12\n", Some(120) },
+    zero = { "processors = 0\n", None },
+    word = { "processors = many\n", None },
+)]
+fn processors_are_a_number_of_cores(line: &str, millicores: Option<u32>) {
+    let source = GOOD.replace("hall = north\n", &format!("hall = north\n{line}"));
+    let settings = Settings::parse(&source, "test.ini");
+    assert_eq!(
+        settings.ok().map(|settings| settings.millicores),
+        millicores
+    );
+}
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -12,8 +12,9 @@
 use crossweir::embedded::store::MemoryStore;
 use crossweir::metrics::Metrics;
 use crossweir::node::links::{DecodeError, Decoder, Workers};
+use crossweir::node::load::Load;
 use crossweir::node::recording::OwnerRow;
-use crossweir::node::shared::{Links, Shared};
+use crossweir::node::shared::{Identity, Links, Shared};
 use crossweir::queue::Configuration;
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply};
@@ -161,7 +162,13 @@
 
 /// Makes the node `n0`, whose boot is 7; other nodes answer at ports from 1.
 pub fn virtual_node(relays: &[Relay]) -> VirtualNode {
-    virtual_node_with(relays, |_| Arc::new(NoWorkers), Arc::new(NoDecoder))
+    virtual_node_of(1_000, relays)
+}
+
+/// Makes such a node on a VM that gives it `millicores`.
+pub fn virtual_node_of(millicores: u32, relays: &[Relay]) -> VirtualNode {
+    let load = Load::new(millicores);
+    build(load, relays, |_| Arc::new(NoWorkers), Arc::new(NoDecoder))
 }
 
 /// Makes such a node with workers, which are told its clock.
@@ -169,6 +176,15 @@
     relays: &[Relay],
     workers: impl FnOnce(Arc<dyn Clock>) -> Arc<dyn Workers>,
     decoder: Arc<dyn Decoder>,
+) -> VirtualNode {
+    build(Load::new(1_000), relays, workers, decoder)
+}
+
+fn build(
+    load: Load,
+    relays: &[Relay],
+    workers: impl FnOnce(Arc<dyn Clock>) -> Arc<dyn Workers>,
+    decoder: Arc<dyn Decoder>,
 ) -> VirtualNode {
     let clock: Arc<dyn Clock> = Arc::new(RuntimeClock(Instant::now()));
     let store = Arc::new(MemoryStore::default());
@@ -190,11 +206,14 @@
         }),
     };
     let shared = Shared::new(
-        String::from("n0"),
-        7,
-        SocketAddr::from(([127, 0, 0, 1], 100)),
+        Identity {
+            name: String::from("n0"),
+            boot: 7,
+            address: SocketAddr::from(([127, 0, 0, 1], 100)),
+        },
         Vec::new(),
         clock,
+        load,
         Metrics::new().expect("collectors"),
         links,
     );
