A backlog cannot hold the owner up: few looks for workers, no more than half the time

For each waiting step each round looked at all 350 workers and sorted their runs to foresee room, also with no lane to ask by: some 0.7 s a round at a thousand steps. Change: no look without a free lane; at most 16 a round; a step that had nothing to ask about is left alone for 100 ms; a forecast holds for its round; deciding takes no more than half of the time.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -6,6 +6,7 @@
 
 use crate::cell::job::Ticket;
 use crate::cell::order::{AdviceOrder, Order};
+use crate::cell::reservation::Round;
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
@@ -56,18 +57,24 @@
 
     /// Asks about a step that lacks tickets for `needed` tasks, if a lane is free and
     /// there are workers with room to ask about.
-    pub(super) fn ask(&mut self, key: StepKey, needed: u32, now: Millis) {
+    pub(super) fn ask(&mut self, key: StepKey, needed: u32, round: &mut Round) {
+        let now = round.now;
         let step = &self.steps[key];
         let Some(policy) = self.jobs[step.job].queue.advice else {
             return;
         };
         let pause = tuning::ADVICE_PAUSE.min(2 * policy.duration(0));
         let pause_over = step.advice.asked == 0 || step.advice.asked + pause <= now;
-        if step.advice.asking || !pause_over {
+        if step.advice.asking || !pause_over || step.advice.looked_after > now {
             return;
         }
-        let workers = self.worth_asking(key, needed, now);
+        if self.free_lane(false).is_none() || !round.may_look_for_advice() {
+            return;
+        }
+        self.counts.advice_looks += 1;
+        let workers = self.worth_asking(key, needed, round);
         if workers.is_empty() {
+            self.steps[key].advice.looked_after = now + tuning::ADVICE_LOOK;
             return;
         }
         let expected = policy.duration(workers.len());
@@ -99,7 +106,8 @@
     ///
     /// What is good for a step never changes, so the first question also names workers
     /// that have no room yet: a step that waits for room knows where to wait for it.
-    fn worth_asking(&self, key: StepKey, needed: u32, now: Millis) -> Vec<WorkerKey> {
+    fn worth_asking(&self, key: StepKey, needed: u32, round: &mut Round) -> Vec<WorkerKey> {
+        let now = round.now;
         let step = &self.steps[key];
         let job = &self.jobs[step.job];
         let Some(policy) = job.queue.advice else {
@@ -107,7 +115,7 @@
         };
         let share = self.learned_share(&job.queue.name);
         let answer_by = now + policy.duration(tuning::ADVICE_MOST) + tuning::ADVICE_AHEAD;
-        let mut candidates = self.advice_candidates(key, needed, now);
+        let mut candidates = self.advice_candidates(key, needed, round);
         candidates.retain(|candidate| !candidate.good || candidate.free_at <= answer_by);
         candidates.sort_unstable_by_key(|candidate| {
             let less_room = u32::MAX - candidate.fit;
@@ -134,7 +142,8 @@
     }
 
     /// The workers that might run the step, now or later, and for which it has no ticket.
-    fn advice_candidates(&self, key: StepKey, needed: u32, now: Millis) -> Vec<Candidate> {
+    fn advice_candidates(&self, key: StepKey, needed: u32, round: &mut Round) -> Vec<Candidate> {
+        let now = round.now;
         let step = &self.steps[key];
         let service = &self.jobs[step.job].queue.service;
         let spec = step.step();
@@ -157,7 +166,7 @@
                 false => 0,
             };
             let free_at = match fit {
-                0 => self.forecast(worker_key, now).room_for(&spec.room()),
+                0 => self.forecast(worker_key, round).room_for(&spec.room()),
                 _ => now,
             };
             let good = step.advice.tickets.iter().any(|t| t.worker == worker_key);
--- a/src/cell/forecast.rs
+++ b/src/cell/forecast.rs
@@ -1,6 +1,7 @@
 //! When room comes free on a worker, as far as the progress of its runs tells.
 
 use crate::cell::job::Run;
+use crate::cell::reservation::Round;
 use crate::cell::spec::Demand;
 use crate::cell::{Cell, RunKey, WorkerKey, tuning};
 use crate::clock::Millis;
@@ -43,8 +44,18 @@
 }
 
 impl Cell {
-    /// Foresees when room comes free on a worker.
-    pub(super) fn forecast(&self, key: WorkerKey, now: Millis) -> Forecast {
+    /// Foresees when room comes free on a worker; that holds for the round, unless something
+    /// starts there.
+    pub(super) fn forecast<'a>(&self, key: WorkerKey, round: &'a mut Round) -> &'a Forecast {
+        let now = round.now;
+        round
+            .forecasts
+            .entry(key)
+            .expect("a worker of the cell")
+            .or_insert_with(|| self.make_forecast(key, now))
+    }
+
+    fn make_forecast(&self, key: WorkerKey, now: Millis) -> Forecast {
         let worker = &self.workers[key];
         let mut releases: Vec<(Millis, Demand)> = worker
             .runs
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -88,6 +88,8 @@
     pub asking: bool,
     /// When the last question was answered or failed.
     pub asked: Millis,
+    /// There was nothing to ask about; this is looked at again from then on.
+    pub looked_after: Millis,
 }
 
 /// One step of a job at one time.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -54,6 +54,8 @@
     pub stops: u64,
     /// Questions about where a step may run.
     pub questions: u64,
+    /// Steps for which workers to ask about were looked for.
+    pub advice_looks: u64,
     /// Orders refused since they would have broken a rule.
     pub violations: u64,
     /// Runs written off since their lease ran out.
--- a/src/cell/reservation.rs
+++ b/src/cell/reservation.rs
@@ -8,6 +8,7 @@
 
 use slotmap::SecondaryMap;
 
+use crate::cell::forecast::Forecast;
 use crate::cell::spec::{Demand, Step};
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
@@ -25,9 +26,13 @@
 pub(super) struct Round {
     /// Its time.
     pub(super) now: Millis,
+    /// When room comes free on the workers that were looked at.
+    pub(super) forecasts: SecondaryMap<WorkerKey, Forecast>,
     reserved: SecondaryMap<WorkerKey, Reservation>,
     /// How many steps have reserved room.
     steps: usize,
+    /// For how many steps workers to ask about were looked for.
+    looks: usize,
 }
 
 impl Round {
@@ -35,10 +40,18 @@
     pub(super) fn new(now: Millis) -> Self {
         Self {
             now,
+            forecasts: SecondaryMap::new(),
             reserved: SecondaryMap::new(),
             steps: 0,
+            looks: 0,
         }
     }
+
+    /// Counts a look for workers to ask about; false if there were enough in this round.
+    pub(super) fn may_look_for_advice(&mut self) -> bool {
+        self.looks += 1;
+        self.looks <= tuning::MOST_LOOKS
+    }
 }
 
 /// Room that comes free for one task.
@@ -80,7 +93,7 @@
     }
 
     /// Where and when room for tasks of a step comes free beside what is reserved.
-    fn slots(&self, key: StepKey, count: u32, round: &Round) -> Vec<Slot> {
+    fn slots(&self, key: StepKey, count: u32, round: &mut Round) -> Vec<Slot> {
         let step = &self.steps[key];
         let service = &self.jobs[step.job].queue.service;
         let spec = step.step();
@@ -93,9 +106,9 @@
             if !worker.allows(spec, service) {
                 continue;
             }
-            let forecast = self.forecast(worker_key, round.now);
             let reserved = round.reserved.get(worker_key);
             let mut wanted = reserved.map_or_else(Demand::default, |r| r.room);
+            let forecast = self.forecast(worker_key, round);
             for _ in 0..most_tasks(spec, count) {
                 wanted.add(&spec.room());
                 let at = forecast.room_for(&wanted);
@@ -126,16 +139,16 @@
         spec: &Step,
         worker: WorkerKey,
         fit: u32,
-        round: &Round,
+        round: &mut Round,
     ) -> u32 {
-        let Some(reservation) = round.reserved.get(worker) else {
+        let Some(&reservation) = round.reserved.get(worker) else {
             return fit;
         };
         let ends = round.now + spec.estimate;
         if !spec.lasting && ends <= reservation.at {
             return fit;
         }
-        let then = self.forecast(worker, round.now).free_at(reservation.at);
+        let then = self.forecast(worker, round).free_at(reservation.at);
         fit.min(then.minus(&reservation.room).times(&spec.room()))
     }
 }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -55,11 +55,11 @@
             let Some(worker) = self.best_place(key, avoid, round) else {
                 break;
             };
-            self.start(key, index, worker, None, round.now);
+            self.start(key, index, worker, None, round);
             left -= 1;
         }
         if left > 0 {
-            self.ask(key, left, round.now);
+            self.ask(key, left, round);
             self.reserve(key, left, round);
         }
     }
@@ -105,7 +105,7 @@
     }
 
     /// The places where a task of the step could start now.
-    pub(super) fn places(&self, key: StepKey, round: &Round) -> Vec<Place> {
+    pub(super) fn places(&self, key: StepKey, round: &mut Round) -> Vec<Place> {
         let step = &self.steps[key];
         let queue = &self.jobs[step.job].queue;
         let spec = step.step();
@@ -132,7 +132,7 @@
         step: &StepRun,
         worker_key: WorkerKey,
         service: &str,
-        round: &Round,
+        round: &mut Round,
     ) -> Option<Place> {
         let worker = self.workers.get(worker_key)?;
         let spec = step.step();
@@ -179,7 +179,7 @@
         &self,
         key: StepKey,
         avoid: Option<WorkerKey>,
-        round: &Round,
+        round: &mut Round,
     ) -> Option<WorkerKey> {
         let places = self.places(key, round);
         places
@@ -198,13 +198,13 @@
         let places = self.places(key, round);
         let Some(chosen) = self.gang_places(key, &places, size) else {
             let ticketed: u32 = places.iter().map(|place| place.fit).sum();
-            self.ask(key, (size as u32).saturating_sub(ticketed), round.now);
+            self.ask(key, (size as u32).saturating_sub(ticketed), round);
             self.reserve(key, size as u32, round);
             return;
         };
         let number = self.next_number();
         for (index, worker) in chosen.into_iter().enumerate() {
-            self.start(key, index as u32, worker, Some(number), round.now);
+            self.start(key, index as u32, worker, Some(number), round);
         }
     }
 
@@ -251,8 +251,10 @@
         index: u32,
         worker_key: WorkerKey,
         number: Option<u64>,
-        now: Millis,
+        round: &mut Round,
     ) {
+        let now = round.now;
+        round.forecasts.remove(worker_key);
         let number = number.unwrap_or_else(|| self.next_number());
         let Some(due) = self.workers[worker_key].clock_at(now) else {
             return;
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -45,6 +45,12 @@
 /// The most steps that reserve room in one round of decisions, so that a round's work is
 /// bounded when hundreds wait; those behind them find little room anyway.
 pub const MOST_RESERVING: usize = 32;
+/// How long a step that had nothing to ask about is left alone: that takes a look at every
+/// worker, and room comes free by the tenth of a second.
+pub const ADVICE_LOOK: Millis = 100;
+/// The most steps for which workers to ask about are looked for in one round: a look at 350
+/// workers takes some 30 us, so that a backlog of hundreds of steps cannot hold a round up.
+pub const MOST_LOOKS: usize = 16;
 /// Questions longer than this leave one lane to short ones.
 pub const LONG_ADVICE: Millis = 150;
 /// After so many failures in a row, from tasks of more than one job or not, a worker is shunned.
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -123,7 +123,7 @@
         if !self.is_within_quota(key, 1) {
             return WaitReason::Quota;
         }
-        if !self.places(key, &Round::new(now)).is_empty() {
+        if !self.places(key, &mut Round::new(now)).is_empty() {
             return WaitReason::Soon;
         }
         if job.queue.advice.is_some() && step.advice.tickets.is_empty() {
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -180,6 +180,7 @@
             ("starts", counts.starts),
             ("stops", counts.stops),
             ("questions", counts.questions),
+            ("advice_looks", counts.advice_looks),
             ("withheld_starts", counts.violations),
             ("lapsed_runs", counts.lapsed),
             ("adopted_runs", counts.adopted),
@@ -273,10 +274,12 @@
     }
 
     async fn schedule_loop(self: Arc<Self>) {
+        let mut took = Duration::ZERO;
         loop {
             // Either something happened, or it is time to look at leases.
             let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
-            tokio::time::sleep(GATHER).await;
+            // Deciding takes no more than half of the time, however much there is to decide.
+            tokio::time::sleep(GATHER.max(took)).await;
             if !self.is_active() {
                 continue;
             }
@@ -291,6 +294,7 @@
                 }
                 (cell.take_orders(), cell.take_waits())
             };
+            took = Duration::from_millis(self.shared.now().saturating_sub(now));
             for wait in waits {
                 self.shared
                     .metrics
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -165,3 +165,35 @@
 
     assert_eq!(started.len(), 2, "both end before the gang can start");
 }
+
+/// Steps for which workers to ask about were looked for while deciding once.
+fn advice_looks(bench: &mut Bench) -> u64 {
+    let before = bench.cell.counts().advice_looks;
+    bench.decide();
+    bench.cell.counts().advice_looks - before
+}
+
+#[test]
+fn a_backlog_of_steps_costs_a_bounded_number_of_looks_for_workers() {
+    // Arrange: a hundred steps wait, no worker has room, and both lanes are busy at first.
+    let plain = queue("plain", 0);
+    let advised = advised_queue("advised", 1);
+    let mut bench = Bench::new(2, &[plain.clone(), advised.clone()]);
+    fill(&mut bench, &plain, 2);
+    for id in 10..110 {
+        bench.accept(&job(id, &advised, vec![wide_step()]));
+    }
+    let asked = questions(&bench.decide());
+
+    // Act.
+    let without_a_lane = advice_looks(&mut bench);
+    for question in &asked {
+        all_good(&mut bench, question);
+    }
+    let with_lanes = advice_looks(&mut bench);
+
+    // Assert.
+    assert_eq!(asked.len(), 2);
+    assert_eq!(without_a_lane, 0);
+    assert!((1..=16).contains(&with_lanes), "{with_lanes}");
+}
