--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -45,9 +45,9 @@
 /// The most steps that reserve room in one round of decisions, so that a round's work is
 /// bounded when hundreds wait; those behind them find little room anyway.
 pub const MOST_RESERVING: usize = 32;
-/// How long a step that had nothing to ask about is left alone: that takes a look at every
-/// worker, and room comes free by the tenth of a second.
-pub const ADVICE_LOOK: Millis = 100;
+/// How long a step that had nothing to ask about is left alone, since that takes a look at
+/// every worker; urgent jobs have 0.9 s to spare.
+pub const ADVICE_LOOK: Millis = 20;
 /// The most steps for which workers to ask about are looked for in one round: a look at 350
 /// workers takes some 30 us, so that a backlog of hundreds of steps cannot hold a round up.
 pub const MOST_LOOKS: usize = 16;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -69,6 +69,7 @@
 
     bench.end(running[0].task, running[0].number, EndKind::Done);
     bench.end(running[1].task, running[1].number, EndKind::Done);
+    bench.pass(20);
     bench.look_at_all();
     let again = questions(&bench.decide());
     all_good(&mut bench, &again[0]);
