A caller waits longer for a store that is slow and answers

Ruled out: partitions (twelve writers have two each); handing on (9 answers lost there). Change: 75% of what a caller has left instead of 45% while the store answers slowly; a silent one does not count.

--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -25,6 +25,9 @@
 /// The share of the time that a caller has left which an answer may take, in percent: a
 /// caller that gets none must have time to ask again, at this node or another.
 const HOLD_PERCENT: Millis = 45;
+/// The share while the store is slow, in percent: another try would take as long as this
+/// one, and its row would wait in the same partitions behind it.
+const SLOW_HOLD_PERCENT: Millis = 75;
 /// What a caller that names no deadline is taken to have left.
 const USUAL_DEADLINE: Millis = 3_000;
 /// How long a question about a job waits for an owner: twice what a takeover takes.
@@ -132,9 +135,18 @@
         if !self.shared.has_store() {
             return Submitted::Refused;
         }
-        let writing = tokio::time::timeout(hold(deadline), self.intake.write(row));
-        // The write goes on: the job may yet be taken.
-        writing.await.unwrap_or(Submitted::Doubtful)
+        let writing = self.intake.write(row);
+        tokio::pin!(writing);
+        if let Ok(outcome) = tokio::time::timeout(hold(deadline), &mut writing).await {
+            return outcome;
+        }
+        if !self.shared.store_answers_slowly() {
+            // The write goes on: the job may yet be taken.
+            return Submitted::Doubtful;
+        }
+        let longer = slow_hold(deadline).saturating_sub(hold(deadline));
+        let outcome = tokio::time::timeout(longer, writing).await;
+        outcome.unwrap_or(Submitted::Doubtful)
     }
 
     /// Tells how far a job is, to a caller that has `deadline` left.
@@ -275,8 +287,17 @@
 
 /// How long a caller that has `deadline` left may be kept waiting.
 fn hold(deadline: Option<Millis>) -> Duration {
+    share_of(deadline, HOLD_PERCENT)
+}
+
+/// How long a caller may be kept waiting for a slow store.
+fn slow_hold(deadline: Option<Millis>) -> Duration {
+    share_of(deadline, SLOW_HOLD_PERCENT)
+}
+
+fn share_of(deadline: Option<Millis>, percent: Millis) -> Duration {
     let left = deadline.unwrap_or(USUAL_DEADLINE);
-    Duration::from_millis(left * HOLD_PERCENT / 100)
+    Duration::from_millis(left * percent / 100)
 }
 
 impl NodeService for Front {
--- a/src/node/patience.rs
+++ b/src/node/patience.rs
@@ -29,6 +29,8 @@
     on_their_way: usize,
     /// Since when they wait without any of them being answered.
     silent_since: Millis,
+    /// When the last answer came; none if there was none.
+    answered: Option<Millis>,
 }
 
 impl Default for Patience {
@@ -37,6 +39,7 @@
             limit: 2 * LEAST,
             on_their_way: 0,
             silent_since: 0,
+            answered: None,
         }
     }
 }
@@ -53,6 +56,12 @@
         silent || self.limit > SLOW
     }
 
+    /// Tells whether the store takes long and does answer, so that waiting is worth while.
+    pub fn answers_slowly(&self, now: Millis) -> bool {
+        let lately = |at: Millis| now.saturating_sub(at) < MOST;
+        self.limit > SLOW && self.answered.is_some_and(lately)
+    }
+
     /// A transaction is sent.
     pub fn sent(&mut self, now: Millis) {
         if self.on_their_way == 0 {
@@ -69,6 +78,7 @@
     /// An answer came after `took`.
     pub fn answered(&mut self, took: Millis, now: Millis) {
         self.silent_since = now;
+        self.answered = Some(now);
         let wanted = (SPREAD * took).clamp(LEAST, MOST);
         self.limit = wanted.max(self.limit * FALL / 100);
     }
--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -179,6 +179,11 @@
         Duration::from_millis(self.lock_patience().limit())
     }
 
+    /// Tells whether the store takes long and does answer.
+    pub fn answers_slowly(&self, now: Millis) -> bool {
+        self.lock_patience().answers_slowly(now)
+    }
+
     /// Tells whether the store is slow, or may have turned so just now.
     pub fn is_slow(&self, now: Millis) -> bool {
         self.lock_patience().is_slow(now)
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -258,6 +258,11 @@
         self.store.is_slow(self.now())
     }
 
+    /// Tells whether the store takes long and does answer, so that waiting is worth while.
+    pub fn store_answers_slowly(&self) -> bool {
+        self.store.answers_slowly(self.now())
+    }
+
     /// Our place among all nodes that we know, by name, and how many there are.
     pub fn rank(&self) -> (usize, usize) {
         let members = self.members();
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -50,6 +50,26 @@
     assert!(began.elapsed().as_millis() < u128::from(LEFT / 2));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_caller_waits_longer_for_a_store_that_is_slow_and_answers() {
+    // Arrange: a store that takes 1.1 s for each answer, as the node has seen.
+    let node = virtual_node(&[]);
+    node.guarded.delay.store(1_100, Ordering::Relaxed);
+    let front = Arc::new(Front::new(node.shared));
+    let first = Arc::clone(&front);
+    let earlier =
+        tokio::spawn(async move { first.submit(&queue("q", 0), JobId(1), spec(), None).await });
+    let _ = earlier.await;
+
+    // Act: the caller has 2 s, of which 45% are less than an answer takes.
+    let outcome = front
+        .submit(&queue("q", 0), JobId(2), spec(), Some(2_000))
+        .await;
+
+    // Assert.
+    assert_eq!(outcome, Submitted::Accepted);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_caller_learns_in_time_that_a_state_cannot_be_told() {
     let front = front_with_a_silent_store();
