A job that is read late waits for workers that run what nobody knew; wider random runs

Ruled out: the run being stopped as a stranger (it was left alone, as it should be). Change: tasks of jobs that predate the owner wait while any worker, when last looked at before the job was read, listed runs or ends that were nobody's. Tests: a_job_that_is_read_late_waits_for_workers_that_run_what_nobody_knew fails before.

--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -180,9 +180,19 @@
         Unsettled::Jobs(unsettled)
     }
 
-    /// Tells whether tasks of a step must wait since a former owner may still run them.
+    /// Tells whether tasks of a step must wait since a former owner may still run them, or
+    /// has run them to their end.
     pub(super) fn is_unsettled(&self, step: &StepRun) -> bool {
-        self.jobs[step.job].predates && self.unsettled.covers(step.name.job)
+        let job = &self.jobs[step.job];
+        job.predates && (self.unsettled.covers(step.name.job) || self.has_unknown_work(job.since))
+    }
+
+    /// Tells whether some worker listed runs or ends that were nobody's when it was last looked
+    /// at, before `since`: they may belong to a job that was read then.
+    fn has_unknown_work(&self, since: Millis) -> bool {
+        self.workers
+            .values()
+            .any(|worker| (worker.strangers > 0 || worker.holds_ends) && worker.looked <= since)
     }
 
     /// A former owner's gang that is not whole is stopped.
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -784,3 +784,28 @@
     assert_eq!(forgotten, Some(0));
     assert!(started.is_empty(), "its task is done");
 }
+
+#[test]
+fn a_job_that_is_read_late_waits_for_workers_that_run_what_nobody_knew() {
+    // Arrange: a worker runs a task of a job whose row could not be read at first.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.cell.set_incomplete(true);
+    let worker = bench.worker(0);
+    let task = "0000000000000007.0.0.0".parse().expect("a task");
+    bench.running.insert(worker, vec![(task, 5)]);
+    bench.look_at_all();
+
+    // Act: the row is read, and only then the worker is looked at again.
+    let row = job(7, &q, vec![step(1, 1_000)]);
+    bench.cell.accept(&row, None, true, bench.now);
+    bench.cell.set_incomplete(false);
+    let before = starts(&bench.decide());
+    bench.look_at_all();
+    let after = starts(&bench.decide());
+
+    // Assert.
+    assert!(before.is_empty(), "it may run");
+    assert!(after.is_empty(), "it does run");
+    assert_eq!(bench.cell.counts().adopted, 1);
+}
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -8,15 +8,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cell_core::{configuration, job, queue, step, worker};
+use cell_core::{advised_queue, configuration, job, queue, step, worker};
 use crossweir::cell::job::JobState;
 use crossweir::cell::name::TaskName;
 use crossweir::cell::order::{
-    EndKind, LookFailure, LookOrder, Order, Refusal, StartOrder, StartOutcome, StopOrder,
+    AdviceOrder, EndEntry, EndKind, LookFailure, LookOrder, Order, Refusal, StartOrder,
+    StartOutcome, StopOrder,
 };
 use crossweir::cell::record::{JobRow, Progress};
 use crossweir::cell::roster::RosterEntry;
-use crossweir::cell::spec::JobId;
+use crossweir::cell::spec::{Demand, JobId};
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::cell::{Cell, WorkerKey, tuning};
 use crossweir::clock::Millis;
@@ -36,7 +37,16 @@
 const LONGEST: u64 = 1_500;
 /// Seeds that CI plays unless it is told others.
 const FIRST_SEED: u64 = 1;
-const RUNS: u64 = 24;
+const RUNS: u64 = 40;
+
+/// Accelerators of a worker.
+const GPUS: u64 = 4;
+
+fn worker_with_gpus(number: u16) -> WorkerEntry {
+    let mut entry = worker(number);
+    entry.capacity.gpus = GPUS;
+    entry
+}
 
 /// An order that is carried out later than it was sent, its answer lost.
 enum Late {
@@ -68,7 +78,14 @@
     cancelled: BTreeSet<JobId>,
     owner: Owner,
     epoch: u64,
-    queue: Queue,
+    /// An urgent queue, and one that goes behind it and needs advice.
+    queues: [Queue; 2],
+    /// Jobs whose rows the owner could not read yet.
+    unread: Vec<u64>,
+    /// Ends that workers listed last, by the worker's id.
+    listed: BTreeMap<String, Vec<EndEntry>>,
+    /// When a worker was first told to forget that a task has ended well.
+    noted: BTreeMap<TaskName, Millis>,
     /// Nothing goes wrong any more.
     calm: bool,
     store_down_until: Millis,
@@ -78,11 +95,11 @@
 
 impl World {
     fn new(seed: u64) -> Self {
-        let queue = Queue {
+        let queues = [queue("urgent", 0), advised_queue("later", 2)].map(|queue| Queue {
             attempts: 1_000,
-            ..queue("q", 0)
-        };
-        let entries: Vec<WorkerEntry> = (0..WORKERS).map(worker).collect();
+            ..queue
+        });
+        let entries: Vec<WorkerEntry> = (0..WORKERS).map(worker_with_gpus).collect();
         let ids = entries.iter().map(|entry| entry.id.clone());
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
@@ -102,7 +119,10 @@
                 confirmed: 0,
             },
             epoch: 0,
-            queue,
+            queues,
+            unread: Vec::new(),
+            listed: BTreeMap::new(),
+            noted: BTreeMap::new(),
             calm: false,
             store_down_until: 0,
             cut_until: BTreeMap::new(),
@@ -131,15 +151,26 @@
             return;
         }
         self.epoch += 1;
-        let config = configuration(std::slice::from_ref(&self.queue));
+        let config = configuration(&self.queues);
         let mut cell = Cell::new(self.epoch, config, self.now);
         cell.set_lanes(&[true]);
         cell.list_former_workers(self.roster.clone(), self.now);
         cell.list_workers(self.entries.clone(), self.now);
-        for row in self.rows.values() {
+        // Some rows lie where the store cannot be read just now.
+        let readable = if self.chance(30) { 2 } else { 3 };
+        self.unread.clear();
+        for (&number, row) in &self.rows {
             let progress = self.progress.get(&row.id);
-            cell.accept(row, progress, true, self.now);
+            if number % 3 < readable {
+                cell.accept(row, progress, true, self.now);
+                continue;
+            }
+            self.unread.push(number);
+            if let Some(progress) = progress {
+                cell.remember(row.id, progress.clone());
+            }
         }
+        cell.set_incomplete(!self.unread.is_empty());
         self.owner = Owner {
             cell,
             keys: BTreeMap::new(),
@@ -187,12 +218,22 @@
         let number = self.rows.len() as u64 + 1;
         let tasks = self.rng.random_range(1..6);
         let mut first = step(tasks, self.rng.random_range(1..8) * 1_000);
+        if self.rng.random_ratio(1, 3) {
+            first.demand.gpus = self.rng.random_range(1..=GPUS);
+        }
         first.gang = self.rng.random_ratio(1, 4);
+        if first.gang {
+            // Five members must fit on four workers.
+            first.demand.gpus = first.demand.gpus.min(2);
+        }
         first.estimate = LONGEST;
         let mut second = step(2, 1_000);
         second.after = vec![0];
         second.estimate = LONGEST;
-        let mut row = job(number, &self.queue, vec![first, second]);
+        // A gang in the queue that needs advice might have too few good workers for ever.
+        let later = self.rng.random_bool(0.5) && !first.gang;
+        let queue = &self.queues[usize::from(later)];
+        let mut row = job(number, queue, vec![first, second]);
         row.spec.text = self.rng.random_range(20..LONGEST).to_string();
         if self.store_is_up() {
             self.owner.cell.accept(&row, None, false, self.now);
@@ -230,6 +271,7 @@
         self.carry_out_late();
         if self.store_is_up() {
             self.owner.confirmed = self.now;
+            self.read_the_rest();
         }
         // Without confirmation an owner orders nothing after its window.
         if self.now - self.owner.confirmed < tuning::OWNER_WINDOW {
@@ -240,6 +282,26 @@
         self.check();
     }
 
+    /// The owner reads the rows that it could not read at first.
+    fn read_the_rest(&mut self) {
+        if self.unread.is_empty() || !(self.calm || self.rng.random_ratio(1, 30)) {
+            return;
+        }
+        for number in std::mem::take(&mut self.unread) {
+            let row = &self.rows[&number];
+            self.owner.cell.accept(row, None, true, self.now);
+        }
+        self.owner.cell.set_incomplete(false);
+    }
+
+    /// What the worker forgets by this look counts as known to the owner for good.
+    fn note_forgotten(&mut self, order: &LookOrder) {
+        let listed = self.listed.get(&order.to.id).into_iter().flatten();
+        for end in listed.filter(|end| end.place <= order.forget && end.how == EndKind::Done) {
+            self.noted.entry(end.task).or_insert(self.now);
+        }
+    }
+
     fn carry_out_late(&mut self) {
         let now = self.now;
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.late)
@@ -277,6 +339,7 @@
     }
 
     fn look_at(&mut self, key: WorkerKey, order: &LookOrder) {
+        self.note_forgotten(order);
         let lost_before = self.chance(4) || self.is_cut(&order.to.id);
         let lost_after = self.chance(4);
         let answer = match self.workers.get_mut(&order.to.id) {
@@ -284,6 +347,9 @@
             Some(worker) => worker.look(order, self.now),
             None => Err(LookFailure::Refused(Refusal::Gone)),
         };
+        if let Ok(look) = &answer {
+            self.listed.insert(order.to.id.clone(), look.ended.clone());
+        }
         let cell = &mut self.owner.cell;
         match answer {
             Ok(_) if lost_after => cell.look_failed(key, LookFailure::Unanswered, self.now),
@@ -299,11 +365,24 @@
             match order {
                 Order::Start(order) => self.start(order),
                 Order::Stop(order) => self.stop(order),
-                Order::Advise(order) => self.owner.cell.advised(&order, None, self.now),
+                Order::Advise(order) => self.advise(&order),
             }
         }
     }
 
+    /// One worker is good for every step, of the others two of three, always the same ones.
+    fn advise(&mut self, order: &AdviceOrder) {
+        let good = order.workers.iter().filter(|(_, id)| {
+            let sum: u64 = id.bytes().map(u64::from).sum();
+            let bad = (sum + order.name.job.0 + u64::from(order.name.step)).is_multiple_of(3);
+            *id == self.entries[0].id || !bad
+        });
+        let tickets = good.map(|(_, id)| (id.clone(), String::from("ticket")));
+        let tickets: Vec<(String, String)> = tickets.collect();
+        let answer = (!self.chance(10)).then_some(tickets);
+        self.owner.cell.advised(order, answer, self.now);
+    }
+
     fn start(&mut self, order: StartOrder) {
         let (run, now) = (order.run, self.now);
         let outcome = if self.is_cut(&order.to.id) {
@@ -362,19 +441,13 @@
         for (id, worker) in &mut self.workers {
             worker.settle(self.now);
             let running = worker.history.iter().filter(|run| run.ended.is_none());
-            let held: u64 = running
-                .map(|run| {
-                    let row = &self.rows[&run.task.step.job.0];
-                    row.spec.steps[usize::from(run.task.step.step)]
-                        .demand
-                        .millicores
-                })
-                .sum();
-            assert!(
-                held <= 16_000,
-                "{id} holds {held} millicores at {}",
-                self.now
-            );
+            let mut held = Demand::default();
+            for run in running {
+                let row = &self.rows[&run.task.step.job.0];
+                held.add(&row.spec.steps[usize::from(run.task.step.step)].demand);
+            }
+            let capacity = worker_with_gpus(0).capacity;
+            assert!(held.fits(&capacity), "{id} holds {held:?} at {}", self.now);
         }
     }
 
@@ -405,6 +478,13 @@
                 );
             }
             self.verify_order(task, &of_task);
+            if let Some(noted) = self.noted.get(&task) {
+                let last = of_task[of_task.len() - 1].0;
+                assert!(
+                    last <= noted + tuning::START_VALID,
+                    "{task} ran again after its end was noted at {noted}: {of_task:?}"
+                );
+            }
         }
     }
 
