An owner that may have given the cell up does not go on

The transaction may take effect later, and the next one carries the same number: seen as its own, it would count as durable what was never written, and the dropped batch's jobs were not marked again. Ruled out: the planned stop, which ends the ownership in any case. Change: the ownership ends whatever came of the transaction; it is not tried on a slow store. A single job is failed for a rejected transaction only if no rows of the roster went with it. Test: an_owner_whose_giving_up_is_in_doubt_does_not_go_on fails before.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -162,7 +162,8 @@
 
 /// Tells whether another node that could claim the cell is far stronger than we are.
 fn is_outdone(shared: &Shared, engine: &Engine, now: Millis) -> bool {
-    if now.saturating_sub(engine.since) < LEAST_TERM || !shared.reaches_store() {
+    let may_be_released = shared.reaches_store() && !shared.store_is_slow();
+    if now.saturating_sub(engine.since) < LEAST_TERM || !may_be_released {
         return false;
     }
     let enough = STRONGER * shared.load.strength().max(1);
@@ -177,11 +178,11 @@
 /// Gives the cell up to a stronger node, which claims it first.
 async fn yield_cell(shared: &Arc<Shared>, engine: &Engine) {
     let released = tokio::time::timeout(YIELD_TIMEOUT, engine.record_once(true)).await;
-    if released.is_err() {
-        return;
-    }
+    // A transaction without an answer may yet take effect, with what it was to record, so
+    // this ownership is over in any case.
     tracing::info!(
         epoch = engine.epoch,
+        released = released.is_ok(),
         late_ms = shared.load.late(),
         "cell is given up to a stronger node"
     );
--- a/src/node/job_batch.rs
+++ b/src/node/job_batch.rs
@@ -45,7 +45,8 @@
 /// at different places and go round, so that the partitions share the work.  A slow store
 /// takes two a second in each: then some nodes write for all, each into partitions of its
 /// own, and send few large transactions.  Otherwise nodes queue behind one another until
-/// the store refuses most of what it is sent.
+/// the store refuses most of what it is sent.  While answers took 99 times as long, this
+/// raised the share of worth earned that day from 0.76 to 0.80 (docs/DECISIONS.md).
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
     first: usize,
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -129,7 +129,7 @@
                         "the store rejects a transaction"
                     );
                     self.shared.metrics.violation("rejected_transaction");
-                    self.rejected(batch);
+                    self.rejected(batch, workers.is_some());
                     return;
                 }
                 Err(err) => {
@@ -149,13 +149,14 @@
         self.finish(batch);
     }
 
-    /// The next transactions are smaller, until the job at fault is alone in one.
-    fn rejected(&self, batch: Batch) {
+    /// The next transactions are smaller, until the job at fault is alone in one, without
+    /// rows of the roster that might be at fault instead.
+    fn rejected(&self, batch: Batch, with_roster: bool) {
         match batch.rows.len() {
             0 => {}
-            1 => self.cell().cannot_be_recorded(batch),
+            1 if !with_roster => self.cell().cannot_be_recorded(batch),
             jobs => {
-                self.most_jobs.store(jobs / 2, Ordering::Relaxed);
+                self.most_jobs.store((jobs / 2).max(1), Ordering::Relaxed);
                 self.cell().not_recorded(batch);
             }
         }
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -3,6 +3,7 @@
 mod virtual_node;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crossweir::node::election;
@@ -129,3 +130,25 @@
     });
     assert_eq!(node.shared.owner().address, None);
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_whose_giving_up_is_in_doubt_does_not_go_on() {
+    // Arrange: an owner, and a store that has gone silent without its noticing.
+    let node = virtual_node_of(100, &[]);
+    time_to_claim(&node).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    node.guarded.silent.store(true, Ordering::Relaxed);
+
+    // Act: a far stronger node is heard for some seconds.
+    for _ in 0..50 {
+        node.shared.hear(&Beat {
+            strength: 500,
+            epoch: 1,
+            ..started_beat()
+        });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    // Assert: what it would have recorded with it may or may not be durable.
+    assert!(node.shared.engine().is_none());
+}
