What a worker listed counts no more once its lease is over

Cause: a job that waits for the next look at a worker which listed something of it waited for ever if that worker was cut off for good and held no run of ours: only workers with runs were written off. Change: a silent worker is written off when its lease is over, whatever it holds.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -372,9 +372,9 @@
                 runs = worker.runs.len(),
                 "lease ran out"
             );
-            self.counts.lapsed += worker.runs.len() as u64;
-            self.write_off(key, now);
         }
+        self.counts.lapsed += worker.runs.len() as u64;
+        self.write_off(key, now);
         let worker = &self.workers[key];
         if worker.unlisted_since.is_some() && self.settled {
             self.lose_worker(key, now, "not listed and silent");
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -371,8 +371,6 @@
             };
             self.break_gang(run.step, now, "a member of the gang is lost");
         }
-        let worker = &mut self.workers[key];
-        worker.strangers = 0;
-        worker.unread.clear();
+        self.workers[key].forget_lists();
     }
 }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -153,6 +153,14 @@
         self.taken_ends = self.taken_ends.split_off(&(self.seen_end + 1));
     }
 
+    /// What it listed when it was last looked at counts no more: its lease is over.
+    pub fn forget_lists(&mut self) {
+        self.strangers = 0;
+        self.unread.clear();
+        self.holds_ends = false;
+        self.more_ends = false;
+    }
+
     /// Tells whether it lists ends that are not recorded: only this worker can tell a
     /// successor of them.
     pub fn has_unrecorded_ends(&self) -> bool {
--- a/tests/unread_jobs.rs
+++ b/tests/unread_jobs.rs
@@ -219,3 +219,32 @@
     // Assert.
     assert!(started.is_empty(), "it may have ended well: {started:?}");
 }
+
+#[test]
+fn a_job_does_not_wait_for_a_worker_whose_lease_is_over() {
+    // Arrange: the only worker that lists work of a job falls silent before the job is read.
+    let mut bench = owner_with_unread_jobs();
+    look(&mut bench, Vec::new(), vec![done(1, UNREAD, 5)]);
+    let row = job(8, &queue("q", 0), vec![step(1, 1_000)]);
+    bench.cell.accept(&row, None, true, bench.now);
+    let silent = bench.worker(0);
+    bench
+        .cell
+        .look_failed(silent, LookFailure::Unanswered, bench.now);
+
+    // Act.
+    let other = bench.worker(1);
+    bench.look_at(other);
+    let of_job = |bench: &mut Bench| {
+        let orders = starts(&bench.decide());
+        orders.iter().any(|order| order.task.step.job == row.id)
+    };
+    let before = of_job(&mut bench);
+    bench.pass(2 * tuning::LEASE);
+    bench.look_at(other);
+    let after = of_job(&mut bench);
+
+    // Assert.
+    assert!(!before, "its end may come yet");
+    assert!(after, "what ran there is over");
+}
