--- /dev/null
+++ b/tests/presumed_over.rs
@@ -0,0 +1,265 @@
+//! What an owner has not heard of, or what another life of a machine seems to prove, is not
+//! taken for over; and what has lapsed for certain holds nothing up.
+
+mod cell_core;
+
+use std::sync::Arc;
+
+use cell_core::{Bench, configuration, job, queue, starts, step, stops, worker};
+use crossweir::cell::Cell;
+use crossweir::cell::order::{EndEntry, EndKind, Look, LookFailure, RunningEntry};
+use crossweir::cell::record::JobRow;
+use crossweir::cell::roster::RosterEntry;
+use crossweir::cell::spec::Schedule;
+use crossweir::cell::worker::WorkerEntry;
+use crossweir::cell::{WorkerKey, tuning};
+use crossweir::queue::Queue;
+
+const KNOWN: &str = "0000000000000007.0.0.0";
+const UNREAD: &str = "0000000000000008.0.0.0";
+
+fn end(place: u64, task: &str, number: u64, how: EndKind, saved: &str) -> EndEntry {
+    EndEntry {
+        place,
+        task: task.parse().expect("a task"),
+        number,
+        how,
+        saved: saved.to_owned(),
+    }
+}
+
+fn running(task: &str, number: u64) -> RunningEntry {
+    RunningEntry {
+        task: task.parse().expect("a task"),
+        number,
+        saved: String::new(),
+        percent: 10,
+        figure: None,
+    }
+}
+
+fn look(bench: &mut Bench, key: WorkerKey, running: Vec<RunningEntry>, ended: Vec<EndEntry>) {
+    bench.now += 10;
+    let look = Look {
+        clock: bench.now,
+        running,
+        ended,
+    };
+    let _ = bench.cell.look_order(key, bench.now);
+    bench.cell.looked(key, bench.now, &look, bench.now);
+}
+
+/// Another life at the place of the first worker; its entry stays for some heartbeats after
+/// a crash, so the platform lists both.
+fn life(id: &str) -> WorkerEntry {
+    WorkerEntry {
+        id: id.to_owned(),
+        ..worker(0)
+    }
+}
+
+/// A successor of an owner that used the second life of the first worker and another worker,
+/// while the platform lists the life that is over as well, under the id `stale`.
+fn successor_with_a_stale_entry(q: &Queue, stale: &str) -> Bench {
+    let now = 1_000;
+    let mut cell = Cell::new(2, configuration(std::slice::from_ref(q)), now);
+    let used = |worker| RosterEntry { worker, jobs: None };
+    cell.list_former_workers(vec![used(life("w5")), used(worker(1))], now);
+    cell.list_workers(vec![life(stale), worker(1), life("w5")], now);
+    cell.accept(&job(7, q, vec![step(1, 1_000)]), None, true, now);
+    Bench::with(cell, now)
+}
+
+/// Starts that a successor orders when only the second worker has answered.
+fn starts_after_one_answer(bench: &mut Bench) -> usize {
+    let keys = bench.cell.worker_keys();
+    let other = keys.into_iter().find(|&key| {
+        let order = bench.cell.look_order(key, bench.now);
+        order.is_some_and(|order| order.to.id == "w1")
+    });
+    look(bench, other.expect("the worker"), Vec::new(), Vec::new());
+    bench.pass(20);
+    starts(&bench.decide()).len()
+}
+
+#[test]
+fn a_stale_entry_does_not_free_a_successor_from_asking_the_present_life() {
+    for stale in ["w0", "w9"] {
+        // Arrange.
+        let q = queue("q", 0);
+        let mut bench = successor_with_a_stale_entry(&q, stale);
+
+        // Act: the present life, on which the task may run, has not answered.
+        let started = starts_after_one_answer(&mut bench);
+
+        // Assert.
+        assert_eq!(started, 0, "it may run on w5, with {stale} listed too");
+    }
+}
+
+#[test]
+fn a_stale_entry_does_not_end_the_runs_of_the_present_life() {
+    // Arrange: a run on the first worker.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.accept(&job(7, &q, vec![step(1, 16_000)]));
+    let first = bench.start_all().remove(0);
+    let number = if first.to.id == "w0" { 0 } else { 1 };
+
+    // Act: the list is read anew, with an earlier life at the same address still in it.
+    let stale = WorkerEntry {
+        id: String::from("v"),
+        ..worker(number)
+    };
+    bench
+        .cell
+        .list_workers(vec![stale, worker(0), worker(1)], bench.now);
+    bench.pass(20);
+    let again = starts(&bench.decide());
+
+    // Assert.
+    assert!(again.is_empty(), "it runs on {}: {again:?}", first.to.id);
+}
+
+/// A job of one task that runs twice, a second apart from time 10,000 on.
+fn timed_job(q: &Queue) -> JobRow {
+    let mut row = job(7, q, vec![step(1, 1_000)]);
+    row.spec.schedule = Some(Schedule {
+        times: 2,
+        first: 10_000,
+        interval: 1_000,
+    });
+    row
+}
+
+/// A successor whose time of day is behind its predecessor's, by which the first time of a
+/// job had begun.
+fn successor_with_a_slower_time_of_day(q: &Queue) -> Bench {
+    let mut bench = Bench::under(2, 2, std::slice::from_ref(q));
+    bench.cell.tell_wall_clock(9_800);
+    let now = bench.now;
+    bench.cell.accept(&timed_job(q), None, true, now);
+    bench
+}
+
+#[test]
+fn a_run_of_a_time_that_a_former_owner_began_is_not_stopped() {
+    // Arrange.
+    let q = queue("q", 0);
+    let mut bench = successor_with_a_slower_time_of_day(&q);
+    let worker = bench.worker(0);
+
+    // Act.
+    look(&mut bench, worker, vec![running(KNOWN, 5)], Vec::new());
+    let stopped = stops(&bench.decide());
+
+    // Assert.
+    assert!(stopped.is_empty(), "a former owner began it: {stopped:?}");
+}
+
+#[test]
+fn a_task_of_a_time_that_a_former_owner_began_is_not_started_after_its_end() {
+    // Arrange.
+    let q = queue("q", 0);
+    let mut bench = successor_with_a_slower_time_of_day(&q);
+    let worker = bench.worker(0);
+    let ends = || vec![end(1, KNOWN, 5, EndKind::Done, "")];
+
+    // Act: the end is listed before the time has come here.
+    look(&mut bench, worker, Vec::new(), ends());
+    bench.record();
+    let forget = bench.cell.look_order(worker, bench.now).map(|o| o.forget);
+    bench.cell.tell_wall_clock(10_100);
+    bench.pass(10);
+    if forget == Some(0) {
+        look(&mut bench, worker, Vec::new(), ends());
+    }
+    let started = starts(&bench.decide());
+
+    // Assert.
+    assert!(
+        started.is_empty(),
+        "it is done, forgotten {forget:?}: {started:?}"
+    );
+}
+
+/// An owner with two workers that knows job 7 and could not read job 8.
+fn owner_with_unread_jobs() -> Bench {
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.cell.set_incomplete(true);
+    let now = bench.now;
+    bench
+        .cell
+        .accept(&job(7, &q, vec![step(1, 1_000)]), None, true, now);
+    bench
+}
+
+/// The first worker falls silent until its lease has run out; the other one answers.
+fn let_the_first_lease_run_out(bench: &mut Bench) {
+    let (first, other) = (bench.worker(0), bench.worker(1));
+    for _ in 0..100 {
+        bench
+            .cell
+            .look_failed(first, LookFailure::Unanswered, bench.now);
+        look(bench, other, Vec::new(), Vec::new());
+        bench.pass(90);
+    }
+}
+
+#[test]
+fn a_worker_whose_lease_ran_out_holds_no_job_up_with_ends_that_it_did_not_list() {
+    // Arrange: a full list of ends.
+    let mut bench = owner_with_unread_jobs();
+    let worker = bench.worker(0);
+    let most = tuning::MOST_ENDS_LISTED as u64;
+    let full = (1..=most).map(|place| end(place, UNREAD, place, EndKind::Done, ""));
+    look(&mut bench, worker, Vec::new(), full.collect());
+
+    // Act.
+    let_the_first_lease_run_out(&mut bench);
+    bench.cell.set_incomplete(false);
+    let started = starts(&bench.decide());
+
+    // Assert.
+    assert_eq!(started.len(), 1, "nothing of it can run any more");
+}
+
+#[test]
+fn a_worker_whose_lease_ran_out_leaves_the_roster_with_the_ends_that_it_held() {
+    // Arrange.
+    let mut bench = owner_with_unread_jobs();
+    let worker = bench.worker(0);
+    let ends = vec![end(1, UNREAD, 5, EndKind::Done, "")];
+    look(&mut bench, worker, Vec::new(), ends);
+
+    // Act.
+    let_the_first_lease_run_out(&mut bench);
+    let (_, entries) = bench.cell.roster();
+
+    // Assert.
+    let listed = entries.iter().any(|entry| entry.worker.id == "w0");
+    assert!(!listed, "a successor would wait for it with all jobs");
+}
+
+#[test]
+fn progress_that_an_end_of_a_former_run_brings_is_recorded_before_it_is_forgotten() {
+    // Arrange.
+    let q = queue("q", 0);
+    let mut bench = Bench::under(2, 2, std::slice::from_ref(&q));
+    let now = bench.now;
+    let row = Arc::new(job(7, &q, vec![step(1, 1_000)]));
+    bench.cell.accept(&row, None, true, now);
+    let worker = bench.worker(0);
+
+    // Act.
+    let ends = vec![end(1, KNOWN, 5, EndKind::Stopped, "saved")];
+    look(&mut bench, worker, Vec::new(), ends);
+    let batch = bench.record();
+    let forget = bench.cell.look_order(worker, bench.now).map(|o| o.forget);
+
+    // Assert.
+    let tasks = batch.rows.iter().flat_map(|(_, _, row)| &row.tasks);
+    let saved: Vec<&str> = tasks.map(|task| task.saved.as_str()).collect();
+    assert_eq!((forget, saved), (Some(1), vec!["saved"]));
+}
