--- a/tests/presumed_over.rs
+++ b/tests/presumed_over.rs
@@ -225,6 +225,25 @@
     assert_eq!(started.len(), 1, "nothing of it can run any more");
 }
 
+#[test]
+fn a_job_that_is_read_late_does_not_wait_for_a_worker_whose_lease_ran_out() {
+    // Arrange: the worker runs nothing but a task of the job that was not read.
+    let mut bench = owner_with_unread_jobs();
+    let worker = bench.worker(0);
+    look(&mut bench, worker, vec![running(UNREAD, 5)], Vec::new());
+
+    // Act: it is cut off, and the job is read long after.
+    let_the_first_lease_run_out(&mut bench);
+    let row = job(8, &queue("q", 0), vec![step(1, 1_000)]);
+    bench.cell.accept(&row, None, true, bench.now);
+    bench.cell.set_incomplete(false);
+    let started = starts(&bench.decide());
+
+    // Assert.
+    let jobs: Vec<u64> = started.iter().map(|start| start.task.step.job.0).collect();
+    assert_eq!(jobs, [7, 8], "nothing of them can run any more");
+}
+
 #[test]
 fn a_worker_whose_lease_ran_out_leaves_the_roster_with_the_ends_that_it_held() {
     // Arrange.
@@ -263,3 +282,42 @@
     let saved: Vec<&str> = tasks.map(|task| task.saved.as_str()).collect();
     assert_eq!((forget, saved), (Some(1), vec!["saved"]));
 }
+
+/// Starts of job 7's task, which a worker ran when it first answered its new owner; then it is
+/// silent for `silence`, before a look could renew its lease.
+fn starts_after_a_first_answer_and_silence(silence: u64) -> usize {
+    let q = queue("q", 0);
+    let mut cell = Cell::new(2, configuration(std::slice::from_ref(&q)), 1_000);
+    cell.list_workers(vec![worker(0), worker(1)], 1_000);
+    cell.accept(&job(7, &q, vec![step(1, 1_000)]), None, true, 1_000);
+    let mut bench = Bench::with(cell, 1_000);
+    let (first, other) = (bench.worker(0), bench.worker(1));
+    bench.now += 10;
+    let answer = Look {
+        clock: bench.now,
+        running: vec![running(KNOWN, 5)],
+        ended: Vec::new(),
+    };
+    bench.cell.looked(first, bench.now, &answer, bench.now);
+    bench
+        .cell
+        .look_failed(first, LookFailure::Unanswered, bench.now);
+    let until = bench.now + silence;
+    let mut again = 0;
+    while bench.now < until {
+        look(&mut bench, other, Vec::new(), Vec::new());
+        bench.pass(40);
+        again += starts(&bench.decide()).len();
+    }
+    again
+}
+
+#[test]
+fn the_lease_that_a_former_owner_gave_is_waited_out_after_a_single_answer() {
+    // Arrange, act: the former owner may have renewed the lease until just before.
+    let early = starts_after_a_first_answer_and_silence(3_400);
+    let late = starts_after_a_first_answer_and_silence(6_000);
+
+    // Assert.
+    assert_eq!((early, late), (0, 1));
+}
