What was not heard of is not over: former leases, other lives, times to come, former owners

The worker's own answer to a call that names the life proves it. - A job that only the former owner was told of, in the 2 s in which it may still give orders: unknown runs and ends stay with their workers until then, and jobs wait for the workers of the roster. - A time of a scheduled job that has begun by a former owner's time of day and not by ours: its runs and ends wait until it has. - An owner that is cut off counts the nodes that it knew when the store last confirmed it. - Progress that comes with the end of a former run is recorded before it is forgotten. Which jobs wait for lists is worked out once a round, not for each step.

--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -5,7 +5,6 @@
 use crate::cell::job::{Phase, Run};
 use crate::cell::name::TaskName;
 use crate::cell::order::{EndEntry, EndKind, Look, LookFailure, Refusal, RunningEntry};
-use crate::cell::spec::JobId;
 use crate::cell::{Cell, RunKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
@@ -27,6 +26,9 @@
         let first = !worker.fenced;
         worker.fenced = true;
         if first {
+            // A former owner may have renewed the lease just now: without this a task was
+            // started again 0.4 s before its first run could be over.
+            worker.lease_sent(now, tuning::LEASE);
             tracing::info!(
                 worker = worker.entry.id,
                 epoch = self.epoch,
@@ -71,7 +73,7 @@
     fn take_ends(&mut self, key: WorkerKey, ends: &[EndEntry], now: Millis) {
         let mut held: Option<&EndEntry> = None;
         for end in ends {
-            if self.is_unread(end.task.step.job) {
+            if self.is_unread(end.task) {
                 self.workers[key].unread.insert(end.task.step.job);
                 held = held.or(Some(end));
             } else if self.workers[key].take_place(end.place) {
@@ -79,7 +81,7 @@
             }
         }
         let forgettable = match held {
-            Some(first) => Some(first.place - 1),
+            Some(first) => Some(first.place.saturating_sub(1)),
             None => ends.last().map(|last| last.place),
         };
         let held_before = self.workers[key].holds_ends;
@@ -104,9 +106,20 @@
         );
     }
 
-    /// Tells whether the row of a job may be one of those that could not be read yet.
-    fn is_unread(&self, id: JobId) -> bool {
-        self.incomplete && !self.knows(id)
+    /// Tells whether a task may be one of ours that is not known yet: the row of its job could
+    /// not be read, or by our time of day its time has not come, as it had by a former
+    /// owner's.
+    fn is_unread(&self, task: TaskName) -> bool {
+        let id = task.step.job;
+        let Some(job) = self.job_ids.get(&id).and_then(|&key| self.jobs.get(key)) else {
+            return self.incomplete && !self.knows(id);
+        };
+        let time = task.step.time;
+        let comes = job
+            .spec
+            .schedule
+            .is_some_and(|schedule| time < schedule.times);
+        comes && !job.state.is_final() && !job.times.contains_key(&time)
     }
 
     fn take_end(&mut self, key: WorkerKey, end: &EndEntry, now: Millis) {
@@ -129,6 +142,7 @@
         let index = end.task.index;
         if !end.saved.is_empty() && self.steps[step_key].tasks[index as usize].runs.is_empty() {
             self.save_progress(step_key, index, &end.saved);
+            self.jobs[job_key].dirty = true;
         }
         match end.how {
             EndKind::Done => {
@@ -163,7 +177,7 @@
     /// Stops a run that no job of ours accounts for; while some jobs could not be
     /// read it may belong to one of them.
     fn stop_stranger(&mut self, worker: WorkerKey, task: TaskName, number: u64) {
-        if self.is_unread(task.step.job) {
+        if self.is_unread(task) {
             self.workers[worker].unread.insert(task.step.job);
             return;
         }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -283,6 +283,10 @@
     }
 
     /// The platform lists this worker, or its entry changed.
+    ///
+    /// Another life at the address of one that is known proves nothing: the entry of a life that is
+    /// over stays for some heartbeats, beside that of the next.  The answer to a call that names
+    /// the life does ([`Refusal::Gone`](order::Refusal::Gone)).
     pub fn list_worker(&mut self, entry: WorkerEntry, now: Millis) {
         if let Some(&key) = self.worker_ids.get(&entry.id) {
             let worker = &mut self.workers[key];
@@ -294,7 +298,6 @@
             worker.entry = entry;
             return;
         }
-        self.end_former_life(&entry, now);
         tracing::info!(worker = entry.id, address = %entry.address, "worker listed");
         let id = entry.id.clone();
         let leaving = entry.leaving.is_some();
@@ -305,18 +308,6 @@
         }
     }
 
-    /// A new life of a machine proves that the former one is over.
-    fn end_former_life(&mut self, entry: &WorkerEntry, now: Millis) {
-        let former = self
-            .workers
-            .iter()
-            .find(|(_, w)| w.entry.machine == entry.machine && w.entry.address == entry.address)
-            .map(|(key, _)| key);
-        if let Some(key) = former {
-            self.lose_worker(key, now, "restarted");
-        }
-    }
-
     /// The platform does not list this worker any more.
     pub fn unlist_worker(&mut self, id: &str, now: Millis) {
         if let Some(&key) = self.worker_ids.get(id) {
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -182,18 +182,23 @@
 
     /// Tells whether tasks of a step must wait since a former owner may still run them, or
     /// has run them to their end.
-    pub(super) fn is_unsettled(&self, step: &StepRun) -> bool {
+    pub(super) fn is_unsettled(&self, step: &StepRun, untaken: &Unsettled) -> bool {
         let id = step.name.job;
         let predates = self.jobs[step.job].predates;
-        predates && (self.unsettled.covers(id) || self.has_untaken_work(id))
+        predates && (self.unsettled.covers(id) || untaken.covers(id))
     }
 
-    /// Tells whether some worker listed runs or ends of the job when it was not read yet, or
-    /// may have some that it has not listed: the next look at that worker takes them in.
-    fn has_untaken_work(&self, id: JobId) -> bool {
-        self.workers
-            .values()
-            .any(|worker| worker.more_ends || worker.unread.contains(&id))
+    /// Jobs of which some worker listed runs or ends when they were not read yet, or may have
+    /// some that it has not listed: the next look at that worker takes them in.
+    pub(super) fn find_untaken(&self) -> Unsettled {
+        let mut jobs = HashSet::new();
+        for worker in self.workers.values() {
+            if worker.more_ends {
+                return Unsettled::Any;
+            }
+            jobs.extend(&worker.unread);
+        }
+        Unsettled::Jobs(jobs)
     }
 
     /// A former owner's gang that is not whole is stopped.
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -28,13 +28,14 @@
     /// Starts what can start now and asks about what lacks tickets.
     pub fn schedule(&mut self, now: Millis) {
         let mut order: Vec<(u32, usize, StepKey)> = Vec::new();
+        let untaken = self.find_untaken();
         for (place, &key) in self.open.iter().enumerate() {
             let step = &self.steps[key];
             if !step.ready {
                 continue;
             }
             let job = &self.jobs[step.job];
-            if !job.routed || self.is_unsettled(step) {
+            if !job.routed || self.is_unsettled(step, &untaken) {
                 continue;
             }
             order.push((job.ordering.priority, place, key));
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -117,7 +117,7 @@
         if !job.routed {
             return WaitReason::NoQueue;
         }
-        if self.is_unsettled(step) {
+        if self.is_unsettled(step, &self.find_untaken()) {
             return WaitReason::Settling;
         }
         if !self.is_within_quota(key, 1) {
--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -78,7 +78,8 @@
 
     fn take_words(&self, sent: Millis, words: &[Word]) {
         match self.verdict(words) {
-            Verdict::Holds => self.confirm(sent),
+            Verdict::Holds if is_read(words) => self.confirm(sent),
+            Verdict::Holds => self.confirm_for_now(sent),
             Verdict::Lost => self.retire("the row of ownership names another"),
             Verdict::Unknown => tracing::info!(
                 ?words,
@@ -105,7 +106,8 @@
         if rows.iter().any(|row| !is_ours(row)) {
             return Verdict::Lost;
         }
-        let known = self.shared.members().iter().count() + 1;
+        let now_known = self.known_nodes();
+        let known = now_known.max(self.known.fetch_max(now_known, Ordering::Relaxed));
         let away = words.iter().filter(|word| **word == Word::Away).count();
         if !rows.is_empty() || away * 2 > known {
             return Verdict::Holds;
@@ -113,6 +115,11 @@
         Verdict::Unknown
     }
 
+    /// How many nodes this one knows, itself among them.
+    pub(super) fn known_nodes(&self) -> usize {
+        self.shared.members().iter().count() + 1
+    }
+
     async fn own_word(&self) -> Word {
         if !self.shared.reaches_store() {
             return Word::Away;
@@ -145,6 +152,11 @@
     }
 }
 
+/// Tells whether somebody has read the row of ownership.
+fn is_read(words: &[Word]) -> bool {
+    words.iter().any(|word| matches!(word, Word::Row(_)))
+}
+
 fn owner_row() -> StoreCall {
     StoreCall::row(Table::Cells, PARTITION, OWNER_KEY)
 }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -58,6 +58,9 @@
     /// A transaction has to be repeated, so ends wait to be recorded.
     pub(super) stalled: AtomicBool,
     pub(super) confirmed: AtomicU64,
+    /// The most nodes that were known since the store last confirmed the ownership: one that
+    /// has been forgotten since, being silent, may have claimed the cell.
+    pub(super) known: AtomicUsize,
     looked_after: Mutex<HashSet<WorkerKey>>,
     lanes: Mutex<Vec<String>>,
     tasks: Mutex<Vec<AbortHandle>>,
@@ -91,6 +94,7 @@
             retired: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
             confirmed: AtomicU64::new(shared.now()),
+            known: AtomicUsize::new(1),
             looked_after: Mutex::default(),
             lanes: Mutex::new(vec![shared.name.clone()]),
             tasks: Mutex::default(),
@@ -152,6 +156,12 @@
 
     /// The row of ownership was seen to be ours by a call that was sent at `sent`.
     pub(super) fn confirm(&self, sent: Millis) {
+        self.known.store(self.known_nodes(), Ordering::Relaxed);
+        self.confirmed.fetch_max(sent, Ordering::Relaxed);
+    }
+
+    /// Most nodes said after `sent` that they do not reach the store.
+    pub(super) fn confirm_for_now(&self, sent: Millis) {
         self.confirmed.fetch_max(sent, Ordering::Relaxed);
     }
 
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::cell::tuning;
 use crate::node::cleaning::Cleaner;
 use crate::node::engine::Engine;
 use crate::node::loading::{self, JobRows};
@@ -68,8 +69,8 @@
                 self.take_job_rows(&missing.rows);
                 cleaner.note(&missing.rows);
                 unread = missing.unread;
-                self.cell().set_incomplete(!unread.is_empty());
             }
+            let former_is_over = self.former_owner_is_over();
             let call = StoreCall::Changes {
                 table: Table::Jobs,
                 after,
@@ -80,6 +81,8 @@
                     after = version.max(after);
                     self.take_job_rows(&rows);
                     cleaner.note(&rows);
+                    self.cell()
+                        .set_incomplete(!(former_is_over && unread.is_empty()));
                 }
                 Ok(_) => {
                     tracing::info!(after, "the store has forgotten changes of jobs");
@@ -95,6 +98,12 @@
         }
     }
 
+    /// Tells whether the former owner gives no orders any more.  It may be told of jobs until
+    /// then, and what it ran of them is found before their rows.
+    fn former_owner_is_over(&self) -> bool {
+        self.shared.now() > self.since + tuning::OWNER_WINDOW
+    }
+
     fn take_job_rows(&self, rows: &[Row]) {
         for row in rows.iter().filter(|row| !row.dropped) {
             // Most jobs were told of by the node that took them in.
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -108,7 +108,8 @@
     for (id, state) in shared.early_ends().unknown_to(epoch) {
         cell.believe_end(id, state);
     }
-    cell.set_incomplete(!jobs.unread.is_empty());
+    // Even if all is read, the former owner may be told of jobs for a while.
+    cell.set_incomplete(true);
     tracing::info!(
         epoch,
         workers = workers.0.len(),
