Failing tests: a list written before a start ends a run that another list has shown

Cause: a list is taken for proof that a run is over when its look was sent after the start's answer came. A list that shows a run makes it running before that answer, and leaves the time at 0, so any other list on its way is proof. Looks are told apart by milliseconds, and the order of sending is taken for that of the lists, so an old list also brings back (adopts) runs that have ended.

Ruled out: an old list taken in after a younger look's: such are ignored already, save within one millisecond.

The random runs played every call within one instant, so that no list could be written before a start and arrive after another; now calls and answers take their time, looks are held, and what is due arrives in any order.

--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -1,5 +1,6 @@
 //! Random runs of the scheduling core: several owners one after the other, workers in
-//! memory, and every kind of message loss between them.
+//! memory, and every kind of message loss between them.  Calls and answers take their time, so
+//! several looks, starts and stops are on their way at once and overtake one another.
 //!
 //! `CROSSWEIR_SEED=1000 CROSSWEIR_RUNS=500 cargo test --release --test chaos` plays other
 //! seeds; a failure names its seed.  What must hold is checked on what the workers did.
@@ -12,14 +13,14 @@
 use crossweir::cell::job::JobState;
 use crossweir::cell::name::TaskName;
 use crossweir::cell::order::{
-    AdviceOrder, EndEntry, EndKind, LookFailure, LookOrder, Order, Refusal, StartOrder,
+    AdviceOrder, EndEntry, EndKind, Look, LookFailure, LookOrder, Order, Refusal, StartOrder,
     StartOutcome, StopOrder,
 };
 use crossweir::cell::record::{JobRow, Progress};
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::{Demand, JobId};
 use crossweir::cell::worker::WorkerEntry;
-use crossweir::cell::{Cell, WorkerKey, tuning};
+use crossweir::cell::{Cell, RunKey, WorkerKey, tuning};
 use crossweir::clock::Millis;
 use crossweir::embedded::worker::MemoryWorker;
 use crossweir::queue::Queue;
@@ -33,6 +34,12 @@
 const QUIET: Millis = 60_000;
 /// The most that an order is late.
 const MOST_LATE: Millis = 12_000;
+/// The most that a call or its answer takes on its way, unless it is lost.
+const WAY: Millis = 120;
+/// The most that a look is held at a worker, as `tuning::LOOK_WAIT`.
+const HELD: Millis = 600;
+/// How long the owner waits for the answer to a start or stop, as the adapter does.
+const ORDER_TIMEOUT: Millis = 250;
 /// Tasks run no longer than this.
 const LONGEST: u64 = 1_500;
 /// Seeds that CI plays unless it is told others.
@@ -54,6 +61,31 @@
     Stop(StopOrder),
 }
 
+/// A call or an answer on its way between the owner and a worker.
+enum Way {
+    Start(StartOrder),
+    StartAnswer(RunKey, StartOutcome, Option<Millis>),
+    Stop(StopOrder),
+    StopAnswer(WorkerKey, RunKey),
+    Look(SentLook),
+    LookAnswer(SentLook, Result<Look, LookFailure>),
+}
+
+/// A message on its way.
+struct Message {
+    /// When it arrives.
+    at: Millis,
+    /// The epoch of the owner that sent it or is to hear it.
+    epoch: u64,
+    way: Way,
+}
+
+/// A look, and when it was sent.
+struct SentLook {
+    order: LookOrder,
+    sent: Millis,
+}
+
 /// One process's turn as owner.  A former one goes on for a while, as a frozen process
 /// that wakes would; its window is over by then, so it only hears answers to old orders.
 struct Owner {
@@ -72,6 +104,8 @@
     graves: Vec<MemoryWorker>,
     lives: u16,
     late: Vec<(Millis, Late)>,
+    /// Calls and answers that take their time.
+    messages: Vec<Message>,
     rows: BTreeMap<u64, JobRow>,
     progress: BTreeMap<JobId, Progress>,
     roster: Vec<RosterEntry>,
@@ -109,6 +143,7 @@
             graves: Vec::new(),
             lives: WORKERS,
             late: Vec::new(),
+            messages: Vec::new(),
             rows: BTreeMap::new(),
             progress: BTreeMap::new(),
             roster: Vec::new(),
@@ -269,6 +304,7 @@
     fn turn(&mut self) {
         self.now += TICK;
         self.carry_out_late();
+        self.deliver();
         if self.store_is_up() {
             self.owner.confirmed = self.now;
             self.read_the_rest();
@@ -276,7 +312,9 @@
         // Without confirmation an owner orders nothing after its window.
         if self.now - self.owner.confirmed < tuning::OWNER_WINDOW {
             self.look();
+            self.deliver();
             self.decide();
+            self.deliver();
         }
         self.record();
         self.check();
@@ -325,24 +363,98 @@
         }
     }
 
+    /// How long a call or an answer takes; many take no time that the clock shows.
+    fn way(&mut self) -> Millis {
+        if self.chance(40) {
+            self.rng.random_range(0..WAY)
+        } else {
+            0
+        }
+    }
+
+    fn send(&mut self, at: Millis, way: Way) {
+        let epoch = self.epoch;
+        self.messages.push(Message { at, epoch, way });
+    }
+
+    /// Delivers what is due, in any order, and what follows from it at once.
+    fn deliver(&mut self) {
+        while let Some(message) = self.next_due() {
+            let epoch = message.epoch;
+            match message.way {
+                Way::Start(order) => self.start_arrives(epoch, order),
+                Way::Stop(order) => self.stop_arrives(epoch, order),
+                Way::Look(look) => self.look_arrives(epoch, look),
+                answer if epoch == self.epoch => self.answer_arrives(answer),
+                _ => {}
+            }
+        }
+    }
+
+    fn next_due(&mut self) -> Option<Message> {
+        let due = |place: &usize| self.messages[*place].at <= self.now;
+        let due: Vec<usize> = (0..self.messages.len()).filter(due).collect();
+        if due.is_empty() {
+            return None;
+        }
+        let place = due[self.rng.random_range(0..due.len())];
+        Some(self.messages.swap_remove(place))
+    }
+
+    fn answer(&mut self, epoch: u64, way: Way) {
+        let at = self.now + self.way();
+        self.messages.push(Message { at, epoch, way });
+    }
+
+    fn answer_arrives(&mut self, answer: Way) {
+        let cell = &mut self.owner.cell;
+        match answer {
+            Way::StartAnswer(run, outcome, clock) => {
+                cell.start_answered(run, outcome, clock, self.now);
+            }
+            Way::StopAnswer(worker, run) => {
+                cell.stop_confirmed(run, self.now);
+                if cell.is_doubtful(run) {
+                    // As the owner does: the turn of the worker's own loop may wait.
+                    self.send_look(worker, false);
+                }
+            }
+            Way::LookAnswer(look, answer) => self.look_answered(&look, answer),
+            Way::Start(_) | Way::Stop(_) | Way::Look(_) => unreachable!("calls, not answers"),
+        }
+    }
+
     fn look(&mut self) {
         for key in self.owner.cell.worker_keys() {
             if self.rng.random_ratio(1, 2) {
                 continue;
             }
-            let Some(order) = self.owner.cell.look_order(key, self.now) else {
-                continue;
-            };
-            self.owner.keys.insert(order.to.id.clone(), key);
-            self.look_at(key, &order);
+            self.send_look(key, true);
         }
     }
 
-    fn look_at(&mut self, key: WorkerKey, order: &LookOrder) {
-        self.note_forgotten(order);
+    /// Sends a look, also when others are on their way.
+    fn send_look(&mut self, key: WorkerKey, waits: bool) {
+        let Some(order) = self.owner.cell.look_order(key, self.now) else {
+            return;
+        };
+        self.owner.keys.insert(order.to.id.clone(), key);
+        self.note_forgotten(&order);
+        let held = if waits && self.chance(10) {
+            self.rng.random_range(0..HELD)
+        } else {
+            0
+        };
+        let at = self.now + self.way() + held;
+        let sent = self.now;
+        self.send(at, Way::Look(SentLook { order, sent }));
+    }
+
+    fn look_arrives(&mut self, epoch: u64, look: SentLook) {
+        let order = &look.order;
         let lost_before = self.chance(4) || self.is_cut(&order.to.id);
         let lost_after = self.chance(4);
-        let answer = match self.workers.get_mut(&order.to.id) {
+        let mut answer = match self.workers.get_mut(&order.to.id) {
             _ if lost_before => Err(LookFailure::Unanswered),
             Some(worker) => worker.look(order, self.now),
             None => Err(LookFailure::Refused(Refusal::Gone)),
@@ -350,10 +462,17 @@
         if let Ok(look) = &answer {
             self.listed.insert(order.to.id.clone(), look.ended.clone());
         }
+        if lost_after && answer.is_ok() {
+            answer = Err(LookFailure::Unanswered);
+        }
+        self.answer(epoch, Way::LookAnswer(look, answer));
+    }
+
+    fn look_answered(&mut self, look: &SentLook, answer: Result<Look, LookFailure>) {
+        let key = look.order.to.worker;
         let cell = &mut self.owner.cell;
         match answer {
-            Ok(_) if lost_after => cell.look_failed(key, LookFailure::Unanswered, self.now),
-            Ok(look) => cell.looked(key, self.now, &look, self.now),
+            Ok(list) => cell.looked(key, look.sent, &list, self.now),
             Err(failure) => cell.look_failed(key, failure, self.now),
         }
     }
@@ -385,20 +504,33 @@
 
     fn start(&mut self, order: StartOrder) {
         let (run, now) = (order.run, self.now);
-        let outcome = if self.is_cut(&order.to.id) {
-            StartOutcome::Unanswered
+        if self.is_cut(&order.to.id) {
+            self.start_is_lost(run);
         } else if self.chance(5) {
             let at = now + self.rng.random_range(0..MOST_LATE);
             self.late.push((at, Late::Start(order)));
-            StartOutcome::Unanswered
+            self.start_is_lost(run);
         } else {
-            match self.workers.get_mut(&order.to.id) {
-                Some(worker) => worker.start(&order, now),
-                None => StartOutcome::Refused(Refusal::Gone),
-            }
+            let at = now + self.way();
+            self.send(at, Way::Start(order));
+        }
+    }
+
+    /// A start brings no answer: the owner waits for one, or its connection breaks.
+    fn start_is_lost(&mut self, run: RunKey) {
+        let wait = self.rng.random_range(0..=ORDER_TIMEOUT);
+        let wait = if self.chance(50) { wait } else { 0 };
+        let lost = Way::StartAnswer(run, StartOutcome::Unanswered, None);
+        self.send(self.now + wait, lost);
+    }
+
+    fn start_arrives(&mut self, epoch: u64, order: StartOrder) {
+        let now = self.now;
+        let outcome = match self.workers.get_mut(&order.to.id) {
+            Some(worker) => worker.start(&order, now),
+            None => StartOutcome::Refused(Refusal::Gone),
         };
-        let clock = (outcome != StartOutcome::Unanswered).then_some(now);
-        self.owner.cell.start_answered(run, outcome, clock, now);
+        self.answer(epoch, Way::StartAnswer(order.run, outcome, Some(now)));
     }
 
     fn stop(&mut self, order: StopOrder) {
@@ -410,11 +542,16 @@
             self.late.push((at, Late::Stop(order)));
             return;
         }
+        let at = self.now + self.way();
+        self.send(at, Way::Stop(order));
+    }
+
+    fn stop_arrives(&mut self, epoch: u64, order: StopOrder) {
         let Some(worker) = self.workers.get_mut(&order.to.id) else {
             return;
         };
         if let (Ok(()), Some(run)) = (worker.stop(&order, self.now), order.run) {
-            self.owner.cell.stop_confirmed(run, self.now);
+            self.answer(epoch, Way::StopAnswer(order.to.worker, run));
         }
     }
 
