Mend: only the list of a look that was sent later shows that a run is over

Ruled out: taking the worker's clock for the order of its lists (it counts milliseconds too); ignoring every list that was on its way with another (the look that settles a doubtful start would count for nothing while the worker's own look waits).

Change: looks get a sequence number when they are sent, answers when they are heard (cell::sequence). A run keeps the number under which its beginning was first heard, a stop that of its confirmation; a list ends the run only if its look's number is above. A list that was on its way when another was taken in adopts nothing, stops nothing that is not ours, and leaves the count of unknown runs and held ends. The look that settles a doubtful start need not wait for the next millisecond any more. A run that goes on from saved progress and is shown before its start's answer is not judged while it restores: the time was 0 there as well.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -7,6 +7,7 @@
 
 use crate::cell::name::{StepName, TaskName};
 use crate::cell::progress::Progress;
+use crate::cell::sequence::Sequence;
 use crate::cell::spec::{JobId, JobSpec, Step};
 use crate::cell::{JobKey, RunKey, StepKey, WorkerKey};
 use crate::clock::Millis;
@@ -158,8 +159,8 @@
 pub struct Stop {
     /// When it was last sent.
     pub sent: Millis,
-    /// When the worker confirmed it.
-    pub confirmed: Option<Millis>,
+    /// When its confirmation was heard; a look sent later shows what came of it.
+    pub confirmed: Option<Sequence>,
 }
 
 /// One run of a task on a worker.
@@ -175,8 +176,11 @@
     pub number: u64,
     /// How sure it is that it goes on.
     pub phase: Phase,
-    /// When the start was answered.
+    /// When it was first known to have begun, by our clock; 0 before that.
     pub answered: Millis,
+    /// When that was heard, from the start's answer or a list: only the list of a look that
+    /// was sent later can show that the run is over.
+    pub begun: Option<Sequence>,
     /// By the worker's clock, when the start can no longer take effect.
     pub expires: Millis,
     /// It goes on from saved progress.
@@ -186,3 +190,14 @@
     /// Set if it is to end.
     pub stop: Option<Stop>,
 }
+
+impl Run {
+    /// The worker has confirmed that the run began; the first time that was heard counts.
+    pub(super) fn has_begun(&mut self, heard: Sequence, now: Millis) {
+        self.phase = Phase::Running;
+        if self.begun.is_none() {
+            self.begun = Some(heard);
+            self.answered = now;
+        }
+    }
+}
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -4,21 +4,32 @@
 
 use crate::cell::job::{Phase, Run};
 use crate::cell::name::TaskName;
-use crate::cell::order::{EndEntry, EndKind, Look, LookFailure, Refusal, RunningEntry};
+use crate::cell::order::{EndEntry, EndKind, Look, LookFailure, LookOrder, Refusal, RunningEntry};
+use crate::cell::sequence::Sequence;
 use crate::cell::{Cell, RunKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
 impl Cell {
-    /// Takes in a look that was sent at `sent`.
-    pub fn looked(&mut self, key: WorkerKey, sent: Millis, look: &Look, now: Millis) {
+    /// Takes in what a look brought.
+    pub fn looked(&mut self, order: &LookOrder, look: &Look, now: Millis) {
+        let key = order.to.worker;
+        let heard = self.next_sequence();
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if sent < worker.looked {
+        if order.sequence < worker.look_sent {
             // A later look was answered first; whatever matters here is told again.
             return;
         }
-        worker.looked = sent;
+        // Of two lists that were on their way at once either may be the older one: it must
+        // neither bring back a run that has ended nor hide ends that are held back.
+        let newest = worker.list_heard < order.sequence;
+        let held_before = worker.holds_ends;
+        worker.look_sent = order.sequence;
+        worker.list_heard = heard;
+        if newest {
+            worker.looked = order.sent;
+        }
         worker.heard = now;
         worker.silent_since = None;
         worker.clock = Some((look.clock, now));
@@ -34,7 +45,9 @@
             );
         }
         self.take_ends(key, &look.ended, now);
-        self.take_running(key, sent, look, now);
+        self.workers[key].holds_ends |= held_before && !newest;
+        let listed = self.take_running(key, look, newest, now);
+        self.remove_unlisted(key, order.sequence, look.clock, &listed, now);
     }
 
     /// A look brought nothing.
@@ -124,11 +137,22 @@
         }
     }
 
-    fn take_running(&mut self, key: WorkerKey, sent: Millis, look: &Look, now: Millis) {
+    /// Takes in what runs, and returns which runs of ours that is.
+    fn take_running(
+        &mut self,
+        key: WorkerKey,
+        look: &Look,
+        newest: bool,
+        now: Millis,
+    ) -> HashSet<RunKey> {
         let mut listed: HashSet<RunKey> = HashSet::with_capacity(look.running.len());
         let mut strangers = 0;
         for entry in &look.running {
             let known = self.find_run(key, entry.task, entry.number);
+            if known.is_none() && !newest {
+                // It may have ended since; if it has not, the next list shows it.
+                continue;
+            }
             match known.or_else(|| self.adopt(key, entry, now)) {
                 Some(run) => {
                     listed.insert(run);
@@ -140,8 +164,10 @@
                 }
             }
         }
-        self.workers[key].strangers = strangers;
-        self.remove_unlisted(key, sent, look.clock, &listed, now);
+        if newest {
+            self.workers[key].strangers = strangers;
+        }
+        listed
     }
 
     /// Stops a run that no job of ours accounts for; while some jobs could not be
@@ -185,6 +211,7 @@
             number: entry.number,
             phase: Phase::Running,
             answered: now,
+            begun: Some(self.workers[worker].list_heard),
             expires: 0,
             restored: false,
             progress: Default::default(),
@@ -194,7 +221,7 @@
 
     fn take_progress(&mut self, key: RunKey, entry: &RunningEntry, clock: Millis, now: Millis) {
         let run = &mut self.runs[key];
-        run.phase = Phase::Running;
+        run.has_begun(self.workers[run.worker].list_heard, now);
         run.note_progress(entry.percent, clock, now);
         let (step, index) = (run.step, run.index);
         if !entry.saved.is_empty() && self.steps[step].tasks[index as usize].saved != entry.saved {
@@ -204,11 +231,12 @@
         self.judge_progress(key, now);
     }
 
-    /// Runs that the worker does not list are over, unless their start may be on its way.
+    /// Runs that the worker does not list are over if the list is later than their beginning
+    /// or their stop took effect there: its look was sent after that was heard.
     fn remove_unlisted(
         &mut self,
         key: WorkerKey,
-        sent: Millis,
+        sent: Sequence,
         clock: Millis,
         listed: &HashSet<RunKey>,
         now: Millis,
@@ -223,10 +251,11 @@
             let run = &self.runs[run_key];
             let over = match run.phase {
                 Phase::Sent => false,
-                Phase::Running => run.answered < sent,
+                Phase::Running => run.begun.is_some_and(|heard| heard < sent),
                 Phase::Doubtful => {
                     let barred = run.stop.and_then(|stop| stop.confirmed);
-                    barred.is_some_and(|at| at < sent) || clock > run.expires + tuning::LEASE_MARGIN
+                    barred.is_some_and(|heard| heard < sent)
+                        || clock > run.expires + tuning::LEASE_MARGIN
                 }
             };
             if !over {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -17,6 +17,7 @@
 mod round;
 pub mod run;
 pub mod schedule;
+pub mod sequence;
 pub mod spec;
 pub mod tuning;
 pub mod view;
@@ -29,6 +30,7 @@
 
 use crate::cell::job::{Job, JobState, Run, StepRun};
 use crate::cell::order::{Addressee, LookOrder, Order, StopOrder};
+use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, JobId};
 use crate::cell::worker::{Worker, WorkerEntry};
 use crate::clock::Millis;
@@ -89,6 +91,8 @@
 pub struct Cell {
     epoch: u64,
     next_run: u64,
+    /// The newest sequence number that was given.
+    sequence: Sequence,
     config: Arc<Configuration>,
     policy: Arc<dyn Policy>,
     workers: SlotMap<WorkerKey, Worker>,
@@ -137,6 +141,7 @@
         Self {
             epoch,
             next_run: epoch * tuning::RUNS_PER_EPOCH,
+            sequence: Sequence::default(),
             config,
             policy: Arc::new(BuiltIn),
             workers: SlotMap::with_key(),
@@ -394,10 +399,13 @@
 
     /// Says how to look at a worker next; none if it is gone.
     pub fn look_order(&mut self, key: WorkerKey, now: Millis) -> Option<LookOrder> {
+        let sequence = self.next_sequence();
         let worker = self.workers.get(key)?;
         let lasting_silence = worker.is_silent() || worker.clock.is_none();
         let order = LookOrder {
             to: self.addressee(key),
+            sequence,
+            sent: now,
             forget: worker.recorded_end,
             due: match worker.clock_at(now) {
                 Some(clock) if !lasting_silence => Some(clock + tuning::LEASE),
--- a/src/cell/order.rs
+++ b/src/cell/order.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::cell::name::{StepName, TaskName};
+use crate::cell::sequence::Sequence;
 use crate::cell::{RunKey, StepKey, WorkerKey};
 use crate::clock::Millis;
 
@@ -85,6 +86,10 @@
 pub struct LookOrder {
     /// The worker.
     pub to: Addressee,
+    /// Its place in the order of what is sent and heard.
+    pub sequence: Sequence,
+    /// When it was sent, by our clock.
+    pub sent: Millis,
     /// The number of the last end that it may forget.
     pub forget: u64,
     /// By the worker's clock, when the lease ends; none only looks.
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -89,6 +89,7 @@
         clock: Option<Millis>,
         now: Millis,
     ) {
+        let heard = self.next_sequence();
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -99,10 +100,7 @@
         let run = &mut self.runs[key];
         match outcome {
             StartOutcome::Started => {
-                run.answered = now;
-                if run.phase == Phase::Sent {
-                    run.phase = Phase::Running;
-                }
+                run.has_begun(heard, now);
                 let job = self.steps[run.step].job;
                 if self.jobs[job].state == JobState::Queued {
                     self.note_wait(job, Waited::FirstStart, now);
@@ -205,9 +203,10 @@
     }
 
     /// A worker has confirmed a stop: the run ends soon, or never begins.
-    pub fn stop_confirmed(&mut self, key: RunKey, now: Millis) {
+    pub fn stop_confirmed(&mut self, key: RunKey) {
+        let heard = self.next_sequence();
         if let Some(stop) = self.runs.get_mut(key).and_then(|run| run.stop.as_mut()) {
-            stop.confirmed = Some(now);
+            stop.confirmed.get_or_insert(heard);
         }
     }
 
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -286,6 +286,7 @@
             number,
             phase: Phase::Sent,
             answered: 0,
+            begun: None,
             expires: due,
             restored: !self.steps[key].tasks[index as usize].saved.is_empty(),
             progress: Default::default(),
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cell::roster::{LeftWork, Listing};
+use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, Step};
 use crate::cell::{RunKey, tuning};
 use crate::clock::Millis;
@@ -60,8 +61,12 @@
     pub fenced: bool,
     /// When it last answered.
     pub heard: Millis,
-    /// When the latest look was sent that has been taken in: looks may overtake each other.
+    /// When the latest look was sent whose list was taken in whole.
     pub looked: Millis,
+    /// The latest look whose list was taken in: looks may overtake each other.
+    pub look_sent: Sequence,
+    /// When a list was last taken in: one whose look was sent before may be older.
+    pub list_heard: Sequence,
     /// Since when calls bring no answer; none if the last one did.
     pub silent_since: Option<Millis>,
     /// When it said that it leaves.
@@ -104,6 +109,8 @@
             fenced: false,
             heard: 0,
             looked: 0,
+            look_sent: Sequence::default(),
+            list_heard: Sequence::default(),
             silent_since: None,
             leaving_since: None,
             clock: None,
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -246,7 +246,7 @@
                 continue;
             };
             match worker.look(&order, self.now) {
-                Ok(look) => self.cell.looked(key, self.now, &look, self.now),
+                Ok(look) => self.cell.looked(&order, &look, self.now),
                 Err(failure) => self.cell.look_failed(key, failure, self.now),
             }
         }
@@ -291,7 +291,7 @@
                     return;
                 };
                 if let (Ok(()), Some(run)) = (worker.stop(&order, now), order.run) {
-                    self.cell.stop_confirmed(run, now);
+                    self.cell.stop_confirmed(run);
                 }
             }
             Order::Advise(order) => self.answers.push((now + order.expected, order)),
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -21,8 +21,6 @@
 /// The least time between two looks at a worker, so that ends which come close
 /// together cost one look.
 const LOOK_PAUSE: Duration = Duration::from_millis(15);
-/// More than a step of our clock.
-const CLOCK_STEP: Duration = Duration::from_millis(2);
 /// A look of the worker's own loop waits as long as the core wants.
 const LONGEST_LOOK: Duration = Duration::from_secs(2);
 /// What a question through another node may take beyond its expected time.
@@ -62,12 +60,10 @@
         let now = self.shared.now();
         match (answer, order.run) {
             (Ok(()), Some(run)) => {
-                self.cell().stop_confirmed(run, now);
+                self.cell().stop_confirmed(run);
                 let settles = self.cell().is_doubtful(run);
                 if settles {
-                    // The turn of the worker's own loop may wait for an end.  This look must
-                    // be the later of the two by a clock that counts milliseconds.
-                    tokio::time::sleep(CLOCK_STEP).await;
+                    // The turn of the worker's own loop may wait for an end.
                     self.look(order.to.worker, Duration::ZERO).await;
                 }
             }
@@ -156,7 +152,7 @@
         match answer {
             Ok(look) => {
                 let news = !look.ended.is_empty() || order.due.is_none();
-                self.cell().looked(key, sent, &look, now);
+                self.cell().looked(&order, &look, now);
                 if news {
                     self.record.notify_one();
                 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -90,7 +90,7 @@
     assert_eq!((stop.task, stop.number), (order.task, order.number));
     bench.look_at_all();
     assert!(bench.start_all().is_empty(), "it may still begin");
-    bench.cell.stop_confirmed(order.run, bench.now);
+    bench.cell.stop_confirmed(order.run);
     bench.look_at_all();
     let again = bench.start_all().remove(0);
     assert!(again.number > order.number);
@@ -242,16 +242,16 @@
         clock: next.now,
         ..Default::default()
     };
-    next.cell.looked(keys[0], next.now, &look, next.now);
-    next.cell.looked(keys[1], next.now, &empty, next.now);
+    next.hear(keys[0], &look);
+    next.hear(keys[1], &empty);
     next.pass(0);
     assert!(
         starts(&next.decide()).is_empty(),
         "the other may run on the silent worker"
     );
     next.now += 6_000;
-    next.cell.looked(keys[0], next.now, &look, next.now);
-    next.cell.looked(keys[1], next.now, &empty, next.now);
+    next.hear(keys[0], &look);
+    next.hear(keys[1], &empty);
     next.pass(0);
     let late = starts(&next.decide());
     assert_eq!(late.len(), 1, "only the one that was not found");
@@ -267,9 +267,7 @@
     assert_eq!(bench.start_all().len(), 4, "the one worker is full");
     bench.cell.list_worker(cell_core::worker(1), bench.now);
     let key = bench.cell.worker_keys()[1];
-    bench
-        .cell
-        .looked(key, bench.now, &Default::default(), bench.now);
+    bench.hear(key, &Default::default());
     bench.cell.tick(bench.now);
     let (version, roster) = bench.cell.roster();
     assert_eq!(roster.len(), 2);
@@ -704,9 +702,10 @@
     bench.accept(&job(1, &q, vec![step(1, 1_000)]));
     let start = bench.start_all().remove(0);
     let key = bench.worker(0);
-    let sent = bench.now + 1;
+    let order = bench.cell.look_order(key, bench.now + 1);
+    let order = order.expect("a known worker");
     let overtaken = Look {
-        clock: sent,
+        clock: order.sent,
         running: vec![RunningEntry {
             task: start.task,
             number: start.number,
@@ -720,7 +719,7 @@
     bench.look_at_all();
 
     // Act.
-    bench.cell.looked(key, sent, &overtaken, bench.now);
+    bench.cell.looked(&order, &overtaken, bench.now);
 
     // Assert: the task starts again, since nothing of it runs.
     assert_eq!(bench.cell.counts().adopted, 0);
@@ -770,14 +769,14 @@
     };
 
     // Act.
-    bench.cell.looked(worker, bench.now, &look, bench.now);
+    bench.hear(worker, &look);
     bench.record();
     let forgotten = bench.cell.look_order(worker, bench.now).map(|o| o.forget);
     bench.cell.accept(&row, None, true, bench.now);
     bench.cell.set_incomplete(false);
     bench.now += 10;
     look.clock = bench.now;
-    bench.cell.looked(worker, bench.now, &look, bench.now);
+    bench.hear(worker, &look);
     let started = starts(&bench.decide());
 
     // Assert.
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -218,8 +218,14 @@
             running: running.collect(),
             ended: self.ends[&key].clone(),
         };
-        let _ = self.cell.look_order(key, self.now);
-        self.cell.looked(key, self.now, &look, self.now);
+        self.hear(key, &look);
+    }
+
+    /// Looks at one worker, which answers at once.
+    pub fn hear(&mut self, key: WorkerKey, look: &Look) {
+        let order = self.cell.look_order(key, self.now);
+        let order = order.expect("a known worker");
+        self.cell.looked(&order, look, self.now);
     }
 
     /// Looks at all workers, a moment later.
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -67,8 +67,8 @@
     StartAnswer(RunKey, StartOutcome, Option<Millis>),
     Stop(StopOrder),
     StopAnswer(WorkerKey, RunKey),
-    Look(SentLook),
-    LookAnswer(SentLook, Result<Look, LookFailure>),
+    Look(LookOrder),
+    LookAnswer(LookOrder, Result<Look, LookFailure>),
 }
 
 /// A message on its way.
@@ -80,12 +80,6 @@
     way: Way,
 }
 
-/// A look, and when it was sent.
-struct SentLook {
-    order: LookOrder,
-    sent: Millis,
-}
-
 /// One process's turn as owner.  A former one goes on for a while, as a frozen process
 /// that wakes would; its window is over by then, so it only hears answers to old orders.
 struct Owner {
@@ -384,7 +378,7 @@
             match message.way {
                 Way::Start(order) => self.start_arrives(epoch, order),
                 Way::Stop(order) => self.stop_arrives(epoch, order),
-                Way::Look(look) => self.look_arrives(epoch, look),
+                Way::Look(order) => self.look_arrives(epoch, order),
                 answer if epoch == self.epoch => self.answer_arrives(answer),
                 _ => {}
             }
@@ -413,13 +407,13 @@
                 cell.start_answered(run, outcome, clock, self.now);
             }
             Way::StopAnswer(worker, run) => {
-                cell.stop_confirmed(run, self.now);
+                cell.stop_confirmed(run);
                 if cell.is_doubtful(run) {
                     // As the owner does: the turn of the worker's own loop may wait.
                     self.send_look(worker, false);
                 }
             }
-            Way::LookAnswer(look, answer) => self.look_answered(&look, answer),
+            Way::LookAnswer(order, answer) => self.look_answered(&order, answer),
             Way::Start(_) | Way::Stop(_) | Way::Look(_) => unreachable!("calls, not answers"),
         }
     }
@@ -446,17 +440,15 @@
             0
         };
         let at = self.now + self.way() + held;
-        let sent = self.now;
-        self.send(at, Way::Look(SentLook { order, sent }));
+        self.send(at, Way::Look(order));
     }
 
-    fn look_arrives(&mut self, epoch: u64, look: SentLook) {
-        let order = &look.order;
+    fn look_arrives(&mut self, epoch: u64, order: LookOrder) {
         let lost_before = self.chance(4) || self.is_cut(&order.to.id);
         let lost_after = self.chance(4);
         let mut answer = match self.workers.get_mut(&order.to.id) {
             _ if lost_before => Err(LookFailure::Unanswered),
-            Some(worker) => worker.look(order, self.now),
+            Some(worker) => worker.look(&order, self.now),
             None => Err(LookFailure::Refused(Refusal::Gone)),
         };
         if let Ok(look) = &answer {
@@ -465,15 +457,14 @@
         if lost_after && answer.is_ok() {
             answer = Err(LookFailure::Unanswered);
         }
-        self.answer(epoch, Way::LookAnswer(look, answer));
+        self.answer(epoch, Way::LookAnswer(order, answer));
     }
 
-    fn look_answered(&mut self, look: &SentLook, answer: Result<Look, LookFailure>) {
-        let key = look.order.to.worker;
+    fn look_answered(&mut self, order: &LookOrder, answer: Result<Look, LookFailure>) {
         let cell = &mut self.owner.cell;
         match answer {
-            Ok(list) => cell.looked(key, look.sent, &list, self.now),
-            Err(failure) => cell.look_failed(key, failure, self.now),
+            Ok(list) => cell.looked(order, &list, self.now),
+            Err(failure) => cell.look_failed(order.to.worker, failure, self.now),
         }
     }
 
--- a/tests/late_lists.rs
+++ b/tests/late_lists.rs
@@ -17,25 +17,20 @@
 mod cell_core;
 
 use cell_core::{Bench, job, queue, starts, step, stops};
-use crossweir::cell::order::{EndEntry, EndKind, Look, RunningEntry, StartOrder, StartOutcome};
-use crossweir::clock::Millis;
-
-/// A look that is on its way.
-#[derive(Clone, Copy)]
-struct SentLook(Millis);
+use crossweir::cell::order::{
+    EndEntry, EndKind, Look, LookOrder, RunningEntry, StartOrder, StartOutcome,
+};
 
 /// Sends a look to the one worker.
-fn send_look(bench: &mut Bench) -> SentLook {
+fn send_look(bench: &mut Bench) -> LookOrder {
     let worker = bench.worker(0);
     let order = bench.cell.look_order(worker, bench.now);
-    order.expect("a known worker");
-    SentLook(bench.now)
+    order.expect("a known worker")
 }
 
 /// A list arrives.
-fn arrives(bench: &mut Bench, sent: SentLook, list: &Look) {
-    let worker = bench.worker(0);
-    bench.cell.looked(worker, sent.0, list, bench.now);
+fn arrives(bench: &mut Bench, sent: LookOrder, list: &Look) {
+    bench.cell.looked(&sent, list, bench.now);
 }
 
 /// The answer to a start arrives.
@@ -241,9 +236,7 @@
     let stop = stops(&bench.decide()).remove(0);
     let before = send_look(&mut bench);
     let written = list(&bench, &[], &[]);
-    bench
-        .cell
-        .stop_confirmed(stop.run.expect("a run of ours"), bench.now);
+    bench.cell.stop_confirmed(stop.run.expect("a run of ours"));
     let after = send_look(&mut bench);
 
     // Act.
--- a/tests/unread_jobs.rs
+++ b/tests/unread_jobs.rs
@@ -52,7 +52,7 @@
         ended,
     };
     let worker = bench.worker(0);
-    bench.cell.looked(worker, bench.now, &look, bench.now);
+    bench.hear(worker, &look);
 }
 
 /// An owner that knows job 7 and could not read others, with two workers.
