Mend: a run that was taken over is not written off before its former lease ends

Cause: the end of a worker's lease was counted from our own orders only. The first look under a new epoch renews nothing, so until the second one it was 0, or that of a start.

Change: the first answer under our epoch counts as a lease given now: what the former owner gave last ends no later, and its further orders are refused.

--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -36,6 +36,8 @@
         let first = !worker.fenced;
         worker.fenced = true;
         if first {
+            // What a former owner renewed last may go on that long, should it fall silent now.
+            worker.lease_sent(now, tuning::LEASE);
             tracing::info!(
                 worker = worker.entry.id,
                 epoch = self.epoch,
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -808,3 +808,38 @@
     assert!(after.is_empty(), "it does run");
     assert_eq!(bench.cell.counts().adopted, 1);
 }
+
+#[test]
+fn a_run_that_was_taken_over_is_not_written_off_before_its_former_lease() {
+    // Arrange: a former owner's run is found on a worker, which then falls silent at once.
+    let q = queue("q", 0);
+    let config = cell_core::configuration(std::slice::from_ref(&q));
+    let mut cell = crossweir::cell::Cell::new(2, config, 1_000);
+    let listed = [worker(0), worker(1)];
+    let listed = listed.into_iter().map(|entry| left(entry, None)).collect();
+    cell.list_former_workers(listed, 1_000);
+    let mut bench = Bench::with(cell, 1_000);
+    let row = job(1, &q, vec![step(1, 1_000)]);
+    bench.cell.accept(&row, None, true, bench.now);
+    let (lost, other) = (bench.worker(0), bench.worker(1));
+    let task = "0000000000000001.0.0.0".parse().expect("a task");
+    bench.running.insert(lost, vec![(task, 5)]);
+    bench.look_at_all();
+    let began = bench.now;
+    bench
+        .cell
+        .look_failed(lost, LookFailure::Unanswered, bench.now);
+
+    // Act.
+    let mut again = Vec::new();
+    while again.is_empty() && bench.now < began + 10_000 {
+        bench.pass(50);
+        bench.look_at(other);
+        again = bench.start_all();
+    }
+
+    // Assert.
+    assert_eq!(bench.cell.counts().adopted, 1);
+    assert_eq!(again[0].to.worker, other);
+    assert!(bench.now - began > 3_500, "its lease of 3.5 s may go on");
+}
