Mend: a list that is full of ends ends no run that it does not show

Cause: a worker lists 500 ends at once (the platform's figure). While ends cannot be recorded they gather, and the end of a run that is not shown as running may lie behind those that are listed; the run was taken for over and its task started again, though it had ended well.

Change: a list of 500 ends or more ends no run that it does not show.

Before: a_list_that_cannot_hold_all_ends_does_not_end_a_run fails. After: it passes. Open: a successor whose first list is full does not know of the ends behind it.

--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -49,7 +49,10 @@
         self.take_ends(key, &look.ended, now);
         self.workers[key].holds_ends |= held_before && !newest;
         let listed = self.take_running(key, look, newest, now);
-        self.remove_unlisted(key, order.sequence, look.clock, &listed, now);
+        // The end of a run that a full list does not show may lie behind those that it holds.
+        if look.ended.len() < tuning::MOST_ENDS {
+            self.remove_unlisted(key, order.sequence, look.clock, &listed, now);
+        }
     }
 
     /// A look brought nothing.
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -17,6 +17,8 @@
 /// How long a look waits at the worker for an end.  An answer that is lost delays
 /// the news of ends by this and a bit, and urgent jobs have 0.9 s to spare.
 pub const LOOK_WAIT: Millis = 600;
+/// The most ends that a worker lists at once; the platform's figure.
+pub const MOST_ENDS: usize = 500;
 /// How long after an unanswered or unconfirmed stop it is sent again.
 pub const STOP_RETRY: Millis = 300;
 /// How long a stop may take until its end is known: the platform's bounds lie between
--- a/tests/late_lists.rs
+++ b/tests/late_lists.rs
@@ -62,6 +62,17 @@
     }
 }
 
+/// An end of a job that nobody knows.
+fn end_of_another_job(place: u64) -> EndEntry {
+    EndEntry {
+        place,
+        task: "0000000000000009.0.0.0".parse().expect("a task"),
+        number: place,
+        how: EndKind::Done,
+        saved: String::new(),
+    }
+}
+
 /// A list that a worker writes now.
 fn list(bench: &Bench, running: &[RunningEntry], ended: &[EndEntry]) -> Look {
     Look {
@@ -267,3 +278,31 @@
     // Assert.
     assert_eq!(started_again(&mut bench), 0, "the worker is full");
 }
+
+#[test]
+fn a_list_that_cannot_hold_all_ends_does_not_end_a_run() {
+    // Arrange: a run has ended well, behind as many ends as a list holds.
+    let mut bench = one_task_that_fills_a_worker();
+    let start = order_start(&mut bench);
+    start_answered(&mut bench, &start, StartOutcome::Started);
+    bench.now += 10;
+    let others: Vec<EndEntry> = (1..=500).map(end_of_another_job).collect();
+    let done = EndEntry {
+        place: 501,
+        how: EndKind::Done,
+        ..stopped(&start)
+    };
+
+    // Act.
+    let first = send_look(&mut bench);
+    let full = list(&bench, &[], &others);
+    arrives(&mut bench, first, &full);
+    let by_full = started_again(&mut bench);
+    let second = send_look(&mut bench);
+    let rest = list(&bench, &[], &[done]);
+    arrives(&mut bench, second, &rest);
+    let by_rest = started_again(&mut bench);
+
+    // Assert: it is never started again.
+    assert_eq!((by_full, by_rest), (0, 0));
+}
