--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cell::roster::{LeftWork, Listing};
+use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, JobId, Step};
 use crate::cell::{RunKey, tuning};
 use crate::clock::Millis;
@@ -61,8 +62,12 @@
     pub fenced: bool,
     /// When it last answered.
     pub heard: Millis,
-    /// When the latest look was sent that has been taken in: looks may overtake each other.
+    /// When the latest look was sent whose list was taken in whole.
     pub looked: Millis,
+    /// The latest look whose list was taken in: looks may overtake each other.
+    pub look_sent: Sequence,
+    /// When a list was last taken in: one whose look was sent before may be older.
+    pub list_heard: Sequence,
     /// Since when calls bring no answer; none if the last one did.
     pub silent_since: Option<Millis>,
     /// When it said that it leaves.
@@ -89,6 +94,8 @@
     pub recorded_end: u64,
     /// It lists ends of jobs that could not be read yet.
     pub holds_ends: bool,
+    /// The number of the end that was last found to wait for its job.
+    pub held_end: u64,
     /// It may have more ends than it has listed.
     pub more_ends: bool,
     /// Jobs that could not be read yet and of which it listed runs or ends when it was last
@@ -112,6 +119,8 @@
             fenced: false,
             heard: 0,
             looked: 0,
+            look_sent: Sequence::default(),
+            list_heard: Sequence::default(),
             silent_since: None,
             leaving_since: None,
             clock: None,
@@ -125,6 +134,7 @@
             taken_ends: BTreeSet::new(),
             recorded_end: 0,
             holds_ends: false,
+            held_end: 0,
             more_ends: false,
             unread: BTreeSet::new(),
             strangers: 0,
@@ -153,7 +163,8 @@
         self.taken_ends = self.taken_ends.split_off(&(self.seen_end + 1));
     }
 
-    /// What it listed when it was last looked at counts no more: its lease is over.
+    /// What it listed when it was last looked at counts no more: a later list follows, or its
+    /// lease is over.
     pub fn forget_lists(&mut self) {
         self.strangers = 0;
         self.unread.clear();
--- a/tests/presumed_over.rs
+++ b/tests/presumed_over.rs
@@ -45,8 +45,7 @@
         running,
         ended,
     };
-    let _ = bench.cell.look_order(key, bench.now);
-    bench.cell.looked(key, bench.now, &look, bench.now);
+    bench.hear(key, &look);
 }
 
 /// Another life at the place of the first worker; its entry stays for some heartbeats after
@@ -298,7 +297,7 @@
         running: vec![running(KNOWN, 5)],
         ended: Vec::new(),
     };
-    bench.cell.looked(first, bench.now, &answer, bench.now);
+    bench.hear(first, &answer);
     bench
         .cell
         .look_failed(first, LookFailure::Unanswered, bench.now);
