Runs of jobs that have ended are always stopped; runs taken over keep their full lease

Cause: (1) while rows were unread a run of an unknown job was left alone, and a job of which only the recorded end is kept counted as unknown, so its run was renewed and never stopped. (2) A confirmed stop was never repeated, whatever the worker listed later. (3) A successor counted only leases that it had given itself; a worker that fell silent between its first look and the first renewal was written off up to 0.9 s before the former owner's lease was over.

Ruled out: leaving the run alone until the row is read. The end is recorded; the row cannot change it.

Change: the end is enough to stop a run; a run listed over 1 s after its stop was confirmed is stopped again; the first answer of a worker counts as a renewal at that moment.

--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -25,6 +25,8 @@
         let first = !worker.fenced;
         worker.fenced = true;
         if first {
+            // A former owner may have renewed the lease until just now.
+            worker.lease_sent(now, tuning::LEASE);
             tracing::info!(
                 worker = worker.entry.id,
                 epoch = self.epoch,
@@ -132,6 +134,7 @@
             match known.or_else(|| self.adopt(key, entry, now)) {
                 Some(run) => {
                     listed.insert(run);
+                    self.doubt_stop(run, sent);
                     self.take_progress(run, entry, look.clock, now);
                 }
                 None => {
@@ -145,9 +148,9 @@
     }
 
     /// Stops a run that no job of ours accounts for; while some jobs could not be
-    /// read it may belong to one of them.
+    /// read it may belong to one of them.  One that has ended is known by its end alone.
     fn stop_stranger(&mut self, worker: WorkerKey, task: TaskName, number: u64) {
-        if self.incomplete && !self.job_ids.contains_key(&task.step.job) {
+        if self.incomplete && !self.knows(task.step.job) {
             return;
         }
         tracing::info!(
@@ -160,6 +163,14 @@
         self.order_stop(worker, None, task, number);
     }
 
+    /// What a worker lists long after it has confirmed a stop outweighs that: the run goes
+    /// on, so the stop is repeated as if it had not been confirmed.
+    fn doubt_stop(&mut self, key: RunKey, sent: Millis) {
+        if let Some(stop) = &mut self.runs[key].stop {
+            stop.confirmed = stop.confirmed.filter(|at| at + tuning::STOP_LIMIT >= sent);
+        }
+    }
+
     /// Takes over a run that a former owner started.
     fn adopt(&mut self, worker: WorkerKey, entry: &RunningEntry, now: Millis) -> Option<RunKey> {
         let step_key = self.find_step(entry.task)?;
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -22,6 +22,9 @@
 /// How long a stop may take until its end is known: the platform's bounds lie between
 /// 200 and 900 ms, and most stops are quicker.
 pub const STOP_TIME: Millis = 300;
+/// A run that is listed so long after its stop was confirmed has not been stopped: the
+/// platform's longest bound is 900 ms.
+pub const STOP_LIMIT: Millis = 1_000;
 /// A ticket is not used when less than this of its time remains: a start takes
 /// a few milliseconds, an owner's stall some tens.
 pub const TICKET_MARGIN: Millis = 150;
