An owner that gives the cell up tells how long silent workers are still to be waited for

Cause: a successor waited for a worker that it could not reach 5.8 s from its own claim. While nodes are told to end one after another no owner lasts that long, so each began the wait anew: jobs that may run on such a worker, or all that a former owner knew, did not start until the changes were over.

Ruled out: recording the time with every change of the roster. What is recorded would be wrong as soon as the worker answers and its lease is renewed. Clocks of two nodes are not compared either.

Change: the transaction that gives the cell up also writes, for each worker out of reach, how much longer something may run there. From then on that owner renews no lease there and starts nothing. Only the next epoch relies on it.

Conclusion: the wait is over once, not once for each owner. After an owner that is lost without a word it begins anew as before.

--- /dev/null
+++ b/src/cell/lapse.rs
@@ -0,0 +1,68 @@
+//! How long a silent worker may still run something, as one owner tells the next.
+//!
+//! A successor that cannot reach a worker waits until whatever may run there has lost its
+//! lease.  It cannot know when the lease was renewed last, so without a word it must wait the
+//! whole time from its own claim, and owners that follow one another soon would all
+//! wait anew (see "Settling" in `docs/DESIGN.md`).
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::roster::Listing;
+use crate::cell::worker::Worker;
+use crate::cell::{Cell, tuning};
+use crate::clock::Millis;
+
+/// What an owner that gives the cell up knows of silent workers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lapses {
+    /// Its epoch: only the next owner may rely on it, since that one may have renewed leases.
+    pub epoch: u64,
+    /// For how long something may still run there, by the worker's id.
+    pub within: BTreeMap<String, Millis>,
+}
+
+impl Cell {
+    /// Tells for how long something may still run on workers that are silent.  From here on
+    /// this owner renews no lease there and starts nothing.
+    pub fn seal_silent(&mut self, now: Millis) -> Lapses {
+        let settle_by = self.settle_by;
+        let mut within = BTreeMap::new();
+        for worker in self.workers.values_mut().filter(|w| is_out_of_reach(w)) {
+            worker.sealed = true;
+            let until = if worker.fenced {
+                worker.lease_end
+            } else {
+                worker.left_until.min(settle_by)
+            };
+            within.insert(worker.entry.id.clone(), until.saturating_sub(now));
+        }
+        Lapses {
+            epoch: self.epoch,
+            within,
+        }
+    }
+
+    /// Takes in what the former owner told, after its roster.
+    pub fn expect_lapses(&mut self, lapses: &Lapses, now: Millis) {
+        if lapses.epoch + 1 != self.epoch {
+            return;
+        }
+        for (id, within) in &lapses.within {
+            if let Some(worker) = self.worker_ids.get(id).map(|&key| &mut self.workers[key]) {
+                worker.left_until = now + drifted(*within);
+            }
+        }
+    }
+}
+
+/// Tells whether the worker's lease is not being renewed.
+fn is_out_of_reach(worker: &Worker) -> bool {
+    worker.listing != Listing::Absent && (!worker.fenced || worker.is_silent())
+}
+
+/// The time by our clock in which `time` has passed by any other node's.
+fn drifted(time: Millis) -> Millis {
+    time + time * tuning::DRIFT_PERMILLE / 1_000
+}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -7,6 +7,7 @@
 mod forecast;
 pub mod intake;
 pub mod job;
+pub mod lapse;
 pub mod look;
 pub mod name;
 pub mod order;
@@ -400,7 +401,7 @@
             to: self.addressee(key),
             forget: worker.recorded_end,
             due: match worker.clock_at(now) {
-                Some(clock) if !lasting_silence => Some(clock + tuning::LEASE),
+                Some(clock) if !lasting_silence && !worker.sealed => Some(clock + tuning::LEASE),
                 _ => None,
             },
             wait: if lasting_silence || worker.seen_end > worker.recorded_end {
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -157,7 +157,7 @@
         if self.settled {
             return;
         }
-        self.unsettled = self.find_unsettled();
+        self.unsettled = self.find_unsettled(now);
         let fenced = self.unsettled == Unsettled::Jobs(HashSet::new());
         if !fenced && now < self.settle_by {
             return;
@@ -168,9 +168,10 @@
         self.break_partial_gangs(now);
     }
 
-    fn find_unsettled(&self) -> Unsettled {
+    fn find_unsettled(&self, now: Millis) -> Unsettled {
         let mut unsettled = HashSet::new();
-        for worker in self.workers.values().filter(|worker| !worker.fenced) {
+        let unheard = |worker: &&Worker| !worker.fenced && now < worker.left_until;
+        for worker in self.workers.values().filter(unheard) {
             match &worker.left {
                 Some(LeftWork::Any) => return Unsettled::Any,
                 Some(LeftWork::Jobs(jobs)) => unsettled.extend(jobs),
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -52,6 +52,10 @@
     pub unlisted_since: Option<Millis>,
     /// What a former owner may have left there, if it may have used it.
     pub left: Option<LeftWork>,
+    /// By our clock, when what a former owner may have left there is over at the latest.
+    pub left_until: Millis,
+    /// A successor was told how long something may still run there, so no lease is renewed.
+    pub sealed: bool,
     /// How it stands in the roster.
     pub listing: Listing,
     /// The version of the roster since which it stands there so.
@@ -99,6 +103,8 @@
             entry,
             unlisted_since: None,
             left: None,
+            left_until: Millis::MAX,
+            sealed: false,
             listing: Listing::Absent,
             rostered: 0,
             fenced: false,
@@ -165,6 +171,7 @@
     /// Tells whether new tasks may be placed here at all.
     pub fn takes_work(&self, now: Millis) -> bool {
         self.fenced
+            && !self.sealed
             && !self.is_silent()
             && self.clock.is_some()
             && self.entry.leaving.is_none()
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -10,8 +10,8 @@
 use crate::cell::spec::JobId;
 use crate::cell::worker::WorkerEntry;
 use crate::clock;
-use crate::node::roster_rows;
 use crate::node::shared::{JOB_PARTITIONS, PARTITION, Shared, job_partition};
+use crate::node::{recording, roster_rows};
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
 
 /// How many rows one call reads; the store gives at most as many.
@@ -88,6 +88,9 @@
     cell.tell_wall_clock(clock::since_1970());
     cell.list_former_workers(roster_rows::read(&former.0), now);
     cell.list_workers(worker_entries(shared, &workers.0), now);
+    if let Some(lapses) = recording::read_lapses(&former.0) {
+        cell.expect_lapses(&lapses, now);
+    }
     let mut recorded: HashMap<String, Progress> = HashMap::new();
     for row in &progress.0 {
         match serde_json::from_str(&row.value) {
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cell::lapse::Lapses;
 use crate::cell::record::Batch;
 use crate::node::engine::Engine;
 use crate::node::roster_rows::ChangedRows;
@@ -19,6 +20,9 @@
 /// The key of the row of ownership.
 pub const OWNER_KEY: &str = "owner";
 
+/// The key of what an owner that gave the cell up knew of silent workers.
+const LAPSES_KEY: &str = "lapses";
+
 /// The least time between two transactions: callers hardly notice it, and each
 /// transaction has its price.
 const RECORD_PAUSE: Duration = Duration::from_millis(20);
@@ -97,7 +101,11 @@
         }
         let mut row = self.row.lock().await;
         let number = row.1 + 1;
-        let tx = self.transaction(&batch, number, workers.as_ref(), release);
+        let mut tx = self.transaction(&batch, number, workers.as_ref(), release);
+        if release {
+            let lapses = self.cell().seal_silent(self.shared.now());
+            tx.puts.push((lapses_key(), store::encode(&lapses)));
+        }
         loop {
             if self.is_retired() {
                 return;
@@ -226,6 +234,22 @@
     }
 }
 
+/// Reads what the former owner knew of silent workers from the rows of a cell, if it told.
+pub fn read_lapses(rows: &[Row]) -> Option<Lapses> {
+    let row = rows.iter().find(|row| row.key == LAPSES_KEY)?;
+    match serde_json::from_str(&row.value) {
+        Ok(lapses) => Some(lapses),
+        Err(err) => {
+            tracing::error!(%err, "what the former owner knew of silent workers cannot be read");
+            None
+        }
+    }
+}
+
+fn lapses_key() -> RowKey {
+    RowKey::new(Table::Cells, PARTITION, LAPSES_KEY)
+}
+
 enum Conflict {
     /// An earlier try of this transaction took effect as this version.
     TookEffect(u64),
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -23,11 +23,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cell_core::{queue, step, worker};
+use cell_core::{Bench, configuration, job, queue, starts, step, worker};
+use crossweir::cell::Cell;
+use crossweir::cell::lapse::Lapses;
 use crossweir::cell::order::{
     Look, LookFailure, LookOrder, Refusal, StartOrder, StartOutcome, StopOrder,
 };
 use crossweir::cell::record::JobRow;
+use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::{JobId, JobSpec, Step};
 use crossweir::clock::{Clock, Millis};
 use crossweir::embedded::PlainDecoder;
@@ -307,3 +310,58 @@
     assert_eq!(count, 2, "it is started once more");
     assert!(at >= renewed + 3_500, "its lease ran until then");
 }
+
+#[test]
+fn an_owner_that_has_told_of_a_silent_worker_does_nothing_more_there() {
+    // Arrange: an owner has told for how long something may run on its only, silent worker.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&q));
+    let only = bench.worker(0);
+    bench
+        .cell
+        .look_failed(only, LookFailure::Unanswered, bench.now);
+    let told = bench.cell.seal_silent(bench.now);
+
+    // Act: the worker answers again.
+    bench.look_at_all();
+    bench.pass(10);
+    bench.accept(&job(1, &q, vec![step(1, 1_000)]));
+    let started = starts(&bench.decide());
+    let look = bench.cell.look_order(only, bench.now).expect("a look");
+
+    // Assert.
+    assert_eq!(told.within.len(), 1);
+    assert!(started.is_empty(), "{started:?}");
+    assert_eq!(look.due, None, "its lease is not renewed");
+}
+
+#[test]
+fn only_the_next_owner_relies_on_what_was_told() {
+    // Arrange: a worker on which a former owner of epoch 3 left something for 100 ms.
+    let q = queue("q", 0);
+    let lapses = Lapses {
+        epoch: 3,
+        within: [(worker(0).id, 100)].into(),
+    };
+    let row = job(7, &q, vec![step(1, 1_000)]);
+    let starts_after_lapse = |epoch| {
+        let mut cell = Cell::new(epoch, configuration(std::slice::from_ref(&q)), 1_000);
+        let left = |number| RosterEntry {
+            worker: worker(number),
+            jobs: None,
+        };
+        cell.list_former_workers(vec![left(0), left(1)], 1_000);
+        cell.expect_lapses(&lapses, 1_000);
+        cell.accept(&row, None, true, 1_000);
+        let mut bench = Bench::with(cell, 1_000);
+        let other = bench.worker(1);
+        bench.pass(500);
+        bench.look_at(other);
+        bench.pass(10);
+        starts(&bench.decide()).len()
+    };
+
+    // Act and assert.
+    assert_eq!(starts_after_lapse(4), 1, "the next owner");
+    assert_eq!(starts_after_lapse(5), 0, "one that follows another");
+}
