Failing tests: an owner that ends before its first turn records an empty roster

Cause: see the head of tests/handing_over.rs. Change besides: workers in memory show the history of their runs to tests.

--- a/src/embedded/worker.rs
+++ b/src/embedded/worker.rs
@@ -245,6 +245,15 @@
         }
     }
 
+    /// Every run that any of them began, as it stands now.
+    pub fn history(&self) -> Vec<RunRecord> {
+        let now = self.clock.now();
+        let mut workers = self.lock();
+        workers.values_mut().for_each(|worker| worker.settle(now));
+        let runs = workers.values().flat_map(|worker| &worker.history);
+        runs.cloned().collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, MemoryWorker>> {
         self.workers.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -10,6 +10,10 @@
 //! for twice the lease.  Of a worker that fell silent just before a change nobody knew what
 //! ran there, and then all jobs waited.
 //!
+//! Also: a successor that ended, or recorded anything, before its first turn of decisions wrote an
+//! empty roster, since it put the workers of the former owner's roster into its own only then.
+//! Its own successor waited for nobody, and tasks of workers out of reach ran twice.
+//!
 //! Cause: an owner that gave the cell up did not pass on how long a silent worker had still to
 //! be waited for.
 //!
@@ -137,6 +141,7 @@
 struct Chain {
     node: VirtualNode,
     seen: Arc<Seen>,
+    workers: Arc<Partly>,
     epoch: u64,
     engine: Arc<Engine>,
 }
@@ -146,13 +151,16 @@
     async fn begin(q: &Queue) -> Self {
         let seen: Arc<Seen> = Arc::default();
         let told = Arc::clone(&seen);
-        let workers = move |clock: Arc<dyn Clock>| -> Arc<dyn Workers> {
+        let mut made = None;
+        let workers = |clock: Arc<dyn Clock>| -> Arc<dyn Workers> {
             let ids = ["w0", "w1"].map(str::to_owned);
-            Arc::new(Partly {
+            let partly = Arc::new(Partly {
                 inner: MemoryWorkers::new(Arc::clone(&clock), ids),
                 clock,
                 seen: told,
-            })
+            });
+            made = Some(Arc::clone(&partly));
+            partly
         };
         let node = virtual_node_with(&[], workers, Arc::new(PlainDecoder));
         let config = Configuration {
@@ -172,6 +180,7 @@
         Self {
             node,
             seen,
+            workers: made.expect("workers are made"),
             epoch: 1,
             engine,
         }
@@ -203,6 +212,17 @@
         self.engine = own(&self.node, self.epoch).await;
     }
 
+    /// Something happens to the owner or to the workers.
+    async fn disturb(&mut self, choice: u64) {
+        match choice % 6 {
+            0 | 1 => self.hand_over().await,
+            2 => self.replace().await,
+            3 => self.seen.silence("w0"),
+            4 => self.seen.silence("w1"),
+            _ => self.seen.end_silence(),
+        }
+    }
+
     /// Where the only task was started last, and how often it was started.
     fn last_start(&self) -> (usize, Millis, String) {
         let starts = self.seen.starts();
@@ -311,6 +331,66 @@
     assert!(at >= renewed + 3_500, "its lease ran until then");
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_ends_before_its_first_turn_passes_the_roster_on() {
+    // Arrange: a worker has just fallen silent.
+    let (mut chain, silent) = cell_with_a_lasting_task().await;
+    chain.seen.silence(&silent);
+    let renewed = chain.seen.renewed(&silent);
+
+    // Act: the next owner is told to end as soon as it has loaded the cell.
+    chain.hand_over().await;
+    chain.hand_over().await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+
+    // Assert.
+    let (count, at, _) = chain.last_start();
+    assert_eq!(count, 2, "it is started once more");
+    assert!(
+        at >= renewed + 3_500,
+        "its lease ran until then: {}",
+        at - renewed
+    );
+}
+
+/// A sequence of numbers that look random, the same for the same seed.
+fn numbers(seed: u64) -> impl Iterator<Item = u64> {
+    let mut state = seed;
+    std::iter::repeat_with(move || {
+        state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (state ^ (state >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed ^ (mixed >> 27)
+    })
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_task_runs_twice_however_owners_and_silences_follow_one_another() {
+    let mut restarts = 0;
+    for seed in 0..80 {
+        // Arrange.
+        let (mut chain, _) = cell_with_a_lasting_task().await;
+        let mut numbers = numbers(seed);
+
+        // Act.
+        for _ in 0..30 {
+            let pause = numbers.next().expect("a number") % 2_500;
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+            chain.disturb(numbers.next().expect("a number") >> 7).await;
+        }
+
+        // Assert.
+        let mut runs = chain.workers.inner.history();
+        runs.sort_by_key(|run| run.began);
+        restarts += runs.len() - 1;
+        for pair in runs.windows(2) {
+            let over = pair[0].ended.is_some_and(|(at, _)| at <= pair[1].began);
+            assert!(over, "seed {seed}: {pair:?}");
+        }
+        chain.engine.retire("the test goes on with another seed");
+    }
+    assert!(restarts > 100, "only {restarts} restarts were seen");
+}
+
 #[test]
 fn an_owner_that_has_told_of_a_silent_worker_does_nothing_more_there() {
     // Arrange: an owner has told for how long something may run on its only, silent worker.
