A successor's roster holds the former owner's workers from the first moment on

Cause: workers read from the former owner's roster stood as absent in the successor's until its first turn of decisions, up to 54 ms after loading. A roster that it recorded in that time, or as it gave the cell up, left all of them out. Its own successor then waited for nobody and started tasks that still ran on workers out of reach: 549 ms after their lease had been renewed, in the test.

Ruled out: a first turn before the loops begin. Giving the cell up may still come before it.

Change: a worker of the former owner's roster stands as it is recorded there, until we know better.

Conclusion: a cause of TWICE on sites whose owners follow one another fast.

--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -130,7 +130,14 @@
             let id = worker.id.clone();
             self.list_worker(worker, now);
             if let Some(&key) = self.worker_ids.get(&id) {
-                self.workers[key].left = Some(jobs.map_or(LeftWork::Any, LeftWork::Jobs));
+                let worker = &mut self.workers[key];
+                // What is recorded stays so until we have looked: a roster that we record
+                // before, or as we give the cell up, must not leave the worker out.
+                worker.listing = match jobs {
+                    Some(_) => Listing::Named,
+                    None => Listing::Usable,
+                };
+                worker.left = Some(jobs.map_or(LeftWork::Any, LeftWork::Jobs));
             }
         }
     }
