Failing test: a candidate that waited for one owner claims at once from the next

Five of 16 claims went that way, with 0.8 to 2.0 s for loading.

Cause: a candidate waits its rank, up to 1.5 s, and then claims if there is no owner at that time. The next owner may have come and gone meanwhile, and then it claims from that one without any wait. Ruled out: that weak nodes rank before strong ones in one and the same vacancy.

--- a/tests/election.rs
+++ b/tests/election.rs
@@ -9,7 +9,7 @@
 use crossweir::node::election;
 use crossweir::node::recording::OwnerRow;
 use crossweir::rpc::node::Beat;
-use crossweir::store::{Store, StoreCall, StoreReply, Table};
+use crossweir::store::{Store, StoreCall, StoreReply, Table, Transaction};
 use virtual_node::{Relay, VirtualNode, claim, virtual_node, virtual_node_of};
 
 /// A heartbeat of a node that has just started and knows of epoch 5.
@@ -152,3 +152,45 @@
     // Assert: what it would have recorded with it may or may not be durable.
     assert!(node.shared.engine().is_none());
 }
+
+/// Another node was heard as the owner under `epoch`, and gives the cell up.
+fn another_gives_up(node: &VirtualNode, epoch: u64) {
+    let row = OwnerRow {
+        name: String::from("n1"),
+        address: String::from("127.0.0.1:1"),
+        boot: 1,
+        epoch,
+        batch: 1,
+        released: true,
+    };
+    let mut tx = Transaction::default();
+    tx.puts.push((OwnerRow::key(), row.write()));
+    node.store.commit(&tx);
+    for owns in [true, false] {
+        node.shared.hear(&Beat {
+            owns,
+            epoch,
+            ..started_beat()
+        });
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_candidate_that_waited_for_one_owner_does_not_claim_at_once_from_the_next() {
+    // Arrange: a weak node that stands aside for some 260 ms has heard an owner give up.
+    let node = virtual_node_of(120, &[Relay::Gone]);
+    tokio::spawn(election::run(Arc::clone(&node.shared)));
+    another_gives_up(&node, 5);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    // Act: another node has taken the cell meanwhile, and gives it up soon.
+    another_gives_up(&node, 6);
+    let began = node.shared.now();
+    while owner_row(&node).await.name != "n0" {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    // Assert: stronger nodes had their time again.
+    let waited = node.shared.now() - began;
+    assert!(waited >= 260, "{waited} ms");
+}
