A candidate considers each vacancy anew

Cause: a node that found the cell without an owner waited its rank, up to 1.5 s with 32 nodes, and claimed if there was no owner then. If the next owner had come and gone meanwhile, it claimed from that one without any wait, so that a node with an eighth of a core went before those with half a core. It took 0.8 to 2.0 s to load the cell, longer than the others give it, so that another took it again.

Ruled out: a longer wait for weak nodes. It only moves the moment at which one wakes by chance.

Change: the wait ends as soon as an owner is heard or a higher epoch is known.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -192,11 +192,29 @@
         return;
     }
     let rank = rank_among(shared, &beats);
-    tokio::time::sleep(RANK_PAUSE * rank + weak_pause(shared.load.strength())).await;
-    if shared.owner().silence(shared.now()) <= SUSPECT {
-        return;
+    let pause = RANK_PAUSE * rank + weak_pause(shared.load.strength());
+    if stays_vacant(shared, epoch, pause).await {
+        claim(shared, suspected).await;
+    }
+}
+
+/// Waits, and tells whether nobody has been heard as the owner meanwhile.  One that has come
+/// and gone leaves a vacancy of its own, in which the stronger nodes go first again.
+async fn stays_vacant(shared: &Shared, epoch: u64, pause: Duration) -> bool {
+    let mut left = pause;
+    loop {
+        let step = left.min(LOOK);
+        tokio::time::sleep(step).await;
+        left -= step;
+        let now = shared.now();
+        let vacant = {
+            let owner = shared.owner();
+            owner.epoch == epoch && owner.silence(now) > SUSPECT
+        };
+        if !vacant || left.is_zero() {
+            return vacant;
+        }
     }
-    claim(shared, suspected).await;
 }
 
 /// How much later than others a node of this strength claims the cell.
