--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -50,7 +50,7 @@
             );
         }
         self.take_ends(key, &look.ended, now);
-        let listed = self.take_running(key, look, newest, now);
+        let listed = self.take_running(order, look, newest, now);
         self.remove_unlisted(key, order.sequence, look.clock, &listed, now);
     }
 
@@ -173,11 +173,12 @@
     /// Takes in what runs, and returns which runs of ours that is.
     fn take_running(
         &mut self,
-        key: WorkerKey,
+        order: &LookOrder,
         look: &Look,
         newest: bool,
         now: Millis,
     ) -> HashSet<RunKey> {
+        let key = order.to.worker;
         let mut listed: HashSet<RunKey> = HashSet::with_capacity(look.running.len());
         let mut strangers = 0;
         for entry in &look.running {
@@ -189,6 +190,7 @@
             match known.or_else(|| self.adopt(key, entry, now)) {
                 Some(run) => {
                     listed.insert(run);
+                    self.doubt_stop(run, order);
                     self.take_progress(run, entry, look.clock, now);
                 }
                 None => {
@@ -204,7 +206,7 @@
     }
 
     /// Stops a run that no job of ours accounts for; while some jobs could not be
-    /// read it may belong to one of them.
+    /// read it may belong to one of them.  One that has ended is known by its end alone.
     fn stop_stranger(&mut self, worker: WorkerKey, task: TaskName, number: u64) {
         if self.is_unread(task) {
             self.workers[worker].unread.insert(task.step.job);
@@ -220,6 +222,16 @@
         self.order_stop(worker, None, task, number);
     }
 
+    /// What a worker lists long after it has confirmed a stop outweighs that: the run goes
+    /// on, so the stop is repeated as if it had not been confirmed.
+    fn doubt_stop(&mut self, key: RunKey, order: &LookOrder) {
+        if let Some(stop) = &mut self.runs[key].stop
+            && stop.sent + tuning::STOP_LIMIT < order.sent
+        {
+            stop.confirmed = stop.confirmed.filter(|&heard| heard >= order.sequence);
+        }
+    }
+
     /// Takes over a run that a former owner started.
     fn adopt(&mut self, worker: WorkerKey, entry: &RunningEntry, now: Millis) -> Option<RunKey> {
         let step_key = self.find_step(entry.task)?;
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -130,7 +130,14 @@
             let id = worker.id.clone();
             self.list_worker(worker, now);
             if let Some(&key) = self.worker_ids.get(&id) {
-                self.workers[key].left = Some(jobs.map_or(LeftWork::Any, LeftWork::Jobs));
+                let worker = &mut self.workers[key];
+                // What is recorded stays so until we have looked: a roster that we record
+                // before, or as we give the cell up, must not leave the worker out.
+                worker.listing = match jobs {
+                    Some(_) => Listing::Named,
+                    None => Listing::Usable,
+                };
+                worker.left = Some(jobs.map_or(LeftWork::Any, LeftWork::Jobs));
             }
         }
     }
@@ -157,7 +164,7 @@
         if self.settled {
             return;
         }
-        self.unsettled = self.find_unsettled();
+        self.unsettled = self.find_unsettled(now);
         let fenced = self.unsettled == Unsettled::Jobs(HashSet::new());
         if !fenced && now < self.settle_by {
             return;
@@ -168,9 +175,10 @@
         self.break_partial_gangs(now);
     }
 
-    fn find_unsettled(&self) -> Unsettled {
+    fn find_unsettled(&self, now: Millis) -> Unsettled {
         let mut unsettled = HashSet::new();
-        for worker in self.workers.values().filter(|worker| !worker.fenced) {
+        let unheard = |worker: &&Worker| !worker.fenced && now < worker.left_until;
+        for worker in self.workers.values().filter(unheard) {
             match &worker.left {
                 Some(LeftWork::Any) => return Unsettled::Any,
                 Some(LeftWork::Jobs(jobs)) => unsettled.extend(jobs),
