A batch is taken under the lock that keeps transactions in order

Cause: `record_once` took its batch, which makes jobs clean and passes ends on, and only then waited for the row of ownership. Two batches could also be written in the other order than they were taken. Ruled out: putting the jobs back when a release is given up on; the transaction may yet take effect, and the ends were passed on by then. Change: the lock is taken first. After a release has begun, the loop records nothing: a release without an answer may take effect and would be told from another transaction only by its number. Conclusion: ends are forgotten only when what was taken with and before them is durable.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -55,6 +55,8 @@
     /// The version of the roster that is recorded.
     pub(super) roster_recorded: AtomicU64,
     retired: AtomicBool,
+    /// The cell is being given up, and nothing is recorded after that.
+    pub(super) releasing: AtomicBool,
     /// A transaction has to be repeated, so ends wait to be recorded.
     pub(super) stalled: AtomicBool,
     pub(super) confirmed: AtomicU64,
@@ -89,6 +91,7 @@
             most_jobs: AtomicUsize::new(MOST_JOBS),
             roster_recorded: AtomicU64::new(0),
             retired: AtomicBool::new(false),
+            releasing: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
             confirmed: AtomicU64::new(shared.now()),
             looked_after: Mutex::default(),
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -85,6 +85,15 @@
 
     /// Writes what has changed; `release` gives the cell up with it.
     pub(super) async fn record_once(&self, release: bool) {
+        // Only what is taken while no other transaction is on its way can follow all that was
+        // taken before; otherwise ends would be passed on while their rows are in another batch.
+        let mut row = self.row.lock().await;
+        if release {
+            self.releasing.store(true, Ordering::Relaxed);
+        } else if self.releasing.load(Ordering::Relaxed) {
+            // The release may have been given up on and yet take effect, with its rows.
+            return;
+        }
         let batch = self
             .cell()
             .take_batch(self.most_jobs.load(Ordering::Relaxed));
@@ -95,7 +104,6 @@
             }
             return;
         }
-        let mut row = self.row.lock().await;
         let number = row.1 + 1;
         let tx = self.transaction(&batch, number, workers.as_ref(), release);
         loop {
