A job that is found when a cell is read may have run, whatever its row's version

Cause: a row younger than the claim was taken as proof that no former owner knew the job. Rows of jobs are written without a condition, in any partition: a caller that hands a job in again, or a write whose answer is late, writes a younger row of an old job. The next owner then started its tasks at once, also while a worker that ran them had not answered yet. Ruled out: the oldest of a job's rows; the second may lie in the place of the first. Change: all jobs that the load or a later reading of unread partitions finds wait for settling. Those that are told or appear in the changes after the load go by their version as before.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -76,7 +76,7 @@
         epoch: u64,
         version: Version,
     ) -> Result<Arc<Self>, crate::store::StoreError> {
-        let loaded = loading::load(shared, epoch, version).await?;
+        let loaded = loading::load(shared, epoch).await?;
         let engine = Arc::new(Self {
             epoch,
             since: shared.now(),
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -65,7 +65,8 @@
             tokio::time::sleep(JOBS_POLL).await;
             if !unread.is_empty() {
                 let missing = loading::list_job_partitions(&self.shared, &unread).await;
-                self.take_job_rows(&missing.rows);
+                // As with those read at first, their versions tell nothing (`node::loading`).
+                self.take_job_rows(&missing.rows, Version::MAX);
                 cleaner.note(&missing.rows);
                 unread = missing.unread;
                 self.cell().set_incomplete(!unread.is_empty());
@@ -78,13 +79,13 @@
             match self.shared.store(call).await {
                 Ok(StoreReply::Rows { rows, version, .. }) => {
                     after = version.max(after);
-                    self.take_job_rows(&rows);
+                    self.take_job_rows(&rows, self.claimed);
                     cleaner.note(&rows);
                 }
                 Ok(_) => {
                     tracing::info!(after, "the store has forgotten changes of jobs");
                     let jobs = loading::list_jobs(&self.shared).await;
-                    self.take_job_rows(&jobs.rows);
+                    self.take_job_rows(&jobs.rows, self.claimed);
                     cleaner.note(&jobs.rows);
                     unread.extend(jobs.unread);
                     after = jobs.version;
@@ -95,7 +96,8 @@
         }
     }
 
-    fn take_job_rows(&self, rows: &[Row]) {
+    /// Takes in jobs; those whose rows are older than `claimed` predate the claim.
+    fn take_job_rows(&self, rows: &[Row], claimed: Version) {
         for row in rows.iter().filter(|row| !row.dropped) {
             // Most jobs were told of by the node that took them in.
             if row.key.parse().is_ok_and(|id| self.cell().knows(id)) {
@@ -104,7 +106,7 @@
             let Some(job) = loading::job_row(&row.value) else {
                 continue;
             };
-            let predates = row.version < self.claimed;
+            let predates = row.version < claimed;
             let now = self.shared.now();
             self.cell().accept(&job, None, predates, now);
         }
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -66,15 +66,11 @@
     Ok((all, first_version.unwrap_or_default()))
 }
 
-/// Reads a cell for its owner under `epoch`, which was claimed as `claimed`.
+/// Reads a cell for its owner under `epoch`.
 ///
 /// # Errors
 /// See [`StoreError`].
-pub async fn load(
-    shared: &Arc<Shared>,
-    epoch: u64,
-    claimed: Version,
-) -> Result<Loaded, StoreError> {
+pub async fn load(shared: &Arc<Shared>, epoch: u64) -> Result<Loaded, StoreError> {
     let (workers, former, progress, jobs) = tokio::join!(
         list(shared, Table::Workers, ""),
         list(shared, Table::Cells, PARTITION),
@@ -101,8 +97,9 @@
         let Some(job) = job_row(&row.value) else {
             continue;
         };
-        let predates = row.version < claimed;
-        cell.accept(&job, recorded.get(&row.key), predates, now);
+        // A row that is younger than the claim does not prove that the job is: whoever gets a job
+        // again writes its row again.  So a former owner may have started any that is found.
+        cell.accept(&job, recorded.get(&row.key), true, now);
     }
     for (key, progress) in recorded {
         if let Ok(id) = key.parse() {
