A list of workers does not tell which of two lives is the newer

Cause: an entry that was not known wrote off all runs of another life at its address, also when it came from a list. A crashed worker's entry stays in the store for some heartbeats, so an owner that read all entries could take the present life for over; a successor also lost it from what it had to wait for, and started its tasks elsewhere within the lease. Ruled out: the order of the rows' versions; a worker writes its row again and again, and the roster has none. Change: only an entry that has just been written ends a former life.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -273,17 +273,27 @@
     }
 
     /// The platform lists these workers now, all of them.
+    ///
+    /// The entry of a crashed life stays for some heartbeats, and a list does not tell which of
+    /// two lives is the newer: both are kept, and the one that is over says so when looked at.
     pub fn list_workers(&mut self, entries: Vec<WorkerEntry>, now: Millis) {
         for worker in self.workers.values_mut() {
             worker.unlisted_since.get_or_insert(now);
         }
         for entry in entries {
-            self.list_worker(entry, now);
+            self.take_entry(entry, now);
         }
     }
 
-    /// The platform lists this worker, or its entry changed.
+    /// The platform has just written the entry of this worker.
     pub fn list_worker(&mut self, entry: WorkerEntry, now: Millis) {
+        if !self.worker_ids.contains_key(&entry.id) {
+            self.end_former_life(&entry, now);
+        }
+        self.take_entry(entry, now);
+    }
+
+    fn take_entry(&mut self, entry: WorkerEntry, now: Millis) {
         if let Some(&key) = self.worker_ids.get(&entry.id) {
             let worker = &mut self.workers[key];
             if entry.leaving.is_some() && worker.leaving_since.is_none() {
@@ -294,7 +304,6 @@
             worker.entry = entry;
             return;
         }
-        self.end_former_life(&entry, now);
         tracing::info!(worker = entry.id, address = %entry.address, "worker listed");
         let id = entry.id.clone();
         let leaving = entry.leaving.is_some();
@@ -305,14 +314,15 @@
         }
     }
 
-    /// A new life of a machine proves that the former one is over.
+    /// A new life of a machine proves that the former ones are over.
     fn end_former_life(&mut self, entry: &WorkerEntry, now: Millis) {
-        let former = self
+        let former: Vec<WorkerKey> = self
             .workers
             .iter()
-            .find(|(_, w)| w.entry.machine == entry.machine && w.entry.address == entry.address)
-            .map(|(key, _)| key);
-        if let Some(key) = former {
+            .filter(|(_, w)| w.entry.machine == entry.machine && w.entry.address == entry.address)
+            .map(|(key, _)| key)
+            .collect();
+        for key in former {
             self.lose_worker(key, now, "restarted");
         }
     }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -128,7 +128,7 @@
     pub fn list_former_workers(&mut self, entries: Vec<RosterEntry>, now: Millis) {
         for RosterEntry { worker, jobs } in entries {
             let id = worker.id.clone();
-            self.list_worker(worker, now);
+            self.take_entry(worker, now);
             if let Some(&key) = self.worker_ids.get(&id) {
                 self.workers[key].left = Some(jobs.map_or(LeftWork::Any, LeftWork::Jobs));
             }
