Failing test: a run whose end is not listed yet is taken for over

Cause: a worker lists at most 500 ends at once, so an end behind those is in neither list, and `remove_unlisted` takes its run for over and starts the task again. The rule: nothing is over by its absence from a list while the list of ends is full.

--- a/tests/ends_under_load.rs
+++ b/tests/ends_under_load.rs
@@ -23,9 +23,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cell_core::{job, queue, step, worker};
+use cell_core::{Bench, job, queue, starts, step, worker};
 use crossweir::cell::order::StopOrder;
-use crossweir::cell::order::{Look, LookFailure, LookOrder, Refusal, StartOrder, StartOutcome};
+use crossweir::cell::order::{
+    EndEntry, EndKind, Look, LookFailure, LookOrder, Refusal, StartOrder, StartOutcome,
+};
 use crossweir::cell::record::JobRow;
 use crossweir::clock::{Clock, Millis};
 use crossweir::embedded::PlainDecoder;
@@ -215,3 +217,40 @@
     assert_eq!(epochs_of(&starts, &row), [1]);
     drop(next);
 }
+
+/// The most ends that the platform lists at once (its protocol, "Running tasks").
+const ENDS_AT_ONCE: u64 = 500;
+
+/// Ends of runs that are nobody's, at the places from 1 on.
+fn strange_ends(count: u64) -> Vec<EndEntry> {
+    let end = |place| EndEntry {
+        place,
+        task: "00000000000000ff.0.0.0".parse().expect("a task"),
+        number: place,
+        how: EndKind::Stopped,
+        saved: String::new(),
+    };
+    (1..=count).map(end).collect()
+}
+
+#[test]
+fn a_run_in_neither_list_is_not_over_while_the_list_of_ends_is_full() {
+    // Arrange: a task runs on one of two workers.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(1, 1_000)]));
+    let started = bench.start_all();
+    let worker = started[0].to.worker;
+
+    // Act: it has ended, behind as many ends as are listed at once.
+    bench.now += 100;
+    let look = Look {
+        clock: bench.now,
+        running: Vec::new(),
+        ended: strange_ends(ENDS_AT_ONCE),
+    };
+    bench.cell.looked(worker, bench.now, &look, bench.now);
+
+    // Assert: its end may be the next one.
+    assert!(starts(&bench.decide()).is_empty(), "it may be done");
+}
