Failing test: a lease by an old reading of a worker's clock ends later than counted

Cause: a renewal names a time on the worker's clock, foreseen from the last reading; the margin for drift of 200 ms is used up after some 9.8 s without a reading, as when an owner has been without confirmation.

--- a/tests/ends_under_load.rs
+++ b/tests/ends_under_load.rs
@@ -29,6 +29,7 @@
     EndEntry, EndKind, Look, LookFailure, LookOrder, Refusal, StartOrder, StartOutcome,
 };
 use crossweir::cell::record::JobRow;
+use crossweir::cell::tuning;
 use crossweir::clock::{Clock, Millis};
 use crossweir::embedded::PlainDecoder;
 use crossweir::embedded::worker::MemoryWorkers;
@@ -254,3 +255,24 @@
     // Assert: its end may be the next one.
     assert!(starts(&bench.decide()).is_empty(), "it may be done");
 }
+
+#[test]
+fn a_lease_is_not_renewed_by_a_reading_of_the_clock_that_is_older_than_a_lease() {
+    // Arrange: a worker whose clock is 2% slow, the platform's bound, and an owner that has
+    // not looked at it for 20 s.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&q));
+    let (worker, read) = (bench.worker(0), bench.now);
+    bench.pass(20_000);
+
+    // Act.
+    let order = bench.cell.look_order(worker, bench.now);
+    let due = order.and_then(|order| order.due);
+
+    // Assert: by the worker's clock it would end later than we count.
+    let clock = read + (bench.now - read) * 98 / 100;
+    let counted = tuning::LEASE + tuning::LEASE * tuning::DRIFT_PERMILLE / 1_000;
+    let counted = counted + tuning::LEASE_MARGIN;
+    let kept = due.map_or(0, |due| (due - clock) * 100 / 98);
+    assert!(kept <= counted, "{kept} {counted}");
+}
