No lease is given by a reading of a worker's clock that is older than a lease

Cause: a worker's clock may run 2% slow, and what it is taken to show errs by 2% of the age of the reading. An owner that had not looked for over 9.8 s gave a lease that could end after the time at which it writes the worker's runs off. Ruled out: a larger margin; each lost worker's tasks would wait longer for it. Change: such a worker is looked at without a renewal first, as one that was silent. Conclusion: nothing runs there after such a time, so the look costs nothing.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -405,7 +405,7 @@
     /// Says how to look at a worker next; none if it is gone.
     pub fn look_order(&mut self, key: WorkerKey, now: Millis) -> Option<LookOrder> {
         let worker = self.workers.get(key)?;
-        let lasting_silence = worker.is_silent() || worker.clock.is_none();
+        let lasting_silence = worker.is_silent() || !worker.has_late_clock(now);
         let order = LookOrder {
             to: self.addressee(key),
             forget: worker.recorded_end,
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -149,6 +149,13 @@
         Some(reading + now.saturating_sub(at))
     }
 
+    /// Tells whether its clock was read so lately that a lease may be given by it: what a clock
+    /// may have lost since must fit into `LEASE_MARGIN`, and after a lease nothing runs there.
+    pub fn has_late_clock(&self, now: Millis) -> bool {
+        let late = |(_, at): (Millis, Millis)| now.saturating_sub(at) <= tuning::LEASE;
+        self.clock.is_some_and(late)
+    }
+
     /// Notes that an order with a lease of `lease` is sent now.
     pub fn lease_sent(&mut self, now: Millis, lease: Millis) {
         let longest = lease + lease * tuning::DRIFT_PERMILLE / 1_000 + tuning::LEASE_MARGIN;
