A worker that is fenced may hold a former owner's lease

Cause: the time until which a worker's runs may go on was zero until the new owner had sent a lease itself. If the worker fell silent between its first answer and the next look, as when a start to it is not answered while ends wait to be recorded, what had been taken over there was written off at the next tick and started elsewhere, while it ran on for up to 3.5 s. Ruled out: renewing with the first look; its lease needs a reading of the worker's clock. Change: the first answer under our epoch counts as a lease of full length. Before: `a_new_owner_waits_out_the_lease_that_a_former_one_has_given` sees a start 100 ms after the first look. After: only when the lease is over. Conclusion: no run that was taken over is written off before it must have ended.

--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -25,6 +25,8 @@
         let first = !worker.fenced;
         worker.fenced = true;
         if first {
+            // A former owner may have renewed its lease until just now.
+            worker.lease_sent(now, tuning::LEASE);
             tracing::info!(
                 worker = worker.entry.id,
                 epoch = self.epoch,
