A job that is taken in while a former owner may act waits for settling

Cause: a job accepted after the claim was started at once. But a former owner that is slow rather than gone gives orders for its window of 2 s, and nodes that have not heard of the claim tell it of jobs; on a worker that has not answered the new owner yet it starts them. Ruled out: the version of the row; it is younger than the claim here. Change: until settled, and for the first 2 s at most, jobs that are told or found count as those that were there before. Later ones cannot have been told to an owner that still orders. Before: `a_job_that_a_former_owner_was_told_of_after_the_claim_is_not_started_beside_its_runs` sees starts under epochs [1, 2]. If a worker falls silent just before the claim, jobs of those 2 s now wait for its lease as older ones do; what that costs was not measured.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -218,6 +218,11 @@
         self.ended.contains_key(&id) || self.job_ids.get(&id).is_some_and(|&key| recorded(key))
     }
 
+    /// Tells whether no former owner can have runs that we do not know of.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
     /// Tells whether a job is known, ended ones included.
     pub fn knows(&self, id: JobId) -> bool {
         self.job_ids.contains_key(&id) || self.ended.contains_key(&id)
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -195,10 +195,18 @@
     /// Takes in a job whose row is durable.
     pub fn accepted(&self, row: &JobRow) {
         let now = self.shared.now();
-        self.cell().accept(row, None, false, now);
+        let predates = self.former_may_act(now);
+        self.cell().accept(row, None, predates, now);
         self.wake.notify_one();
     }
 
+    /// Tells whether a former owner may start what it is told of: one that does not know of the
+    /// claim gives orders for its window, on workers that have not answered us yet.
+    pub(super) fn former_may_act(&self, now: Millis) -> bool {
+        let window = now.saturating_sub(self.since) < tuning::OWNER_WINDOW;
+        window && !self.cell().is_settled()
+    }
+
     /// Ends that the store could not take so far; none while it takes them.
     pub fn early_ends(&self) -> Vec<(JobId, JobState)> {
         if self.stalled.load(Ordering::Relaxed) {
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -106,8 +106,8 @@
             let Some(job) = loading::job_row(&row.value) else {
                 continue;
             };
-            let predates = row.version < claimed;
             let now = self.shared.now();
+            let predates = row.version < claimed || self.former_may_act(now);
             self.cell().accept(&job, None, predates, now);
         }
         self.wake.notify_one();
