--- a/tests/ends_under_load.rs
+++ b/tests/ends_under_load.rs
@@ -1,20 +1,21 @@
-//! Tasks that had ended were started again by an owner that was behind.
+//! Tasks were started again beside their runs, or after these had ended.
 //!
-//! Seen: with over a thousand workers and no fault, tasks whose runs had ended well were started
-//! again three seconds later, all tasks of a step at once.  The play does not repeat; reading the
-//! code for ways to it found those that the tests below show.
+//! Seen: with over a thousand workers and no fault, while the owner was behind, tasks whose runs had
+//! ended well were started again three seconds later, all at once, by the same node.  It was not
+//! brought about again; reading the code for ways to it found those that the tests below show.
 //!
-//! How they come about: an owner that is behind gives the cell up.  The release took its batch
-//! while another transaction was on its way, and the rows in it counted as done with; the loop of
-//! records then found ends without rows, and let the workers forget them.  If the release was
-//! never written, the next owner knew nothing of those ends.  And a job whose caller hands it in
-//! again has a row that is younger than the claim, by which the next owner took it for new and
-//! started its tasks beside those that ran.
+//! How they come about, and the cause:
+//! - The batch of a release was taken while another transaction was on its way.  The loop of records
+//!   then found ends without rows, and let the workers forget them before the release was
+//!   durable.  What is recorded was taken outside of the lock that keeps transactions in order.
+//! - A job that is handed in again has a row younger than the claim, and a job that is accepted
+//!   after the claim may be told to a former owner that has not heard of it.  Both were taken for
+//!   jobs that nobody had started.
+//! - A new owner counted no lease on a worker before it had given one itself, and gave one by a
+//!   reading of the worker's clock of any age.
+//! - A worker lists a bounded number of ends at once, and a run in neither list was over.
 //!
-//! Cause: what goes to the store was taken outside of the lock that keeps transactions in order;
-//! the version of a row was taken for the age of its job.
-//!
-//! Proof: the tests, which fail without the repairs.
+//! Proof: the tests, each of which fails without its repair.
 
 mod cell_core;
 mod virtual_node;
