--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -279,21 +279,27 @@
     }
 
     /// The platform lists these workers now, all of them.
+    ///
+    /// The entry of a crashed life stays for some heartbeats, and a list does not tell which of
+    /// two lives is the newer: both are kept, and the one that is over says so when looked at.
     pub fn list_workers(&mut self, entries: Vec<WorkerEntry>, now: Millis) {
         for worker in self.workers.values_mut() {
             worker.unlisted_since.get_or_insert(now);
         }
         for entry in entries {
-            self.list_worker(entry, now);
+            self.take_entry(entry, now);
         }
     }
 
-    /// The platform lists this worker, or its entry changed.
-    ///
-    /// Another life at the address of one that is known proves nothing: the entry of a life that is
-    /// over stays for some heartbeats, beside that of the next.  The answer to a call that names
-    /// the life does ([`Refusal::Gone`](order::Refusal::Gone)).
+    /// The platform has just written the entry of this worker.
     pub fn list_worker(&mut self, entry: WorkerEntry, now: Millis) {
+        if !self.worker_ids.contains_key(&entry.id) {
+            self.end_former_life(&entry, now);
+        }
+        self.take_entry(entry, now);
+    }
+
+    fn take_entry(&mut self, entry: WorkerEntry, now: Millis) {
         if let Some(&key) = self.worker_ids.get(&entry.id) {
             let worker = &mut self.workers[key];
             if entry.leaving.is_some() && worker.leaving_since.is_none() {
@@ -314,6 +320,19 @@
         }
     }
 
+    /// A new life of a machine proves that the former ones are over.
+    fn end_former_life(&mut self, entry: &WorkerEntry, now: Millis) {
+        let former: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.entry.machine == entry.machine && w.entry.address == entry.address)
+            .map(|(key, _)| key)
+            .collect();
+        for key in former {
+            self.lose_worker(key, now, "restarted");
+        }
+    }
+
     /// The platform does not list this worker any more.
     pub fn unlist_worker(&mut self, id: &str, now: Millis) {
         if let Some(&key) = self.worker_ids.get(id) {
@@ -393,7 +412,7 @@
     pub fn look_order(&mut self, key: WorkerKey, now: Millis) -> Option<LookOrder> {
         let sequence = self.next_sequence();
         let worker = self.workers.get(key)?;
-        let lasting_silence = worker.is_silent() || worker.clock.is_none();
+        let lasting_silence = worker.is_silent() || !worker.has_late_clock(now);
         let order = LookOrder {
             to: self.addressee(key),
             sequence,
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -89,7 +89,8 @@
                     let jobs = loading::list_jobs(&self.shared).await;
                     self.take_job_rows(&jobs.rows);
                     cleaner.note(&jobs.rows);
-                    unread.extend(jobs.unread);
+                    unread = jobs.unread;
+                    self.cell().set_incomplete(true);
                     after = jobs.version;
                 }
                 Err(_) => tokio::time::sleep(STORE_PAUSE).await,
@@ -113,8 +114,8 @@
             let Some(job) = loading::job_row(&row.value) else {
                 continue;
             };
-            let predates = row.version < self.claimed;
             let now = self.shared.now();
+            let predates = row.version < self.claimed;
             self.cell().accept(&job, None, predates, now);
         }
         self.wake.notify_one();
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -100,7 +100,8 @@
         let Some(job) = job_row(&row.value) else {
             continue;
         };
-        // Whatever its version: a job that is handed in again is written anew.
+        // A row that is younger than the claim does not prove that the job is: whoever gets a job
+        // again writes its row again.  So a former owner may have started any that is found.
         cell.accept(&job, recorded.get(&row.key), true, now);
     }
     for (key, progress) in recorded {
