Connections that go silent cost one call and are given back

Between nodes a late time-out removed the healthy successor of a silent connection, and silent ones were never closed. Nothing was probed. Ruled out: a generation of clients of the library, replaced per host: it lets no option of the socket be set, which tells silence from a slow answer. Calls between nodes drop exactly the connection that failed, which is closed once no call holds it. Every connection has the kernel's limits: bytes unacknowledged for 150 ms end one of our own network, probes an idle one; callers' get 5 s.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,11 +1,13 @@
 //! Serving HTTP until the process ends.
 
 use std::convert::Infallible;
+use std::io;
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use tokio::net::TcpListener;
-use volo::net::incoming::DefaultIncoming;
+use volo::net::conn::Conn;
+use volo::net::incoming::{Incoming, MakeIncoming};
 use volo::service::Service;
 use volo_http::context::ServerContext;
 use volo_http::request::Request;
@@ -13,6 +15,7 @@
 use volo_http::server::Server;
 
 use crate::error::{Error, Result};
+use crate::keep_alive;
 
 /// The most headers that a request may have.
 const MAX_HEADERS: usize = 64;
@@ -35,11 +38,34 @@
     let mut server = Server::new(service).register_shutdown_hook(never);
     server.http1_config().set_max_headers(MAX_HEADERS);
     server
-        .run(DefaultIncoming::from(listener))
+        .run(Watched(listener))
         .await
         .map_err(Error::HttpServer)
 }
 
+/// Accepts connections and has those ended whose caller has gone silent: each would hold
+/// its memory and a descriptor for ever.
+#[derive(Debug)]
+struct Watched(TcpListener);
+
+impl MakeIncoming for Watched {
+    type Incoming = Self;
+
+    async fn make_incoming(self) -> io::Result<Self> {
+        Ok(self)
+    }
+}
+
+impl Incoming for Watched {
+    async fn accept(&mut self) -> io::Result<Option<Conn>> {
+        let (stream, _) = self.0.accept().await?;
+        if let Err(err) = keep_alive::watch_caller(&stream) {
+            tracing::debug!(%err, "a caller that goes silent is not noticed");
+        }
+        Ok(Some(Conn::from(stream)))
+    }
+}
+
 fn never() -> BoxFuture<'static, ()> {
     std::future::pending().boxed()
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod experiment;
 pub mod http;
+pub mod keep_alive;
 pub mod log;
 pub mod metrics;
 pub mod node;
--- a/src/rpc/transport.rs
+++ b/src/rpc/transport.rs
@@ -19,6 +19,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::clock::Millis;
+use crate::keep_alive;
 use crate::rpc::PeerError;
 
 /// How many calls may wait to be picked up: some seconds of the busiest process's calls.
@@ -112,16 +113,29 @@
     connections: &Rc<Connections<P::Client>>,
     pending: &Pending<P::Call, P::Reply>,
 ) -> Result<P::Reply, PeerError> {
-    let client = connections.get(pending.addr, pending.timeout).await?;
-    let exchange = P::exchange(&client, &pending.call);
+    let connection = connections.get(pending.addr, pending.timeout).await?;
+    let exchange = P::exchange(&connection.client, &pending.call);
     connections
-        .bounded(pending.addr, pending.timeout, exchange)
+        .bounded(pending.addr, &connection, pending.timeout, exchange)
         .await
 }
 
+/// A connection; it is closed when nobody holds it any more, also if the other side has
+/// gone silent and will never close it.
+struct Connection<C> {
+    client: C,
+    system: task::JoinHandle<()>,
+}
+
+impl<C> Drop for Connection<C> {
+    fn drop(&mut self) {
+        self.system.abort();
+    }
+}
+
 /// Connections that are kept, by address.
 struct Connections<C> {
-    known: Mutex<HashMap<SocketAddr, C>>,
+    known: Mutex<HashMap<SocketAddr, Rc<Connection<C>>>>,
 }
 
 impl<C: FromClientHook + Clone + 'static> Connections<C> {
@@ -136,32 +150,43 @@
     ///
     /// # Errors
     /// Fails with [`PeerError::NotSent`] if none comes about.
-    async fn get(self: &Rc<Self>, addr: SocketAddr, timeout: Duration) -> Result<C, PeerError> {
-        if let Some(client) = self.lock().get(&addr).cloned() {
-            return Ok(client);
+    async fn get(
+        self: &Rc<Self>,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Rc<Connection<C>>, PeerError> {
+        if let Some(connection) = self.usable(addr) {
+            return Ok(connection);
         }
         let limit = timeout.min(CONNECT_TIMEOUT);
         let connecting = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
         let stream = connecting
             .map_err(|_| PeerError::NotSent)?
             .map_err(|_| PeerError::NotSent)?;
-        let network = network(stream, rpc_twoparty_capnp::Side::Client);
-        let mut system = RpcSystem::new(Box::new(network), None);
-        let client: C = system.bootstrap(rpc_twoparty_capnp::Side::Server);
-        let connections = Rc::clone(self);
-        task::spawn_local(async move {
-            if let Err(err) = system.await {
-                tracing::debug!(%err, %addr, "connection ended");
-            }
-            connections.forget(addr);
-        });
-        self.lock().insert(addr, client.clone());
-        Ok(client)
+        // Another call may have been faster.
+        if let Some(connection) = self.usable(addr) {
+            return Ok(connection);
+        }
+        let connection = Rc::new(start(stream, addr));
+        self.lock().insert(addr, Rc::clone(&connection));
+        Ok(connection)
     }
 
-    /// Does not use the connection to `addr` any more.
-    fn forget(&self, addr: SocketAddr) {
-        self.lock().remove(&addr);
+    fn usable(&self, addr: SocketAddr) -> Option<Rc<Connection<C>>> {
+        let known = self.lock();
+        let connection = known.get(&addr)?;
+        (!connection.system.is_finished()).then(|| Rc::clone(connection))
+    }
+
+    /// Does not use this connection to `addr` any more; one that has taken its place stays.
+    fn forget(&self, addr: SocketAddr, connection: &Rc<Connection<C>>) {
+        let mut known = self.lock();
+        if known
+            .get(&addr)
+            .is_some_and(|known| Rc::ptr_eq(known, connection))
+        {
+            known.remove(&addr);
+        }
     }
 
     /// Waits for an answer, and gives the connection up if none comes in time.
@@ -171,22 +196,38 @@
     async fn bounded<R>(
         &self,
         addr: SocketAddr,
+        connection: &Rc<Connection<C>>,
         timeout: Duration,
         exchange: impl Future<Output = Result<R, PeerError>>,
     ) -> Result<R, PeerError> {
         let answer = tokio::time::timeout(timeout, exchange).await;
         let answer = answer.unwrap_or(Err(PeerError::Unanswered));
         if matches!(answer, Err(PeerError::Unanswered)) {
-            self.forget(addr);
+            self.forget(addr, connection);
         }
         answer
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, C>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Rc<Connection<C>>>> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn start<C: FromClientHook + Clone + 'static>(
+    stream: TcpStream,
+    addr: SocketAddr,
+) -> Connection<C> {
+    let network = network(stream, rpc_twoparty_capnp::Side::Client);
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: C = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let system = task::spawn_local(async move {
+        if let Err(err) = system.await {
+            tracing::debug!(%err, %addr, "connection ended");
+        }
+    });
+    Connection { client, system }
+}
+
 /// Serves calls that arrive at `listener` for as long as the task lives.
 ///
 /// Must run inside a `LocalSet`.
@@ -217,6 +258,9 @@
     if let Err(err) = stream.set_nodelay(true) {
         tracing::debug!(%err, "small messages may be delayed");
     }
+    if let Err(err) = keep_alive::watch_own(&stream) {
+        tracing::warn!(%err, "a connection that goes silent is noticed late");
+    }
     let (reader, writer) = stream.compat().split();
     twoparty::VatNetwork::new(
         futures::io::BufReader::new(reader),
