--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -12,7 +12,7 @@
 
 use crossweir::cell::job::JobState;
 use crossweir::cell::spec::JobId;
-use crossweir::http::client::{CallError, HttpClient};
+use crossweir::http::client::{Answer, CallError, HttpClient};
 use crossweir::http::server;
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{self, NodeCall, NodeLink, NodeReply, NodeService, RpcNodeLink};
@@ -289,6 +289,28 @@
     LocalSet::new().run_until(test).await;
 }
 
+#[tokio::test]
+async fn bytes_that_the_other_side_does_not_take_end_a_call_before_its_own_limit() {
+    // Arrange: a server that reads nothing, so that most of the request stays with us.  The
+    // kernel's limit is the same for bytes that get no acknowledgement.
+    let (listener, address) = listen().await;
+    let client = HttpClient::new();
+    let url = format!("http://{address}/");
+    let body = vec![0; 64 * 1024 * 1024];
+
+    // Act.
+    let call = client.call(Method::POST, &url, &[], body, 2 * PATIENCE);
+    let answer = tokio::time::timeout(PATIENCE, call).await;
+
+    // Assert.
+    assert_eq!(answer.map(drop_answer), Ok(Err(CallError::Unanswered)));
+    drop(listener);
+}
+
+fn drop_answer(answer: Result<Answer, CallError>) -> Result<(), CallError> {
+    answer.map(|_| ())
+}
+
 /// The kernel's name in its table of connections for a timer that probes an idle one.
 const PROBED: &str = "02";
 
