The limit for unacknowledged bytes follows the round trip of a connection

Cause: a fixed limit of 150 ms would end every connection between regions that are further apart. Change: 150 ms and three times what connecting took, at most 1.05 s; 1 s for connections of other nodes to us.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -14,7 +14,6 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 use volo_http::http::header;
 use volo_http::http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -169,13 +168,10 @@
 }
 
 async fn connect(host: &str) -> Result<Sender, CallError> {
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(host)).await;
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, keep_alive::connect(host)).await;
     let stream = connecting
         .map_err(|_| CallError::NotSent)?
         .map_err(|_| CallError::NotSent)?;
-    if let Err(err) = keep_alive::watch_own(&stream) {
-        tracing::warn!(%err, host, "a connection that goes silent is noticed late");
-    }
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|_| CallError::NotSent)?;
--- a/src/rpc/transport.rs
+++ b/src/rpc/transport.rs
@@ -159,7 +159,7 @@
             return Ok(connection);
         }
         let limit = timeout.min(CONNECT_TIMEOUT);
-        let connecting = tokio::time::timeout(limit, TcpStream::connect(addr)).await;
+        let connecting = tokio::time::timeout(limit, keep_alive::connect(addr)).await;
         let stream = connecting
             .map_err(|_| PeerError::NotSent)?
             .map_err(|_| PeerError::NotSent)?;
@@ -235,6 +235,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                if let Err(err) = keep_alive::watch_accepted(&stream) {
+                    tracing::warn!(%err, "a connection that goes silent is given back late");
+                }
                 let network = network(stream, rpc_twoparty_capnp::Side::Server);
                 let system = RpcSystem::new(Box::new(network), Some(server.clone()));
                 task::spawn_local(async move {
@@ -258,9 +261,6 @@
     if let Err(err) = stream.set_nodelay(true) {
         tracing::debug!(%err, "small messages may be delayed");
     }
-    if let Err(err) = keep_alive::watch_own(&stream) {
-        tracing::warn!(%err, "a connection that goes silent is noticed late");
-    }
     let (reader, writer) = stream.compat().split();
     twoparty::VatNetwork::new(
         futures::io::BufReader::new(reader),
