--- a/tests/cancelling.rs
+++ b/tests/cancelling.rs
@@ -17,34 +17,18 @@
 
 mod cell_core;
 
-use cell_core::{Bench, job, queue, step, stops};
+use cell_core::{Bench, job, listed_run, queue, step, stops};
 use crossweir::cell::job::JobState;
-use crossweir::cell::order::{Look, RunningEntry, StopOrder};
+use crossweir::cell::order::{RunningEntry, StopOrder};
 use crossweir::cell::record::Progress;
 use crossweir::cell::spec::JobId;
 
 const TASK: &str = "0000000000000007.0.0.0";
 
-fn running(task: &str, number: u64) -> RunningEntry {
-    RunningEntry {
-        task: task.parse().expect("a task"),
-        number,
-        saved: String::new(),
-        percent: 10,
-        figure: None,
-    }
-}
-
 /// What the owner stops when the first worker lists these runs.
 fn stops_after_look(bench: &mut Bench, running: Vec<RunningEntry>) -> Vec<StopOrder> {
-    bench.now += 10;
-    let look = Look {
-        clock: bench.now,
-        running,
-        ended: Vec::new(),
-    };
     let worker = bench.worker(0);
-    bench.hear(worker, &look);
+    bench.hear_of(worker, running, Vec::new());
     bench.cell.tick(bench.now);
     stops(&bench.cell.take_orders())
 }
@@ -83,7 +67,7 @@
     let mut bench = successor_that_read(JobState::Cancelled);
 
     // Act.
-    let stopped = stops_after_look(&mut bench, vec![running(TASK, 5)]);
+    let stopped = stops_after_look(&mut bench, vec![listed_run(TASK, 5)]);
 
     // Assert.
     assert_eq!(stopped.len(), 1, "its job is cancelled");
@@ -96,7 +80,7 @@
     let mut bench = successor_that_read(JobState::Running);
 
     // Act.
-    let stopped = stops_after_look(&mut bench, vec![running(TASK, 5)]);
+    let stopped = stops_after_look(&mut bench, vec![listed_run(TASK, 5)]);
 
     // Assert.
     assert!(stopped.is_empty(), "its row is not read yet: {stopped:?}");
@@ -109,7 +93,7 @@
 
     // Act: long after any stop is over the worker still lists it.
     bench.now += 1_500;
-    let stopped = stops_after_look(&mut bench, vec![running(TASK, number)]);
+    let stopped = stops_after_look(&mut bench, vec![listed_run(TASK, number)]);
 
     // Assert.
     assert_eq!(stopped.len(), 1, "what the worker lists later counts");
@@ -123,7 +107,7 @@
 
     // Act.
     bench.now += 500;
-    let stopped = stops_after_look(&mut bench, vec![running(TASK, number)]);
+    let stopped = stops_after_look(&mut bench, vec![listed_run(TASK, number)]);
 
     // Assert.
     assert!(stopped.is_empty(), "a stop takes a while: {stopped:?}");
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -95,6 +95,28 @@
     }
 }
 
+/// A run that a worker lists.
+pub fn listed_run(task: &str, number: u64) -> RunningEntry {
+    RunningEntry {
+        task: task.parse().expect("a task"),
+        number,
+        saved: String::new(),
+        percent: 10,
+        figure: None,
+    }
+}
+
+/// An end that a worker lists.
+pub fn listed_end(place: u64, task: &str, number: u64, how: EndKind) -> EndEntry {
+    EndEntry {
+        place,
+        task: task.parse().expect("a task"),
+        number,
+        how,
+        saved: String::new(),
+    }
+}
+
 /// A core with workers that play along: starts succeed and run until they are ended.
 pub struct Bench {
     /// The core.
@@ -228,6 +250,17 @@
         self.cell.looked(&order, look, self.now);
     }
 
+    /// Looks at one worker a moment later, which lists this.
+    pub fn hear_of(&mut self, key: WorkerKey, running: Vec<RunningEntry>, ended: Vec<EndEntry>) {
+        self.now += 10;
+        let look = Look {
+            clock: self.now,
+            running,
+            ended,
+        };
+        self.hear(key, &look);
+    }
+
     /// Looks at all workers, a moment later.
     pub fn look_at_all(&mut self) {
         self.now += 10;
--- a/tests/ends_under_load.rs
+++ b/tests/ends_under_load.rs
@@ -39,11 +39,10 @@
 use crossweir::node::engine::Engine;
 use crossweir::node::links::Workers;
 use crossweir::node::shared::{PARTITION, job_partition};
-use crossweir::queue::Configuration;
 use crossweir::store::{RowKey, Store, StoreCall, StoreReply, Table, Transaction, encode};
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use virtual_node::{VirtualNode, claim, virtual_node_with};
+use virtual_node::{VirtualNode, claim, furnish, virtual_node_with};
 
 /// The tasks that were ordered to start, with the epochs of the orders.
 type Starts = Arc<Mutex<Vec<(String, u64)>>>;
@@ -103,19 +102,7 @@
         })
     };
     let node = virtual_node_with(&[], workers, Arc::new(PlainDecoder));
-    let config = Configuration {
-        version: 1,
-        queues: vec![queue("q", 0)],
-        max_body: 1_000,
-    };
-    node.shared.adopt_config(config, "test");
-    let mut tx = Transaction::default();
-    for number in 0..2 {
-        let entry = worker(number);
-        let key = RowKey::new(Table::Workers, "", &entry.id);
-        tx.puts.push((key, encode(&entry)));
-    }
-    node.store.commit(&tx);
+    furnish(&node, &[queue("q", 0)], &[worker(0), worker(1)]);
     Bed { node, starts, cut }
 }
 
--- a/tests/former_owner.rs
+++ b/tests/former_owner.rs
@@ -19,10 +19,9 @@
 use crossweir::node::engine::Engine;
 use crossweir::node::links::Workers;
 use crossweir::node::shared::job_partition;
-use crossweir::queue::Configuration;
 use crossweir::store::{RowKey, Table, Transaction, encode};
 use futures::future::BoxFuture;
-use virtual_node::{VirtualNode, claim, virtual_node_with};
+use virtual_node::{VirtualNode, claim, furnish, virtual_node_with};
 
 /// Workers in memory that note the epochs under which tasks were started.
 struct Noted {
@@ -57,19 +56,7 @@
         })
     };
     let node = virtual_node_with(&[], workers, Arc::new(PlainDecoder));
-    let config = Configuration {
-        version: 1,
-        queues: vec![queue("q", 0)],
-        max_body: 1_000,
-    };
-    node.shared.adopt_config(config, "test");
-    let mut tx = Transaction::default();
-    for number in 0..2 {
-        let entry = worker(number);
-        let key = RowKey::new(Table::Workers, "", &entry.id);
-        tx.puts.push((key, encode(&entry)));
-    }
-    node.store.commit(&tx);
+    furnish(&node, &[queue("q", 0)], &[worker(0), worker(1)]);
     (node, epochs)
 }
 
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -42,11 +42,11 @@
 use crossweir::node::election;
 use crossweir::node::engine::Engine;
 use crossweir::node::links::Workers;
-use crossweir::queue::{Configuration, Queue};
+use crossweir::queue::Queue;
 use crossweir::store::{RowKey, Table, Transaction, encode};
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use virtual_node::{VirtualNode, claim, virtual_node_with};
+use virtual_node::{VirtualNode, claim, furnish, virtual_node_with};
 
 /// How long each owner lasts.
 const TERM: Duration = Duration::from_millis(1_500);
@@ -163,19 +163,7 @@
             partly
         };
         let node = virtual_node_with(&[], workers, Arc::new(PlainDecoder));
-        let config = Configuration {
-            version: 1,
-            queues: vec![q.clone()],
-            max_body: 1_000,
-        };
-        node.shared.adopt_config(config, "test");
-        let mut tx = Transaction::default();
-        for number in 0..2 {
-            let entry = worker(number);
-            let key = RowKey::new(Table::Workers, "", &entry.id);
-            tx.puts.push((key, encode(&entry)));
-        }
-        node.store.commit(&tx);
+        furnish(&node, std::slice::from_ref(q), &[worker(0), worker(1)]);
         let engine = own(&node, 1).await;
         Self {
             node,
--- a/tests/presumed_over.rs
+++ b/tests/presumed_over.rs
@@ -5,14 +5,16 @@
 
 use std::sync::Arc;
 
-use cell_core::{Bench, configuration, job, queue, starts, step, stops, worker};
+use cell_core::{
+    Bench, configuration, job, listed_end, listed_run, queue, starts, step, stops, worker,
+};
 use crossweir::cell::Cell;
-use crossweir::cell::order::{EndEntry, EndKind, Look, LookFailure, RunningEntry};
+use crossweir::cell::order::{EndEntry, EndKind, Look, LookFailure};
 use crossweir::cell::record::JobRow;
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::Schedule;
+use crossweir::cell::tuning;
 use crossweir::cell::worker::WorkerEntry;
-use crossweir::cell::{WorkerKey, tuning};
 use crossweir::queue::Queue;
 
 const KNOWN: &str = "0000000000000007.0.0.0";
@@ -20,34 +22,11 @@
 
 fn end(place: u64, task: &str, number: u64, how: EndKind, saved: &str) -> EndEntry {
     EndEntry {
-        place,
-        task: task.parse().expect("a task"),
-        number,
-        how,
         saved: saved.to_owned(),
+        ..listed_end(place, task, number, how)
     }
 }
 
-fn running(task: &str, number: u64) -> RunningEntry {
-    RunningEntry {
-        task: task.parse().expect("a task"),
-        number,
-        saved: String::new(),
-        percent: 10,
-        figure: None,
-    }
-}
-
-fn look(bench: &mut Bench, key: WorkerKey, running: Vec<RunningEntry>, ended: Vec<EndEntry>) {
-    bench.now += 10;
-    let look = Look {
-        clock: bench.now,
-        running,
-        ended,
-    };
-    bench.hear(key, &look);
-}
-
 /// Another life at the place of the first worker; its entry stays for some heartbeats after
 /// a crash, so the platform lists both.
 fn life(id: &str) -> WorkerEntry {
@@ -76,7 +55,7 @@
         let order = bench.cell.look_order(key, bench.now);
         order.is_some_and(|order| order.to.id == "w1")
     });
-    look(bench, other.expect("the worker"), Vec::new(), Vec::new());
+    bench.hear_of(other.expect("the worker"), Vec::new(), Vec::new());
     bench.pass(20);
     starts(&bench.decide()).len()
 }
@@ -149,7 +128,7 @@
     let worker = bench.worker(0);
 
     // Act.
-    look(&mut bench, worker, vec![running(KNOWN, 5)], Vec::new());
+    bench.hear_of(worker, vec![listed_run(KNOWN, 5)], Vec::new());
     let stopped = stops(&bench.decide());
 
     // Assert.
@@ -165,13 +144,13 @@
     let ends = || vec![end(1, KNOWN, 5, EndKind::Done, "")];
 
     // Act: the end is listed before the time has come here.
-    look(&mut bench, worker, Vec::new(), ends());
+    bench.hear_of(worker, Vec::new(), ends());
     bench.record();
     let forget = bench.cell.look_order(worker, bench.now).map(|o| o.forget);
     bench.cell.tell_wall_clock(10_100);
     bench.pass(10);
     if forget == Some(0) {
-        look(&mut bench, worker, Vec::new(), ends());
+        bench.hear_of(worker, Vec::new(), ends());
     }
     let started = starts(&bench.decide());
 
@@ -201,7 +180,7 @@
         bench
             .cell
             .look_failed(first, LookFailure::Unanswered, bench.now);
-        look(bench, other, Vec::new(), Vec::new());
+        bench.hear_of(other, Vec::new(), Vec::new());
         bench.pass(90);
     }
 }
@@ -213,7 +192,7 @@
     let worker = bench.worker(0);
     let most = tuning::MOST_ENDS_LISTED as u64;
     let full = (1..=most).map(|place| end(place, UNREAD, place, EndKind::Done, ""));
-    look(&mut bench, worker, Vec::new(), full.collect());
+    bench.hear_of(worker, Vec::new(), full.collect());
 
     // Act.
     let_the_first_lease_run_out(&mut bench);
@@ -229,7 +208,7 @@
     // Arrange: the worker runs nothing but a task of the job that was not read.
     let mut bench = owner_with_unread_jobs();
     let worker = bench.worker(0);
-    look(&mut bench, worker, vec![running(UNREAD, 5)], Vec::new());
+    bench.hear_of(worker, vec![listed_run(UNREAD, 5)], Vec::new());
 
     // Act: it is cut off, and the job is read long after.
     let_the_first_lease_run_out(&mut bench);
@@ -249,7 +228,7 @@
     let mut bench = owner_with_unread_jobs();
     let worker = bench.worker(0);
     let ends = vec![end(1, UNREAD, 5, EndKind::Done, "")];
-    look(&mut bench, worker, Vec::new(), ends);
+    bench.hear_of(worker, Vec::new(), ends);
 
     // Act.
     let_the_first_lease_run_out(&mut bench);
@@ -272,7 +251,7 @@
 
     // Act.
     let ends = vec![end(1, KNOWN, 5, EndKind::Stopped, "saved")];
-    look(&mut bench, worker, Vec::new(), ends);
+    bench.hear_of(worker, Vec::new(), ends);
     let batch = bench.record();
     let forget = bench.cell.look_order(worker, bench.now).map(|o| o.forget);
 
@@ -294,7 +273,7 @@
     bench.now += 10;
     let answer = Look {
         clock: bench.now,
-        running: vec![running(KNOWN, 5)],
+        running: vec![listed_run(KNOWN, 5)],
         ended: Vec::new(),
     };
     bench.hear(first, &answer);
@@ -304,7 +283,7 @@
     let until = bench.now + silence;
     let mut again = 0;
     while bench.now < until {
-        look(&mut bench, other, Vec::new(), Vec::new());
+        bench.hear_of(other, Vec::new(), Vec::new());
         bench.pass(40);
         again += starts(&bench.decide()).len();
     }
--- a/tests/unread_jobs.rs
+++ b/tests/unread_jobs.rs
@@ -21,43 +21,21 @@
 
 mod cell_core;
 
-use cell_core::{Bench, job, queue, starts, step};
+use cell_core::{Bench, job, listed_end, listed_run, queue, starts, step};
 use crossweir::cell::name::TaskName;
-use crossweir::cell::order::{EndEntry, EndKind, Look, LookFailure, RunningEntry};
+use crossweir::cell::order::{EndEntry, EndKind, LookFailure, RunningEntry};
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::tuning;
 
-/// An end that a worker lists.
+/// A good end that a worker lists.
 fn done(place: u64, task: &str, number: u64) -> EndEntry {
-    EndEntry {
-        place,
-        task: task.parse().expect("a task"),
-        number,
-        how: EndKind::Done,
-        saved: String::new(),
-    }
-}
-
-/// A run that a worker lists.
-fn running(task: &str, number: u64) -> RunningEntry {
-    RunningEntry {
-        task: task.parse().expect("a task"),
-        number,
-        saved: String::new(),
-        percent: 10,
-        figure: None,
-    }
+    listed_end(place, task, number, EndKind::Done)
 }
 
+/// The first worker lists this.
 fn look(bench: &mut Bench, running: Vec<RunningEntry>, ended: Vec<EndEntry>) {
-    bench.now += 10;
-    let look = Look {
-        clock: bench.now,
-        running,
-        ended,
-    };
     let worker = bench.worker(0);
-    bench.hear(worker, &look);
+    bench.hear_of(worker, running, ended);
 }
 
 /// An owner that knows job 7 and could not read others, with two workers.
@@ -96,7 +74,7 @@
     let mut bench = owner_with_unread_jobs();
     look(
         &mut bench,
-        vec![running(KNOWN, 6)],
+        vec![listed_run(KNOWN, 6)],
         vec![done(1, UNREAD, 5)],
     );
     assert_eq!(bench.cell.counts().adopted, 1);
@@ -123,7 +101,7 @@
     let mut bench = owner_with_unread_jobs();
     look(
         &mut bench,
-        vec![running(KNOWN, 6), running(UNREAD, 5)],
+        vec![listed_run(KNOWN, 6), listed_run(UNREAD, 5)],
         Vec::new(),
     );
 
@@ -133,7 +111,7 @@
     let before = starts(&bench.decide());
     look(
         &mut bench,
-        vec![running(KNOWN, 6), running(UNREAD, 5)],
+        vec![listed_run(KNOWN, 6), listed_run(UNREAD, 5)],
         Vec::new(),
     );
     let after = starts(&bench.decide());
@@ -208,7 +186,7 @@
 fn a_run_may_have_ended_beyond_a_list_of_ends_that_is_full() {
     // Arrange: a run goes on.
     let mut bench = owner_with_unread_jobs();
-    look(&mut bench, vec![running(KNOWN, 6)], Vec::new());
+    look(&mut bench, vec![listed_run(KNOWN, 6)], Vec::new());
 
     // Act: it is in neither list, but there may be more ends than are listed.
     let full = (1..=tuning::MOST_ENDS_LISTED as u64).map(|place| done(place, UNREAD, place));
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -16,10 +16,12 @@
 use crossweir::node::load::Load;
 use crossweir::node::recording::OwnerRow;
 use crossweir::node::shared::{Identity, Links, Shared};
-use crossweir::queue::Configuration;
+use crossweir::queue::{Configuration, Queue};
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply};
-use crossweir::store::{Store, StoreCall, StoreError, StoreReply, Transaction};
+use crossweir::store::{
+    RowKey, Store, StoreCall, StoreError, StoreReply, Table, Transaction, encode,
+};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use tokio::time::Instant;
@@ -254,3 +256,19 @@
         other => panic!("not committed: {other:?}"),
     }
 }
+
+/// Puts a configuration with these queues in force, and lists these workers.
+pub fn furnish(node: &VirtualNode, queues: &[Queue], workers: &[WorkerEntry]) {
+    let config = Configuration {
+        version: 1,
+        queues: queues.to_vec(),
+        max_body: 1_000,
+    };
+    node.shared.adopt_config(config, "test");
+    let mut tx = Transaction::default();
+    for entry in workers {
+        let key = RowKey::new(Table::Workers, "", &entry.id);
+        tx.puts.push((key, encode(entry)));
+    }
+    node.store.commit(&tx);
+}
