--- a/tests/cancelling.rs
+++ b/tests/cancelling.rs
@@ -13,7 +13,7 @@
 //! Cause: a run of a job that has ended was taken for one of a job that may yet be read; and the
 //! confirmation of a stop outweighed what the worker lists later.
 //!
-//! Proof: the tests below.  No day on the bench showed either of the two.
+//! Proof: the tests below.  No day of our own showed either of the two.
 
 mod cell_core;
 
--- a/tests/fencing.rs
+++ b/tests/fencing.rs
@@ -8,7 +8,7 @@
 //!
 //! Cause: the owner counted only the leases that it had given itself.
 //!
-//! Proof: the test below.  It was found by reading; no day on the bench showed it.
+//! Proof: the test below.  It was found by reading; no day of our own showed it.
 
 mod cell_core;
 
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -17,7 +17,7 @@
 //! Cause: an owner that gave the cell up did not pass on how long a silent worker had still to
 //! be waited for.
 //!
-//! Proof: the tests below, and the log of days on the bench on which the owner is told to end
+//! Proof: the tests below, and the log of days of our own on which the owner is told to end
 //! each 1.5 s while workers are down; docs/FINDINGS.md has the figures.
 
 mod cell_core;
--- a/tests/unread_jobs.rs
+++ b/tests/unread_jobs.rs
@@ -16,7 +16,7 @@
 //! same held for a job that was handed in again before its first row was read: it was taken for
 //! new, though its tasks might run.
 //!
-//! Proof: the tests below, and days on the users' bench on which all nodes lose power while four
+//! Proof: the tests below, and days of our own on which all nodes lose power while four
 //! in ten partitions are away; docs/incidents/ has the figures.
 
 mod cell_core;
