What a silent worker alone can tell of outlives its lease; full lists hold less back

A worker stays on the roster while ends that it lists are not recorded, but a release told the next owner that nothing could run there any more, and a silent worker that the platform lists no more was dropped. And one worker with a full list of ends held back all jobs that predate the claim, though it had listed everything once. Change: no lapse is told of such a worker, it is not dropped before, and a full list counts only until the first whole one. A field that nothing reads any more is gone. Open: a gang of which only a part is taken over after settling is left to the platform's own end of it.

--- a/src/cell/lapse.rs
+++ b/src/cell/lapse.rs
@@ -31,6 +31,10 @@
         let mut within = BTreeMap::new();
         for worker in self.workers.values_mut().filter(|w| is_out_of_reach(w)) {
             worker.sealed = true;
+            if worker.has_unrecorded_ends() {
+                // Its lease says nothing of those: only this worker can tell a successor of them.
+                continue;
+            }
             let until = if worker.fenced {
                 worker.lease_end
             } else {
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -29,9 +29,6 @@
         }
         worker.look_sent = order.sequence;
         worker.list_heard = heard;
-        if newest {
-            worker.looked = order.sent;
-        }
         worker.heard = now;
         worker.silent_since = None;
         worker.clock = Some((look.clock, now));
@@ -51,6 +48,8 @@
         }
         self.take_ends(key, &look.ended, now);
         let listed = self.take_running(order, look, newest, now);
+        let worker = &mut self.workers[key];
+        worker.listed_whole |= newest && !worker.more_ends && worker.unread.is_empty();
         self.remove_unlisted(key, order.sequence, look.clock, &listed, now);
     }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -392,7 +392,8 @@
         self.counts.lapsed += worker.runs.len() as u64;
         self.write_off(key, now);
         let worker = &self.workers[key];
-        if worker.unlisted_since.is_some() && self.settled {
+        let told = !worker.has_unrecorded_ends();
+        if worker.unlisted_since.is_some() && self.settled && told {
             self.lose_worker(key, now, "not listed and silent");
         }
     }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -197,11 +197,11 @@
     }
 
     /// Jobs of which some worker listed runs or ends when they were not read yet, or may have
-    /// some that it has not listed: the next look at that worker takes them in.
+    /// some that it has never listed: the next look at that worker takes them in.
     pub(super) fn find_untaken(&self) -> Unsettled {
         let mut jobs = HashSet::new();
         for worker in self.workers.values() {
-            if worker.more_ends {
+            if worker.more_ends && !worker.listed_whole {
                 return Unsettled::Any;
             }
             jobs.extend(&worker.unread);
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -66,8 +66,6 @@
     pub fenced: bool,
     /// When it last answered.
     pub heard: Millis,
-    /// When the latest look was sent whose list was taken in whole.
-    pub looked: Millis,
     /// The latest look whose list was taken in: looks may overtake each other.
     pub look_sent: Sequence,
     /// When a list was last taken in: one whose look was sent before may be older.
@@ -102,6 +100,9 @@
     pub held_end: u64,
     /// It may have more ends than it has listed.
     pub more_ends: bool,
+    /// It has listed everything to us once, all of jobs that are known: a full list hides
+    /// nothing any more but ends of our own runs.
+    pub listed_whole: bool,
     /// Jobs that could not be read yet and of which it listed runs or ends when it was last
     /// looked at.
     pub unread: BTreeSet<JobId>,
@@ -124,7 +125,6 @@
             rostered: 0,
             fenced: false,
             heard: 0,
-            looked: 0,
             look_sent: Sequence::default(),
             list_heard: Sequence::default(),
             silent_since: None,
@@ -142,6 +142,7 @@
             holds_ends: false,
             held_end: 0,
             more_ends: false,
+            listed_whole: false,
             unread: BTreeSet::new(),
             strangers: 0,
             health: Health::default(),
