Read once more: the outcome that two tests of changing owners share is asserted in one place

Cause: two tests of tests/handing_over.rs ended in the same five assertions, and an import stood in two lines. Change: one function asserts it, with the same bounds.

--- a/tests/ends_under_load.rs
+++ b/tests/ends_under_load.rs
@@ -26,9 +26,8 @@
 
 use cell_core::{Bench, configuration, job, queue, starts, step, worker};
 use crossweir::cell::Cell;
-use crossweir::cell::order::StopOrder;
 use crossweir::cell::order::{
-    EndEntry, EndKind, Look, LookFailure, LookOrder, Refusal, StartOrder, StartOutcome,
+    EndEntry, EndKind, Look, LookFailure, LookOrder, Refusal, StartOrder, StartOutcome, StopOrder,
 };
 use crossweir::cell::record::JobRow;
 use crossweir::cell::tuning;
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -255,6 +255,17 @@
     (chain, id)
 }
 
+/// The task of the worker that is silent, whose lease was last renewed at `renewed`, is started
+/// once more elsewhere: after the lease, and within the time that a former owner may be active
+/// and one change of owners.
+fn assert_started_again_in_time(chain: &Chain, silent: &str, renewed: Millis) {
+    let (count, at, id) = chain.last_start();
+    assert_eq!(count, 2, "it is started once more");
+    assert_ne!(id, silent);
+    assert!(at >= renewed + 3_500, "its lease ran until then");
+    assert!(at < renewed + 8_000, "{} ms", at - renewed);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_task_of_a_silent_worker_starts_again_while_the_cell_changes_hands() {
     // Arrange.
@@ -268,12 +279,8 @@
         chain.hand_over().await;
     }
 
-    // Assert: the lease, the time that a former owner may be active, and one change of owners.
-    let (count, at, id) = chain.last_start();
-    assert_eq!(count, 2, "it is started once more");
-    assert_ne!(id, silent);
-    assert!(at >= renewed + 3_500, "its lease ran until then");
-    assert!(at < renewed + 8_000, "{} ms", at - renewed);
+    // Assert.
+    assert_started_again_in_time(&chain, &silent, renewed);
 }
 
 #[tokio::test(start_paused = true)]
@@ -290,11 +297,7 @@
     }
 
     // Assert.
-    let (count, at, id) = chain.last_start();
-    assert_eq!(count, 2, "it is started once more");
-    assert_ne!(id, silent);
-    assert!(at >= renewed + 3_500, "its lease ran until then");
-    assert!(at < renewed + 8_000, "{} ms", at - renewed);
+    assert_started_again_in_time(&chain, &silent, renewed);
 }
 
 #[tokio::test(start_paused = true)]
