Failing tests: heartbeats, elections and starts grow with the square of the nodes

Cause: each heartbeat and each answer lists every node with its address, and at a vacancy every node asks every other one.

--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -15,6 +15,9 @@
 use crate::rpc::node_capnp as wire;
 use crate::rpc::{PeerError, transport};
 
+/// The unit of the messages' encoding.
+const BYTES_PER_WORD: usize = 8;
+
 /// What a node says of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Beat {
@@ -36,8 +39,16 @@
     pub reaches_store: bool,
     /// Milliseconds since it last heard the owner.
     pub owner_silence: Millis,
-    /// Nodes that it knows, by name and address.
-    pub members: Vec<(String, String)>,
+    /// A digest of all nodes that it knows.
+    pub membership: u64,
+    /// What the receiver may not know of other nodes.
+    pub changes: Vec<MemberChange>,
+    /// Where the owner of the epoch answers, as far as it knows; empty if it does not.
+    pub owner: String,
+    /// From the owner: milliseconds until its next heartbeat to the receiver.
+    pub interval: u32,
+    /// Thousandths of a core that its VM gives.
+    pub millicores: u32,
     /// From the owner: jobs of which nothing has begun, by queue.
     pub pending: Vec<(String, u32)>,
     /// Thousandths of a core that it can spend on owning the cell; zero while it is behind.
@@ -46,6 +57,22 @@
     pub ends: Vec<(JobId, JobState)>,
 }
 
+/// What a node says of a third one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MemberChange {
+    /// It is there.
+    Known {
+        /// Its name.
+        name: String,
+        /// Where it answers other nodes.
+        address: String,
+        /// Thousandths of a core that its VM gives.
+        millicores: u32,
+    },
+    /// The node of this name is not there any more.
+    Gone(String),
+}
+
 /// A call to another node.
 #[derive(Debug, Clone)]
 pub enum NodeCall {
@@ -103,6 +130,24 @@
     Written(Vec<Submitted>),
 }
 
+impl NodeCall {
+    /// How many bytes the message takes between nodes.
+    pub fn wire_bytes(&self) -> usize {
+        let mut message = capnp::message::Builder::new_default();
+        write_call(self, message.init_root());
+        capnp::serialize::compute_serialized_size_in_words(&message) * BYTES_PER_WORD
+    }
+}
+
+impl NodeReply {
+    /// How many bytes the message takes between nodes.
+    pub fn wire_bytes(&self) -> usize {
+        let mut message = capnp::message::Builder::new_default();
+        write_reply(self, message.init_root());
+        capnp::serialize::compute_serialized_size_in_words(&message) * BYTES_PER_WORD
+    }
+}
+
 /// The way to other nodes.
 pub trait NodeLink: Send + Sync {
     /// Calls the node at `addr` and waits at most `timeout` milliseconds.
@@ -205,11 +250,13 @@
     out.set_reaches_store(beat.reaches_store);
     out.set_owner_silence(beat.owner_silence);
     out.set_strength(beat.strength);
-    let mut members = out.reborrow().init_members(beat.members.len() as u32);
-    for (place, (name, address)) in beat.members.iter().enumerate() {
-        let mut member = members.reborrow().get(place as u32);
-        member.set_name(name);
-        member.set_address(address);
+    out.set_membership(beat.membership);
+    out.set_owner(&beat.owner);
+    out.set_interval(beat.interval);
+    out.set_millicores(beat.millicores);
+    let mut changes = out.reborrow().init_changes(beat.changes.len() as u32);
+    for (place, change) in beat.changes.iter().enumerate() {
+        write_change(change, changes.reborrow().get(place as u32));
     }
     let mut pending = out.reborrow().init_pending(beat.pending.len() as u32);
     for (place, (queue, jobs)) in beat.pending.iter().enumerate() {
@@ -225,13 +272,40 @@
     }
 }
 
+fn write_change(change: &MemberChange, mut out: wire::member_change::Builder) {
+    match change {
+        MemberChange::Known {
+            name,
+            address,
+            millicores,
+        } => {
+            out.set_name(name);
+            out.set_address(address);
+            out.set_millicores(*millicores);
+        }
+        MemberChange::Gone(name) => {
+            out.set_name(name);
+            out.set_gone(true);
+        }
+    }
+}
+
+fn read_change(change: wire::member_change::Reader) -> capnp::Result<MemberChange> {
+    let name = change.get_name()?.to_string()?;
+    if change.get_gone() {
+        return Ok(MemberChange::Gone(name));
+    }
+    Ok(MemberChange::Known {
+        name,
+        address: change.get_address()?.to_string()?,
+        millicores: change.get_millicores(),
+    })
+}
+
 fn read_beat(beat: wire::beat::Reader) -> capnp::Result<Beat> {
-    let mut members = Vec::new();
-    for member in beat.get_members()? {
-        members.push((
-            member.get_name()?.to_string()?,
-            member.get_address()?.to_string()?,
-        ));
+    let mut changes = Vec::new();
+    for change in beat.get_changes()? {
+        changes.push(read_change(change)?);
     }
     let mut pending = Vec::new();
     for entry in beat.get_pending()? {
@@ -252,7 +326,11 @@
         reaches_store: beat.get_reaches_store(),
         owner_silence: beat.get_owner_silence(),
         strength: beat.get_strength(),
-        members,
+        membership: beat.get_membership(),
+        changes,
+        owner: beat.get_owner()?.to_string()?,
+        interval: beat.get_interval(),
+        millicores: beat.get_millicores(),
         pending,
         ends,
     })
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -27,7 +27,7 @@
 use tokio::time::Instant;
 
 /// The time of the paused runtime.
-pub struct RuntimeClock(Instant);
+pub struct RuntimeClock(pub Instant);
 
 impl Clock for RuntimeClock {
     fn now(&self) -> Millis {
