--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -12,6 +12,8 @@
 
 use crate::clock::Millis;
 use crate::node::engine::{Engine, WITNESS_WINDOW};
+use crate::node::heartbeat;
+use crate::node::members::Member;
 use crate::node::recording::{OWNER_KEY, OwnerRow};
 use crate::node::route;
 use crate::node::shared::PARTITION;
@@ -24,6 +26,9 @@
 /// When the store has not answered for so long, the other nodes are asked as well: a
 /// read takes 6 ms, and whatever is lost here shortens the window of 2 s.
 const HEDGE_AFTER: Duration = Duration::from_millis(150);
+/// A node that has answered a call no older than this that it does not reach the store need
+/// not be asked: heartbeats come to it that often, and an answer may take some time.
+const TOLD_LATELY: Millis = heartbeat::RELAXED + heartbeat::BEAT_TIMEOUT;
 /// How long one read of the row of ownership may take: 400 ms from a slow store.
 const READ_LIMIT: Millis = 700;
 
@@ -54,32 +59,36 @@
             if sent.saturating_sub(self.confirmed.load(Ordering::Relaxed)) < CONFIRM_AFTER {
                 continue;
             }
-            let words = self.gather_words().await;
+            let words = self.gather_words(sent).await;
             self.take_words(sent, &words);
         }
     }
 
-    /// Asks the store, and if it is silent or away every other node that was heard of late.
-    async fn gather_words(&self) -> Vec<Word> {
+    /// Asks the store, and if it is silent or away every other node that was heard of late and
+    /// has not just said that the store is away: while it is, 146 nodes are not asked anew.
+    async fn gather_words(&self, sent: Millis) -> Vec<Word> {
         let own = self.own_word();
         tokio::pin!(own);
         let early = tokio::time::timeout(HEDGE_AFTER, &mut own).await.ok();
         if let Some(word @ Word::Row(_)) = early {
             return vec![word];
         }
-        let others = join_all(self.witnesses().into_iter().map(|addr| self.word_of(addr)));
+        let (away, asked) = self.witnesses(sent);
+        let others = join_all(asked.into_iter().map(|addr| self.word_of(addr)));
         let (mut words, own) = match early {
             Some(word) => (others.await, word),
             None => tokio::join!(others, own),
         };
         words.push(own);
+        words.extend(std::iter::repeat_n(Word::Away, away));
         words
     }
 
     fn take_words(&self, sent: Millis, words: &[Word]) {
         match self.verdict(words) {
             Verdict::Holds if is_read(words) => self.confirm(sent),
-            Verdict::Holds => self.confirm_for_now(sent),
+            // Some of the words may be as old as that.
+            Verdict::Holds => self.confirm_for_now(sent.saturating_sub(TOLD_LATELY)),
             Verdict::Lost => self.retire("the row of ownership names another"),
             Verdict::Unknown => tracing::info!(
                 ?words,
@@ -139,16 +148,18 @@
         }
     }
 
-    /// Nodes that were heard of late and know of no higher epoch.
-    fn witnesses(&self) -> Vec<SocketAddr> {
-        let now = self.shared.now();
-        self.shared
-            .members()
+    /// Of the nodes that were heard of late and know of no higher epoch: how many have just
+    /// said that they do not reach the store, and where the others answer.
+    fn witnesses(&self, sent: Millis) -> (usize, Vec<SocketAddr>) {
+        let members = self.shared.members();
+        let of_late = |m: &&Member| m.heard > 0 && sent.saturating_sub(m.heard) < WITNESS_WINDOW;
+        let (away, asked): (Vec<&Member>, Vec<&Member>) = members
             .iter()
-            .filter(|(_, m)| m.heard > 0 && now.saturating_sub(m.heard) < WITNESS_WINDOW)
-            .filter(|(_, m)| m.epoch <= self.epoch)
-            .map(|(_, m)| m.address)
-            .collect()
+            .map(|(_, member)| member)
+            .filter(of_late)
+            .filter(|m| m.epoch <= self.epoch)
+            .partition(|m| m.away_asked > 0 && sent.saturating_sub(m.away_asked) < TOLD_LATELY);
+        (away.len(), asked.iter().map(|m| m.address).collect())
     }
 }
 
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -13,24 +13,19 @@
 
 use crate::clock::Millis;
 use crate::node::engine::Engine;
+use crate::node::heartbeat::{self, BEAT_TIMEOUT};
+use crate::node::loading;
+use crate::node::members::{self, Source};
 use crate::node::recording::{OWNER_KEY, OwnerRow};
 use crate::node::shared::{PARTITION, Shared};
 use crate::rpc::node::{Beat, NodeCall, NodeReply};
-use crate::store::{RowKey, StoreCall, StoreError, StoreReply, Table, Transaction, Version};
+use crate::store::{self, RowKey, StoreCall, StoreError, StoreReply, Table, Transaction, Version};
 
-/// How often the owner tells of itself: a heartbeat costs its receiver some tens of
-/// microseconds, and four may be missed before the owner is suspected.
-const BEAT: Duration = Duration::from_millis(100);
-/// How long a heartbeat may take.
-const BEAT_TIMEOUT: Millis = 300;
 /// How long the others' word on a silent owner is awaited: they are 3 ms away, and
 /// whoever does not answer has no say.
 const POLL_TIMEOUT: Millis = 80;
 /// How often the others look whether the owner is silent.
 const LOOK: Duration = Duration::from_millis(50);
-/// An owner that was not heard for so long is suspected: four heartbeats.  Urgent
-/// jobs have 0.9 s to spare, and a takeover takes some 150 ms more.
-const SUSPECT: Millis = 400;
 /// A node that heard the owner within this time speaks for it.
 const VOUCH: Millis = 300;
 /// A later candidate waits so long for each one before it: a claim takes 15 ms.
@@ -51,36 +46,52 @@
 /// How long the cell is kept while the store cannot be told that it is given up:
 /// nobody else can claim it meanwhile, and the process must end within 6 s.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// So many nodes are asked at once whether they hear the owner: all that watch it closely.
+const SAMPLE: usize = 12;
+/// So many samples are asked one after the other while none of them answers: the nodes that
+/// watch the owner may all be lost with it.
+const MOST_SAMPLES: usize = 4;
+/// Nodes that do not watch the owner closely claim the cell at different times within this
+/// one, so that not all of them write a claim at once.
+const OTHERS_SPREAD: Millis = 400;
 /// How often a node writes where it is, until that succeeded.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 
-/// Writes this node's address to the store and reads the others'.
+/// Writes to the store where this node is, and reads where the others are.
 pub async fn register(shared: Arc<Shared>) {
     let key = RowKey::new(Table::Nodes, PARTITION, &shared.name);
     let mut tx = Transaction::default();
-    tx.puts.push((key, shared.address.to_string()));
+    tx.puts.push((key, store::encode(&shared.row())));
     let mut written = false;
     loop {
         if !written {
             written = shared.store(StoreCall::Commit(tx.clone())).await.is_ok();
         }
-        match crate::node::loading::list(&shared, Table::Nodes, PARTITION).await {
-            Ok((rows, _)) => {
-                let now = shared.now();
-                for row in &rows {
-                    shared
-                        .members()
-                        .relocate(&row.key, &row.value, &shared.name, now);
-                }
-                if written {
-                    break;
-                }
-            }
-            Err(err) => tracing::info!(%err, "nodes cannot be listed"),
+        if list_nodes(&shared).await && written {
+            break;
         }
         tokio::time::sleep(REGISTER_RETRY).await;
     }
-    tell_all(&shared, BEAT_TIMEOUT).await;
+    greet(&shared).await;
+}
+
+/// Reads from the store where other nodes are; false if it does not answer.
+async fn list_nodes(shared: &Arc<Shared>) -> bool {
+    let rows = match loading::list(shared, Table::Nodes, PARTITION).await {
+        Ok((rows, _)) => rows,
+        Err(err) => {
+            tracing::info!(%err, "nodes cannot be listed");
+            return false;
+        }
+    };
+    let now = shared.now();
+    for row in &rows {
+        match serde_json::from_str(&row.value) {
+            Ok(node) => shared.members().mention(&row.key, node, Source::Sure, now),
+            Err(err) => tracing::warn!(%err, name = row.key, "a node's row cannot be read"),
+        }
+    }
+    true
 }
 
 /// Tells the owner's heartbeats, or watches for them, until the process ends.
@@ -89,13 +100,12 @@
     tokio::spawn(greet_seeds(Arc::clone(&shared)));
     loop {
         if shared.engine().is_some() {
-            tokio::time::sleep(BEAT).await;
-            beat_as_owner(&shared).await;
+            heartbeat::run(&shared).await;
             continue;
         }
         tokio::time::sleep(LOOK).await;
-        let silence = shared.owner().silence(shared.now());
-        if !shared.leaving() && silence > SUSPECT {
+        let suspect = shared.owner().is_suspect(shared.now());
+        if !shared.leaving() && suspect {
             consider_claim(&shared).await;
         }
     }
@@ -104,60 +114,74 @@
 async fn greet_seeds(shared: Arc<Shared>) {
     let own = shared.address;
     let seeds = shared.seeds.iter().copied().filter(|seed| *seed != own);
-    let beat = shared.beat();
-    join_all(seeds.map(|seed| exchange(&shared, seed, beat.clone(), BEAT_TIMEOUT))).await;
+    let beats = ask(&shared, seeds.collect(), BEAT_TIMEOUT).await;
+    find_owner(&shared, &beats).await;
+}
+
+/// Tells a node's presence to the owner, and to those that may own the cell next: the owner
+/// tells everybody else.
+async fn greet(shared: &Arc<Shared>) {
+    let mut addresses = shared.members().candidates();
+    addresses.truncate(SAMPLE);
+    let beats = ask(shared, addresses, BEAT_TIMEOUT).await;
+    find_owner(shared, &beats).await;
+}
+
+/// Greets the owner that others know and we have not heard.
+async fn find_owner(shared: &Arc<Shared>, beats: &[Beat]) {
+    let (known, epoch) = {
+        let owner = shared.owner();
+        (!owner.is_suspect(shared.now()), owner.epoch)
+    };
+    let hint = beats
+        .iter()
+        .filter(|beat| beat.epoch >= epoch && !beat.owner.is_empty())
+        .max_by_key(|beat| (beat.epoch, Reverse(beat.owner_silence)));
+    let Some(address) = hint.and_then(|beat| beat.owner.parse().ok()) else {
+        return;
+    };
+    if !known && address != shared.address {
+        exchange(shared, address, shared.beat(), BEAT_TIMEOUT).await;
+    }
 }
 
 /// Exchanges heartbeats with one node.
-async fn exchange(
+pub(super) async fn exchange(
     shared: &Arc<Shared>,
     address: SocketAddr,
     beat: Beat,
     timeout: Millis,
 ) -> Option<Beat> {
     let call = NodeCall::Beat(beat);
+    let asked = shared.now();
     match shared.peers.call(address, call, timeout).await {
         Ok(NodeReply::Beat(beat)) => {
             shared.hear(&beat);
+            shared.members().note_answer(&beat.name, asked);
             Some(beat)
         }
         _ => None,
     }
 }
 
-/// Exchanges heartbeats with all nodes.
-pub async fn tell_all(shared: &Arc<Shared>, timeout: Millis) -> Vec<Beat> {
-    let addresses = shared.members().addresses();
+/// Exchanges heartbeats with these nodes.
+async fn ask(shared: &Arc<Shared>, addresses: Vec<SocketAddr>, timeout: Millis) -> Vec<Beat> {
     let beat = shared.beat();
     let exchanges = addresses
         .into_iter()
-        .map(|(_, address)| exchange(shared, address, beat.clone(), timeout));
+        .map(|address| exchange(shared, address, beat.clone(), timeout));
     join_all(exchanges).await.into_iter().flatten().collect()
 }
 
-async fn beat_as_owner(shared: &Arc<Shared>) {
-    // The counts in a heartbeat go over all jobs, so it is made once for all nodes.
-    let beat = shared.beat();
-    let addresses = shared.members().addresses();
-    for (_, address) in addresses {
-        let shared = Arc::clone(shared);
-        let beat = beat.clone();
-        tokio::spawn(async move {
-            let ends = beat.ends.clone();
-            let answer = exchange(&shared, address, beat, BEAT_TIMEOUT).await;
-            if let (Some(_), Some(engine)) = (answer, shared.engine()) {
-                engine.ends_are_witnessed(&ends);
-            }
-        });
-    }
-    let now = shared.now();
-    shared.members().forget_silent(now);
-    if let Some(engine) = shared.engine() {
-        engine.set_lanes();
-        if is_outdone(shared, &engine, now) {
-            shared.metrics.event("cell_yielded");
-            give_up(shared, YIELD_TIMEOUT, "another node is stronger").await;
-        }
+/// What an owner looks at some times a second beside its heartbeats.
+pub(super) async fn review_ownership(shared: &Arc<Shared>) {
+    let Some(engine) = shared.engine() else {
+        return;
+    };
+    engine.set_lanes();
+    if is_outdone(shared, &engine, shared.now()) {
+        shared.metrics.event("cell_yielded");
+        give_up(shared, YIELD_TIMEOUT, "another node is stronger").await;
     }
 }
 
@@ -177,10 +201,17 @@
 }
 
 /// The owner is silent: claims the cell if most say so and nobody goes before us.
+///
+/// Weak nodes wait before they even ask, so a cell with strong ones has an owner again
+/// without their calls; whoever asks, asks a bounded number of nodes.
 async fn consider_claim(shared: &Arc<Shared>) {
     let suspected = shared.owner().epoch;
-    let beats = tell_all(shared, POLL_TIMEOUT).await;
-    if shared.owner().silence(shared.now()) <= SUSPECT {
+    let pause = weak_pause(shared.load.strength());
+    if !pause.is_zero() && !stays_vacant(shared, suspected, pause).await {
+        return;
+    }
+    let beats = ask_candidates(shared).await;
+    if !shared.owner().is_suspect(shared.now()) {
         return;
     }
     let epoch = shared.owner().epoch;
@@ -189,15 +220,35 @@
         .filter(|beat| beat.epoch >= epoch && beat.owner_silence < VOUCH)
         .count();
     if vouching > 0 && vouching * 2 >= beats.len() {
+        find_owner(shared, &beats).await;
         return;
     }
-    let rank = rank_among(shared, &beats);
-    let pause = RANK_PAUSE * rank + weak_pause(shared.load.strength());
+    let pause = RANK_PAUSE * rank_among(shared, &beats) + others_pause(shared);
     if stays_vacant(shared, epoch, pause).await {
         claim(shared, suspected).await;
     }
 }
 
+/// Asks those that watch the owner closely; if none of them answers, some others.
+async fn ask_candidates(shared: &Arc<Shared>) -> Vec<Beat> {
+    let candidates = shared.members().candidates();
+    for sample in candidates.chunks(SAMPLE).take(MOST_SAMPLES) {
+        let beats = ask(shared, sample.to_vec(), POLL_TIMEOUT).await;
+        if !beats.is_empty() {
+            return beats;
+        }
+    }
+    Vec::new()
+}
+
+/// How much later than those that watch the owner closely a node claims the cell.
+fn others_pause(shared: &Shared) -> Duration {
+    if shared.members().watches(&shared.name) {
+        return Duration::ZERO;
+    }
+    Duration::from_millis(members::spread(&shared.name) % OTHERS_SPREAD)
+}
+
 /// Waits, and tells whether nobody has been heard as the owner meanwhile.  One that has come
 /// and gone leaves a vacancy of its own, in which the stronger nodes go first again.
 async fn stays_vacant(shared: &Shared, epoch: u64, pause: Duration) -> bool {
@@ -209,7 +260,7 @@
         let now = shared.now();
         let vacant = {
             let owner = shared.owner();
-            owner.epoch == epoch && owner.silence(now) > SUSPECT
+            owner.epoch == epoch && owner.is_suspect(now)
         };
         if !vacant || left.is_zero() {
             return vacant;
@@ -333,7 +384,9 @@
     shared.metrics.event("claimed");
     let now = shared.now();
     shared.owner().hear(epoch, Some(shared.address), now);
-    match Engine::start(shared, epoch, version).await {
+    // Nodes that started a moment ago may have told nobody but the store so far.
+    let (started, _) = tokio::join!(Engine::start(shared, epoch, version), list_nodes(shared));
+    match started {
         Ok(engine) => {
             if shared.owner().epoch > epoch {
                 engine.retire("a higher epoch was heard of while loading");
@@ -342,7 +395,6 @@
             shared.set_engine(Some(Arc::clone(&engine)));
             engine.configure();
             engine.set_lanes();
-            beat_as_owner(shared).await;
         }
         Err(err) => {
             tracing::warn!(%err, epoch, "the cell cannot be loaded");
@@ -362,7 +414,9 @@
 /// without an answer may yet take effect, with what it was to record, so the ownership is
 /// over in any case.
 async fn give_up(shared: &Arc<Shared>, limit: Duration, reason: &'static str) {
-    if let Some(engine) = shared.engine() {
+    let engine = shared.engine();
+    let owned = engine.is_some();
+    if let Some(engine) = engine {
         let released = tokio::time::timeout(limit, engine.record_once(true)).await;
         tracing::info!(
             epoch = engine.epoch,
@@ -379,5 +433,16 @@
             owner.forget();
         }
     }
-    tell_all(shared, BEAT_TIMEOUT).await;
+    tell_of_end(shared, owned).await;
+}
+
+/// Tells all nodes that the cell is free, or, if it was not ours, those that may need to know
+/// that we are about to end.
+async fn tell_of_end(shared: &Arc<Shared>, owned: bool) {
+    let mut addresses = shared.members().candidates();
+    if !owned {
+        addresses.truncate(SAMPLE);
+        addresses.extend(shared.owner().address);
+    }
+    ask(shared, addresses, BEAT_TIMEOUT).await;
 }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -3,7 +3,7 @@
 //! An engine lives for one epoch.  It begins by loading the cell's rows, runs a
 //! handful of loops, and retires when a higher epoch is heard of.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -18,6 +18,7 @@
 use crate::cell::view::JobView;
 use crate::cell::{Cell, Waited, WorkerKey, tuning};
 use crate::clock::{self, Millis};
+use crate::node::heartbeat;
 use crate::node::loading;
 use crate::node::recording::MOST_JOBS;
 use crate::node::roster_rows::RosterRows;
@@ -29,8 +30,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Events that come within this time are decided on together.
 const GATHER: Duration = Duration::from_millis(4);
-/// A peer heard within this time bears witness: some heartbeats.
-pub(super) const WITNESS_WINDOW: Millis = 1_000;
+/// A peer heard within this time bears witness: two heartbeats, of which one may be late.
+pub(super) const WITNESS_WINDOW: Millis = 2 * heartbeat::RELAXED + heartbeat::BEAT_TIMEOUT;
 /// How long a cancellation waits to be recorded: callers wait 3 s.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(2_200);
 
@@ -337,19 +338,21 @@
     pub fn set_lanes(&self) {
         let now = self.shared.now();
         let mut lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut up: HashMap<String, bool> = HashMap::new();
-        up.insert(self.shared.name.clone(), self.shared.advisor.is_some());
-        for (name, member) in self.shared.members().iter() {
-            let heard = member.heard > 0 && now.saturating_sub(member.heard) < WITNESS_WINDOW;
-            up.insert(name.clone(), heard && !member.leaving);
-            if !lanes.contains(name) {
-                lanes.push(name.clone());
+        let known: HashSet<String> = lanes.iter().cloned().collect();
+        let members = self.shared.members();
+        let news = members.iter().filter(|(name, _)| !known.contains(*name));
+        lanes.extend(news.map(|(name, _)| name.clone()));
+        let is_up = |name: &String| {
+            if *name == self.shared.name {
+                return self.shared.advisor.is_some();
             }
-        }
-        let flags: Vec<bool> = lanes
-            .iter()
-            .map(|name| up.get(name).copied().unwrap_or(false))
-            .collect();
+            members.get(name).is_some_and(|member| {
+                let heard = member.heard > 0 && now.saturating_sub(member.heard) < WITNESS_WINDOW;
+                heard && !member.leaving
+            })
+        };
+        let flags: Vec<bool> = lanes.iter().map(is_up).collect();
+        drop(members);
         drop(lanes);
         self.cell().set_lanes(&flags);
     }
@@ -360,9 +363,10 @@
             let lanes = self.lanes.lock().unwrap_or_else(PoisonError::into_inner);
             lanes.get(lane)?.clone()
         };
-        let members = self.shared.members();
-        let found = members.iter().find(|(other, _)| **other == name);
-        found.map(|(_, member)| member.address)
+        self.shared
+            .members()
+            .get(&name)
+            .map(|member| member.address)
     }
 }
 
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -261,7 +261,7 @@
         match call {
             NodeCall::Beat(beat) => {
                 shared.hear(&beat);
-                NodeReply::Beat(shared.beat())
+                NodeReply::Beat(shared.beat_for(&beat.name))
             }
             NodeCall::Accepted(_)
             | NodeCall::State(_)
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -51,6 +51,11 @@
         self.late.load(Ordering::Relaxed)
     }
 
+    /// Thousandths of a core that the VM gives, whether the node is behind or not.
+    pub fn millicores(&self) -> u32 {
+        self.millicores
+    }
+
     /// Thousandths of a core that the node can spend on owning the cell; zero while it is
     /// behind.
     pub fn strength(&self) -> u32 {
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -5,8 +5,16 @@
 use crate::clock::Millis;
 use crate::rpc::node::Beat;
 
+/// An owner that was not heard for this time beyond three of its heartbeats is suspected: urgent
+/// jobs have 0.9 s to spare, and a takeover takes some 150 ms more.
+const SUSPECT_MARGIN: Millis = 100;
+/// So many heartbeats may be missed before the owner is suspected.
+const MISSED_BEATS: Millis = 3;
+/// How often the owner is heard by nodes that it has not told otherwise.
+pub const BEAT: Millis = 100;
+
 /// Who owns the cell, as far as this node knows.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Owner {
     /// The highest epoch heard of.
     pub epoch: u64,
@@ -18,9 +26,34 @@
     pub expected: Option<Millis>,
     /// Jobs of which nothing has begun by queue, as it last said.
     pub pending: Vec<(String, u32)>,
+    /// How often it tells of itself here, in milliseconds.
+    interval: Millis,
+}
+
+impl Default for Owner {
+    fn default() -> Self {
+        Self {
+            epoch: 0,
+            address: None,
+            heard: None,
+            expected: None,
+            pending: Vec::new(),
+            interval: BEAT,
+        }
+    }
 }
 
 impl Owner {
+    /// Tells whether the owner has been silent for so long that another may be needed.
+    pub fn is_suspect(&self, now: Millis) -> bool {
+        self.silence(now) > MISSED_BEATS * self.interval + SUSPECT_MARGIN
+    }
+
+    /// The owner tells of itself this often here; zero if it did not say.
+    pub fn beats_every(&mut self, interval: u32) {
+        self.interval = Millis::from(interval).max(BEAT);
+    }
+
     /// How long the owner has been silent; for ever if there is nobody to wait for.
     pub fn silence(&self, now: Millis) -> Millis {
         elapsed(self.heard.max(self.expected), now)
@@ -46,6 +79,7 @@
         self.address = None;
         self.heard = None;
         self.expected = None;
+        self.interval = BEAT;
     }
 
     /// Somebody has claimed the cell under `epoch` and needs time to load it.
@@ -54,6 +88,7 @@
         self.address = address;
         self.heard = None;
         self.expected = Some(now);
+        self.interval = BEAT;
     }
 
     /// The owner under `epoch` was heard.
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -9,7 +9,7 @@
 use crate::node::engine::Engine;
 use crate::node::links::{Advisor, Decoder, Workers};
 use crate::node::load::Load;
-use crate::node::members::Members;
+use crate::node::members::{Members, NodeRow, Source};
 use crate::node::owner::Owner;
 use crate::node::route::{Pace, RELAY_WINDOW, RoutedStore};
 use crate::queue::Configuration;
@@ -95,6 +95,11 @@
         metrics: Metrics,
         links: Links,
     ) -> Arc<Self> {
+        let row = NodeRow {
+            address: identity.address,
+            millicores: load.millicores(),
+        };
+        let members = Members::new(&identity.name, &row);
         Arc::new(Self {
             name: identity.name,
             boot: identity.boot,
@@ -108,7 +113,7 @@
             decoder: links.decoder,
             peers: links.peers,
             store: RoutedStore::new(links.store),
-            members: Mutex::default(),
+            members: Mutex::new(members),
             config: RwLock::new(None),
             owner: Mutex::default(),
             early_ends: Mutex::default(),
@@ -294,17 +299,29 @@
         self.store.direct_works()
     }
 
+    /// How this node stands in the store.
+    pub fn row(&self) -> NodeRow {
+        NodeRow {
+            address: self.address,
+            millicores: self.load.millicores(),
+        }
+    }
+
+    /// What this node says of itself to the node `name`, with what that one may not know of
+    /// others.
+    pub fn beat_for(&self, name: &str) -> Beat {
+        let changes = self.members().changes_for(name);
+        Beat {
+            changes,
+            ..self.beat()
+        }
+    }
+
     /// What this node says of itself.
     pub fn beat(&self) -> Beat {
         let now = self.now();
         let owner = self.owner().clone();
         let engine = self.engine();
-        let members = self
-            .members()
-            .addresses()
-            .into_iter()
-            .map(|(name, address)| (name, address.to_string()))
-            .collect();
         let (pending, ends) = match &engine {
             Some(engine) => (engine.pending(), engine.early_ends()),
             None => (Vec::new(), self.early_ends().unknown_to(owner.epoch)),
@@ -323,7 +340,13 @@
             } else {
                 owner.unheard(now)
             },
-            members,
+            membership: self.members().digest(),
+            changes: Vec::new(),
+            owner: owner
+                .address
+                .map_or_else(String::new, |address| address.to_string()),
+            interval: 0,
+            millicores: self.load.millicores(),
             strength: self.load.strength(),
             pending,
             ends,
@@ -338,10 +361,24 @@
         }
     }
 
+    /// The owner of the highest epoch is sure of who is there; all others may be behind.
+    fn hear_of_members(&self, beat: &Beat, now: Millis) {
+        let owner_speaks = beat.owns && beat.epoch >= self.owner().epoch;
+        let source = match owner_speaks && self.engine().is_none() {
+            true => Source::Sure,
+            false => Source::Hearsay,
+        };
+        let refused = self.members().hear(beat, source, now);
+        if refused > 0 {
+            tracing::warn!(node = beat.name, refused, "entries of nodes are refused");
+            self.metrics.event("unreadable_member");
+        }
+    }
+
     /// Takes in what another node says of itself.
     pub fn hear(&self, beat: &Beat) {
         let now = self.now();
-        self.members().hear(beat, &self.name, now);
+        self.hear_of_members(beat, now);
         self.hear_ends(beat);
         let mut owner = self.owner();
         if beat.owns && beat.epoch >= owner.epoch {
@@ -350,6 +387,7 @@
                 tracing::info!(epoch = beat.epoch, owner = beat.name, "owner of the cell");
             }
             owner.hear(beat.epoch, beat.address.parse().ok(), now);
+            owner.beats_every(beat.interval);
             owner.pending.clone_from(&beat.pending);
         } else if owner.gives_up(beat) {
             tracing::info!(
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -70,12 +70,21 @@
   reachesStore @7 :Bool;
   # Milliseconds since the sender last heard the owner of `epoch`.
   ownerSilence @8 :UInt64;
-  members @9 :List(Member);
+  # What the receiver may not know of other nodes: a bounded piece.
+  changes @9 :List(MemberChange);
   pending @10 :List(Pending);
   # Jobs that have ended and whose end could not be recorded yet.
   ends @11 :List(End);
   # Thousandths of a core that the sender can spend on owning the cell.
   strength @12 :UInt32;
+  # A digest of all nodes that the sender knows.
+  membership @13 :UInt64;
+  # Where the owner of `epoch` answers, as far as the sender knows; empty if it does not.
+  owner @14 :Text;
+  # From the owner: milliseconds until its next heartbeat to the receiver.
+  interval @15 :UInt32;
+  # Thousandths of a core that the sender's VM gives.
+  millicores @16 :UInt32;
 }
 
 struct End {
@@ -83,9 +92,12 @@
   state @1 :UInt16;
 }
 
-struct Member {
+struct MemberChange {
   name @0 :Text;
   address @1 :Text;
+  millicores @2 :UInt32;
+  # The node is not there any more.
+  gone @3 :Bool;
 }
 
 struct Pending {
--- a/src/rpc/node_capnp.rs
+++ b/src/rpc/node_capnp.rs
@@ -2103,11 +2103,11 @@
             self.reader.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::rpc::node_capnp::member::Owned>> {
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::rpc::node_capnp::member_change::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_members(&self) -> bool {
+        pub fn has_changes(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
@@ -2130,11 +2130,31 @@
         pub fn get_strength(self) -> u32 {
             self.reader.get_data_field::<u32>(5)
         }
+        #[inline]
+        pub fn get_membership(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn get_owner(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_owner(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_interval(self) -> u32 {
+            self.reader.get_data_field::<u32>(12)
+        }
+        #[inline]
+        pub fn get_millicores(self) -> u32 {
+            self.reader.get_data_field::<u32>(13)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2273,19 +2293,19 @@
             self.builder.set_data_field::<u64>(4, value);
         }
         #[inline]
-        pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::rpc::node_capnp::member::Owned>> {
+        pub fn get_changes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::rpc::node_capnp::member_change::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_members(&mut self, value: ::capnp::struct_list::Reader<'_,crate::rpc::node_capnp::member::Owned>) -> ::capnp::Result<()> {
+        pub fn set_changes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::rpc::node_capnp::member_change::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
-        pub fn init_members(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::rpc::node_capnp::member::Owned> {
+        pub fn init_changes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::rpc::node_capnp::member_change::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
         }
         #[inline]
-        pub fn has_members(&self) -> bool {
+        pub fn has_changes(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
@@ -2328,6 +2348,46 @@
         pub fn set_strength(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(5, value);
         }
+        #[inline]
+        pub fn get_membership(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_membership(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
+        #[inline]
+        pub fn get_owner(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_owner(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_owner(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(5).init_text(size)
+        }
+        #[inline]
+        pub fn has_owner(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_interval(self) -> u32 {
+            self.builder.get_data_field::<u32>(12)
+        }
+        #[inline]
+        pub fn set_interval(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(12, value);
+        }
+        #[inline]
+        pub fn get_millicores(self) -> u32 {
+            self.builder.get_data_field::<u32>(13)
+        }
+        #[inline]
+        pub fn set_millicores(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(13, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2339,114 +2399,142 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 227] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 290] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(3, 62, 160, 251, 87, 11, 78, 175),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(210, 198, 161, 244, 224, 91, 211, 183),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2522,13 +2610,13 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 185, 61, 110, 173, 255, 248, 173),
+            ::capnp::word(136, 177, 171, 176, 43, 50, 98, 225),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -2567,6 +2655,41 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 115, 104),
+            ::capnp::word(105, 112, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 119, 110, 101, 114, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 116, 101, 114, 118, 97, 108),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 105, 108, 108, 105, 99, 111, 114),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2579,10 +2702,14 @@
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                9 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::member_change::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::pending::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::end::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                16 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2596,9 +2723,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,6,11,3,5,9,0,8,4,10,7,12];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,9,6,11,3,15,5,13,16,0,14,8,4,10,7,12];
         pub(crate) const TYPE_ID: u64 = 0xaf4e_0b57_fba0_3e03;
     }
 }
@@ -2825,7 +2952,7 @@
     }
 }
 
-pub mod member {
+pub mod member_change {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2902,11 +3029,19 @@
         pub fn has_address(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_millicores(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_gone(self) -> bool {
+            self.reader.get_bool_field(32)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2988,6 +3123,22 @@
         pub fn has_address(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_millicores(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_millicores(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_gone(self) -> bool {
+            self.builder.get_bool_field(32)
+        }
+        #[inline]
+        pub fn set_gone(&mut self, value: bool)  {
+            self.builder.set_bool_field(32, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2999,38 +3150,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(160, 185, 61, 110, 173, 255, 248, 173),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(136, 177, 171, 176, 43, 50, 98, 225),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(210, 198, 161, 244, 224, 91, 211, 183),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 109, 98, 101),
-            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 67, 104, 97, 110, 103, 101, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3047,11 +3212,30 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 105, 108, 108, 105, 99, 111, 114),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3065,10 +3249,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0xadf8_ffad_6e3d_b9a0;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,2,0];
+        pub(crate) const TYPE_ID: u64 = 0xe162_322b_b0ab_b188;
     }
 }
 
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,260 @@
+//! What a node knows of the others, and how two that know different nodes come to agree.
+
+use crossweir::node::members::{MOST_CHANGES, Members, NodeRow, Source};
+use crossweir::rpc::node::{Beat, MemberChange};
+use yare::parameterized;
+
+const NOW: u64 = 1_000;
+
+fn row(place: usize) -> NodeRow {
+    NodeRow {
+        address: ([10, 0, 0, place as u8], 7_000).into(),
+        millicores: 120,
+    }
+}
+
+fn name(place: usize) -> String {
+    format!("n{place}")
+}
+
+/// What the node of this place knows of `others`.
+fn members(place: usize, others: impl IntoIterator<Item = usize>) -> Members {
+    let mut members = Members::new(&name(place), &row(place));
+    for other in others {
+        members.mention(&name(other), row(other), Source::Hearsay, NOW);
+    }
+    members
+}
+
+/// What the node of this place says of itself and of others.
+fn beat(place: usize, from: &Members, changes: Vec<MemberChange>) -> Beat {
+    Beat {
+        name: name(place),
+        boot: 1,
+        address: row(place).address.to_string(),
+        millicores: row(place).millicores,
+        membership: from.digest(),
+        changes,
+        ..Beat::default()
+    }
+}
+
+/// The owner, at place 0, and the node at `place` exchange a heartbeat.
+fn exchange(owner: &mut Members, other: &mut Members, place: usize) {
+    let changes = owner.changes_for(&name(place));
+    other.hear(&beat(0, owner, changes), Source::Sure, NOW);
+    let changes = other.changes_for(&name(0));
+    owner.hear(&beat(place, other, changes), Source::Hearsay, NOW);
+}
+
+#[test]
+fn nodes_that_agree_send_no_entries() {
+    let mut owner = members(0, 1..100);
+    let mut other = members(1, (0..100).filter(|place| *place != 1));
+    exchange(&mut owner, &mut other, 1);
+    assert_eq!(owner.digest(), other.digest());
+    assert_eq!(owner.changes_for("n1"), []);
+}
+
+#[test]
+fn a_node_that_knows_nobody_is_told_of_all_in_bounded_pieces() {
+    // Arrange.
+    let mut owner = members(0, 1..100);
+    let mut other = members(100, []);
+    owner.mention("n100", row(100), Source::Hearsay, NOW);
+
+    // Act.
+    let mut exchanges = 0;
+    while owner.digest() != other.digest() {
+        exchange(&mut owner, &mut other, 100);
+        exchanges += 1;
+        assert!(exchanges < 20, "they never agree");
+    }
+
+    // Assert.
+    assert!(exchanges <= 100 / MOST_CHANGES + 2, "{exchanges}");
+    assert_eq!(other.iter().count(), 100);
+}
+
+#[test]
+fn one_more_node_goes_over_in_the_first_piece() {
+    // Arrange.
+    let mut owner = members(0, 1..100);
+    let mut other = members(1, (0..100).filter(|place| *place != 1));
+    exchange(&mut owner, &mut other, 1);
+
+    // Act.
+    owner.mention("n150", row(150), Source::Hearsay, NOW);
+    exchange(&mut owner, &mut other, 1);
+
+    // Assert.
+    assert!(other.get("n150").is_some());
+    assert_eq!(owner.digest(), other.digest());
+}
+
+#[test]
+fn a_piece_that_was_lost_comes_again() {
+    let mut owner = members(0, 1..30);
+    let mut other = members(1, [0]);
+    for _ in 0..3 {
+        owner.changes_for("n1");
+    }
+    for _ in 0..6 {
+        exchange(&mut owner, &mut other, 1);
+    }
+    assert_eq!(owner.digest(), other.digest());
+}
+
+#[test]
+fn only_the_owner_tells_that_a_node_is_gone_and_hearsay_does_not_bring_it_back() {
+    // Arrange.
+    let mut other = members(1, [0, 2, 3]);
+    let gone = vec![MemberChange::Gone(name(2))];
+    let known = vec![MemberChange::Known {
+        name: name(2),
+        address: row(2).address.to_string(),
+        millicores: 120,
+    }];
+
+    // Act.
+    other.hear(
+        &beat(3, &members(3, []), gone.clone()),
+        Source::Hearsay,
+        NOW,
+    );
+    let after_hearsay = other.get("n2").is_some();
+    other.hear(&beat(0, &members(0, []), gone), Source::Sure, NOW);
+    let after_the_owner = other.get("n2").is_some();
+    other.hear(&beat(3, &members(3, []), known), Source::Hearsay, NOW);
+    let after_more_hearsay = other.get("n2").is_some();
+    other.hear(&beat(2, &members(2, []), Vec::new()), Source::Hearsay, NOW);
+
+    // Assert.
+    assert!(after_hearsay);
+    assert!(!after_the_owner);
+    assert!(!after_more_hearsay);
+    assert!(other.get("n2").is_some(), "it spoke itself");
+}
+
+#[test]
+fn a_node_under_another_address_replaces_the_former_one_everywhere() {
+    // Arrange.
+    let mut owner = members(0, 1..20);
+    let mut other = members(1, (0..20).filter(|place| *place != 1));
+    exchange(&mut owner, &mut other, 1);
+
+    // Act: it tells the owner itself.
+    let moved = Beat {
+        address: String::from("10.0.9.9:7000"),
+        ..beat(5, &members(5, []), Vec::new())
+    };
+    owner.hear(&moved, Source::Hearsay, NOW);
+    exchange(&mut owner, &mut other, 1);
+
+    // Assert.
+    let address = other.get("n5").map(|member| member.address.to_string());
+    assert_eq!(address.as_deref(), Some("10.0.9.9:7000"));
+    assert_eq!(owner.digest(), other.digest());
+}
+
+fn unreadable() -> Vec<MemberChange> {
+    vec![MemberChange::Known {
+        name: name(9),
+        address: String::from("nowhere"),
+        millicores: 1,
+    }]
+}
+
+fn a_thousand() -> Vec<MemberChange> {
+    let known = |place: usize| MemberChange::Known {
+        name: name(place),
+        address: row(place).address.to_string(),
+        millicores: 1,
+    };
+    (0..1_000).map(|place| known(place + 10)).collect()
+}
+
+fn of_our_own() -> Vec<MemberChange> {
+    vec![MemberChange::Gone(name(1))]
+}
+
+#[parameterized(
+    unreadable_address = { unreadable(), 1, 2 },
+    far_too_many = { a_thousand(), 1_000 - MOST_CHANGES, 2 + MOST_CHANGES },
+    our_own_name = { of_our_own(), 0, 2 },
+)]
+fn bad_entries_are_counted_and_nothing_is_forgotten(
+    changes: Vec<MemberChange>,
+    refused: usize,
+    known: usize,
+) {
+    let mut members = members(1, [0, 2]);
+    let counted = members.hear(&beat(0, &self::members(0, []), changes), Source::Sure, NOW);
+    assert_eq!((counted, members.iter().count()), (refused, known));
+}
+
+#[test]
+fn a_beat_without_a_readable_address_is_refused() {
+    let mut members = members(1, [0]);
+    let beat = Beat {
+        name: name(7),
+        address: String::from("nowhere"),
+        ..Beat::default()
+    };
+    assert_eq!(members.hear(&beat, Source::Hearsay, NOW), 1);
+    assert!(members.get("n7").is_none());
+}
+
+#[test]
+fn the_strongest_watch_the_owner_and_all_nodes_agree_on_who_they_are() {
+    // Arrange: n90 to n99 have half a core.
+    let strong = |place: usize| NodeRow {
+        millicores: if place >= 90 { 500 } else { 120 },
+        ..row(place)
+    };
+    let all = |own: usize| {
+        let mut members = Members::new(&name(own), &strong(own));
+        for place in 0..100 {
+            members.mention(&name(place), strong(place), Source::Hearsay, NOW);
+        }
+        members
+    };
+    let (weak, other) = (all(3), all(95));
+
+    // Act.
+    let watchers = |members: &Members| -> Vec<usize> {
+        let watches = |place: &usize| members.watches(&name(*place));
+        (0..100).filter(watches).collect()
+    };
+
+    // Assert.
+    let chosen = watchers(&weak);
+    assert_eq!(chosen, watchers(&other));
+    assert_eq!(chosen.iter().filter(|place| **place >= 90).count(), 8);
+    assert_eq!(chosen.len(), 12);
+}
+
+#[test]
+fn an_answer_that_the_store_is_away_counts_from_when_it_was_asked_for() {
+    // Arrange.
+    let mut members = members(0, [1]);
+    let away = beat(1, &self::members(1, []), Vec::new());
+    let back = Beat {
+        reaches_store: true,
+        ..away.clone()
+    };
+    let asked = |members: &Members| members.get("n1").map(|member| member.away_asked);
+
+    // Act.
+    members.hear(&away, Source::Hearsay, 5_000);
+    let unasked = asked(&members);
+    members.note_answer("n1", 2_000);
+    let answered = asked(&members);
+    members.hear(&back, Source::Hearsay, 5_100);
+
+    // Assert.
+    assert_eq!(
+        (unasked, answered, asked(&members)),
+        (Some(0), Some(2_000), Some(0))
+    );
+}
