Connections of a node are bounded, to one worker and to all of them

Cause: an owner kept up to 64 idle connections to each of 1,100 workers and opened one for each order of a burst: 6,828 descriptors of 8,192, and on a VM that gives 4,100 they would be used up. Ruled out: that orders need many ways at once: one takes 1 to 4 ms. Change: three connections to a worker, 60% of the descriptors to all; a call beyond that waits for its turn within its own time, and one that does not get it was not sent.

--- a/src/bin/crossweird/node.rs
+++ b/src/bin/crossweird/node.rs
@@ -98,7 +98,7 @@
     let client = HttpClient::new();
     Links {
         store: Arc::new(PlatformStore::new(client.clone(), settings.store)),
-        workers: Arc::new(PlatformWorkers::new(client.clone())),
+        workers: Arc::new(PlatformWorkers::new(settings.worker_connections())),
         advisor: settings
             .advice
             .map(|address| Arc::new(PlatformAdvisor::new(client, address)) as _),
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -5,6 +5,7 @@
 //! each connection ([the design](../../docs/DESIGN.md), "Connections that go silent").
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use volo_http::http::header;
 use volo_http::http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -22,8 +24,6 @@
 
 /// How long a connection may take to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// The most connections kept idle to one address.
-const MAX_IDLE_PER_HOST: usize = 64;
 /// How long a connection is kept without a call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// The largest answer that is read, in bytes.
@@ -64,16 +64,53 @@
     }
 }
 
+/// How many connections a client has at the most; calls beyond that wait for their turn within
+/// their own time, and those that do not get it were not sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// To one host.
+    pub per_host: usize,
+    /// To all hosts together; idle ones are closed to make room.
+    pub total: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            per_host: 64,
+            total: 1_024,
+        }
+    }
+}
+
 /// A client that keeps connections and bounds every call.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct HttpClient {
     idle: Arc<IdleConnections>,
 }
 
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl HttpClient {
     /// Makes a client without connections.
     pub fn new() -> Self {
-        Self::default()
+        Self::with_limits(Limits::default())
+    }
+
+    /// Makes a client that has at most so many connections.
+    pub fn with_limits(limits: Limits) -> Self {
+        Self {
+            idle: Arc::new(IdleConnections::new(limits)),
+        }
+    }
+
+    /// How many connections there are.
+    pub fn connections(&self) -> usize {
+        self.idle.limits.total - self.idle.room.available_permits()
     }
 
     /// Sends `body` with `headers` and reads the whole answer within `timeout`.
@@ -89,7 +126,12 @@
         timeout: Duration,
     ) -> Result<Answer, CallError> {
         let (host, req) = request(method, url, headers, body)?;
-        match tokio::time::timeout(timeout, self.exchange(&host, req)).await {
+        let until = Instant::now() + timeout;
+        let turn = tokio::time::timeout_at(until, self.idle.turn(&host)).await;
+        let _turn = turn.map_err(|_| CallError::NotSent)?;
+        let connecting = tokio::time::timeout_at(until, self.connection(&host)).await;
+        let connection = connecting.map_err(|_| CallError::NotSent)??;
+        match tokio::time::timeout_at(until, self.exchange(&host, connection, req)).await {
             Ok(answer) => answer,
             Err(_) => Err(CallError::Unanswered),
         }
@@ -113,34 +155,49 @@
         self.call(Method::POST, url, &headers, body, timeout).await
     }
 
-    async fn exchange(&self, host: &str, req: Outgoing) -> Result<Answer, CallError> {
-        let mut sender = self.connection(host).await?;
+    async fn exchange(
+        &self,
+        host: &str,
+        mut connection: Connection,
+        req: Outgoing,
+    ) -> Result<Answer, CallError> {
         let mut doubt = Doubt::new(&self.idle, host);
-        let sent = sender.try_send_request(req).await;
+        let sent = connection.sender.try_send_request(req).await;
         let response = sent.map_err(|mut err| match err.take_message() {
             Some(_) => CallError::NotSent,
             None => CallError::Unanswered,
         })?;
         let answer = read(response).await?;
         doubt.settled = true;
-        self.idle.put(host, sender);
+        self.idle.put(host, connection);
         Ok(answer)
     }
 
     /// A connection that takes a request now: a kept one, or else a new one.
-    async fn connection(&self, host: &str) -> Result<Sender, CallError> {
-        while let Some(mut sender) = self.idle.take(host) {
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
+    async fn connection(&self, host: &str) -> Result<Connection, CallError> {
+        while let Some(mut connection) = self.idle.take(host) {
+            if connection.sender.ready().await.is_ok() {
+                return Ok(connection);
             }
         }
-        connect(host).await
+        let room = self.idle.room().await;
+        let sender = connect(host).await?;
+        Ok(Connection {
+            sender,
+            _room: room,
+        })
     }
 }
 
 type Outgoing = Request<Full<Bytes>>;
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// A connection, which counts among all that there are for as long as it is held.
+struct Connection {
+    sender: Sender,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
 /// Makes a request as it goes over a connection, and tells the host that it is for.
 fn request(
     method: Method,
@@ -197,60 +254,97 @@
     })
 }
 
-/// Connections without a call, by host.
+/// Connections without a call, by host, and how many there may be in all.
 struct IdleConnections {
+    limits: Limits,
+    /// Room for further connections, idle ones and others.
+    room: Arc<Semaphore>,
+    /// How many calls wait for room.
+    waiting: AtomicUsize,
     known: Mutex<Known>,
 }
 
 struct Known {
-    hosts: HashMap<String, Vec<Idle>>,
+    hosts: HashMap<String, Host>,
     swept: Instant,
 }
 
+struct Host {
+    /// Turns to make calls.
+    turns: Arc<Semaphore>,
+    idle: Vec<Idle>,
+}
+
 struct Idle {
-    sender: Sender,
+    connection: Connection,
     since: Instant,
 }
 
-impl Default for IdleConnections {
-    fn default() -> Self {
+impl IdleConnections {
+    fn new(limits: Limits) -> Self {
         let known = Known {
             hosts: HashMap::new(),
             swept: Instant::now(),
         };
         Self {
+            limits,
+            room: Arc::new(Semaphore::new(limits.total)),
+            waiting: AtomicUsize::new(0),
             known: Mutex::new(known),
         }
     }
-}
 
-impl IdleConnections {
+    /// Waits for the turn to make a call to `host`, first come, first served.
+    async fn turn(&self, host: &str) -> Option<OwnedSemaphorePermit> {
+        let turns = {
+            let mut known = self.lock();
+            known.sweep();
+            Arc::clone(&known.host(host, self.limits.per_host).turns)
+        };
+        // The semaphore is never closed.
+        turns.acquire_owned().await.ok()
+    }
+
+    /// Waits for room for one more connection; the one that was idle longest makes room.
+    async fn room(&self) -> Option<OwnedSemaphorePermit> {
+        if self.room.available_permits() == 0 {
+            let closed = self.lock().take_oldest();
+            drop(closed);
+        }
+        let _waiting = Waiting::new(&self.waiting);
+        // The semaphore is never closed.
+        Arc::clone(&self.room).acquire_owned().await.ok()
+    }
+
     /// The connection that was used last, since it is the likeliest to work.
-    fn take(&self, host: &str) -> Option<Sender> {
+    fn take(&self, host: &str) -> Option<Connection> {
         let mut known = self.lock();
-        let idle = known.hosts.get_mut(host)?;
+        let idle = &mut known.hosts.get_mut(host)?.idle;
         while let Some(last) = idle.pop() {
             let expired = last.since.elapsed() > IDLE_TIMEOUT;
-            if !expired && !last.sender.is_closed() {
-                return Some(last.sender);
+            if !expired && !last.connection.sender.is_closed() {
+                return Some(last.connection);
             }
         }
         None
     }
 
-    fn put(&self, host: &str, sender: Sender) {
-        let mut known = self.lock();
-        known.sweep();
-        let since = Instant::now();
-        let idle = known.hosts.entry(host.to_owned()).or_default();
-        if idle.len() < MAX_IDLE_PER_HOST {
-            idle.push(Idle { sender, since });
+    /// Keeps a connection, unless a call to another host waits for its room.
+    fn put(&self, host: &str, connection: Connection) {
+        if self.waiting.load(Ordering::Relaxed) > 0 {
+            return;
         }
+        let since = Instant::now();
+        let mut known = self.lock();
+        let idle = &mut known.host(host, self.limits.per_host).idle;
+        idle.push(Idle { connection, since });
     }
 
-    /// Closes all to `host`.
+    /// Closes all idle ones to `host`.
     fn drop_all(&self, host: &str) {
-        self.lock().hosts.remove(host);
+        if let Some(host) = self.lock().hosts.get_mut(host) {
+            host.idle.clear();
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
@@ -258,16 +352,56 @@
     }
 }
 
+/// Counts a call as waiting for room, also when whoever makes it gives up.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Known {
+    fn host(&mut self, host: &str, turns: usize) -> &mut Host {
+        if !self.hosts.contains_key(host) {
+            let new = Host {
+                turns: Arc::new(Semaphore::new(turns)),
+                idle: Vec::new(),
+            };
+            self.hosts.insert(host.to_owned(), new);
+        }
+        self.hosts.get_mut(host).expect("it was just put there")
+    }
+
+    /// The connection that has been idle for the longest time, to whichever host.
+    fn take_oldest(&mut self) -> Option<Connection> {
+        let oldest = self
+            .hosts
+            .values_mut()
+            .filter(|host| !host.idle.is_empty())
+            .min_by_key(|host| host.idle[0].since)?;
+        Some(oldest.idle.remove(0).connection)
+    }
+
     /// Closes what nobody uses, also to hosts that are not called any more.
     fn sweep(&mut self) {
         if self.swept.elapsed() < IDLE_TIMEOUT {
             return;
         }
         self.swept = Instant::now();
-        self.hosts.retain(|_, idle| {
-            idle.retain(|idle| idle.since.elapsed() < IDLE_TIMEOUT && !idle.sender.is_closed());
-            !idle.is_empty()
+        self.hosts.retain(|_, host| {
+            host.idle.retain(|idle| {
+                idle.since.elapsed() < IDLE_TIMEOUT && !idle.connection.sender.is_closed()
+            });
+            // Whoever waits for a turn or has one holds the semaphore as well.
+            !host.idle.is_empty() || Arc::strong_count(&host.turns) > 1
         });
     }
 }
--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -36,6 +36,12 @@
         "number",
         "Cores that the VM gives the node, also a fraction; 1 if not given.  The strongest nodes own the cell first.",
     ),
+    optional(
+        "node",
+        "descriptors",
+        "number",
+        "Descriptors that the process may have open; 4096 if not given.  Connections to workers take up to 60% of them; an owner wants three for each worker.",
+    ),
     optional(
         "node",
         "log",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -17,6 +17,8 @@
     pub hall: String,
     /// The processors that the VM gives the node, in thousandths of a core.
     pub millicores: u32,
+    /// The descriptors that the process may have open.
+    pub descriptors: u32,
     /// Which lines are logged, in the directives of `tracing`.
     pub log: String,
     /// Where callers are served in the platform's manner.
@@ -43,6 +45,13 @@
 const DEFAULT_LOG: &str = "info";
 /// The processors of a VM of which the settings say nothing: a whole core.
 const DEFAULT_MILLICORES: u32 = 1_000;
+/// The descriptors of a process of which the settings say nothing.
+const DEFAULT_DESCRIPTORS: u32 = 4_096;
+/// The least that a node works with: files, callers, other nodes, and some workers.
+const LEAST_DESCRIPTORS: u32 = 256;
+/// The share of the descriptors that connections to workers may take, in percent.  The rest is
+/// for callers, other nodes, the store and files.
+const WORKERS_PERCENT: u32 = 60;
 /// The most processors that a VM may be said to give, in cores.
 const MOST_CORES: f64 = 1_024.0;
 
@@ -89,6 +98,13 @@
     }
 }
 
+impl Settings {
+    /// How many connections to workers there may be.
+    pub fn worker_connections(&self) -> usize {
+        (self.descriptors * WORKERS_PERCENT / 100) as usize
+    }
+}
+
 struct Reader<'a> {
     file: &'a str,
     ini: Ini,
@@ -107,11 +123,13 @@
         let advice = self.optional_address("advice", "address");
         let seeds = self.addresses("peers", "seeds");
         let millicores = self.millicores();
+        let descriptors = self.descriptors();
         self.check_distinct(&[callers, ready, peers, metrics, api]);
         Some(Settings {
             name: self.text("node", "name")?,
             hall: self.text("node", "hall")?,
             millicores,
+            descriptors,
             log: self.text("node", "log").unwrap_or(DEFAULT_LOG.to_owned()),
             callers: callers?,
             ready: ready?,
@@ -194,6 +212,21 @@
         }
     }
 
+    fn descriptors(&mut self) -> u32 {
+        let (section, key) = ("node", "descriptors");
+        let Some(value) = self.text(section, key) else {
+            return DEFAULT_DESCRIPTORS;
+        };
+        match value.parse() {
+            Ok(descriptors) if descriptors >= LEAST_DESCRIPTORS => descriptors,
+            _ => {
+                let expected = "a whole number of at least 256";
+                self.fault(section, key, SettingsRule::WrongType { value, expected });
+                DEFAULT_DESCRIPTORS
+            }
+        }
+    }
+
     fn address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
         let value = self.text(section, key)?;
         let address = value.parse().ok();
