--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -412,6 +412,7 @@
     /// Says how to look at a worker next; none if it is gone.
     pub fn look_order(&mut self, key: WorkerKey, now: Millis) -> Option<LookOrder> {
         let sequence = self.next_sequence();
+        let look_wait = self.look_wait();
         let worker = self.workers.get(key)?;
         let lasting_silence = worker.is_silent() || !worker.has_late_clock(now);
         let order = LookOrder {
@@ -426,7 +427,7 @@
             wait: if lasting_silence || worker.seen_end > worker.recorded_end {
                 0
             } else {
-                tuning::LOOK_WAIT
+                look_wait
             },
         };
         if order.due.is_some() {
@@ -435,6 +436,13 @@
         Some(order)
     }
 
+    /// How long a look waits at a worker for an end: the more workers, the longer.
+    fn look_wait(&self) -> Millis {
+        let workers = self.workers.len() as Millis;
+        let wait = workers * 1_000 / tuning::IDLE_LOOKS;
+        wait.clamp(tuning::LOOK_WAIT, tuning::LONGEST_LOOK_WAIT)
+    }
+
     /// Tells whether ends of this worker wait to be recorded; it would list them again at once.
     pub fn unrecorded(&self, key: WorkerKey) -> bool {
         let worker = self.workers.get(key);
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -17,6 +17,12 @@
 /// How long a look waits at the worker for an end.  An answer that is lost delays
 /// the news of ends by this and a bit, and urgent jobs have 0.9 s to spare.
 pub const LOOK_WAIT: Millis = 600;
+/// Looks that bring no news are so many a second at most, over all workers: each takes some
+/// 110 us of the owner's processor, and an owner has half a core.  350 workers stay below it.
+pub const IDLE_LOOKS: Millis = 750;
+/// In a cell of many workers a look waits longer, but no more than this: after one that is
+/// lost the next one still comes before the lease of 3.5 s is over.
+pub const LONGEST_LOOK_WAIT: Millis = 1_500;
 /// A worker lists at most so many ends at once; the platform's figure.
 pub const MOST_ENDS_LISTED: usize = 500;
 /// How long after an unanswered or unconfirmed stop it is sent again.
--- /dev/null
+++ b/tests/look_times.rs
@@ -0,0 +1,36 @@
+//! How long looks wait for news, by the number of workers: with 1,100 of them, looks that
+//! brought none took a quarter of the owner's processor.
+
+mod cell_core;
+
+use cell_core::{Bench, queue};
+use yare::parameterized;
+
+/// The lease that a look renews, in milliseconds.
+const LEASE: u64 = 3_500;
+/// What a look may take beyond its wait before it counts as lost.
+const LIMIT: u64 = 250;
+
+fn wait_among(workers: u16) -> u64 {
+    let mut bench = Bench::new(workers, &[queue("q", 0)]);
+    bench.look_at_all();
+    let key = bench.worker(0);
+    let order = bench.cell.look_order(key, bench.now);
+    order.expect("a worker").wait
+}
+
+#[parameterized(
+    small = { 48, 600 },
+    several_hundred = { 350, 600 },
+    large = { 1_100, 1_466 },
+    larger_than_any = { 4_000, 1_500 },
+)]
+fn looks_wait_longer_among_many_workers(workers: u16, wait: u64) {
+    assert_eq!(wait_among(workers), wait);
+}
+
+#[test]
+fn after_a_lost_look_the_next_one_still_renews_the_lease() {
+    let lost = wait_among(4_000) + LIMIT;
+    assert!(lost + LIMIT < LEASE, "{lost} ms");
+}
