--- a/tests/members.rs
+++ b/tests/members.rs
@@ -1,7 +1,7 @@
 //! What a node knows of the others, and how two that know different nodes come to agree.
 
 use crossweir::node::members::{MOST_CHANGES, Members, NodeRow, Source};
-use crossweir::rpc::node::{Beat, MemberChange};
+use crossweir::rpc::node::{Beat, MemberChange, NodeCall};
 use yare::parameterized;
 
 const NOW: u64 = 1_000;
@@ -258,3 +258,20 @@
         (Some(0), Some(2_000), Some(0))
     );
 }
+
+#[test]
+fn a_heartbeat_stays_small_however_many_nodes_there_are() {
+    // Arrange: a node that knows nothing of what the sender knows.
+    let mut owner = members(0, 1..200);
+    let plain = beat(0, &owner, Vec::new());
+    let changes = owner.changes_for("n1");
+    let full = beat(0, &owner, changes);
+
+    // Act.
+    let bytes = |beat: Beat| NodeCall::Beat(beat).wire_bytes();
+    let (plain, full) = (bytes(plain), bytes(full));
+
+    // Assert.
+    assert!(plain <= 256, "{plain} bytes");
+    assert!(full <= 1_536, "{full} bytes");
+}
