--- a/tests/size.rs
+++ b/tests/size.rs
@@ -4,6 +4,7 @@
 mod virtual_cell;
 mod virtual_node;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use virtual_cell::{Traffic, VirtualCell};
@@ -154,3 +155,30 @@
     let hear = |member: &&virtual_cell::Member| member.shared().owner().address == Some(address);
     assert_eq!(cell.members.iter().filter(hear).count(), MANY - 1);
 }
+
+/// A store that is 77 times slower than usual: an answer takes so long, and a transaction keeps
+/// its partition so long.
+const SLOW_ANSWER: u64 = 210;
+const SLOW_TURN: u64 = 250;
+/// The time in which the cell has an owner again then: after the lease of 3.5 s, everything on
+/// the workers would be lost.
+const REPLACED_SLOWLY: Duration = Duration::from_millis(3_000);
+
+#[tokio::test(start_paused = true)]
+async fn while_the_store_is_slow_few_nodes_claim_a_cell_that_has_lost_its_owner() {
+    // Arrange.
+    let mut cell = VirtualCell::settled(MANY).await;
+    let owner = cell.owner().expect("an owner");
+    cell.pace.answer.store(SLOW_ANSWER, Ordering::Relaxed);
+    cell.pace.turn.store(SLOW_TURN, Ordering::Relaxed);
+    cell.pace.claims.store(0, Ordering::Relaxed);
+
+    // Act.
+    cell.kill(owner);
+    tokio::time::sleep(REPLACED_SLOWLY).await;
+
+    // Assert: each claim waits for all those before it.
+    let claims = cell.pace.claims.load(Ordering::Relaxed);
+    assert_eq!(cell.owners(), 1, "after {claims} claims");
+    assert!(claims <= 3, "{claims} claims");
+}
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -14,6 +14,7 @@
 use crossweir::node::front::Front;
 use crossweir::node::links::Decoder;
 use crossweir::node::load::Load;
+use crossweir::node::recording::OwnerRow;
 use crossweir::node::shared::{Identity, Links, Shared};
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply, NodeService};
@@ -99,6 +100,31 @@
 pub struct Door {
     store: Arc<MemoryStore>,
     pub shut: std::sync::atomic::AtomicBool,
+    pace: Arc<Pace>,
+}
+
+/// How fast the store is, and how many claims of the cell it was sent.
+#[derive(Default)]
+pub struct Pace {
+    /// How long each answer takes, in milliseconds.
+    pub answer: AtomicU64,
+    /// How long each transaction keeps its partition, in milliseconds.
+    pub turn: AtomicU64,
+    pub claims: AtomicU64,
+    partition: tokio::sync::Mutex<()>,
+}
+
+impl Pace {
+    async fn wait(&self, call: &StoreCall) {
+        let millis = |time: &AtomicU64| Duration::from_millis(time.load(Ordering::Relaxed));
+        if let StoreCall::Commit(tx) = call {
+            let claims = tx.puts.iter().any(|(key, _)| *key == OwnerRow::key());
+            self.claims.fetch_add(claims.into(), Ordering::Relaxed);
+            let _turn = self.partition.lock().await;
+            tokio::time::sleep(millis(&self.turn)).await;
+        }
+        tokio::time::sleep(millis(&self.answer)).await;
+    }
 }
 
 impl Store for Door {
@@ -106,7 +132,11 @@
         if self.shut.load(Ordering::Relaxed) {
             return async { Err(StoreError::Unavailable) }.boxed();
         }
-        self.store.call(call)
+        async move {
+            self.pace.wait(&call).await;
+            self.store.call(call).await
+        }
+        .boxed()
     }
 }
 
@@ -131,6 +161,7 @@
 pub struct VirtualCell {
     pub network: Arc<Network>,
     pub store: Arc<MemoryStore>,
+    pub pace: Arc<Pace>,
     pub members: Vec<Member>,
     started: usize,
 }
@@ -141,6 +172,7 @@
         let mut cell = Self {
             network: Arc::default(),
             store: Arc::default(),
+            pace: Arc::default(),
             members: Vec::new(),
             started: 0,
         };
@@ -167,6 +199,7 @@
         let door = Arc::new(Door {
             store: Arc::clone(&self.store),
             shut: shut.into(),
+            pace: Arc::clone(&self.pace),
         });
         let links = Links {
             store: door.clone(),
