Failing test: a successor waits for three answers of a slow store, one after the other

Cause: the list of 1,100 workers comes in three pages, recorded progress in as many as there are jobs. Conclusion: the roster is enough to ask the workers; the rest is read in parallel or behind it.

--- /dev/null
+++ b/tests/takeover.rs
@@ -0,0 +1,168 @@
+//! How soon a successor acts when the store is slow: leases on the workers run out after 3.5 s,
+//! of which the silence of the former owner and the claim take more than one.
+
+mod cell_core;
+mod virtual_node;
+
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cell_core::{job, queue, step, worker};
+use crossweir::cell::job::JobState;
+use crossweir::cell::order::{
+    Look, LookFailure, LookOrder, Refusal, StartOrder, StartOutcome, StopOrder,
+};
+use crossweir::cell::record::Progress;
+use crossweir::clock::{Clock, Millis};
+use crossweir::embedded::PlainDecoder;
+use crossweir::embedded::worker::MemoryWorkers;
+use crossweir::node::engine::Engine;
+use crossweir::node::links::Workers;
+use crossweir::node::shared::PARTITION;
+use crossweir::store::{RowKey, Table, Transaction, encode};
+use futures::future::BoxFuture;
+use tokio::time::Instant;
+use virtual_node::{VirtualNode, claim, furnish, virtual_node_with};
+
+/// How long a slow store takes for each answer, in milliseconds.
+const ANSWER: u64 = 400;
+/// The workers of a large site.
+const WORKERS: u16 = 1_100;
+/// Jobs whose ends are kept.
+const ENDED: u64 = 1_500;
+
+/// What was ordered, by kind.
+#[derive(Default)]
+struct Orders {
+    looks: usize,
+    starts: usize,
+}
+
+/// Workers that count what is ordered.
+struct Counted {
+    inner: MemoryWorkers,
+    orders: Arc<Mutex<Orders>>,
+}
+
+impl Workers for Counted {
+    fn start<'a>(&'a self, order: &'a StartOrder) -> BoxFuture<'a, (StartOutcome, Option<Millis>)> {
+        self.orders.lock().expect("orders").starts += 1;
+        Workers::start(&self.inner, order)
+    }
+
+    fn stop<'a>(&'a self, order: &'a StopOrder) -> BoxFuture<'a, Result<(), Option<Refusal>>> {
+        self.inner.stop(order)
+    }
+
+    fn look<'a>(&'a self, order: &'a LookOrder) -> BoxFuture<'a, Result<Look, LookFailure>> {
+        self.orders.lock().expect("orders").looks += 1;
+        self.inner.look(order)
+    }
+}
+
+struct Bed {
+    node: VirtualNode,
+    orders: Arc<Mutex<Orders>>,
+}
+
+impl Bed {
+    /// The node claims the cell; tells how long it took until it owns it.
+    async fn take_over(&self, epoch: u64) -> (Arc<Engine>, u64) {
+        let version = claim(&self.node.store, "n0", 7, epoch);
+        let began = Instant::now();
+        let engine = Engine::start(&self.node.shared, epoch, version).await;
+        let took = began.elapsed().as_millis() as u64;
+        let engine = engine.expect("the cell loads");
+        self.node.shared.set_engine(Some(Arc::clone(&engine)));
+        (engine, took)
+    }
+
+    fn looks(&self) -> usize {
+        self.orders.lock().expect("orders").looks
+    }
+
+    fn starts(&self) -> usize {
+        self.orders.lock().expect("orders").starts
+    }
+
+    fn set_delay(&self, delay: u64) {
+        self.node.guarded.delay.store(delay, Ordering::Relaxed);
+    }
+}
+
+async fn pass(time: Millis) {
+    tokio::time::sleep(Duration::from_millis(time)).await;
+}
+
+/// A large cell with the ends of many jobs, whose owner has recorded its roster and is gone.
+async fn large_cell() -> Bed {
+    let orders = Arc::<Mutex<Orders>>::default();
+    let counted = Arc::clone(&orders);
+    let workers = move |clock: Arc<dyn Clock>| -> Arc<dyn Workers> {
+        let ids = (0..WORKERS).map(|number| format!("w{number}"));
+        let inner = MemoryWorkers::new(clock, ids);
+        let orders = counted;
+        Arc::new(Counted { inner, orders })
+    };
+    let node = virtual_node_with(&[], workers, Arc::new(PlainDecoder));
+    let entries: Vec<_> = (0..WORKERS).map(worker).collect();
+    furnish(&node, &[queue("q", 0)], &entries);
+    keep_ends(&node);
+    let bed = Bed { node, orders };
+    let (engine, _) = bed.take_over(1).await;
+    pass(1_000).await;
+    engine.retire("test");
+    bed
+}
+
+/// The store holds what was recorded of many jobs.
+fn keep_ends(node: &VirtualNode) {
+    let progress = Progress {
+        state: JobState::Succeeded,
+        tasks: Vec::new(),
+    };
+    let mut tx = Transaction::default();
+    for id in 0..ENDED {
+        let key = format!("{:016x}", id.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let key = RowKey::new(Table::Progress, PARTITION, &key);
+        tx.puts.push((key, encode(&progress)));
+    }
+    node.store.commit(&tx);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_successor_waits_for_one_answer_of_a_slow_store() {
+    // Arrange.
+    let bed = large_cell().await;
+    bed.set_delay(ANSWER);
+
+    // Act.
+    let (_, took) = bed.take_over(2).await;
+
+    // Assert: it has asked every worker of the roster at once.
+    assert!(took < 2 * ANSWER, "{took} ms");
+    let before = bed.looks();
+    pass(50).await;
+    assert!(
+        bed.looks() - before >= usize::from(WORKERS) / 2,
+        "workers are looked at"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_placed_before_the_list_of_workers_has_come() {
+    // Arrange.
+    let bed = large_cell().await;
+    bed.set_delay(ANSWER);
+    let (engine, _) = bed.take_over(2).await;
+    engine.accepted(&job(7, &queue("q", 0), vec![step(3, 1_000)]));
+
+    // Act.
+    pass(ANSWER).await;
+    let early = bed.starts();
+    pass(6_000).await;
+
+    // Assert.
+    assert_eq!((early, bed.starts()), (0, 3));
+}
