A successor asks the workers of the roster after one answer of the store

Ruled out: placing by the roster alone: a worker of it may be about to leave, so nothing is placed before the platform's list has come. Change: recorded progress is read in sixteen pieces at once, the list of workers and that of nodes behind the load.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -127,6 +127,9 @@
     good_share: HashMap<String, f64>,
     /// Milliseconds since 1970, once told.
     wall: Option<Millis>,
+    /// The platform's list of workers has not come yet, so nothing is placed: a worker of the
+    /// roster may be about to leave, or be gone.
+    awaits_list: bool,
     /// Tasks of former owners' jobs may start.
     settled: bool,
     /// Until then, what a former owner may have left running.
@@ -165,6 +168,7 @@
             guesses: HashMap::new(),
             good_share: HashMap::new(),
             wall: None,
+            awaits_list: false,
             settled: false,
             unsettled: roster::Unsettled::Any,
             settle_by: now + window + tuning::LEASE_MARGIN + tuning::OWNER_WINDOW,
@@ -297,11 +301,17 @@
         }
     }
 
+    /// Nothing is placed until the platform's list of workers has come.
+    pub fn await_list(&mut self) {
+        self.awaits_list = true;
+    }
+
     /// The platform lists these workers now, all of them.
     ///
     /// The entry of a crashed life stays for some heartbeats, and a list does not tell which of
     /// two lives is the newer: both are kept, and the one that is over says so when looked at.
     pub fn list_workers(&mut self, entries: Vec<WorkerEntry>, now: Millis) {
+        self.awaits_list = false;
         for worker in self.workers.values_mut() {
             worker.unlisted_since.get_or_insert(now);
         }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -144,10 +144,11 @@
 
     /// Tells whether a task may be placed on a worker at all: a successor would know.
     pub(super) fn takes_work(&self, key: WorkerKey, now: Millis) -> bool {
-        self.workers.get(key).is_some_and(|worker| {
-            let recorded = worker.rostered <= self.roster_recorded;
-            worker.listing == Listing::Usable && recorded && worker.takes_work(now)
-        })
+        !self.awaits_list
+            && self.workers.get(key).is_some_and(|worker| {
+                let recorded = worker.rostered <= self.roster_recorded;
+                worker.listing == Listing::Usable && recorded && worker.takes_work(now)
+            })
     }
 
     /// Tells whether tasks may be placed on a worker now or in a while.
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -434,8 +434,11 @@
     let now = shared.now();
     shared.owner().hear(epoch, Some(shared.address), now);
     // Nodes that started a moment ago may have told nobody but the store so far.
-    let (started, _) = tokio::join!(Engine::start(shared, epoch, version), list_nodes(shared));
-    match started {
+    tokio::spawn({
+        let shared = Arc::clone(shared);
+        async move { list_nodes(&shared).await }
+    });
+    match Engine::start(shared, epoch, version).await {
         Ok(engine) => {
             if shared.owner().epoch > epoch {
                 engine.retire("a higher epoch was heard of while loading");
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -109,7 +109,7 @@
         engine.spawn(Arc::clone(&engine).schedule_loop());
         engine.spawn(Arc::clone(&engine).record_loop());
         engine.spawn(Arc::clone(&engine).confirm_loop());
-        engine.spawn(Arc::clone(&engine).workers_loop(loaded.workers_version));
+        engine.spawn(Arc::clone(&engine).workers_loop());
         engine.spawn(Arc::clone(&engine).jobs_loop(loaded.jobs));
         engine.spawn(Arc::clone(&engine).policy_loop());
         engine.look_after_workers();
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -17,7 +17,8 @@
 const STORE_PAUSE: Duration = Duration::from_millis(150);
 
 impl Engine {
-    pub(super) async fn workers_loop(self: Arc<Self>, mut after: Version) {
+    pub(super) async fn workers_loop(self: Arc<Self>) {
+        let mut after = self.list_workers_at_last().await;
         loop {
             tokio::time::sleep(WORKERS_POLL).await;
             let call = StoreCall::Changes {
@@ -30,20 +31,30 @@
                     after = version.max(after);
                     self.take_worker_rows(&rows);
                 }
-                Ok(_) => match loading::list(&self.shared, Table::Workers, "").await {
-                    Ok((rows, version)) => {
-                        after = version;
-                        let entries = loading::worker_entries(&self.shared, &rows);
-                        self.cell().list_workers(entries, self.shared.now());
-                    }
-                    Err(err) => tracing::info!(%err, "workers cannot be listed"),
-                },
+                Ok(_) => after = self.list_workers_at_last().await,
                 Err(_) => tokio::time::sleep(STORE_PAUSE).await,
             }
             self.look_after_workers();
         }
     }
 
+    /// Reads the list of all workers, as often as it takes, and tells from where to follow it.
+    async fn list_workers_at_last(self: &Arc<Self>) -> Version {
+        loop {
+            match loading::list(&self.shared, Table::Workers, "").await {
+                Ok((rows, version)) => {
+                    let entries = loading::worker_entries(&self.shared, &rows);
+                    self.cell().list_workers(entries, self.shared.now());
+                    self.look_after_workers();
+                    self.wake.notify_one();
+                    return version;
+                }
+                Err(err) => tracing::info!(%err, "workers cannot be listed"),
+            }
+            tokio::time::sleep(STORE_PAUSE).await;
+        }
+    }
+
     fn take_worker_rows(&self, rows: &[Row]) {
         let now = self.shared.now();
         let mut cell = self.cell();
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -14,6 +14,8 @@
 use crate::node::{recording, roster_rows};
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
 
+/// Progress is read in so many pieces, by the first digit of a job's id.
+const PROGRESS_PIECES: u32 = 16;
 /// How many rows one call reads; the store gives at most as many.
 const PAGE: u32 = 500;
 
@@ -21,8 +23,6 @@
 pub struct Loaded {
     /// The cell.
     pub cell: Cell,
-    /// Follow changes of workers from here.
-    pub workers_version: Version,
     /// The jobs as they were read.
     pub jobs: JobRows,
 }
@@ -35,16 +35,44 @@
     shared: &Arc<Shared>,
     table: Table,
     partition: &str,
+) -> Result<(Vec<Row>, Version), StoreError> {
+    list_range(shared, table, partition, String::new(), String::new()).await
+}
+
+/// Reads what was recorded of all jobs, in several pieces at once: one after the other they would
+/// take as many answers of a store that may be slow.
+async fn list_progress(shared: &Arc<Shared>) -> Result<Vec<Row>, StoreError> {
+    let bounds: Vec<String> = (1..PROGRESS_PIECES)
+        .map(|digit| format!("{digit:x}"))
+        .collect();
+    let starts = std::iter::once(String::new()).chain(bounds.iter().cloned());
+    let ends = bounds.iter().cloned().chain(std::iter::once(String::new()));
+    let pieces = starts
+        .zip(ends)
+        .map(|(from, until)| list_range(shared, Table::Progress, PARTITION, from, until));
+    let mut rows = Vec::new();
+    for piece in join_all(pieces).await {
+        rows.extend(piece?.0);
+    }
+    Ok(rows)
+}
+
+/// Reads the rows of a partition from one key up to another; empty ones stand for its ends.
+async fn list_range(
+    shared: &Arc<Shared>,
+    table: Table,
+    partition: &str,
+    mut from: String,
+    until: String,
 ) -> Result<(Vec<Row>, Version), StoreError> {
     let mut all: Vec<Row> = Vec::new();
     let mut first_version = None;
-    let mut from = String::new();
     loop {
         let call = StoreCall::List {
             table,
             partition: partition.to_owned(),
             from,
-            until: String::new(),
+            until: until.clone(),
             limit: PAGE,
         };
         let StoreReply::Rows {
@@ -68,27 +96,30 @@
 
 /// Reads a cell for its owner under `epoch`.
 ///
+/// The roster names the workers on which something may run.  The platform's list of all workers
+/// is read behind this (`node::following`): it takes several answers of the store one after the
+/// other, while leases run out.  Nothing is placed before it has come.
+///
 /// # Errors
 /// See [`StoreError`].
 pub async fn load(shared: &Arc<Shared>, epoch: u64) -> Result<Loaded, StoreError> {
-    let (workers, former, progress, jobs) = tokio::join!(
-        list(shared, Table::Workers, ""),
+    let (former, progress, jobs) = tokio::join!(
         list(shared, Table::Cells, PARTITION),
-        list(shared, Table::Progress, PARTITION),
+        list_progress(shared),
         list_jobs(shared),
     );
-    let (workers, former, progress) = (workers?, former?, progress?);
+    let (former, progress) = (former?, progress?);
     let now = shared.now();
     let config = shared.config().unwrap_or_default();
     let mut cell = Cell::new(epoch, config, now);
     cell.tell_wall_clock(clock::since_1970());
     cell.list_former_workers(roster_rows::read(&former.0), now);
-    cell.list_workers(worker_entries(shared, &workers.0), now);
+    cell.await_list();
     if let Some(lapses) = recording::read_lapses(&former.0) {
         cell.expect_lapses(&lapses, now);
     }
     let mut recorded: HashMap<String, Progress> = HashMap::new();
-    for row in &progress.0 {
+    for row in &progress {
         match serde_json::from_str(&row.value) {
             Ok(progress) => {
                 recorded.insert(row.key.clone(), progress);
@@ -116,18 +147,14 @@
     cell.set_incomplete(true);
     tracing::info!(
         epoch,
-        workers = workers.0.len(),
+        workers = cell.worker_keys().len(),
         jobs = jobs.rows.len(),
         unread = ?jobs.unread,
-        progress = progress.0.len(),
+        progress = progress.len(),
         version = jobs.version,
         "cell loaded"
     );
-    Ok(Loaded {
-        cell,
-        workers_version: workers.1,
-        jobs,
-    })
+    Ok(Loaded { cell, jobs })
 }
 
 /// Rows of jobs from all partitions that could be read.
