Failing tests: a former owner that is back ends the wait for a claim; a late claim is written again

The claim of a slow store is given up after 200 ms and sent again through two other nodes, and all of them wait in the partition of the cell.

--- a/tests/election.rs
+++ b/tests/election.rs
@@ -194,3 +194,46 @@
     let waited = node.shared.now() - began;
     assert!(waited >= 260, "{waited} ms");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_former_owner_that_has_started_again_does_not_end_the_wait_for_a_claim() {
+    // Arrange: an owner was heard, and then a node that claims the cell from it.
+    let node = virtual_node(&[Relay::Gone, Relay::Gone]);
+    node.shared.hear(&Beat {
+        owns: true,
+        ..started_beat()
+    });
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    node.shared.hear(&Beat {
+        name: String::from("n2"),
+        address: String::from("127.0.0.1:2"),
+        claim_age: Some(0),
+        ..started_beat()
+    });
+
+    // Act: the former owner is back, and owns nothing any more.
+    node.shared.hear(&Beat {
+        boot: 2,
+        ..started_beat()
+    });
+
+    // Assert.
+    assert_eq!(node.shared.owner().address, None);
+    assert!(!node.shared.owner().is_suspect(node.shared.now()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_whose_answer_is_late_is_not_written_again() {
+    // Arrange: a store that takes 700 ms for each answer.
+    let node = virtual_node(&[Relay::Works]);
+    node.shared.hear(&started_beat());
+    node.guarded.delay.store(700, Ordering::Relaxed);
+
+    // Act: a claim through another node would be the second one.
+    let took = time_to_claim(&node).await;
+
+    // Assert.
+    let row = owner_row(&node).await;
+    assert_eq!((row.epoch, row.name.as_str()), (1, "n0"));
+    assert!(took < 4_000, "{took} ms");
+}
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -180,5 +180,5 @@
     // Assert: each claim waits for all those before it.
     let claims = cell.pace.claims.load(Ordering::Relaxed);
     assert_eq!(cell.owners(), 1, "after {claims} claims");
-    assert!(claims <= 3, "{claims} claims");
+    assert_eq!(claims, 1, "claims");
 }
