A claim is written once, and is waited for also when the former owner is back

Change: a claim has as long as the store may take, and the row is read beside it every 200 ms, which shows whether it has taken effect; a former owner's word does not end the wait for a claimant.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -48,6 +48,9 @@
 /// How long the cell is kept while the store cannot be told that it is given up:
 /// nobody else can claim it meanwhile, and the process must end within 6 s.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// How often the row of ownership is read while the answer to a claim is awaited: one comes
+/// after 4 ms, or after 0.5 s from a store that is 77 times slower.
+const CLAIM_LOOK: Duration = Duration::from_millis(200);
 /// How often a node that claims the cell tells of it.
 const TELL: Duration = Duration::from_millis(owner::BEAT);
 /// A claim that takes longer has come to nothing: others try as well.
@@ -414,7 +417,12 @@
     let mut tx = Transaction::default();
     tx.expected.push((OwnerRow::key(), version));
     tx.puts.push((OwnerRow::key(), claim.write()));
-    match shared.store(StoreCall::Commit(tx)).await {
+    let writing = shared.store_unhurried(StoreCall::Commit(tx));
+    let reply = tokio::select! {
+        reply = writing => reply,
+        () = until_claimed(shared, claim) => Err(StoreError::Unanswered),
+    };
+    match reply {
         Ok(StoreReply::Committed(version)) => return Some(version),
         Ok(StoreReply::Conflict(_)) | Err(StoreError::Unanswered) => {}
         Ok(_) | Err(_) => return None,
@@ -429,6 +437,19 @@
     None
 }
 
+/// Waits until the row of ownership shows a claim of this epoch, ours or another's.  The answer
+/// to a claim may be lost, and a second claim would only wait behind the first one.
+async fn until_claimed(shared: &Arc<Shared>, claim: &OwnerRow) {
+    loop {
+        tokio::time::sleep(CLAIM_LOOK).await;
+        if let Some((_, Some(owner))) = read_owner(shared).await
+            && owner.epoch >= claim.epoch
+        {
+            return;
+        }
+    }
+}
+
 async fn become_owner(shared: &Arc<Shared>, epoch: u64, version: Version) {
     shared.metrics.event("claimed");
     let now = shared.now();
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -74,6 +74,14 @@
         is_owner && (beat.leaving || retired)
     }
 
+    /// The owner has given the cell up, or has started again; a node that claims the cell is
+    /// waited for all the same.
+    pub fn give_up(&mut self) {
+        let claim = self.expected;
+        self.forget();
+        self.expected = claim;
+    }
+
     /// There is nobody to wait for.
     pub fn forget(&mut self) {
         self.address = None;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -406,7 +406,7 @@
                 owner = beat.name,
                 "owner gives the cell up"
             );
-            owner.forget();
+            owner.give_up();
         } else if beat.epoch > owner.epoch {
             // Its claimant is loading the cell and soon tells of itself.
             owner.expect(beat.epoch, None, now);
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -118,7 +118,12 @@
     async fn wait(&self, call: &StoreCall) {
         let millis = |time: &AtomicU64| Duration::from_millis(time.load(Ordering::Relaxed));
         if let StoreCall::Commit(tx) = call {
-            let claims = tx.puts.iter().any(|(key, _)| *key == OwnerRow::key());
+            // The transactions of an owner write its row as well, with a number of their own.
+            let is_claim = |value: &str| {
+                serde_json::from_str(value).is_ok_and(|owner: OwnerRow| owner.batch == 0)
+            };
+            let mut puts = tx.puts.iter();
+            let claims = puts.any(|(key, value)| *key == OwnerRow::key() && is_claim(value));
             self.claims.fetch_add(claims.into(), Ordering::Relaxed);
             let _turn = self.partition.lock().await;
             tokio::time::sleep(millis(&self.turn)).await;
