A claim that meets a dead owner's last transaction is written again at once; our own full lanes do not silence a worker

Cause: the row of ownership is written with every transaction, so what the owner sent before its end changes its version under a claim; the claimant then began the whole election anew, with the pauses of its rank. After a takeover 90 starts found no free connection to their worker within 250 ms, and each of those workers counted as silent. Change: three tries of a claim while the owner itself stays silent; a call that waited in vain for its turn is told apart from one that found nobody. Failing first: a_claim_that_meets_the_last_word_of_a_dead_owner_is_made_again_at_once; the other two tests name an outcome that was not there before.

--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -62,6 +62,7 @@
             LookFailure::Refused(Refusal::Gone) => {
                 self.lose_worker(key, now, "another life answers");
             }
+            LookFailure::Refused(Refusal::Busy) => {}
             LookFailure::Refused(_) | LookFailure::Unanswered => {
                 if !worker.is_silent() {
                     tracing::info!(
--- a/src/cell/order.rs
+++ b/src/cell/order.rs
@@ -130,6 +130,9 @@
     Gone,
     /// No connection came about.
     NotSent,
+    /// Too many of our own calls were on their way; nothing was sent, and the worker is not to
+    /// blame.
+    Busy,
 }
 
 impl Refusal {
@@ -145,6 +148,7 @@
             Self::UnknownTask => "unknown_task",
             Self::Gone => "gone",
             Self::NotSent => "not_sent",
+            Self::Busy => "busy",
         }
     }
 }
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -148,7 +148,7 @@
                 }
             }
             Refusal::Room => worker.health.shunned_until = now + tuning::UNHEALTHY_PAUSE,
-            Refusal::UnknownTask | Refusal::Epoch | Refusal::OldRun => {}
+            Refusal::Busy | Refusal::UnknownTask | Refusal::Epoch | Refusal::OldRun => {}
         }
         self.break_gang(step_key, now, "a member of the gang was refused");
     }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -35,6 +35,9 @@
     /// Nothing was sent.
     #[error("could not connect, nothing was sent")]
     NotSent,
+    /// Too many calls were on their way, to that host or to all; nothing was sent.
+    #[error("too many calls are on their way, nothing was sent")]
+    Busy,
     /// Something may have been sent, and no whole answer came.
     #[error("no whole answer came")]
     Unanswered,
@@ -116,7 +119,8 @@
     /// Sends `body` with `headers` and reads the whole answer within `timeout`.
     ///
     /// # Errors
-    /// See [`CallError`]; only [`CallError::NotSent`] proves that nothing was sent.
+    /// See [`CallError`]; [`CallError::NotSent`] and [`CallError::Busy`] prove that nothing was
+    /// sent.
     pub async fn call(
         &self,
         method: Method,
@@ -128,7 +132,7 @@
         let (host, req) = request(method, url, headers, body)?;
         let until = Instant::now() + timeout;
         let turn = tokio::time::timeout_at(until, self.idle.turn(&host)).await;
-        let _turn = turn.map_err(|_| CallError::NotSent)?;
+        let _turn = turn.map_err(|_| CallError::Busy)?;
         let connecting = tokio::time::timeout_at(until, self.connection(&host)).await;
         let connection = connecting.map_err(|_| CallError::NotSent)??;
         match tokio::time::timeout_at(until, self.exchange(&host, connection, req)).await {
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -48,6 +48,9 @@
 /// How long the cell is kept while the store cannot be told that it is given up:
 /// nobody else can claim it meanwhile, and the process must end within 6 s.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// So often a claim is written again if the former owner has written the row meanwhile: it
+/// has at most two transactions on their way, one of them through another node.
+const CLAIM_TRIES: usize = 3;
 /// How often the row of ownership is read while the answer to a claim is awaited: one comes
 /// after 4 ms, or after 0.5 s from a store that is 77 times slower.
 const CLAIM_LOOK: Duration = Duration::from_millis(200);
@@ -412,8 +415,34 @@
     shared.owner().expect(row.epoch, address, now);
 }
 
+/// What became of one write of a claim.
+enum Claimed {
+    /// The row is ours, at this version.
+    Ours(Version),
+    /// The former owner has written the row once more, at this version: what it sent before its
+    /// end may take effect later.
+    Behind(Version),
+    /// Another node was first, or nothing is known.
+    Lost,
+}
+
 /// Writes a claim; returns the version of the row if it is ours now.
-async fn write_claim(shared: &Arc<Shared>, claim: &OwnerRow, version: Version) -> Option<Version> {
+async fn write_claim(
+    shared: &Arc<Shared>,
+    claim: &OwnerRow,
+    mut version: Version,
+) -> Option<Version> {
+    for _ in 0..CLAIM_TRIES {
+        match try_claim(shared, claim, version).await {
+            Claimed::Ours(version) => return Some(version),
+            Claimed::Behind(newer) if shared.owner().is_silent(shared.now()) => version = newer,
+            Claimed::Behind(_) | Claimed::Lost => return None,
+        }
+    }
+    None
+}
+
+async fn try_claim(shared: &Arc<Shared>, claim: &OwnerRow, version: Version) -> Claimed {
     let mut tx = Transaction::default();
     tx.expected.push((OwnerRow::key(), version));
     tx.puts.push((OwnerRow::key(), claim.write()));
@@ -422,19 +451,28 @@
         reply = writing => reply,
         () = until_claimed(shared, claim) => Err(StoreError::Unanswered),
     };
-    match reply {
-        Ok(StoreReply::Committed(version)) => return Some(version),
-        Ok(StoreReply::Conflict(_)) | Err(StoreError::Unanswered) => {}
-        Ok(_) | Err(_) => return None,
-    }
-    // An earlier, unanswered try may have taken effect.
-    let (version, owner) = read_owner(shared).await?;
-    let owner = owner?;
-    if owner == *claim {
-        return Some(version);
+    let found = match reply {
+        Ok(StoreReply::Committed(version)) => return Claimed::Ours(version),
+        Ok(StoreReply::Conflict(rows)) => {
+            let row = rows.iter().find(|row| row.key == OWNER_KEY);
+            row.and_then(|row| Some((row.version, OwnerRow::read(row)?)))
+        }
+        // It may have taken effect.
+        Err(StoreError::Unanswered) => match read_owner(shared).await {
+            Some((version, Some(owner))) => Some((version, owner)),
+            _ => None,
+        },
+        Ok(_) | Err(_) => None,
+    };
+    match found {
+        Some((version, owner)) if owner == *claim => Claimed::Ours(version),
+        Some((version, owner)) if owner.epoch < claim.epoch => Claimed::Behind(version),
+        Some((_, owner)) => {
+            note_claim(shared, &owner);
+            Claimed::Lost
+        }
+        None => Claimed::Lost,
     }
-    note_claim(shared, &owner);
-    None
 }
 
 /// Waits until the row of ownership shows a claim of this epoch, ours or another's.  The answer
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -49,6 +49,11 @@
         self.silence(now) > MISSED_BEATS * self.interval + SUSPECT_MARGIN
     }
 
+    /// Tells whether the owner itself has been silent for so long, whoever else claims the cell.
+    pub fn is_silent(&self, now: Millis) -> bool {
+        self.unheard(now) > MISSED_BEATS * self.interval + SUSPECT_MARGIN
+    }
+
     /// The owner tells of itself this often here; zero if it did not say.
     pub fn beats_every(&mut self, interval: u32) {
         self.interval = Millis::from(interval).max(BEAT);
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -117,7 +117,7 @@
     let answer = call(&client, address, Duration::from_millis(50)).await;
 
     // Assert.
-    assert_eq!(answer, Err(CallError::NotSent));
+    assert_eq!(answer, Err(CallError::Busy));
     waiting.abort();
 }
 
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -237,3 +237,21 @@
     assert_eq!((row.epoch, row.name.as_str()), (1, "n0"));
     assert!(took < 4_000, "{took} ms");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_meets_the_last_word_of_a_dead_owner_is_made_again_at_once() {
+    // Arrange: a node reads the row of ownership, and its claim is on its way for 500 ms.
+    let node = virtual_node(&[Relay::Gone]);
+    claim(&node.store, "n9", 1, 5);
+    node.guarded.delay.store(500, Ordering::Relaxed);
+    tokio::spawn(election::run(Arc::clone(&node.shared)));
+    tokio::time::sleep(Duration::from_millis(800)).await;
+
+    // Act: a transaction that the former owner sent before its end takes effect.
+    claim(&node.store, "n9", 1, 5);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+
+    // Assert.
+    let row = owner_row(&node).await;
+    assert_eq!((row.epoch, row.name.as_str()), (6, "n0"));
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -3,7 +3,7 @@
 mod cell_core;
 
 use cell_core::{Bench, advised_queue, job, questions, queue, starts, step};
-use crossweir::cell::order::{AdviceOrder, EndKind, StartOrder};
+use crossweir::cell::order::{AdviceOrder, EndKind, Refusal, StartOrder, StartOutcome};
 use crossweir::cell::spec::Step;
 use crossweir::queue::Queue;
 
@@ -221,3 +221,21 @@
         "{looked_at}"
     );
 }
+
+#[test]
+fn a_start_that_waited_in_vain_for_our_own_calls_does_not_count_against_the_worker() {
+    // Arrange.
+    let queue = queue("q", 0);
+    let mut bench = Bench::new(1, std::slice::from_ref(&queue));
+    bench.look_at_all();
+    bench.accept(&job(1, &queue, vec![step(1, 4_000)]));
+    let first = starts(&bench.decide());
+
+    // Act.
+    let busy = StartOutcome::Refused(Refusal::Busy);
+    let (run, now) = (first[0].run, bench.now);
+    bench.cell.start_answered(run, busy, None, now);
+
+    // Assert: it starts there at once.
+    assert_eq!(starts(&bench.decide()).len(), 1);
+}
