--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -451,6 +451,7 @@
         reply = writing => reply,
         () = until_claimed(shared, claim) => Err(StoreError::Unanswered),
     };
+    tracing::info!(epoch = claim.epoch, ?reply, "answer to the claim");
     let found = match reply {
         Ok(StoreReply::Committed(version)) => return Claimed::Ours(version),
         Ok(StoreReply::Conflict(rows)) => {
