Read once more: one sample of watchers, one limit of silence, one check of who was heard; dead list of addresses gone

Cause: the change wrote some things more than once: the first twelve candidates were cut off in three places and counted in two constants, the time after which an owner is suspected was worked out in three, whether a node was heard of late in two, a loop of two tests of silent workers in both. Members::addresses had no caller left; limits of connections that a client is not told had no names. Ruled out: a shared shape for the node links of tests and product (they share a trait's signature alone). Change: watchers(), patience(), Member::was_heard, starts_elsewhere; find_owner returns early; the heartbeat loop asks for the engine once a turn. Behaviour, limits and assertions stay.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -24,6 +24,12 @@
 
 /// How long a connection may take to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The most connections to one host, unless the client is told otherwise: more calls than a node
+/// has for the store at once.
+const USUAL_PER_HOST: usize = 64;
+/// The most connections to all hosts, unless the client is told otherwise: a quarter of the
+/// descriptors of a VM.
+const USUAL_TOTAL: usize = 1_024;
 /// How long a connection is kept without a call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// The largest answer that is read, in bytes.
@@ -80,8 +86,8 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            per_host: 64,
-            total: 1_024,
+            per_host: USUAL_PER_HOST,
+            total: USUAL_TOTAL,
         }
     }
 }
--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -152,11 +152,10 @@
     /// said that they do not reach the store, and where the others answer.
     fn witnesses(&self, sent: Millis) -> (usize, Vec<SocketAddr>) {
         let members = self.shared.members();
-        let of_late = |m: &&Member| m.heard > 0 && sent.saturating_sub(m.heard) < WITNESS_WINDOW;
         let (away, asked): (Vec<&Member>, Vec<&Member>) = members
             .iter()
             .map(|(_, member)| member)
-            .filter(of_late)
+            .filter(|m| m.was_heard(WITNESS_WINDOW, sent))
             .filter(|m| m.epoch <= self.epoch)
             .partition(|m| m.away_asked > 0 && sent.saturating_sub(m.away_asked) < TOLD_LATELY);
         (away.len(), asked.iter().map(|m| m.address).collect())
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -58,8 +58,6 @@
 const TELL: Duration = Duration::from_millis(owner::BEAT);
 /// A claim that takes longer has come to nothing: others try as well.
 const CLAIM_LIMIT: Millis = 2_500;
-/// So many nodes are asked at once whether they hear the owner: all that watch it closely.
-const SAMPLE: usize = 12;
 /// So many samples are asked one after the other while none of them answers: the nodes that
 /// watch the owner may all be lost with it.
 const MOST_SAMPLES: usize = 4;
@@ -137,17 +135,18 @@
 /// Tells a node's presence to the owner, and to those that may own the cell next: the owner
 /// tells everybody else.
 async fn greet(shared: &Arc<Shared>) {
-    let mut addresses = shared.members().candidates();
-    addresses.truncate(SAMPLE);
-    let beats = ask(shared, addresses, BEAT_TIMEOUT).await;
+    let beats = ask(shared, watchers(shared), BEAT_TIMEOUT).await;
     find_owner(shared, &beats).await;
 }
 
 /// Greets the owner that others know and we have not heard.
 async fn find_owner(shared: &Arc<Shared>, beats: &[Beat]) {
-    let (known, epoch) = {
+    let epoch = {
         let owner = shared.owner();
-        (!owner.is_suspect(shared.now()), owner.epoch)
+        if !owner.is_suspect(shared.now()) {
+            return;
+        }
+        owner.epoch
     };
     let hint = beats
         .iter()
@@ -156,7 +155,7 @@
     let Some(address) = hint.and_then(|beat| beat.owner.parse().ok()) else {
         return;
     };
-    if !known && address != shared.address {
+    if address != shared.address {
         exchange(shared, address, shared.beat(), BEAT_TIMEOUT).await;
     }
 }
@@ -277,21 +276,26 @@
 async fn tell_of_claim(shared: Arc<Shared>) {
     let until = shared.now() + CLAIM_LIMIT;
     while shared.now() < until {
-        let mut addresses = shared.members().candidates();
-        addresses.truncate(SAMPLE);
         tokio::spawn({
             let shared = Arc::clone(&shared);
-            async move { ask(&shared, addresses, POLL_TIMEOUT).await }
+            async move { ask(&shared, watchers(&shared), POLL_TIMEOUT).await }
         });
         tokio::time::sleep(TELL).await;
     }
     shared.set_claiming(false);
 }
 
+/// Where those answer that watch the owner closely.
+fn watchers(shared: &Shared) -> Vec<SocketAddr> {
+    let mut candidates = shared.members().candidates();
+    candidates.truncate(members::WATCHERS);
+    candidates
+}
+
 /// Asks those that watch the owner closely; if none of them answers, some others.
 async fn ask_candidates(shared: &Arc<Shared>) -> Vec<Beat> {
     let candidates = shared.members().candidates();
-    for sample in candidates.chunks(SAMPLE).take(MOST_SAMPLES) {
+    for sample in candidates.chunks(members::WATCHERS).take(MOST_SAMPLES) {
         let beats = ask(shared, sample.to_vec(), POLL_TIMEOUT).await;
         if !beats.is_empty() {
             return beats;
@@ -555,10 +559,12 @@
 /// Tells all nodes that the cell is free, or, if it was not ours, those that may need to know
 /// that we are about to end.
 async fn tell_of_end(shared: &Arc<Shared>, owned: bool) {
-    let mut addresses = shared.members().candidates();
-    if !owned {
-        addresses.truncate(SAMPLE);
+    let addresses = if owned {
+        shared.members().candidates()
+    } else {
+        let mut addresses = watchers(shared);
         addresses.extend(shared.owner().address);
-    }
+        addresses
+    };
     ask(shared, addresses, BEAT_TIMEOUT).await;
 }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -376,10 +376,8 @@
             if *name == self.shared.name {
                 return self.shared.advisor.is_some();
             }
-            members.get(name).is_some_and(|member| {
-                let heard = member.heard > 0 && now.saturating_sub(member.heard) < WITNESS_WINDOW;
-                heard && !member.leaving
-            })
+            let member = members.get(name);
+            member.is_some_and(|member| member.was_heard(WITNESS_WINDOW, now) && !member.leaving)
         };
         let flags: Vec<bool> = lanes.iter().map(is_up).collect();
         drop(members);
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -18,7 +18,7 @@
 
 impl Engine {
     pub(super) async fn workers_loop(self: Arc<Self>) {
-        let mut after = self.list_workers_at_last().await;
+        let mut after = self.list_all_workers().await;
         loop {
             tokio::time::sleep(WORKERS_POLL).await;
             let call = StoreCall::Changes {
@@ -31,7 +31,7 @@
                     after = version.max(after);
                     self.take_worker_rows(&rows);
                 }
-                Ok(_) => after = self.list_workers_at_last().await,
+                Ok(_) => after = self.list_all_workers().await,
                 Err(_) => tokio::time::sleep(STORE_PAUSE).await,
             }
             self.look_after_workers();
@@ -39,7 +39,7 @@
     }
 
     /// Reads the list of all workers, as often as it takes, and tells from where to follow it.
-    async fn list_workers_at_last(self: &Arc<Self>) -> Version {
+    async fn list_all_workers(self: &Arc<Self>) -> Version {
         loop {
             match loading::list(&self.shared, Table::Workers, "").await {
                 Ok((rows, version)) => {
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -84,13 +84,12 @@
     let mut reviewed = 0;
     let mut beat: Option<(Millis, Beat)> = None;
     shared.members().watch_anew(shared.now());
-    while shared.engine().is_some() {
+    while let Some(engine) = shared.engine() {
         let now = shared.now();
         let due = schedule.take_due(&shared.members(), now);
         // The counts in a heartbeat go over all jobs, so it is made once for many nodes; ends that
         // wait for the store are told without that delay.
-        let waits = shared.engine().is_some_and(|engine| engine.is_stalled());
-        let age = if waits { 0 } else { WATCHED };
+        let age = if engine.is_stalled() { 0 } else { WATCHED };
         beat = beat.filter(|(made, _)| now.saturating_sub(*made) < age);
         let (_, base) = beat.get_or_insert_with(|| (now, shared.beat()));
         for node in due {
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -26,6 +26,8 @@
 const STRONG_WATCHERS: usize = 8;
 /// So many others watch it as well, in case all strong ones are lost with it.
 const OTHER_WATCHERS: usize = 4;
+/// So many nodes watch the owner closely.
+pub const WATCHERS: usize = STRONG_WATCHERS + OTHER_WATCHERS;
 /// So many nodes that are gone are remembered, so that nobody's word brings them back.
 const MOST_GONE: usize = 256;
 
@@ -95,6 +97,11 @@
         }
     }
 
+    /// Tells whether it was heard within the last `window`.
+    pub fn was_heard(&self, window: Millis, now: Millis) -> bool {
+        self.heard > 0 && now.saturating_sub(self.heard) < window
+    }
+
     fn row(&self) -> NodeRow {
         NodeRow {
             address: self.address,
@@ -357,14 +364,6 @@
         }
     }
 
-    /// All nodes with their addresses.
-    pub fn addresses(&self) -> Vec<(String, SocketAddr)> {
-        self.known
-            .iter()
-            .map(|(name, member)| (name.clone(), member.address))
-            .collect()
-    }
-
     /// All nodes.
     pub fn iter(&self) -> impl Iterator<Item = (&String, &Member)> {
         self.known.iter()
@@ -399,7 +398,7 @@
         all.sort_unstable_by_key(|(millicores, name)| (Reverse(*millicores), *name));
         let strong = all.len().min(STRONG_WATCHERS);
         all[strong..].sort_unstable_by_key(|(_, name)| spread(name));
-        all.truncate(STRONG_WATCHERS + OTHER_WATCHERS);
+        all.truncate(WATCHERS);
         self.watchers = all.into_iter().map(|(_, name)| name.clone()).collect();
     }
 
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -5,8 +5,8 @@
 use crate::clock::Millis;
 use crate::rpc::node::Beat;
 
-/// An owner that was not heard for this time beyond three of its heartbeats is suspected: urgent
-/// jobs have 0.9 s to spare, and a takeover takes some 150 ms more.
+/// Beyond the heartbeats that it may miss, an owner is given so long: urgent jobs have 0.9 s to
+/// spare, and a takeover takes some 150 ms more.
 const SUSPECT_MARGIN: Millis = 100;
 /// So many heartbeats may be missed before the owner is suspected.
 const MISSED_BEATS: Millis = 3;
@@ -46,12 +46,12 @@
 impl Owner {
     /// Tells whether the owner has been silent for so long that another may be needed.
     pub fn is_suspect(&self, now: Millis) -> bool {
-        self.silence(now) > MISSED_BEATS * self.interval + SUSPECT_MARGIN
+        self.silence(now) > patience(self.interval)
     }
 
     /// Tells whether the owner itself has been silent for so long, whoever else claims the cell.
     pub fn is_silent(&self, now: Millis) -> bool {
-        self.unheard(now) > MISSED_BEATS * self.interval + SUSPECT_MARGIN
+        self.unheard(now) > patience(self.interval)
     }
 
     /// The owner tells of itself this often here; zero if it did not say.
@@ -60,7 +60,7 @@
     }
 
     /// How long the owner has been silent; for ever if there is nobody to wait for.
-    pub fn silence(&self, now: Millis) -> Millis {
+    fn silence(&self, now: Millis) -> Millis {
         elapsed(self.heard.max(self.expected), now)
     }
 
@@ -108,7 +108,7 @@
     /// if an owner was heard since.
     pub fn claim_age(&self, now: Millis) -> Option<u32> {
         let age = now.saturating_sub(self.expected?);
-        (age <= MISSED_BEATS * BEAT + SUSPECT_MARGIN).then_some(age as u32)
+        (age <= patience(BEAT)).then_some(age as u32)
     }
 
     /// A node that is claiming the cell, or loading it, was heard at `heard`: it is given time.
@@ -125,6 +125,11 @@
     }
 }
 
+/// How long a node that tells of itself every `interval` may be silent before it is suspected.
+fn patience(interval: Millis) -> Millis {
+    MISSED_BEATS * interval + SUSPECT_MARGIN
+}
+
 fn elapsed(since: Option<Millis>, now: Millis) -> Millis {
     since.map_or(Millis::MAX, |since| now.saturating_sub(since))
 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -5,15 +5,15 @@
 use cell_core::{
     Bench, advised_queue, configuration, job, questions, queue, starts, step, stops, worker,
 };
-use crossweir::cell::Cell;
 use crossweir::cell::intake::Cancelling;
 use crossweir::cell::job::JobState;
 use crossweir::cell::order::{
-    EndEntry, EndKind, Look, LookFailure, Refusal, RunningEntry, StartOutcome,
+    EndEntry, EndKind, Look, LookFailure, Refusal, RunningEntry, StartOrder, StartOutcome,
 };
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::{JobId, Schedule, Step};
 use crossweir::cell::worker::WorkerEntry;
+use crossweir::cell::{Cell, WorkerKey};
 
 #[test]
 fn a_job_runs_its_steps_in_order_and_is_shown_when_recorded() {
@@ -96,6 +96,18 @@
     assert!(again.number > order.number);
 }
 
+/// Lets time pass, with looks at `other` alone, until something starts or 10 s are over.
+fn starts_elsewhere(bench: &mut Bench, other: WorkerKey) -> Vec<StartOrder> {
+    let until = bench.now + 10_000;
+    let mut started = Vec::new();
+    while started.is_empty() && bench.now < until {
+        bench.pass(50);
+        bench.look_at(other);
+        started = bench.start_all();
+    }
+    started
+}
+
 #[test]
 fn a_silent_workers_tasks_start_elsewhere_only_after_the_lease() {
     let q = queue("q", 0);
@@ -110,12 +122,7 @@
     bench
         .cell
         .look_failed(lost, LookFailure::Unanswered, bench.now);
-    let mut again = Vec::new();
-    while again.is_empty() && bench.now < began + 10_000 {
-        bench.pass(50);
-        bench.look_at(other);
-        again = bench.start_all();
-    }
+    let again = starts_elsewhere(&mut bench, other);
     assert!(bench.now - began > 3_500, "the lease of 3.5 s has run out");
     assert_eq!(again[0].to.worker, other);
 }
@@ -831,12 +838,7 @@
         .look_failed(lost, LookFailure::Unanswered, bench.now);
 
     // Act.
-    let mut again = Vec::new();
-    while again.is_empty() && bench.now < began + 10_000 {
-        bench.pass(50);
-        bench.look_at(other);
-        again = bench.start_all();
-    }
+    let again = starts_elsewhere(&mut bench, other);
 
     // Assert.
     assert_eq!(bench.cell.counts().adopted, 1);
