Runs that are lost with their worker are counted by task, and end its job

Cause: a worker that crashes lists no end, and only listed ends were counted, so a task that crashes its workers was placed anew each 3.4 s. Ruled out: that it takes a change of owner (one owner alone does it); counting crashes only in memory (a takeover after each crash starts the task on, tests/crashing_tasks.rs). Change: losses are noted once a worker has been silent for 150 ms, recorded with the job, decided when the worker is heard or its life is over; a suspect is tried by itself, a hopeless task fails its job. Failed tries and their figures stand in docs/incidents/crashing-tasks.md.

--- /dev/null
+++ b/src/cell/crash.rs
@@ -0,0 +1,359 @@
+//! Runs under which a worker was lost, counted by task.
+//!
+//! A worker that crashes lists no end, so a task that crashes each worker would look new
+//! every time and be started without end: seven starts of one task in 25 s took seven workers
+//! down for 3.4 s each, with up to ten other runs.  Which task is to blame shows only when it
+//! is tried by itself (docs/DESIGN.md, "Tasks that crash their workers";
+//! docs/incidents/crashing-tasks.md).
+
+use serde::{Deserialize, Serialize};
+
+use crate::cell::job::{JobState, Phase, Task};
+use crate::cell::order::StartOutcome;
+use crate::cell::schedule::Place;
+use crate::cell::sequence::Sequence;
+use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
+use crate::clock::Millis;
+
+/// What speaks for a run having crashed its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Blame {
+    /// Its start was the only one there that was not answered.
+    Sole,
+    /// It had only just begun, as others there may have.
+    Shared,
+    /// It was there, and none had only just begun.
+    Late,
+}
+
+/// A run that was there when its worker was lost, or fell silent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loss {
+    /// The run's number.
+    pub run: u64,
+    /// The life of the worker; whoever hears it again knows that it did not crash.
+    pub worker: String,
+    /// The machine, so that the next try is made on another one.
+    pub machine: String,
+    /// What speaks for it being to blame.
+    pub blame: Blame,
+    /// The life is over for certain.
+    pub crashed: bool,
+    /// A successor would know of it.
+    #[serde(skip)]
+    pub recorded: bool,
+}
+
+/// Where a loss is noted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct LossKey {
+    step: StepKey,
+    index: u32,
+    run: u64,
+}
+
+impl Loss {
+    /// Tells whether the run had only just begun.
+    fn is_young(&self) -> bool {
+        self.blame != Blame::Late
+    }
+}
+
+impl Task {
+    /// Tells whether a start of it may have crashed a worker; it is tried by itself then.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.losses.iter().any(Loss::is_young)
+    }
+
+    /// Tells whether it may be started as far as its losses go.  A likely one that the store does
+    /// not know of would be lost with its owner; and while the verdict on the last one would end the job,
+    /// that is awaited, or a worker that is slow to come back lets it crash one more.
+    pub(super) fn may_be_risked(&self) -> bool {
+        let known = |loss: &Loss| loss.recorded || loss.blame != Blame::Sole;
+        self.losses.iter().all(known) && !self.is_hopeless(|_| true)
+    }
+
+    /// Tells whether the job is given up if those losses count which `counts` names.
+    fn is_hopeless(&self, counts: impl Fn(&Loss) -> bool) -> bool {
+        let counted = || self.losses.iter().filter(|loss| counts(loss));
+        let sole = counted().filter(|loss| loss.blame == Blame::Sole).count();
+        sole >= tuning::MOST_SOLE_CRASHES || counted().count() >= tuning::MOST_LOSSES
+    }
+}
+
+impl Cell {
+    /// A worker has been silent for a while: the next owner must know what may have crashed it.
+    pub(super) fn suspect_silent(&mut self, key: WorkerKey, now: Millis) {
+        let worker = &self.workers[key];
+        let silent = |since| now.saturating_sub(since) >= tuning::NAME_JOBS_AFTER;
+        if worker.suspected || !worker.silent_since.is_some_and(silent) {
+            return;
+        }
+        self.workers[key].suspected = true;
+        self.note_young_losses(key);
+    }
+
+    /// The runs on a worker are about to be written off.  If some had only just begun they are to
+    /// blame: others have shown that they can run.
+    pub(super) fn note_losses(&mut self, key: WorkerKey) {
+        if self.note_young_losses(key) {
+            return;
+        }
+        for run in self.workers[key].runs.clone() {
+            self.note_loss(run, Blame::Late);
+        }
+    }
+
+    /// Notes the runs that had only just begun on a worker; false if there are none.  A start that
+    /// was answered is the less likely culprit: what crashes a worker at once is not answered.
+    fn note_young_losses(&mut self, key: WorkerKey) -> bool {
+        let young = self.young_runs(key);
+        let is_unanswered = |run: &RunKey| self.runs[*run].begun.is_none();
+        let unanswered: Vec<RunKey> = young.iter().copied().filter(is_unanswered).collect();
+        for &run in &young {
+            let blame = match unanswered == [run] {
+                true => Blame::Sole,
+                false => Blame::Shared,
+            };
+            self.note_loss(run, blame);
+        }
+        !young.is_empty()
+    }
+
+    fn young_runs(&self, key: WorkerKey) -> Vec<RunKey> {
+        let runs = self.workers[key].runs.iter().copied();
+        runs.filter(|&run| !self.runs[run].proven).collect()
+    }
+
+    fn note_loss(&mut self, key: RunKey, blame: Blame) {
+        let run = &self.runs[key];
+        let (step, index, number) = (run.step, run.index, run.number);
+        let entry = &self.workers[run.worker].entry;
+        let (worker, machine) = (entry.id.clone(), entry.machine.clone());
+        let job = &mut self.jobs[self.steps[step].job];
+        let losses = &mut self.steps[step].tasks[index as usize].losses;
+        if job.state.is_final() || losses.iter().any(|loss| loss.run == number) {
+            return;
+        }
+        job.dirty = true;
+        losses.push(Loss {
+            run: number,
+            worker: worker.clone(),
+            machine,
+            blame,
+            crashed: false,
+            recorded: false,
+        });
+        let place = LossKey {
+            step,
+            index,
+            run: number,
+        };
+        self.doubts.entry(worker).or_default().push(place);
+    }
+
+    /// A worker has answered a look: what is noted of this life did not crash it, nor did a start
+    /// that was given up as unanswered before the look was sent.
+    pub(super) fn clear_doubts(&mut self, key: WorkerKey, sent: Sequence) {
+        for run in self.young_runs(key) {
+            if self.runs[run].doubted.is_some_and(|heard| heard < sent) {
+                self.is_not_to_blame(run);
+            }
+        }
+        let worker = &mut self.workers[key];
+        worker.suspected = false;
+        let Some(places) = self.doubts.remove(&worker.entry.id) else {
+            return;
+        };
+        for place in places {
+            self.forget_losses(place.step, place.index, |loss| loss.run == place.run);
+        }
+    }
+
+    /// A life of a worker is over: whatever is noted of it has crashed with it, but for starts
+    /// whose answer is still awaited.
+    pub(super) fn confirm_crash(&mut self, id: &str, awaited: &[RunKey], now: Millis) {
+        let awaited: Vec<LossKey> = awaited.iter().map(|&key| self.awaited[key]).collect();
+        for place in self.doubts.remove(id).unwrap_or_default() {
+            if !awaited.contains(&place) {
+                self.count_crash(place, now);
+            }
+        }
+    }
+
+    /// The starts on a worker whose answer is still awaited; it may say that they never began.
+    pub(super) fn await_starts(&mut self, key: WorkerKey) -> Vec<RunKey> {
+        let runs = self.workers[key].runs.iter().copied();
+        let sent = runs.filter(|&run| self.runs[run].phase == Phase::Sent);
+        let sent: Vec<RunKey> = sent.collect();
+        for &key in &sent {
+            let run = &self.runs[key];
+            let place = LossKey {
+                step: run.step,
+                index: run.index,
+                run: run.number,
+            };
+            self.awaited.insert(key, place);
+        }
+        sent
+    }
+
+    /// The answer to a start came after its worker had been lost.
+    pub(super) fn start_answered_late(&mut self, key: RunKey, outcome: StartOutcome, now: Millis) {
+        let Some(place) = self.awaited.remove(key) else {
+            return;
+        };
+        match outcome {
+            StartOutcome::Refused(_) => {
+                self.forget_losses(place.step, place.index, |loss| loss.run == place.run);
+            }
+            StartOutcome::Started | StartOutcome::Unanswered => self.count_crash(place, now),
+        }
+    }
+
+    fn count_crash(&mut self, place: LossKey, now: Millis) {
+        let Some(step) = self.steps.get_mut(place.step) else {
+            return;
+        };
+        let (job, name) = (step.job, step.task_name(place.index));
+        let task = &mut step.tasks[place.index as usize];
+        let Some(loss) = task.losses.iter_mut().find(|loss| loss.run == place.run) else {
+            return;
+        };
+        loss.crashed = true;
+        let (worker, blame) = (loss.worker.clone(), loss.blame);
+        let (losses, hopeless) = (task.losses.len(), task.is_hopeless(|loss| loss.crashed));
+        tracing::info!(request = %name.step.job, task = %name, run = place.run, worker, ?blame, losses, hopeless, "worker crashed under a task");
+        self.counts.crashes += 1;
+        if self.jobs[job].state.is_final() {
+            return;
+        }
+        self.jobs[job].dirty = true;
+        if hopeless {
+            self.end_job(job, JobState::Failed);
+            self.stop_step(place.step, now, "job has failed");
+        }
+    }
+
+    /// What was noted of lives that nobody lists any more has crashed; a former owner noted it.
+    pub(super) fn confirm_absent(&mut self, now: Millis) {
+        if self.awaits_list {
+            return;
+        }
+        let absent = |id: &&String| !self.worker_ids.contains_key(*id);
+        let absent: Vec<String> = self.doubts.keys().filter(absent).cloned().collect();
+        for id in absent {
+            self.confirm_crash(&id, &[], now);
+        }
+    }
+
+    /// Takes up the losses that a former owner recorded of a task.
+    pub(super) fn restore_losses(&mut self, step: StepKey, index: u32, losses: &[Loss]) {
+        let recorded = |loss: &Loss| Loss {
+            recorded: true,
+            ..loss.clone()
+        };
+        self.steps[step].tasks[index as usize].losses = losses.iter().map(recorded).collect();
+        for loss in losses.iter().filter(|loss| !loss.crashed) {
+            let run = loss.run;
+            let place = LossKey { step, index, run };
+            let doubts = self.doubts.entry(loss.worker.clone()).or_default();
+            doubts.push(place);
+        }
+    }
+
+    /// These losses of a task are durable.
+    pub(super) fn losses_are_recorded(&mut self, step: StepKey, index: u32, recorded: &[Loss]) {
+        for loss in &mut self.steps[step].tasks[index as usize].losses {
+            loss.recorded |= recorded.iter().any(|other| other.run == loss.run);
+        }
+    }
+
+    /// A look shows that a run goes on: after a while it is not to blame for what was lost when it
+    /// began, and long after for nothing.
+    pub(super) fn prove_run(&mut self, key: RunKey, now: Millis) {
+        let run = &mut self.runs[key];
+        let age = now.saturating_sub(run.answered);
+        let (step, index) = (run.step, run.index);
+        if age < tuning::YOUNG {
+            return;
+        }
+        if !run.proven {
+            self.is_not_to_blame(key);
+            self.forget_losses(step, index, Loss::is_young);
+        }
+        if age >= tuning::LOSSES_FADE {
+            self.forget_losses(step, index, |_| true);
+        }
+    }
+
+    fn is_not_to_blame(&mut self, key: RunKey) {
+        let run = &mut self.runs[key];
+        run.proven = true;
+        self.workers[run.worker].trials -= u32::from(run.trial);
+    }
+
+    pub(super) fn forget_losses(
+        &mut self,
+        step: StepKey,
+        index: u32,
+        is_cleared: impl Fn(&Loss) -> bool,
+    ) {
+        let Some(step) = self.steps.get_mut(step) else {
+            return;
+        };
+        let losses = &mut step.tasks[index as usize].losses;
+        let before = losses.len();
+        losses.retain(|loss| !is_cleared(loss));
+        if losses.len() < before {
+            self.jobs[step.job].dirty = true;
+        }
+    }
+
+    /// Tells whether a task is being tried by itself on a worker, other than those of a gang that
+    /// must start together.
+    pub(super) fn is_on_trial(&self, worker: WorkerKey, step: StepKey) -> bool {
+        let worker = &self.workers[worker];
+        let is_tried = |&run: &RunKey| {
+            let run = &self.runs[run];
+            run.trial && !run.proven && !self.start_together(run.step, step)
+        };
+        worker.trials > 0 && worker.runs.iter().any(is_tried)
+    }
+
+    fn start_together(&self, one: StepKey, other: StepKey) -> bool {
+        one == other && self.steps[one].step().gang
+    }
+
+    /// The place where a suspect does the least harm: where nothing else is just being
+    /// started, so that a crash shows who is to blame, on a machine that it has not
+    /// crashed yet, and with the fewest processors in use.
+    pub(super) fn trial_place(
+        &self,
+        key: StepKey,
+        index: u32,
+        places: &[Place],
+        now: Millis,
+    ) -> Option<WorkerKey> {
+        let losses = &self.steps[key].tasks[index as usize].losses;
+        let quiet = places
+            .iter()
+            .map(|place| place.worker)
+            .filter(|&worker| self.is_quiet(worker, key, now));
+        quiet.min_by_key(|&worker| {
+            let worker = &self.workers[worker];
+            let machine = &worker.entry.machine;
+            let again = losses.iter().any(|loss| loss.machine == *machine);
+            (again, worker.used.millicores)
+        })
+    }
+
+    /// Tells whether every other start on a worker was answered a while ago.
+    pub(super) fn is_quiet(&self, worker: WorkerKey, step: StepKey, now: Millis) -> bool {
+        self.workers[worker].runs.iter().all(|&run| {
+            let run = &self.runs[run];
+            let settled = run.phase == Phase::Running && run.answered + tuning::QUIET <= now;
+            settled || self.start_together(run.step, step)
+        })
+    }
+}
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cell::crash::Loss;
 use crate::cell::name::{StepName, TaskName};
 use crate::cell::progress::Progress;
 use crate::cell::sequence::Sequence;
@@ -140,6 +141,8 @@
     pub runs: Vec<RunKey>,
     /// Where it failed or stood still last.
     pub avoid: Option<WorkerKey>,
+    /// Runs that were there when their worker was lost, since the last one that ran well.
+    pub losses: Vec<Loss>,
 }
 
 /// How sure it is that a run goes on.
@@ -180,6 +183,8 @@
     /// When that was heard, from the start's answer or a list: only the list of a look that
     /// was sent later can show that the run is over.
     pub begun: Option<Sequence>,
+    /// When it was heard that the start brought no answer.
+    pub doubted: Option<Sequence>,
     /// By the worker's clock, when the start can no longer take effect.
     pub expires: Millis,
     /// It goes on from saved progress.
@@ -188,6 +193,10 @@
     pub progress: Progress,
     /// Set if it is to end.
     pub stop: Option<Stop>,
+    /// It is tried by itself, since its task may crash its workers.
+    pub trial: bool,
+    /// It was seen running long enough not to be to blame if its worker crashes.
+    pub proven: bool,
 }
 
 impl Run {
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -34,6 +34,8 @@
         worker.clock = Some((look.clock, now));
         let first = !worker.fenced;
         worker.fenced = true;
+        self.clear_doubts(key, order.sequence);
+        let worker = &mut self.workers[key];
         if first {
             // A former owner may have renewed the lease just now: without this a task was
             // started again 0.4 s before its first run could be over.
@@ -242,6 +244,7 @@
         if self.jobs[job_key].state.is_final() || task.done || !free {
             return None;
         }
+        let trial = task.is_suspect();
         let room = step.step().room();
         if !room.fits(&self.workers[worker].free()) {
             self.counts.violations += 1;
@@ -258,10 +261,13 @@
             phase: Phase::Running,
             answered: now,
             begun: Some(self.workers[worker].list_heard),
+            doubted: None,
             expires: 0,
             restored: false,
             progress: Default::default(),
             stop: None,
+            trial,
+            proven: false,
         }))
     }
 
@@ -274,6 +280,7 @@
             self.save_progress(step, index, &entry.saved);
         }
         self.job_begins(self.steps[step].job);
+        self.prove_run(key, now);
         self.judge_progress(key, now);
     }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -4,6 +4,7 @@
 //! replay any order of events.  `docs/DESIGN.md` explains the rules it keeps.
 
 pub mod advice;
+pub mod crash;
 mod forecast;
 pub mod intake;
 pub mod job;
@@ -27,7 +28,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use slotmap::SlotMap;
+use slotmap::{SecondaryMap, SlotMap};
 
 use crate::cell::job::{Job, JobState, Run, StepRun};
 use crate::cell::order::{Addressee, LookOrder, Order, StopOrder};
@@ -68,6 +69,8 @@
     pub lapsed: u64,
     /// Runs taken over from a former owner.
     pub adopted: u64,
+    /// Runs under which a worker has crashed.
+    pub crashes: u64,
 }
 
 /// A time that a job has waited, for metrics.
@@ -112,6 +115,10 @@
     unclaimed: HashMap<JobId, record::Progress>,
     /// Ends that other nodes told of, of jobs whose rows were not read yet.
     early_ends: HashMap<JobId, JobState>,
+    /// Runs that may have crashed a life of a worker, by its id.
+    doubts: HashMap<String, Vec<crash::LossKey>>,
+    /// Starts whose worker was lost before they were answered.
+    awaited: SecondaryMap<RunKey, crash::LossKey>,
     incomplete: bool,
     steps: SlotMap<StepKey, StepRun>,
     runs: SlotMap<RunKey, Run>,
@@ -159,6 +166,8 @@
             ended: HashMap::new(),
             unclaimed: HashMap::new(),
             early_ends: HashMap::new(),
+            doubts: HashMap::new(),
+            awaited: SecondaryMap::new(),
             incomplete: false,
             steps: SlotMap::with_key(),
             runs: SlotMap::with_key(),
@@ -381,10 +390,12 @@
             runs = worker.runs.len(),
             "worker lost"
         );
+        let awaited = self.await_starts(key);
         self.write_off(key, now);
         if let Some(worker) = self.workers.remove(key) {
             self.worker_ids.remove(&worker.entry.id);
             self.roster += 1;
+            self.confirm_crash(&worker.entry.id, &awaited, now);
         }
         for step in self.steps.values_mut() {
             step.advice.tickets.remove(&key);
@@ -401,11 +412,13 @@
         for key in keys {
             self.tick_worker(key, now);
         }
+        self.confirm_absent(now);
         self.repeat_stops(now);
     }
 
     fn tick_worker(&mut self, key: WorkerKey, now: Millis) {
         self.evacuate(key, now);
+        self.suspect_silent(key, now);
         let worker = &self.workers[key];
         if !worker.is_silent() || now <= worker.lease_end {
             return;
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cell::crash::Loss;
 use crate::cell::job::JobState;
 use crate::cell::spec::{JobId, JobSpec};
 use crate::cell::{Cell, JobKey, StepKey, Waited, WorkerKey};
@@ -42,6 +43,9 @@
     pub failed: Vec<u64>,
     /// The newest saved progress.
     pub saved: String,
+    /// Runs under which a worker was or may have been lost.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub losses: Vec<Loss>,
 }
 
 /// What goes to the store in one transaction.
@@ -93,7 +97,8 @@
             for &step_key in job.times.values().flatten() {
                 let step = &self.steps[step_key];
                 for (index, task) in step.tasks.iter().enumerate() {
-                    if !task.done && task.failed.is_empty() && task.saved.is_empty() {
+                    let lost = !task.losses.is_empty();
+                    if !task.done && task.failed.is_empty() && task.saved.is_empty() && !lost {
                         continue;
                     }
                     let saved = if task.done { "" } else { task.saved.as_str() };
@@ -102,6 +107,7 @@
                         done: task.done,
                         failed: task.failed.clone(),
                         saved: saved.to_owned(),
+                        losses: task.losses.clone(),
                     });
                 }
             }
@@ -119,6 +125,11 @@
                 continue;
             };
             job.recorded = progress.state;
+            for task in progress.tasks.iter().filter(|task| !task.losses.is_empty()) {
+                if let Some((step, index)) = self.find_place(key, task.place) {
+                    self.losses_are_recorded(step, index, &task.losses);
+                }
+            }
             if progress.state.is_final() {
                 self.note_wait(key, Waited::End, now);
                 self.close_job(key, now);
@@ -186,32 +197,34 @@
         true
     }
 
+    /// Finds a task of a job by its time, step and index.
+    fn find_place(&self, key: JobKey, place: (u32, u16, u32)) -> Option<(StepKey, u32)> {
+        let (time, step, index) = place;
+        let steps = self.jobs[key].times.get(&time)?;
+        let step = steps.get(usize::from(step)).copied()?;
+        let known = (index as usize) < self.steps[step].tasks.len();
+        known.then_some((step, index))
+    }
+
     /// Takes up the progress that a former owner recorded.
     pub(super) fn restore(&mut self, key: JobKey, progress: &Progress) {
         let mut times: Vec<u32> = progress.tasks.iter().map(|t| t.place.0).collect();
         times.sort_unstable();
         times.dedup();
         for record in &progress.tasks {
-            let (time, place, index) = record.place;
-            let step_key = self.jobs[key]
-                .times
-                .get(&time)
-                .and_then(|steps| steps.get(usize::from(place)).copied());
-            let Some(step_key) = step_key else {
-                tracing::warn!(job = %self.jobs[key].id, ?record.place, "progress of an unknown step");
-                continue;
-            };
-            let step = &mut self.steps[step_key];
-            let Some(task) = step.tasks.get_mut(index as usize) else {
+            let Some((step_key, index)) = self.find_place(key, record.place) else {
                 tracing::warn!(job = %self.jobs[key].id, ?record.place, "progress of an unknown task");
                 continue;
             };
+            let step = &mut self.steps[step_key];
+            let task = &mut step.tasks[index as usize];
             if record.done && !task.done {
                 step.open -= 1;
             }
             task.done = record.done;
             task.failed.clone_from(&record.failed);
             task.saved = record.saved.clone();
+            self.restore_losses(step_key, index, &record.losses);
         }
         for time in times {
             self.make_ready(key, time);
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -34,6 +34,7 @@
     /// Takes room for a run and notes it with its task and worker.
     pub(super) fn add_run(&mut self, run: Run) -> RunKey {
         let (step_key, index, worker_key) = (run.step, run.index, run.worker);
+        let is_trial = run.trial;
         let key = self.runs.insert(run);
         let step = &mut self.steps[step_key];
         step.tasks[index as usize].runs.push(key);
@@ -41,6 +42,7 @@
         let worker = &mut self.workers[worker_key];
         worker.used.add(&spec.room());
         worker.serving += u32::from(spec.serves());
+        worker.trials += u32::from(is_trial);
         if spec.filler {
             worker.fillers += 1;
             worker.filler_millicores += spec.demand.millicores;
@@ -68,6 +70,7 @@
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.used = worker.used.minus(&spec.room());
             worker.serving -= u32::from(spec.serves());
+            worker.trials -= u32::from(run.trial && !run.proven);
             if spec.filler {
                 worker.fillers -= 1;
                 worker.filler_millicores -= spec.demand.millicores;
@@ -91,6 +94,7 @@
     ) {
         let heard = self.next_sequence();
         let Some(run) = self.runs.get_mut(key) else {
+            self.start_answered_late(key, outcome, now);
             return;
         };
         let worker_key = run.worker;
@@ -110,6 +114,7 @@
             StartOutcome::Unanswered => {
                 if run.phase == Phase::Sent {
                     run.phase = Phase::Doubtful;
+                    run.doubted = Some(heard);
                 }
                 self.workers[worker_key].fall_silent(now);
                 let step = self.runs[key].step;
@@ -132,7 +137,9 @@
             reason = refusal.code(),
             "start refused"
         );
+        let (index, number) = (run.index, run.number);
         self.remove_run(key);
+        self.forget_losses(step_key, index, |loss| loss.run == number);
         let worker = &mut self.workers[worker_key];
         match refusal {
             Refusal::Gone => self.lose_worker(worker_key, now, "another life answers"),
@@ -285,6 +292,11 @@
             step.tasks[index as usize].done = true;
             step.open -= 1;
         }
+        if step.step().gang {
+            step.tasks.iter_mut().for_each(|task| task.losses.clear());
+        } else {
+            step.tasks[index as usize].losses.clear();
+        }
         tracing::info!(request = %name.job, step = %name, index, run = number, open = step.open, "task done");
         let copies: Vec<RunKey> = step.tasks[index as usize].runs.clone();
         for copy in copies {
@@ -363,6 +375,7 @@
 
     /// All runs on a worker are over without a word.
     pub(super) fn write_off(&mut self, key: WorkerKey, now: Millis) {
+        self.note_losses(key);
         let runs = self.workers[key].runs.clone();
         self.log_lost_runs(key, &runs, now);
         for run_key in runs {
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::cell::job::{Phase, Run, StepRun};
+use crate::cell::job::{Phase, Run, StepRun, Task};
 use crate::cell::order::{Order, StartOrder};
 use crate::cell::round::Round;
 use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
@@ -10,7 +10,7 @@
 
 /// Where a task may go, with the room that is left for more of its step.
 pub(super) struct Place {
-    worker: WorkerKey,
+    pub(super) worker: WorkerKey,
     fit: u32,
     score: u64,
 }
@@ -66,8 +66,10 @@
             if !within_quota {
                 break;
             }
-            let avoid = self.steps[key].tasks[index as usize].avoid;
-            let Some(worker) = best_place(&places, avoid) else {
+            let Some(worker) = self.choose_place(key, index, &places, round.now) else {
+                if self.steps[key].tasks[index as usize].is_suspect() {
+                    continue;
+                }
                 break;
             };
             started.extend(self.start(key, index, worker, None, round));
@@ -81,6 +83,20 @@
         }
     }
 
+    fn choose_place(
+        &self,
+        key: StepKey,
+        index: u32,
+        places: &[Place],
+        now: Millis,
+    ) -> Option<WorkerKey> {
+        let task = &self.steps[key].tasks[index as usize];
+        if task.is_suspect() {
+            return self.trial_place(key, index, places, now);
+        }
+        best_place(places, task.avoid)
+    }
+
     /// Tells whether the policy lets the step's queue hold so many more tasks of it.
     pub(super) fn is_within_quota(&self, key: StepKey, tasks: u64) -> bool {
         let step = &self.steps[key];
@@ -98,7 +114,7 @@
             .tasks
             .iter()
             .enumerate()
-            .filter(|(_, task)| !task.done)
+            .filter(|(_, task)| !task.done && task.may_be_risked())
             .filter(|(_, task)| task.runs.is_empty() || self.wants_copy(key, &task.runs))
             .map(|(index, _)| index as u32)
             .collect()
@@ -157,6 +173,9 @@
         if !self.takes_work(worker_key, round.now) || !worker.allows(spec, service) {
             return None;
         }
+        if self.is_on_trial(worker_key, key) {
+            return None;
+        }
         let here = self.tasks_here(key, worker_key);
         let fit = worker.fit(spec, here);
         let fit = self.unreserved(spec, worker_key, fit, round);
@@ -218,7 +237,10 @@
         if waiting.len() < size || !self.is_within_quota(key, size as u64) {
             return;
         }
-        let places = self.places(key, round);
+        let mut places = self.places(key, round);
+        if self.steps[key].tasks.iter().any(Task::is_suspect) {
+            places.retain(|place| self.is_quiet(place.worker, key, round.now));
+        }
         let Some(chosen) = self.gang_places(key, &places, size) else {
             let ticketed: u32 = places.iter().map(|place| place.fit).sum();
             self.ask(key, (size as u32).saturating_sub(ticketed), round);
@@ -288,6 +310,7 @@
             tracing::error!(task = %self.steps[key].task_name(index), rule, "start withheld");
             return None;
         }
+        let trial = self.steps[key].tasks[index as usize].is_suspect();
         self.workers[worker_key].lease_sent(now, tuning::START_VALID);
         let run = self.add_run(Run {
             step: key,
@@ -297,10 +320,13 @@
             phase: Phase::Sent,
             answered: 0,
             begun: None,
+            doubted: None,
             expires: due,
             restored: !self.steps[key].tasks[index as usize].saved.is_empty(),
             progress: Default::default(),
             stop: None,
+            trial,
+            proven: false,
         });
         let step = &self.steps[key];
         let ticket = step.advice.tickets.get(&worker_key);
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -99,3 +99,18 @@
 /// How long a successor waits for workers that it cannot reach, beyond the lease:
 /// a former owner stops within this time after it was last confirmed.
 pub const OWNER_WINDOW: Millis = 2_000;
+/// A run that was seen running so long after its beginning is not to blame if its worker
+/// crashes: tasks that crash their workers do so within 50 ms, and looks come each 600 ms.
+pub const YOUNG: Millis = 500;
+/// After so long without a crash a task's former losses count no more: twice what the longest
+/// common tasks take.
+pub const LOSSES_FADE: Millis = 10_000;
+/// A task is given up when so many workers have crashed while only its start was on its way: the
+/// platform's figure.
+pub const MOST_SOLE_CRASHES: usize = 2;
+/// A task is given up when so many workers in a row have crashed under it at any age: one less
+/// than the platform's limit of five starts, for a start that is lost with its owner.
+pub const MOST_LOSSES: usize = 4;
+/// A start that was answered so long ago has not crashed its worker: ten times what a crash took
+/// to show, and short enough that a busy worker has such moments.
+pub const QUIET: Millis = 100;
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -88,6 +88,10 @@
     pub serving: u32,
     /// How many of the runs are fillers.
     pub fillers: u32,
+    /// How many of the runs are tried by themselves: nothing is started beside them.
+    pub trials: u32,
+    /// It is silent, and what may have crashed it is noted.
+    pub suspected: bool,
     /// The number up to which all ends were taken in.
     pub seen_end: u64,
     /// Ends beyond that which were taken in as well.
@@ -136,6 +140,8 @@
             filler_millicores: 0,
             serving: 0,
             fillers: 0,
+            trials: 0,
+            suspected: false,
             seen_end: 0,
             taken_ends: BTreeSet::new(),
             recorded_end: 0,
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -202,6 +202,7 @@
             ("withheld_starts", counts.violations),
             ("lapsed_runs", counts.lapsed),
             ("adopted_runs", counts.adopted),
+            ("crashes", counts.crashes),
         ] {
             metrics.gauge(what, value as i64);
         }
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -86,6 +86,15 @@
     way: Way,
 }
 
+/// A start of which the owner does not know what became of it.
+struct UntoldStart {
+    task: TaskName,
+    /// The life of the worker.
+    life: String,
+    /// When it was given up as unanswered: a later look at that life tells.
+    given_up: Option<Millis>,
+}
+
 /// One process's turn as owner.  A former one goes on for a while, as a frozen process
 /// that wakes would; its window is over by then, so it only hears answers to old orders.
 struct Owner {
@@ -136,6 +145,8 @@
     /// The runs that such a task has begun, and the workers that have crashed under any task.
     crash_starts: BTreeMap<TaskName, usize>,
     crashed_under: BTreeMap<TaskName, usize>,
+    /// Starts of which nobody has told the owner what became of them, by its epoch.
+    untold: BTreeMap<(u64, RunKey), UntoldStart>,
 }
 
 impl World {
@@ -178,6 +189,7 @@
             back: BTreeMap::new(),
             crash_starts: BTreeMap::new(),
             crashed_under: BTreeMap::new(),
+            untold: BTreeMap::new(),
         };
         world.take_over();
         world
@@ -343,8 +355,12 @@
         let mut former = self.workers.remove(id).expect("a worker");
         former.settle(self.now);
         let going = former.history.iter().filter(|run| run.ended.is_none());
-        for run in going {
-            *self.crashed_under.entry(run.task).or_default() += 1;
+        let going = going.map(|run| run.task);
+        // An owner cannot tell a start that was lost just before from one that was carried out.
+        let untold = self.untold.values().filter(|start| start.life == *id);
+        let untold = untold.map(|start| start.task);
+        for task in going.chain(untold).collect::<BTreeSet<TaskName>>() {
+            *self.crashed_under.entry(task).or_default() += 1;
         }
         former.crash(self.now);
         self.graves.push(former);
@@ -513,6 +529,11 @@
         let cell = &mut self.owner.cell;
         match answer {
             Way::StartAnswer(run, outcome, clock) => {
+                if outcome != StartOutcome::Unanswered {
+                    self.untold.remove(&(self.epoch, run));
+                } else if let Some(start) = self.untold.get_mut(&(self.epoch, run)) {
+                    start.given_up = Some(self.now);
+                }
                 cell.start_answered(run, outcome, clock, self.now);
             }
             Way::StopAnswer(worker, run) => {
@@ -573,6 +594,13 @@
 
     fn look_answered(&mut self, order: &LookOrder, answer: Result<Look, LookFailure>) {
         let cell = &mut self.owner.cell;
+        if answer.is_ok() {
+            self.untold.retain(|(epoch, _), start| {
+                let told = start.given_up.is_some_and(|at| at < order.sent);
+                let told = told || *epoch < self.epoch;
+                start.life != order.to.id || !told
+            });
+        }
         match answer {
             Ok(list) => cell.looked(order, &list, self.now),
             Err(failure) => cell.look_failed(order.to.worker, failure, self.now),
@@ -606,6 +634,12 @@
 
     fn start(&mut self, order: StartOrder) {
         let (run, now) = (order.run, self.now);
+        let untold = UntoldStart {
+            task: order.task,
+            life: order.to.id.clone(),
+            given_up: None,
+        };
+        self.untold.insert((self.epoch, run), untold);
         if self.is_cut(&order.to.id) {
             self.start_is_lost(run);
         } else if self.chance(5) {
