A task that is slow on two workers is left to run

Cause: a run slower than its queue's guesses was stopped and its worker shunned, and nothing counted that the task had been slow before: six times on six workers in the test, and never done. Change: after two slow runs the task is taken to be long, and its workers are not shunned. Ruled out: counting in the store (an owner change grants two more at most; the task still ends).

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -141,6 +141,8 @@
     pub runs: Vec<RunKey>,
     /// Where it failed or stood still last.
     pub avoid: Option<WorkerKey>,
+    /// How many of its runs were given up as slow by this owner.
+    pub slow_runs: u32,
     /// Runs that were there when their worker was lost, since the last one that ran well.
     pub losses: Vec<Loss>,
 }
--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -72,6 +72,10 @@
         if spec.lasting || spec.filler || spec.gang || run.stop.is_some() || run.progress.slow {
             return;
         }
+        // Slow on several workers it is the task that is long: it was stopped on each in turn, for ever.
+        if step.tasks[run.index as usize].slow_runs >= tuning::MOST_SLOW_RUNS {
+            return;
+        }
         let Some(rate) = run.progress.rate() else {
             return;
         };
@@ -100,7 +104,9 @@
             "run is slow"
         );
         self.runs[key].progress.slow = true;
-        self.steps[step_key].tasks[index as usize].avoid = Some(worker);
+        let task = &mut self.steps[step_key].tasks[index as usize];
+        task.avoid = Some(worker);
+        task.slow_runs += 1;
         self.shun(worker, now);
         if !copies {
             self.stop_run(key, now, "too slow");
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -76,6 +76,9 @@
 /// A run below this share of the rate that it should have is slow.  Sound workers
 /// differ by some 15%, sick ones by four times or more.
 pub const SLOW_SHARE: f64 = 0.4;
+/// After so many slow runs a task is left to run: two sick workers in a row are rare where one in
+/// seven is sick, and a third start costs more than it gains.
+pub const MOST_SLOW_RUNS: u32 = 2;
 /// A queue's guesses are used after so many runs: some seconds of urgent ones.
 pub const GUESSES_NEEDED: u32 = 20;
 /// With each run the worst guess fades by this, so that one sick worker is forgotten
