--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -366,6 +366,7 @@
                 tracing::info!(worker = entry.id, remaining = ?entry.leaving, "worker leaves");
             }
             worker.unlisted_since = None;
+            worker.distrusted = false;
             worker.entry = entry;
             return;
         }
@@ -392,6 +393,16 @@
         }
     }
 
+    /// The newest entry of this worker cannot be read: what runs there goes on, and nothing more
+    /// is placed there until an entry can be read.
+    pub fn distrust_worker(&mut self, id: &str, now: Millis) {
+        if let Some(&key) = self.worker_ids.get(id) {
+            let worker = &mut self.workers[key];
+            worker.distrusted = true;
+            worker.unlisted_since.get_or_insert(now);
+        }
+    }
+
     /// The platform does not list this worker any more.
     pub fn unlist_worker(&mut self, id: &str, now: Millis) {
         if let Some(&key) = self.worker_ids.get(id) {
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -154,7 +154,8 @@
     /// Tells whether tasks may be placed on a worker now or in a while.
     pub(super) fn will_take_work(&self, key: WorkerKey, now: Millis) -> bool {
         self.workers.get(key).is_some_and(|worker| {
-            let stays = worker.entry.leaving.is_none() && !worker.is_gone(now);
+            let leaves = worker.entry.leaving.is_some() || worker.is_gone(now);
+            let stays = !leaves && !worker.distrusted;
             worker.listing == Listing::Usable && stays && !worker.is_silent()
         })
     }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -52,6 +52,8 @@
     pub entry: WorkerEntry,
     /// Since when the platform does not list it any more; none while it does.
     pub unlisted_since: Option<Millis>,
+    /// Its newest entry could not be read, so nothing is placed there until one can.
+    pub distrusted: bool,
     /// What a former owner may have left there, if it may have used it.
     pub left: Option<LeftWork>,
     /// By our clock, when what a former owner may have left there is over at the latest.
@@ -122,6 +124,7 @@
         Self {
             entry,
             unlisted_since: None,
+            distrusted: false,
             left: None,
             left_until: Millis::MAX,
             sealed: false,
@@ -234,6 +237,7 @@
     pub fn takes_work(&self, now: Millis) -> bool {
         self.fenced
             && !self.sealed
+            && !self.distrusted
             && !self.is_silent()
             && self.clock.is_some()
             && self.entry.leaving.is_none()
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -43,8 +43,7 @@
         loop {
             match loading::list(&self.shared, Table::Workers, "").await {
                 Ok((rows, version)) => {
-                    let entries = loading::worker_entries(&self.shared, &rows);
-                    self.cell().list_workers(entries, self.shared.now());
+                    self.take_worker_list(&rows);
                     self.look_after_workers();
                     self.wake.notify_one();
                     return version;
@@ -55,6 +54,23 @@
         }
     }
 
+    fn take_worker_list(&self, rows: &[Row]) {
+        let now = self.shared.now();
+        let mut entries = Vec::with_capacity(rows.len());
+        let mut unread = Vec::new();
+        for row in rows {
+            match loading::worker_entry(&self.shared, row) {
+                Some(entry) => entries.push(entry),
+                None => unread.push(&row.key),
+            }
+        }
+        let mut cell = self.cell();
+        cell.list_workers(entries, now);
+        for id in unread {
+            cell.distrust_worker(id, now);
+        }
+    }
+
     fn take_worker_rows(&self, rows: &[Row]) {
         let now = self.shared.now();
         let mut cell = self.cell();
@@ -63,6 +79,8 @@
                 cell.unlist_worker(&row.key, now);
             } else if let Some(entry) = loading::worker_entry(&self.shared, row) {
                 cell.list_worker(entry, now);
+            } else {
+                cell.distrust_worker(&row.key, now);
             }
         }
     }
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -240,13 +240,6 @@
     }
 }
 
-/// Reads the platform's entries of workers; those that cannot be read are left out.
-pub fn worker_entries(shared: &Shared, rows: &[Row]) -> Vec<WorkerEntry> {
-    rows.iter()
-        .filter_map(|row| worker_entry(shared, row))
-        .collect()
-}
-
 /// Reads the platform's entry of a worker; one that cannot be read is logged.
 pub fn worker_entry(shared: &Shared, row: &Row) -> Option<WorkerEntry> {
     match shared.decoder.worker(&row.key, &row.value) {
