A node's clock counts suspensions; nobody claims over a row of ownership that cannot be read

Cause: the steady clock stands still while a VM is suspended, so an owner that woke believed its window and what it had heard to be as young as before; and a torn row of ownership read as none, so the next claim began at epoch 1, below what workers had seen. Change: CLOCK_BOOTTIME through the C library; an unreadable row is not claimed over. Ruled out: comparing two clocks to find the gap: the jump alone ends the window, as after a freeze.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -2,7 +2,9 @@
 //!
 //! No core reads a clock of its own, so a test can replay any order of events.
 
-use std::time;
+use std::time::{self, Duration};
+
+use nix::time::ClockId;
 
 /// Milliseconds of one process's monotonic clock.  Readings of two processes
 /// are never compared; see "Clocks" in `docs/DESIGN.md`.
@@ -22,17 +24,25 @@
     fn now(&self) -> Millis;
 }
 
-/// The clock of the operating system.
+/// The clock of the operating system that also counts the time in which the VM was suspended: to
+/// the others that is silence like any other, so an owner must not take what it believed before
+/// for as young as it was.
 #[derive(Debug)]
 pub struct SystemClock {
-    start: time::Instant,
+    start: Duration,
+}
+
+/// The time since the VM was booted, suspensions included.
+fn since_boot() -> Duration {
+    let reading = ClockId::CLOCK_BOOTTIME.now();
+    reading.expect("Linux has this clock since 2.6.39").into()
 }
 
 impl SystemClock {
     /// Starts counting at one, so that zero can stand for "never".
     pub fn new() -> Self {
         Self {
-            start: time::Instant::now(),
+            start: since_boot(),
         }
     }
 }
@@ -45,6 +55,6 @@
 
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        self.start.elapsed().as_millis() as Millis + 1
+        since_boot().saturating_sub(self.start).as_millis() as Millis + 1
     }
 }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -386,16 +386,17 @@
 }
 
 /// Reads the row of ownership with its version, which is zero if there is none; none if
-/// the store does not answer.
+/// the store does not answer, or the row is there and cannot be read: a claim over it would begin
+/// again at the first epoch, which workers refuse and whose run numbers they have seen.
 async fn read_owner(shared: &Arc<Shared>) -> Option<(Version, Option<OwnerRow>)> {
     let call = StoreCall::row(Table::Cells, PARTITION, OWNER_KEY);
     let Ok(StoreReply::Rows { rows, .. }) = shared.store(call).await else {
         return None;
     };
-    Some(match rows.first() {
-        Some(row) => (row.version, OwnerRow::read(row)),
-        None => (0, None),
-    })
+    match rows.first() {
+        Some(row) => Some((row.version, Some(OwnerRow::read(row)?))),
+        None => Some((0, None)),
+    }
 }
 
 /// Tells whether the node that claimed the cell after the owner we know may soon be heard.
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -48,6 +48,23 @@
     assert_eq!((row.epoch, row.name.as_str()), (6, "n0"));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_row_of_ownership_that_cannot_be_read_is_not_claimed_over() {
+    // Arrange: it was written by somebody else, or torn.
+    let node = virtual_node(&[Relay::Gone]);
+    let mut tx = Transaction::default();
+    tx.puts
+        .push((OwnerRow::key(), String::from("{\"name\":\"n9\"}")));
+    node.store.commit(&tx);
+
+    // Act.
+    tokio::spawn(election::run(Arc::clone(&node.shared)));
+    tokio::time::sleep(Duration::from_secs(10)).await;
+
+    // Assert: its epoch is not known, so a claim might begin below it.
+    assert!(node.shared.engine().is_none());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_node_that_never_heard_the_owner_does_not_speak_for_it() {
     let node = virtual_node(&[Relay::Gone]);
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -180,7 +180,26 @@
 /// Makes such a node on a VM that gives it `millicores`.
 pub fn virtual_node_of(millicores: u32, relays: &[Relay]) -> VirtualNode {
     let load = Load::new(millicores);
-    build(load, relays, |_| Arc::new(NoWorkers), Arc::new(NoDecoder))
+    let clock = Arc::new(RuntimeClock(Instant::now()));
+    build(
+        load,
+        relays,
+        clock,
+        |_| Arc::new(NoWorkers),
+        Arc::new(NoDecoder),
+    )
+}
+
+/// Makes such a node that reads `clock`.
+pub fn virtual_node_with_clock(relays: &[Relay], clock: Arc<dyn Clock>) -> VirtualNode {
+    let load = Load::new(1_000);
+    build(
+        load,
+        relays,
+        clock,
+        |_| Arc::new(NoWorkers),
+        Arc::new(NoDecoder),
+    )
 }
 
 /// Makes such a node with workers, which are told its clock.
@@ -189,16 +208,17 @@
     workers: impl FnOnce(Arc<dyn Clock>) -> Arc<dyn Workers>,
     decoder: Arc<dyn Decoder>,
 ) -> VirtualNode {
-    build(Load::new(1_000), relays, workers, decoder)
+    let clock = Arc::new(RuntimeClock(Instant::now()));
+    build(Load::new(1_000), relays, clock, workers, decoder)
 }
 
 fn build(
     load: Load,
     relays: &[Relay],
+    clock: Arc<dyn Clock>,
     workers: impl FnOnce(Arc<dyn Clock>) -> Arc<dyn Workers>,
     decoder: Arc<dyn Decoder>,
 ) -> VirtualNode {
-    let clock: Arc<dyn Clock> = Arc::new(RuntimeClock(Instant::now()));
     let store = Arc::new(MemoryStore::default());
     let guarded = Arc::new(Guarded {
         store: Arc::clone(&store),
