--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -10,7 +10,6 @@
 
 use crate::cell::job::{JobState, Phase, Task};
 use crate::cell::order::StartOutcome;
-use crate::cell::schedule::Place;
 use crate::cell::sequence::Sequence;
 use crate::cell::worker::Worker;
 use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
@@ -23,7 +22,7 @@
     Sole,
     /// Its start was not answered, nor were others.
     Shared,
-    /// Every start there was answered, and its was among the last.
+    /// Every start there was answered; it was among the latest, or all had run for a while.
     Late,
 }
 
@@ -86,26 +85,6 @@
 }
 
 impl Cell {
-    /// Tells whether a task is tried by itself: it may have crashed a worker, or its step is doubted.
-    pub(super) fn is_tried(&self, key: StepKey, index: u32) -> bool {
-        self.steps[key].tasks[index as usize].is_suspect() || self.is_step_doubted(key)
-    }
-
-    /// Tells whether a task of a step may have crashed a worker, and none has shown that they can run.
-    pub(super) fn is_step_doubted(&self, key: StepKey) -> bool {
-        let step = &self.steps[key];
-        let runs = |task: &Task| task.runs.iter().any(|&run| self.runs[run].proven);
-        let unheard = |task: &Task| task.runs.iter().any(|&run| self.is_unheard(run));
-        let doubted = |task: &Task| task.is_suspect() || unheard(task);
-        step.tasks.iter().any(doubted) && !step.tasks.iter().any(|task| task.done || runs(task))
-    }
-
-    /// Tells whether a start was not answered and its worker is silent since.
-    fn is_unheard(&self, run: RunKey) -> bool {
-        let run = &self.runs[run];
-        run.begun.is_none() && self.workers[run.worker].is_silent()
-    }
-
     /// A worker has been silent for a while: the next owner must know what may have crashed it.
     pub(super) fn suspect_silent(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
@@ -126,9 +105,10 @@
             return self.note_unanswered(&unanswered, now);
         }
         let young = self.young_runs(key);
-        let runs = match young.is_empty() {
-            true => self.workers[key].runs.clone(),
-            false => young,
+        let runs = if young.is_empty() {
+            self.workers[key].runs.clone()
+        } else {
+            young
         };
         for run in runs {
             self.note_loss(run, Blame::Late, now);
@@ -176,14 +156,19 @@
             crashed: false,
             recorded: false,
         });
-        let place = LossKey {
-            step,
-            index,
-            run: number,
-        };
+        let place = self.loss_key(key);
         self.doubt(worker, machine, place, now);
     }
 
+    fn loss_key(&self, key: RunKey) -> LossKey {
+        let run = &self.runs[key];
+        LossKey {
+            step: run.step,
+            index: run.index,
+            run: run.number,
+        }
+    }
+
     fn doubt(&mut self, worker: String, machine: String, place: LossKey, now: Millis) {
         let doubt = self.doubts.entry(worker).or_insert_with(|| Doubt {
             machine,
@@ -236,12 +221,7 @@
         let sent = runs.filter(|&run| self.runs[run].phase == Phase::Sent);
         let sent: Vec<RunKey> = sent.collect();
         for &key in &sent {
-            let run = &self.runs[key];
-            let place = LossKey {
-                step: run.step,
-                index: run.index,
-                run: run.number,
-            };
+            let place = self.loss_key(key);
             self.awaited.insert(key, place);
         }
         sent
@@ -272,7 +252,10 @@
         loss.crashed = true;
         let (worker, blame) = (loss.worker.clone(), loss.blame);
         let (losses, hopeless) = (task.losses.len(), task.is_hopeless(|loss| loss.crashed));
-        tracing::info!(request = %name.step.job, task = %name, run = place.run, worker, ?blame, losses, hopeless, "worker crashed under a task");
+        // Of ten runs that were merely there nothing is to be told.
+        if blame != Blame::Late || hopeless {
+            tracing::info!(request = %name.step.job, task = %name, run = place.run, worker, ?blame, losses, hopeless, "worker crashed under a task");
+        }
         self.counts.crashes += 1;
         if self.jobs[job].state.is_final() {
             return;
@@ -376,67 +359,4 @@
             self.jobs[step.job].dirty = true;
         }
     }
-
-    /// Tells whether a task is being tried by itself on a worker, other than those of a gang that
-    /// must start together.
-    pub(super) fn is_on_trial(&self, worker: WorkerKey, step: StepKey) -> bool {
-        let worker = &self.workers[worker];
-        let is_tried = |&run: &RunKey| {
-            let run = &self.runs[run];
-            run.trial && !run.proven && !self.start_together(run.step, step)
-        };
-        worker.trials > 0 && worker.runs.iter().any(is_tried)
-    }
-
-    fn start_together(&self, one: StepKey, other: StepKey) -> bool {
-        one == other && self.steps[one].step().gang
-    }
-
-    /// The place where a suspect does the least harm: where nothing else is just being
-    /// started, so that a crash shows who is to blame, on a machine that it has not
-    /// crashed yet, and with the fewest processors in use.
-    pub(super) fn trial_place(
-        &self,
-        key: StepKey,
-        index: u32,
-        places: &[Place],
-        now: Millis,
-    ) -> Option<WorkerKey> {
-        if !self.may_be_tried(key) {
-            return None;
-        }
-        let losses = &self.steps[key].tasks[index as usize].losses;
-        let quiet = places
-            .iter()
-            .map(|place| place.worker)
-            .filter(|&worker| self.is_quiet(worker, key, now));
-        quiet.min_by_key(|&worker| {
-            let worker = &self.workers[worker];
-            let machine = &worker.entry.machine;
-            let again = losses.iter().any(|loss| loss.machine == *machine);
-            (again, worker.used.millicores)
-        })
-    }
-
-    /// Tells whether one more suspect of a step may be tried: a step may be at fault as a whole, and
-    /// each try may cost a worker, so nothing more of it is tried before the last one is clear.
-    fn may_be_tried(&self, key: StepKey) -> bool {
-        let is_open = |&run: &RunKey| {
-            let is_tried = self.runs[run].trial && !self.runs[run].proven;
-            is_tried || self.is_unheard(run)
-        };
-        let mut runs = self.steps[key].tasks.iter().flat_map(|task| &task.runs);
-        let most = (self.workers.len() / tuning::WORKERS_PER_TRIAL).max(1);
-        let all: u32 = self.workers.values().map(|worker| worker.trials).sum();
-        (all as usize) < most && !runs.any(is_open)
-    }
-
-    /// Tells whether every other start on a worker was answered a while ago.
-    pub(super) fn is_quiet(&self, worker: WorkerKey, step: StepKey, now: Millis) -> bool {
-        self.workers[worker].runs.iter().all(|&run| {
-            let run = &self.runs[run];
-            let settled = run.phase == Phase::Running && run.answered + tuning::QUIET <= now;
-            settled || self.start_together(run.step, step)
-        })
-    }
 }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -21,6 +21,7 @@
 pub mod schedule;
 pub mod sequence;
 pub mod spec;
+mod trial;
 pub mod tuning;
 pub mod view;
 pub mod worker;
@@ -423,9 +424,10 @@
             "worker lost"
         );
         let crashed = reason != LostBy::Silence;
-        let awaited = match crashed {
-            true => self.await_starts(key),
-            false => Vec::new(),
+        let awaited = if crashed {
+            self.await_starts(key)
+        } else {
+            Vec::new()
         };
         self.write_off(key, now);
         if let Some(worker) = self.workers.remove(key) {
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -78,9 +78,10 @@
             }
             let task = &self.steps[key].tasks[index as usize];
             let trial = doubted || task.is_suspect();
-            let worker = match trial {
-                true => self.trial_place(key, index, &places, round.now),
-                false => best_place(&places, task.avoid),
+            let worker = if trial {
+                self.trial_place(key, index, &places, round.now)
+            } else {
+                best_place(&places, task.avoid)
             };
             let Some(worker) = worker else {
                 if trial {
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -179,22 +179,18 @@
 
 /// Makes such a node on a VM that gives it `millicores`.
 pub fn virtual_node_of(millicores: u32, relays: &[Relay]) -> VirtualNode {
-    let load = Load::new(millicores);
     let clock = Arc::new(RuntimeClock(Instant::now()));
-    build(
-        load,
-        relays,
-        clock,
-        |_| Arc::new(NoWorkers),
-        Arc::new(NoDecoder),
-    )
+    without_workers(millicores, relays, clock)
 }
 
 /// Makes such a node that reads `clock`.
 pub fn virtual_node_with_clock(relays: &[Relay], clock: Arc<dyn Clock>) -> VirtualNode {
-    let load = Load::new(1_000);
+    without_workers(1_000, relays, clock)
+}
+
+fn without_workers(millicores: u32, relays: &[Relay], clock: Arc<dyn Clock>) -> VirtualNode {
     build(
-        load,
+        Load::new(millicores),
         relays,
         clock,
         |_| Arc::new(NoWorkers),
