Sight: lives of workers are read and logged; a run that is not there tells of ends

Cause: nothing in the logs told that a worker had started again under its id, nor whose count of ends a look was sent with, so the hypotheses of the incident could not be told apart.

Logged: another life that is listed or answers, with the counts on both sides, and for each run that is not there the life, its clock, the count of ends and how many were forgotten. No decision uses it yet.

Rows written before are read as before: the new field is optional, and former readers pass it over.

Conclusion: the fault is there still; the failing test comes next.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -95,7 +95,7 @@
         tracing::info!(request = %step.name.job, step = %step.name, lane, workers = workers.len(), needed, "advice asked");
         let workers = workers
             .into_iter()
-            .map(|worker| (worker, self.workers[worker].entry.id.clone()))
+            .map(|worker| (worker, self.workers[worker].entry.life.id.clone()))
             .collect();
         self.orders.push(Order::Advise(AdviceOrder {
             step: key,
--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -168,7 +168,7 @@
         let (step, index, number) = (run.step, run.index, run.number);
         let unanswered = run.begun.is_none();
         let entry = &self.workers[run.worker].entry;
-        let (worker, machine) = (entry.id.clone(), entry.machine.clone());
+        let (worker, machine) = (entry.life.id.clone(), entry.machine.clone());
         let job = &mut self.jobs[self.steps[step].job];
         let losses = &mut self.steps[step].tasks[index as usize].losses;
         if job.state.is_final() || losses.iter().any(|loss| loss.run == number) {
@@ -216,7 +216,7 @@
         }
         let worker = &mut self.workers[key];
         worker.suspected = false;
-        let id = worker.entry.id.clone();
+        let id = worker.entry.life.id.clone();
         self.drop_doubt(&id);
     }
 
--- a/src/cell/lapse.rs
+++ b/src/cell/lapse.rs
@@ -40,7 +40,7 @@
             } else {
                 worker.left_until.min(settle_by)
             };
-            within.insert(worker.entry.id.clone(), until.saturating_sub(now));
+            within.insert(worker.entry.life.id.clone(), until.saturating_sub(now));
         }
         Lapses {
             epoch: self.epoch,
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -5,7 +5,6 @@
 use crate::cell::job::{Phase, Run};
 use crate::cell::name::TaskName;
 use crate::cell::order::{EndEntry, EndKind, Look, LookFailure, LookOrder, Refusal, RunningEntry};
-use crate::cell::sequence::Sequence;
 use crate::cell::{Cell, LostBy, RunKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
@@ -21,6 +20,18 @@
             // A later look was answered first; whatever matters here is told again.
             return;
         }
+        if worker.entry.life.differs_from(look.born) {
+            tracing::info!(
+                worker = %worker.entry.life,
+                born = look.born,
+                clock = look.clock,
+                ends = worker.seen_end,
+                forgotten = order.forget,
+                running = look.running.len(),
+                ended = look.ended.len(),
+                "another life of the worker answers"
+            );
+        }
         // Of two lists that were on their way at once either may be the older one: it must
         // neither bring back a run that has ended nor hide work that waits for its job.
         let newest = worker.list_heard < order.sequence;
@@ -41,7 +52,7 @@
             // started again 0.4 s before its first run could be over.
             worker.lease_sent(now, tuning::LEASE);
             tracing::info!(
-                worker = worker.entry.id,
+                worker = worker.entry.life.id,
                 epoch = self.epoch,
                 running = look.running.len(),
                 ended = look.ended.len(),
@@ -52,7 +63,7 @@
         let listed = self.take_running(order, look, newest, now);
         let worker = &mut self.workers[key];
         worker.listed_whole |= newest && !worker.more_ends && worker.unread.is_empty();
-        self.remove_unlisted(key, order.sequence, look.clock, &listed, now);
+        self.remove_unlisted(key, order, look.clock, &listed, now);
     }
 
     /// A look brought nothing.
@@ -68,7 +79,7 @@
             LookFailure::Refused(_) | LookFailure::Unanswered => {
                 if !worker.is_silent() {
                     tracing::info!(
-                        worker = worker.entry.id,
+                        worker = worker.entry.life.id,
                         heard_ms_ago = now.saturating_sub(worker.heard),
                         ?failure,
                         "worker does not answer"
@@ -115,7 +126,7 @@
     /// Logs once for each end, and not for each look, what holds others back.
     fn log_held_ends(&self, key: WorkerKey, first: &EndEntry, listed: usize) {
         tracing::info!(
-            worker = self.workers[key].entry.id,
+            worker = self.workers[key].entry.life.id,
             request = %first.task.step.job,
             task = %first.task,
             run = first.number,
@@ -218,7 +229,7 @@
             request = %task.step.job,
             %task,
             run = number,
-            worker = self.workers[worker].entry.id,
+            worker = self.workers[worker].entry.life.id,
             "a run that is not ours is stopped"
         );
         self.order_stop(worker, None, task, number);
@@ -251,7 +262,7 @@
             tracing::error!(task = %entry.task, "a former owner's run does not fit");
         }
         self.counts.adopted += 1;
-        tracing::info!(request = %entry.task.step.job, task = %entry.task, run = entry.number, worker = self.workers[worker].entry.id, "run taken over");
+        tracing::info!(request = %entry.task.step.job, task = %entry.task, run = entry.number, worker = self.workers[worker].entry.life.id, "run taken over");
         self.job_begins(job_key);
         Some(self.add_run(Run {
             step: step_key,
@@ -289,11 +300,12 @@
     fn remove_unlisted(
         &mut self,
         key: WorkerKey,
-        sent: Sequence,
+        order: &LookOrder,
         clock: Millis,
         listed: &HashSet<RunKey>,
         now: Millis,
     ) {
+        let (sent, forgotten) = (order.sequence, order.forget);
         if self.workers[key].more_ends {
             // It may have ended, among those ends that are not listed yet.
             return;
@@ -320,7 +332,8 @@
             }
             let (step, index) = (run.step, run.index);
             let task = self.steps[step].task_name(index);
-            tracing::info!(request = %task.step.job, %task, run = run.number, phase = ?run.phase, "run is not there");
+            let worker = &self.workers[key];
+            tracing::info!(request = %task.step.job, %task, run = run.number, phase = ?run.phase, worker = %worker.entry.life, clock, ends = worker.seen_end, forgotten, "run is not there");
             self.remove_run(run_key);
             self.break_gang(step, now, "a member of the gang is not there");
         }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -9,6 +9,7 @@
 pub mod intake;
 pub mod job;
 pub mod lapse;
+pub mod life;
 pub mod look;
 pub mod name;
 pub mod order;
@@ -353,26 +354,35 @@
 
     /// The platform has just written the entry of this worker.
     pub fn list_worker(&mut self, entry: WorkerEntry, now: Millis) {
-        if !self.worker_ids.contains_key(&entry.id) {
+        if !self.worker_ids.contains_key(&entry.life.id) {
             self.end_former_life(&entry, now);
         }
         self.take_entry(entry, now);
     }
 
     fn take_entry(&mut self, entry: WorkerEntry, now: Millis) {
-        if let Some(&key) = self.worker_ids.get(&entry.id) {
+        if let Some(&key) = self.worker_ids.get(&entry.life.id) {
             let worker = &mut self.workers[key];
             if entry.leaving.is_some() && worker.leaving_since.is_none() {
                 worker.leaving_since = Some(now);
-                tracing::info!(worker = entry.id, remaining = ?entry.leaving, "worker leaves");
+                tracing::info!(worker = entry.life.id, remaining = ?entry.leaving, "worker leaves");
+            }
+            if worker.entry.life.differs_from(entry.life.born) {
+                tracing::info!(
+                    worker = %worker.entry.life,
+                    born = entry.life.born,
+                    ends = worker.seen_end,
+                    runs = worker.runs.len(),
+                    "another life of the worker is listed"
+                );
             }
             worker.unlisted_since = None;
             worker.distrusted = false;
             worker.entry = entry;
             return;
         }
-        tracing::info!(worker = entry.id, address = %entry.address, "worker listed");
-        let id = entry.id.clone();
+        tracing::info!(worker = entry.life.id, address = %entry.address, "worker listed");
+        let id = entry.life.id.clone();
         let leaving = entry.leaving.is_some();
         let key = self.workers.insert(Worker::new(entry));
         self.worker_ids.insert(id, key);
@@ -418,7 +428,7 @@
             return;
         };
         tracing::info!(
-            worker = worker.entry.id,
+            worker = worker.entry.life.id,
             reason = reason.text(),
             runs = worker.runs.len(),
             "worker lost"
@@ -431,10 +441,10 @@
         };
         self.write_off(key, now);
         if let Some(worker) = self.workers.remove(key) {
-            self.worker_ids.remove(&worker.entry.id);
+            self.worker_ids.remove(&worker.entry.life.id);
             self.roster += 1;
             if crashed {
-                self.confirm_crash(&worker.entry.id, &awaited, now);
+                self.confirm_crash(&worker.entry.life.id, &awaited, now);
             }
         }
         for step in self.steps.values_mut() {
@@ -465,7 +475,7 @@
         }
         if !worker.runs.is_empty() {
             tracing::info!(
-                worker = worker.entry.id,
+                worker = worker.entry.life.id,
                 heard_ms_ago = now.saturating_sub(worker.heard),
                 runs = worker.runs.len(),
                 "lease ran out"
@@ -485,7 +495,7 @@
         let entry = &self.workers[key].entry;
         Addressee {
             worker: key,
-            id: entry.id.clone(),
+            id: entry.life.id.clone(),
             address: entry.address,
             epoch: self.epoch,
         }
--- a/src/cell/order.rs
+++ b/src/cell/order.rs
@@ -203,6 +203,8 @@
 /// What a worker tells when it is looked at.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Look {
+    /// When this life of the worker started, in Unix milliseconds, if it tells.
+    pub born: Option<Millis>,
     /// Its clock.
     pub clock: Millis,
     /// All that runs.
--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -97,7 +97,7 @@
             request = %task.step.job,
             %task,
             run = run.number,
-            worker = self.workers[worker].entry.id,
+            worker = self.workers[worker].entry.life.id,
             percent = run.progress.last.0,
             rate,
             expected,
@@ -156,7 +156,7 @@
         worker.health.shunned_until = now + tuning::SHUN;
         worker.health.on_trial = true;
         tracing::info!(
-            worker = worker.entry.id,
+            worker = worker.entry.life.id,
             failures = worker.health.failures,
             "worker shunned"
         );
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -80,7 +80,7 @@
                 jobs: self.named_jobs(worker),
             });
         let mut entries: Vec<RosterEntry> = entries.collect();
-        entries.sort_unstable_by(|a, b| a.worker.id.cmp(&b.worker.id));
+        entries.sort_unstable_by(|a, b| a.worker.life.id.cmp(&b.worker.life.id));
         (self.roster, entries)
     }
 
@@ -127,7 +127,7 @@
     /// A former owner may have used these workers.
     pub fn list_former_workers(&mut self, entries: Vec<RosterEntry>, now: Millis) {
         for RosterEntry { worker, jobs } in entries {
-            let id = worker.id.clone();
+            let id = worker.life.id.clone();
             self.take_entry(worker, now);
             if let Some(&key) = self.worker_ids.get(&id) {
                 let worker = &mut self.workers[key];
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -133,7 +133,7 @@
             request = %task.step.job,
             %task,
             run = run.number,
-            worker = self.workers[worker_key].entry.id,
+            worker = self.workers[worker_key].entry.life.id,
             reason = refusal.code(),
             "start refused"
         );
@@ -408,7 +408,7 @@
         let texts: Vec<String> = texts.collect();
         let worker = &self.workers[key];
         tracing::info!(
-            worker = worker.entry.id,
+            worker = worker.entry.life.id,
             machine = worker.entry.machine,
             heard_ms_ago = now.saturating_sub(worker.heard),
             runs = texts.join(", "),
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -376,7 +376,7 @@
         let step = &self.steps[key];
         let job = &self.jobs[step.job];
         let texts = started.iter().map(|one| {
-            let worker = &self.workers[one.worker].entry.id;
+            let worker = &self.workers[one.worker].entry.life.id;
             let (free, heard) = (one.free_millicores, one.heard_ms_ago);
             format!("{}:{}@{worker} {free} {heard}", one.index, one.run)
         });
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cell::life::Life;
 use crate::cell::roster::{LeftWork, Listing};
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, JobId, Step};
@@ -14,8 +15,9 @@
 /// One life of a worker as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerEntry {
-    /// Names this life; a restarted worker has another id.
-    pub id: String,
+    /// The life that wrote it.
+    #[serde(flatten)]
+    pub life: Life,
     /// Where it takes orders.
     pub address: SocketAddr,
     /// The machine, which outlives the life.
--- a/src/embedded/mod.rs
+++ b/src/embedded/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::cell::job::JobState;
+use crate::cell::life::Life;
 use crate::cell::spec::{Demand, JobId, JobSpec, Step};
 use crate::cell::view::JobView;
 use crate::cell::worker::WorkerEntry;
@@ -79,7 +80,7 @@
     let store = Arc::new(MemoryStore::default());
     let entries: Vec<WorkerEntry> = (0..WORKERS).map(worker).collect();
     store.commit(&furnish(&entries));
-    let ids = entries.into_iter().map(|entry| entry.id);
+    let ids = entries.into_iter().map(|entry| entry.life.id);
     let workers = Arc::new(MemoryWorkers::new(clock, ids));
     let (listener, address) = process::bind(settings.peers).await?;
     let node = Node::new(&settings, address, |peers| Links {
@@ -96,7 +97,7 @@
 fn furnish(entries: &[WorkerEntry]) -> Transaction {
     let mut tx = Transaction::default();
     for entry in entries {
-        let key = RowKey::new(Table::Workers, "", &entry.id);
+        let key = RowKey::new(Table::Workers, "", &entry.life.id);
         tx.puts.push((key, rows::encode(entry)));
     }
     let config = Configuration {
@@ -112,7 +113,7 @@
 fn worker(number: u16) -> WorkerEntry {
     let rack = format!("rack-{}", number / WORKERS_PER_RACK);
     WorkerEntry {
-        id: format!("worker-{number}"),
+        life: Life::of(format!("worker-{number}")),
         address: SocketAddr::from(([127, 0, 0, 1], 1 + number)),
         machine: format!("machine-{number}"),
         service: SERVICE.to_owned(),
--- a/src/embedded/worker.rs
+++ b/src/embedded/worker.rs
@@ -63,6 +63,8 @@
     pub history: Vec<RunRecord>,
     /// Every task fails at its end.
     pub fails: bool,
+    /// When this life started, if it tells.
+    pub born: Option<Millis>,
 }
 
 impl MemoryWorker {
@@ -218,6 +220,7 @@
             figure: None,
         });
         Ok(Look {
+            born: self.born,
             clock: now,
             running: running.collect(),
             ended: self.ended.clone(),
--- a/src/experiment/load.rs
+++ b/src/experiment/load.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
+use crate::cell::life::Life;
 use crate::cell::record::JobRow;
 use crate::cell::spec::{Demand, JobId, JobSpec, Step};
 use crate::cell::worker::WorkerEntry;
@@ -148,7 +149,7 @@
 
 fn worker(number: usize, millicores: u64, memory: u64, gpus: u64) -> WorkerEntry {
     WorkerEntry {
-        id: format!("w{number}"),
+        life: Life::of(format!("w{number}")),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         machine: format!("m{number}"),
         service: SERVICE.to_owned(),
--- a/src/node/roster_rows.rs
+++ b/src/node/roster_rows.rs
@@ -43,7 +43,7 @@
     pub fn changed(&self, entries: &[RosterEntry]) -> ChangedRows {
         let mut rows: Vec<Vec<&RosterEntry>> = vec![Vec::new(); ROWS];
         for entry in entries {
-            rows[row_of(&entry.worker.id)].push(entry);
+            rows[row_of(&entry.worker.life.id)].push(entry);
         }
         let texts = rows.iter().map(|entries| encode(entries)).enumerate();
         ChangedRows(
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -235,6 +235,7 @@
     };
     let zero = at("w0");
     let look = crossweir::cell::order::Look {
+        born: None,
         clock: next.now,
         running: vec![crossweir::cell::order::RunningEntry {
             task: zero.task,
@@ -246,6 +247,7 @@
         ended: Vec::new(),
     };
     let empty = crossweir::cell::order::Look {
+        born: None,
         clock: next.now,
         ..Default::default()
     };
@@ -297,7 +299,7 @@
     let (_, roster) = bench.cell.roster();
     let ids: Vec<&str> = roster
         .iter()
-        .map(|entry| entry.worker.id.as_str())
+        .map(|entry| entry.worker.life.id.as_str())
         .collect();
     assert_eq!(ids, ["w0"]);
 }
@@ -574,7 +576,7 @@
     // Assert: the next owner must wait for it as well.
     let (_, roster) = cell.roster();
     assert!(
-        roster.iter().any(|entry| entry.worker.id == "w9"),
+        roster.iter().any(|entry| entry.worker.life.id == "w9"),
         "{roster:?}"
     );
 }
@@ -642,7 +644,7 @@
         ids.collect::<Vec<JobId>>()
     };
     assert_eq!(job_of(&early), [JobId(2)]);
-    let entry = passed_on.iter().find(|entry| entry.worker.id == "w1");
+    let entry = passed_on.iter().find(|entry| entry.worker.life.id == "w1");
     let jobs = entry.and_then(|entry| entry.jobs.clone());
     assert_eq!(jobs, Some(vec![JobId(1)]), "a third owner must know");
     assert_eq!(job_of(&late), [JobId(1)]);
@@ -712,6 +714,7 @@
     let order = bench.cell.look_order(key, bench.now + 1);
     let order = order.expect("a known worker");
     let overtaken = Look {
+        born: None,
         clock: order.sent,
         running: vec![RunningEntry {
             task: start.task,
@@ -770,6 +773,7 @@
         saved: String::new(),
     };
     let mut look = Look {
+        born: None,
         clock: bench.now,
         running: Vec::new(),
         ended: vec![end],
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use crossweir::cell::job::JobState;
+use crossweir::cell::life::Life;
 use crossweir::cell::name::TaskName;
 use crossweir::cell::order::{
     AdviceOrder, EndEntry, EndKind, Look, Order, RunningEntry, StartOrder, StartOutcome, StopOrder,
@@ -52,7 +53,7 @@
 /// A worker with 16 cores.
 pub fn worker(number: u16) -> WorkerEntry {
     WorkerEntry {
-        id: format!("w{number}"),
+        life: Life::of(format!("w{number}")),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
         machine: format!("m{number}"),
         service: SERVICE.to_owned(),
@@ -236,6 +237,7 @@
                 figure: None,
             });
         let look = Look {
+            born: None,
             clock: self.now,
             running: running.collect(),
             ended: self.ends[&key].clone(),
@@ -254,6 +256,7 @@
     pub fn hear_of(&mut self, key: WorkerKey, running: Vec<RunningEntry>, ended: Vec<EndEntry>) {
         self.now += 10;
         let look = Look {
+            born: None,
             clock: self.now,
             running,
             ended,
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -162,7 +162,7 @@
             ..queue
         });
         let entries: Vec<WorkerEntry> = (0..WORKERS).map(worker_with_gpus).collect();
-        let ids = entries.iter().map(|entry| entry.id.clone());
+        let ids = entries.iter().map(|entry| entry.life.id.clone());
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
             now: 1_000,
@@ -290,7 +290,8 @@
         if self.chance(1) && self.rng.random_ratio(1, 2) {
             let place = self.rng.random_range(0..self.entries.len());
             let until = self.now + self.rng.random_range(200..8_000);
-            self.cut_until.insert(self.entries[place].id.clone(), until);
+            self.cut_until
+                .insert(self.entries[place].life.id.clone(), until);
         }
     }
 
@@ -357,7 +358,7 @@
 
     /// A life of a worker is over, with all that runs there.
     fn end_life(&mut self, place: usize) {
-        let id = &self.entries[place].id;
+        let id = &self.entries[place].life.id;
         let mut former = self.workers.remove(id).expect("a worker");
         former.settle(self.now);
         let going = former.history.iter().filter(|run| run.ended.is_none());
@@ -374,10 +375,10 @@
 
     fn begin_life(&mut self, place: usize) {
         let entry = &mut self.entries[place];
-        entry.id = format!("w{}", self.lives);
+        entry.life.id = format!("w{}", self.lives);
         self.lives += 1;
         self.workers
-            .insert(entry.id.clone(), MemoryWorker::default());
+            .insert(entry.life.id.clone(), MemoryWorker::default());
         let entry = entry.clone();
         self.owner.cell.list_worker(entry, self.now);
     }
@@ -385,7 +386,7 @@
     /// A worker has begun a task that crashes it.
     fn crash_worker(&mut self, order: &StartOrder) {
         *self.crash_starts.entry(order.task).or_default() += 1;
-        let place = self.entries.iter().position(|e| e.id == order.to.id);
+        let place = self.entries.iter().position(|e| e.life.id == order.to.id);
         let place = place.expect("a worker that is up");
         self.end_life(place);
         let down = self.rng.random_range(TICK..MOST_DOWN);
@@ -630,7 +631,7 @@
         let good = order.workers.iter().filter(|(_, id)| {
             let sum: u64 = id.bytes().map(u64::from).sum();
             let bad = (sum + order.name.job.0 + u64::from(order.name.step)).is_multiple_of(3);
-            *id == self.entries[0].id || !bad
+            *id == self.entries[0].life.id || !bad
         });
         let tickets = good.map(|(_, id)| (id.clone(), String::from("ticket")));
         let tickets: Vec<(String, String)> = tickets.collect();
@@ -690,7 +691,9 @@
 
     /// Tells whether a life of a worker is over and the next one is not up yet.
     fn is_down(&self, id: &str) -> bool {
-        self.back.keys().any(|&place| self.entries[place].id == id)
+        self.back
+            .keys()
+            .any(|&place| self.entries[place].life.id == id)
     }
 
     fn stop(&mut self, order: StopOrder) {
--- a/tests/crashing_tasks.rs
+++ b/tests/crashing_tasks.rs
@@ -72,7 +72,7 @@
             ..queue("q", 0)
         };
         let entries: Vec<WorkerEntry> = (0..WORKERS).map(worker).collect();
-        let ids = entries.iter().map(|entry| entry.id.clone());
+        let ids = entries.iter().map(|entry| entry.life.id.clone());
         let mut site = Self {
             now: 1_000,
             epoch: 0,
@@ -177,7 +177,7 @@
 
     /// A life of a worker is over; its entry stays until the next one writes.
     fn crash(&mut self, id: &str) {
-        let place = self.entries.iter().position(|entry| entry.id == id);
+        let place = self.entries.iter().position(|entry| entry.life.id == id);
         let place = place.expect("a listed worker");
         self.workers.remove(id);
         self.crashes += 1;
@@ -189,11 +189,11 @@
         let due: Vec<usize> = self.back.iter().filter_map(due).collect();
         for place in due {
             self.back.remove(&place);
-            self.entries[place].id = format!("w{}", self.lives);
+            self.entries[place].life.id = format!("w{}", self.lives);
             self.lives += 1;
             let entry = self.entries[place].clone();
             self.workers
-                .insert(entry.id.clone(), MemoryWorker::default());
+                .insert(entry.life.id.clone(), MemoryWorker::default());
             self.cell.list_worker(entry, self.now);
         }
     }
@@ -350,7 +350,11 @@
     // Act: every 2 s half of the workers crash, each time before the longer tasks are done.
     for _ in 0..3 {
         site.pass(2_000);
-        let half = site.entries.iter().step_by(2).map(|entry| entry.id.clone());
+        let half = site
+            .entries
+            .iter()
+            .step_by(2)
+            .map(|entry| entry.life.id.clone());
         for id in half.collect::<Vec<String>>() {
             if site.workers.contains_key(&id) {
                 site.crash(&id);
@@ -375,7 +379,7 @@
     for _ in 0..5 {
         let holder = site.holder_of_culprit();
         site.workers.remove(&holder);
-        site.entries.retain(|entry| entry.id != holder);
+        site.entries.retain(|entry| entry.life.id != holder);
         let now = site.now;
         site.cell.unlist_worker(&holder, now);
         site.pass(4_500);
--- a/tests/ends_under_load.rs
+++ b/tests/ends_under_load.rs
@@ -234,6 +234,7 @@
     // Act: it has ended, behind as many ends as are listed at once.
     bench.now += 100;
     let look = Look {
+        born: None,
         clock: bench.now,
         running: Vec::new(),
         ended: strange_ends(ENDS_AT_ONCE),
--- a/tests/fencing.rs
+++ b/tests/fencing.rs
@@ -37,6 +37,7 @@
         figure: None,
     };
     let look = Look {
+        born: None,
         clock: bench.now,
         running: vec![entry],
         ended: Vec::new(),
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -412,7 +412,7 @@
     let q = queue("q", 0);
     let lapses = Lapses {
         epoch: 3,
-        within: [(worker(0).id, 100)].into(),
+        within: [(worker(0).life.id, 100)].into(),
     };
     let row = job(7, &q, vec![step(1, 1_000)]);
     let starts_after_lapse = |epoch| {
--- a/tests/late_lists.rs
+++ b/tests/late_lists.rs
@@ -76,6 +76,7 @@
 /// A list that a worker writes now.
 fn list(bench: &Bench, running: &[RunningEntry], ended: &[EndEntry]) -> Look {
     Look {
+        born: None,
         clock: bench.now,
         running: running.to_vec(),
         ended: ended.to_vec(),
--- a/tests/listed_lives.rs
+++ b/tests/listed_lives.rs
@@ -13,6 +13,7 @@
 mod cell_core;
 
 use cell_core::{Bench, configuration, job, queue, starts, step, worker};
+use crossweir::cell::life::Life;
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::cell::{Cell, WorkerKey};
@@ -20,7 +21,7 @@
 /// The entry of a former life of the first worker.
 fn former_life() -> WorkerEntry {
     WorkerEntry {
-        id: String::from("former"),
+        life: Life::of("former"),
         ..worker(0)
     }
 }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -84,7 +84,7 @@
     let mut tx = Transaction::default();
     for number in 0..2 {
         let entry = worker(number);
-        let key = RowKey::new(Table::Workers, "", &entry.id);
+        let key = RowKey::new(Table::Workers, "", &entry.life.id);
         tx.puts.push((key, encode(&entry)));
     }
     node.store.commit(&tx);
--- a/tests/presumed_over.rs
+++ b/tests/presumed_over.rs
@@ -9,6 +9,7 @@
     Bench, configuration, job, listed_end, listed_run, queue, starts, step, stops, worker,
 };
 use crossweir::cell::Cell;
+use crossweir::cell::life::Life;
 use crossweir::cell::order::{EndEntry, EndKind, Look, LookFailure};
 use crossweir::cell::record::JobRow;
 use crossweir::cell::roster::RosterEntry;
@@ -31,7 +32,7 @@
 /// a crash, so the platform lists both.
 fn life(id: &str) -> WorkerEntry {
     WorkerEntry {
-        id: id.to_owned(),
+        life: Life::of(id),
         ..worker(0)
     }
 }
@@ -86,7 +87,7 @@
 
     // Act: the list is read anew, with an earlier life at the same address still in it.
     let stale = WorkerEntry {
-        id: String::from("v"),
+        life: Life::of("v"),
         ..worker(number)
     };
     bench
@@ -235,7 +236,7 @@
     let (_, entries) = bench.cell.roster();
 
     // Assert.
-    let listed = entries.iter().any(|entry| entry.worker.id == "w0");
+    let listed = entries.iter().any(|entry| entry.worker.life.id == "w0");
     assert!(!listed, "a successor would wait for it with all jobs");
 }
 
@@ -272,6 +273,7 @@
     let (first, other) = (bench.worker(0), bench.worker(1));
     bench.now += 10;
     let answer = Look {
+        born: None,
         clock: bench.now,
         running: vec![listed_run(KNOWN, 5)],
         ended: Vec::new(),
--- a/tests/told_lapses.rs
+++ b/tests/told_lapses.rs
@@ -83,7 +83,7 @@
     bench.pass(10);
 
     // Act: the store is away, so its entry lapses, and it falls silent to this owner.
-    bench.cell.unlist_worker(&worker(0).id, bench.now);
+    bench.cell.unlist_worker(&worker(0).life.id, bench.now);
     bench
         .cell
         .look_failed(key, LookFailure::Unanswered, bench.now);
--- a/tests/unread_jobs.rs
+++ b/tests/unread_jobs.rs
@@ -138,7 +138,9 @@
 /// The roster's entry of the first worker.
 fn entry(bench: &Bench) -> Option<RosterEntry> {
     let (_, entries) = bench.cell.roster();
-    entries.into_iter().find(|entry| entry.worker.id == "w0")
+    entries
+        .into_iter()
+        .find(|entry| entry.worker.life.id == "w0")
 }
 
 #[test]
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -283,7 +283,7 @@
     node.shared.adopt_config(config, "test");
     let mut tx = Transaction::default();
     for entry in workers {
-        let key = RowKey::new(Table::Workers, "", &entry.id);
+        let key = RowKey::new(Table::Workers, "", &entry.life.id);
         tx.puts.push((key, encode(entry)));
     }
     node.store.commit(&tx);
