A worker of the core stands for one life; its orders carry an epoch of that life

Cause: what an owner keeps of a worker was kept by its id. A worker that started again under its id inherited the count of ends, so its own ends were dropped and forgotten; clock, lease, losses and places were inherited as well.

Change: a look that another life answers replaces the worker by one that begins empty; answers to the former one find nobody. Starts that may have reached the new life go over to it until its first list tells. The epochs of owners lie 16 apart, and each further life of a worker takes one of those between, so the new life refuses late orders meant for the former one. While a worker is silent, or listed with another start, nothing is forgotten there. Losses and doubts name lives. Workers coming and going have a module of their own.

Tests that expected the second owner's epoch to be the first one's plus one now expect tuning::next_epoch of it, as strictly.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -8,10 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cell::job::{JobState, Phase, Run, Task};
+use crate::cell::job::{JobState, Run, Task};
+use crate::cell::life::Life;
 use crate::cell::order::StartOutcome;
 use crate::cell::sequence::Sequence;
-use crate::cell::worker::Worker;
 use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
@@ -31,8 +31,11 @@
 pub struct Loss {
     /// The run's number.
     pub run: u64,
-    /// The life of the worker; whoever hears it again knows that it did not crash.
+    /// The id of the worker.
     pub worker: String,
+    /// When its life started; whoever hears that life again knows that it did not crash.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: Option<Millis>,
     /// The machine, so that the next try is made on another one.
     pub machine: String,
     /// What speaks for it being to blame.
@@ -64,6 +67,15 @@
     run: u64,
 }
 
+impl Loss {
+    fn life(&self) -> Life {
+        Life {
+            id: self.worker.clone(),
+            born: self.born,
+        }
+    }
+}
+
 impl Run {
     /// Tells whether its start was not answered by a time, or only just before.
     pub(super) fn is_fresh(&self, then: Millis) -> bool {
@@ -168,7 +180,7 @@
         let (step, index, number) = (run.step, run.index, run.number);
         let unanswered = run.begun.is_none();
         let entry = &self.workers[run.worker].entry;
-        let (worker, machine) = (entry.life.id.clone(), entry.machine.clone());
+        let (life, machine) = (entry.life.clone(), entry.machine.clone());
         let job = &mut self.jobs[self.steps[step].job];
         let losses = &mut self.steps[step].tasks[index as usize].losses;
         if job.state.is_final() || losses.iter().any(|loss| loss.run == number) {
@@ -177,7 +189,8 @@
         job.dirty = true;
         losses.push(Loss {
             run: number,
-            worker: worker.clone(),
+            worker: life.id.clone(),
+            born: life.born,
             machine: machine.clone(),
             blame,
             unanswered,
@@ -185,7 +198,7 @@
             recorded: false,
         });
         let place = self.loss_key(key);
-        self.doubt(worker, machine, place, now);
+        self.doubt(life, machine, place, now);
     }
 
     fn loss_key(&self, key: RunKey) -> LossKey {
@@ -197,8 +210,8 @@
         }
     }
 
-    fn doubt(&mut self, worker: String, machine: String, place: LossKey, now: Millis) {
-        let doubt = self.doubts.entry(worker).or_insert_with(|| Doubt {
+    fn doubt(&mut self, life: Life, machine: String, place: LossKey, now: Millis) {
+        let doubt = self.doubts.entry(life).or_insert_with(|| Doubt {
             machine,
             since: now,
             places: Vec::new(),
@@ -216,12 +229,14 @@
         }
         let worker = &mut self.workers[key];
         worker.suspected = false;
-        let id = worker.entry.life.id.clone();
-        self.drop_doubt(&id);
+        let life = worker.entry.life.clone();
+        // An owner that did not know when the life started may have noted it so.
+        self.drop_doubt(&Life::of(life.id.as_str()));
+        self.drop_doubt(&life);
     }
 
-    fn drop_doubt(&mut self, id: &str) {
-        let Some(doubt) = self.doubts.remove(id) else {
+    fn drop_doubt(&mut self, life: &Life) {
+        let Some(doubt) = self.doubts.remove(life) else {
             return;
         };
         for place in doubt.places {
@@ -229,11 +244,11 @@
         }
     }
 
-    /// A life of a worker is over: whatever is noted of it has crashed with it, but for starts
-    /// whose answer is still awaited.
-    pub(super) fn confirm_crash(&mut self, id: &str, awaited: &[RunKey], now: Millis) {
+    /// A life of a worker is over: whatever is noted of it has crashed with it, but for starts of
+    /// which it is not known yet whether it had carried them out.
+    pub(super) fn confirm_crash(&mut self, life: &Life, awaited: &[RunKey], now: Millis) {
         let awaited: Vec<LossKey> = awaited.iter().map(|&key| self.awaited[key]).collect();
-        let Some(doubt) = self.doubts.remove(id) else {
+        let Some(doubt) = self.doubts.remove(life) else {
             return;
         };
         for place in doubt.places {
@@ -243,16 +258,25 @@
         }
     }
 
-    /// The starts on a worker whose answer is still awaited; it may say that they never began.
-    pub(super) fn await_starts(&mut self, key: WorkerKey) -> Vec<RunKey> {
-        let runs = self.workers[key].runs.iter().copied();
-        let sent = runs.filter(|&run| self.runs[run].phase == Phase::Sent);
-        let sent: Vec<RunKey> = sent.collect();
-        for &key in &sent {
-            let place = self.loss_key(key);
-            self.awaited.insert(key, place);
+    /// It shows later whether a start was carried out by the life that is over.
+    pub(super) fn await_verdict(&mut self, key: RunKey) {
+        let place = self.loss_key(key);
+        self.awaited.insert(key, place);
+    }
+
+    /// A run is found in a life of its worker that goes on.
+    pub(super) fn has_survived(&mut self, key: RunKey) {
+        if let Some(place) = self.awaited.remove(key) {
+            self.forget_losses(place.step, place.index, |loss| loss.run == place.run);
+        }
+    }
+
+    /// A start whose worker was lost is found nowhere: if it was carried out, then by the life that
+    /// is over.
+    pub(super) fn begins_no_more(&mut self, key: RunKey, now: Millis) {
+        if let Some(place) = self.awaited.remove(key) {
+            self.count_crash(place, now);
         }
-        sent
     }
 
     /// The answer to a start came after its worker had been lost.
@@ -304,19 +328,29 @@
         }
         let mut crashed = Vec::new();
         let mut faded = Vec::new();
-        for (id, doubt) in &self.doubts {
-            let of_machine = |worker: &Worker| worker.entry.machine == doubt.machine;
-            if !self.worker_ids.contains_key(id) && self.workers.values().any(of_machine) {
-                crashed.push(id.clone());
+        for (life, doubt) in &self.doubts {
+            if self.is_over(life, &doubt.machine) {
+                crashed.push(life.clone());
             } else if now.saturating_sub(doubt.since) > tuning::VERDICT_WAIT {
-                faded.push(id.clone());
+                faded.push(life.clone());
             }
         }
-        for id in crashed {
-            self.confirm_crash(&id, &[], now);
+        for life in crashed {
+            self.confirm_crash(&life, &[], now);
         }
-        for id in faded {
-            self.drop_doubt(&id);
+        for life in faded {
+            self.drop_doubt(&life);
+        }
+    }
+
+    /// Tells whether another life of its machine proves that a life is over.
+    fn is_over(&self, life: &Life, machine: &str) -> bool {
+        match self.worker_ids.get(&life.id).map(|&key| &self.workers[key]) {
+            Some(worker) => worker.fenced && worker.entry.life.differs_from(life.born),
+            None => self
+                .workers
+                .values()
+                .any(|worker| worker.entry.machine == machine),
         }
     }
 
@@ -336,7 +370,7 @@
         for loss in losses.iter().filter(|loss| !loss.crashed) {
             let run = loss.run;
             let place = LossKey { step, index, run };
-            self.doubt(loss.worker.clone(), loss.machine.clone(), place, now);
+            self.doubt(loss.life(), loss.machine.clone(), place, now);
         }
     }
 
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -10,7 +10,7 @@
 use crate::cell::progress::Progress;
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{JobId, JobSpec, Step};
-use crate::cell::{JobKey, RunKey, StepKey, WorkerKey};
+use crate::cell::{JobKey, RunKey, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 use crate::policy::Ordering;
 use crate::queue::Queue;
@@ -185,6 +185,8 @@
     pub index: u32,
     /// The worker.
     pub worker: WorkerKey,
+    /// The life of the worker that the start was meant for.
+    pub sent_to: WorkerKey,
     /// Rises with each start of the task.
     pub number: u64,
     /// How sure it is that it goes on.
@@ -211,6 +213,12 @@
 }
 
 impl Run {
+    /// Tells whether a worker's answer to the start shows another clock than the one by which it
+    /// was sent: that one has begun anew, and so has the worker.
+    pub(super) fn is_of_other_clock(&self, clock: Millis) -> bool {
+        clock + tuning::START_VALID + tuning::LEASE_MARGIN < self.expires
+    }
+
     /// The worker has confirmed that the run began; the first time that was heard counts.
     pub(super) fn has_begun(&mut self, heard: Sequence, now: Millis) {
         self.phase = Phase::Running;
--- a/src/cell/lapse.rs
+++ b/src/cell/lapse.rs
@@ -50,7 +50,7 @@
 
     /// Takes in what the former owner told, after its roster.
     pub fn expect_lapses(&mut self, lapses: &Lapses, now: Millis) {
-        if lapses.epoch + 1 != self.epoch {
+        if tuning::next_epoch(lapses.epoch) != self.epoch {
             return;
         }
         for (id, within) in &lapses.within {
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -3,9 +3,11 @@
 use std::collections::HashSet;
 
 use crate::cell::job::{Phase, Run};
+use crate::cell::membership::LostBy;
 use crate::cell::name::TaskName;
 use crate::cell::order::{EndEntry, EndKind, Look, LookFailure, LookOrder, Refusal, RunningEntry};
-use crate::cell::{Cell, LostBy, RunKey, WorkerKey, tuning};
+use crate::cell::worker::Worker;
+use crate::cell::{Cell, RunKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
 impl Cell {
@@ -20,18 +22,10 @@
             // A later look was answered first; whatever matters here is told again.
             return;
         }
-        if worker.entry.life.differs_from(look.born) {
-            tracing::info!(
-                worker = %worker.entry.life,
-                born = look.born,
-                clock = look.clock,
-                ends = worker.seen_end,
-                forgotten = order.forget,
-                running = look.running.len(),
-                ended = look.ended.len(),
-                "another life of the worker answers"
-            );
+        if self.is_of_another_life(order, look, now) {
+            return;
         }
+        let worker = &mut self.workers[key];
         // Of two lists that were on their way at once either may be the older one: it must
         // neither bring back a run that has ended nor hide work that waits for its job.
         let newest = worker.list_heard < order.sequence;
@@ -48,12 +42,19 @@
         self.clear_doubts(key, order.sequence);
         let worker = &mut self.workers[key];
         if first {
+            self.counts.unread_ends += u64::from(misses_ends(worker, look));
+            // What was begun there under the clock of a former life has the longest lease.
+            let inherits = !worker.runs.is_empty() || !look.running.is_empty();
+            worker.lease_end = 0;
+            if worker.former.epochs() > 0 && inherits {
+                worker.lease_sent(now, tuning::LONGEST_LEASE);
+            }
             // A former owner may have renewed the lease just now: without this a task was
             // started again 0.4 s before its first run could be over.
             worker.lease_sent(now, tuning::LEASE);
             tracing::info!(
-                worker = worker.entry.life.id,
-                epoch = self.epoch,
+                worker = %worker.entry.life,
+                epoch = order.to.epoch,
                 running = look.running.len(),
                 ended = look.ended.len(),
                 "worker answers under our epoch"
@@ -268,6 +269,7 @@
             step: step_key,
             index: entry.task.index,
             worker,
+            sent_to: worker,
             number: entry.number,
             phase: Phase::Running,
             answered: now,
@@ -283,6 +285,7 @@
     }
 
     fn take_progress(&mut self, key: RunKey, entry: &RunningEntry, clock: Millis, now: Millis) {
+        self.has_survived(key);
         let run = &mut self.runs[key];
         run.has_begun(self.workers[run.worker].list_heard, now);
         run.note_progress(entry.percent, clock, now);
@@ -318,7 +321,10 @@
             .collect();
         for run_key in unlisted {
             let run = &self.runs[run_key];
+            let is_inherited = run.sent_to != key;
             let over = match run.phase {
+                // It refuses by now what was meant for the former life.
+                _ if is_inherited => self.workers[key].rest_until <= now,
                 Phase::Sent => false,
                 Phase::Running => run.begun.is_some_and(|heard| heard < sent),
                 Phase::Doubtful => {
@@ -335,7 +341,17 @@
             let worker = &self.workers[key];
             tracing::info!(request = %task.step.job, %task, run = run.number, phase = ?run.phase, worker = %worker.entry.life, clock, ends = worker.seen_end, forgotten, "run is not there");
             self.remove_run(run_key);
+            self.begins_no_more(run_key, now);
             self.break_gang(step, now, "a member of the gang is not there");
         }
     }
 }
+
+/// Tells whether a life that has not answered before has forgotten ends: they are numbered from one.
+fn misses_ends(worker: &Worker, look: &Look) -> bool {
+    let missing = worker.former.epochs() > 0 && look.ended.first().is_some_and(|end| end.place > 1);
+    if missing {
+        tracing::error!(worker = %worker.entry.life, first = look.ended[0].place, "a worker has forgotten ends that nobody has read");
+    }
+    missing
+}
--- /dev/null
+++ b/src/cell/membership.rs
@@ -0,0 +1,303 @@
+//! Workers that come, change and are lost.
+//!
+//! A [`Worker`] stands for one life.  When another one answers under its id it is replaced by one
+//! that begins empty, and whatever is on its way to the former life finds nobody.  What outlives a
+//! life is passed on by [`Worker::next_life`] alone (see "Lives" in `docs/DESIGN.md`;
+//! docs/incidents/workers-that-start-again.md).
+
+use crate::cell::job::Phase;
+use crate::cell::order::{Look, LookOrder};
+use crate::cell::worker::{FormerLives, NextLife, Worker, WorkerEntry};
+use crate::cell::{Cell, RunKey, WorkerKey};
+use crate::clock::Millis;
+
+/// What shows that a life of a worker is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LostBy {
+    /// The platform has just listed another life of its machine.
+    Restart,
+    /// Another life answers at its address.
+    OtherLife,
+    /// It is neither listed nor heard, so it may have been removed or cut off.
+    Silence,
+}
+
+impl LostBy {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Restart => "restarted",
+            Self::OtherLife => "another life answers",
+            Self::Silence => "not listed and silent",
+        }
+    }
+}
+
+impl Cell {
+    /// Nothing is placed until the platform's list of workers has come.
+    pub fn await_list(&mut self) {
+        self.awaits_list = true;
+    }
+
+    /// The platform lists these workers now, all of them.
+    ///
+    /// The entry of a crashed life stays for some heartbeats, and a list does not tell which of
+    /// two lives is the newer: both are kept, and the one that is over says so when looked at.
+    pub fn list_workers(&mut self, entries: Vec<WorkerEntry>, now: Millis) {
+        self.awaits_list = false;
+        for worker in self.workers.values_mut() {
+            worker.unlisted_since.get_or_insert(now);
+        }
+        for entry in entries {
+            self.take_entry(entry, now);
+        }
+    }
+
+    /// The platform has just written the entry of this worker.
+    pub fn list_worker(&mut self, entry: WorkerEntry, now: Millis) {
+        if !self.worker_ids.contains_key(&entry.life.id) {
+            self.end_former_life(&entry, now);
+        }
+        self.take_entry(entry, now);
+    }
+
+    pub(super) fn take_entry(&mut self, entry: WorkerEntry, now: Millis) {
+        match self.worker_ids.get(&entry.life.id) {
+            Some(&key) if self.workers[key].entry.life.differs_from(entry.life.born) => {
+                self.expect_life(key, entry);
+            }
+            Some(&key) => self.renew_entry(key, entry, now),
+            None => self.insert_worker(entry, now),
+        }
+    }
+
+    fn renew_entry(&mut self, key: WorkerKey, entry: WorkerEntry, now: Millis) {
+        let worker = &mut self.workers[key];
+        if entry.leaving.is_some() && worker.leaving_since.is_none() {
+            worker.leaving_since = Some(now);
+            tracing::info!(worker = entry.life.id, remaining = ?entry.leaving, "worker leaves");
+        }
+        worker.unlisted_since = None;
+        worker.distrusted = false;
+        worker.next = None;
+        let born = entry.life.born.or(worker.entry.life.born);
+        worker.entry = entry;
+        worker.entry.life.born = born;
+    }
+
+    fn insert_worker(&mut self, entry: WorkerEntry, now: Millis) {
+        tracing::info!(worker = %entry.life, address = %entry.address, "worker listed");
+        let id = entry.life.id.clone();
+        let mut worker = Worker::new(entry);
+        worker.leaving_since = worker.entry.leaving.map(|_| now);
+        worker.follow(self.former_lives.remove(&id).unwrap_or_default(), now);
+        let key = self.workers.insert(worker);
+        self.worker_ids.insert(id, key);
+    }
+
+    /// The platform lists another life under the id of a worker.  The entry may be older than what
+    /// the worker itself says, so only its answer decides; it is looked at where the entry says.
+    fn expect_life(&mut self, key: WorkerKey, entry: WorkerEntry) {
+        let listed = self.next_sequence();
+        let worker = &mut self.workers[key];
+        if worker
+            .next
+            .as_ref()
+            .is_none_or(|next| next.entry.life != entry.life)
+        {
+            tracing::info!(
+                worker = %worker.entry.life,
+                born = entry.life.born,
+                address = %entry.address,
+                ends = worker.seen_end,
+                runs = worker.runs.len(),
+                "another life of the worker is listed"
+            );
+        }
+        worker.unlisted_since = None;
+        worker.next = Some(NextLife {
+            entry,
+            listed,
+            is_passed_over: false,
+        });
+    }
+
+    /// Tells whether the answer to a look is another life's; if so, takes in that there is one.
+    pub(super) fn is_of_another_life(
+        &mut self,
+        order: &LookOrder,
+        look: &Look,
+        now: Millis,
+    ) -> bool {
+        let key = order.to.worker;
+        let worker = &mut self.workers[key];
+        if !worker.entry.life.differs_from(look.born) {
+            worker.entry.life.born = worker.entry.life.born.or(look.born);
+            // The worker says so later than the platform listed another one.
+            worker.next.take_if(|next| next.listed < order.sequence);
+            return false;
+        }
+        tracing::info!(
+            worker = %worker.entry.life,
+            born = look.born,
+            clock = look.clock,
+            ends = worker.seen_end,
+            forgotten = order.forget,
+            runs = worker.runs.len(),
+            running = look.running.len(),
+            ended = look.ended.len(),
+            "another life of the worker answers"
+        );
+        self.counts.other_lives += 1;
+        if !worker.fenced && worker.runs.is_empty() {
+            self.rename_life(key, look.born, now);
+            return false;
+        }
+        self.replace_life(order, look, now);
+        true
+    }
+
+    /// A worker that has not answered us before is another life than was recorded: nothing
+    /// rests on the former one yet.
+    fn rename_life(&mut self, key: WorkerKey, born: Option<Millis>, now: Millis) {
+        let worker = &mut self.workers[key];
+        let former = worker.entry.life.clone();
+        worker.become_life(born, now);
+        self.confirm_crash(&former, &[], now);
+    }
+
+    /// The life of a worker is over, since another one answers under its id.
+    ///
+    /// Orders name the id alone, so starts that were on their way to the former life may
+    /// have been carried out by the new one: those go over to it until its first list tells.  Without
+    /// that their tasks would be started again beside them.
+    fn replace_life(&mut self, order: &LookOrder, look: &Look, now: Millis) {
+        let key = order.to.worker;
+        let mut next = Worker::next_life(&self.workers[key], look.born, now);
+        if next.former.has(look.born) {
+            self.counts.rival_lives += 1;
+            tracing::error!(worker = %next.entry.life, "a former life of the worker answers again: two workers have one id");
+        }
+        let (listed, open) = self.runs_of_next_life(order, look);
+        if !open.is_empty() || !listed.is_empty() {
+            // A late start may begin there, and its time was meant for the former clock.
+            next.lease_end = now + FormerLives::LASTS;
+        }
+        let next_key = self.workers.insert(next);
+        for run in listed {
+            self.move_run(run, next_key);
+        }
+        self.note_losses(key, now);
+        for &run in &open {
+            self.await_verdict(run);
+            self.move_run(run, next_key);
+        }
+        self.drop_runs(key, now);
+        let Some(former) = self.remove_worker(key, now) else {
+            return;
+        };
+        self.former_lives.remove(&former.entry.life.id);
+        self.worker_ids
+            .insert(former.entry.life.id.clone(), next_key);
+        self.confirm_crash(&former.entry.life, &open, now);
+    }
+
+    /// The runs that the new life lists, and those whose start it may have carried out or may
+    /// carry out yet: it was not answered before the look was sent.
+    fn runs_of_next_life(&self, order: &LookOrder, look: &Look) -> (Vec<RunKey>, Vec<RunKey>) {
+        let key = order.to.worker;
+        let running = look.running.iter().map(|entry| (entry.task, entry.number));
+        let ended = look.ended.iter().map(|entry| (entry.task, entry.number));
+        let found = running.chain(ended);
+        let listed = found.filter_map(|(task, number)| self.find_run(key, task, number));
+        let listed: Vec<RunKey> = listed.collect();
+        let is_open = |run: &RunKey| {
+            let begun = self.runs[*run].begun;
+            !listed.contains(run) && begun.is_none_or(|heard| heard > order.sequence)
+        };
+        let runs = self.workers[key].runs.iter().copied();
+        let open = runs.filter(is_open).collect();
+        (listed, open)
+    }
+
+    /// A new life of a machine proves that the former ones are over.
+    fn end_former_life(&mut self, entry: &WorkerEntry, now: Millis) {
+        let former: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.entry.machine == entry.machine && w.entry.address == entry.address)
+            .map(|(key, _)| key)
+            .collect();
+        for key in former {
+            self.lose_worker(key, now, LostBy::Restart);
+        }
+    }
+
+    /// The newest entry of this worker cannot be read: what runs there goes on, and nothing more
+    /// is placed there until an entry can be read.
+    pub fn distrust_worker(&mut self, id: &str, now: Millis) {
+        if let Some(&key) = self.worker_ids.get(id) {
+            let worker = &mut self.workers[key];
+            worker.distrusted = true;
+            worker.unlisted_since.get_or_insert(now);
+        }
+    }
+
+    /// The platform does not list this worker any more.
+    pub fn unlist_worker(&mut self, id: &str, now: Millis) {
+        if let Some(&key) = self.worker_ids.get(id) {
+            tracing::info!(worker = id, "worker is not listed any more");
+            self.workers[key].unlisted_since.get_or_insert(now);
+        }
+    }
+
+    /// Everything on this worker is over, and this life does not come back.
+    pub fn lose_worker(&mut self, key: WorkerKey, now: Millis, reason: LostBy) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        tracing::info!(
+            worker = %worker.entry.life,
+            reason = reason.text(),
+            runs = worker.runs.len(),
+            "worker lost"
+        );
+        let crashed = reason != LostBy::Silence;
+        let awaited = if crashed {
+            self.await_starts(key)
+        } else {
+            Vec::new()
+        };
+        self.write_off(key, now);
+        let worker = self.remove_worker(key, now);
+        if let Some(worker) = worker.filter(|_| crashed) {
+            self.confirm_crash(&worker.entry.life, &awaited, now);
+        }
+    }
+
+    /// Forgets a worker, but for what its next life must know.
+    fn remove_worker(&mut self, key: WorkerKey, now: Millis) -> Option<Worker> {
+        for step in self.steps.values_mut() {
+            step.advice.tickets.remove(&key);
+            step.advice.bad.remove(&key);
+        }
+        let worker = self.workers.remove(key)?;
+        let id = &worker.entry.life.id;
+        self.worker_ids.remove(id);
+        self.roster += 1;
+        self.former_lives.retain(|_, former| !former.is_past(now));
+        let former = worker.former.and(&worker.entry.life, now);
+        self.former_lives.insert(id.clone(), former);
+        Some(worker)
+    }
+
+    /// The starts on a worker whose answer is still awaited; it may say that they never began.
+    fn await_starts(&mut self, key: WorkerKey) -> Vec<RunKey> {
+        let runs = self.workers[key].runs.iter().copied();
+        let sent = runs.filter(|&run| self.runs[run].phase == Phase::Sent);
+        let sent: Vec<RunKey> = sent.collect();
+        for &run in &sent {
+            self.await_verdict(run);
+        }
+        sent
+    }
+}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -11,6 +11,7 @@
 pub mod lapse;
 pub mod life;
 pub mod look;
+pub mod membership;
 pub mod name;
 pub mod order;
 pub mod progress;
@@ -33,10 +34,12 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 use crate::cell::job::{Job, JobState, Run, StepRun};
+use crate::cell::life::Life;
+use crate::cell::membership::LostBy;
 use crate::cell::order::{Addressee, LookOrder, Order, StopOrder};
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, JobId};
-use crate::cell::worker::{Worker, WorkerEntry};
+use crate::cell::worker::{FormerLives, Worker};
 use crate::clock::Millis;
 use crate::policy::{BuiltIn, Policy};
 use crate::queue::Configuration;
@@ -73,6 +76,12 @@
     pub adopted: u64,
     /// Runs under which a worker has crashed.
     pub crashes: u64,
+    /// Other lives found under the id of a worker.
+    pub other_lives: u64,
+    /// Lives that answered again after a later one of the same id.
+    pub rival_lives: u64,
+    /// Lives of which some ends were forgotten before anybody had read them.
+    pub unread_ends: u64,
 }
 
 /// A time that a job has waited, for metrics.
@@ -95,27 +104,6 @@
     End,
 }
 
-/// What shows that a life of a worker is over.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LostBy {
-    /// The platform has just listed another life of its machine.
-    Restart,
-    /// Another life answers at its address.
-    OtherLife,
-    /// It is neither listed nor heard, so it may have been removed or cut off.
-    Silence,
-}
-
-impl LostBy {
-    fn text(self) -> &'static str {
-        match self {
-            Self::Restart => "restarted",
-            Self::OtherLife => "another life answers",
-            Self::Silence => "not listed and silent",
-        }
-    }
-}
-
 /// The state of one cell in the hands of its owner.
 pub struct Cell {
     epoch: u64,
@@ -138,9 +126,11 @@
     unclaimed: HashMap<JobId, record::Progress>,
     /// Ends that other nodes told of, of jobs whose rows were not read yet.
     early_ends: HashMap<JobId, JobState>,
-    /// Runs that may have crashed a life of a worker, by its id.
-    doubts: HashMap<String, crash::Doubt>,
-    /// Starts whose worker was lost before they were answered.
+    /// What must be known of the lives of a worker that is not there, by its id.
+    former_lives: HashMap<String, FormerLives>,
+    /// Runs that may have crashed a life of a worker.
+    doubts: HashMap<Life, crash::Doubt>,
+    /// Starts whose worker was lost before it was known whether it had carried them out.
     awaited: SecondaryMap<RunKey, crash::LossKey>,
     incomplete: bool,
     steps: SlotMap<StepKey, StepRun>,
@@ -189,6 +179,7 @@
             ended: HashMap::new(),
             unclaimed: HashMap::new(),
             early_ends: HashMap::new(),
+            former_lives: HashMap::new(),
             doubts: HashMap::new(),
             awaited: SecondaryMap::new(),
             incomplete: false,
@@ -333,126 +324,6 @@
         }
     }
 
-    /// Nothing is placed until the platform's list of workers has come.
-    pub fn await_list(&mut self) {
-        self.awaits_list = true;
-    }
-
-    /// The platform lists these workers now, all of them.
-    ///
-    /// The entry of a crashed life stays for some heartbeats, and a list does not tell which of
-    /// two lives is the newer: both are kept, and the one that is over says so when looked at.
-    pub fn list_workers(&mut self, entries: Vec<WorkerEntry>, now: Millis) {
-        self.awaits_list = false;
-        for worker in self.workers.values_mut() {
-            worker.unlisted_since.get_or_insert(now);
-        }
-        for entry in entries {
-            self.take_entry(entry, now);
-        }
-    }
-
-    /// The platform has just written the entry of this worker.
-    pub fn list_worker(&mut self, entry: WorkerEntry, now: Millis) {
-        if !self.worker_ids.contains_key(&entry.life.id) {
-            self.end_former_life(&entry, now);
-        }
-        self.take_entry(entry, now);
-    }
-
-    fn take_entry(&mut self, entry: WorkerEntry, now: Millis) {
-        if let Some(&key) = self.worker_ids.get(&entry.life.id) {
-            let worker = &mut self.workers[key];
-            if entry.leaving.is_some() && worker.leaving_since.is_none() {
-                worker.leaving_since = Some(now);
-                tracing::info!(worker = entry.life.id, remaining = ?entry.leaving, "worker leaves");
-            }
-            if worker.entry.life.differs_from(entry.life.born) {
-                tracing::info!(
-                    worker = %worker.entry.life,
-                    born = entry.life.born,
-                    ends = worker.seen_end,
-                    runs = worker.runs.len(),
-                    "another life of the worker is listed"
-                );
-            }
-            worker.unlisted_since = None;
-            worker.distrusted = false;
-            worker.entry = entry;
-            return;
-        }
-        tracing::info!(worker = entry.life.id, address = %entry.address, "worker listed");
-        let id = entry.life.id.clone();
-        let leaving = entry.leaving.is_some();
-        let key = self.workers.insert(Worker::new(entry));
-        self.worker_ids.insert(id, key);
-        if leaving {
-            self.workers[key].leaving_since = Some(now);
-        }
-    }
-
-    /// A new life of a machine proves that the former ones are over.
-    fn end_former_life(&mut self, entry: &WorkerEntry, now: Millis) {
-        let former: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| w.entry.machine == entry.machine && w.entry.address == entry.address)
-            .map(|(key, _)| key)
-            .collect();
-        for key in former {
-            self.lose_worker(key, now, LostBy::Restart);
-        }
-    }
-
-    /// The newest entry of this worker cannot be read: what runs there goes on, and nothing more
-    /// is placed there until an entry can be read.
-    pub fn distrust_worker(&mut self, id: &str, now: Millis) {
-        if let Some(&key) = self.worker_ids.get(id) {
-            let worker = &mut self.workers[key];
-            worker.distrusted = true;
-            worker.unlisted_since.get_or_insert(now);
-        }
-    }
-
-    /// The platform does not list this worker any more.
-    pub fn unlist_worker(&mut self, id: &str, now: Millis) {
-        if let Some(&key) = self.worker_ids.get(id) {
-            tracing::info!(worker = id, "worker is not listed any more");
-            self.workers[key].unlisted_since.get_or_insert(now);
-        }
-    }
-
-    /// Everything on this worker is over, and it does not come back under this id.
-    pub fn lose_worker(&mut self, key: WorkerKey, now: Millis, reason: LostBy) {
-        let Some(worker) = self.workers.get(key) else {
-            return;
-        };
-        tracing::info!(
-            worker = worker.entry.life.id,
-            reason = reason.text(),
-            runs = worker.runs.len(),
-            "worker lost"
-        );
-        let crashed = reason != LostBy::Silence;
-        let awaited = if crashed {
-            self.await_starts(key)
-        } else {
-            Vec::new()
-        };
-        self.write_off(key, now);
-        if let Some(worker) = self.workers.remove(key) {
-            self.worker_ids.remove(&worker.entry.life.id);
-            self.roster += 1;
-            if crashed {
-                self.confirm_crash(&worker.entry.life.id, &awaited, now);
-            }
-        }
-        for step in self.steps.values_mut() {
-            step.advice.tickets.remove(&key);
-            step.advice.bad.remove(&key);
-        }
-    }
-
     /// Time passes: leases run out, stops are repeated, ownership settles.
     pub fn tick(&mut self, now: Millis) {
         self.settle(now);
@@ -490,14 +361,15 @@
         }
     }
 
-    /// Addresses a worker under our epoch.
+    /// Addresses a life of a worker under an epoch of its own, so that the next life refuses what
+    /// was meant for this one.
     fn addressee(&self, key: WorkerKey) -> Addressee {
-        let entry = &self.workers[key].entry;
+        let worker = &self.workers[key];
         Addressee {
             worker: key,
-            life: entry.life.clone(),
-            address: entry.address,
-            epoch: self.epoch,
+            life: worker.entry.life.clone(),
+            address: worker.address(),
+            epoch: self.epoch + worker.former.epochs(),
         }
     }
 
@@ -506,12 +378,17 @@
         let sequence = self.next_sequence();
         let look_wait = self.look_wait();
         let worker = self.workers.get(key)?;
-        let lasting_silence = worker.is_silent() || !worker.has_late_clock(now);
+        let lasting_silence = worker.is_unsure() || !worker.has_late_clock(now);
         let order = LookOrder {
             to: self.addressee(key),
             sequence,
             sent: now,
-            forget: worker.recorded_end,
+            // Another life would forget what nobody has read.
+            forget: if worker.is_unsure() {
+                0
+            } else {
+                worker.recorded_end
+            },
             due: match worker.clock_at(now) {
                 Some(clock) if !lasting_silence && !worker.sealed => Some(clock + tuning::LEASE),
                 _ => None,
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -155,8 +155,8 @@
     pub(super) fn will_take_work(&self, key: WorkerKey, now: Millis) -> bool {
         self.workers.get(key).is_some_and(|worker| {
             let leaves = worker.entry.leaving.is_some() || worker.is_gone(now);
-            let stays = !leaves && !worker.distrusted;
-            worker.listing == Listing::Usable && stays && !worker.is_silent()
+            let stays = !leaves && !worker.distrusted && worker.rest_until <= now;
+            worker.listing == Listing::Usable && stays && !worker.is_unsure()
         })
     }
 
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -1,9 +1,10 @@
 //! The life of a run: from its start to its end, or to being written off.
 
 use crate::cell::job::{JobState, Phase, Run, Stop};
+use crate::cell::membership::LostBy;
 use crate::cell::name::TaskName;
 use crate::cell::order::{EndEntry, EndKind, Refusal, StartOutcome};
-use crate::cell::{Cell, JobKey, LostBy, RunKey, StepKey, Waited, WorkerKey, tuning};
+use crate::cell::{Cell, JobKey, RunKey, StepKey, Waited, WorkerKey, tuning};
 use crate::clock::Millis;
 
 impl Cell {
@@ -39,15 +40,7 @@
         let step = &mut self.steps[step_key];
         step.tasks[index as usize].runs.push(key);
         let spec = step.step();
-        let worker = &mut self.workers[worker_key];
-        worker.used.add(&spec.room());
-        worker.serving += u32::from(spec.serves());
-        worker.trials += u32::from(is_trial);
-        if spec.filler {
-            worker.fillers += 1;
-            worker.filler_millicores += spec.demand.millicores;
-        }
-        worker.runs.push(key);
+        self.workers[worker_key].hold(key, spec, is_trial);
         let queue = &self.jobs[step.job].queue.name;
         let millicores = spec.room().millicores;
         match self.held.get_mut(queue) {
@@ -68,14 +61,7 @@
             .retain(|&other| other != key);
         let spec = step.step();
         if let Some(worker) = self.workers.get_mut(run.worker) {
-            worker.used = worker.used.minus(&spec.room());
-            worker.serving -= u32::from(spec.serves());
-            worker.trials -= u32::from(run.trial && !run.proven);
-            if spec.filler {
-                worker.fillers -= 1;
-                worker.filler_millicores -= spec.demand.millicores;
-            }
-            worker.runs.retain(|&other| other != key);
+            worker.release(key, spec, run.trial && !run.proven);
         }
         let queue = &self.jobs[step.job].queue.name;
         if let Some(held) = self.held.get_mut(queue) {
@@ -84,6 +70,19 @@
         Some(run)
     }
 
+    /// A run may go on in the next life of its worker.
+    pub(super) fn move_run(&mut self, key: RunKey, to: WorkerKey) {
+        let run = &mut self.runs[key];
+        let spec = self.steps[run.step].step();
+        let is_trial = run.trial && !run.proven;
+        self.workers[run.worker].release(key, spec, is_trial);
+        run.worker = to;
+        self.workers[to].hold(key, spec, is_trial);
+        if let Some(stop) = &mut run.stop {
+            stop.confirmed = None;
+        }
+    }
+
     /// Takes in what became of a start.
     pub fn start_answered(
         &mut self,
@@ -98,9 +97,16 @@
             return;
         };
         let worker_key = run.worker;
-        if let Some(clock) = clock {
+        // The life that it was meant for may be over, and another one have answered.
+        let is_present = run.sent_to == worker_key;
+        let is_other = is_present && clock.is_some_and(|clock| run.is_of_other_clock(clock));
+        if let Some(clock) = clock.filter(|_| is_present && !is_other) {
             self.workers[worker_key].clock = Some((clock, now));
         }
+        if is_other {
+            tracing::info!(worker = %self.workers[worker_key].entry.life, clock, "a start is answered by another clock");
+            self.workers[worker_key].fall_silent(now);
+        }
         let run = &mut self.runs[key];
         match outcome {
             StartOutcome::Started => {
@@ -116,7 +122,9 @@
                     run.phase = Phase::Doubtful;
                     run.doubted = Some(heard);
                 }
-                self.workers[worker_key].fall_silent(now);
+                if is_present {
+                    self.workers[worker_key].fall_silent(now);
+                }
                 let step = self.runs[key].step;
                 self.break_gang(step, now, "a start of the gang was not answered");
                 self.stop_run(key, now, "start was not answered");
@@ -138,8 +146,25 @@
             "start refused"
         );
         let (index, number) = (run.index, run.number);
+        let is_present = run.sent_to == worker_key;
         self.remove_run(key);
+        self.awaited.remove(key);
         self.forget_losses(step_key, index, |loss| loss.run == number);
+        if is_present {
+            self.worker_refuses(worker_key, step_key, index, refusal, now);
+        }
+        self.break_gang(step_key, now, "a member of the gang was refused");
+    }
+
+    /// A worker has refused a start that was meant for its present life.
+    fn worker_refuses(
+        &mut self,
+        worker_key: WorkerKey,
+        step_key: StepKey,
+        index: u32,
+        refusal: Refusal,
+        now: Millis,
+    ) {
         let worker = &mut self.workers[worker_key];
         match refusal {
             Refusal::Gone => self.lose_worker(worker_key, now, LostBy::OtherLife),
@@ -163,7 +188,6 @@
             }
             Refusal::Busy | Refusal::Epoch | Refusal::OldRun => {}
         }
-        self.break_gang(step_key, now, "a member of the gang was refused");
     }
 
     pub(super) fn job_begins(&mut self, key: JobKey) {
@@ -248,6 +272,7 @@
 
     /// Takes in the end of a run of ours.
     pub(super) fn run_ended(&mut self, key: RunKey, end: &EndEntry, now: Millis) {
+        self.has_survived(key);
         let Some(run) = self.remove_run(key) else {
             return;
         };
@@ -382,12 +407,20 @@
     /// All runs on a worker are over without a word.
     pub(super) fn write_off(&mut self, key: WorkerKey, now: Millis) {
         self.note_losses(key, now);
+        self.drop_runs(key, now);
+    }
+
+    /// Forgets all runs on a worker, whatever they are blamed for.
+    pub(super) fn drop_runs(&mut self, key: WorkerKey, now: Millis) {
         let runs = self.workers[key].runs.clone();
         self.log_lost_runs(key, &runs, now);
         for run_key in runs {
             let Some(run) = self.remove_run(run_key) else {
                 continue;
             };
+            if run.sent_to != key {
+                self.begins_no_more(run_key, now);
+            }
             self.break_gang(run.step, now, "a member of the gang is lost");
         }
         self.workers[key].forget_lists();
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -328,6 +328,7 @@
             step: key,
             index,
             worker: worker_key,
+            sent_to: worker_key,
             number,
             phase: Phase::Sent,
             answered: 0,
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -5,6 +5,14 @@
 /// The lease of everything on a worker.  Lost work starts again after this; each
 /// renewal costs a look.  3.5 s survives two lost looks of a second each.
 pub const LEASE: Millis = 3_500;
+/// The longest lease that a worker gives; the platform's figure.
+pub const LONGEST_LEASE: Millis = 10_000;
+/// An order that brought no answer is carried out no later than this; the platform's figure.
+pub const ORDERS_LATE: Millis = 12_000;
+/// The epochs of two owners lie so far apart: each further life of a worker under one owner takes
+/// one of those between.  A worker that starts again more often waits each time until no late order
+/// can reach it any more.  Small, since the numbers of runs grow with it.
+pub const LIVES_PER_EPOCH: u64 = 16;
 /// How long a start may still take effect.  A late start must find its time over,
 /// so this bounds how long its room is held back.
 pub const START_VALID: Millis = 2_500;
@@ -131,3 +139,9 @@
 /// Of all workers one in so many may hold a suspect, each for some 0.6 s: those that were merely
 /// beside a culprit wait for their turn.
 pub const WORKERS_PER_TRIAL: usize = 2;
+
+/// The epoch of the owner that follows on one of `epoch`.  Owners of a former version have epochs
+/// that follow one another without room for lives.
+pub const fn next_epoch(epoch: u64) -> u64 {
+    (epoch / LIVES_PER_EPOCH + 1) * LIVES_PER_EPOCH
+}
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -36,6 +36,70 @@
     pub leaving: Option<Millis>,
 }
 
+/// Another life of a worker, as the platform lists it.
+#[derive(Debug, Clone)]
+pub struct NextLife {
+    /// Its entry.
+    pub entry: WorkerEntry,
+    /// When that was read.
+    pub listed: Sequence,
+    /// The last look there brought nothing, so the next one goes where the present life was.
+    pub is_passed_over: bool,
+}
+
+/// The lives of a worker before the present one, as far as they are known to this owner.
+#[derive(Debug, Clone, Default)]
+pub struct FormerLives {
+    count: u64,
+    /// When the latest of them started.
+    born: Vec<Millis>,
+    /// When the last one was found to be over.
+    since: Millis,
+}
+
+impl FormerLives {
+    /// How long a former life can matter: its orders may come late, and what they start has the
+    /// longest lease.
+    pub const LASTS: Millis = tuning::ORDERS_LATE
+        + tuning::LONGEST_LEASE
+        + tuning::LONGEST_LEASE * tuning::DRIFT_PERMILLE / 1_000
+        + tuning::LEASE_MARGIN;
+
+    /// Those and one more.
+    pub fn and(&self, life: &Life, now: Millis) -> Self {
+        let kept = self.born.len().min(tuning::LIVES_PER_EPOCH as usize - 1);
+        let born = life
+            .born
+            .into_iter()
+            .chain(self.born[..kept].iter().copied());
+        Self {
+            count: self.count + 1,
+            born: born.collect(),
+            since: now,
+        }
+    }
+
+    /// How far above the owner's epoch the present life's lies.
+    pub fn epochs(&self) -> u64 {
+        self.count.min(tuning::LIVES_PER_EPOCH - 1)
+    }
+
+    /// Tells whether the present life has no epoch of its own any more.
+    pub fn is_spent(&self) -> bool {
+        self.count >= tuning::LIVES_PER_EPOCH
+    }
+
+    /// Tells whether one of them started then.
+    pub fn has(&self, born: Option<Millis>) -> bool {
+        born.is_some_and(|born| self.born.contains(&born))
+    }
+
+    /// Tells whether they matter no more.
+    pub fn is_past(&self, now: Millis) -> bool {
+        now.saturating_sub(self.since) > Self::LASTS
+    }
+}
+
 /// How far a worker's results can be trusted.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Health {
@@ -52,6 +116,12 @@
 pub struct Worker {
     /// What the platform lists.
     pub entry: WorkerEntry,
+    /// Another life of this id that the platform lists, and that has not answered yet.
+    pub next: Option<NextLife>,
+    /// The lives before this one.
+    pub former: FormerLives,
+    /// Nothing is placed there before: orders to a former life cannot be told from orders to this one.
+    pub rest_until: Millis,
     /// Since when the platform does not list it any more; none while it does.
     pub unlisted_since: Option<Millis>,
     /// Its newest entry could not be read, so nothing is placed there until one can.
@@ -125,6 +195,9 @@
     pub fn new(entry: WorkerEntry) -> Self {
         Self {
             entry,
+            next: None,
+            former: FormerLives::default(),
+            rest_until: 0,
             unlisted_since: None,
             distrusted: false,
             left: None,
@@ -160,6 +233,60 @@
         }
     }
 
+    /// Makes the life that follows on `former`: all that rests on a life begins anew.
+    ///
+    /// The roster names workers by id, so it covers the new life until it is recorded anew.  A
+    /// successor that was told that nothing more is done here may rely on it.
+    pub fn next_life(former: &Self, born: Option<Millis>, now: Millis) -> Self {
+        let mut next = Self::new(former.entry.clone());
+        next.unlisted_since = former.unlisted_since;
+        next.next.clone_from(&former.next);
+        next.become_life(born, now);
+        next.listing = former.listing;
+        next.rostered = former.rostered;
+        next.left.clone_from(&former.left);
+        next.left_until = former.left_until;
+        next.sealed = former.sealed;
+        next.follow(former.former.and(&former.entry.life, now), now);
+        next
+    }
+
+    /// This is the life that started at `born`.  Its room, labels and address are those of its
+    /// entry; until that is read nothing is placed there.
+    pub fn become_life(&mut self, born: Option<Millis>, now: Millis) {
+        let entry = self.next.take().map(|next| next.entry);
+        match entry.filter(|entry| entry.life.born == born) {
+            Some(entry) => self.entry = entry,
+            None => {
+                self.entry.life.born = born;
+                self.entry.leaving = None;
+                self.distrusted = true;
+            }
+        }
+        self.leaving_since = self.entry.leaving.map(|_| now);
+    }
+
+    /// Other lives came before this one.
+    pub fn follow(&mut self, former: FormerLives, now: Millis) {
+        if former.is_spent() || former.has(self.entry.life.born) {
+            self.rest_until = now + FormerLives::LASTS;
+        }
+        self.former = former;
+    }
+
+    /// Where it is looked at.
+    pub fn address(&self) -> SocketAddr {
+        match &self.next {
+            Some(next) if !next.is_passed_over => next.entry.address,
+            _ => self.entry.address,
+        }
+    }
+
+    /// Tells whether another life may answer the next call.
+    pub fn is_unsure(&self) -> bool {
+        self.is_silent() || self.next.is_some()
+    }
+
     /// Tells whether the last call brought no answer.
     pub fn is_silent(&self) -> bool {
         self.silent_since.is_some()
@@ -167,6 +294,9 @@
 
     /// A call brought no answer.
     pub fn fall_silent(&mut self, now: Millis) {
+        if let Some(next) = &mut self.next {
+            next.is_passed_over = !next.is_passed_over;
+        }
         self.silent_since.get_or_insert(now);
     }
 
@@ -204,6 +334,30 @@
         !(empty && (self.entry.leaving.is_some() || lost))
     }
 
+    /// A run takes its room here.
+    pub fn hold(&mut self, run: RunKey, step: &Step, is_trial: bool) {
+        self.used.add(&step.room());
+        self.serving += u32::from(step.serves());
+        self.trials += u32::from(is_trial);
+        if step.filler {
+            self.fillers += 1;
+            self.filler_millicores += step.demand.millicores;
+        }
+        self.runs.push(run);
+    }
+
+    /// A run gives its room back.
+    pub fn release(&mut self, run: RunKey, step: &Step, is_trial: bool) {
+        self.used = self.used.minus(&step.room());
+        self.serving -= u32::from(step.serves());
+        self.trials -= u32::from(is_trial);
+        if step.filler {
+            self.fillers -= 1;
+            self.filler_millicores -= step.demand.millicores;
+        }
+        self.runs.retain(|&other| other != run);
+    }
+
     /// The room that is free.
     pub fn free(&self) -> Demand {
         self.entry.capacity.minus(&self.used)
@@ -240,7 +394,8 @@
         self.fenced
             && !self.sealed
             && !self.distrusted
-            && !self.is_silent()
+            && !self.is_unsure()
+            && self.rest_until <= now
             && self.clock.is_some()
             && self.entry.leaving.is_none()
             && !self.is_gone(now)
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -12,6 +12,7 @@
 use futures::future::join_all;
 use tokio::task::JoinHandle;
 
+use crate::cell::tuning;
 use crate::clock::Millis;
 use crate::node::engine::Engine;
 use crate::node::heartbeat::{self, BEAT_TIMEOUT};
@@ -373,7 +374,7 @@
         name: shared.name.clone(),
         address: shared.address.to_string(),
         boot: shared.boot,
-        epoch: former.as_ref().map_or(0, |owner| owner.epoch) + 1,
+        epoch: tuning::next_epoch(former.as_ref().map_or(0, |owner| owner.epoch)),
         batch: 0,
         released: false,
     };
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -124,7 +124,11 @@
                 continue;
             }
             match self.look(key, LONGEST_LOOK).await {
-                Looked::Gone => return,
+                Looked::Gone => {
+                    // Another life may have taken its place, and waits for its first look.
+                    self.look_after_workers();
+                    return;
+                }
                 Looked::Answered => {
                     failures = 0;
                     self.pause_after_look(key).await;
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -227,7 +227,7 @@
         if !self.store_is_up() {
             return;
         }
-        self.epoch += 1;
+        self.epoch = tuning::next_epoch(self.epoch);
         let config = configuration(&self.queues);
         let mut cell = Cell::new(self.epoch, config, self.now);
         cell.set_lanes(&[true]);
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crossweir::cell::tuning;
 use crossweir::node::election;
 use crossweir::node::recording::OwnerRow;
 use crossweir::rpc::node::Beat;
@@ -45,7 +46,10 @@
 
     // Assert.
     let row = owner_row(&node).await;
-    assert_eq!((row.epoch, row.name.as_str()), (6, "n0"));
+    assert_eq!(
+        (row.epoch, row.name.as_str()),
+        (tuning::next_epoch(5), "n0")
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -111,7 +115,7 @@
     for _ in 0..50 {
         node.shared.hear(&Beat {
             strength,
-            epoch: 1,
+            epoch: tuning::next_epoch(0),
             ..started_beat()
         });
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -123,14 +127,14 @@
 async fn an_owner_gives_the_cell_up_to_a_far_stronger_node() {
     let node = owner_beside(500).await;
     let row = owner_row(&node).await;
-    assert!(row.released || row.epoch > 1, "{row:?}");
+    assert!(row.released || row.epoch > tuning::next_epoch(0), "{row:?}");
 }
 
 #[tokio::test(start_paused = true)]
 async fn an_owner_keeps_the_cell_beside_a_node_that_is_little_stronger() {
     let node = owner_beside(150).await;
     let row = owner_row(&node).await;
-    assert_eq!((row.epoch, row.released), (1, false));
+    assert_eq!((row.epoch, row.released), (tuning::next_epoch(0), false));
 }
 
 #[tokio::test(start_paused = true)]
@@ -160,7 +164,7 @@
     for _ in 0..50 {
         node.shared.hear(&Beat {
             strength: 500,
-            epoch: 1,
+            epoch: tuning::next_epoch(0),
             ..started_beat()
         });
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -251,7 +255,10 @@
 
     // Assert.
     let row = owner_row(&node).await;
-    assert_eq!((row.epoch, row.name.as_str()), (1, "n0"));
+    assert_eq!(
+        (row.epoch, row.name.as_str()),
+        (tuning::next_epoch(0), "n0")
+    );
     assert!(took < 4_000, "{took} ms");
 }
 
@@ -270,5 +277,8 @@
 
     // Assert.
     let row = owner_row(&node).await;
-    assert_eq!((row.epoch, row.name.as_str()), (6, "n0"));
+    assert_eq!(
+        (row.epoch, row.name.as_str()),
+        (tuning::next_epoch(5), "n0")
+    );
 }
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -36,6 +36,7 @@
 use crossweir::cell::record::JobRow;
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::{JobId, JobSpec, Step};
+use crossweir::cell::tuning;
 use crossweir::clock::{Clock, Millis};
 use crossweir::embedded::PlainDecoder;
 use crossweir::embedded::worker::{ENDLESS, MemoryWorkers};
@@ -196,7 +197,7 @@
     }
 
     async fn succeed(&mut self) {
-        self.epoch += 1;
+        self.epoch = tuning::next_epoch(self.epoch);
         self.engine = own(&self.node, self.epoch).await;
     }
 
@@ -433,6 +434,8 @@
     };
 
     // Act and assert.
-    assert_eq!(starts_after_lapse(4), 1, "the next owner");
-    assert_eq!(starts_after_lapse(5), 0, "one that follows another");
+    let next = tuning::next_epoch(3);
+    let later = tuning::next_epoch(next);
+    assert_eq!(starts_after_lapse(next), 1, "the next owner");
+    assert_eq!(starts_after_lapse(later), 0, "one that follows another");
 }
--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -16,6 +16,7 @@
 use crossweir::cell::record::{JobRow, Progress};
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::{JobId, Step};
+use crossweir::cell::tuning;
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::clock::Millis;
 use crossweir::embedded::worker::MemoryWorker;
@@ -92,7 +93,7 @@
 
     /// Another owner claims the cell and reads its rows.
     pub fn take_over(&mut self) {
-        self.epoch += 1;
+        self.epoch = tuning::next_epoch(self.epoch);
         let config = configuration(std::slice::from_ref(&self.queue));
         self.cell = Cell::new(self.epoch, config, self.now);
         self.cell.set_lanes(&[true]);
