A life that is lost and comes back is addressed above the epochs that it has seen

Cause, found in review: a worker that had started again has seen an epoch above the owner's own; once the platform dropped it for more than 22 s the count of its lives was forgotten, and it would have refused every order until the owner changed.

Change: the count is kept for workers that have had more than one life. The same life that comes back is no rival.

--- a/src/cell/membership.rs
+++ b/src/cell/membership.rs
@@ -173,7 +173,7 @@
     fn replace_life(&mut self, order: &LookOrder, look: &Look, now: Millis) {
         let key = order.to.worker;
         let mut next = Worker::next_life(&self.workers[key], look.born, now);
-        if next.former.has(look.born) {
+        if next.former.have_rival(look.born) {
             self.counts.rival_lives += 1;
             tracing::error!(worker = %next.entry.life, "a former life of the worker answers again: two workers have one id");
         }
@@ -286,7 +286,7 @@
         let id = &worker.entry.life.id;
         self.worker_ids.remove(id);
         self.roster += 1;
-        self.former_lives.retain(|_, former| !former.is_past(now));
+        self.former_lives.retain(|_, former| !former.are_past(now));
         let former = worker.former.and(&worker.entry.life, now);
         self.former_lives.insert(id.clone(), former);
         Some(worker)
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -51,7 +51,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct FormerLives {
     count: u64,
-    /// When the latest of them started.
+    /// When the latest of them started, the last one first.
     born: Vec<Millis>,
     /// When the last one was found to be over.
     since: Millis,
@@ -89,14 +89,17 @@
         self.count >= tuning::LIVES_PER_EPOCH
     }
 
-    /// Tells whether one of them started then.
-    pub fn has(&self, born: Option<Millis>) -> bool {
-        born.is_some_and(|born| self.born.contains(&born))
+    /// Tells whether one that another has followed started then: two workers have one id.
+    pub fn have_rival(&self, born: Option<Millis>) -> bool {
+        let followed = self.born.iter().skip(1);
+        born.is_some_and(|born| followed.into_iter().any(|&former| former == born))
     }
 
-    /// Tells whether they matter no more.
-    pub fn is_past(&self, now: Millis) -> bool {
-        now.saturating_sub(self.since) > Self::LASTS
+    /// Tells whether they matter no more: no late order can reach a further life, and the last one
+    /// has seen no epoch but the owner's own.  Others are kept, since a life that comes back
+    /// refuses lower ones.
+    pub fn are_past(&self, now: Millis) -> bool {
+        self.count <= 1 && now.saturating_sub(self.since) > Self::LASTS
     }
 }
 
@@ -268,7 +271,7 @@
 
     /// Other lives came before this one.
     pub fn follow(&mut self, former: FormerLives, now: Millis) {
-        if former.is_spent() || former.has(self.entry.life.born) {
+        if former.is_spent() || former.have_rival(self.entry.life.born) {
             self.rest_until = now + FormerLives::LASTS;
         }
         self.former = former;
--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -182,6 +182,30 @@
         self.cell.list_worker(entry, self.now);
     }
 
+    /// A worker goes on but is heard by nobody, and the platform drops its entry.
+    pub fn cut_off(&mut self, place: usize) -> Alive {
+        let id = &self.entries[place].life.id;
+        self.cell.unlist_worker(id, self.now);
+        self.alive.remove(id).expect("a worker that is up")
+    }
+
+    /// A worker that was cut off is heard and listed again.
+    pub fn heal(&mut self, place: usize, alive: Alive) {
+        let id = self.entries[place].life.id.clone();
+        self.alive.insert(id, alive);
+        self.list(place);
+    }
+
+    /// How many tasks of a job go on.
+    pub fn going(&mut self, id: JobId) -> usize {
+        let runs = self.ran();
+        let of_job = runs.iter().filter(|(task, _)| task.step.job == id);
+        of_job
+            .flat_map(|(_, runs)| runs)
+            .filter(|run| run.ended.is_none())
+            .count()
+    }
+
     /// A worker is down for a while, and is listed when it is back.
     pub fn restart(&mut self, place: usize, down: Millis) {
         self.end_life(place);
--- a/tests/worker_lives.rs
+++ b/tests/worker_lives.rs
@@ -68,3 +68,23 @@
     site.check();
     assert_eq!(site.state(id), Some(JobState::Failed));
 }
+
+#[test]
+fn a_worker_that_was_lost_and_comes_back_is_heard_again() {
+    // Arrange: a life that has seen an epoch of its own is cut off, and the platform drops it.
+    let mut site = worked_site(2);
+    site.restart(0, 100);
+    site.pass(500);
+    let cut = site.cut_off(0);
+    site.pass(60_000);
+
+    // Act
+    site.heal(0, cut);
+    site.pass(1_000);
+    let id = site.submit(900, vec![step(12, 4_000)]);
+    site.pass(700);
+
+    // Assert: two workers hold eight such tasks at once, one holds four.
+    assert_eq!(site.going(id), 8);
+    site.check();
+}
