--- a/src/cell/membership.rs
+++ b/src/cell/membership.rs
@@ -99,21 +99,23 @@
     fn expect_life(&mut self, key: WorkerKey, entry: WorkerEntry) {
         let listed = self.next_sequence();
         let worker = &mut self.workers[key];
-        if worker
+        worker.unlisted_since = None;
+        if let Some(next) = worker
             .next
-            .as_ref()
-            .is_none_or(|next| next.entry.life != entry.life)
+            .as_mut()
+            .filter(|next| next.entry.life == entry.life)
         {
-            tracing::info!(
-                worker = %worker.entry.life,
-                born = entry.life.born,
-                address = %entry.address,
-                ends = worker.seen_end,
-                runs = worker.runs.len(),
-                "another life of the worker is listed"
-            );
+            next.entry = entry;
+            return;
         }
-        worker.unlisted_since = None;
+        tracing::info!(
+            worker = %worker.entry.life,
+            born = entry.life.born,
+            address = %entry.address,
+            ends = worker.seen_end,
+            runs = worker.runs.len(),
+            "another life of the worker is listed"
+        );
         worker.next = Some(NextLife {
             entry,
             listed,
@@ -130,8 +132,8 @@
     ) -> bool {
         let key = order.to.worker;
         let worker = &mut self.workers[key];
-        if !worker.entry.life.differs_from(look.born) {
-            worker.entry.life.born = worker.entry.life.born.or(look.born);
+        if !worker.is_other_than(look.born) {
+            worker.is_life(look.born);
             // The worker says so later than the platform listed another one.
             worker.next.take_if(|next| next.listed < order.sequence);
             return false;
@@ -162,6 +164,7 @@
         let worker = &mut self.workers[key];
         let former = worker.entry.life.clone();
         worker.become_life(born, now);
+        worker.is_life(born);
         self.confirm_crash(&former, &[], now);
     }
 
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -141,6 +141,8 @@
     pub rostered: u64,
     /// It has answered under our epoch, so predecessors' orders are refused there.
     pub fenced: bool,
+    /// When it said to have started, if it has answered under our epoch.
+    told: Option<Millis>,
     /// When it last answered.
     pub heard: Millis,
     /// The latest look whose list was taken in: looks may overtake each other.
@@ -209,6 +211,7 @@
             listing: Listing::Absent,
             rostered: 0,
             fenced: false,
+            told: None,
             heard: 0,
             look_sent: Sequence::default(),
             list_heard: Sequence::default(),
@@ -254,6 +257,21 @@
         next
     }
 
+    /// Tells whether an answer by which it has started at `born` is another life's.  A process does
+    /// not begin or cease to tell, so one that does is another one; what it lists goes on anyway.
+    pub fn is_other_than(&self, born: Option<Millis>) -> bool {
+        if self.fenced {
+            return self.told != born;
+        }
+        self.entry.life.differs_from(born)
+    }
+
+    /// It has answered that it started at `born`.
+    pub fn is_life(&mut self, born: Option<Millis>) {
+        self.told = born;
+        self.entry.life.born = born.or(self.entry.life.born);
+    }
+
     /// This is the life that started at `born`.  Its room, labels and address are those of its
     /// entry; until that is read nothing is placed there.
     pub fn become_life(&mut self, born: Option<Millis>, now: Millis) {
--- a/src/embedded/worker.rs
+++ b/src/embedded/worker.rs
@@ -137,6 +137,11 @@
         self.due
     }
 
+    /// It tells from now on when it started, in Unix milliseconds.
+    pub fn tell(&mut self, born: Millis) {
+        self.born = Some(born);
+    }
+
     /// The highest epoch that it has seen.
     pub fn epoch(&self) -> u64 {
         self.epoch
--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -15,7 +15,7 @@
 };
 use crossweir::cell::record::{JobRow, Progress};
 use crossweir::cell::roster::RosterEntry;
-use crossweir::cell::spec::{JobId, Step};
+use crossweir::cell::spec::{Demand, JobId, Step};
 use crossweir::cell::tuning;
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::clock::Millis;
@@ -271,9 +271,29 @@
             return (StartOutcome::Refused(Refusal::NotSent), None);
         };
         let (outcome, clock) = alive.start(order, now);
+        if outcome == StartOutcome::Started {
+            self.check_room(&order.to.life.id);
+        }
         (outcome, Some(clock))
     }
 
+    /// No start takes a worker over the room that its present life has.
+    fn check_room(&self, id: &str) {
+        let entry = self.entries.iter().find(|entry| entry.life.id == id);
+        let capacity = entry.expect("a worker").capacity;
+        let going = self.alive[id].runs().filter(|run| run.ended.is_none());
+        let mut held = Demand::default();
+        for run in going {
+            let row = &self.rows[&run.task.step.job];
+            held.add(&row.spec.steps[usize::from(run.task.step.step)].demand);
+        }
+        assert!(
+            held.fits(&capacity),
+            "{id} holds {held:?} of {capacity:?} at {}",
+            self.now
+        );
+    }
+
     fn stop(&mut self, order: &StopOrder) {
         let now = self.now;
         let Some(alive) = self.alive.get_mut(&order.to.life.id) else {
--- a/tests/worker_lives.rs
+++ b/tests/worker_lives.rs
@@ -18,7 +18,10 @@
 
 use cell_core::step;
 use crossweir::cell::job::JobState;
-use lives::Site;
+use crossweir::cell::order::EndKind;
+use crossweir::embedded::worker::MemoryWorker;
+use lives::{Alive, EPOCH, Site};
+use yare::parameterized;
 
 /// Ends that the former life has listed, all of them recorded and forgotten.
 const FORMER_ENDS: u32 = 20;
@@ -88,3 +91,142 @@
     assert_eq!(site.going(id), 8);
     site.check();
 }
+
+/// What tells the owner first that another life has begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum First {
+    /// The platform lists it.
+    Row,
+    /// It answers a look.
+    Look,
+    /// It answers a start.
+    Start,
+}
+
+/// A worker starts again at once or after a silence, with half of its room and failing what it
+/// runs, while work goes on and waits; whatever the owner kept of the former life must not count.
+#[parameterized(
+    row = { First::Row, 0, true, false },
+    row_after_silence = { First::Row, 300, true, false },
+    row_without_store = { First::Row, 0, false, false },
+    row_after_silence_without_store = { First::Row, 300, false, false },
+    row_under_another_owner = { First::Row, 0, true, true },
+    row_after_silence_under_another_owner = { First::Row, 300, true, true },
+    look = { First::Look, 0, true, false },
+    look_after_silence = { First::Look, 300, true, false },
+    look_without_store = { First::Look, 0, false, false },
+    look_after_silence_without_store = { First::Look, 300, false, false },
+    look_under_another_owner = { First::Look, 0, true, true },
+    look_after_silence_under_another_owner = { First::Look, 300, true, true },
+    start = { First::Start, 0, true, false },
+    start_without_store = { First::Start, 0, false, false },
+    look_after_a_lease = { First::Look, 6_000, true, false },
+    look_after_a_lease_under_another_owner = { First::Look, 6_000, true, true },
+)]
+fn nothing_that_is_kept_of_a_life_counts_for_the_next(
+    first: First,
+    down: u64,
+    store_is_up: bool,
+    changes_owner: bool,
+) {
+    // Arrange: three workers full of work, and more that waits for room.
+    let mut site = worked_site(3);
+    let filling = site.submit(700, vec![step(24, 4_000)]);
+    site.pass(200);
+    site.store_is_up = store_is_up;
+
+    // Act
+    site.end_life(0);
+    site.pass(down);
+    site.entries[0].capacity.millicores /= 2;
+    site.begin_life(0);
+    site.alive
+        .values_mut()
+        .next()
+        .expect("a worker")
+        .memory
+        .fails = true;
+    if changes_owner {
+        site.take_over();
+    }
+    match first {
+        First::Row => site.list(0),
+        First::Look => {}
+        First::Start => {
+            let _ = site.submit(300, vec![step(2, 100)]);
+            site.decide();
+        }
+    }
+    site.pass(500);
+    site.list(0);
+    site.pass(2_000);
+    site.store_is_up = true;
+    for alive in site.alive.values_mut() {
+        alive.memory.fails = false;
+    }
+    let later = site.submit(300, vec![step(24, 1_000)]);
+    site.pass(12_000);
+
+    // Assert
+    site.check();
+    assert!(site.state(filling).is_some_and(JobState::is_final));
+    assert_eq!(site.state(later), Some(JobState::Succeeded));
+}
+
+#[test]
+fn a_life_that_begins_to_tell_of_its_start_goes_on() {
+    // Arrange: a worker that does not tell when it started runs four tasks.
+    let mut site = Site::new(1);
+    let silent = Alive::since(site.now, MemoryWorker::default());
+    site.entries[0].life.born = None;
+    site.alive.insert(site.entries[0].life.id.clone(), silent);
+    site.pass(200);
+    site.list(0);
+    site.pass(200);
+    let id = site.submit(600, vec![step(4, 1_000)]);
+    site.pass(300);
+
+    // Act
+    for alive in site.alive.values_mut() {
+        alive.memory.tell(EPOCH);
+    }
+    site.pass(3_000);
+
+    // Assert
+    site.check();
+    let runs = site.ran();
+    let of_job = runs.iter().filter(|(task, _)| task.step.job == id);
+    let ended: Vec<_> = of_job
+        .flat_map(|(_, runs)| runs)
+        .map(|run| run.ended.map(|end| end.1))
+        .collect();
+    assert_eq!(ended, [Some(EndKind::Done); 4]);
+    assert_eq!(site.state(id), Some(JobState::Succeeded));
+}
+
+#[test]
+fn two_workers_of_one_id_get_no_work_until_one_is_gone() {
+    // Arrange: each answers in turn, one of them after the other has followed it.
+    let mut site = worked_site(2);
+    site.restart(0, 0);
+    site.pass(500);
+    let life = site.entries[0].life.clone();
+    let second = site.cut_off(0);
+    let first = Alive::since(site.now, MemoryWorker::born_at(EPOCH + 1_000));
+    site.entries[0].life.born = Some(EPOCH + 1_000);
+    site.heal(0, first);
+    site.pass(500);
+    assert_eq!(site.cell.counts().rival_lives, 1);
+
+    // Act
+    let id = site.submit(900, vec![step(8, 4_000)]);
+    site.pass(300);
+
+    // Assert: only the other worker has room, until the first one has been alone for long.
+    assert_eq!(site.going(id), 4);
+    site.pass(30_000);
+    let later = site.submit(900, vec![step(8, 4_000)]);
+    site.pass(300);
+    assert_eq!(site.going(later), 8);
+    drop((life, second));
+}
