--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -3,10 +3,11 @@
 use std::collections::HashSet;
 
 use crate::cell::job::{Phase, Run};
+use crate::cell::life::FormerLives;
 use crate::cell::membership::LostBy;
 use crate::cell::name::TaskName;
 use crate::cell::order::{EndEntry, EndKind, Look, LookFailure, LookOrder, Refusal, RunningEntry};
-use crate::cell::worker::{FormerLives, Worker};
+use crate::cell::worker::Worker;
 use crate::cell::{Cell, RunKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
--- a/src/cell/membership.rs
+++ b/src/cell/membership.rs
@@ -6,8 +6,9 @@
 //! docs/incidents/workers-that-start-again.md).
 
 use crate::cell::job::Phase;
+use crate::cell::life::{FormerLives, NextLife};
 use crate::cell::order::{Look, LookOrder};
-use crate::cell::worker::{FormerLives, NextLife, Worker, WorkerEntry};
+use crate::cell::worker::{Worker, WorkerEntry};
 use crate::cell::{Cell, RunKey, WorkerKey};
 use crate::clock::Millis;
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -34,12 +34,12 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 use crate::cell::job::{Job, JobState, Run, StepRun};
-use crate::cell::life::Life;
+use crate::cell::life::{FormerLives, Life};
 use crate::cell::membership::LostBy;
 use crate::cell::order::{Addressee, LookOrder, Order, StopOrder};
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, JobId};
-use crate::cell::worker::{FormerLives, NextForget, Worker};
+use crate::cell::worker::{NextForget, Worker};
 use crate::clock::Millis;
 use crate::policy::{BuiltIn, Policy};
 use crate::queue::Configuration;
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cell::job::StepRun;
+use crate::cell::life::FormerLives;
 use crate::cell::spec::JobId;
-use crate::cell::worker::{FormerLives, Worker, WorkerEntry};
+use crate::cell::worker::{Worker, WorkerEntry};
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cell::life::Life;
+use crate::cell::life::{FormerLives, Life, NextLife};
 use crate::cell::roster::{LeftWork, Listing};
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, JobId, Step};
@@ -47,75 +47,6 @@
     UpTo(u64),
 }
 
-/// Another life of a worker, as the platform lists it.
-#[derive(Debug, Clone)]
-pub struct NextLife {
-    /// Its entry.
-    pub entry: WorkerEntry,
-    /// When that was read.
-    pub listed: Sequence,
-    /// The last look there brought nothing, so the next one goes where the present life was.
-    pub is_passed_over: bool,
-}
-
-/// The lives of a worker before the present one, as far as they are known to this owner.
-#[derive(Debug, Clone, Default)]
-pub struct FormerLives {
-    count: u64,
-    /// When the latest of them started, the last one first.
-    born: Vec<Millis>,
-    /// When the last one was found to be over.
-    since: Millis,
-}
-
-impl FormerLives {
-    /// How long a former life can matter: its orders may come late, and what they start has the
-    /// longest lease.
-    pub const LASTS: Millis = tuning::ORDERS_LATE + Self::LONGEST_LEASE;
-
-    /// The longest lease of a worker, by our clock.
-    pub const LONGEST_LEASE: Millis = tuning::LONGEST_LEASE
-        + tuning::LONGEST_LEASE * tuning::DRIFT_PERMILLE / 1_000
-        + tuning::LEASE_MARGIN;
-
-    /// Those and one more.
-    pub fn and(&self, life: &Life, now: Millis) -> Self {
-        let kept = self.born.len().min(tuning::LIVES_PER_EPOCH as usize - 1);
-        let born = life
-            .born
-            .into_iter()
-            .chain(self.born[..kept].iter().copied());
-        Self {
-            count: self.count + 1,
-            born: born.collect(),
-            since: now,
-        }
-    }
-
-    /// How far above the owner's epoch the present life's lies.
-    pub fn epochs(&self) -> u64 {
-        self.count.min(tuning::LIVES_PER_EPOCH - 1)
-    }
-
-    /// Tells whether the present life has no epoch of its own any more.
-    pub fn is_spent(&self) -> bool {
-        self.count >= tuning::LIVES_PER_EPOCH
-    }
-
-    /// Tells whether one that another has followed started then: two workers have one id.
-    pub fn have_rival(&self, born: Option<Millis>) -> bool {
-        let followed = self.born.iter().skip(1);
-        born.is_some_and(|born| followed.into_iter().any(|&former| former == born))
-    }
-
-    /// Tells whether they matter no more: no late order can reach a further life, and the last one
-    /// has seen no epoch but the owner's own.  Others are kept, since a life that comes back
-    /// refuses lower ones.
-    pub fn are_past(&self, now: Millis) -> bool {
-        self.count <= 1 && now.saturating_sub(self.since) > Self::LASTS
-    }
-}
-
 /// How far a worker's results can be trusted.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Health {
