--- a/tests/worker_lives.rs
+++ b/tests/worker_lives.rs
@@ -230,3 +230,64 @@
     assert_eq!(site.going(later), 8);
     drop((life, second));
 }
+
+/// A worker whose last ends are recorded, and which it has not been told to forget yet.
+fn site_with_recorded_ends() -> Site {
+    let mut site = worked_site(1);
+    site.pass(10_000);
+    let id = site.submit(50, vec![step(2, 1_000)]);
+    site.decide();
+    site.now += 60;
+    site.look_at_all();
+    site.record();
+    assert_eq!(site.state(id), Some(JobState::Succeeded));
+    site
+}
+
+#[test]
+fn nothing_is_forgotten_after_a_start_that_another_clock_has_answered() {
+    // Arrange
+    let mut site = site_with_recorded_ends();
+    let key = site.cell.worker_keys()[0];
+    let before = site.cell.look_order(key, site.now).expect("a worker");
+
+    // Act: the worker starts again unnoticed, and a start goes there before any look.
+    site.end_life(0);
+    site.begin_life(0);
+    let id = site.submit(300, vec![step(1, 1_000)]);
+    site.decide();
+    let after = site.cell.look_order(key, site.now).expect("a worker");
+
+    // Assert
+    assert_eq!(site.going(id), 1);
+    assert!(before.forget > 0);
+    assert_eq!((after.forget, after.due, after.wait), (0, None, 0));
+}
+
+#[test]
+fn a_worker_that_is_listed_with_another_start_is_asked_and_nothing_else() {
+    // Arrange
+    let mut site = site_with_recorded_ends();
+    let key = site.cell.worker_keys()[0];
+
+    // Act: the entry tells of another start; the worker has not answered yet.
+    let mut entry = site.entries[0].clone();
+    entry.life.born = Some(EPOCH + site.now);
+    entry.address.set_port(9_999);
+    site.cell.list_worker(entry.clone(), site.now);
+    let id = site.submit(300, vec![step(1, 1_000)]);
+    site.decide();
+    let look = site.cell.look_order(key, site.now).expect("a worker");
+
+    // Assert
+    assert_eq!(site.going(id), 0);
+    assert_eq!((look.forget, look.due, look.wait), (0, None, 0));
+    assert_eq!(look.to.address, entry.address);
+
+    // Act: the former life answers, so the entry was an old one.
+    site.answer_look(&look);
+    site.decide();
+
+    // Assert
+    assert_eq!(site.going(id), 1);
+}
