--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -8,7 +8,6 @@
 
 use crossweir::cell::Cell;
 use crossweir::cell::job::JobState;
-use crossweir::cell::life::Life;
 use crossweir::cell::name::TaskName;
 use crossweir::cell::order::{
     EndKind, Look, LookFailure, LookOrder, Order, Refusal, StartOrder, StartOutcome, StopOrder,
@@ -365,8 +364,3 @@
         }
     }
 }
-
-/// A life under this id that does not tell when it started.
-pub fn untold(id: &str) -> Life {
-    Life::of(id)
-}
--- a/tests/worker_lives.rs
+++ b/tests/worker_lives.rs
@@ -210,8 +210,7 @@
     let mut site = worked_site(2);
     site.restart(0, 0);
     site.pass(500);
-    let life = site.entries[0].life.clone();
-    let second = site.cut_off(0);
+    let _second = site.cut_off(0);
     let first = Alive::since(site.now, MemoryWorker::born_at(EPOCH + 1_000));
     site.entries[0].life.born = Some(EPOCH + 1_000);
     site.heal(0, first);
@@ -228,7 +227,6 @@
     let later = site.submit(900, vec![step(8, 4_000)]);
     site.pass(300);
     assert_eq!(site.going(later), 8);
-    drop((life, second));
 }
 
 /// A worker whose last ends are recorded, and which it has not been told to forget yet.
