A life that has told of ends is replaced, not renamed

Change: `Worker::is_blank` says when nothing rests on a life; only such a one is renamed in place, all others go through `Worker::next_life`.

--- a/src/cell/membership.rs
+++ b/src/cell/membership.rs
@@ -145,7 +145,7 @@
             "another life of the worker answers"
         );
         self.counts.other_lives += 1;
-        if !worker.fenced && worker.runs.is_empty() {
+        if worker.is_blank() {
             self.rename_life(key, look.born, now);
             return false;
         }
@@ -153,8 +153,7 @@
         true
     }
 
-    /// A worker that has not answered us before is another life than was recorded: nothing
-    /// rests on the former one yet.
+    /// A worker that has not answered us before is another life than was recorded.
     fn rename_life(&mut self, key: WorkerKey, born: Option<Millis>, now: Millis) {
         let listed = self.next_sequence();
         let worker = &mut self.workers[key];
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -216,6 +216,13 @@
         next
     }
 
+    /// Tells whether nothing rests on this life yet.  One that has replaced another has already told of
+    /// ends, before it has answered under its own epoch.
+    pub fn is_blank(&self) -> bool {
+        let has_told = self.seen_end > 0 || !self.taken_ends.is_empty() || self.holds_ends;
+        !self.fenced && !has_told && self.runs.is_empty()
+    }
+
     /// Tells whether an answer by which it has started at `born` is another life's.  A process does
     /// not begin or cease to tell, so one that does is another one; what it lists goes on anyway.
     pub fn is_other_than(&self, born: Option<Millis>) -> bool {
