--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -48,10 +48,8 @@
             worker.lease_end = 0;
             if may_have_foreign_lease(worker, look) {
                 worker.lease_sent(now, tuning::LONGEST_LEASE);
-                let is_used = !look.running.is_empty() || !look.ended.is_empty();
-                if is_used || !worker.runs.is_empty() {
-                    worker.long_until = worker.lease_end;
-                }
+                // Also while it is empty: what it is given later runs under that lease as well.
+                worker.long_until = worker.lease_end;
             }
             // A former owner may have renewed the lease just now: without this a task was
             // started again 0.4 s before its first run could be over.
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -123,6 +123,10 @@
             if has_long_lease != worker.has_long_lease {
                 worker.has_long_lease = has_long_lease;
                 self.roster += 1;
+                if has_long_lease {
+                    // Nothing starts there before a successor would know.
+                    worker.rostered = self.roster;
+                }
             }
             let wanted = wanted_listing(worker, self.settled, now);
             if wanted == worker.listing {
