Failing test: a start that another clock has answered has a longer lease than is believed

Cause, from the core's log: `a start is answered by another clock`, then no word from the worker, and 3.8 s later `lease ran out`: the life that took the start reckons its time by a clock that began anew, so it holds the longest lease.

--- a/tests/worker_lives.rs
+++ b/tests/worker_lives.rs
@@ -378,3 +378,31 @@
     site.check();
     assert_eq!(site.state(id), Some(JobState::Succeeded));
 }
+
+/// Seen in random runs: a task ran again after its end.  A start was answered by a life that began while
+/// it was on its way; by that clock its time lay far ahead, so it got the longest lease, while the owner
+/// went on with the lease that it had meant for the former life.
+#[test]
+fn a_start_that_another_clock_has_answered_has_the_longest_lease() {
+    // Arrange: the worker starts again unnoticed, and a start goes there before any look.
+    let mut site = worked_site(1);
+    site.pass(20_000);
+    site.end_life(0);
+    site.begin_life(0);
+    let id = site.submit(6_500, vec![step(1, 1_000)]);
+    site.decide();
+    assert_eq!(site.going(id), 1);
+
+    // Act: it is cut off, and another worker is there.
+    let alive = site.cut_off(0);
+    site.entries.push(worker(1));
+    site.begin_life(1);
+    site.list(1);
+    site.pass(12_000);
+    site.heal(0, alive);
+    site.pass(8_000);
+
+    // Assert
+    site.check();
+    assert_eq!(site.state(id), Some(JobState::Succeeded));
+}
