A start that another clock has answered counts as one with the longest lease

Change: such an answer is evidence of a next life, whose lease was given by the former clock; it counts as the longest, for a successor too. It costs nothing where lives have ids of their own: they refuse such a start.

--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -47,9 +47,7 @@
             self.counts.unread_ends += u64::from(misses_ends(worker, look));
             worker.lease_end = 0;
             if may_have_foreign_lease(worker, look) {
-                worker.lease_sent(now, tuning::LONGEST_LEASE);
-                // Also while it is empty: what it is given later runs under that lease as well.
-                worker.long_until = worker.lease_end;
+                worker.may_have_longest_lease(now);
             }
             // A former owner may have renewed the lease just now: without this a task was
             // started again 0.4 s before its first run could be over.
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -105,7 +105,9 @@
         }
         if is_other {
             tracing::info!(worker = %self.workers[worker_key].entry.life, clock, "a start is answered by another clock");
-            self.workers[worker_key].fall_silent(now);
+            let worker = &mut self.workers[worker_key];
+            worker.fall_silent(now);
+            worker.may_have_longest_lease(now);
         }
         let run = &mut self.runs[key];
         match outcome {
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -386,6 +386,13 @@
         self.lease_end = self.lease_end.max(now + longest);
     }
 
+    /// An order that was meant for another clock may have given it the longest lease.  What it is given
+    /// later runs under that lease as well, so a successor is told of it also while nothing runs.
+    pub fn may_have_longest_lease(&mut self, now: Millis) {
+        self.lease_sent(now, tuning::LONGEST_LEASE);
+        self.long_until = self.lease_end;
+    }
+
     /// Tells whether the platform has not listed it for so long that it counts as gone,
     /// though it may still answer: some workers leave without a word.
     pub fn is_gone(&self, now: Millis) -> bool {
