Suspects' starts are recorded first; a job is given up on evidence that its task began

Change: a suspect's start is recorded before it is sent, and so are those of jobs that a former owner knew once a life is over, or unheard for good, that it may have used. A lost life stays in the roster until what is noted of it is recorded, so that a successor finds out. At most one start of a task is forgotten, by construction. A task is given up after two crashes if something shows that its worker lived to begin it, after three if not. Doubts are cleared by looks that were sent after they were noted, and only if the start is barred.

The fixture of the core's tests records what it is told to record first; no assertion changed.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cell::job::{JobState, Run, Task};
+use crate::cell::job::{JobState, Phase, Run, Task};
 use crate::cell::life::Life;
 use crate::cell::order::StartOutcome;
 use crate::cell::sequence::Sequence;
@@ -40,11 +40,15 @@
     pub machine: String,
     /// What speaks for it being to blame.
     pub blame: Blame,
-    /// Its start was not answered.
+    /// Nothing shows that the worker lived to begin it: the start was not answered, nor was it a trial on a
+    /// worker that had been heard just before.
     #[serde(default)]
     pub unanswered: bool,
     /// The life is over for certain.
     pub crashed: bool,
+    /// The run was recorded before its start was sent, and nothing speaks against it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub planned: bool,
     /// A successor would know of it.
     #[serde(skip)]
     pub recorded: bool,
@@ -56,7 +60,15 @@
     machine: String,
     /// When the first of them was noted, by our clock.
     since: Millis,
-    places: Vec<LossKey>,
+    places: Vec<NotedLoss>,
+}
+
+/// A loss whose verdict is out.
+#[derive(Debug, Clone, Copy)]
+struct NotedLoss {
+    place: LossKey,
+    /// When it was noted: only the answer to a later look shows that the life has survived it.
+    noted: Sequence,
 }
 
 /// Where a loss is noted.
@@ -79,30 +91,33 @@
 impl Run {
     /// Tells whether its start was not answered by a time, or only just before.
     pub(super) fn is_fresh(&self, then: Millis) -> bool {
-        self.begun.is_none() || self.answered + tuning::FRESH >= then
+        let is_sent = self.phase != Phase::Planned;
+        is_sent && (self.begun.is_none() || self.answered + tuning::FRESH >= then)
     }
 }
 
 impl Task {
     /// Tells whether a start of it may have crashed a worker; it is tried by itself then.
     pub(super) fn is_suspect(&self) -> bool {
-        self.losses.iter().any(|loss| loss.blame != Blame::Late)
+        let speaks = |loss: &Loss| !loss.planned && loss.blame != Blame::Late;
+        self.losses.iter().any(speaks)
     }
 
-    /// Tells whether it may be started as far as its losses go.  One without an answer that the
-    /// store does not know of would be lost with its owner; and while the verdict on the last one would end the job,
-    /// that is awaited, or a worker that is slow to come back lets it crash one more.
+    /// Tells whether it may be started as far as its losses go.  While the verdict on the last one would
+    /// end the job, that is awaited, or a worker that is slow to come back lets it crash one more.
     pub(super) fn may_be_risked(&self) -> bool {
-        let known = |loss: &Loss| loss.recorded || !loss.unanswered;
         let may_count = |loss: &Loss| loss.crashed || loss.blame != Blame::Late;
-        self.losses.iter().all(known) && !self.is_hopeless(may_count)
+        !self.is_hopeless(may_count)
     }
 
     /// Tells whether the job is given up if those losses count which `counts` names.
     fn is_hopeless(&self, counts: impl Fn(&Loss) -> bool) -> bool {
         let counted = || self.losses.iter().filter(|loss| counts(loss));
-        let sole = counted().filter(|loss| loss.blame == Blame::Sole).count();
-        sole >= tuning::MOST_SOLE_CRASHES || counted().count() >= tuning::MOST_LOSSES
+        let sole = || counted().filter(|loss| loss.blame == Blame::Sole);
+        let shown = sole().filter(|loss| !loss.unanswered);
+        shown.count() >= tuning::MOST_SHOWN_CRASHES
+            || sole().count() >= tuning::MOST_SOLE_CRASHES
+            || counted().count() >= tuning::MOST_LOSSES
     }
 }
 
@@ -172,35 +187,71 @@
 
     fn young_runs(&self, key: WorkerKey) -> Vec<RunKey> {
         let runs = self.workers[key].runs.iter().copied();
-        runs.filter(|&run| !self.runs[run].proven).collect()
+        let is_young = |run: &RunKey| {
+            let run = &self.runs[*run];
+            run.phase != Phase::Planned && !run.proven
+        };
+        runs.filter(is_young).collect()
     }
 
     fn note_loss(&mut self, key: RunKey, blame: Blame, now: Millis) {
         let run = &self.runs[key];
-        let (step, index, number) = (run.step, run.index, run.number);
-        let unanswered = run.begun.is_none();
-        let entry = &self.workers[run.worker].entry;
-        let (life, machine) = (entry.life.clone(), entry.machine.clone());
+        let unanswered = run.begun.is_none() && !run.is_telling;
+        let loss = Loss {
+            blame,
+            unanswered,
+            ..self.loss_of(key)
+        };
+        let run = &self.runs[key];
+        let (step, index) = (run.step, run.index);
         let job = &mut self.jobs[self.steps[step].job];
         let losses = &mut self.steps[step].tasks[index as usize].losses;
-        if job.state.is_final() || losses.iter().any(|loss| loss.run == number) {
+        if job.state.is_final() {
             return;
         }
+        let (life, machine) = (loss.life(), loss.machine.clone());
+        match losses.iter_mut().find(|known| known.run == loss.run) {
+            Some(known) if known.planned => {
+                let recorded = known.recorded;
+                *known = Loss { recorded, ..loss };
+            }
+            Some(_) => return,
+            None => losses.push(loss),
+        }
         job.dirty = true;
-        losses.push(Loss {
-            run: number,
-            worker: life.id.clone(),
-            born: life.born,
-            machine: machine.clone(),
-            blame,
-            unanswered,
-            crashed: false,
-            recorded: false,
-        });
         let place = self.loss_key(key);
         self.doubt(life, machine, place, now);
     }
 
+    /// Notes a run whose start is recorded first.  Should the owner be lost, its successor knows of
+    /// the start but not whether it was sent, so it blames others as well.
+    pub(super) fn note_plan(&mut self, key: RunKey) {
+        let loss = Loss {
+            planned: true,
+            ..self.loss_of(key)
+        };
+        let run = &self.runs[key];
+        let step = &mut self.steps[run.step];
+        step.tasks[run.index as usize].losses.push(loss);
+        self.jobs[step.job].dirty = true;
+    }
+
+    fn loss_of(&self, key: RunKey) -> Loss {
+        let run = &self.runs[key];
+        let entry = &self.workers[run.worker].entry;
+        Loss {
+            run: run.number,
+            worker: entry.life.id.clone(),
+            born: entry.life.born,
+            machine: entry.machine.clone(),
+            blame: Blame::Shared,
+            unanswered: true,
+            crashed: false,
+            planned: false,
+            recorded: false,
+        }
+    }
+
     fn loss_key(&self, key: RunKey) -> LossKey {
         let run = &self.runs[key];
         LossKey {
@@ -211,19 +262,25 @@
     }
 
     fn doubt(&mut self, life: Life, machine: String, place: LossKey, now: Millis) {
+        let noted = self.next_sequence();
         let doubt = self.doubts.entry(life).or_insert_with(|| Doubt {
             machine,
             since: now,
             places: Vec::new(),
         });
-        doubt.places.push(place);
+        doubt.places.push(NotedLoss { place, noted });
     }
 
-    /// A worker has answered a look: what is noted of this life did not crash it, nor did a start
-    /// that was given up as unanswered before the look was sent.
+    /// A worker has answered a look: what was noted of this life before the look was sent did not crash
+    /// it, nor did a start that was given up as unanswered and barred by then.
     pub(super) fn clear_doubts(&mut self, key: WorkerKey, sent: Sequence) {
         for run in self.young_runs(key) {
-            if self.runs[run].doubted.is_some_and(|heard| heard < sent) {
+            if self.runs[run].doubted.is_none_or(|heard| heard >= sent) {
+                continue;
+            }
+            if self.may_begin_after(run, sent) {
+                self.tells_nothing(run);
+            } else {
                 self.is_not_to_blame(run);
             }
         }
@@ -231,15 +288,61 @@
         worker.suspected = false;
         let life = worker.entry.life.clone();
         // An owner that did not know when the life started may have noted it so.
-        self.drop_doubt(&Life::of(life.id.as_str()));
-        self.drop_doubt(&life);
+        self.clear_doubt(&Life::of(life.id.as_str()), sent);
+        self.clear_doubt(&life, sent);
     }
 
-    fn drop_doubt(&mut self, life: &Life) {
-        let Some(doubt) = self.doubts.remove(life) else {
+    /// A worker has outlived a start that may still come late: a crash of it shows nothing any more.
+    fn tells_nothing(&mut self, key: RunKey) {
+        let run = &mut self.runs[key];
+        run.is_telling = false;
+        let number = run.number;
+        let task = &mut self.steps[run.step].tasks[run.index as usize];
+        for loss in task.losses.iter_mut().filter(|loss| loss.run == number) {
+            loss.unanswered = true;
+        }
+    }
+
+    fn clear_doubt(&mut self, life: &Life, sent: Sequence) {
+        let Some(mut doubt) = self.doubts.remove(life) else {
             return;
         };
-        for place in doubt.places {
+        let is_open = |noted: &NotedLoss| {
+            let run = self.find_lost_run(noted.place);
+            noted.noted >= sent || run.is_some_and(|run| self.may_begin_after(run, sent))
+        };
+        let (open, clear) = doubt.places.into_iter().partition(is_open);
+        doubt.places = open;
+        if !doubt.places.is_empty() {
+            self.doubts.insert(life.clone(), doubt);
+        }
+        self.forget_noted(clear);
+    }
+
+    /// The run of a loss, if it may still go on.
+    fn find_lost_run(&self, place: LossKey) -> Option<RunKey> {
+        let task = &self.steps.get(place.step)?.tasks[place.index as usize];
+        let mut runs = task.runs.iter().copied();
+        runs.find(|&run| self.runs[run].number == place.run)
+    }
+
+    /// Tells whether a start without an answer may be carried out after a look was sent: no stop had
+    /// barred it by then.
+    fn may_begin_after(&self, key: RunKey, sent: Sequence) -> bool {
+        let run = &self.runs[key];
+        let barred = run.stop.and_then(|stop| stop.confirmed);
+        let is_barred = barred.is_some_and(|heard| heard < sent);
+        run.begun.is_none() && !is_barred
+    }
+
+    fn drop_doubt(&mut self, life: &Life) {
+        if let Some(doubt) = self.doubts.remove(life) {
+            self.forget_noted(doubt.places);
+        }
+    }
+
+    fn forget_noted(&mut self, losses: Vec<NotedLoss>) {
+        for NotedLoss { place, .. } in losses {
             self.forget_losses(place.step, place.index, |loss| loss.run == place.run);
         }
     }
@@ -251,7 +354,7 @@
         let Some(doubt) = self.doubts.remove(life) else {
             return;
         };
-        for place in doubt.places {
+        for NotedLoss { place, .. } in doubt.places {
             if !awaited.contains(&place) {
                 self.count_crash(place, now);
             }
@@ -302,6 +405,7 @@
             return;
         };
         loss.crashed = true;
+        loss.planned = false;
         let (worker, blame) = (loss.worker.clone(), loss.blame);
         let (losses, hopeless) = (task.losses.len(), task.is_hopeless(|loss| loss.crashed));
         // Of ten runs that were merely there nothing is to be told.
@@ -363,8 +467,10 @@
         losses: &[Loss],
         now: Millis,
     ) {
+        // What it had only noted may have been cleared since, and the record be late.
         let recorded = |loss: &Loss| Loss {
             recorded: true,
+            unanswered: loss.unanswered || !loss.crashed,
             ..loss.clone()
         };
         self.steps[step].tasks[index as usize].losses = losses.iter().map(recorded).collect();
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -54,6 +54,7 @@
             witnessed: false,
             since: now,
             predates: predates || self.incomplete,
+            careful: false,
             times: Default::default(),
             dirty: false,
         });
@@ -62,6 +63,7 @@
             let job = &mut self.jobs[key];
             job.state = progress.state;
             job.recorded = progress.state;
+            job.careful = progress.careful;
         }
         if self.jobs[key].state.is_final() {
             return;
@@ -75,6 +77,9 @@
             self.begin_recorded_times(key, progress);
             self.restore(key, progress, now);
         }
+        if self.forgets_starts {
+            self.starts_may_be_forgotten();
+        }
         if let Some(state) = self.early_ends.remove(&row.id) {
             self.take_early_end(key, state);
         }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -62,6 +62,8 @@
     pub since: Millis,
     /// A former owner may have started its tasks.
     pub predates: bool,
+    /// Starts of its tasks may have been forgotten with a former owner, so each is recorded first.
+    pub careful: bool,
     /// Its steps by time.
     pub times: BTreeMap<u32, Vec<StepKey>>,
     /// Its progress has changed since it was last recorded.
@@ -159,6 +161,8 @@
 /// How sure it is that a run goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
+    /// Nothing was sent yet: the start is recorded first.
+    Planned,
     /// The start is on its way.
     Sent,
     /// The start brought no answer: it may run, or begin later.
@@ -198,6 +202,8 @@
     pub begun: Option<Sequence>,
     /// When it was heard that the start brought no answer.
     pub doubted: Option<Sequence>,
+    /// It is tried by itself on a worker that had been heard just before its start was sent.
+    pub is_telling: bool,
     /// By the worker's clock, when the start can no longer take effect.
     pub expires: Millis,
     /// It goes on from saved progress.
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -276,6 +276,7 @@
             answered: now,
             begun: Some(self.workers[worker].list_heard),
             doubted: None,
+            is_telling: false,
             expires: 0,
             restored: false,
             progress: Default::default(),
@@ -326,7 +327,7 @@
             let over = match run.phase {
                 // It refuses by now what was meant for the former life.
                 _ if is_inherited => self.workers[key].rest_until <= now,
-                Phase::Sent => false,
+                Phase::Planned | Phase::Sent => false,
                 Phase::Running => run.begun.is_some_and(|heard| heard < sent),
                 Phase::Doubtful => {
                     let barred = run.stop.and_then(|stop| stop.confirmed);
@@ -341,7 +342,12 @@
             let task = self.steps[step].task_name(index);
             let worker = &self.workers[key];
             tracing::info!(request = %task.step.job, %task, run = run.number, phase = ?run.phase, worker = %worker.entry.life, clock, ends = worker.seen_end, forgotten, "run is not there");
+            let number = run.number;
             self.remove_run(run_key);
+            if !is_inherited {
+                // Its life goes on without it.
+                self.forget_losses(step, index, |loss| loss.run == number);
+            }
             self.begins_no_more(run_key, now);
             self.break_gang(step, now, "a member of the gang is not there");
         }
--- a/src/cell/membership.rs
+++ b/src/cell/membership.rs
@@ -161,6 +161,9 @@
         let former = worker.entry.life.clone();
         worker.become_life(born, now);
         worker.is_life(born);
+        if worker.left.is_some() {
+            self.starts_may_be_forgotten();
+        }
         self.confirm_crash(&former, &[], now);
     }
 
@@ -214,7 +217,8 @@
         let listed: Vec<RunKey> = listed.collect();
         let is_open = |run: &RunKey| {
             let begun = self.runs[*run].begun;
-            !listed.contains(run) && begun.is_none_or(|heard| heard > order.sequence)
+            let may_begin = begun.is_none_or(|heard| heard > order.sequence);
+            may_begin && !self.is_planned(*run) && !listed.contains(run)
         };
         let runs = self.workers[key].runs.iter().copied();
         let open = runs.filter(is_open).collect();
@@ -291,6 +295,10 @@
             step.advice.bad.remove(&key);
         }
         let worker = self.workers.remove(key)?;
+        if !worker.fenced && worker.left.is_some() {
+            self.starts_may_be_forgotten();
+        }
+        self.keep_lost_life(&worker);
         let id = &worker.entry.life.id;
         self.worker_ids.remove(id);
         self.roster += 1;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod name;
 pub mod order;
+mod plan;
 pub mod progress;
 pub mod record;
 mod reservation;
@@ -60,6 +61,8 @@
 pub struct Counts {
     /// Starts ordered.
     pub starts: u64,
+    /// Starts that were recorded before they were ordered.
+    pub planned: u64,
     /// Stops ordered.
     pub stops: u64,
     /// Questions about where a step may run.
@@ -132,6 +135,12 @@
     doubts: HashMap<Life, crash::Doubt>,
     /// Starts whose worker was lost before it was known whether it had carried them out.
     awaited: SecondaryMap<RunKey, crash::LossKey>,
+    /// Runs whose start is recorded before it is sent.
+    planned: Vec<RunKey>,
+    /// Starts of jobs that a former owner knew may be forgotten.
+    forgets_starts: bool,
+    /// Lives that were lost and stay in the roster until what is noted of them is recorded.
+    lost: Vec<roster::RosterEntry>,
     incomplete: bool,
     steps: SlotMap<StepKey, StepRun>,
     runs: SlotMap<RunKey, Run>,
@@ -182,6 +191,9 @@
             former_lives: HashMap::new(),
             doubts: HashMap::new(),
             awaited: SecondaryMap::new(),
+            planned: Vec::new(),
+            forgets_starts: false,
+            lost: Vec::new(),
             incomplete: false,
             steps: SlotMap::with_key(),
             runs: SlotMap::with_key(),
--- /dev/null
+++ b/src/cell/plan.rs
@@ -0,0 +1,142 @@
+//! Starts that are recorded before they are sent.
+//!
+//! What an owner has started and not recorded is forgotten with it, so a task that crashes its
+//! workers could be started once by each of many owners that are lost soon after.  A start is
+//! recorded first if its task is under suspicion, or if a worker is over of which the former owner
+//! may have told nothing.  So no more than one start of a task is ever forgotten, however
+//! many owners are lost (docs/DESIGN.md, "Tasks that crash their workers").
+
+use crate::cell::job::Phase;
+use crate::cell::{Cell, RunKey, StepKey, tuning};
+use crate::clock::Millis;
+
+impl Cell {
+    /// Tells whether a start of a task is recorded before it is sent.
+    pub(super) fn is_recorded_first(&self, key: StepKey, index: u32) -> bool {
+        self.jobs[self.steps[key].job].careful || self.is_tried(key, index)
+    }
+
+    /// A life that the former owner may have used is over, or unheard for good: what it had started
+    /// there, and not recorded, is forgotten.
+    pub(super) fn starts_may_be_forgotten(&mut self) {
+        self.forgets_starts = true;
+        let jobs = self.jobs.values_mut();
+        for job in jobs.filter(|job| job.predates && !job.careful && !job.state.is_final()) {
+            job.careful = true;
+            job.dirty = true;
+        }
+    }
+
+    /// Notes a run whose start is to be recorded; it holds its room from here on.
+    pub(super) fn plan(&mut self, key: RunKey) {
+        self.counts.planned += 1;
+        self.planned.push(key);
+        self.note_plan(key);
+    }
+
+    /// How many more starts of a step may be recorded first: a job's row is bounded.
+    pub(super) fn plans_left(&self, key: StepKey) -> usize {
+        let job = self.steps[key].job;
+        let planned = self.planned.iter().filter_map(|&run| self.runs.get(run));
+        let of_job = planned.filter(|run| self.steps[run.step].job == job);
+        tuning::MOST_PLANNED.saturating_sub(of_job.count())
+    }
+
+    /// Sends the starts that are recorded, and drops those whose place is no longer good.
+    pub(super) fn send_planned(&mut self, now: Millis) {
+        for key in std::mem::take(&mut self.planned) {
+            if !self.is_planned(key) {
+                continue;
+            }
+            if !self.can_start(key, now) {
+                self.drop_plan(key);
+            } else if self.is_plan_recorded(key) && self.is_trial_telling(key, now) {
+                self.send_start(key, now);
+            } else {
+                self.planned.push(key);
+            }
+        }
+    }
+
+    pub(super) fn is_planned(&self, key: RunKey) -> bool {
+        let run = self.runs.get(key);
+        run.is_some_and(|run| run.phase == Phase::Planned)
+    }
+
+    /// Tells whether a successor would know of a planned start, and of those of all of its gang.
+    fn is_plan_recorded(&self, key: RunKey) -> bool {
+        let run = &self.runs[key];
+        let step = &self.steps[run.step];
+        let is_recorded = |index: usize| {
+            let mut losses = step.tasks[index].losses.iter();
+            losses.any(|loss| loss.run == run.number && loss.recorded)
+        };
+        if step.step().gang {
+            (0..step.tasks.len()).all(is_recorded)
+        } else {
+            is_recorded(run.index as usize)
+        }
+    }
+
+    /// Tells whether a crash would show that it was this start: the worker has been heard just before.
+    /// Its next look is not far, and a trial that tells nothing costs one more crash.
+    fn is_trial_telling(&self, key: RunKey, now: Millis) -> bool {
+        let run = &self.runs[key];
+        let step = &self.steps[run.step];
+        !run.trial || step.step().gang || self.workers[run.worker].was_heard_lately(true, now)
+    }
+
+    /// Tells whether a planned start can still be sent, to each member of its gang.
+    fn can_start(&self, key: RunKey, now: Millis) -> bool {
+        let step = self.runs[key].step;
+        if !self.steps[step].step().gang {
+            return self.is_place_good(key, now);
+        }
+        let members = self.steps[step].tasks.iter().flat_map(|task| &task.runs);
+        let planned = members.filter(|&&run| self.is_planned(run));
+        planned.into_iter().all(|&run| self.is_place_good(run, now))
+    }
+
+    fn is_place_good(&self, key: RunKey, now: Millis) -> bool {
+        let run = &self.runs[key];
+        let step = &self.steps[run.step];
+        let job = &self.jobs[step.job];
+        let task = &step.tasks[run.index as usize];
+        let worker = &self.workers[run.worker];
+        let is_permitted = job.queue.advice.is_none()
+            || step
+                .advice
+                .tickets
+                .get(&run.worker)
+                .is_some_and(|ticket| ticket.expires > now + tuning::TICKET_MARGIN);
+        !job.state.is_final()
+            && !task.done
+            && is_permitted
+            && worker.allows(step.step(), &job.queue.service)
+            && worker.used.fits(&worker.entry.capacity)
+            && self.takes_work(run.worker, now)
+    }
+
+    /// A planned start is not sent, nor are those of its gang.
+    pub(super) fn drop_plan(&mut self, key: RunKey) {
+        // It may have been dropped with its gang.
+        let Some(step) = self.runs.get(key).map(|run| run.step) else {
+            return;
+        };
+        let mut dropped = vec![key];
+        if self.steps[step].step().gang {
+            let members = self.steps[step].tasks.iter().flat_map(|task| &task.runs);
+            dropped = members
+                .copied()
+                .filter(|&run| self.is_planned(run))
+                .collect();
+        }
+        for key in dropped {
+            if let Some(run) = self.remove_run(key) {
+                let task = self.steps[run.step].task_name(run.index);
+                tracing::info!(request = %task.step.job, %task, run = run.number, "a start that was recorded first is not sent");
+                self.forget_losses(run.step, run.index, |loss| loss.run == run.number);
+            }
+        }
+    }
+}
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -30,6 +30,9 @@
     pub state: JobState,
     /// What is known of tasks that are done, have failed or have saved progress.
     pub tasks: Vec<TaskProgress>,
+    /// Starts of its tasks may have been forgotten with a former owner.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub careful: bool,
 }
 
 /// What is kept of one task.
@@ -55,6 +58,8 @@
     pub rows: Vec<(JobKey, JobId, Progress)>,
     /// For each worker the last end that is in the rows.
     pub ends: Vec<(WorkerKey, u64)>,
+    /// How many of the lives that were lost have nothing noted of them but what is in the rows.
+    pub lost: usize,
 }
 
 impl Cell {
@@ -75,6 +80,7 @@
             batch.rows.push((key, job.id, progress));
         }
         if dirty.len() <= most {
+            batch.lost = self.lost.len();
             batch.ends = self
                 .workers
                 .iter()
@@ -115,6 +121,7 @@
         Progress {
             state: job.state,
             tasks,
+            careful: job.careful,
         }
     }
 
@@ -135,6 +142,10 @@
                 self.close_job(key, now);
             }
         }
+        if batch.lost > 0 {
+            self.lost.drain(..batch.lost);
+            self.roster += 1;
+        }
         for (key, place) in batch.ends {
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.recorded_end = worker.recorded_end.max(place);
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -75,20 +75,40 @@
     /// The version of the roster, and its entries by id.  A successor must hear from each
     /// worker, or wait its lease out.
     pub fn roster(&self) -> (u64, Vec<RosterEntry>) {
-        let entries = self
-            .workers
-            .values()
-            .filter(|worker| worker.listing != Listing::Absent)
-            .map(|worker| RosterEntry {
-                worker: worker.entry.clone(),
-                jobs: self.named_jobs(worker),
-                long_lease: worker.has_long_lease,
-            });
-        let mut entries: Vec<RosterEntry> = entries.collect();
+        let workers = self.workers.values();
+        let listed = workers.filter(|worker| worker.listing != Listing::Absent);
+        let is_lost = |worker: &&Worker| {
+            let mut lost = self.lost.iter();
+            lost.any(|entry| entry.worker.life.id == worker.entry.life.id)
+        };
+        // A lost life that another one of its id has followed covers that one as well.
+        let present = listed.filter(|worker| !is_lost(worker));
+        let present = present.map(|worker| self.roster_entry(worker));
+        let mut entries: Vec<RosterEntry> = present.chain(self.lost.iter().cloned()).collect();
         entries.sort_unstable_by(|a, b| a.worker.life.id.cmp(&b.worker.life.id));
         (self.roster, entries)
     }
 
+    fn roster_entry(&self, worker: &Worker) -> RosterEntry {
+        RosterEntry {
+            worker: worker.entry.clone(),
+            jobs: self.named_jobs(worker),
+            long_lease: worker.has_long_lease,
+        }
+    }
+
+    /// A life is over.  A successor that does not find it in the roster takes for granted that nothing
+    /// was lost there, so it stays until its losses are recorded.
+    pub(super) fn keep_lost_life(&mut self, worker: &Worker) {
+        let is_kept = |entry: &RosterEntry| entry.worker.life.id == worker.entry.life.id;
+        if worker.listing != Listing::Absent && !self.lost.iter().any(is_kept) {
+            self.lost.push(RosterEntry {
+                jobs: None,
+                ..self.roster_entry(worker)
+            });
+        }
+    }
+
     fn named_jobs(&self, worker: &Worker) -> Option<Vec<JobId>> {
         if worker.listing != Listing::Named {
             return None;
@@ -194,6 +214,10 @@
             return;
         }
         self.settled = true;
+        let mut workers = self.workers.values();
+        if workers.any(|worker| !worker.fenced && worker.left.is_some()) {
+            self.starts_may_be_forgotten();
+        }
         self.unsettled = Unsettled::Jobs(HashSet::new());
         tracing::info!(epoch = self.epoch, fenced, "ownership settled");
         self.break_partial_gangs(now);
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -1,5 +1,6 @@
 //! The life of a run: from its start to its end, or to being written off.
 
+use crate::cell::crash::Loss;
 use crate::cell::job::{JobState, Phase, Run, Stop};
 use crate::cell::membership::LostBy;
 use crate::cell::name::TaskName;
@@ -201,9 +202,11 @@
 
     /// Orders the stop of a run, unless that was done just now.
     pub(super) fn stop_run(&mut self, key: RunKey, now: Millis, reason: &'static str) {
-        let run = &self.runs[key];
-        if run.stop.is_some() {
+        let Some(run) = self.runs.get(key).filter(|run| run.stop.is_none()) else {
             return;
+        };
+        if run.phase == Phase::Planned {
+            return self.drop_plan(key);
         }
         let number = run.number;
         let task = self.steps[run.step].task_name(run.index);
@@ -278,6 +281,7 @@
         let Some(run) = self.remove_run(key) else {
             return;
         };
+        self.forget_losses(run.step, run.index, |loss| loss.run == run.number);
         let job_key = self.steps[run.step].job;
         let closed = self.jobs[job_key].state.is_final();
         if !end.saved.is_empty() && !closed {
@@ -414,6 +418,11 @@
 
     /// Forgets all runs on a worker, whatever they are blamed for.
     pub(super) fn drop_runs(&mut self, key: WorkerKey, now: Millis) {
+        let planned = self.workers[key].runs.iter().copied();
+        let planned: Vec<RunKey> = planned.filter(|&run| self.is_planned(run)).collect();
+        for run in planned {
+            self.drop_plan(run);
+        }
         let runs = self.workers[key].runs.clone();
         self.log_lost_runs(key, &runs, now);
         for run_key in runs {
@@ -423,6 +432,9 @@
             if run.sent_to != key {
                 self.begins_no_more(run_key, now);
             }
+            // Another run is blamed for what became of the worker.
+            let is_this = |loss: &Loss| loss.planned && loss.run == run.number;
+            self.forget_losses(run.step, run.index, is_this);
             self.break_gang(run.step, now, "a member of the gang is lost");
         }
         self.workers[key].forget_lists();
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -31,6 +31,8 @@
     worker: WorkerKey,
     free_millicores: u64,
     heard_ms_ago: Millis,
+    /// It is recorded before it is sent.
+    is_planned: bool,
 }
 
 impl Cell {
@@ -50,6 +52,7 @@
             order.push((job.ordering.priority, place, key));
         }
         order.sort_unstable();
+        self.send_planned(now);
         let mut round = Round::new(now);
         for (_, _, key) in order {
             self.schedule_step(key, &mut round);
@@ -71,6 +74,7 @@
         let mut within_quota = true;
         let mut places = self.places(key, round);
         let doubted = self.is_step_doubted(key);
+        let mut plans_left = self.plans_left(key);
         for index in waiting {
             within_quota = self.is_within_quota(key, 1);
             if !within_quota {
@@ -89,6 +93,12 @@
                 }
                 break;
             };
+            if self.is_recorded_first(key, index) {
+                if plans_left == 0 {
+                    continue;
+                }
+                plans_left -= 1;
+            }
             let place = Chosen {
                 worker,
                 number: None,
@@ -305,7 +315,7 @@
         self.next_run
     }
 
-    /// Orders a start, after checking once more that it breaks no rule.
+    /// Orders a start, after checking once more that it breaks no rule; or has it recorded first.
     fn start(
         &mut self,
         key: StepKey,
@@ -316,56 +326,79 @@
         let (now, worker_key) = (round.now, place.worker);
         round.forecasts.remove(worker_key);
         let number = place.number.unwrap_or_else(|| self.next_number());
-        let due = self.workers[worker_key].clock_at(now)?;
-        let due = due + tuning::START_VALID;
+        self.workers[worker_key].clock?;
         if let Err(rule) = self.check_start(key, index, worker_key) {
             self.counts.violations += 1;
             tracing::error!(task = %self.steps[key].task_name(index), rule, "start withheld");
             return None;
         }
-        self.workers[worker_key].lease_sent(now, tuning::START_VALID);
+        let is_planned = self.is_recorded_first(key, index);
         let run = self.add_run(Run {
             step: key,
             index,
             worker: worker_key,
             sent_to: worker_key,
             number,
-            phase: Phase::Sent,
+            phase: Phase::Planned,
             answered: 0,
             begun: None,
             doubted: None,
-            expires: due,
+            is_telling: false,
+            expires: 0,
             restored: !self.steps[key].tasks[index as usize].saved.is_empty(),
             progress: Default::default(),
             stop: None,
             trial: place.trial,
             proven: false,
         });
-        let step = &self.steps[key];
-        let ticket = step.advice.tickets.get(&worker_key);
-        let ticket = ticket.map(|ticket| ticket.text.clone());
-        self.counts.starts += 1;
-        let task = step.task_name(index);
+        if is_planned {
+            self.plan(run);
+        } else {
+            self.send_start(run, now);
+        }
         let worker = &self.workers[worker_key];
-        let started = Started {
+        Some(Started {
             index,
             run: number,
             worker: worker_key,
             free_millicores: worker.free().millicores,
             heard_ms_ago: now.saturating_sub(worker.heard),
+            is_planned,
+        })
+    }
+
+    /// Orders the start of a run that has its place.
+    pub(super) fn send_start(&mut self, key: RunKey, now: Millis) {
+        let run = &self.runs[key];
+        let (step_key, index, worker_key) = (run.step, run.index, run.worker);
+        let Some(clock) = self.workers[worker_key].clock_at(now) else {
+            return;
         };
+        let due = clock + tuning::START_VALID;
+        self.workers[worker_key].lease_sent(now, tuning::START_VALID);
+        let to = self.addressee(worker_key);
+        let is_trial = self.runs[key].trial;
+        let is_telling = self.workers[worker_key].was_heard_lately(is_trial, now);
+        let step = &self.steps[step_key];
+        let ticket = step.advice.tickets.get(&worker_key);
+        let saved = step.tasks[index as usize].saved.clone();
+        let run = &mut self.runs[key];
+        run.phase = Phase::Sent;
+        run.expires = due;
+        run.is_telling = is_telling;
+        run.restored = !saved.is_empty();
         let order = StartOrder {
-            to: self.addressee(worker_key),
-            run,
-            task,
-            number,
+            to,
+            run: key,
+            task: step.task_name(index),
+            number: run.number,
             text: Arc::clone(&self.jobs[step.job].text),
             due,
-            ticket,
-            saved: step.tasks[index as usize].saved.clone(),
+            ticket: ticket.map(|ticket| ticket.text.clone()),
+            saved,
         };
+        self.counts.starts += 1;
         self.orders.push(Order::Start(order));
-        Some(started)
     }
 
     /// Logs the starts of a step as one line: with a line for each, a busy owner wrote 90 KB
@@ -379,7 +412,12 @@
         let texts = started.iter().map(|one| {
             let worker = &self.workers[one.worker].entry.life.id;
             let (free, heard) = (one.free_millicores, one.heard_ms_ago);
-            format!("{}:{}@{worker} {free} {heard}", one.index, one.run)
+            let first = if one.is_planned {
+                " recorded first"
+            } else {
+                ""
+            };
+            format!("{}:{}@{worker} {free} {heard}{first}", one.index, one.run)
         });
         let texts: Vec<String> = texts.collect();
         tracing::info!(
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -127,18 +127,27 @@
 /// How long another life of a machine is waited for that proves a crash; workers are back some
 /// seconds after one, and their entries lapse after 4.5 s.
 pub const VERDICT_WAIT: Millis = 15_000;
-/// A task is given up when so many workers have crashed while only it was just being started: the
-/// platform's figure.
-pub const MOST_SOLE_CRASHES: usize = 2;
+/// A task is given up when so many workers have crashed while only it was just being started, if
+/// something shows that they lived to begin it: the platform's figure.
+pub const MOST_SHOWN_CRASHES: usize = 2;
+/// The same if nothing shows that: a worker that is cut off, and crashes meanwhile for
+/// another reason, leaves a start without an answer as well.
+pub const MOST_SOLE_CRASHES: usize = 3;
 /// A task is given up when so many workers in a row have crashed under it at any age: one less
 /// than the platform's limit of five starts, for a start that is lost with its owner.
 pub const MOST_LOSSES: usize = 4;
+/// The most starts of one job that wait to be recorded at a time: each takes some 170 bytes of the
+/// job's row, and the store takes rows of 64 KB.
+pub const MOST_PLANNED: usize = 64;
 /// A start that was answered so long ago has not crashed its worker: ten times what a crash took
 /// to show, and short enough that a busy worker has such moments.
 pub const QUIET: Millis = 100;
 /// A start that was answered so shortly before its worker fell silent may have crashed it: such
 /// crashes showed 10 to 41 ms after the start was ordered.
 pub const FRESH: Millis = 50;
+/// A trial begins on a worker that was heard so shortly before, so that a crash tells: some turns of
+/// an owner, and ten times what an answer takes.
+pub const LATELY: Millis = 20;
 /// Of all workers one in so many may hold a suspect, each for some 0.6 s: those that were merely
 /// beside a culprit wait for their turn.
 pub const WORKERS_PER_TRIAL: usize = 2;
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -389,6 +389,16 @@
         self.lease_end = self.lease_end.max(now + longest);
     }
 
+    /// Tells whether it lived so lately that a crash now is more likely ours than a chance.
+    pub fn was_heard_lately(&self, is_trial: bool, now: Millis) -> bool {
+        let lately = if is_trial {
+            tuning::FRESH
+        } else {
+            tuning::LATELY
+        };
+        now.saturating_sub(self.heard) <= lately
+    }
+
     /// An order that was meant for another clock may have given it the longest lease.  What it is given
     /// later runs under that lease as well, so a successor is told of it also while nothing runs.
     pub fn may_have_longest_lease(&mut self, now: Millis) {
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -203,6 +203,7 @@
             ("lapsed_runs", counts.lapsed),
             ("adopted_runs", counts.adopted),
             ("crashes", counts.crashes),
+            ("recorded_first", counts.planned),
             ("other_lives", counts.other_lives),
             ("rival_lives", counts.rival_lives),
             ("unread_ends", counts.unread_ends),
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -105,7 +105,7 @@
             .take_batch(self.most_jobs.load(Ordering::Relaxed));
         let (roster, workers) = self.changed_roster();
         if batch.rows.is_empty() && workers.is_none() && !release {
-            if !batch.ends.is_empty() {
+            if !batch.ends.is_empty() || batch.lost > 0 {
                 self.finish(batch);
             }
             return;
--- a/tests/cancelling.rs
+++ b/tests/cancelling.rs
@@ -40,6 +40,7 @@
     let progress = Progress {
         state,
         tasks: Vec::new(),
+        careful: false,
     };
     bench.cell.remember(JobId(7), progress);
     bench
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -180,9 +180,14 @@
         self.cell.roster_is_recorded(self.cell.roster_version());
     }
 
-    /// Decides, and returns the orders.
+    /// Decides, and returns the orders.  Starts that are to be recorded first are, at once.
     pub fn decide(&mut self) -> Vec<Order> {
+        let planned = self.cell.counts().planned;
         self.cell.schedule(self.now);
+        if self.cell.counts().planned > planned {
+            self.record();
+            self.cell.schedule(self.now);
+        }
         self.cell.take_orders()
     }
 
@@ -278,6 +283,7 @@
         let copy = Batch {
             rows: batch.rows.clone(),
             ends: batch.ends.clone(),
+            lost: batch.lost,
         };
         self.cell.recorded(batch, self.now);
         copy
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -576,6 +576,7 @@
     /// A worker has begun a task that crashes it.
     fn crash_worker(&mut self, order: &StartOrder) {
         *self.crash_starts.entry(order.task).or_default() += 1;
+        tracing::debug!(now = self.now, task = %order.task, run = order.number, life = %order.to.life, "task crashes its worker");
         let place = self
             .entries
             .iter()
--- a/tests/crashing_tasks.rs
+++ b/tests/crashing_tasks.rs
@@ -406,3 +406,51 @@
     assert_eq!(site.culprit_state(), Some(JobState::Failed));
     assert_eq!(site.failed_others(), []);
 }
+
+/// Seen in random runs: a culprit was started six times, where five starts are allowed.  Two owners were
+/// lost 40 and 100 ms after its start, before the silence of its worker had been noted and recorded,
+/// and each took its start with it.  Cause: nothing durable told of a start.  Proof: the core's log shows no
+/// loss of those runs with any later owner.
+#[test]
+fn of_many_owners_that_are_lost_just_after_a_start_one_forgets_it() {
+    // Arrange.
+    let mut site = Site::new();
+    site.pass(1_000);
+
+    // Act: each owner is lost within 10 ms of the start.
+    site.submit(CULPRIT, 1, CRASH);
+    let mut starts = 0;
+    for _ in 0..2 * DAY / TICK {
+        site.pass(TICK);
+        if site.culprit_starts() > starts {
+            starts = site.culprit_starts();
+            site.take_over();
+        }
+    }
+
+    // Assert.
+    assert!(starts <= MOST_STARTS, "{starts}");
+    assert_eq!(site.culprit_state(), Some(JobState::Failed));
+    assert_eq!(site.failed_others(), []);
+}
+
+#[test]
+fn a_suspect_starts_only_when_its_start_is_recorded() {
+    // Arrange: its first crash is recorded; nothing else can be.
+    let mut site = Site::new();
+    site.pass(1_000);
+    site.submit(CULPRIT, 1, CRASH);
+    site.pass(200);
+    assert_eq!(site.culprit_starts(), 1);
+    site.store_is_up = false;
+
+    // Act
+    site.pass(DOWN + 2_000);
+    let starts = site.culprit_starts();
+    site.store_is_up = true;
+    site.pass(1_000);
+
+    // Assert
+    assert_eq!(starts, 1);
+    assert_eq!(site.culprit_starts(), 2);
+}
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -121,6 +121,7 @@
     let progress = Progress {
         state: JobState::Succeeded,
         tasks: Vec::new(),
+        careful: false,
     };
     let mut tx = Transaction::default();
     for id in 0..ENDED {
