--- a/tests/crashing_tasks.rs
+++ b/tests/crashing_tasks.rs
@@ -13,7 +13,7 @@
 
 mod cell_core;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cell_core::{configuration, job, queue, step, worker};
 use crossweir::cell::Cell;
@@ -454,3 +454,33 @@
     assert_eq!(starts, 1);
     assert_eq!(site.culprit_starts(), 2);
 }
+
+#[test]
+fn a_life_that_was_lost_stays_in_the_roster_until_its_losses_are_recorded() {
+    // Arrange: a worker crashes under a task and is lost while nothing can be recorded.
+    let mut site = Site::new();
+    site.pass(1_000);
+    let ids = |entries: &[WorkerEntry]| -> BTreeSet<String> {
+        let ids = entries.iter().map(|entry| entry.life.id.clone());
+        ids.collect()
+    };
+    let before = ids(&site.entries);
+    site.submit(CULPRIT, 1, CRASH);
+    site.store_is_up = false;
+    site.pass(DOWN + 2_000);
+    let lost = before.difference(&ids(&site.entries)).next().cloned();
+    let lost = lost.expect("a worker has crashed");
+    let is_told = |site: &Site| {
+        let (_, entries) = site.cell.roster();
+        entries.iter().any(|entry| entry.worker.life.id == lost)
+    };
+
+    // Act
+    let before = is_told(&site);
+    site.store_is_up = true;
+    site.pass(100);
+
+    // Assert: a successor would find out; once it could read of the loss, it need not.
+    assert!(before);
+    assert!(!is_told(&site));
+}
