--- a/tests/crashing_tasks.rs
+++ b/tests/crashing_tasks.rs
@@ -236,6 +236,19 @@
             .sum()
     }
 
+    /// Each owner is lost within this time of a start of the culprit.  Tells how often that was started.
+    fn lose_owners(&mut self, time: Millis, within: Millis) -> usize {
+        let mut starts = 0;
+        for _ in 0..time / within {
+            self.pass(within);
+            if self.culprit_starts() > starts {
+                starts = self.culprit_starts();
+                self.take_over();
+            }
+        }
+        starts
+    }
+
     /// The worker on which a task of that job runs.
     fn holder_of_culprit(&self) -> String {
         let runs = |worker: &MemoryWorker| {
@@ -286,14 +299,7 @@
 
     // Act: each owner is lost 300 ms after a worker has crashed, and the next one finds out.
     site.submit(CULPRIT, 1, CRASH);
-    let mut starts = 0;
-    for _ in 0..DAY / 300 {
-        site.pass(300);
-        if site.culprit_starts() > starts {
-            starts = site.culprit_starts();
-            site.take_over();
-        }
-    }
+    let starts = site.lose_owners(DAY, 300);
 
     // Assert.
     assert!(starts <= MOST_STARTS, "{starts}");
@@ -419,14 +425,7 @@
 
     // Act: each owner is lost within 10 ms of the start.
     site.submit(CULPRIT, 1, CRASH);
-    let mut starts = 0;
-    for _ in 0..2 * DAY / TICK {
-        site.pass(TICK);
-        if site.culprit_starts() > starts {
-            starts = site.culprit_starts();
-            site.take_over();
-        }
-    }
+    let starts = site.lose_owners(2 * DAY, TICK);
 
     // Assert.
     assert!(starts <= MOST_STARTS, "{starts}");
--- a/tests/worker_lives.rs
+++ b/tests/worker_lives.rs
@@ -37,6 +37,17 @@
     site
 }
 
+/// The first worker goes on for longer than any lease and is heard by nobody, while another one is there;
+/// then it is heard again.
+fn go_on_unheard(site: &mut Site, alive: Alive) {
+    site.entries.push(worker(1));
+    site.begin_life(1);
+    site.list(1);
+    site.pass(12_000);
+    site.heal(0, alive);
+    site.pass(8_000);
+}
+
 #[test]
 fn what_ended_well_in_a_later_life_is_not_started_again() {
     // Arrange
@@ -367,12 +378,7 @@
     site.pass(100);
     let alive = site.cut_off(0);
     site.take_over();
-    site.entries.push(worker(1));
-    site.begin_life(1);
-    site.list(1);
-    site.pass(12_000);
-    site.heal(0, alive);
-    site.pass(8_000);
+    go_on_unheard(&mut site, alive);
 
     // Assert
     site.check();
@@ -395,12 +401,7 @@
 
     // Act: it is cut off, and another worker is there.
     let alive = site.cut_off(0);
-    site.entries.push(worker(1));
-    site.begin_life(1);
-    site.list(1);
-    site.pass(12_000);
-    site.heal(0, alive);
-    site.pass(8_000);
+    go_on_unheard(&mut site, alive);
 
     // Assert
     site.check();
