A worker whose clock is past a start's arrival has outlived the start

Cause: a look that is sent before a start is given up, and is held for an end, counts by the order of calls as sent before, so its answer 0.6 s later did not show that the worker had outlived the start. The crash half a second after that was held against the task, and two such end a job.

Ruled out: asking for a later look only; the life was lost before one was answered.

Change: the answer's own clock decides as well. 250 ms past the clock that the start was sent by, the start is taken to tell nothing (it may still come late), as after a later look.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -275,13 +275,11 @@
     /// it, nor did a start that was given up as unanswered and barred by then.
     pub(super) fn clear_doubts(&mut self, key: WorkerKey, sent: Sequence) {
         for run in self.young_runs(key) {
-            if self.runs[run].doubted.is_none_or(|heard| heard >= sent) {
-                continue;
-            }
-            if self.may_begin_after(run, sent) {
-                self.tells_nothing(run);
-            } else {
+            let given_up = self.runs[run].doubted.is_some_and(|heard| heard < sent);
+            if given_up && !self.may_begin_after(run, sent) {
                 self.is_not_to_blame(run);
+            } else if given_up || self.has_outlived(key, run) {
+                self.tells_nothing(run);
             }
         }
         let worker = &mut self.workers[key];
@@ -292,6 +290,16 @@
         self.clear_doubt(&life, sent);
     }
 
+    /// Tells whether a worker's clock is past the time at which a start without an answer would have
+    /// been carried out, by an answer to any look: one that is held for an end was sent before.
+    fn has_outlived(&self, key: WorkerKey, run: RunKey) -> bool {
+        let run = &self.runs[run];
+        let sent = run.expires.saturating_sub(tuning::START_VALID);
+        let is_past = |(clock, _): (Millis, Millis)| clock >= sent + tuning::START_ARRIVES;
+        let is_unanswered = run.begun.is_none() && run.sent_to == key;
+        is_unanswered && self.workers[key].clock.is_some_and(is_past)
+    }
+
     /// A worker has outlived a start that may still come late: a crash of it shows nothing any more.
     fn tells_nothing(&mut self, key: RunKey) {
         let run = &mut self.runs[key];
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -19,6 +19,9 @@
 /// How long a start may still take effect.  A late start must find its time over,
 /// so this bounds how long its room is held back.
 pub const START_VALID: Millis = 2_500;
+/// A start that a worker has not carried out so long after it was sent was delayed on its way: as long
+/// as its answer is waited for.
+pub const START_ARRIVES: Millis = 250;
 /// The most that a worker's clock may be slow, in thousandths; the platform's figure.
 pub const DRIFT_PERMILLE: Millis = 21;
 /// Added to a lease for readings of a worker's clock that are a few seconds old.
