--- a/src/bin/crossweir/flags.rs
+++ b/src/bin/crossweir/flags.rs
@@ -14,6 +14,8 @@
         optional --address address: String
         /// The file that holds the operators' token.
         optional --token-file path: PathBuf
+        /// The file that holds a key of your workspace; the variable `CROSSWEIR_KEY` unless given.
+        optional --key-file path: PathBuf
         /// Prints JSON instead of tables.
         optional --json
 
--- a/src/bin/crossweir/main.rs
+++ b/src/bin/crossweir/main.rs
@@ -39,9 +39,17 @@
     }
 }
 
+/// Holds a key of the caller's workspace: on the command line it would be shown to everybody.
+const KEY_VARIABLE: &str = "CROSSWEIR_KEY";
+
 async fn run(flags: flags::Crossweir) -> Result<String, CliError> {
     let address = flags.address.unwrap_or_else(|| DEFAULT_ADDRESS.to_owned());
-    let endpoint = Endpoint::new(address, flags.token_file.as_deref())?;
+    let token = flags.token_file.as_deref().map(call::read_text);
+    let key = match flags.key_file.as_deref() {
+        Some(file) => Some(call::read_text(file)?),
+        None => std::env::var(KEY_VARIABLE).ok(),
+    };
+    let endpoint = Endpoint::new(address, token.transpose()?, key);
     let json = flags.json;
     match flags.subcommand {
         CrossweirCmd::Submit(cmd) => submit(&endpoint, json, cmd).await,
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::cell::job::{Advice, Job, JobState, StepRun, Task};
+use crate::cell::job::{Advice, EndedJob, Job, JobState, StepRun, Task};
 use crate::cell::name::StepName;
 use crate::cell::record::{JobRow, Progress};
 use crate::cell::spec::JobId;
@@ -42,8 +42,13 @@
             Some(queue) => (queue.clone(), true),
             None => (row.queue.clone(), false),
         };
+        let workspace = row.workspace.as_ref().map(|accepted| {
+            let newest = self.config.workspace(&accepted.name);
+            self.ledger.open(newest.unwrap_or(accepted))
+        });
         let key = self.jobs.insert(Job {
             id: row.id,
+            workspace,
             spec: Arc::new(row.spec.clone()),
             text: Arc::from(row.spec.text.as_str()),
             ordering: self.policy.order(&queue, &row.spec),
@@ -133,7 +138,11 @@
             return;
         }
         if progress.state.is_final() {
-            self.ended.insert(id, progress.state);
+            let ended = EndedJob {
+                state: progress.state,
+                workspace: progress.workspace,
+            };
+            self.ended.insert(id, ended);
         } else {
             self.unclaimed.insert(id, progress);
         }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -10,7 +10,7 @@
 use crate::cell::progress::Progress;
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{JobId, JobSpec, Step};
-use crate::cell::{JobKey, RunKey, StepKey, WorkerKey, tuning};
+use crate::cell::{JobKey, RunKey, StepKey, WorkerKey, WorkspaceKey, tuning};
 use crate::clock::Millis;
 use crate::policy::Ordering;
 use crate::queue::Queue;
@@ -37,11 +37,22 @@
     }
 }
 
+/// A job that ended under a former owner.
+#[derive(Debug)]
+pub struct EndedJob {
+    /// How it ended.
+    pub state: JobState,
+    /// The name of its workspace, if it has one.
+    pub workspace: Option<String>,
+}
+
 /// One accepted job.
 #[derive(Debug)]
 pub struct Job {
     /// Its identity.
     pub id: JobId,
+    /// Whose it is, if it is anybody's.
+    pub workspace: Option<WorkspaceKey>,
     /// What its caller asked for.
     pub spec: Arc<JobSpec>,
     /// The text for each task, shared by all orders.
--- /dev/null
+++ b/src/cell/ledger.rs
@@ -0,0 +1,190 @@
+//! What each workspace has running, against its cap.
+//!
+//! A run is charged when its start is decided, and given back when nothing of it can go on: at its end,
+//! when its lease is over, or with the life of its worker.  What a former owner may have left on a
+//! worker that has not told yet is taken to be as much as the worker has room for (see "Workspaces"
+//! in `docs/DESIGN.md`).
+
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+
+use crate::cell::roster::LeftWork;
+use crate::cell::spec::Demand;
+use crate::cell::worker::Worker;
+use crate::cell::{Cell, JobKey, StepKey, WorkspaceKey};
+use crate::clock::Millis;
+use crate::queue::Configuration;
+use crate::workspace::Workspace;
+
+/// What one workspace holds.
+#[derive(Debug)]
+struct Account {
+    workspace: Workspace,
+    /// By runs that go on or may.
+    held: Demand,
+    /// At most, by runs that we do not know of.
+    hidden: Demand,
+}
+
+/// What all workspaces hold.
+#[derive(Debug, Default)]
+pub(super) struct Ledger {
+    accounts: SlotMap<WorkspaceKey, Account>,
+    names: HashMap<String, WorkspaceKey>,
+}
+
+impl Ledger {
+    /// The account of a workspace, as described if it is new.
+    pub(super) fn open(&mut self, workspace: &Workspace) -> WorkspaceKey {
+        if let Some(&key) = self.names.get(&workspace.name) {
+            return key;
+        }
+        let key = self.accounts.insert(Account {
+            workspace: workspace.clone(),
+            held: Demand::default(),
+            hidden: Demand::default(),
+        });
+        self.names.insert(workspace.name.clone(), key);
+        key
+    }
+
+    /// Caps and weights may have changed.  One that is not there any more keeps its last ones: what was
+    /// accepted is kept.
+    pub(super) fn configure(&mut self, config: &Configuration) {
+        for account in self.accounts.values_mut() {
+            if let Some(workspace) = config.workspace(&account.workspace.name) {
+                account.workspace.clone_from(workspace);
+            }
+        }
+    }
+
+    /// A workspace as it is described.
+    pub(super) fn workspace(&self, key: WorkspaceKey) -> &Workspace {
+        &self.accounts[key].workspace
+    }
+
+    /// What a workspace holds.
+    pub(super) fn held(&self, key: WorkspaceKey) -> Demand {
+        self.accounts[key].held
+    }
+
+    /// A run takes this.
+    pub(super) fn charge(&mut self, key: WorkspaceKey, demand: &Demand) {
+        self.accounts[key].held.add(demand);
+    }
+
+    /// A run gives this back.
+    pub(super) fn give_back(&mut self, key: WorkspaceKey, demand: &Demand) {
+        let account = &mut self.accounts[key];
+        account.held = account.held.minus(demand);
+    }
+
+    /// Tells whether a workspace may hold so much more.
+    pub(super) fn admits(&self, key: WorkspaceKey, wanted: &Demand) -> bool {
+        let account = &self.accounts[key];
+        let all = account.held.plus(&account.hidden).plus(wanted);
+        account.workspace.admits(&all)
+    }
+
+    fn forget_hidden(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.hidden = Demand::default();
+        }
+    }
+
+    /// Something may run in so much room for any workspace.
+    fn hide_for_all(&mut self, room: &Demand) {
+        for account in self.accounts.values_mut() {
+            account.hidden.add(room);
+        }
+    }
+
+    /// Something may run in so much room for this one.
+    fn hide_for(&mut self, key: WorkspaceKey, room: &Demand) {
+        self.accounts[key].hidden.add(room);
+    }
+}
+
+/// Whose runs a worker may hold that we do not know of.
+enum Hidden {
+    Nobody,
+    Anybody,
+    These(Vec<WorkspaceKey>),
+}
+
+impl Cell {
+    /// What the tasks of a step take of their workspace's cap: also the processors that fillers only
+    /// borrow.
+    pub(super) fn is_within_cap(&self, key: StepKey, tasks: u32) -> bool {
+        let step = &self.steps[key];
+        let Some(workspace) = self.jobs[step.job].workspace else {
+            return true;
+        };
+        let wanted = step.step().demand.of_tasks(tasks);
+        self.ledger.admits(workspace, &wanted)
+    }
+
+    /// Finds out what may run unknown to us, before anything is decided.
+    pub(super) fn find_hidden(&mut self, now: Millis) {
+        self.ledger.forget_hidden();
+        for worker in self.workers.values() {
+            let room = &worker.entry.capacity;
+            match self.hidden_on(worker, now) {
+                Hidden::Nobody => {}
+                Hidden::Anybody => self.ledger.hide_for_all(room),
+                Hidden::These(keys) => keys
+                    .into_iter()
+                    .for_each(|key| self.ledger.hide_for(key, room)),
+            }
+        }
+    }
+
+    fn hidden_on(&self, worker: &Worker, now: Millis) -> Hidden {
+        if worker.strangers > 0 || !worker.unread.is_empty() {
+            return Hidden::Anybody;
+        }
+        if self.settled || worker.fenced || now >= worker.left_until {
+            return Hidden::Nobody;
+        }
+        match &worker.left {
+            None => Hidden::Nobody,
+            Some(LeftWork::Any) => Hidden::Anybody,
+            Some(LeftWork::Jobs(jobs)) => {
+                let known = |id| self.job_ids.get(id).map(|&key| self.jobs[key].workspace);
+                let Some(workspaces) = jobs.iter().map(known).collect::<Option<Vec<_>>>() else {
+                    return Hidden::Anybody;
+                };
+                let mut keys: Vec<WorkspaceKey> = workspaces.into_iter().flatten().collect();
+                keys.sort_unstable();
+                keys.dedup();
+                Hidden::These(keys)
+            }
+        }
+    }
+
+    /// Counts all runs anew, and tells of how many workspaces the ledger says something else.
+    pub fn ledger_errors(&self) -> usize {
+        let mut counted: HashMap<WorkspaceKey, Demand> = HashMap::new();
+        for run in self.runs.values() {
+            let step = &self.steps[run.step];
+            if let Some(key) = self.jobs[step.job].workspace {
+                counted.entry(key).or_default().add(&step.step().demand);
+            }
+        }
+        let differs = |(key, account): (WorkspaceKey, &Account)| {
+            account.held != counted.get(&key).copied().unwrap_or_default()
+        };
+        self.ledger
+            .accounts
+            .iter()
+            .filter(|&account| differs(account))
+            .count()
+    }
+
+    /// The workspace of a job, if it has one.
+    pub(super) fn workspace_of(&self, job: JobKey) -> Option<&Workspace> {
+        let key = self.jobs[job].workspace?;
+        Some(self.ledger.workspace(key))
+    }
+}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -9,6 +9,7 @@
 pub mod intake;
 pub mod job;
 pub mod lapse;
+mod ledger;
 pub mod life;
 pub mod look;
 pub mod membership;
@@ -34,7 +35,8 @@
 
 use slotmap::{SecondaryMap, SlotMap};
 
-use crate::cell::job::{Job, JobState, Run, StepRun};
+use crate::cell::job::{EndedJob, Job, JobState, Run, StepRun};
+use crate::cell::ledger::Ledger;
 use crate::cell::life::{FormerLives, Life};
 use crate::cell::membership::LostBy;
 use crate::cell::order::{Addressee, LookOrder, Order, StopOrder};
@@ -44,6 +46,7 @@
 use crate::clock::Millis;
 use crate::policy::{BuiltIn, Policy};
 use crate::queue::Configuration;
+use crate::workspace::Caller;
 
 slotmap::new_key_type! {
     /// A worker of the cell.
@@ -54,6 +57,8 @@
     pub struct StepKey;
     /// A run of a task.
     pub struct RunKey;
+    /// A workspace with jobs in the cell.
+    pub struct WorkspaceKey;
 }
 
 /// Counts of what the core did, for metrics.
@@ -124,7 +129,7 @@
     jobs: SlotMap<JobKey, Job>,
     job_ids: HashMap<JobId, JobKey>,
     /// Jobs that ended under a former owner.
-    ended: HashMap<JobId, JobState>,
+    ended: HashMap<JobId, EndedJob>,
     /// Recorded progress of jobs whose rows could not be read yet.
     unclaimed: HashMap<JobId, record::Progress>,
     /// Ends that other nodes told of, of jobs whose rows were not read yet.
@@ -146,6 +151,8 @@
     runs: SlotMap<RunKey, Run>,
     /// Processors that the runs of each queue hold, in millicores.
     held: HashMap<String, u64>,
+    /// What each workspace has running.
+    ledger: Ledger,
     /// Steps that are not done, in the order in which they were taken in.
     open: Vec<StepKey>,
     /// Which lanes to the advice service are in use by which kind of question.
@@ -198,6 +205,7 @@
             steps: SlotMap::with_key(),
             runs: SlotMap::with_key(),
             held: HashMap::new(),
+            ledger: Ledger::default(),
             open: Vec::new(),
             lanes: Vec::new(),
             guesses: HashMap::new(),
@@ -240,7 +248,8 @@
 
     /// Tells how far a job is; an end counts once it is recorded or another node knows of it.
     pub fn state(&self, id: JobId) -> Option<JobState> {
-        if let Some(&state) = self.ended.get(&id).or(self.early_ends.get(&id)) {
+        let ended = self.ended.get(&id).map(|job| job.state);
+        if let Some(state) = ended.or(self.early_ends.get(&id).copied()) {
             return Some(state);
         }
         let job = self.jobs.get(*self.job_ids.get(&id)?)?;
@@ -255,6 +264,18 @@
         })
     }
 
+    /// Tells whether a caller may see and cancel a job, or it is not known whose it is.
+    pub fn may_see(&self, caller: &Caller, id: JobId) -> bool {
+        if let Some(ended) = self.ended.get(&id) {
+            return caller.may_see(ended.workspace.as_deref());
+        }
+        let Some(&key) = self.job_ids.get(&id) else {
+            return true;
+        };
+        let workspace = self.workspace_of(key);
+        caller.may_see(workspace.map(|workspace| workspace.name.as_str()))
+    }
+
     /// Tells whether a job may end at any moment: nothing of it waits to start, or its end is
     /// decided and not shown yet.
     pub fn may_end_soon(&self, id: JobId) -> bool {
@@ -316,6 +337,7 @@
     /// A newer configuration is in force.
     pub fn configure(&mut self, config: Arc<Configuration>) {
         self.config = config;
+        self.ledger.configure(&self.config);
         for job in self.jobs.values_mut() {
             match self.config.queue(&job.queue.name) {
                 Some(queue) => {
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -114,6 +114,7 @@
             && is_permitted
             && worker.allows(step.step(), &job.queue.service)
             && worker.used.fits(&worker.entry.capacity)
+            && self.is_within_cap(run.step, 0)
             && self.takes_work(run.worker, now)
     }
 
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -11,6 +11,7 @@
 use crate::cell::{Cell, JobKey, StepKey, Waited, WorkerKey};
 use crate::clock::Millis;
 use crate::queue::Queue;
+use crate::workspace::Workspace;
 
 /// The row of an accepted job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,6 +22,9 @@
     pub queue: Queue,
     /// What the caller asked for.
     pub spec: JobSpec,
+    /// Whose it is, as the configuration described the workspace; none of a queue that is public.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<Workspace>,
 }
 
 /// The row of a job's progress.
@@ -33,6 +37,9 @@
     /// Starts of its tasks may have been forgotten with a former owner.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub careful: bool,
+    /// The name of the job's workspace: the row outlasts that of the job.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<String>,
 }
 
 /// What is kept of one task.
@@ -122,6 +129,9 @@
             state: job.state,
             tasks,
             careful: job.careful,
+            workspace: self
+                .workspace_of(key)
+                .map(|workspace| workspace.name.clone()),
         }
     }
 
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -42,7 +42,11 @@
         step.tasks[index as usize].runs.push(key);
         let spec = step.step();
         self.workers[worker_key].hold(key, spec, is_trial);
-        let queue = &self.jobs[step.job].queue.name;
+        let job = &self.jobs[step.job];
+        if let Some(workspace) = job.workspace {
+            self.ledger.charge(workspace, &spec.demand);
+        }
+        let queue = &job.queue.name;
         let millicores = spec.room().millicores;
         match self.held.get_mut(queue) {
             Some(held) => *held += millicores,
@@ -64,7 +68,11 @@
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.release(key, spec, run.trial && !run.proven);
         }
-        let queue = &self.jobs[step.job].queue.name;
+        let job = &self.jobs[step.job];
+        if let Some(workspace) = job.workspace {
+            self.ledger.give_back(workspace, &spec.demand);
+        }
+        let queue = &job.queue.name;
         if let Some(held) = self.held.get_mut(queue) {
             *held -= spec.room().millicores;
         }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -52,6 +52,7 @@
             order.push((job.ordering.priority, place, key));
         }
         order.sort_unstable();
+        self.find_hidden(now);
         self.send_planned(now);
         let mut round = Round::new(now);
         for (_, _, key) in order {
@@ -69,6 +70,9 @@
             self.schedule_gang(key, &waiting, round);
             return;
         }
+        if !self.may_hold(key, 1) {
+            return;
+        }
         let mut left = waiting.len() as u32;
         let mut started = Vec::new();
         let mut within_quota = true;
@@ -76,7 +80,7 @@
         let doubted = self.is_step_doubted(key);
         let mut plans_left = self.plans_left(key);
         for index in waiting {
-            within_quota = self.is_within_quota(key, 1);
+            within_quota = self.may_hold(key, 1);
             if !within_quota {
                 break;
             }
@@ -115,15 +119,20 @@
         }
     }
 
+    /// Tells whether so many more tasks of a step may start, by the policy and by the workspace's cap.
+    fn may_hold(&self, key: StepKey, tasks: u32) -> bool {
+        self.is_within_quota(key, tasks) && self.is_within_cap(key, tasks)
+    }
+
     /// Tells whether the policy lets the step's queue hold so many more tasks of it.
-    pub(super) fn is_within_quota(&self, key: StepKey, tasks: u64) -> bool {
+    pub(super) fn is_within_quota(&self, key: StepKey, tasks: u32) -> bool {
         let step = &self.steps[key];
         let job = &self.jobs[step.job];
         let Some(quota) = job.ordering.quota else {
             return true;
         };
         let held = self.held.get(&job.queue.name).copied().unwrap_or_default();
-        held + tasks * step.step().room().millicores <= quota
+        held + u64::from(tasks) * step.step().room().millicores <= quota
     }
 
     /// The tasks that neither run nor are done, and those of which a copy should run.
@@ -252,7 +261,7 @@
     /// Starts all members of a gang, or none.
     fn schedule_gang(&mut self, key: StepKey, waiting: &[u32], round: &mut Round) {
         let size = self.steps[key].tasks.len();
-        if waiting.len() < size || !self.is_within_quota(key, size as u64) {
+        if waiting.len() < size || !self.may_hold(key, size as u32) {
             return;
         }
         let mut places = self.places(key, round);
@@ -440,6 +449,9 @@
         if !step.step().room().fits(&worker.free()) {
             return Err("room");
         }
+        if !self.is_within_cap(key, 1) {
+            return Err("cap");
+        }
         if task.done || (!task.runs.is_empty() && !step.step().copies) {
             return Err("single run");
         }
--- a/src/cell/spec.rs
+++ b/src/cell/spec.rs
@@ -69,11 +69,28 @@
         u32::try_from(least).unwrap_or(u32::MAX)
     }
 
+    /// What so many tasks take that each take this.
+    pub fn of_tasks(&self, tasks: u32) -> Demand {
+        let tasks = u64::from(tasks);
+        Demand {
+            millicores: self.millicores.saturating_mul(tasks),
+            memory: self.memory.saturating_mul(tasks),
+            gpus: self.gpus.saturating_mul(tasks),
+        }
+    }
+
+    /// This and `other` together.
+    pub fn plus(&self, other: &Demand) -> Demand {
+        Demand {
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory: self.memory.saturating_add(other.memory),
+            gpus: self.gpus.saturating_add(other.gpus),
+        }
+    }
+
     /// Adds `other`.
     pub fn add(&mut self, other: &Demand) {
-        self.millicores += other.millicores;
-        self.memory += other.memory;
-        self.gpus += other.gpus;
+        *self = self.plus(other);
     }
 
     /// Takes `other` away; what is less than zero becomes zero.
@@ -134,6 +151,11 @@
         room
     }
 
+    /// How many of its tasks must start together.
+    pub fn tasks_at_once(&self) -> u32 {
+        if self.gang { self.tasks } else { 1 }
+    }
+
     /// Tells whether users of their own wait for the tasks' answers.
     pub fn serves(&self) -> bool {
         self.target > 0
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cell::job::{JobState, Task};
+use crate::cell::job::{Job, JobState, Task};
 use crate::cell::round::Round;
-use crate::cell::spec::JobId;
+use crate::cell::spec::{Demand, JobId};
 use crate::cell::{Cell, JobKey, StepKey};
 use crate::clock::Millis;
 
@@ -20,6 +20,8 @@
     Settling,
     /// The queue holds as many processors as the policy allows it.
     Quota,
+    /// Their workspace holds as much as its cap allows it.
+    Cap,
     /// Workers were lost as they began, so they are tried one by one.
     AfterCrash,
     /// Nobody has said yet which workers may run them.
@@ -52,6 +54,19 @@
     pub waits_for: Option<WaitReason>,
 }
 
+/// What a job's workspace holds against its cap.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkspaceView {
+    /// Its name.
+    pub name: String,
+    /// What its tasks hold.
+    pub held: Demand,
+    /// What they may hold; zeros stand for no limit.
+    pub cap: Demand,
+    /// The version of the configuration that says so, unless the workspace is not there any more.
+    pub configuration: u64,
+}
+
 /// How a job stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobView {
@@ -59,6 +74,9 @@
     pub id: String,
     /// The queue's name.
     pub queue: String,
+    /// Its workspace, if it has one and has not ended under a former owner.
+    #[serde(default)]
+    pub workspace: Option<WorkspaceView>,
     /// How far it is.
     pub state: JobState,
     /// Its steps; none of a job that ended under a former owner.
@@ -71,6 +89,7 @@
         Self {
             id: id.to_string(),
             queue: String::new(),
+            workspace: None,
             state,
             steps: Vec::new(),
         }
@@ -86,6 +105,7 @@
         Some(JobView {
             id: id.to_string(),
             queue: job.map_or_else(String::new, |job| job.queue.name.clone()),
+            workspace: job.and_then(|job| self.view_workspace(job)),
             state,
             steps: steps
                 .into_iter()
@@ -95,6 +115,17 @@
         })
     }
 
+    fn view_workspace(&self, job: &Job) -> Option<WorkspaceView> {
+        let key = job.workspace?;
+        let workspace = self.ledger.workspace(key);
+        Some(WorkspaceView {
+            name: workspace.name.clone(),
+            held: self.ledger.held(key),
+            cap: workspace.cap,
+            configuration: self.config.version,
+        })
+    }
+
     fn view_step(&self, key: StepKey, now: Millis) -> StepView {
         let step = &self.steps[key];
         let count = |holds: &dyn Fn(&Task) -> bool| {
@@ -129,6 +160,9 @@
         if !self.is_within_quota(key, 1) {
             return WaitReason::Quota;
         }
+        if !self.is_within_cap(key, step.step().tasks_at_once()) {
+            return WaitReason::Cap;
+        }
         let mut waiting = step.tasks.iter().enumerate();
         if waiting.any(|(index, task)| task.waits() && self.is_tried(key, index as u32)) {
             return WaitReason::AfterCrash;
--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -17,6 +17,8 @@
 
 /// How long a call may take.
 const TIMEOUT: Duration = Duration::from_secs(15);
+/// The header that carries a workspace's key.
+const KEY_HEADER: &str = "authorization";
 /// The path of the policy.
 const POLICY: &str = "/v1/operator/policy";
 
@@ -24,21 +26,20 @@
 pub struct Endpoint {
     http: HttpClient,
     address: String,
-    token: Option<String>,
+    headers: Vec<(&'static str, String)>,
 }
 
 impl Endpoint {
-    /// Names a node by `address`, an IP number and a port.
-    ///
-    /// # Errors
-    /// Fails if the token file is named and cannot be read.
-    pub fn new(address: String, token_file: Option<&Path>) -> Result<Self, CliError> {
-        let token = token_file.map(read_text).transpose()?;
-        Ok(Self {
+    /// Names a node by `address`, an IP number and a port, and the caller by the operators' token or
+    /// a workspace's key.
+    pub fn new(address: String, token: Option<String>, key: Option<String>) -> Self {
+        let token = token.map(|token| (TOKEN_HEADER, token.trim().to_owned()));
+        let key = key.map(|key| (KEY_HEADER, format!("Bearer {}", key.trim())));
+        Self {
             http: HttpClient::new(),
             address,
-            token: token.map(|token| token.trim().to_owned()),
-        })
+            headers: token.into_iter().chain(key).collect(),
+        }
     }
 
     /// Hands a job in; the body is JSON of [`crate::http::api::Submission`].
@@ -115,9 +116,8 @@
 
     async fn raw(&self, method: Method, path: &str, body: Vec<u8>) -> Result<Answer, CliError> {
         let url = format!("http://{}{path}", self.address);
-        let token = self.token.iter().map(|token| (TOKEN_HEADER, token.clone()));
-        let headers: Vec<(&'static str, String)> = token.collect();
-        let answer = self.http.call(method, &url, &headers, body, TIMEOUT).await;
+        let answer = self.http.call(method, &url, &self.headers, body, TIMEOUT);
+        let answer = answer.await;
         answer.map_err(|source| self.call_error(source))
     }
 
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use crate::cell::spec::Demand;
 use crate::cell::view::{JobView, WaitReason};
 use crate::node::status::NodeStatus;
 use crate::refusal::Refusal;
@@ -59,6 +60,16 @@
 /// Renders how a job stands.
 pub fn job(view: &JobView) -> String {
     let mut out = format!("{}  {:?}  {}\n", view.id, view.state, view.queue);
+    if let Some(workspace) = &view.workspace {
+        let _ = writeln!(
+            out,
+            "  workspace {}: holds {}, may hold {} (configuration {})",
+            workspace.name,
+            room(&workspace.held),
+            room(&workspace.cap),
+            workspace.configuration
+        );
+    }
     for step in &view.steps {
         let _ = writeln!(
             out,
@@ -69,6 +80,11 @@
     out
 }
 
+fn room(demand: &Demand) -> String {
+    let (millicores, memory, gpus) = (demand.millicores, demand.memory, demand.gpus);
+    format!("{millicores} millicores, {memory} MiB, {gpus} accelerators")
+}
+
 /// Explains why a job waits, and what can be done.
 pub fn explain(view: &JobView) -> String {
     let mut out = job(view);
@@ -114,6 +130,10 @@
             "its queue holds as many processors as the policy allows",
             "wait, or raise the quota in the policy",
         ),
+        WaitReason::Cap => (
+            "its workspace has as much running as its cap allows",
+            "wait, or have the operator raise the cap",
+        ),
         WaitReason::AfterCrash => (
             "workers were lost as it began, so its tasks are tried one by one",
             "wait; look for `worker crashed under a task` in the owner's log",
--- a/src/embedded/mod.rs
+++ b/src/embedded/mod.rs
@@ -24,8 +24,9 @@
 use crate::node::process::{self, Node};
 use crate::node::settings::Settings;
 use crate::node::shared::Links;
-use crate::queue::{Configuration, Queue};
+use crate::queue::{Configuration, Draft, Queue};
 use crate::store::{self as rows, RowKey, Table, Transaction};
+use crate::workspace::Caller;
 
 /// The settings of the embedded node; only other nodes would call it, and there are none.
 const SETTINGS: &str = "\
@@ -100,11 +101,12 @@
         let key = RowKey::new(Table::Workers, "", &entry.life.id);
         tx.puts.push((key, rows::encode(entry)));
     }
-    let config = Configuration {
+    let config = Configuration::from(Draft {
         version: 1,
         queues: vec![queue("urgent", 0), queue("services", 1), queue("batch", 2)],
         max_body: 262_144,
-    };
+        workspaces: None,
+    });
     let key = RowKey::new(Table::Operator, "", CONFIGURATION);
     tx.puts.push((key, rows::encode(&config)));
     tx
@@ -211,13 +213,17 @@
     let Sample { what, queue, spec } = sample;
     let lasting = spec.steps.iter().any(|step| step.lasting);
     let queue = queue_named(front, queue);
-    if front.submit(&queue, id, spec, None).await != Submitted::Accepted {
+    if front
+        .submit(&Caller::Operator, &queue, id, spec, None)
+        .await
+        != Submitted::Accepted
+    {
         say(format!("{what}: not accepted."));
         return false;
     }
     let looks = STEP_LIMIT.as_millis() / LOOK.as_millis();
     for _ in 0..looks {
-        if let Ok(view) = front.explain(id).await
+        if let Ok(view) = front.explain(&Caller::Operator, id).await
             && is_served(&view, lasting)
         {
             say(format!("{what}, {} tasks: {}.", tasks(&view), shown(&view)));
@@ -258,7 +264,7 @@
 }
 
 async fn end_service(front: &Front, id: JobId, say: &mut impl FnMut(String)) -> bool {
-    let cancelled = front.cancel(id, None).await == Told::Cancelled;
+    let cancelled = front.cancel(&Caller::Operator, id, None).await == Told::Cancelled;
     say(String::from(if cancelled {
         "The service was cancelled."
     } else {
--- a/src/experiment/load.rs
+++ b/src/experiment/load.rs
@@ -188,5 +188,6 @@
             steps: vec![step],
             schedule: None,
         },
+        workspace: None,
     }
 }
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -23,7 +23,7 @@
 use crate::experiment::load::Load;
 use crate::experiment::objective::Objectives;
 use crate::policy::{BuiltIn, Ordering, Policy};
-use crate::queue::{Configuration, Queue};
+use crate::queue::{Configuration, Draft, Queue};
 
 /// Virtual time moves by so much.
 const STEP: Millis = 10;
@@ -147,11 +147,12 @@
     fn new(setup: Setup) -> Self {
         let load = setup.kind.load();
         let queues = load.queues();
-        let config = Configuration {
+        let config = Configuration::from(Draft {
             version: 1,
             queues: queues.to_vec(),
             max_body: 262_144,
-        };
+            workspaces: None,
+        });
         let mut cell = Cell::new(1, Arc::new(config), 1);
         cell.set_policy(Arc::new(Switched {
             reserves: setup.reserves,
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -58,6 +58,13 @@
     );
 }
 
+/// Says how a caller names itself.
+pub fn ask_for_key(response: &mut Response) {
+    response
+        .headers_mut()
+        .insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+}
+
 /// Builds the answer of the product's own interface to something that was refused.
 pub fn refusal(refusal: Refusal, detail: Option<String>, pause: Millis) -> Response {
     let description = refusal.describe();
@@ -79,5 +86,8 @@
     if description.again {
         retry_after(&mut response, pause);
     }
+    if matches!(refusal, Refusal::NoKey | Refusal::WrongKey) {
+        ask_for_key(&mut response);
+    }
     response
 }
--- a/src/http/api.rs
+++ b/src/http/api.rs
@@ -18,13 +18,15 @@
 use crate::cell::spec::{JobId, JobSpec, SpecError};
 use crate::cell::view::JobView;
 use crate::http::operator::OperatorToken;
-use crate::http::{answer, body, keys};
+use crate::http::{answer, body, keys, server};
 use crate::node::front::{Front, RETRY_AFTER, Told};
 use crate::node::intake::Submitted;
 use crate::node::policy::{self, Change, PolicyRow};
 use crate::policy::Program;
+use crate::queue::Configuration;
 use crate::refusal::Refusal;
 use crate::store::Version;
+use crate::workspace::Caller;
 
 /// The largest body before a configuration says otherwise, in bytes.
 const DEFAULT_MAX_BODY: usize = 262_144;
@@ -142,9 +144,9 @@
         match (&parts.method, path.as_slice()) {
             (&Method::GET, ["health"]) => self.health(),
             (&Method::GET, ["metrics"]) => self.metrics(),
-            (&Method::POST, ["v1", "jobs"]) => self.submit(body).await,
-            (&Method::GET, ["v1", "jobs", id]) => self.explain(id.parse()?).await,
-            (&Method::DELETE, ["v1", "jobs", id]) => self.cancel(id.parse()?).await,
+            (&Method::POST, ["v1", "jobs"]) => self.submit(&parts.headers, body).await,
+            (&Method::GET, ["v1", "jobs", id]) => self.explain(&parts.headers, id.parse()?).await,
+            (&Method::DELETE, ["v1", "jobs", id]) => self.cancel(&parts.headers, id.parse()?).await,
             (&Method::GET, ["v1", "status"]) => {
                 Ok(answer::json(StatusCode::OK, &self.front.status()))
             }
@@ -176,7 +178,26 @@
         }
     }
 
-    async fn submit(&self, body: Body) -> Result<Response, Rejection> {
+    /// Tells who calls: an operator by its token, anybody else by its key.
+    fn caller(
+        &self,
+        config: &Configuration,
+        is_public: bool,
+        headers: &HeaderMap,
+    ) -> Result<Caller, Rejection> {
+        if self.token.admits(headers) {
+            return Ok(Caller::Operator);
+        }
+        server::caller(config, is_public, headers).map_err(|err| Refusal::from(err).into())
+    }
+
+    /// Who asks about a job, of which the queue is not known yet.
+    fn asker(&self, headers: &HeaderMap) -> Result<Caller, Rejection> {
+        let config = self.front.shared.config().unwrap_or_default();
+        self.caller(&config, true, headers)
+    }
+
+    async fn submit(&self, headers: &HeaderMap, body: Body) -> Result<Response, Rejection> {
         let submission: Submission = self.read(body).await?;
         let id: JobId = submission.id.parse()?;
         submission.job.check()?;
@@ -186,15 +207,19 @@
         let Some(queue) = config.queue(&submission.queue) else {
             return Err(Refusal::NoQueue.into());
         };
-        match self.front.submit(queue, id, submission.job, None).await {
+        let caller = self.caller(&config, queue.public, headers)?;
+        let submitted = self.front.submit(&caller, queue, id, submission.job, None);
+        match submitted.await {
             Submitted::Accepted => Ok(accepted(id)),
             Submitted::Refused => Err(Refusal::StoreUnavailable.into()),
             Submitted::Doubtful => Err(Refusal::Doubtful.into()),
+            Submitted::BeyondCap => Err(Refusal::BeyondCap.into()),
         }
     }
 
-    async fn explain(&self, id: JobId) -> Result<Response, Rejection> {
-        match self.front.explain(id).await {
+    async fn explain(&self, headers: &HeaderMap, id: JobId) -> Result<Response, Rejection> {
+        let caller = self.asker(headers)?;
+        match self.front.explain(&caller, id).await {
             Ok(view) => Ok(answer::json(StatusCode::OK, &view)),
             Err(Told::State(state)) => {
                 let view = JobView::of_state(id, state);
@@ -205,8 +230,9 @@
         }
     }
 
-    async fn cancel(&self, id: JobId) -> Result<Response, Rejection> {
-        match self.front.cancel(id, None).await {
+    async fn cancel(&self, headers: &HeaderMap, id: JobId) -> Result<Response, Rejection> {
+        let caller = self.asker(headers)?;
+        match self.front.cancel(&caller, id, None).await {
             Told::Cancelled | Told::State(_) => Ok(accepted(id)),
             Told::Unknown => Err(Refusal::NoSuchJob.into()),
             Told::Unavailable => Err(Refusal::OwnerUnavailable.into()),
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -10,12 +10,15 @@
 use volo::net::incoming::{Incoming, MakeIncoming};
 use volo::service::Service;
 use volo_http::context::ServerContext;
+use volo_http::http::{HeaderMap, header};
 use volo_http::request::Request;
 use volo_http::response::Response;
 use volo_http::server::Server;
 
 use crate::error::{Error, Result};
 use crate::keep_alive;
+use crate::queue::Configuration;
+use crate::workspace::{Caller, KeyError};
 
 /// The most headers that a request may have.
 const MAX_HEADERS: usize = 64;
@@ -43,6 +46,24 @@
         .map_err(Error::HttpServer)
 }
 
+/// Tells who calls by the headers of a request.  A caller that brings several keys brings none: they
+/// would not tell whose call it is.
+///
+/// # Errors
+/// Fails if the caller needs a key and has none that is known.
+pub fn caller(
+    config: &Configuration,
+    is_public: bool,
+    headers: &HeaderMap,
+) -> std::result::Result<Caller, KeyError> {
+    let mut values = headers.get_all(header::AUTHORIZATION).iter();
+    let only = match (values.next(), values.next()) {
+        (Some(value), None) => Some(value.as_bytes()),
+        _ => None,
+    };
+    config.caller(is_public, only)
+}
+
 /// Accepts connections and has those ended whose caller has gone silent: each would hold
 /// its memory and a descriptor for ever.
 #[derive(Debug)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod refusal;
 pub mod rpc;
 pub mod store;
+pub mod workspace;
 
 pub use crate::error::{Error, Result};
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -23,7 +23,7 @@
 use crate::node::recording::MOST_JOBS;
 use crate::node::roster_rows::RosterRows;
 use crate::node::shared::Shared;
-use crate::rpc::node::NodeReply;
+use crate::rpc::node::{NodeReply, Question};
 use crate::store::Version;
 
 /// Scheduling runs at least so often, for leases and retries.
@@ -187,10 +187,11 @@
 
     /// Passes the core's counts on to the metrics.
     pub fn count(&self, metrics: &crate::metrics::Metrics) {
-        let (counts, (used, capacity)) = {
+        let (counts, (used, capacity), ledger_errors) = {
             let cell = self.cell();
-            (cell.counts(), cell.room())
+            (cell.counts(), cell.room(), cell.ledger_errors())
         };
+        metrics.gauge("ledger_errors", ledger_errors as i64);
         metrics.gauge("held_millicores", used.millicores as i64);
         metrics.gauge("millicores", capacity.millicores as i64);
         for (what, value) in [
@@ -290,13 +291,22 @@
         }
     }
 
+    /// Tells whether whoever asks may know of the job, as far as it is known whose it is.
+    pub fn may_see(&self, asked: &Question) -> bool {
+        self.cell().may_see(&asked.caller, asked.job)
+    }
+
     /// Cancels a job and waits until that is recorded.
-    pub async fn cancel(&self, id: JobId) -> NodeReply {
+    pub async fn cancel(&self, asked: &Question) -> NodeReply {
+        let id = asked.job;
         let mut decided = self.cell().cancel(id);
         if decided == Cancelling::Unknown {
             match loading::find_job(&self.shared, id).await {
                 Ok(Some(row)) => {
                     self.accepted(&row);
+                    if !self.may_see(asked) {
+                        return NodeReply::UnknownJob;
+                    }
                     decided = self.cell().cancel(id);
                 }
                 Ok(None) => return NodeReply::UnknownJob,
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -17,8 +17,9 @@
 use crate::node::owner_calls::{OWNER_TIMEOUT, ask_owner, serve_as_owner, tell_owner};
 use crate::node::shared::{PARTITION, Shared};
 use crate::queue::Queue;
-use crate::rpc::node::{NodeCall, NodeReply, NodeService};
+use crate::rpc::node::{NodeCall, NodeReply, NodeService, Question};
 use crate::store::{StoreCall, StoreReply, Table};
+use crate::workspace::{Caller, Workspace};
 
 /// How long the owner may take to record a cancellation: callers wait 3 s.
 const CANCEL_TIMEOUT: Millis = 2_500;
@@ -100,15 +101,21 @@
     /// the caller has left, if it told.
     pub async fn submit(
         &self,
+        caller: &Caller,
         queue: &Queue,
         id: JobId,
         spec: JobSpec,
         deadline: Option<Millis>,
     ) -> Submitted {
+        let workspace = self.workspace(caller);
+        if workspace.as_ref().is_some_and(|w| !w.could_run(&spec)) {
+            return Submitted::BeyondCap;
+        }
         let row = JobRow {
             id,
             queue: queue.clone(),
             spec,
+            workspace,
         };
         let began = self.shared.now();
         let outcome = self.write(&row, deadline).await;
@@ -116,6 +123,7 @@
         tracing::info!(
             request = %id,
             queue = queue.name,
+            workspace = row.workspace.as_ref().map(|workspace| workspace.name.as_str()),
             configuration = self.shared.config_version(),
             ?outcome,
             ms = now.saturating_sub(began),
@@ -131,6 +139,14 @@
         outcome
     }
 
+    /// The workspace of a caller, as the configuration in force describes it.
+    fn workspace(&self, caller: &Caller) -> Option<Workspace> {
+        let Caller::Workspace(name) = caller else {
+            return None;
+        };
+        self.shared.config()?.workspace(name).cloned()
+    }
+
     async fn write(&self, row: &JobRow, deadline: Option<Millis>) -> Submitted {
         if !self.shared.has_store() {
             return Submitted::Refused;
@@ -150,22 +166,23 @@
     }
 
     /// Tells how far a job is, to a caller that has `deadline` left.
-    pub async fn state(&self, id: JobId, deadline: Option<Millis>) -> Told {
-        let asking = tokio::time::timeout(hold(deadline), self.find_state(id));
+    pub async fn state(&self, caller: &Caller, id: JobId, deadline: Option<Millis>) -> Told {
+        let asking = tokio::time::timeout(hold(deadline), self.find_state(caller, id));
         asking.await.unwrap_or_else(|_| {
             tracing::info!(request = %id, ?deadline, "state is not found in time");
             Told::Unavailable
         })
     }
 
-    async fn find_state(&self, id: JobId) -> Told {
+    async fn find_state(&self, caller: &Caller, id: JobId) -> Told {
         self.await_owner().await;
-        let asked = ask_owner(&self.shared, NodeCall::State(id), OWNER_TIMEOUT).await;
+        let call = NodeCall::State(question(caller, id));
+        let asked = ask_owner(&self.shared, call, OWNER_TIMEOUT).await;
         let early = self.shared.early_ends().state(id);
         let (told, source) = match (asked, early) {
             (Some(NodeReply::State(state)), _) => (Told::State(state), "owner"),
             (_, Some(state)) => (Told::State(state), "early ends"),
-            _ => (self.stored_state(id).await, "rows"),
+            _ => (self.stored_state(caller, id).await, "rows"),
         };
         let epoch = self.shared.owner().epoch;
         tracing::info!(request = %id, ?told, source, epoch, "state told");
@@ -183,14 +200,17 @@
 
     /// Reads a job's state from its rows: first from that of its progress, since looking
     /// for the job takes a call for each partition.
-    async fn stored_state(&self, id: JobId) -> Told {
+    async fn stored_state(&self, caller: &Caller, id: JobId) -> Told {
         let progress = StoreCall::row(Table::Progress, PARTITION, &id.to_string());
         let Ok(StoreReply::Rows { rows, .. }) = self.shared.store(progress).await else {
             return Told::Unavailable;
         };
         if let Some(row) = rows.first() {
             return match serde_json::from_str::<Progress>(&row.value) {
-                Ok(progress) => Told::State(progress.state),
+                Ok(progress) if caller.may_see(progress.workspace.as_deref()) => {
+                    Told::State(progress.state)
+                }
+                Ok(_) => Told::Unknown,
                 Err(err) => {
                     tracing::error!(%err, request = %id, "progress cannot be read");
                     Told::Unavailable
@@ -202,8 +222,13 @@
         };
         match job {
             Some(row) => {
+                let workspace = row.workspace.as_ref().map(|w| w.name.as_str());
+                let told = match caller.may_see(workspace) {
+                    true => Told::State(JobState::Queued),
+                    false => Told::Unknown,
+                };
                 tokio::spawn(tell_owner(Arc::clone(&self.shared), row));
-                Told::State(JobState::Queued)
+                told
             }
             None => Told::Unknown,
         }
@@ -211,28 +236,30 @@
 
     /// Tells how a job stands in detail, which only the owner knows; `Err` tells as much
     /// as any node can.
-    pub async fn explain(&self, id: JobId) -> std::result::Result<JobView, Told> {
-        let asked = ask_owner(&self.shared, NodeCall::Explain(id), OWNER_TIMEOUT).await;
+    pub async fn explain(&self, caller: &Caller, id: JobId) -> std::result::Result<JobView, Told> {
+        let call = NodeCall::Explain(question(caller, id));
+        let asked = ask_owner(&self.shared, call, OWNER_TIMEOUT).await;
         if let Some(NodeReply::Explained(view)) = asked {
             match serde_json::from_slice(&view) {
                 Ok(view) => return Ok(view),
                 Err(err) => tracing::error!(%err, request = %id, "a view cannot be read"),
             }
         }
-        Err(self.state(id, None).await)
+        Err(self.state(caller, id, None).await)
     }
 
     /// Cancels a job, for a caller that has `deadline` left; it is recorded before this
     /// says so.
-    pub async fn cancel(&self, id: JobId, deadline: Option<Millis>) -> Told {
-        let cancelling = tokio::time::timeout(hold(deadline), self.ask_to_cancel(id));
+    pub async fn cancel(&self, caller: &Caller, id: JobId, deadline: Option<Millis>) -> Told {
+        let cancelling = tokio::time::timeout(hold(deadline), self.ask_to_cancel(caller, id));
         let told = cancelling.await.unwrap_or(Told::Unavailable);
         tracing::info!(request = %id, ?told, "cancellation");
         told
     }
 
-    async fn ask_to_cancel(&self, id: JobId) -> Told {
-        match ask_owner(&self.shared, NodeCall::Cancel(id), CANCEL_TIMEOUT).await {
+    async fn ask_to_cancel(&self, caller: &Caller, id: JobId) -> Told {
+        let call = NodeCall::Cancel(question(caller, id));
+        match ask_owner(&self.shared, call, CANCEL_TIMEOUT).await {
             Some(NodeReply::Cancelled) => Told::Cancelled,
             Some(NodeReply::UnknownJob) => Told::Unknown,
             _ => Told::Unavailable,
@@ -285,6 +312,13 @@
     }
 }
 
+fn question(caller: &Caller, job: JobId) -> Question {
+    Question {
+        job,
+        caller: caller.clone(),
+    }
+}
+
 /// How long a caller that has `deadline` left may be kept waiting.
 fn hold(deadline: Option<Millis>) -> Duration {
     share_of(deadline, HOLD_PERCENT)
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -38,6 +38,8 @@
     Refused,
     /// It may have been taken; the caller should hand it in again.
     Doubtful,
+    /// It was not taken: even alone, one of its tasks or gangs is above the cap of its workspace.
+    BeyondCap,
 }
 
 struct Waiting {
--- a/src/node/owner_calls.rs
+++ b/src/node/owner_calls.rs
@@ -6,7 +6,7 @@
 use crate::cell::record::JobRow;
 use crate::clock::Millis;
 use crate::node::shared::Shared;
-use crate::rpc::node::{NodeCall, NodeReply};
+use crate::rpc::node::{NodeCall, NodeReply, Question};
 
 /// How long the owner may take to take in a job or to tell its state.
 pub const OWNER_TIMEOUT: Millis = 600;
@@ -29,19 +29,26 @@
                 NodeReply::Unavailable
             }
         },
-        NodeCall::State(id) => match engine.state_or_end(id).await {
+        NodeCall::State(asked) | NodeCall::Explain(asked) | NodeCall::Cancel(asked)
+            if !engine.may_see(&asked) =>
+        {
+            NodeReply::UnknownJob
+        }
+        NodeCall::State(Question { job: id, .. }) => match engine.state_or_end(id).await {
             Some(state) => NodeReply::State(state),
             None => NodeReply::UnknownJob,
         },
-        NodeCall::Explain(id) => match engine.view(id).map(|view| serde_json::to_vec(&view)) {
-            Some(Ok(view)) => NodeReply::Explained(view),
-            Some(Err(err)) => {
-                tracing::error!(%err, request = %id, "a view cannot be encoded");
-                NodeReply::Unavailable
+        NodeCall::Explain(Question { job: id, .. }) => {
+            match engine.view(id).map(|view| serde_json::to_vec(&view)) {
+                Some(Ok(view)) => NodeReply::Explained(view),
+                Some(Err(err)) => {
+                    tracing::error!(%err, request = %id, "a view cannot be encoded");
+                    NodeReply::Unavailable
+                }
+                None => NodeReply::UnknownJob,
             }
-            None => NodeReply::UnknownJob,
-        },
-        NodeCall::Cancel(id) => engine.cancel(id).await,
+        }
+        NodeCall::Cancel(asked) => engine.cancel(&asked).await,
         _ => NodeReply::NotOwner,
     }
 }
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -183,7 +183,7 @@
             version = config.version,
             former = version,
             source,
-            queues = config.queues.len(),
+            queues = config.queues().len(),
             "configuration in force"
         );
         *held = Some(Arc::new(config));
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -74,7 +74,7 @@
         let members = members.collect();
         drop(known);
         let config = shared.config();
-        let queues = config.iter().flat_map(|config| &config.queues);
+        let queues = config.iter().flat_map(|config| config.queues());
         NodeStatus {
             node: shared.name.clone(),
             ready: self.is_ready(),
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -1,6 +1,7 @@
 //! Why a caller or an operator was refused: one table for every interface.
 
 use crate::cell::spec::SpecError;
+use crate::workspace::KeyError;
 
 /// A reason for which something was not done, or not known to be done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,8 +16,14 @@
     NoSuchPath,
     /// No queue has this name or path.
     NoQueue,
-    /// The job is not known.
+    /// The job is not known, or it is another workspace's.
     NoSuchJob,
+    /// The caller has brought no key, or not as `Authorization: Bearer`.
+    NoKey,
+    /// No workspace has the caller's key.
+    WrongKey,
+    /// The job is above the cap of its workspace.
+    BeyondCap,
     /// The node has no configuration yet.
     NoConfiguration,
     /// The store could not take the job.
@@ -63,9 +70,18 @@
 /// Time is needed.
 const COME_BACK: &str = "Come back at Retry-After; look at the store if it persists.";
 
+impl From<KeyError> for Refusal {
+    fn from(err: KeyError) -> Self {
+        match err {
+            KeyError::Missing => Self::NoKey,
+            KeyError::Unknown => Self::WrongKey,
+        }
+    }
+}
+
 impl Refusal {
     /// All refusals, for the reference.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 26] = [
         Self::Spec(SpecError::BadId),
         Self::Spec(SpecError::Malformed),
         Self::Spec(SpecError::TextTooLong),
@@ -78,6 +94,9 @@
         Self::NoSuchPath,
         Self::NoQueue,
         Self::NoSuchJob,
+        Self::NoKey,
+        Self::WrongKey,
+        Self::BeyondCap,
         Self::NoConfiguration,
         Self::StoreUnavailable,
         Self::Doubtful,
@@ -127,9 +146,27 @@
             Self::NoSuchJob => never(
                 "no_such_job",
                 404,
-                "The job is not known.",
+                "The job is not known, or it is not one of the caller's workspace.",
                 "Check the id; hand the job in if it never was.",
             ),
+            Self::NoKey => never(
+                "no_key",
+                401,
+                "The queue is not public, and the call brings no key.",
+                "Send the workspace's key as `Authorization: Bearer KEY`.",
+            ),
+            Self::WrongKey => never(
+                "unknown_caller",
+                401,
+                "No workspace of the configuration in force has this key.",
+                "Ask the operator for a key; one may have been taken away.",
+            ),
+            Self::BeyondCap => never(
+                "beyond_cap",
+                422,
+                "One task or gang of the job takes more than its workspace may have running.",
+                "Ask for less, or have the cap raised.",
+            ),
             Self::NoConfiguration => later(
                 "no_configuration",
                 "The node has no configuration yet; the job was not taken.",
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -15,9 +15,9 @@
     beat @0 :Beat;
     # A job whose row is durable: JSON of cell::record::JobRow.
     accepted @1 :Data;
-    # The state of the job with this id.
+    # The state of the job with this id, for a node that knows no workspaces.
     state @2 :UInt64;
-    # Cancels the job with this id.
+    # Cancels the job with this id, for a node that knows no workspaces.
     cancel @3 :UInt64;
     # Asks the receiver to make one call to the advice service.
     advise @4 :Advise;
@@ -25,10 +25,26 @@
     configuration @5 :UInt64;
     # JSON of store::StoreCall, to be made on behalf of the sender.
     relay @6 :Data;
-    # How the job with this id stands, in detail.
+    # How the job with this id stands, in detail, for a node that knows no workspaces.
     explain @7 :UInt64;
     # Rows of jobs that the receiver writes together with its own.
     write @8 :List(JobRow);
+    # The state of a job, for a caller.
+    stateFor @9 :Question;
+    # Cancels a job, for a caller.
+    cancelFor @10 :Question;
+    # How a job stands in detail, for a caller.
+    explainFor @11 :Question;
+  }
+}
+
+struct Question {
+  job @0 :UInt64;
+  caller :union {
+    anonymous @1 :Void;
+    # The name of the workspace whose key the caller has.
+    workspace @2 :Text;
+    operator @3 :Void;
   }
 }
 
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -14,6 +14,7 @@
 use crate::node::intake::Submitted;
 use crate::rpc::node_capnp as wire;
 use crate::rpc::{PeerError, transport};
+use crate::workspace::Caller;
 
 /// The unit of the messages' encoding.
 const BYTES_PER_WORD: usize = 8;
@@ -76,6 +77,25 @@
     Gone(String),
 }
 
+/// A question about a job, or its cancelling.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Question {
+    /// The job.
+    pub job: JobId,
+    /// Who asks.
+    pub caller: Caller,
+}
+
+impl Question {
+    /// A node of a version without workspaces asks: it has let everybody in.
+    fn of_older_node(job: u64) -> Self {
+        Self {
+            job: JobId(job),
+            caller: Caller::Operator,
+        }
+    }
+}
+
 /// A call to another node.
 #[derive(Debug, Clone)]
 pub enum NodeCall {
@@ -84,9 +104,9 @@
     /// A job whose row is durable: JSON of [`crate::cell::record::JobRow`].
     Accepted(Vec<u8>),
     /// Asks for a job's state.
-    State(JobId),
+    State(Question),
     /// Cancels a job.
-    Cancel(JobId),
+    Cancel(Question),
     /// Asks the receiver to make a call to the advice service.
     Advise {
         /// The step's name.
@@ -99,7 +119,7 @@
     /// JSON of a [`crate::store::StoreCall`] to make for the sender.
     Relay(Vec<u8>),
     /// Asks how a job stands, in detail.
-    Explain(JobId),
+    Explain(Question),
     /// Rows of accepted jobs, by key, to be written together with the receiver's own.
     Write(Vec<(String, String)>),
 }
@@ -341,12 +361,35 @@
     })
 }
 
+fn write_question(question: &Question, mut out: wire::question::Builder) {
+    out.set_job(question.job.0);
+    let mut caller = out.init_caller();
+    match &question.caller {
+        Caller::Anonymous => caller.set_anonymous(()),
+        Caller::Workspace(name) => caller.set_workspace(name),
+        Caller::Operator => caller.set_operator(()),
+    }
+}
+
+fn read_question(question: wire::question::Reader) -> capnp::Result<Question> {
+    use wire::question::caller;
+    let caller = match question.get_caller().which()? {
+        caller::Anonymous(()) => Caller::Anonymous,
+        caller::Workspace(name) => Caller::Workspace(name?.to_string()?),
+        caller::Operator(()) => Caller::Operator,
+    };
+    Ok(Question {
+        job: JobId(question.get_job()),
+        caller,
+    })
+}
+
 fn write_call(call: &NodeCall, mut out: wire::request::Builder) {
     match call {
         NodeCall::Beat(beat) => write_beat(beat, out.init_beat()),
         NodeCall::Accepted(row) => out.set_accepted(row),
-        NodeCall::State(id) => out.set_state(id.0),
-        NodeCall::Cancel(id) => out.set_cancel(id.0),
+        NodeCall::State(question) => write_question(question, out.init_state_for()),
+        NodeCall::Cancel(question) => write_question(question, out.init_cancel_for()),
         NodeCall::Advise { step, workers } => {
             let mut advise = out.init_advise();
             advise.set_step(step);
@@ -357,7 +400,7 @@
         }
         NodeCall::Configuration(version) => out.set_configuration(*version),
         NodeCall::Relay(call) => out.set_relay(call),
-        NodeCall::Explain(id) => out.set_explain(id.0),
+        NodeCall::Explain(question) => write_question(question, out.init_explain_for()),
         NodeCall::Write(rows) => {
             let mut list = out.init_write(rows.len() as u32);
             for (place, (key, value)) in rows.iter().enumerate() {
@@ -373,8 +416,11 @@
     Ok(match call.which()? {
         wire::request::Beat(beat) => NodeCall::Beat(read_beat(beat?)?),
         wire::request::Accepted(row) => NodeCall::Accepted(row?.to_vec()),
-        wire::request::State(id) => NodeCall::State(JobId(id)),
-        wire::request::Cancel(id) => NodeCall::Cancel(JobId(id)),
+        wire::request::State(id) => NodeCall::State(Question::of_older_node(id)),
+        wire::request::Cancel(id) => NodeCall::Cancel(Question::of_older_node(id)),
+        wire::request::StateFor(question) => NodeCall::State(read_question(question?)?),
+        wire::request::CancelFor(question) => NodeCall::Cancel(read_question(question?)?),
+        wire::request::ExplainFor(question) => NodeCall::Explain(read_question(question?)?),
         wire::request::Advise(advise) => {
             let advise = advise?;
             let mut workers = Vec::new();
@@ -388,7 +434,7 @@
         }
         wire::request::Configuration(version) => NodeCall::Configuration(version),
         wire::request::Relay(call) => NodeCall::Relay(call?.to_vec()),
-        wire::request::Explain(id) => NodeCall::Explain(JobId(id)),
+        wire::request::Explain(id) => NodeCall::Explain(Question::of_older_node(id)),
         wire::request::Write(rows) => {
             let mut list = Vec::new();
             for row in rows? {
@@ -456,7 +502,12 @@
     })
 }
 
-const OUTCOMES: [Submitted; 3] = [Submitted::Doubtful, Submitted::Accepted, Submitted::Refused];
+const OUTCOMES: [Submitted; 4] = [
+    Submitted::Doubtful,
+    Submitted::Accepted,
+    Submitted::Refused,
+    Submitted::BeyondCap,
+];
 
 fn outcome_number(outcome: Submitted) -> u16 {
     OUTCOMES
--- a/tests/asked_at_the_end.rs
+++ b/tests/asked_at_the_end.rs
@@ -21,6 +21,7 @@
 use crossweir::node::front::{Front, Told};
 use crossweir::node::shared::job_partition;
 use crossweir::store::{RowKey, Table, Transaction, encode};
+use crossweir::workspace::Caller;
 use tokio::time::Instant;
 use virtual_node::{Relay, VirtualNode, claim, furnish, virtual_node_with};
 
@@ -78,7 +79,7 @@
 /// Asks for the job's state; tells it and how long the answer took.
 async fn ask(bed: &Bed, row: &JobRow) -> (Told, Millis) {
     let began = Instant::now();
-    let told = bed.front.state(row.id, LEFT).await;
+    let told = bed.front.state(&Caller::Anonymous, row.id, LEFT).await;
     (told, began.elapsed().as_millis() as Millis)
 }
 
--- a/tests/cancelling.rs
+++ b/tests/cancelling.rs
@@ -41,6 +41,7 @@
         state,
         tasks: Vec::new(),
         careful: false,
+        workspace: None,
     };
     bench.cell.remember(JobId(7), progress);
     bench
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -16,7 +16,9 @@
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::cell::{Cell, WorkerKey};
 use crossweir::clock::Millis;
-use crossweir::queue::{AdvicePolicy, Configuration, Queue};
+use crossweir::queue::{AdvicePolicy, Configuration, Draft, Queue};
+use crossweir::rpc::node::Question;
+use crossweir::workspace::{Caller, Workspace, Workspaces};
 
 /// The service of all workers here.
 pub const SERVICE: &str = "svc";
@@ -43,11 +45,44 @@
 
 /// A configuration with these queues.
 pub fn configuration(queues: &[Queue]) -> Arc<Configuration> {
-    Arc::new(Configuration {
+    Arc::new(Configuration::from(Draft {
         version: 1,
         queues: queues.to_vec(),
         max_body: 262_144,
-    })
+        workspaces: None,
+    }))
+}
+
+/// A workspace whose tasks may hold so many cores.
+pub fn workspace(name: &str, cores: u64) -> Workspace {
+    Workspace {
+        name: name.to_owned(),
+        weight: 1.0,
+        cap: Demand {
+            millicores: cores * 1_000,
+            ..Demand::default()
+        },
+    }
+}
+
+/// A configuration with these queues and workspaces; a workspace's key is its name.
+pub fn shared_configuration(
+    version: u64,
+    queues: &[Queue],
+    list: &[Workspace],
+) -> Arc<Configuration> {
+    let mut workspaces = Workspaces::default();
+    for workspace in list {
+        let keys = [workspace.name.clone()];
+        let added = workspaces.add(workspace.clone(), &keys);
+        added.expect("a workspace of its own");
+    }
+    Arc::new(Configuration::from(Draft {
+        version,
+        queues: queues.to_vec(),
+        max_body: 262_144,
+        workspaces: Some(workspaces),
+    }))
 }
 
 /// A worker with 16 cores.
@@ -93,6 +128,15 @@
             steps,
             schedule: None,
         },
+        workspace: None,
+    }
+}
+
+/// A question about a job, by whoever has no key.
+pub fn question(id: u64) -> Question {
+    Question {
+        job: JobId(id),
+        caller: Caller::Anonymous,
     }
 }
 
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -10,8 +10,11 @@
 mod lives;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
-use cell_core::{advised_queue, configuration, job, queue, step, worker};
+use cell_core::{
+    advised_queue, configuration, job, queue, shared_configuration, step, worker, workspace,
+};
 use crossweir::cell::job::JobState;
 use crossweir::cell::life::Life;
 use crossweir::cell::name::TaskName;
@@ -26,7 +29,8 @@
 use crossweir::cell::{Cell, RunKey, WorkerKey, tuning};
 use crossweir::clock::Millis;
 use crossweir::embedded::worker::{MemoryWorker, RunRecord};
-use crossweir::queue::Queue;
+use crossweir::queue::{Configuration, Queue};
+use crossweir::workspace::Workspace;
 use lives::{Alive, EPOCH};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -89,6 +93,11 @@
 
 /// Accelerators of a worker.
 const GPUS: u64 = 4;
+/// Workspaces of the runs that have some.
+const TEAMS: [&str; 2] = ["a", "b"];
+/// Their caps in cores, of 64: drawn anew from time to time, and wide enough for any gang in the end.
+const CAPS: std::ops::Range<u64> = 4..40;
+const WIDE: u64 = 40;
 
 fn worker_with_gpus(number: u16) -> WorkerEntry {
     let mut entry = worker(number);
@@ -204,6 +213,8 @@
     crashed_under: BTreeMap<TaskName, usize>,
     /// Starts of which nobody has told the owner what became of them, by its epoch.
     untold: BTreeMap<(u64, RunKey), UntoldStart>,
+    /// Since when each version of the configuration is in force, and its workspaces; none without.
+    caps: Vec<(Millis, Vec<Workspace>)>,
 }
 
 impl World {
@@ -258,11 +269,71 @@
             crash_starts: BTreeMap::new(),
             crashed_under: BTreeMap::new(),
             untold: BTreeMap::new(),
+            caps: Vec::new(),
         };
         world.take_over();
         world
     }
 
+    /// Two of three jobs belong to workspaces whose caps change.
+    fn with_caps(mut self) -> Self {
+        self.change_caps(CAPS);
+        self
+    }
+
+    fn config(&self) -> Arc<Configuration> {
+        match self.caps.last() {
+            Some((_, list)) => shared_configuration(self.caps.len() as u64 + 1, &self.queues, list),
+            None => configuration(&self.queues),
+        }
+    }
+
+    /// A newer configuration is in force, and the owner hears of it.
+    fn change_caps(&mut self, cores: std::ops::Range<u64>) {
+        let mut draw = |name: &str| workspace(name, self.rng.random_range(cores.clone()));
+        let list = TEAMS.iter().map(|name| draw(name)).collect();
+        self.caps.push((self.now, list));
+        let config = self.config();
+        self.owner.cell.configure(config);
+    }
+
+    /// The workspace of a job, in the newest configuration.
+    fn team_of(&self, job: u64) -> Option<Workspace> {
+        let (_, list) = self.caps.last()?;
+        list.get(job as usize % (TEAMS.len() + 1)).cloned()
+    }
+
+    /// No start lifts what a workspace has running above its cap.  One that was decided under a
+    /// former cap may be carried out while its time lasts.
+    fn check_cap(&self, order: &StartOrder) {
+        let Some(team) = self.team_of(order.task.step.job.0) else {
+            return;
+        };
+        let runs = self.workers.values().flat_map(Alive::runs);
+        let running = runs.filter(|run| run.ended.is_none());
+        let of_team = running.filter(|run| {
+            let other = self.team_of(run.task.step.job.0);
+            other.is_some_and(|other| other.name == team.name)
+        });
+        let held = held_by(&self.rows, of_team);
+        let followed_at = |place: usize| self.caps.get(place + 1).map(|(at, _)| *at);
+        let mut in_force = self.caps.iter().enumerate().filter(|(place, _)| {
+            followed_at(*place).is_none_or(|at| at + tuning::START_VALID + WAY >= self.now)
+        });
+        let admits = |list: &[Workspace]| {
+            let described = list.iter().find(|other| other.name == team.name);
+            described.is_some_and(|described| described.admits(&held))
+        };
+        assert!(
+            in_force.any(|(_, (_, list))| admits(list)),
+            "{} holds {held:?} at {} after {}, of {:?}",
+            team.name,
+            self.now,
+            order.task,
+            self.caps.last()
+        );
+    }
+
     fn with_crashing_tasks(seed: u64) -> Self {
         Self {
             has_crashing_tasks: true,
@@ -314,8 +385,7 @@
         }
         self.epoch = tuning::next_epoch(self.epoch);
         tracing::debug!(now = self.now, epoch = self.epoch, "owner changes");
-        let config = configuration(&self.queues);
-        let mut cell = Cell::new(self.epoch, config, self.now);
+        let mut cell = Cell::new(self.epoch, self.config(), self.now);
         cell.set_lanes(&[true]);
         cell.list_former_workers(self.roster.clone(), self.now);
         cell.list_workers(self.store_lists(), self.now);
@@ -352,6 +422,9 @@
         }
         self.store_down_until = 0;
         self.cut_until.clear();
+        if !self.caps.is_empty() {
+            self.change_caps(WIDE..WIDE + 1);
+        }
         while self.now < TROUBLE + QUIET && !self.is_done() {
             self.turn();
         }
@@ -376,6 +449,9 @@
         if self.chance(1) {
             self.cancel();
         }
+        if !self.caps.is_empty() && self.chance(1) {
+            self.change_caps(CAPS);
+        }
         if self.chance(1) && self.rng.random_ratio(1, 2) {
             let place = self.rng.random_range(0..self.entries.len());
             let until = self.now + self.rng.random_range(200..8_000);
@@ -406,6 +482,7 @@
         let mut row = job(number, queue, vec![first, second]);
         let shortest = if self.keeps_ids { SHORTEST } else { 20 };
         row.spec.text = self.rng.random_range(shortest..LONGEST).to_string();
+        row.workspace = self.team_of(number);
         if self.has_crashing_tasks && self.rng.random_ratio(1, 6) {
             row.spec.text = CRASH.to_owned();
         }
@@ -970,6 +1047,9 @@
                 self.now
             );
         }
+        if outcome == StartOutcome::Started {
+            self.check_cap(order);
+        }
         if outcome == StartOutcome::Started && &*order.text == CRASH {
             self.crash_worker(order);
             return StartOutcome::Unanswered;
@@ -1026,6 +1106,7 @@
 
     /// No worker holds more than it has, at any moment.
     fn check(&mut self) {
+        assert_eq!(self.owner.cell.ledger_errors(), 0, "at {}", self.now);
         for (id, worker) in &mut self.workers {
             worker.settle(self.now);
             let running = worker.runs().filter(|run| run.ended.is_none());
@@ -1298,6 +1379,25 @@
     }
 }
 
+#[test]
+fn no_workspace_is_above_its_cap_under_random_faults() {
+    print_log();
+    let first = number("CROSSWEIR_SEED", FIRST_SEED);
+    for seed in first..first + number("CROSSWEIR_RUNS", RUNS) {
+        for has_crashing_tasks in [false, true] {
+            println!("seed {seed}, crashing tasks: {has_crashing_tasks}");
+            let world = if has_crashing_tasks {
+                World::with_crashing_tasks(seed)
+            } else {
+                World::new(seed)
+            };
+            let mut world = world.with_caps();
+            world.play();
+            world.verify();
+        }
+    }
+}
+
 #[test]
 fn crashing_tasks_are_not_started_without_end_while_entries_come_back() {
     print_log();
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -15,6 +15,7 @@
 use crossweir::node::shared::{JOB_PARTITIONS, job_partition};
 use crossweir::rpc::node::Beat;
 use crossweir::store::{Store, StoreCall, StoreError, StoreReply, Table, Transaction};
+use crossweir::workspace::Caller;
 use tokio::time::Instant;
 use virtual_node::{Relay, VirtualNode, virtual_node};
 
@@ -42,7 +43,13 @@
     // Act.
     let began = Instant::now();
     let outcome = front
-        .submit(&queue("q", 0), JobId(1), spec(), Some(LEFT))
+        .submit(
+            &Caller::Anonymous,
+            &queue("q", 0),
+            JobId(1),
+            spec(),
+            Some(LEFT),
+        )
         .await;
 
     // Assert.
@@ -57,13 +64,22 @@
     node.guarded.delay.store(1_100, Ordering::Relaxed);
     let front = Arc::new(Front::new(node.shared));
     let first = Arc::clone(&front);
-    let earlier =
-        tokio::spawn(async move { first.submit(&queue("q", 0), JobId(1), spec(), None).await });
+    let earlier = tokio::spawn(async move {
+        first
+            .submit(&Caller::Anonymous, &queue("q", 0), JobId(1), spec(), None)
+            .await
+    });
     let _ = earlier.await;
 
     // Act: the caller has 2 s, of which 45% are less than an answer takes.
     let outcome = front
-        .submit(&queue("q", 0), JobId(2), spec(), Some(2_000))
+        .submit(
+            &Caller::Anonymous,
+            &queue("q", 0),
+            JobId(2),
+            spec(),
+            Some(2_000),
+        )
         .await;
 
     // Assert.
@@ -74,7 +90,7 @@
 async fn a_caller_learns_in_time_that_a_state_cannot_be_told() {
     let front = front_with_a_silent_store();
     let began = Instant::now();
-    let told = front.state(JobId(1), Some(LEFT)).await;
+    let told = front.state(&Caller::Anonymous, JobId(1), Some(LEFT)).await;
     assert_eq!(told, Told::Unavailable);
     assert!(began.elapsed().as_millis() < u128::from(LEFT / 2));
 }
@@ -87,13 +103,17 @@
     let front = Front::new(node.shared);
     let q = queue("q", 0);
     for id in 1..20 {
-        let outcome = front.submit(&q, JobId(id), spec(), None).await;
+        let outcome = front
+            .submit(&Caller::Anonymous, &q, JobId(id), spec(), None)
+            .await;
         assert_eq!(outcome, Submitted::Accepted);
     }
 
     // Act: every answer takes 500 ms from now on, and the caller has 2 s left.
     guarded.delay.store(500, Ordering::Relaxed);
-    let outcome = front.submit(&q, JobId(20), spec(), Some(2_000)).await;
+    let outcome = front
+        .submit(&Caller::Anonymous, &q, JobId(20), spec(), Some(2_000))
+        .await;
 
     // Assert.
     assert_eq!(outcome, Submitted::Accepted);
@@ -113,9 +133,15 @@
     node.guarded.delay.store(600, Ordering::Relaxed);
     let front = Arc::new(Front::new(Arc::clone(&node.shared)));
     let first = Arc::clone(&front);
-    tokio::spawn(async move { first.submit(&queue("q", 0), JobId(1), spec(), None).await });
+    tokio::spawn(async move {
+        first
+            .submit(&Caller::Anonymous, &queue("q", 0), JobId(1), spec(), None)
+            .await
+    });
     tokio::time::sleep(Duration::from_millis(200)).await;
-    let outcome = front.submit(&queue("q", 0), JobId(2), spec(), None).await;
+    let outcome = front
+        .submit(&Caller::Anonymous, &queue("q", 0), JobId(2), spec(), None)
+        .await;
     (outcome, node.written.load(Ordering::Relaxed))
 }
 
@@ -166,7 +192,11 @@
     // Act: jobs come every 50 ms; those of the first 100 ms cannot know how slow it is.
     for id in 0..40 {
         let front = Arc::clone(&front);
-        tokio::spawn(async move { front.submit(&queue("q", 0), JobId(id), spec(), None).await });
+        tokio::spawn(async move {
+            front
+                .submit(&Caller::Anonymous, &queue("q", 0), JobId(id), spec(), None)
+                .await
+        });
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     tokio::time::sleep(Duration::from_secs(3)).await;
@@ -194,7 +224,13 @@
 
     // Act.
     let outcome = front
-        .submit(&queue("q", 0), JobId(1), spec(), Some(1_500))
+        .submit(
+            &Caller::Anonymous,
+            &queue("q", 0),
+            JobId(1),
+            spec(),
+            Some(1_500),
+        )
         .await;
 
     // Assert.
@@ -210,7 +246,11 @@
     let front = Arc::new(Front::new(Arc::clone(&node.shared)));
     for id in 1..=3 {
         let front = Arc::clone(&front);
-        tokio::spawn(async move { front.submit(&queue("q", 0), JobId(id), spec(), None).await });
+        tokio::spawn(async move {
+            front
+                .submit(&Caller::Anonymous, &queue("q", 0), JobId(id), spec(), None)
+                .await
+        });
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     let call = StoreCall::Commit(Transaction::default());
@@ -219,7 +259,9 @@
 
     // Act.
     let began = Instant::now();
-    let outcome = front.submit(&queue("q", 0), JobId(4), spec(), None).await;
+    let outcome = front
+        .submit(&Caller::Anonymous, &queue("q", 0), JobId(4), spec(), None)
+        .await;
 
     // Assert.
     assert_eq!(lost, Err(StoreError::Unanswered));
@@ -237,7 +279,9 @@
 
     // Act.
     let began = Instant::now();
-    let outcome = front.submit(&queue("q", 0), JobId(1), spec(), None).await;
+    let outcome = front
+        .submit(&Caller::Anonymous, &queue("q", 0), JobId(1), spec(), None)
+        .await;
 
     // Assert.
     assert_eq!(outcome, Submitted::Doubtful);
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -241,6 +241,7 @@
             }],
             schedule: None,
         },
+        workspace: None,
     }
 }
 
--- a/tests/nodes/mod.rs
+++ b/tests/nodes/mod.rs
@@ -124,9 +124,24 @@
     address: SocketAddr,
     path: &str,
     body: Value,
+) -> Result<Answer, CallError> {
+    call_with(method, address, path, body, &[]).await
+}
+
+/// A call with further headers.
+pub async fn call_with(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Value,
+    headers: &[(&'static str, &str)],
 ) -> Result<Answer, CallError> {
     let url = format!("http://{address}{path}");
-    let headers = [("host", HOST.to_owned())];
+    let further = headers
+        .iter()
+        .map(|(name, value)| (*name, (*value).to_owned()));
+    let mut headers = vec![("host", HOST.to_owned())];
+    headers.extend(further);
     let body = if body.is_null() {
         Vec::new()
     } else {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -16,7 +16,7 @@
 use crossweir::embedded::worker::MemoryWorkers;
 use crossweir::node::engine::Engine;
 use crossweir::node::links::Workers;
-use crossweir::queue::Configuration;
+use crossweir::queue::{Configuration, Draft};
 use crossweir::store::{RowKey, Table, Transaction, encode};
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -74,11 +74,12 @@
     let node = virtual_node_with(&[], workers, Arc::new(PlainDecoder));
     let q = queue("q", 0);
     node.shared.adopt_config(
-        Configuration {
+        Configuration::from(Draft {
             version: 1,
             queues: vec![q.clone()],
             max_body: 1_000,
-        },
+            workspaces: None,
+        }),
         "test",
     );
     let mut tx = Transaction::default();
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -122,6 +122,7 @@
         state: JobState::Succeeded,
         tasks: Vec::new(),
         careful: false,
+        workspace: None,
     };
     let mut tx = Transaction::default();
     for id in 0..ENDED {
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -16,7 +16,7 @@
 use crossweir::node::load::Load;
 use crossweir::node::recording::OwnerRow;
 use crossweir::node::shared::{Identity, Links, Shared};
-use crossweir::queue::{Configuration, Queue};
+use crossweir::queue::{Configuration, Draft, Queue};
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply};
 use crossweir::store::{
@@ -275,11 +275,12 @@
 
 /// Puts a configuration with these queues in force, and lists these workers.
 pub fn furnish(node: &VirtualNode, queues: &[Queue], workers: &[WorkerEntry]) {
-    let config = Configuration {
+    let config = Configuration::from(Draft {
         version: 1,
         queues: queues.to_vec(),
         max_body: 1_000,
-    };
+        workspaces: None,
+    });
     node.shared.adopt_config(config, "test");
     let mut tx = Transaction::default();
     for entry in workers {
