Jobs of one priority take their turns by when they must start and by what they take

Cause: within a priority jobs were considered as they came.

Ways built (policy::Turn): as they came; least work left; least laxity (the time that the queue grants, less the longest chain that is left); balanced: laxity, and a millisecond for each 100 core-milliseconds of work left, 60 s at most, so that a large job is passed only by what comes within that time. An operator's policy program may choose; the default is the balanced one.

On the way: a guess of a task's time near 2^62 ms overflowed the times reckoned from it; such guesses count as a year.

--- a/src/bin/crossweir-bench/main.rs
+++ b/src/bin/crossweir-bench/main.rs
@@ -1,6 +1,7 @@
 //! The experiment tool: seeded runs of the scheduling core, as JSON lines or a table.
 
 use crossweir::experiment::{self, Kind, Outcome, Setup};
+use crossweir::policy::Turn;
 
 /// Virtual seconds of each run, unless another number is asked for.
 const SECONDS: u64 = 30;
@@ -22,6 +23,8 @@
         optional --accelerators
         /// Compares with waiting steps that keep no room.
         optional --no-reserve
+        /// Plays each order of jobs of one queue, side by side.
+        optional --turns
         /// Prints JSON lines instead of a table.
         optional --json
     }
@@ -38,30 +41,42 @@
     let loads = flags
         .load
         .map_or(vec![60.0, 85.0, 150.0], |load| vec![load]);
+    let turns: &[Turn] = match flags.turns {
+        true => &Turn::ALL,
+        false => &[Turn::Balanced],
+    };
     for &workers in &sizes {
         for &load_percent in &loads {
-            let outcome = experiment::run(&Setup {
-                kind: match flags.accelerators {
-                    true => Kind::Accelerators,
-                    false => Kind::Cores,
-                },
-                reserves: !flags.no_reserve,
-                workers,
-                load_percent,
-                bad_percent: flags.bad.unwrap_or_default(),
-                length: 1_000 * flags.seconds.unwrap_or(SECONDS),
-                seed: flags.seed.unwrap_or(1),
-            });
-            print(&outcome, flags.json);
+            for &turn in turns {
+                let outcome = experiment::run(&setup(&flags, workers, load_percent, turn));
+                print(&outcome, flags.json);
+            }
         }
     }
 }
 
+fn setup(flags: &Bench, workers: usize, load_percent: f64, turn: Turn) -> Setup {
+    Setup {
+        kind: match flags.accelerators {
+            true => Kind::Accelerators,
+            false => Kind::Cores,
+        },
+        reserves: !flags.no_reserve,
+        turn,
+        workers,
+        load_percent,
+        bad_percent: flags.bad.unwrap_or_default(),
+        length: 1_000 * flags.seconds.unwrap_or(SECONDS),
+        seed: flags.seed.unwrap_or(1),
+    }
+}
+
 fn print_head() {
     println!(
-        "{:>7} {:>5} {:>7} {:>8} {:>18} {:>18} {:>11} {:>6} {:>15}",
+        "{:>7} {:>5} {:>12} {:>7} {:>8} {:>18} {:>18} {:>11} {:>6} {:>15}",
         "workers",
         "load%",
+        "turn",
         "jobs",
         "starts",
         "urgent 50/99/99.9",
@@ -81,9 +96,10 @@
         return;
     }
     println!(
-        "{:>7} {:>5} {:>7} {:>8} {:>18} {:>18} {:>11} {:>6.1} {:>15}",
+        "{:>7} {:>5} {:>12} {:>7} {:>8} {:>18} {:>18} {:>11} {:>6.1} {:>15}",
         outcome.setup.workers,
         outcome.setup.load_percent,
+        outcome.setup.turn.name(),
         outcome.jobs,
         outcome.starts,
         joined(&outcome.urgent_wait_ms),
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -6,7 +6,7 @@
 use crate::cell::name::StepName;
 use crate::cell::record::{JobRow, Progress};
 use crate::cell::spec::JobId;
-use crate::cell::{Cell, JobKey, StepKey};
+use crate::cell::{Cell, JobKey, StepKey, urgency};
 use crate::clock::Millis;
 
 /// What became of a cancellation.
@@ -46,10 +46,12 @@
             let newest = self.config.workspace(&accepted.name);
             self.ledger.open(newest.unwrap_or(accepted))
         });
+        let spec = row.spec.clone().with_bounded_estimates();
         let key = self.jobs.insert(Job {
             id: row.id,
             workspace,
-            spec: Arc::new(row.spec.clone()),
+            chain: urgency::longest_chain(&spec, |_| true),
+            spec: Arc::new(spec),
             text: Arc::from(row.spec.text.as_str()),
             ordering: self.policy.order(&queue, &row.spec),
             queue,
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -71,6 +71,8 @@
     pub witnessed: bool,
     /// When it was taken in, by our clock.
     pub since: Millis,
+    /// How long its steps take one after the other, by its caller's guesses.
+    pub chain: Millis,
     /// A former owner may have started its tasks.
     pub predates: bool,
     /// Starts of its tasks may have been forgotten with a former owner, so each is recorded first.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -27,6 +27,7 @@
 pub mod spec;
 mod trial;
 pub mod tuning;
+mod urgency;
 pub mod view;
 pub mod worker;
 
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -38,7 +38,7 @@
 impl Cell {
     /// Starts what can start now and asks about what lacks tickets.
     pub fn schedule(&mut self, now: Millis) {
-        let mut order: Vec<(u32, usize, StepKey)> = Vec::new();
+        let mut order: Vec<(u32, Millis, usize, StepKey)> = Vec::new();
         let untaken = self.find_untaken();
         for (place, &key) in self.open.iter().enumerate() {
             let step = &self.steps[key];
@@ -49,13 +49,14 @@
             if !job.routed || self.is_unsettled(step, &untaken) {
                 continue;
             }
-            order.push((job.ordering.priority, place, key));
+            let rank = self.rank(key, now);
+            order.push((job.ordering.priority, rank, place, key));
         }
         order.sort_unstable();
         self.find_hidden(now);
         self.send_planned(now);
         let mut round = Round::new(now);
-        for (_, _, key) in order {
+        for (.., key) in order {
             self.schedule_step(key, &mut round);
         }
         self.counts.places += round.places;
--- a/src/cell/spec.rs
+++ b/src/cell/spec.rs
@@ -13,6 +13,9 @@
 /// The most processors a task may ask for, in millicores: far above any worker.
 pub const MAX_MILLICORES: u64 = 10_000_000;
 
+/// The longest guess of a task's time that counts, in milliseconds: a year.
+pub const MAX_ESTIMATE: Millis = 365 * 24 * 3_600_000;
+
 /// The identity of a job, chosen by its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId(pub u64);
@@ -240,6 +243,14 @@
 }
 
 impl JobSpec {
+    /// The same job with guesses that times can be reckoned from.
+    pub fn with_bounded_estimates(mut self) -> Self {
+        for step in &mut self.steps {
+            step.estimate = step.estimate.min(MAX_ESTIMATE);
+        }
+        self
+    }
+
     /// Checks the rules; `after` may only name earlier steps, so there are no cycles.
     ///
     /// # Errors
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -157,6 +157,12 @@
 /// beside a culprit wait for their turn.
 pub const WORKERS_PER_TRIAL: usize = 2;
 
+/// So much work left, in core-milliseconds, holds a job back by a millisecond among others of its priority:
+/// what takes little room for a short time goes ahead of what is only slightly more urgent.
+pub const WORK_FOR_A_MILLISECOND: u64 = 100;
+/// The most that a job is held back by its work, so that a large one does not wait for ever.
+pub const MOST_HELD_BACK: Millis = 60_000;
+
 /// The epoch of the owner that follows on one of `epoch`.  Owners of a former version have epochs
 /// that follow one another without room for lives.
 pub const fn next_epoch(epoch: u64) -> u64 {
--- /dev/null
+++ b/src/cell/urgency.rs
@@ -0,0 +1,78 @@
+//! In which order the steps of one priority are considered.
+//!
+//! When more is wanted than there is room for, that order decides who is late.  Each way gives a
+//! step a rank in milliseconds, and the lowest goes first (docs/design/full-cell.md).
+
+use crate::cell::job::{Job, StepRun};
+use crate::cell::spec::{JobSpec, Step};
+use crate::cell::{Cell, StepKey, tuning};
+use crate::clock::Millis;
+use crate::policy::Turn;
+
+impl Cell {
+    /// The rank of a step among those of its priority.
+    pub(super) fn rank(&self, key: StepKey, now: Millis) -> Millis {
+        let step = &self.steps[key];
+        let job = &self.jobs[step.job];
+        match job.ordering.turn {
+            Turn::Arrival => job.since,
+            Turn::LeastWork => self.work_left(job),
+            Turn::LeastLaxity => self.latest_start(job, step, now),
+            Turn::Balanced => {
+                let price = self.work_left(job) / tuning::WORK_FOR_A_MILLISECOND;
+                let latest = self.latest_start(job, step, now);
+                latest.saturating_add(price.min(tuning::MOST_HELD_BACK))
+            }
+        }
+    }
+
+    /// When what is left of a job's longest chain must start at the latest to end in the time that
+    /// its queue grants.  Zero for one that is late for long.
+    fn latest_start(&self, job: &Job, step: &StepRun, now: Millis) -> Millis {
+        let granted = job.queue.stretch * job.chain as f64;
+        let granted = job.queue.slack.saturating_add(granted as Millis);
+        let due = self
+            .begins_at(job, step.name.time, now)
+            .saturating_add(granted);
+        due.saturating_sub(self.chain_left(job, step.name.time))
+    }
+
+    /// From when on a job's time counts: since it was taken in, or since a scheduled time was due.
+    fn begins_at(&self, job: &Job, time: u32, now: Millis) -> Millis {
+        let (Some(schedule), Some(today)) = (job.spec.schedule, self.wall) else {
+            return job.since;
+        };
+        let due = schedule.first + u64::from(time) * schedule.interval;
+        now.saturating_sub(today.saturating_sub(due)).max(job.since)
+    }
+
+    fn chain_left(&self, job: &Job, time: u32) -> Millis {
+        let Some(steps) = job.times.get(&time) else {
+            return 0;
+        };
+        longest_chain(&job.spec, |place| self.steps[steps[place]].open > 0)
+    }
+
+    /// The work of all tasks of a job that are not done, in core-milliseconds.
+    fn work_left(&self, job: &Job) -> Millis {
+        let steps = job.times.values().flatten().map(|&key| &self.steps[key]);
+        let work = |step: &StepRun| work_of(step.step(), step.open);
+        steps.map(work).fold(0, u64::saturating_add)
+    }
+}
+
+fn work_of(step: &Step, tasks: u32) -> u64 {
+    let of_task = step.demand.millicores.saturating_mul(step.estimate.max(1));
+    of_task.saturating_mul(u64::from(tasks)) / 1_000
+}
+
+/// How long the steps of a job take that count, one after the other as they must.
+pub(super) fn longest_chain(spec: &JobSpec, counts: impl Fn(usize) -> bool) -> Millis {
+    let mut ends: Vec<Millis> = Vec::with_capacity(spec.steps.len());
+    for (place, step) in spec.steps.iter().enumerate() {
+        let begins = step.after.iter().map(|&earlier| ends[earlier]).max();
+        let takes = if counts(place) { step.estimate } else { 0 };
+        ends.push(begins.unwrap_or_default().saturating_add(takes));
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -22,7 +22,7 @@
 use crate::embedded::worker::MemoryWorker;
 use crate::experiment::load::Load;
 use crate::experiment::objective::Objectives;
-use crate::policy::{BuiltIn, Ordering, Policy};
+use crate::policy::{BuiltIn, Ordering, Policy, Turn};
 use crate::queue::{Configuration, Draft, Queue};
 
 /// Virtual time moves by so much.
@@ -61,6 +61,8 @@
     pub kind: Kind,
     /// Waiting steps keep room from less urgent ones.
     pub reserves: bool,
+    /// In which order jobs of one queue are considered.
+    pub turn: Turn,
     /// How many workers.
     pub workers: usize,
     /// What is asked for of what is scarce, in percent of what there is.
@@ -98,15 +100,17 @@
     pub violations: u64,
 }
 
-/// The built-in policy, with reservations switched on or off.
+/// The built-in policy, with reservations switched on or off, and one of the orders.
 struct Switched {
     reserves: bool,
+    turn: Turn,
 }
 
 impl Policy for Switched {
     fn order(&self, queue: &Queue, spec: &JobSpec) -> Ordering {
         Ordering {
             reserves: self.reserves,
+            turn: self.turn,
             ..BuiltIn.order(queue, spec)
         }
     }
@@ -156,6 +160,7 @@
         let mut cell = Cell::new(1, Arc::new(config), 1);
         cell.set_policy(Arc::new(Switched {
             reserves: setup.reserves,
+            turn: setup.turn,
         }));
         cell.set_lanes(&[true; LANES]);
         let entries = (0..setup.workers).map(|number| load.worker(number));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod program;
 
+use serde::Serialize;
+
 use crate::cell::spec::JobSpec;
 use crate::queue::Queue;
 
@@ -15,6 +17,8 @@
 pub struct Ordering {
     /// Jobs of a lower number are considered first.
     pub priority: u32,
+    /// In which order jobs of one priority are considered.
+    pub turn: Turn,
     /// Waiting tasks keep room that comes free from less urgent ones.
     pub reserves: bool,
     /// Tasks go to the emptiest workers instead of the fullest.
@@ -24,6 +28,46 @@
     pub quota: Option<u64>,
 }
 
+/// In which order jobs of one priority are considered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Turn {
+    /// As they came.
+    Arrival,
+    /// Those with the least work left first.
+    LeastWork,
+    /// Those first that must start the soonest to be done in time.
+    LeastLaxity,
+    /// Those that must start the soonest, but for large ones, which give way to small ones for a while.
+    #[default]
+    Balanced,
+}
+
+impl Turn {
+    /// All of them.
+    pub const ALL: [Self; 4] = [
+        Self::Arrival,
+        Self::LeastWork,
+        Self::LeastLaxity,
+        Self::Balanced,
+    ];
+
+    /// What operators call it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Arrival => "arrival",
+            Self::LeastWork => "least_work",
+            Self::LeastLaxity => "least_laxity",
+            Self::Balanced => "balanced",
+        }
+    }
+
+    /// Finds one by its name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|turn| turn.name() == name)
+    }
+}
+
 /// Decides once for each job, whenever the job or the policy is new.
 pub trait Policy: Send + Sync {
     /// Decides about a job of `queue`.
@@ -38,6 +82,7 @@
     fn order(&self, queue: &Queue, spec: &JobSpec) -> Ordering {
         Ordering {
             priority: queue.priority,
+            turn: Turn::default(),
             reserves: true,
             spread: spec.steps.iter().any(|step| step.lasting || step.filler),
             quota: None,
--- a/src/policy/program.rs
+++ b/src/policy/program.rs
@@ -5,7 +5,7 @@
 use rhai::{AST, Dynamic, Engine, Map, Scope};
 
 use crate::cell::spec::{Demand, JobSpec, Step};
-use crate::policy::Ordering;
+use crate::policy::{Ordering, Turn};
 use crate::queue::Queue;
 
 /// How many operations one call of a policy may take.
@@ -175,12 +175,24 @@
     };
     Ok(Ordering {
         priority: priority as u32,
+        turn: turn(map)?,
         reserves,
         spread,
         quota: quota.map(|quota| quota as u64),
     })
 }
 
+fn turn(map: &Map) -> Result<Turn, ProgramError> {
+    let Some(value) = map.get("turn") else {
+        return Ok(Turn::default());
+    };
+    let name = value.clone().into_string().unwrap_or_default();
+    Turn::named(&name).ok_or(ProgramError::Result {
+        field: "turn",
+        expected: "arrival, least_work, least_laxity or balanced",
+    })
+}
+
 fn whole(
     map: &Map,
     field: &'static str,
--- a/tests/experiment.rs
+++ b/tests/experiment.rs
@@ -1,11 +1,13 @@
 //! The experiment tool's runs: seeded, and true to the rules of the core.
 
 use crossweir::experiment::{Kind, Outcome, Setup, run};
+use crossweir::policy::Turn;
 
 fn outcome(load_percent: f64, bad_percent: f64) -> Outcome {
     run(&Setup {
         kind: Kind::Cores,
         reserves: true,
+        turn: Turn::Balanced,
         workers: 8,
         load_percent,
         bad_percent,
@@ -39,6 +41,7 @@
     let outcome = run(&Setup {
         kind: Kind::Accelerators,
         reserves,
+        turn: Turn::Balanced,
         workers: 13,
         load_percent: 85.0,
         bad_percent: 0.0,
