What waits and for what is logged each second

Cause: nothing told whether tasks of a full cell wait for room, for advice, for their cap or behind others; `explain` tells it for one job at a time, by work that a round of decisions has done already.

Change: each round counts its waiting tasks by priority and reason; the owner logs the counts once a second with the room that is held. No figure of a decision changes.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -43,6 +43,7 @@
 use crate::cell::order::{Addressee, LookOrder, Order, StopOrder};
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, JobId};
+use crate::cell::view::Waiting;
 use crate::cell::worker::{NextForget, Worker};
 use crate::clock::Millis;
 use crate::policy::{BuiltIn, Policy};
@@ -174,6 +175,8 @@
     settle_by: Millis,
     orders: Vec<Order>,
     waits: Vec<Wait>,
+    /// What waited for what in the last round of decisions.
+    waiting: Waiting,
     counts: Counts,
 }
 
@@ -218,6 +221,7 @@
             settle_by: now + window + tuning::LEASE_MARGIN + tuning::OWNER_WINDOW,
             orders: Vec::new(),
             waits: Vec::new(),
+            waiting: Waiting::new(),
             counts: Counts::default(),
         }
     }
@@ -227,6 +231,11 @@
         self.counts
     }
 
+    /// What waited for what in the last round of decisions.
+    pub fn waiting(&self) -> &Waiting {
+        &self.waiting
+    }
+
     /// Takes the orders that have gathered.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
--- a/src/cell/round.rs
+++ b/src/cell/round.rs
@@ -4,6 +4,7 @@
 
 use crate::cell::forecast::Forecast;
 use crate::cell::reservation::Reservation;
+use crate::cell::view::{WaitReason, Waiting};
 use crate::cell::{WorkerKey, tuning};
 use crate::clock::Millis;
 
@@ -19,6 +20,8 @@
     pub(super) reserving: usize,
     /// How many times a worker was looked at as a place for a step.
     pub(super) places: u64,
+    /// What waits, and for what.
+    pub(super) waiting: Waiting,
     /// For how many steps workers to ask about were looked for.
     looks: usize,
 }
@@ -32,10 +35,18 @@
             reserved: SecondaryMap::new(),
             reserving: 0,
             places: 0,
+            waiting: Waiting::new(),
             looks: 0,
         }
     }
 
+    /// So many tasks of a priority wait for a reason.
+    pub(super) fn wait(&mut self, priority: u32, reason: WaitReason, tasks: usize) {
+        if tasks > 0 {
+            *self.waiting.entry((priority, reason)).or_default() += tasks as u32;
+        }
+    }
+
     /// Counts a look for workers to ask about; false if there were enough in this round.
     pub(super) fn may_look_for_advice(&mut self) -> bool {
         self.looks += 1;
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -5,6 +5,7 @@
 use crate::cell::job::{Phase, Run, StepRun, Task};
 use crate::cell::order::{Order, StartOrder};
 use crate::cell::round::Round;
+use crate::cell::view::WaitReason;
 use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
@@ -56,33 +57,36 @@
         self.find_hidden(now);
         self.send_planned(now);
         let mut round = Round::new(now);
-        for (.., key) in order {
-            self.schedule_step(key, &mut round);
+        for (priority, .., key) in order {
+            if let Some((reason, tasks)) = self.schedule_step(key, &mut round) {
+                round.wait(priority, reason, tasks);
+            }
         }
         self.counts.places += round.places;
+        self.waiting = round.waiting;
     }
 
-    fn schedule_step(&mut self, key: StepKey, round: &mut Round) {
+    /// Starts what can start of a step, and tells what keeps the rest of its tasks waiting.
+    fn schedule_step(&mut self, key: StepKey, round: &mut Round) -> Option<(WaitReason, usize)> {
         let waiting = self.waiting_tasks(key, round.now);
         if waiting.is_empty() {
-            return;
+            return None;
         }
         if self.steps[key].step().gang {
-            self.schedule_gang(key, &waiting, round);
-            return;
+            return self.schedule_gang(key, &waiting, round);
         }
-        if !self.may_hold(key, 1) {
-            return;
+        if let Some(limit) = self.limit(key, 1) {
+            return Some((limit, waiting.len()));
         }
         let mut left = waiting.len() as u32;
         let mut started = Vec::new();
-        let mut within_quota = true;
+        let mut limit = None;
         let mut places = self.places(key, round);
         let doubted = self.is_step_doubted(key);
         let mut plans_left = self.plans_left(key);
         for index in waiting {
-            within_quota = self.may_hold(key, 1);
-            if !within_quota {
+            limit = self.limit(key, 1);
+            if limit.is_some() {
                 break;
             }
             let task = &self.steps[key].tasks[index as usize];
@@ -114,19 +118,38 @@
             left -= 1;
         }
         self.log_starts(key, &started, round.now);
-        if left > 0 && within_quota {
+        if left == 0 {
+            return None;
+        }
+        if limit.is_none() {
             self.ask(key, left, round);
             self.reserve(key, left, round);
         }
+        let reason = limit.unwrap_or_else(|| self.lack(key, round.now));
+        Some((reason, left as usize))
     }
 
-    /// Tells whether so many more tasks of a step may start, by the policy and by the workspace's cap.
-    fn may_hold(&self, key: StepKey, tasks: u32) -> bool {
-        self.is_within_quota(key, tasks) && self.is_within_cap(key, tasks)
+    /// What a step lacks that no limit holds back: tickets, or room where it may run.
+    fn lack(&self, key: StepKey, now: Millis) -> WaitReason {
+        let step = &self.steps[key];
+        let asks = self.jobs[step.job].queue.advice.is_some();
+        let mut ticketed = step.advice.tickets.keys();
+        match asks && !ticketed.any(|&worker| self.valid_ticket(key, worker, now)) {
+            true => WaitReason::Advice,
+            false => WaitReason::NoRoom,
+        }
+    }
+
+    /// Which limit keeps so many more tasks of a step from starting, if one does.
+    pub(super) fn limit(&self, key: StepKey, tasks: u32) -> Option<WaitReason> {
+        if !self.is_within_quota(key, tasks) {
+            return Some(WaitReason::Quota);
+        }
+        (!self.is_within_cap(key, tasks)).then_some(WaitReason::Cap)
     }
 
     /// Tells whether the policy lets the step's queue hold so many more tasks of it.
-    pub(super) fn is_within_quota(&self, key: StepKey, tasks: u32) -> bool {
+    fn is_within_quota(&self, key: StepKey, tasks: u32) -> bool {
         let step = &self.steps[key];
         let job = &self.jobs[step.job];
         let Some(quota) = job.ordering.quota else {
@@ -260,10 +283,18 @@
     }
 
     /// Starts all members of a gang, or none.
-    fn schedule_gang(&mut self, key: StepKey, waiting: &[u32], round: &mut Round) {
+    fn schedule_gang(
+        &mut self,
+        key: StepKey,
+        waiting: &[u32],
+        round: &mut Round,
+    ) -> Option<(WaitReason, usize)> {
         let size = self.steps[key].tasks.len();
-        if waiting.len() < size || !self.may_hold(key, size as u32) {
-            return;
+        if waiting.len() < size {
+            return None;
+        }
+        if let Some(limit) = self.limit(key, size as u32) {
+            return Some((limit, size));
         }
         let mut places = self.places(key, round);
         let trial = self.is_step_doubted(key) || self.steps[key].tasks.iter().any(Task::is_suspect);
@@ -274,7 +305,7 @@
             let ticketed: u32 = places.iter().map(|place| place.fit).sum();
             self.ask(key, (size as u32).saturating_sub(ticketed), round);
             self.reserve(key, size as u32, round);
-            return;
+            return Some((self.lack(key, round.now), size));
         };
         let number = self.next_number();
         let mut started = Vec::new();
@@ -287,6 +318,7 @@
             started.extend(self.start(key, index as u32, place, round));
         }
         self.log_starts(key, &started, round.now);
+        None
     }
 
     /// Finds places for all members, within one rack if that is wanted and possible.
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -1,5 +1,7 @@
 //! How a job stands, for people: what runs, what is done, and why the rest waits.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::cell::job::{Job, JobState, Task};
@@ -9,7 +11,7 @@
 use crate::clock::Millis;
 
 /// Why tasks of a step wait.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WaitReason {
     /// Steps before it are not done.
@@ -32,6 +34,9 @@
     Soon,
 }
 
+/// Counts the tasks that wait, by the priority of their jobs and by reason.
+pub type Waiting = BTreeMap<(u32, WaitReason), u32>;
+
 /// How one step stands.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepView {
@@ -157,11 +162,8 @@
         if self.is_unsettled(step, &self.find_untaken()) {
             return WaitReason::Settling;
         }
-        if !self.is_within_quota(key, 1) {
-            return WaitReason::Quota;
-        }
-        if !self.is_within_cap(key, step.step().tasks_at_once()) {
-            return WaitReason::Cap;
+        if let Some(limit) = self.limit(key, step.step().tasks_at_once()) {
+            return limit;
         }
         let mut waiting = step.tasks.iter().enumerate();
         if waiting.any(|(index, task)| task.waits() && self.is_tried(key, index as u32)) {
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -14,8 +14,8 @@
 use crate::cell::intake::Cancelling;
 use crate::cell::job::JobState;
 use crate::cell::record::JobRow;
-use crate::cell::spec::JobId;
-use crate::cell::view::JobView;
+use crate::cell::spec::{Demand, JobId};
+use crate::cell::view::{JobView, Waiting};
 use crate::cell::{Cell, Waited, WorkerKey, tuning};
 use crate::clock::{self, Millis};
 use crate::node::heartbeat;
@@ -28,6 +28,8 @@
 
 /// Scheduling runs at least so often, for leases and retries.
 const TICK: Duration = Duration::from_millis(50);
+/// How often it is logged what waits.
+const SURVEY: Millis = 1_000;
 /// Events that come within this time are decided on together.
 const GATHER: Duration = Duration::from_millis(4);
 /// A peer heard within this time bears witness: two heartbeats, of which one may be late.
@@ -334,6 +336,7 @@
 
     async fn schedule_loop(self: Arc<Self>) {
         let mut took = Duration::ZERO;
+        let mut surveyed = 0;
         loop {
             // Either something happened, or it is time to look at leases.
             let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
@@ -343,7 +346,8 @@
                 continue;
             }
             let now = self.shared.now();
-            let (orders, waits) = {
+            let is_survey = now.saturating_sub(surveyed) >= SURVEY;
+            let (orders, waits, survey) = {
                 let mut cell = self.cell();
                 cell.tell_wall_clock(clock::since_1970());
                 cell.tick(now);
@@ -351,8 +355,13 @@
                 if cell.roster_version() != self.roster_recorded.load(Ordering::Relaxed) {
                     self.record.notify_one();
                 }
-                (cell.take_orders(), cell.take_waits())
+                let survey = is_survey.then(|| (cell.waiting().clone(), cell.room()));
+                (cell.take_orders(), cell.take_waits(), survey)
             };
+            if let Some((waiting, room)) = survey {
+                surveyed = now;
+                log_waiting(&waiting, room);
+            }
             took = Duration::from_millis(self.shared.now().saturating_sub(now));
             for wait in waits {
                 self.shared
@@ -413,6 +422,22 @@
     }
 }
 
+/// Logs what waits, and for what, and how full the cell is.
+fn log_waiting(waiting: &Waiting, (held, capacity): (Demand, Demand)) {
+    let texts = waiting
+        .iter()
+        .map(|((priority, reason), tasks)| format!("p{priority} {reason:?} {tasks}"));
+    let texts: Vec<String> = texts.collect();
+    tracing::info!(
+        waiting = texts.join(", "),
+        held_millicores = held.millicores,
+        millicores = capacity.millicores,
+        held_mib = held.memory,
+        mib = capacity.memory,
+        "tasks wait"
+    );
+}
+
 /// The label of a waiting time; queues beyond the third priority share one.
 fn wait_class(what: Waited, priority: u32) -> &'static str {
     match (what, priority) {
