An end is not shown early while a part of it lies on a worker that may soon be gone

Cause: while the store is away an end is shown as soon as another node knows of it, since the workers keep what they have listed. A worker that leaves does not.

Change: a job notes which of its ends are not recorded and who keeps them; while one of those workers leaves, is not listed or does not answer, the end is told once it is recorded.

--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use crate::cell::job::{Advice, EndedJob, Job, JobState, StepRun, Task};
+use crate::cell::job::{Advice, EndedJob, Job, JobState, KeptEnd, StepRun, Task};
 use crate::cell::name::StepName;
+use crate::cell::order::{EndEntry, EndKind};
 use crate::cell::record::{JobRow, Progress};
 use crate::cell::spec::JobId;
-use crate::cell::{Cell, JobKey, StepKey, urgency};
+use crate::cell::{Cell, JobKey, StepKey, WorkerKey, urgency};
 use crate::clock::Millis;
 
 /// What became of a cancellation.
@@ -59,6 +60,7 @@
             state: JobState::Queued,
             recorded: JobState::Queued,
             witnessed: false,
+            kept_ends: Vec::new(),
             since: now,
             predates: predates || self.incomplete,
             careful: false,
@@ -110,16 +112,48 @@
     }
 
     /// Ends that are decided and wait to be recorded.  A cancellation is not told
-    /// before it is recorded, since no worker keeps it.
+    /// before it is recorded, since no worker keeps it; nor is an end of which a worker that may
+    /// soon be gone keeps a part.
     pub fn unrecorded_ends(&self) -> Vec<(JobId, JobState)> {
         self.jobs
             .values()
             .filter(|job| matches!(job.state, JobState::Succeeded | JobState::Failed))
             .filter(|job| !job.recorded.is_final())
+            .filter(|job| job.kept_ends.iter().all(|end| self.will_keep(end.worker)))
             .map(|job| (job.id, job.state))
             .collect()
     }
 
+    /// Tells whether a worker can be counted on to tell a successor of what has ended there.
+    fn will_keep(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(|worker| {
+            let stays = worker.entry.leaving.is_none() && worker.unlisted_since.is_none();
+            stays && !worker.is_unsure()
+        })
+    }
+
+    /// A worker lists an end that counts for a job.
+    pub(super) fn note_kept_end(&mut self, worker: WorkerKey, end: &EndEntry) {
+        let Some(step) = self.find_step(end.task) else {
+            return;
+        };
+        let name = end.task.step;
+        let step = &self.steps[step];
+        let spec = step.step();
+        let job = &mut self.jobs[step.job];
+        if spec.lasting || job.state.is_final() {
+            return;
+        }
+        // A gang's failures are counted with its first member.
+        let is_of_all = spec.gang && end.how == EndKind::Failed;
+        let index = if is_of_all { 0 } else { end.task.index };
+        job.kept_ends.push(KeptEnd {
+            worker,
+            place: (name.time, name.step, index),
+            run: end.number,
+        });
+    }
+
     /// Another node knows of these ends now.
     pub fn ends_are_witnessed(&mut self, ends: &[(JobId, JobState)]) {
         for (id, state) in ends {
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -46,6 +46,17 @@
     pub workspace: Option<String>,
 }
 
+/// An end of a run that is not recorded yet: only the worker that lists it can tell a successor.
+#[derive(Debug, Clone, Copy)]
+pub struct KeptEnd {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The time, step and index of the task.
+    pub place: (u32, u16, u32),
+    /// The run's number.
+    pub run: u64,
+}
+
 /// One accepted job.
 #[derive(Debug)]
 pub struct Job {
@@ -69,6 +80,8 @@
     pub recorded: JobState,
     /// Another node knows of its end, so that may be shown before it is recorded.
     pub witnessed: bool,
+    /// What of its progress is not recorded yet.
+    pub kept_ends: Vec<KeptEnd>,
     /// When it was taken in, by our clock.
     pub since: Millis,
     /// How long its steps take one after the other, by its caller's guesses.
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -154,6 +154,9 @@
     }
 
     fn take_end(&mut self, key: WorkerKey, end: &EndEntry, now: Millis) {
+        if matches!(end.how, EndKind::Done | EndKind::Failed) {
+            self.note_kept_end(key, end);
+        }
         if let Some(run) = self.find_run(key, end.task, end.number) {
             self.run_ended(run, end, now);
             return;
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cell::crash::Loss;
-use crate::cell::job::JobState;
+use crate::cell::job::{JobState, KeptEnd};
 use crate::cell::spec::{JobId, JobSpec};
 use crate::cell::{Cell, JobKey, StepKey, Waited, WorkerKey};
 use crate::clock::Millis;
@@ -42,6 +42,17 @@
     pub workspace: Option<String>,
 }
 
+impl Progress {
+    /// Tells whether an end of a run is in it: that of the job covers all.
+    fn holds(&self, end: &KeptEnd) -> bool {
+        let mut tasks = self.tasks.iter();
+        let is_in = |task: &TaskProgress| {
+            task.place == end.place && (task.done || task.failed.contains(&end.run))
+        };
+        self.state.is_final() || tasks.any(is_in)
+    }
+}
+
 /// What is kept of one task.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TaskProgress {
@@ -142,6 +153,7 @@
                 continue;
             };
             job.recorded = progress.state;
+            job.kept_ends.retain(|end| !progress.holds(end));
             for task in progress.tasks.iter().filter(|task| !task.losses.is_empty()) {
                 if let Some((step, index)) = self.find_place(key, task.place) {
                     self.losses_are_recorded(step, index, &task.losses);
