--- a/src/cell/ledger.rs
+++ b/src/cell/ledger.rs
@@ -100,9 +100,11 @@
         }
     }
 
-    /// Something may run in so much room for this one.
-    fn hide_for(&mut self, key: WorkspaceKey, room: &Demand) {
-        self.accounts[key].hidden.add(room);
+    /// Something may run in so much room for these.
+    fn hide_for(&mut self, keys: &[WorkspaceKey], room: &Demand) {
+        for &key in keys {
+            self.accounts[key].hidden.add(room);
+        }
     }
 }
 
@@ -114,8 +116,8 @@
 }
 
 impl Cell {
-    /// What the tasks of a step take of their workspace's cap: also the processors that fillers only
-    /// borrow.
+    /// Tells whether so many more tasks of a step are within their workspace's cap.  They count in
+    /// full, also the processors that fillers only borrow.
     pub(super) fn is_within_cap(&self, key: StepKey, tasks: u32) -> bool {
         let step = &self.steps[key];
         let Some(workspace) = self.jobs[step.job].workspace else {
@@ -128,16 +130,16 @@
     /// Finds out what may run unknown to us, before anything is decided.
     pub(super) fn find_hidden(&mut self, now: Millis) {
         self.ledger.forget_hidden();
+        let mut of_anybody = Demand::default();
         for worker in self.workers.values() {
             let room = &worker.entry.capacity;
             match self.hidden_on(worker, now) {
                 Hidden::Nobody => {}
-                Hidden::Anybody => self.ledger.hide_for_all(room),
-                Hidden::These(keys) => keys
-                    .into_iter()
-                    .for_each(|key| self.ledger.hide_for(key, room)),
+                Hidden::Anybody => of_anybody.add(room),
+                Hidden::These(keys) => self.ledger.hide_for(&keys, room),
             }
         }
+        self.ledger.hide_for_all(&of_anybody);
     }
 
     fn hidden_on(&self, worker: &Worker, now: Millis) -> Hidden {
