An end that was shown is told on, also when a worker begins to leave

Nodes keep only what the newest heartbeat names, so all of them forgot such an end; the owner was lost, and the tasks ran again.

Change: an end that was shown is named until it is recorded.

--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -113,17 +113,23 @@
 
     /// Ends that are decided and wait to be recorded.  A cancellation is not told
     /// before it is recorded, since no worker keeps it; nor is an end of which a worker that may
-    /// soon be gone keeps a part.
+    /// soon be gone keeps a part.  One that was shown is told on: nodes forget what is not named.
     pub fn unrecorded_ends(&self) -> Vec<(JobId, JobState)> {
         self.jobs
             .values()
             .filter(|job| matches!(job.state, JobState::Succeeded | JobState::Failed))
             .filter(|job| !job.recorded.is_final())
-            .filter(|job| job.kept_ends.iter().all(|end| self.will_keep(end.worker)))
+            .filter(|job| job.witnessed || self.is_kept(job))
             .map(|job| (job.id, job.state))
             .collect()
     }
 
+    /// Tells whether workers will tell a successor of all that is not recorded of a job.
+    fn is_kept(&self, job: &Job) -> bool {
+        let mut ends = job.kept_ends.iter();
+        ends.all(|end| self.will_keep(end.worker))
+    }
+
     /// Tells whether a worker can be counted on to tell a successor of what has ended there.
     fn will_keep(&self, key: WorkerKey) -> bool {
         self.workers.get(key).is_some_and(|worker| {
--- a/tests/leaving_ends.rs
+++ b/tests/leaving_ends.rs
@@ -63,6 +63,29 @@
     assert_eq!(bench.cell.unrecorded_ends(), []);
 }
 
+/// Nodes keep only the ends that the owner's newest heartbeat names: one that was shown and is named no more is
+/// forgotten by all, and its tasks run again under the next owner.
+#[test]
+fn an_end_that_was_shown_is_told_until_it_is_recorded() {
+    // Arrange
+    let (mut bench, first) = half_done();
+    bench.look_at_all();
+    let shown = bench.cell.unrecorded_ends();
+    bench.cell.ends_are_witnessed(&shown);
+    assert_eq!(bench.state(1), Some(JobState::Succeeded));
+
+    // Act
+    leave(&mut bench, &first);
+    let while_it_leaves = bench.cell.unrecorded_ends();
+    bench
+        .cell
+        .look_failed(first.to.worker, LookFailure::Unanswered, bench.now);
+
+    // Assert
+    assert_eq!(while_it_leaves, shown);
+    assert_eq!(bench.cell.unrecorded_ends(), shown);
+}
+
 #[test]
 fn an_end_that_is_recorded_in_part_waits_only_for_the_rest() {
     // Arrange: what the leaving worker keeps is recorded already.
