--- a/src/cell/urgency.rs
+++ b/src/cell/urgency.rs
@@ -27,7 +27,7 @@
     }
 
     /// When what is left of a job's longest chain must start at the latest to end in the time that
-    /// its queue grants.  Zero for one that is late for long.
+    /// its queue grants.
     fn latest_start(&self, job: &Job, step: &StepRun, now: Millis) -> Millis {
         let granted = job.queue.stretch * job.chain as f64;
         let granted = job.queue.slack.saturating_add(granted as Millis);
