Sight: an owner logs each second how late its turns come and what deciding takes

Of a late job nothing told whether it had waited for room or for the owner. The line of each second now names rounds, the time spent in them, the longest one, the orders that came of them and how late turns come. No decision uses them.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -23,7 +23,7 @@
 use crate::node::recording::MOST_JOBS;
 use crate::node::roster_rows::RosterRows;
 use crate::node::shared::Shared;
-use crate::node::survey::Survey;
+use crate::node::survey::{Pace, Survey};
 use crate::rpc::node::{NodeReply, Question};
 use crate::store::Version;
 
@@ -355,6 +355,7 @@
     async fn schedule_loop(self: Arc<Self>) {
         let mut took = Duration::ZERO;
         let mut surveyed = 0;
+        let mut pace = Pace::default();
         loop {
             // Either something happened, or it is time to look at leases.
             let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
@@ -378,14 +379,18 @@
                 if cell.roster_version() != self.roster_recorded.load(Ordering::Relaxed) {
                     self.record.notify_one();
                 }
-                let survey = is_survey.then(|| Survey::of(&cell, self.workers_age()));
+                let late = self.shared.load.late();
+                let survey = is_survey.then(|| Survey::of(&cell, self.workers_age(), pace, late));
                 (cell.take_orders(), cell.take_waits(), survey)
             };
             if let Some(survey) = survey {
                 surveyed = now;
+                pace = Pace::default();
                 survey.log();
             }
-            took = Duration::from_millis(self.shared.now().saturating_sub(now));
+            let round = self.shared.now().saturating_sub(now);
+            pace.note(round, orders.len());
+            took = Duration::from_millis(round);
             for wait in waits {
                 self.shared
                     .metrics
--- a/src/node/survey.rs
+++ b/src/node/survey.rs
@@ -1,11 +1,37 @@
-//! What an owner logs each second: what waits, and for what, and how the cell stands.
+//! What an owner logs each second: what waits, and for what, how the cell stands, and whether the owner
+//! keeps up with it.
 
 use crate::cell::spec::Demand;
 use crate::cell::view::Waiting;
 use crate::cell::{Cell, WorkerCounts};
 use crate::clock::Millis;
 
-/// What waits, and for what, and how the cell stands.
+/// What an owner has spent on deciding since the last survey.
+///
+/// Jobs that are late while rounds take long or turns come late wait for the owner, and not for room.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Pace {
+    /// Rounds of decisions.
+    pub rounds: u32,
+    /// Milliseconds spent in them.
+    pub deciding: Millis,
+    /// The longest of them, in milliseconds.
+    pub longest: Millis,
+    /// Orders that came of them.
+    pub orders: usize,
+}
+
+impl Pace {
+    /// Counts a round that took so long and gave so many orders.
+    pub fn note(&mut self, took: Millis, orders: usize) {
+        self.rounds += 1;
+        self.deciding += took;
+        self.longest = self.longest.max(took);
+        self.orders += orders;
+    }
+}
+
+/// What waits, and for what, how the cell stands, and whether its owner keeps up.
 pub struct Survey {
     waiting: Waiting,
     held: Demand,
@@ -13,11 +39,14 @@
     workers: WorkerCounts,
     /// How old what is known of the workers' entries is.
     workers_age: Millis,
+    pace: Pace,
+    /// How late the owner's turns come, on the average.
+    late: Millis,
 }
 
 impl Survey {
-    /// Surveys a cell, of whose workers what is known is so old.
-    pub fn of(cell: &Cell, workers_age: Millis) -> Self {
+    /// Surveys a cell, of whose workers what is known is so old, and whose owner's turns come so late.
+    pub fn of(cell: &Cell, workers_age: Millis, pace: Pace, late: Millis) -> Self {
         let (held, capacity) = cell.room();
         Self {
             waiting: cell.waiting().clone(),
@@ -25,6 +54,8 @@
             capacity,
             workers: cell.count_workers(),
             workers_age,
+            pace,
+            late,
         }
     }
 
@@ -46,6 +77,11 @@
             silent = self.workers.silent,
             parked = self.workers.parked,
             workers_age = self.workers_age,
+            late_ms = self.late,
+            rounds = self.pace.rounds,
+            deciding_ms = self.pace.deciding,
+            longest_round_ms = self.pace.longest,
+            orders = self.pace.orders,
             "tasks wait"
         );
     }
