--- a/src/node/survey.rs
+++ b/src/node/survey.rs
@@ -3,7 +3,7 @@
 
 use crate::cell::spec::Demand;
 use crate::cell::view::Waiting;
-use crate::cell::{Cell, WorkerCounts};
+use crate::cell::{Cell, Counts, WorkerCounts};
 use crate::clock::Millis;
 
 /// What an owner has spent on deciding since the last survey.
@@ -40,6 +40,8 @@
     /// How old what is known of the workers' entries is.
     workers_age: Millis,
     pace: Pace,
+    /// What was done since the ownership began.
+    counts: Counts,
     /// How late the owner's turns come, on the average.
     late: Millis,
 }
@@ -55,6 +57,7 @@
             workers: cell.count_workers(),
             workers_age,
             pace,
+            counts: cell.counts(),
             late,
         }
     }
@@ -82,6 +85,10 @@
             deciding_ms = self.pace.deciding,
             longest_round_ms = self.pace.longest,
             orders = self.pace.orders,
+            all_starts = self.counts.starts,
+            all_places = self.counts.places,
+            all_advice_looks = self.counts.advice_looks,
+            all_questions = self.counts.questions,
             "tasks wait"
         );
     }
