--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -20,10 +20,11 @@
 use crate::clock::{self, Millis};
 use crate::node::heartbeat;
 use crate::node::loading;
+use crate::node::pace::{self, Rounds};
 use crate::node::recording::MOST_JOBS;
 use crate::node::roster_rows::RosterRows;
 use crate::node::shared::Shared;
-use crate::node::survey::{Pace, Survey};
+use crate::node::survey::Survey;
 use crate::rpc::node::{NodeReply, Question};
 use crate::store::Version;
 
@@ -31,8 +32,6 @@
 const TICK: Duration = Duration::from_millis(50);
 /// How often it is logged what waits.
 const SURVEY: Millis = 1_000;
-/// Events that come within this time are decided on together.
-const GATHER: Duration = Duration::from_millis(4);
 /// A peer heard within this time bears witness: two heartbeats, of which one may be late.
 pub(super) const WITNESS_WINDOW: Millis = 2 * heartbeat::RELAXED + heartbeat::BEAT_TIMEOUT;
 /// How long a question about a job waits for its end: three times what passes until an end
@@ -355,12 +354,11 @@
     async fn schedule_loop(self: Arc<Self>) {
         let mut took = Duration::ZERO;
         let mut surveyed = 0;
-        let mut pace = Pace::default();
+        let mut rounds = Rounds::default();
         loop {
             // Either something happened, or it is time to look at leases.
             let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
-            // Deciding takes no more than half of the time, however much there is to decide.
-            tokio::time::sleep(GATHER.max(took)).await;
+            tokio::time::sleep(pace::pause_after(took)).await;
             if !self.is_active() {
                 continue;
             }
@@ -380,16 +378,16 @@
                     self.record.notify_one();
                 }
                 let late = self.shared.load.late();
-                let survey = is_survey.then(|| Survey::of(&cell, self.workers_age(), pace, late));
+                let survey = is_survey.then(|| Survey::of(&cell, self.workers_age(), rounds, late));
                 (cell.take_orders(), cell.take_waits(), survey)
             };
             if let Some(survey) = survey {
                 surveyed = now;
-                pace = Pace::default();
+                rounds = Rounds::default();
                 survey.log();
             }
             let round = self.shared.now().saturating_sub(now);
-            pace.note(round, orders.len());
+            rounds.note(round, orders.len());
             took = Duration::from_millis(round);
             for wait in waits {
                 self.shared
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,6 +21,7 @@
 pub mod orders;
 pub mod owner;
 pub mod owner_calls;
+pub mod pace;
 pub mod patience;
 pub mod policy;
 pub mod process;
--- /dev/null
+++ b/src/node/pace.rs
@@ -0,0 +1,45 @@
+//! How often an owner decides.
+//!
+//! What is decided has to be carried out as well, on the same processor.  An owner that spends what it
+//! has on rounds of decisions is late with the starts and the lists that come of them, so more waits in
+//! the next round, which takes longer.  So a round is followed by a pause that grows with it
+//! ("Rounds" in `docs/DESIGN.md`).
+
+use std::time::Duration;
+
+use crate::clock::Millis;
+
+/// Events that come within this time are decided on together.
+pub const GATHER: Duration = Duration::from_millis(4);
+/// No longer than this is paused for a quarter: urgent jobs have 0.9 s to spare.
+pub const LONGEST_PAUSE: Duration = Duration::from_millis(40);
+
+/// The pause after a round of decisions that took so long.
+pub fn pause_after(round: Duration) -> Duration {
+    GATHER.max(round)
+}
+
+/// What an owner has spent on deciding since the last survey.
+///
+/// Jobs that are late while rounds take long or turns come late wait for the owner, and not for room.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Rounds {
+    /// How many rounds of decisions.
+    pub count: u32,
+    /// Milliseconds spent in them.
+    pub deciding: Millis,
+    /// The longest of them, in milliseconds.
+    pub longest: Millis,
+    /// Orders that came of them.
+    pub orders: usize,
+}
+
+impl Rounds {
+    /// Counts a round that took so long and gave so many orders.
+    pub fn note(&mut self, took: Millis, orders: usize) {
+        self.count += 1;
+        self.deciding += took;
+        self.longest = self.longest.max(took);
+        self.orders += orders;
+    }
+}
--- a/src/node/survey.rs
+++ b/src/node/survey.rs
@@ -5,31 +5,7 @@
 use crate::cell::view::Waiting;
 use crate::cell::{Cell, Counts, WorkerCounts};
 use crate::clock::Millis;
-
-/// What an owner has spent on deciding since the last survey.
-///
-/// Jobs that are late while rounds take long or turns come late wait for the owner, and not for room.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Pace {
-    /// Rounds of decisions.
-    pub rounds: u32,
-    /// Milliseconds spent in them.
-    pub deciding: Millis,
-    /// The longest of them, in milliseconds.
-    pub longest: Millis,
-    /// Orders that came of them.
-    pub orders: usize,
-}
-
-impl Pace {
-    /// Counts a round that took so long and gave so many orders.
-    pub fn note(&mut self, took: Millis, orders: usize) {
-        self.rounds += 1;
-        self.deciding += took;
-        self.longest = self.longest.max(took);
-        self.orders += orders;
-    }
-}
+use crate::node::pace::Rounds;
 
 /// What waits, and for what, how the cell stands, and whether its owner keeps up.
 pub struct Survey {
@@ -39,7 +15,7 @@
     workers: WorkerCounts,
     /// How old what is known of the workers' entries is.
     workers_age: Millis,
-    pace: Pace,
+    rounds: Rounds,
     /// What was done since the ownership began.
     counts: Counts,
     /// How late the owner's turns come, on the average.
@@ -48,7 +24,7 @@
 
 impl Survey {
     /// Surveys a cell, of whose workers what is known is so old, and whose owner's turns come so late.
-    pub fn of(cell: &Cell, workers_age: Millis, pace: Pace, late: Millis) -> Self {
+    pub fn of(cell: &Cell, workers_age: Millis, rounds: Rounds, late: Millis) -> Self {
         let (held, capacity) = cell.room();
         Self {
             waiting: cell.waiting().clone(),
@@ -56,7 +32,7 @@
             capacity,
             workers: cell.count_workers(),
             workers_age,
-            pace,
+            rounds,
             counts: cell.counts(),
             late,
         }
@@ -81,10 +57,10 @@
             parked = self.workers.parked,
             workers_age = self.workers_age,
             late_ms = self.late,
-            rounds = self.pace.rounds,
-            deciding_ms = self.pace.deciding,
-            longest_round_ms = self.pace.longest,
-            orders = self.pace.orders,
+            rounds = self.rounds.count,
+            deciding_ms = self.rounds.deciding,
+            longest_round_ms = self.rounds.longest,
+            orders = self.rounds.orders,
             all_starts = self.counts.starts,
             all_places = self.counts.places,
             all_advice_looks = self.counts.advice_looks,
