An owner decides for no more than a quarter of its time

What callers saw: in a burst urgent jobs were late although there was room. Cause: deciding could take half of the owner's time, and in a burst it did; what was decided, starts and lists, had the other half and fell behind, so more waited in the next round, which took longer. Change: the pause after a round is three times as long as the round, 40 ms at most unless the round itself took longer.

--- a/src/node/pace.rs
+++ b/src/node/pace.rs
@@ -11,12 +11,15 @@
 
 /// Events that come within this time are decided on together.
 pub const GATHER: Duration = Duration::from_millis(4);
-/// No longer than this is paused for a quarter: urgent jobs have 0.9 s to spare.
+/// So many times as long as a round took is left for other work.
+const OTHER_WORK: u32 = 3;
+/// After a longer pause only as long as the round took is left: urgent jobs have 0.9 s to spare.
 pub const LONGEST_PAUSE: Duration = Duration::from_millis(40);
 
 /// The pause after a round of decisions that took so long.
 pub fn pause_after(round: Duration) -> Duration {
-    GATHER.max(round)
+    let pause = (round * OTHER_WORK).min(LONGEST_PAUSE.max(round));
+    pause.max(GATHER)
 }
 
 /// What an owner has spent on deciding since the last survey.
