--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -154,12 +154,16 @@
     }
 
     /// The workers that might run the step, now or later, and for which it has no ticket.
+    ///
+    /// Unknown ones without room are left out if there are enough with room, which go first: to
+    /// foresee when room comes free on each worker of a full cell took most of a round.
     fn advice_candidates(&self, key: StepKey, needed: u32, round: &mut Round) -> Vec<Candidate> {
         let now = round.now;
         let step = &self.steps[key];
         let service = &self.jobs[step.job].queue.service;
         let spec = step.step();
         let mut candidates = Vec::new();
+        let mut full = Vec::new();
         for (worker_key, worker) in &self.workers {
             if !self.will_take_work(worker_key, now) || !worker.allows(spec, service) {
                 continue;
@@ -177,18 +181,25 @@
                     .min(needed),
                 false => 0,
             };
-            let free_at = match fit {
-                0 => self.forecast(worker_key, round).room_for(&spec.room()),
-                _ => now,
-            };
-            let good = step.advice.tickets.contains_key(&worker_key);
-            candidates.push(Candidate {
+            let candidate = Candidate {
                 worker: worker_key,
-                good,
+                good: step.advice.tickets.contains_key(&worker_key),
                 fit,
-                free_at,
-            });
+                free_at: now,
+            };
+            match fit {
+                0 => full.push(candidate),
+                _ => candidates.push(candidate),
+            }
+        }
+        if candidates.len() >= tuning::ADVICE_MOST {
+            full.retain(|candidate| candidate.good);
+        }
+        for candidate in &mut full {
+            let forecast = self.forecast(candidate.worker, round);
+            candidate.free_at = forecast.room_for(&spec.room());
         }
+        candidates.append(&mut full);
         candidates
     }
 
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -81,6 +81,7 @@
         if row.spec.schedule.is_none() {
             self.begin_time(key, 0);
         } else {
+            self.scheduled.push(key);
             self.begin_times();
         }
         if let Some(progress) = progress {
@@ -227,13 +228,10 @@
 
     /// Begins those times of scheduled jobs that are due.
     pub(super) fn begin_times(&mut self) {
-        let scheduled: Vec<JobKey> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.spec.schedule.is_some() && !job.state.is_final())
-            .map(|(key, _)| key)
-            .collect();
-        for key in scheduled {
+        let jobs = &self.jobs;
+        let has_ended = |key| jobs.get(key).is_none_or(|job: &Job| job.state.is_final());
+        self.scheduled.retain(|&key| !has_ended(key));
+        for key in self.scheduled.clone() {
             while let Some(time) = self.due_time(key) {
                 self.begin_time(key, time);
             }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -167,6 +167,8 @@
     /// Lives that were lost and stay in the roster until what is noted of them is recorded.
     lost: Vec<roster::RosterEntry>,
     incomplete: bool,
+    /// Jobs that run at set times and have not ended.
+    scheduled: Vec<JobKey>,
     steps: SlotMap<StepKey, StepRun>,
     runs: SlotMap<RunKey, Run>,
     /// Processors that the runs of each queue hold, in millicores.
@@ -237,6 +239,7 @@
             forgets_starts: false,
             lost: Vec::new(),
             incomplete: false,
+            scheduled: Vec::new(),
             steps: SlotMap::with_key(),
             runs: SlotMap::with_key(),
             held: HashMap::new(),
@@ -429,8 +432,10 @@
         self.review_parking(now);
         self.update_roster(now);
         self.begin_times();
-        let keys: Vec<WorkerKey> = self.workers.keys().collect();
-        for key in keys {
+        let workers = self.workers.iter();
+        let due =
+            workers.filter(|(_, worker)| worker.is_silent() || worker.leaving_since.is_some());
+        for key in due.map(|(key, _)| key).collect::<Vec<_>>() {
             self.tick_worker(key, now);
         }
         self.settle_doubts(now);
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -50,6 +50,10 @@
             if !job.routed || self.is_unsettled(step, &untaken) {
                 continue;
             }
+            // Of most steps all tasks run, and a rank takes a look at the whole job.
+            if self.waiting_tasks(key, now).next().is_none() {
+                continue;
+            }
             let rank = self.rank(key, now);
             order.push((job.ordering.priority, rank, place, key));
         }
@@ -68,7 +72,7 @@
 
     /// Starts what can start of a step, and tells what keeps the rest of its tasks waiting.
     fn schedule_step(&mut self, key: StepKey, round: &mut Round) -> Option<(WaitReason, usize)> {
-        let waiting = self.waiting_tasks(key, round.now);
+        let waiting: Vec<u32> = self.waiting_tasks(key, round.now).collect();
         if waiting.is_empty() {
             return None;
         }
@@ -174,15 +178,13 @@
     }
 
     /// The tasks that neither run nor are done, and those of which a copy should run.
-    fn waiting_tasks(&self, key: StepKey, now: Millis) -> Vec<u32> {
-        self.steps[key]
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, task)| !task.done && task.paused_until <= now && task.may_be_risked())
-            .filter(|(_, task)| task.runs.is_empty() || self.wants_copy(key, &task.runs))
+    fn waiting_tasks(&self, key: StepKey, now: Millis) -> impl Iterator<Item = u32> {
+        let tasks = self.steps[key].tasks.iter().enumerate();
+        tasks
+            .filter(move |(_, task)| !task.done && task.paused_until <= now)
+            .filter(move |(_, task)| task.runs.is_empty() || self.wants_copy(key, &task.runs))
+            .filter(|(_, task)| task.may_be_risked())
             .map(|(index, _)| index as u32)
-            .collect()
     }
 
     /// Tells whether a second copy of a task should run beside a slow one.
@@ -193,8 +195,12 @@
         self.steps[key].step().copies && self.runs[*only].progress.slow
     }
 
-    /// How many tasks of the step a worker holds.
+    /// How many tasks of the step a worker holds; zero if it may hold any number of them, since
+    /// counting goes over all that runs there.
     pub(super) fn tasks_here(&self, key: StepKey, worker: WorkerKey) -> u32 {
+        if self.steps[key].step().per_worker == 0 {
+            return 0;
+        }
         self.workers[worker]
             .runs
             .iter()
