Tasks of an owner that have ended are taken one by one, not looked for among all of them at each order

Each order went over the handles of all tasks of the engine, one and more for each worker: 1.5% of the owner's profile with 1,100 workers (trial), and more with 6,000. A set of tokio's keeps them now.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
 
 use crate::cell::intake::Cancelling;
 use crate::cell::job::JobState;
@@ -75,7 +75,7 @@
     /// Wakes those that look after workers which are parked.
     parked: Mutex<HashMap<WorkerKey, Arc<Notify>>>,
     lanes: Mutex<Vec<String>>,
-    tasks: Mutex<Vec<AbortHandle>>,
+    tasks: Mutex<JoinSet<()>>,
 }
 
 impl Engine {
@@ -125,10 +125,13 @@
     }
 
     pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let handle = tokio::spawn(task).abort_handle();
-        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
-        tasks.retain(|task| !task.is_finished());
-        tasks.push(handle);
+        let mut tasks = self.tasks();
+        while tasks.try_join_next().is_some() {}
+        tasks.spawn(task);
+    }
+
+    fn tasks(&self) -> MutexGuard<'_, JoinSet<()>> {
+        self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(super) fn cell(&self) -> MutexGuard<'_, Cell> {
@@ -153,14 +156,7 @@
         }
         tracing::info!(epoch = self.epoch, reason, "ownership ends");
         self.shared.set_engine(None);
-        for task in self
-            .tasks
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .drain(..)
-        {
-            task.abort();
-        }
+        self.tasks().abort_all();
     }
 
     /// Tells whether orders may be given: the ownership was confirmed of late.
