--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -79,6 +79,17 @@
     run: u64,
 }
 
+impl LossKey {
+    /// Where a loss of this run is noted.
+    pub(super) fn of(run: &Run) -> Self {
+        Self {
+            step: run.step,
+            index: run.index,
+            run: run.number,
+        }
+    }
+}
+
 impl Loss {
     fn life(&self) -> Life {
         Life {
@@ -253,12 +264,7 @@
     }
 
     fn loss_key(&self, key: RunKey) -> LossKey {
-        let run = &self.runs[key];
-        LossKey {
-            step: run.step,
-            index: run.index,
-            run: run.number,
-        }
+        LossKey::of(&self.runs[key])
     }
 
     fn doubt(&mut self, life: Life, machine: String, place: LossKey, now: Millis) {
@@ -351,7 +357,7 @@
 
     fn forget_noted(&mut self, losses: Vec<NotedLoss>) {
         for NotedLoss { place, .. } in losses {
-            self.forget_losses(place.step, place.index, |loss| loss.run == place.run);
+            self.forget_loss(place);
         }
     }
 
@@ -378,7 +384,7 @@
     /// A run is found in a life of its worker that goes on.
     pub(super) fn has_survived(&mut self, key: RunKey) {
         if let Some(place) = self.awaited.remove(key) {
-            self.forget_losses(place.step, place.index, |loss| loss.run == place.run);
+            self.forget_loss(place);
         }
     }
 
@@ -397,7 +403,7 @@
         };
         match outcome {
             StartOutcome::Refused(_) => {
-                self.forget_losses(place.step, place.index, |loss| loss.run == place.run);
+                self.forget_loss(place);
             }
             StartOutcome::Started | StartOutcome::Unanswered => self.count_crash(place, now),
         }
@@ -520,6 +526,11 @@
         self.workers[run.worker].trials -= u32::from(run.trial);
     }
 
+    /// Nothing is held against a task for one of its runs any more.
+    pub(super) fn forget_loss(&mut self, place: LossKey) {
+        self.forget_losses(place.step, place.index, |loss| loss.run == place.run);
+    }
+
     pub(super) fn forget_losses(
         &mut self,
         step: StepKey,
--- a/src/cell/look.rs
+++ b/src/cell/look.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use crate::cell::crash::LossKey;
 use crate::cell::job::{Phase, Run};
 use crate::cell::life::FormerLives;
 use crate::cell::membership::LostBy;
@@ -346,11 +347,11 @@
             let task = self.steps[step].task_name(index);
             let worker = &self.workers[key];
             tracing::info!(request = %task.step.job, %task, run = run.number, phase = ?run.phase, worker = %worker.entry.life, clock, ends = worker.seen_end, forgotten, "run is not there");
-            let number = run.number;
+            let place = LossKey::of(run);
             self.remove_run(run_key);
             if !is_inherited {
                 // Its life goes on without it.
-                self.forget_losses(step, index, |loss| loss.run == number);
+                self.forget_loss(place);
             }
             self.begins_no_more(run_key, now);
             self.break_gang(step, now, "a member of the gang is not there");
--- a/src/cell/parking.rs
+++ b/src/cell/parking.rs
@@ -90,7 +90,8 @@
 
     fn park(&mut self, key: WorkerKey, now: Millis) {
         let worker = &mut self.workers[key];
-        if worker.awake_until <= now {
+        let was_woken_lately = worker.woken > 0 && now < worker.woken + tuning::AWAKE_FOR;
+        if !was_woken_lately {
             worker.parked = true;
             self.parked += 1;
         }
@@ -102,7 +103,6 @@
         if worker.parked {
             worker.parked = false;
             worker.woken = now;
-            worker.awake_until = now + tuning::AWAKE_FOR;
             self.parked -= 1;
             self.unparked.push(key);
         }
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -6,6 +6,7 @@
 //! may have told nothing.  So no more than one start of a task is ever forgotten, however
 //! many owners are lost (docs/DESIGN.md, "Tasks that crash their workers").
 
+use crate::cell::crash::LossKey;
 use crate::cell::job::Phase;
 use crate::cell::{Cell, RunKey, StepKey, tuning};
 use crate::clock::Millis;
@@ -136,7 +137,7 @@
             if let Some(run) = self.remove_run(key) {
                 let task = self.steps[run.step].task_name(run.index);
                 tracing::info!(request = %task.step.job, %task, run = run.number, "a start that was recorded first is not sent");
-                self.forget_losses(run.step, run.index, |loss| loss.run == run.number);
+                self.forget_loss(LossKey::of(&run));
             }
         }
     }
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -1,6 +1,6 @@
 //! The life of a run: from its start to its end, or to being written off.
 
-use crate::cell::crash::Loss;
+use crate::cell::crash::{Loss, LossKey};
 use crate::cell::job::{JobState, Phase, Run, Stop};
 use crate::cell::membership::LostBy;
 use crate::cell::name::TaskName;
@@ -156,11 +156,11 @@
             reason = refusal.code(),
             "start refused"
         );
-        let (index, number) = (run.index, run.number);
+        let (index, place) = (run.index, LossKey::of(run));
         let is_present = run.sent_to == worker_key;
         self.remove_run(key);
         self.awaited.remove(key);
-        self.forget_losses(step_key, index, |loss| loss.run == number);
+        self.forget_loss(place);
         if is_present {
             self.worker_refuses(worker_key, step_key, index, refusal, now);
         }
@@ -289,7 +289,7 @@
         let Some(run) = self.remove_run(key) else {
             return;
         };
-        self.forget_losses(run.step, run.index, |loss| loss.run == run.number);
+        self.forget_loss(LossKey::of(&run));
         let job_key = self.steps[run.step].job;
         let closed = self.jobs[job_key].state.is_final();
         if !end.saved.is_empty() && !closed {
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -111,8 +111,6 @@
     pub parked: bool,
     /// When it was parked no longer; zero if it never was.
     pub woken: Millis,
-    /// It is not parked again before.
-    pub awake_until: Millis,
     /// All runs that may take room there.
     pub runs: Vec<RunKey>,
     /// The room that they take.
@@ -184,7 +182,6 @@
             has_long_lease: false,
             parked: false,
             woken: 0,
-            awake_until: 0,
             runs: Vec::new(),
             used: Demand::default(),
             filler_millicores: 0,
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -8,8 +8,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
+use crate::node::halls;
 use crate::node::shared::Shared;
-use crate::node::{halls, members};
 use crate::queue::Configuration;
 use crate::rpc::node::{NodeCall, NodeReply};
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
@@ -215,8 +215,7 @@
 /// that each sends the configuration to a part of them.  None at each last try of a round, since the
 /// watchers may all be behind.
 fn nth_watcher(shared: &Shared, failures: usize) -> Option<SocketAddr> {
-    let mut watchers = shared.members().candidates();
-    watchers.truncate(members::WATCHERS);
+    let watchers = shared.members().first_candidates();
     let place = (xxh3_64(shared.name.as_bytes()) as usize).wrapping_add(failures);
     watchers.get(place % (watchers.len() + 1)).copied()
 }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -149,7 +149,8 @@
 /// Tells a node's presence to the owner, and to those that may own the cell next: the owner
 /// tells everybody else.
 async fn greet(shared: &Arc<Shared>) {
-    let beats = ask(shared, watchers(shared), BEAT_TIMEOUT).await;
+    let watchers = shared.members().first_candidates();
+    let beats = ask(shared, watchers, BEAT_TIMEOUT).await;
     find_owner(shared, &beats).await;
 }
 
@@ -290,22 +291,16 @@
 async fn tell_of_claim(shared: Arc<Shared>) {
     let until = shared.now() + CLAIM_LIMIT;
     while shared.now() < until {
+        let watchers = shared.members().first_candidates();
         tokio::spawn({
             let shared = Arc::clone(&shared);
-            async move { ask(&shared, watchers(&shared), POLL_TIMEOUT).await }
+            async move { ask(&shared, watchers, POLL_TIMEOUT).await }
         });
         tokio::time::sleep(TELL).await;
     }
     shared.set_claiming(false);
 }
 
-/// Where those answer that watch the owner closely.
-fn watchers(shared: &Shared) -> Vec<SocketAddr> {
-    let mut candidates = shared.members().candidates();
-    candidates.truncate(members::WATCHERS);
-    candidates
-}
-
 /// Asks those that watch the owner closely; if none of them answers, some others.
 async fn ask_candidates(shared: &Arc<Shared>) -> Vec<Beat> {
     let candidates = shared.members().candidates();
@@ -577,7 +572,7 @@
     let addresses = if owned {
         shared.members().candidates()
     } else {
-        let mut addresses = watchers(shared);
+        let mut addresses = shared.members().first_candidates();
         addresses.extend(shared.owner().address);
         addresses
     };
--- a/src/node/halls.rs
+++ b/src/node/halls.rs
@@ -1,7 +1,8 @@
 //! Following which halls the operator has evacuated.
 //!
-//! Every node follows that, so that a successor knows it at once.  An owner that the store turns
-//! away reads it through another node: what it started there meanwhile, nobody would want.
+//! The owner and the nodes that watch it closely follow that, so that a successor knows it at once.  An
+//! owner that the store turns away reads it through another node: what it started there meanwhile,
+//! nobody would want.
 
 use std::sync::Arc;
 
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -391,6 +391,14 @@
         others.into_iter().map(|(_, _, address)| address).collect()
     }
 
+    /// Where other nodes answer that watch the owner closely; if this one is none of them, one more
+    /// is named.
+    pub fn first_candidates(&self) -> Vec<SocketAddr> {
+        let mut candidates = self.candidates();
+        candidates.truncate(WATCHERS);
+        candidates
+    }
+
     fn choose_watchers(&mut self) {
         let others = self.known.iter().map(|(name, m)| (m.millicores, name));
         let own = std::iter::once((self.own_millicores, &self.own));
