--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -77,6 +77,7 @@
             return;
         }
         self.counts.advice_looks += 1;
+        self.counts.advice_workers += self.workers.len() as u64;
         let (workers, are_enough) = self.worth_asking(key, needed, &policy, round);
         if !are_enough {
             self.unpark_for(key, needed, now);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -79,6 +79,8 @@
     pub questions: u64,
     /// Steps for which workers to ask about were looked for.
     pub advice_looks: u64,
+    /// Workers looked at for those.
+    pub advice_workers: u64,
     /// Workers looked at as places for a step.
     pub places: u64,
     /// Orders refused since they would have broken a rule.
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -206,6 +206,7 @@
             ("stops", counts.stops),
             ("questions", counts.questions),
             ("advice_looks", counts.advice_looks),
+            ("advice_workers", counts.advice_workers),
             ("places", counts.places),
             ("withheld_starts", counts.violations),
             ("lapsed_runs", counts.lapsed),
--- a/src/node/survey.rs
+++ b/src/node/survey.rs
@@ -64,6 +64,7 @@
             all_starts = self.counts.starts,
             all_places = self.counts.places,
             all_advice_looks = self.counts.advice_looks,
+            all_advice_workers = self.counts.advice_workers,
             all_questions = self.counts.questions,
             "tasks wait"
         );
