A question chooses among some workers of a large cell, and each look begins elsewhere

Cause: each question went over all 1,100 workers, and steps that asked together were all sent to the roomiest ones. Change: a look begins at a place that differs from step to step and ends with 96 unknown workers that have room; known good ones are taken first, as before. Cells of fewer workers are gone over whole, as before.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -8,9 +8,15 @@
 //! wait for room, and such jobs earned 0.90 instead of 0.83 of their worth over days with
 //! faults (docs/DECISIONS.md).
 
+use std::rc::Rc;
+
+use slotmap::Key;
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::cell::job::Ticket;
 use crate::cell::order::{AdviceOrder, Order};
 use crate::cell::round::Round;
+use crate::cell::worker::Worker;
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 use crate::queue::AdvicePolicy;
@@ -37,6 +43,24 @@
     free_at: Millis,
 }
 
+/// Workers that a question may name.
+#[derive(Default)]
+struct Found {
+    /// Tasks of the step have room there now.
+    with_room: Vec<Candidate>,
+    /// None has room there yet.
+    full: Vec<Candidate>,
+}
+
+impl Found {
+    fn push(&mut self, candidate: Candidate) {
+        match candidate.fit {
+            0 => self.full.push(candidate),
+            _ => self.with_room.push(candidate),
+        }
+    }
+}
+
 impl Cell {
     /// Tells which lanes there are; lanes keep their places.
     pub fn set_lanes(&mut self, up: &[bool]) {
@@ -77,7 +101,6 @@
             return;
         }
         self.counts.advice_looks += 1;
-        self.counts.advice_workers += self.workers.len() as u64;
         let (workers, are_enough) = self.worth_asking(key, needed, &policy, round);
         if !are_enough {
             self.unpark_for(key, needed, now);
@@ -116,15 +139,14 @@
     /// What is good for a step never changes, so the first question also names workers
     /// that have no room yet: a step that waits for room knows where to wait for it.
     fn worth_asking(
-        &self,
+        &mut self,
         key: StepKey,
         needed: u32,
         policy: &AdvicePolicy,
         round: &mut Round,
     ) -> (Vec<WorkerKey>, bool) {
         let now = round.now;
-        let step = &self.steps[key];
-        let job = &self.jobs[step.job];
+        let job = &self.jobs[self.steps[key].job];
         let share = self.learned_share(&job.queue.name);
         let answer_by = now + policy.duration(tuning::ADVICE_MOST) + tuning::ADVICE_AHEAD;
         let mut candidates = self.advice_candidates(key, needed, round);
@@ -154,54 +176,112 @@
         (chosen, are_enough)
     }
 
-    /// The workers that might run the step, now or later, and for which it has no ticket.
+    /// Workers that might run the step, now or later, and for which it has no ticket: all that are known
+    /// to be good, and unknown ones until there are enough with room.
     ///
-    /// Unknown ones without room are left out if there are enough with room, which go first: to
-    /// foresee when room comes free on each worker of a full cell took most of a round.
-    fn advice_candidates(&self, key: StepKey, needed: u32, round: &mut Round) -> Vec<Candidate> {
-        let now = round.now;
+    /// Each look begins elsewhere: steps that ask at the same time would be sent to the same
+    /// workers, of which the first to be answered takes the room.
+    fn advice_candidates(
+        &mut self,
+        key: StepKey,
+        needed: u32,
+        round: &mut Round,
+    ) -> Vec<Candidate> {
         let step = &self.steps[key];
-        let service = &self.jobs[step.job].queue.service;
-        let spec = step.step();
-        let mut candidates = Vec::new();
-        let mut full = Vec::new();
-        for (worker_key, worker) in &self.workers {
-            if !self.will_take_work(worker_key, now) || !worker.allows(spec, service) {
-                continue;
-            }
-            let known_bad = step.advice.bad.contains(&worker_key);
-            if known_bad || self.valid_ticket(key, worker_key, now) {
-                continue;
+        let room = step.step().room();
+        let good = step.advice.tickets.keys();
+        let mut found = Found::default();
+        for candidate in good.filter_map(|&good| self.candidate(key, good, needed, round.now)) {
+            found.push(candidate);
+        }
+        let known = found.with_room.len();
+        let looked_at = self.find_unknown(key, needed, round, &mut found);
+        // To foresee when room comes free on each worker of a full cell takes most of a round.
+        if found.with_room.len() - known >= tuning::ADVICE_MOST {
+            found.full.retain(|candidate| candidate.good);
+        }
+        for candidate in &mut found.full {
+            candidate.free_at = self.forecast(candidate.worker, round).room_for(&room);
+        }
+        found.with_room.append(&mut found.full);
+        self.counts.advice_workers += looked_at;
+        found.with_room
+    }
+
+    /// Finds workers of which it is not known whether they are good, until there are enough with room;
+    /// tells how many were looked at.
+    fn find_unknown(&self, key: StepKey, needed: u32, round: &mut Round, found: &mut Found) -> u64 {
+        let advice = &self.steps[key].advice;
+        let most = found.with_room.len() + tuning::ADVICE_CHOICE;
+        let mut looked_at = 0;
+        for worker in self.usable_from(key, round) {
+            if found.with_room.len() == most {
+                break;
             }
-            if !spec.room().fits(&worker.entry.capacity) {
+            looked_at += 1;
+            if advice.tickets.contains_key(&worker) || advice.bad.contains(&worker) {
                 continue;
             }
-            let fit = match self.takes_work(worker_key, now) {
-                true => worker
-                    .fit(spec, self.tasks_here(key, worker_key))
-                    .min(needed),
-                false => 0,
-            };
-            let candidate = Candidate {
-                worker: worker_key,
-                good: step.advice.tickets.contains_key(&worker_key),
-                fit,
-                free_at: now,
-            };
-            match fit {
-                0 => full.push(candidate),
-                _ => candidates.push(candidate),
+            if let Some(candidate) = self.candidate(key, worker, needed, round.now) {
+                found.push(candidate);
             }
         }
-        if candidates.len() >= tuning::ADVICE_MOST {
-            full.retain(|candidate| candidate.good);
+        looked_at
+    }
+
+    /// A worker that a question about a step may name; its room is free at once if it has any.
+    fn candidate(
+        &self,
+        key: StepKey,
+        worker_key: WorkerKey,
+        needed: u32,
+        now: Millis,
+    ) -> Option<Candidate> {
+        let step = &self.steps[key];
+        let spec = step.step();
+        let service = &self.jobs[step.job].queue.service;
+        if self.valid_ticket(key, worker_key, now) || !self.will_take_work(worker_key, now) {
+            return None;
         }
-        for candidate in &mut full {
-            let forecast = self.forecast(candidate.worker, round);
-            candidate.free_at = forecast.room_for(&spec.room());
+        let worker = &self.workers[worker_key];
+        if !worker.allows(spec, service) || !spec.room().fits(&worker.entry.capacity) {
+            return None;
         }
-        candidates.append(&mut full);
-        candidates
+        let fit = match self.takes_work(worker_key, now) {
+            true => worker.fit(spec, self.tasks_here(key, worker_key)),
+            false => 0,
+        };
+        Some(Candidate {
+            worker: worker_key,
+            good: step.advice.tickets.contains_key(&worker_key),
+            fit: fit.min(needed),
+            free_at: now,
+        })
+    }
+
+    /// The workers of a step's service that will take work, from a place on that differs from step to
+    /// step and from time to time.
+    fn usable_from(
+        &self,
+        key: StepKey,
+        round: &mut Round,
+    ) -> impl Iterator<Item = WorkerKey> + use<> {
+        let now = round.now;
+        let service = &self.jobs[self.steps[key].job].queue.service;
+        let usable = match round.usable.get(service) {
+            Some(usable) => Rc::clone(usable),
+            None => {
+                let of_service = |worker: &Worker| worker.entry.service == *service;
+                let workers = self.workers.iter().filter(|(_, worker)| of_service(worker));
+                let usable = workers.filter(|&(worker, _)| self.will_take_work(worker, now));
+                let usable: Rc<[WorkerKey]> = usable.map(|(worker, _)| worker).collect();
+                round.usable.insert(service.clone(), Rc::clone(&usable));
+                usable
+            }
+        };
+        let place = xxh3_64(&(key.data().as_ffi() ^ now).to_le_bytes()) as usize;
+        let first = place.checked_rem(usable.len()).unwrap_or_default();
+        (0..usable.len()).map(move |place| usable[(first + place) % usable.len()])
     }
 
     fn learned_share(&self, queue: &str) -> f64 {
--- a/src/cell/round.rs
+++ b/src/cell/round.rs
@@ -1,5 +1,8 @@
 //! One round of decisions: what was worked out in it, and how much that may be.
 
+use std::collections::HashMap;
+use std::rc::Rc;
+
 use slotmap::SecondaryMap;
 
 use crate::cell::forecast::Forecast;
@@ -22,6 +25,8 @@
     pub(super) places: u64,
     /// What waits, and for what.
     pub(super) waiting: Waiting,
+    /// The workers of a service that will take work, in the order of their keys.
+    pub(super) usable: HashMap<String, Rc<[WorkerKey]>>,
     /// For how many steps workers to ask about were looked for.
     looks: usize,
 }
@@ -36,6 +41,7 @@
             reserving: 0,
             places: 0,
             waiting: Waiting::new(),
+            usable: HashMap::new(),
             looks: 0,
         }
     }
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -88,8 +88,11 @@
 /// How long a step that had nothing to ask about is left alone, since that takes a look at
 /// every worker; urgent jobs have 0.9 s to spare.
 pub const ADVICE_LOOK: Millis = 20;
-/// The most steps for which workers to ask about are looked for in one round: a look at 350
-/// workers takes some 30 us, so that a backlog of hundreds of steps cannot hold a round up.
+/// Of so many unknown workers with room a question names the best: choosing among all of a large cell
+/// costs a look at each of them, and sends all steps to the same ones.
+pub const ADVICE_CHOICE: usize = 2 * ADVICE_MOST;
+/// The most steps for which workers to ask about are looked for in one round, so that a backlog of
+/// hundreds of steps cannot hold it up.
 pub const MOST_LOOKS: usize = 16;
 /// Questions longer than this leave one lane to short ones.
 pub const LONG_ADVICE: Millis = 150;
