--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -16,7 +16,6 @@
 use crate::cell::job::Ticket;
 use crate::cell::order::{AdviceOrder, Order};
 use crate::cell::round::Round;
-use crate::cell::worker::Worker;
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 use crate::queue::AdvicePolicy;
@@ -266,24 +265,27 @@
         key: StepKey,
         round: &mut Round,
     ) -> impl Iterator<Item = WorkerKey> + use<> {
-        let now = round.now;
-        let service = &self.jobs[self.steps[key].job].queue.service;
-        let usable = match round.usable.get(service) {
-            Some(usable) => Rc::clone(usable),
-            None => {
-                let of_service = |worker: &Worker| worker.entry.service == *service;
-                let workers = self.workers.iter().filter(|(_, worker)| of_service(worker));
-                let usable = workers.filter(|&(worker, _)| self.will_take_work(worker, now));
-                let usable: Rc<[WorkerKey]> = usable.map(|(worker, _)| worker).collect();
-                round.usable.insert(service.clone(), Rc::clone(&usable));
-                usable
-            }
-        };
-        let place = xxh3_64(&(key.data().as_ffi() ^ now).to_le_bytes()) as usize;
+        let usable = self.usable(key, round);
+        let place = xxh3_64(&(key.data().as_ffi() ^ round.now).to_le_bytes()) as usize;
         let first = place.checked_rem(usable.len()).unwrap_or_default();
         (0..usable.len()).map(move |place| usable[(first + place) % usable.len()])
     }
 
+    /// The workers of a step's service that will take work, found once a round.
+    fn usable(&self, key: StepKey, round: &mut Round) -> Rc<[WorkerKey]> {
+        let service = &self.jobs[self.steps[key].job].queue.service;
+        if let Some(usable) = round.usable.get(service) {
+            return Rc::clone(usable);
+        }
+        let workers = self.workers.iter();
+        let of_service = workers.filter(|(_, worker)| worker.entry.service == *service);
+        let keys = of_service.map(|(worker, _)| worker);
+        let usable = keys.filter(|&worker| self.will_take_work(worker, round.now));
+        let usable: Rc<[WorkerKey]> = usable.collect();
+        round.usable.insert(service.clone(), Rc::clone(&usable));
+        usable
+    }
+
     fn learned_share(&self, queue: &str) -> f64 {
         self.good_share
             .get(queue)
--- a/src/node/pace.rs
+++ b/src/node/pace.rs
@@ -11,9 +11,9 @@
 
 /// Events that come within this time are decided on together.
 pub const GATHER: Duration = Duration::from_millis(4);
-/// So many times as long as a round took is left for other work.
+/// The pause after a round, in times of its length.
 const OTHER_WORK: u32 = 3;
-/// After a longer pause only as long as the round took is left: urgent jobs have 0.9 s to spare.
+/// No pause is longer than this, or than the round itself: urgent jobs have 0.9 s to spare.
 pub const LONGEST_PAUSE: Duration = Duration::from_millis(40);
 
 /// The pause after a round of decisions that took so long.
