Tests: two arrangements that stood twice stand once

Two nodes that know of a job (tests/keys.rs), and another node that reaches the store (tests/front.rs, tests/hall_rows.rs). No assertion changed.

--- a/tests/front.rs
+++ b/tests/front.rs
@@ -212,13 +212,7 @@
 async fn a_job_goes_by_another_node_when_the_store_is_silent_to_this_one() {
     // Arrange.
     let node = virtual_node(&[Relay::Works]);
-    node.shared.hear(&Beat {
-        name: String::from("n1"),
-        boot: 1,
-        address: String::from("127.0.0.1:1"),
-        reaches_store: true,
-        ..Beat::default()
-    });
+    node.hear_other();
     node.guarded.silent.store(true, Ordering::Relaxed);
     let front = Front::new(node.shared);
 
--- a/tests/hall_rows.rs
+++ b/tests/hall_rows.rs
@@ -11,7 +11,6 @@
 use crossweir::evacuation::Halls;
 use crossweir::node::engine::Engine;
 use crossweir::node::{configuration, halls};
-use crossweir::rpc::node::Beat;
 use crossweir::store::{RowKey, Table, Transaction};
 use virtual_node::{Relay, VirtualNode, claim, virtual_node_with};
 
@@ -47,17 +46,6 @@
     Some(Halls::clone(&halls).into_iter().collect())
 }
 
-/// Another node tells that it reaches the store.
-fn hear_other(node: &VirtualNode) {
-    node.shared.hear(&Beat {
-        name: String::from("n1"),
-        boot: 1,
-        address: String::from("127.0.0.1:1"),
-        reaches_store: true,
-        ..Beat::default()
-    });
-}
-
 async fn pass(millis: u64) {
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
@@ -107,7 +95,7 @@
 async fn an_owner_that_the_store_turns_away_reads_the_halls_through_another_node() {
     // Arrange
     let node = node(&[Relay::Works]);
-    hear_other(&node);
+    node.hear_other();
     tokio::spawn(configuration::follow(Arc::clone(&node.shared)));
     let version = claim(&node.store, "n0", 7, 16);
     let engine = Engine::start(&node.shared, 16, version).await;
@@ -119,7 +107,7 @@
     node.guarded.shut.store(true, Ordering::Relaxed);
     evacuate(&node, "north", ORDER);
     for _ in 0..10 {
-        hear_other(&node);
+        node.hear_other();
         pass(300).await;
     }
 
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -54,6 +54,16 @@
     .await;
 }
 
+/// Two nodes that both know of a job of the workspace whose key is `k1`.
+async fn two_nodes_with_a_job() -> (StandIn, Vec<Node>) {
+    let platform = StandIn::start(1).await;
+    platform.configure_tenants(2, &tenants(&["k1"]));
+    let nodes = start_ready(&platform, &["n1", "n2"]).await;
+    until_status(&nodes[0], Method::POST, JOB, Some("k1"), StatusCode::OK).await;
+    until_status(&nodes[1], Method::GET, JOB, Some("k1"), StatusCode::OK).await;
+    (platform, nodes)
+}
+
 #[tokio::test]
 async fn a_caller_without_a_known_key_is_refused_and_told_how_to_name_itself() {
     // Arrange
@@ -82,11 +92,7 @@
 #[tokio::test]
 async fn a_job_of_another_workspace_is_as_if_it_were_not_there() {
     // Arrange
-    let platform = StandIn::start(1).await;
-    platform.configure_tenants(2, &tenants(&["k1"]));
-    let nodes = start_ready(&platform, &["n1", "n2"]).await;
-    until_status(&nodes[0], Method::POST, JOB, Some("k1"), StatusCode::OK).await;
-    until_status(&nodes[1], Method::GET, JOB, Some("k1"), StatusCode::OK).await;
+    let (_platform, nodes) = two_nodes_with_a_job().await;
 
     // Act, assert: at the owner and at the other node.
     for node in &nodes {
@@ -103,11 +109,7 @@
 #[tokio::test]
 async fn an_id_of_another_workspace_is_not_taken_a_second_time() {
     // Arrange
-    let platform = StandIn::start(1).await;
-    platform.configure_tenants(2, &tenants(&["k1"]));
-    let nodes = start_ready(&platform, &["n1", "n2"]).await;
-    until_status(&nodes[0], Method::POST, JOB, Some("k1"), StatusCode::OK).await;
-    until_status(&nodes[1], Method::GET, JOB, Some("k1"), StatusCode::OK).await;
+    let (_platform, nodes) = two_nodes_with_a_job().await;
 
     for node in &nodes {
         // Act
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -18,7 +18,7 @@
 use crossweir::node::shared::{Identity, Links, Shared};
 use crossweir::queue::{Configuration, Draft, Queue};
 use crossweir::rpc::PeerError;
-use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply};
+use crossweir::rpc::node::{Beat, NodeCall, NodeLink, NodeReply};
 use crossweir::store::{
     RowKey, Store, StoreCall, StoreError, StoreReply, Table, Transaction, encode,
 };
@@ -213,6 +213,19 @@
     pub written: Arc<AtomicUsize>,
 }
 
+impl VirtualNode {
+    /// Another node tells that it reaches the store.
+    pub fn hear_other(&self) {
+        self.shared.hear(&Beat {
+            name: String::from("n1"),
+            boot: 1,
+            address: String::from("127.0.0.1:1"),
+            reaches_store: true,
+            ..Beat::default()
+        });
+    }
+}
+
 /// Makes the node `n0`, whose boot is 7; other nodes answer at ports from 1.
 pub fn virtual_node(relays: &[Relay]) -> VirtualNode {
     virtual_node_of(1_000, relays)
