A verdict that is awaited outlives the place of its run, so no job waits for ever

Trace: w7 is lost while start is on its way, so its verdict is awaited; w11 is lost 80 ms later with two starts on their way. Nothing is logged of any more. Cause: what is awaited stood in a secondary map of the runs. The run is gone by then, a later one takes its place, and its entry there takes the place of the former one: the answer to the first start finds nothing, the loss stays neither counted nor forgotten, and while its verdict would end the job that is awaited. Change: an ordered map by the key of the run.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -364,7 +364,7 @@
     /// A life of a worker is over: whatever is noted of it has crashed with it, but for starts of
     /// which it is not known yet whether it had carried them out.
     pub(super) fn confirm_crash(&mut self, life: &Life, awaited: &[RunKey], now: Millis) {
-        let awaited: Vec<LossKey> = awaited.iter().map(|&key| self.awaited[key]).collect();
+        let awaited: Vec<LossKey> = awaited.iter().map(|&key| self.awaited[&key]).collect();
         let Some(doubt) = self.doubts.swap_remove(life) else {
             return;
         };
@@ -383,7 +383,7 @@
 
     /// A run is found in a life of its worker that goes on.
     pub(super) fn has_survived(&mut self, key: RunKey) {
-        if let Some(place) = self.awaited.remove(key) {
+        if let Some(place) = self.awaited.remove(&key) {
             self.forget_loss(place);
         }
     }
@@ -391,14 +391,14 @@
     /// A start whose worker was lost is found nowhere: if it was carried out, then by the life that
     /// is over.
     pub(super) fn begins_no_more(&mut self, key: RunKey, now: Millis) {
-        if let Some(place) = self.awaited.remove(key) {
+        if let Some(place) = self.awaited.remove(&key) {
             self.count_crash(place, now);
         }
     }
 
     /// The answer to a start came after its worker had been lost.
     pub(super) fn start_answered_late(&mut self, key: RunKey, outcome: StartOutcome, now: Millis) {
-        let Some(place) = self.awaited.remove(key) else {
+        let Some(place) = self.awaited.remove(&key) else {
             return;
         };
         match outcome {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -42,7 +42,7 @@
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
-use slotmap::{SecondaryMap, SlotMap};
+use slotmap::SlotMap;
 
 use crate::cell::job::{EndedJob, Job, JobState, Run, StepRun};
 use crate::cell::ledger::Ledger;
@@ -166,8 +166,9 @@
     former_lives: IndexMap<String, FormerLives>,
     /// Runs that may have crashed a life of a worker.
     doubts: IndexMap<Life, crash::Doubt>,
-    /// Starts whose worker was lost before it was known whether it had carried them out.
-    awaited: SecondaryMap<RunKey, crash::LossKey>,
+    /// Starts whose worker was lost before it was known whether it had carried them out.  Their runs
+    /// may be gone, and others have their places.
+    awaited: BTreeMap<RunKey, crash::LossKey>,
     /// Runs whose start is recorded before it is sent.
     planned: Vec<RunKey>,
     /// Starts of jobs that a former owner knew may be forgotten.
@@ -242,7 +243,7 @@
             early_ends: IndexMap::new(),
             former_lives: IndexMap::new(),
             doubts: IndexMap::new(),
-            awaited: SecondaryMap::new(),
+            awaited: BTreeMap::new(),
             planned: Vec::new(),
             forgets_starts: false,
             lost: Vec::new(),
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -159,7 +159,7 @@
         let (index, place) = (run.index, LossKey::of(run));
         let is_present = run.sent_to == worker_key;
         self.remove_run(key);
-        self.awaited.remove(key);
+        self.awaited.remove(&key);
         self.forget_loss(place);
         if is_present {
             self.worker_refuses(worker_key, step_key, index, refusal, now);
