--- a/tests/lost_owners.rs
+++ b/tests/lost_owners.rs
@@ -145,3 +145,10 @@
     world.verify();
     world.verify_starts_of_culprits();
 }
+
+/// A start that comes seconds late was carried out by a next life of its id that no look had reached, and
+/// one more was forgotten with its owner: the task was started a sixth time.
+#[test]
+fn a_start_that_a_next_life_carries_out_late_makes_no_sixth_one() {
+    Kind::CrashingTasksOnKeptIds.play(47_477, &Moment::ALL);
+}
