--- a/src/cell/lost.rs
+++ b/src/cell/lost.rs
@@ -4,7 +4,7 @@
 //! finds the life over marks all jobs that the former owner knew ([`Cell::starts_may_be_forgotten`]),
 //! and a successor that does not find the life in the roster takes for granted that nothing was lost
 //! there.  So it stays in the roster until each of those jobs is read and its mark is recorded
-//! (docs/DESIGN.md, "Tasks that crash their workers"; docs/incidents/crashing-tasks.md).
+//! (docs/DESIGN.md, "Tasks that crash their workers"; docs/incidents/forgotten-starts.md).
 
 use serde::{Deserialize, Serialize};
 
@@ -81,13 +81,13 @@
         self.starts_may_be_forgotten();
     }
 
-    /// The entry of a life that is over and whose id no other one in use has.
+    /// The entry of a life of this id that is over and stays in the roster.
     pub(super) fn lost_entry_of(&self, id: &str) -> Option<&RosterEntry> {
         let mut entries = self.lost.iter().map(|kept| &kept.entry);
         entries.find(|entry| entry.worker.life.id == id)
     }
 
-    /// Those entries of lives that are over whose ids `is_used` does not name.
+    /// The entries of lives that are over, but for those whose id another one in use has.
     pub(super) fn lost_entries(
         &self,
         is_used: impl Fn(&str) -> bool,
