Forgotten starts: two scripts share how an owner finds out; a field is private

Two scripts repeated the owner that cannot read the culprit's row and records what it found; one fixture serves. No behaviour of the sources changes.

--- a/src/cell/lost.rs
+++ b/src/cell/lost.rs
@@ -27,7 +27,7 @@
     /// How it stands there unless another life of its id is in use.
     entry: RosterEntry,
     /// When it was found to be over.
-    pub(super) noted: Sequence,
+    noted: Sequence,
     /// A former owner may have started tasks there, also of jobs that are not read yet.
     forgets: bool,
 }
--- a/tests/forgotten_starts.rs
+++ b/tests/forgotten_starts.rs
@@ -92,6 +92,22 @@
         self.cell.tick(self.now);
     }
 
+    /// The same, while the culprit's row cannot be read.
+    fn take_over_without_the_culprit(&mut self) {
+        self.take_over(&OTHERS.collect::<Vec<_>>());
+        self.cell.set_incomplete(true);
+    }
+
+    /// The owner hears which lives are over, and records all that it can.
+    fn find_out(&mut self) {
+        for _ in 0..2 {
+            self.look();
+        }
+        for _ in 0..2 {
+            self.record(100);
+        }
+    }
+
     /// All workers are looked at, and those that are not down answer.
     fn look(&mut self) {
         self.now += STEP;
@@ -187,13 +203,9 @@
     let crashed = site.down[0].clone();
 
     // Act: the next owner reads the others, finds the life over, records that, and is lost.
-    site.take_over(&OTHERS.collect::<Vec<_>>());
-    site.cell.set_incomplete(true);
+    site.take_over_without_the_culprit();
     site.comes_back(&crashed, Life::of("w9"));
-    site.look();
-    site.look();
-    site.record(100);
-    site.record(100);
+    site.find_out();
 
     // Assert.
     site.assert_recorded_first();
@@ -209,12 +221,8 @@
 
     // Act.
     for _ in 0..4 {
-        site.take_over(&OTHERS.collect::<Vec<_>>());
-        site.cell.set_incomplete(true);
-        site.look();
-        site.look();
-        site.record(100);
-        site.record(100);
+        site.take_over_without_the_culprit();
+        site.find_out();
     }
 
     // Assert.
