A start that its worker has barred stays counted while a later life may carry it out

Cause: a start without an answer was struck from its task's losses, or never noted, once the life that it was meant for answered a poll: by its owner after the confirmed stop (remove_unlisted), by a later owner at once (clear_losses_of_life). The bar (stop, epoch, clock) ends with that life; the next life of the same id carries the start out until a poll has reached it.

Ruled out: a poll that comes too late (the life may crash before any poll); the known kinds of forgotten starts (cell::lost), since the life had answered.

Change: such a start stays with its task as a barred loss (cell::barred_start) until it can no longer arrive. If its life is found ended before, it counts as a crash, as one that was merely there. While it stays it counts towards the most starts, and the next start is recorded first, and the barred one with it, in the same write. Only workers that report their start are concerned: others have a new id in each life.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -55,6 +55,10 @@
     /// The run was recorded before its start was sent, and no crash implicates it so far.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub planned: bool,
+    /// The life that the start was meant for will not begin it any more, but a later life of the
+    /// worker's id may (`cell::late_start`).
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub barred: bool,
     /// The loss is durable, so that a successor will know of it.
     #[serde(skip)]
     pub recorded: bool,
@@ -69,20 +73,37 @@
     losses: Vec<PendingLoss>,
 }
 
+impl PendingLosses {
+    /// Returns whether no loss is pending but those of barred starts.
+    fn are_all_barred(&self) -> bool {
+        self.losses.iter().all(PendingLoss::is_barred)
+    }
+}
+
 /// A loss that is not yet known to be a crash.
 #[derive(Debug, Clone, Copy)]
 struct PendingLoss {
     loss_key: LossKey,
     /// When it was noted: only the answer to a poll sent later shows that the life survived it.
     noted: Sequence,
+    /// The start was answered, so it cannot be carried out a second time.
+    answered: bool,
+    /// Until when a barred start may arrive, by the owner's clock; none if it is not barred.
+    arrives_until: Option<Millis>,
+}
+
+impl PendingLoss {
+    fn is_barred(&self) -> bool {
+        self.arrives_until.is_some()
+    }
 }
 
 /// Identifies a loss by the task and run for which it is noted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct LossKey {
-    step: StepKey,
-    index: u32,
-    run: u64,
+    pub(super) step: StepKey,
+    pub(super) index: u32,
+    pub(super) run: u64,
 }
 
 impl LossKey {
@@ -97,7 +118,7 @@
 }
 
 impl Loss {
-    fn life(&self) -> Life {
+    pub(super) fn life(&self) -> Life {
         Life {
             id: self.worker.clone(),
             born: self.born,
@@ -126,7 +147,7 @@
     /// the job, it is awaited first: otherwise a task could crash one more worker while the last
     /// one is slow to come back.
     pub(super) fn losses_allow_start(&self) -> bool {
-        let may_count = |loss: &Loss| loss.crashed || loss.blame != Blame::Late;
+        let may_count = |loss: &Loss| loss.crashed || loss.barred || loss.blame != Blame::Late;
         !self.exceeds_crash_limit(may_count)
     }
 
@@ -241,8 +262,9 @@
             None => losses.push(loss),
         }
         job.dirty = true;
+        let answered = self.runs[key].start_heard.is_some();
         let loss_key = self.loss_key(key);
-        self.add_pending_loss(life, machine, loss_key, now);
+        self.add_pending_loss(&life, &machine, loss_key, answered, now);
     }
 
     /// Notes a run whose start is recorded before it is sent. If the owner is lost, its successor
@@ -258,7 +280,7 @@
         self.jobs[step.job].dirty = true;
     }
 
-    fn loss_of(&self, key: RunKey) -> Loss {
+    pub(super) fn loss_of(&self, key: RunKey) -> Loss {
         let run = &self.runs[key];
         let entry = &self.workers[run.worker].entry;
         Loss {
@@ -270,6 +292,7 @@
             unanswered: true,
             crashed: false,
             planned: false,
+            barred: false,
             recorded: false,
         }
     }
@@ -278,23 +301,66 @@
         LossKey::of(&self.runs[key])
     }
 
-    fn add_pending_loss(&mut self, life: Life, machine: String, loss_key: LossKey, now: Millis) {
+    fn add_pending_loss(
+        &mut self,
+        life: &Life,
+        machine: &str,
+        loss_key: LossKey,
+        answered: bool,
+        now: Millis,
+    ) {
+        let pending = self.pending_losses_of(life, machine, now);
+        if pending.are_all_barred() {
+            pending.since = now;
+        }
+        self.replace_pending_loss(life, loss_key, answered, None);
+    }
+
+    /// Adds the loss of a barred start, which may arrive for [`tuning::MAX_ORDER_DELAY`] from now
+    /// on at the longest.
+    pub(super) fn add_barred_loss(
+        &mut self,
+        life: &Life,
+        machine: &str,
+        loss_key: LossKey,
+        now: Millis,
+    ) {
+        self.pending_losses_of(life, machine, now);
+        let arrives_until = now + tuning::MAX_ORDER_DELAY;
+        self.replace_pending_loss(life, loss_key, false, Some(arrives_until));
+    }
+
+    fn pending_losses_of(&mut self, life: &Life, machine: &str, now: Millis) -> &mut PendingLosses {
+        let pending = self.pending_losses.entry(life.clone());
+        pending.or_insert_with(|| PendingLosses {
+            machine: machine.to_owned(),
+            since: now,
+            losses: Vec::new(),
+        })
+    }
+
+    fn replace_pending_loss(
+        &mut self,
+        life: &Life,
+        loss_key: LossKey,
+        answered: bool,
+        arrives_until: Option<Millis>,
+    ) {
         let noted = self.next_sequence();
-        let pending = self
-            .pending_losses
-            .entry(life)
-            .or_insert_with(|| PendingLosses {
-                machine,
-                since: now,
-                losses: Vec::new(),
-            });
-        pending.losses.push(PendingLoss { loss_key, noted });
+        let losses = &mut self.pending_losses[life].losses;
+        losses.retain(|known| known.loss_key != loss_key);
+        losses.push(PendingLoss {
+            loss_key,
+            noted,
+            answered,
+            arrives_until,
+        });
     }
 
     /// Clears the losses on the present life of a worker that were noted before `sent`: the worker
     /// has answered a poll sent then, so those runs did not crash it. Neither did a start that had
     /// been given up as unanswered and was barred by a confirmed stop before `sent`.
-    pub(super) fn clear_survived_losses(&mut self, key: WorkerKey, sent: Sequence) {
+    pub(super) fn clear_survived_losses(&mut self, key: WorkerKey, sent: Sequence, now: Millis) {
         for run in self.unproven_runs(key) {
             let given_up = self.runs[run].doubt_heard.is_some_and(|heard| heard < sent);
             if given_up && !self.may_begin_after(run, sent) {
@@ -307,8 +373,8 @@
         worker.suspected = false;
         let life = worker.entry.life.clone();
         // An owner that did not know when the life started noted its losses under the id alone.
-        self.clear_losses_of_life(&Life::of(life.id.as_str()), sent);
-        self.clear_losses_of_life(&life, sent);
+        self.clear_losses_of_life(&Life::of(life.id.as_str()), key, sent, now);
+        self.clear_losses_of_life(&life, key, sent, now);
     }
 
     /// Returns whether the worker's clock, by its latest answer, is past the time at which an
@@ -334,22 +400,29 @@
         }
     }
 
-    /// Clears the losses of a life that were noted before `sent`, unless their starts may still
-    /// begin.
-    fn clear_losses_of_life(&mut self, life: &Life, sent: Sequence) {
+    /// Clears the losses of a life of a worker that were noted before `sent`, unless their starts
+    /// may still begin there.  Starts that a later life may still begin stay as barred ones.
+    fn clear_losses_of_life(&mut self, life: &Life, key: WorkerKey, sent: Sequence, now: Millis) {
         let Some(mut pending) = self.pending_losses.swap_remove(life) else {
             return;
         };
         let is_open = |loss: &PendingLoss| {
             let run = self.find_lost_run(loss.loss_key);
-            loss.noted >= sent || run.is_some_and(|run| self.may_begin_after(run, sent))
+            let may_begin = run.is_some_and(|run| self.may_begin_after(run, sent));
+            loss.is_barred() || loss.noted >= sent || may_begin
         };
         let (open, clear) = pending.losses.into_iter().partition(is_open);
         pending.losses = open;
         if !pending.losses.is_empty() {
             self.pending_losses.insert(life.clone(), pending);
         }
+        let may_come_later =
+            |loss: &PendingLoss| !loss.answered && self.may_restart_under_its_id(key);
+        let (barred, clear): (Vec<_>, Vec<_>) = clear.into_iter().partition(may_come_later);
         self.forget_pending(clear);
+        for loss in barred {
+            self.bar_loss(key, loss.loss_key, now);
+        }
     }
 
     /// Returns the run of a loss if it may still go on.
@@ -368,12 +441,6 @@
         run.start_heard.is_none() && !is_barred
     }
 
-    fn discard_pending_losses(&mut self, life: &Life) {
-        if let Some(pending) = self.pending_losses.swap_remove(life) {
-            self.forget_pending(pending.losses);
-        }
-    }
-
     fn forget_pending(&mut self, losses: Vec<PendingLoss>) {
         for PendingLoss { loss_key, .. } in losses {
             self.forget_loss(loss_key);
@@ -444,19 +511,20 @@
         };
         loss.crashed = true;
         loss.planned = false;
-        let (worker, blame) = (loss.worker.clone(), loss.blame);
+        let (worker, blame, barred) = (loss.worker.clone(), loss.blame, loss.barred);
         let (losses, hopeless) = (
             task.losses.len(),
             task.exceeds_crash_limit(|loss| loss.crashed),
         );
         // Runs that were merely present, up to ten in a crash, are not logged one by one.
-        if blame != Blame::Late || hopeless {
+        if blame != Blame::Late || barred || hopeless {
             tracing::info!(
                 request = %name.step.job,
                 task = %name,
                 run = loss_key.run,
                 worker,
                 ?blame,
+                barred,
                 losses,
                 hopeless,
                 "worker crashed under a task"
@@ -482,21 +550,48 @@
         }
         let mut crashed = Vec::new();
         let mut expired = Vec::new();
+        let mut void = Vec::new();
         for (life, pending) in &self.pending_losses {
             if self.is_crash_proven(life, pending) {
                 crashed.push(life.clone());
-            } else if now.saturating_sub(pending.since) > tuning::CRASH_VERDICT_TIMEOUT {
-                expired.push(life.clone());
+                continue;
+            }
+            let is_late = now.saturating_sub(pending.since) > tuning::CRASH_VERDICT_TIMEOUT;
+            for loss in &pending.losses {
+                match loss.arrives_until {
+                    Some(until) if self.is_barred_start_void(life, until, now) => {
+                        void.push(loss.loss_key);
+                    }
+                    None if is_late => expired.push(loss.loss_key),
+                    _ => {}
+                }
             }
         }
         for life in crashed {
             self.confirm_crash(&life, &[], now);
         }
-        for life in expired {
-            self.discard_pending_losses(&life);
+        self.drop_pending(&[&expired[..], &void[..]].concat());
+        for loss_key in expired {
+            self.forget_loss(loss_key);
+        }
+        for loss_key in void {
+            self.forget_barred_start(loss_key);
         }
     }
 
+    /// Removes these from the pending losses.
+    fn drop_pending(&mut self, dropped: &[LossKey]) {
+        if dropped.is_empty() {
+            return;
+        }
+        for pending in self.pending_losses.values_mut() {
+            let is_kept = |loss: &PendingLoss| !dropped.contains(&loss.loss_key);
+            pending.losses.retain(is_kept);
+        }
+        self.pending_losses
+            .retain(|_, pending| !pending.losses.is_empty());
+    }
+
     /// Returns whether another life proves that `life` has ended: one of the same id that has
     /// answered, or one of the same machine that has answered since the first loss on `life` was
     /// noted. The entry of another life alone proves nothing, since it may be that of an earlier
@@ -530,7 +625,12 @@
         for loss in losses.iter().filter(|loss| !loss.crashed) {
             let run = loss.run;
             let loss_key = LossKey { step, index, run };
-            self.add_pending_loss(loss.life(), loss.machine.clone(), loss_key, now);
+            let life = loss.life();
+            if loss.barred {
+                self.add_barred_loss(&life, &loss.machine, loss_key, now);
+            } else {
+                self.add_pending_loss(&life, &loss.machine, loss_key, false, now);
+            }
         }
     }
 
@@ -553,7 +653,7 @@
         }
         if !run.proven {
             self.mark_proven(key);
-            self.forget_losses(step, index, |loss| loss.blame != Blame::Late);
+            self.forget_losses(step, index, |loss| loss.blame != Blame::Late || loss.barred);
         }
         if age >= tuning::LOSSES_EXPIRE_AFTER {
             self.forget_losses(step, index, |_| true);
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -8,6 +8,7 @@
 #![deny(clippy::disallowed_types)]
 
 pub mod advice;
+mod barred_start;
 pub mod crash;
 mod evacuation;
 mod forecast;
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -15,7 +15,9 @@
 impl Cell {
     /// Returns whether a start of a task must be recorded before it is sent.
     pub(super) fn is_recorded_first(&self, key: StepKey, index: u32) -> bool {
-        self.jobs[self.steps[key].job].record_starts_first || self.needs_trial(key, index)
+        self.jobs[self.steps[key].job].record_starts_first
+            || self.needs_trial(key, index)
+            || self.has_barred_start(key, index)
     }
 
     /// Assumes that the predecessor has started tasks that no record shows: a life of a worker that
--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -7,7 +7,6 @@
 
 use std::collections::BTreeSet;
 
-use crate::cell::crash::LossKey;
 use crate::cell::job::{Phase, Run};
 use crate::cell::life::FormerLives;
 use crate::cell::membership::LostBy;
@@ -49,7 +48,7 @@
         worker.clock = Some((report.clock, now));
         let first = !worker.fenced;
         worker.fenced = true;
-        self.clear_survived_losses(key, order.sequence);
+        self.clear_survived_losses(key, order.sequence, now);
         let worker = &mut self.workers[key];
         if first {
             self.counts.unread_ends += u64::from(has_discarded_ends(worker, report));
@@ -184,6 +183,7 @@
             return;
         }
         let index = end.task.index;
+        self.forget_executed_start(step_key, index, end.number);
         if !end.checkpoint.is_empty() && self.steps[step_key].tasks[index as usize].runs.is_empty()
         {
             self.set_checkpoint(step_key, index, &end.checkpoint);
@@ -293,6 +293,7 @@
             "run taken over"
         );
         self.mark_job_running(job_key);
+        self.forget_executed_start(step_key, entry.task.index, entry.number);
         Some(self.add_run(Run {
             step: step_key,
             index: entry.task.index,
@@ -383,12 +384,11 @@
                 forgotten,
                 "run is not there"
             );
-            let loss_key = LossKey::of(run);
-            self.remove_run(run_key);
             if !is_inherited {
                 // The life that the start was meant for goes on, so the run did not crash it.
-                self.forget_loss(loss_key);
+                self.bar_start(run_key, now);
             }
+            self.remove_run(run_key);
             self.start_not_found(run_key, now);
             self.stop_gang(step, now, "a member of the gang is not there");
         }
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -457,6 +457,9 @@
         let runs = self.workers[key].runs.clone();
         self.log_lost_runs(key, &runs, now);
         for run_key in runs {
+            if self.runs.contains_key(run_key) {
+                self.bar_uncounted_start(run_key, now);
+            }
             let Some(run) = self.remove_run(run_key) else {
                 continue;
             };
