Late starts that no successor knew of: of two brief owners each may have forgotten one

The first owner is lost while its start is on its way, unanswered and unrecorded; its successor hears all workers, starts the task unrecorded and is lost; the first start then crashes a next life of its worker that no poll has reached.

Ruled out: recording first whatever predates the claim (each urgent first start after a change of owner would wait for the store).

Change: (1) a life that a former owner used and that ends before the last order of that owner can have arrived counts as one with unknown starts, though it had answered; so does a worker that has not been heard since then. (3) A job that is marked has the starts of its present owner that are not recorded noted in the same row.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -13,7 +13,7 @@
 use crate::cell::life::Life;
 use crate::cell::order::StartOutcome;
 use crate::cell::sequence::Sequence;
-use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
+use crate::cell::{Cell, JobKey, RunKey, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
 /// How strongly a loss implicates a run in the crash of its worker.
@@ -146,23 +146,30 @@
     /// Returns whether the losses of the task allow another start. If a pending verdict could fail
     /// the job, it is awaited first: otherwise a task could crash one more worker while the last
     /// one is slow to come back.
-    pub(super) fn losses_allow_start(&self) -> bool {
+    pub(super) fn losses_allow_start(&self, max_crashes: usize) -> bool {
         let may_count = |loss: &Loss| loss.crashed || loss.barred || loss.blame != Blame::Late;
-        !self.exceeds_crash_limit(may_count)
+        !self.exceeds_crash_limit(max_crashes, may_count)
     }
 
-    /// Returns whether the losses for which `counts` holds are enough to fail the job.
-    fn exceeds_crash_limit(&self, counts: impl Fn(&Loss) -> bool) -> bool {
+    /// Returns whether the losses for which `counts` holds are enough to fail the job, of which
+    /// `max_crashes` of any kind are.
+    fn exceeds_crash_limit(&self, max_crashes: usize, counts: impl Fn(&Loss) -> bool) -> bool {
         let counted = || self.losses.iter().filter(|loss| counts(loss));
         let sole = || counted().filter(|loss| loss.blame == Blame::Sole);
         let shown = sole().filter(|loss| !loss.unanswered);
         shown.count() >= tuning::MAX_CONFIRMED_SOLE_CRASHES
             || sole().count() >= tuning::MAX_SOLE_CRASHES
-            || counted().count() >= tuning::MAX_CRASHES
+            || counted().count() >= max_crashes
     }
 }
 
 impl Cell {
+    /// Returns how many crashes of any kind under one task fail a job: with each start that a
+    /// former owner may have made without recording it, no more than the platform's limit.
+    pub(super) fn max_crashes(&self, key: JobKey) -> usize {
+        tuning::MAX_CRASHES - usize::from(self.has_two_unrecorded_starts(key))
+    }
+
     /// Notes the fresh starts on a worker once it has been silent for [`tuning::SUSPECT_AFTER`], so
     /// that they are recorded and the next owner knows what may have crashed it.
     pub(super) fn note_suspects_of_silent(&mut self, key: WorkerKey, now: Millis) {
@@ -501,10 +508,12 @@
     }
 
     fn count_crash(&mut self, loss_key: LossKey, now: Millis) {
-        let Some(step) = self.steps.get_mut(loss_key.step) else {
+        let Some(job) = self.steps.get(loss_key.step).map(|step| step.job) else {
             return;
         };
-        let (job, name) = (step.job, step.task_name(loss_key.index));
+        let max_crashes = self.max_crashes(job);
+        let step = &mut self.steps[loss_key.step];
+        let name = step.task_name(loss_key.index);
         let task = &mut step.tasks[loss_key.index as usize];
         let Some(loss) = task.losses.iter_mut().find(|loss| loss.run == loss_key.run) else {
             return;
@@ -514,7 +523,7 @@
         let (worker, blame, barred) = (loss.worker.clone(), loss.blame, loss.barred);
         let (losses, hopeless) = (
             task.losses.len(),
-            task.exceeds_crash_limit(|loss| loss.crashed),
+            task.exceeds_crash_limit(max_crashes, |loss| loss.crashed),
         );
         // Runs that were merely present, up to ten in a crash, are not logged one by one.
         if blame != Blame::Late || barred || hopeless {
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -93,6 +93,8 @@
     /// A former owner may have started tasks of the job without recording that, so each further
     /// start is recorded before it is sent.
     pub record_starts_first: bool,
+    /// Two former owners may each have started a task of the job without recording that.
+    pub two_starts_unrecorded: bool,
     /// The steps of each occurrence begun so far; only 0 exists for a job without schedule.
     pub occurrences: BTreeMap<u32, Vec<StepKey>>,
     /// The job's progress has changed since it was last recorded.
--- a/src/cell/lost.rs
+++ b/src/cell/lost.rs
@@ -39,7 +39,7 @@
     /// is not in the roster was never sent a start.
     pub(super) fn keep_ended_life(&mut self, key: WorkerKey) {
         let worker = &self.workers[key];
-        let may_have_unknown_starts = worker.may_have_unknown_starts();
+        let may_have_unknown_starts = worker.may_have_unknown_starts(self.former_orders_end);
         if worker.roster_state != RosterState::Absent {
             let entry = RosterEntry {
                 jobs: None,
@@ -80,6 +80,10 @@
             jobs: None,
             ..entry.clone()
         };
+        if entry.worker.life.born.is_some() {
+            // The owner that found it ended may have started tasks itself before.
+            self.assume_two_unrecorded_starts();
+        }
         self.keep_in_roster(entry, true);
         self.assume_unrecorded_starts();
     }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -185,6 +185,13 @@
     planned: Vec<RunKey>,
     /// A former owner may have started tasks, of jobs that it knew, without recording that.
     may_have_unrecorded_starts: bool,
+    /// Two former owners may each have started a task, of a job that they knew, without recording
+    /// that.
+    may_have_two_unrecorded_starts: bool,
+    /// When the last order of a former owner can have arrived.
+    former_orders_end: Millis,
+    /// It was checked after that which workers a former owner's starts may have reached last.
+    former_orders_reviewed: bool,
     /// Lives that have ended, and that stay in the roster until what was noted about them is
     /// recorded.
     ended_lives: Vec<lost::EndedLife>,
@@ -265,6 +272,9 @@
             awaiting_verdict: BTreeMap::new(),
             planned: Vec::new(),
             may_have_unrecorded_starts: false,
+            may_have_two_unrecorded_starts: false,
+            former_orders_end: now + tuning::OWNER_STOP_TIME + tuning::MAX_ORDER_DELAY,
+            former_orders_reviewed: false,
             ended_lives: Vec::new(),
             has_unread_jobs: false,
             scheduled: Vec::new(),
@@ -463,6 +473,7 @@
     /// Does what is due at `now`: leases run out, stops are repeated, the ownership settles.
     pub fn tick(&mut self, now: Millis) {
         self.settle(now);
+        self.review_former_orders(now);
         self.review_parking(now);
         self.update_roster(now);
         self.begin_due_occurrences();
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -8,14 +8,14 @@
 //! (docs/DESIGN.md, "Tasks that crash their workers").
 
 use crate::cell::crash::LossKey;
-use crate::cell::job::Phase;
+use crate::cell::job::{Phase, Task};
 use crate::cell::{Cell, JobKey, RunKey, StepKey, tuning};
 use crate::clock::Millis;
 
 impl Cell {
     /// Returns whether a start of a task must be recorded before it is sent.
     pub(super) fn is_recorded_first(&self, key: StepKey, index: u32) -> bool {
-        self.jobs[self.steps[key].job].record_starts_first
+        self.records_starts_first(self.steps[key].job)
             || self.needs_trial(key, index)
             || self.has_barred_start(key, index)
     }
@@ -41,13 +41,92 @@
         );
     }
 
+    /// Assumes that each of two predecessors has started tasks that no record shows.
+    ///
+    /// To be called before anything is restored if the last predecessor owned the cell for less
+    /// than [`FormerLives::RELEVANT_FOR`](crate::cell::life::FormerLives::RELEVANT_FOR): starts of
+    /// the one before it may have arrived meanwhile, on lives that it did not find, while it
+    /// started the same tasks.
+    pub fn assume_two_unrecorded_starts(&mut self) {
+        self.may_have_two_unrecorded_starts = true;
+    }
+
+    /// Returns whether two former owners may each have started a task of a job without recording
+    /// that.
+    pub(super) fn has_two_unrecorded_starts(&self, key: JobKey) -> bool {
+        let job = &self.jobs[key];
+        job.two_starts_unrecorded || (self.may_have_two_unrecorded_starts && job.predates_ownership)
+    }
+
+    /// Returns whether each start of a job is recorded before it is sent.
+    pub(super) fn records_starts_first(&self, key: JobKey) -> bool {
+        self.jobs[key].record_starts_first || self.has_two_unrecorded_starts(key)
+    }
+
+    /// Has the jobs marked in their rows of which two former owners may have started tasks, as far
+    /// as such tasks wait: those that run are known.
+    pub(super) fn mark_jobs_with_two_unrecorded_starts(&mut self) {
+        if !self.may_have_two_unrecorded_starts {
+            return;
+        }
+        for key in self.jobs.keys().collect::<Vec<_>>() {
+            if self.has_waiting_task(key) {
+                self.set_record_starts_first(key);
+            }
+        }
+    }
+
+    fn has_waiting_task(&self, key: JobKey) -> bool {
+        let steps = self.jobs[key].occurrences.values().flatten();
+        let mut steps = steps.map(|&step| &self.steps[step]);
+        steps.any(|step| step.ready && step.tasks.iter().any(Task::waits))
+    }
+
     /// Has each further start of a job recorded before it is sent, if a predecessor may have
     /// started its tasks.
     pub(super) fn set_record_starts_first(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
-        if job.predates_ownership && !job.record_starts_first && !job.state.is_final() {
+        if !job.predates_ownership || job.state.is_final() {
+            return;
+        }
+        job.two_starts_unrecorded |= self.may_have_two_unrecorded_starts;
+        if !job.record_starts_first {
             job.record_starts_first = true;
             job.dirty = true;
+            self.note_unrecorded_starts(key);
+        }
+    }
+
+    /// Notes the starts of a job that this owner has sent and not recorded, unless their tasks are
+    /// known to run well, so that a successor learns of them together with the mark of the job.
+    fn note_unrecorded_starts(&mut self, key: JobKey) {
+        let steps = self.jobs[key].occurrences.values().flatten();
+        let tasks = steps.flat_map(|&step| &self.steps[step].tasks);
+        let runs = tasks.flat_map(|task| task.runs.iter().copied());
+        let is_unknown = |&run: &RunKey| {
+            let run = &self.runs[run];
+            let losses = &self.steps[run.step].tasks[run.index as usize].losses;
+            !run.proven && !losses.iter().any(|loss| loss.run == run.number)
+        };
+        let unknown = runs.filter(is_unknown).take(tuning::MAX_PLANNED_STARTS);
+        for run in unknown.collect::<Vec<_>>() {
+            self.note_planned_start(run);
+        }
+    }
+
+    /// Once no order of a former owner can arrive any more, looks for workers that were not heard
+    /// since: a life of theirs that was not found may have carried a late start out.
+    pub(super) fn review_former_orders(&mut self, now: Millis) {
+        let due = self.former_orders_end + tuning::STALE_AFTER;
+        if self.former_orders_reviewed || now < due {
+            return;
+        }
+        self.former_orders_reviewed = true;
+        let mut workers = self.workers.values();
+        if workers
+            .any(|worker| !worker.parked && worker.may_have_late_starts(self.former_orders_end))
+        {
+            self.assume_unrecorded_starts();
         }
     }
 
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -43,6 +43,14 @@
         skip_serializing_if = "std::ops::Not::not"
     )]
     pub record_starts_first: bool,
+    /// Two former owners may each have started a task of the job without recording that, so it is
+    /// given up after one crash less.
+    #[serde(
+        rename = "careful_twice",
+        default,
+        skip_serializing_if = "std::ops::Not::not"
+    )]
+    pub two_starts_unrecorded: bool,
     /// The name of the job's workspace, kept here because this row outlasts that of the job.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<String>,
@@ -150,7 +158,8 @@
         JobProgress {
             state: job.state,
             tasks,
-            record_starts_first: job.record_starts_first,
+            record_starts_first: self.records_starts_first(key),
+            two_starts_unrecorded: self.has_two_unrecorded_starts(key),
             workspace: self
                 .workspace_of(key)
                 .map(|workspace| workspace.name.clone()),
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -258,6 +258,7 @@
             self.keep_ended_life(key);
         }
         self.unsettled = UnsettledJobs::Jobs(BTreeSet::new());
+        self.mark_jobs_with_two_unrecorded_starts();
         tracing::info!(epoch = self.epoch, fenced, "ownership settled");
         self.break_partial_gangs(now);
     }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -192,13 +192,15 @@
     /// The tasks that may be started: those that neither run nor are done, and those of which a
     /// speculative run should be started.
     fn waiting_tasks(&self, key: StepKey, now: Millis) -> impl Iterator<Item = u32> {
-        let tasks = self.steps[key].tasks.iter().enumerate();
+        let step = &self.steps[key];
+        let max_crashes = self.max_crashes(step.job);
+        let tasks = step.tasks.iter().enumerate();
         tasks
             .filter(move |(_, task)| !task.done && task.paused_until <= now)
             .filter(move |(_, task)| {
                 task.runs.is_empty() || self.needs_speculative_run(key, &task.runs)
             })
-            .filter(|(_, task)| task.losses_allow_start())
+            .filter(move |(_, task)| task.losses_allow_start(max_crashes))
             .map(|(index, _)| index as u32)
     }
 
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -365,11 +365,20 @@
         self.holds_ends || self.more_ends || self.accepted_end > self.recorded_end
     }
 
-    /// Returns whether tasks may have been started here that this owner does not know of: by a
-    /// former owner, or of jobs that could not be read yet.
-    pub fn may_have_unknown_starts(&self) -> bool {
-        let is_unreached = !self.fenced && self.inherited.is_some();
-        is_unreached || self.has_unread_runs
+    /// Returns whether tasks may have been started here, or on a later life of the id, that this
+    /// owner does not know of: by a former owner, whose last orders arrive before
+    /// `former_orders_end`, or of jobs that could not be read yet.
+    pub fn may_have_unknown_starts(&self, former_orders_end: Millis) -> bool {
+        self.has_unread_runs || self.may_have_late_starts(former_orders_end)
+    }
+
+    /// Returns whether a former owner's start may have been carried out here, or by a later life
+    /// of the id that no poll has reached.  This life refuses it once it has answered, but a later
+    /// one does not.
+    pub fn may_have_late_starts(&self, former_orders_end: Millis) -> bool {
+        let may_restart = self.entry.life.born.is_some();
+        let is_outlived = self.fenced && (!may_restart || self.last_heard >= former_orders_end);
+        self.inherited.is_some() && !is_outlived
     }
 
     /// Returns whether a successor must know of this worker: something runs here or may soon be
--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -426,6 +426,16 @@
     script.lose_all_further_owners();
 }
 
+/// The owner is lost before it gives the late start up, so its successor never knew of it.
+fn late_start_that_no_successor_knew(script: &mut Script) {
+    script.hold_next_start();
+    script.lose_owner();
+    script.pass_until_started();
+    script.lose_owner();
+    script.deliver_to_next_lives();
+    script.lose_all_further_owners();
+}
+
 /// The late start was recorded first.  Its owner is lost, and the life that it was meant for
 /// answers the successor, which clears the record.
 fn late_start_that_a_former_owner_had_recorded(script: &mut Script) {
@@ -537,12 +547,13 @@
 
 /// The other orders of events in which a start crashes a next life of its worker although it was
 /// written off, or never known to the present owner.
-const LATE_AT_NEXT_LIVES: [(&str, Events); 9] = [
+const LATE_AT_NEXT_LIVES: [(&str, Events); 10] = [
     ("written off", late_start_that_its_owner_has_written_off),
     (
         "a life ends by itself",
         late_start_and_a_life_that_ends_by_itself,
     ),
+    ("unknown to successors", late_start_that_no_successor_knew),
     ("of the present owner", late_start_of_the_present_owner),
     ("reached by one poll", next_life_that_one_poll_has_reached),
     ("two late starts", two_late_starts),
--- a/tests/random_world/mod.rs
+++ b/tests/random_world/mod.rs
@@ -20,7 +20,7 @@
 use crate::halls::{HALLS, Operator};
 use crate::lives::WorkerLife;
 use crossweir::cell::job::JobState;
-use crossweir::cell::life::Life;
+use crossweir::cell::life::{FormerLives, Life};
 use crossweir::cell::name::TaskName;
 use crossweir::cell::order::{
     EndEntry, PollFailure, PollOrder, PollReport, StartOrder, StartOutcome, StopOrder,
@@ -144,6 +144,7 @@
     cell: Cell,
     keys: BTreeMap<String, WorkerKey>,
     confirmed: Millis,
+    claimed_at: Millis,
 }
 
 /// A cell with its workers, its owner and the rows of the store.
@@ -260,6 +261,7 @@
                 cell: Cell::new(0, configuration(&[]), 0),
                 keys: BTreeMap::new(),
                 confirmed: 0,
+                claimed_at: 0,
             },
             epoch: 0,
             queues,
@@ -403,6 +405,9 @@
         self.add_history(format!("owner {} begins", self.epoch));
         let mut cell = Cell::new(self.epoch, self.config(), self.now);
         cell.set_lanes(&[true]);
+        if self.now < self.owner.claimed_at + FormerLives::RELEVANT_FOR {
+            cell.assume_two_unrecorded_starts();
+        }
         if let Some(idle_reserve) = self.idle_reserve {
             cell.set_idle_reserve(idle_reserve);
         }
@@ -435,6 +440,7 @@
             cell,
             keys: BTreeMap::new(),
             confirmed: self.now,
+            claimed_at: self.now,
         };
         self.note_moment(Moment::Claim);
     }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -123,6 +123,7 @@
         state: JobState::Succeeded,
         tasks: Vec::new(),
         record_starts_first: false,
+        two_starts_unrecorded: false,
         workspace: None,
     };
     let mut tx = Transaction::default();
