Log starts, answers and polls of the random worlds

Cause: the log of a random world did not tell when a start arrived, at which life, or whether a poll had reached that life before.

Change: calls and answers between the owner and its workers, beginnings of lives and recorded losses are logged at level debug. CROSSWEIR_LATE sets how many of a hundred starts arrive late, which is 5 as before without it. No draw is added, so each seed plays as before.

--- a/tests/random_world/mod.rs
+++ b/tests/random_world/mod.rs
@@ -47,6 +47,9 @@
 const RECOVERY_TIME: Millis = 60_000;
 /// Longest delay of an order that was given up as unanswered.
 const MAX_ORDER_DELAY: Millis = 12_000;
+/// How many of a hundred starts are given up as unanswered and arrive late, unless `CROSSWEIR_LATE`
+/// sets another share.
+const LATE_START_PERCENT: u64 = 5;
 /// Longest delay of a call or an answer that is not lost.
 const MAX_MESSAGE_DELAY: Millis = 120;
 /// Longest time that a worker holds a poll open, as `tuning::POLL_WAIT`.
@@ -622,6 +625,9 @@
             self.progress.insert(*id, progress.clone());
             written.push(id.to_string());
             let losses = progress.tasks.iter().flat_map(|task| &task.losses);
+            for loss in losses.clone() {
+                tracing::debug!(now = self.now, %id, state = ?progress.state, ?loss, "loss is recorded");
+            }
             self.recorded_runs.extend(losses.map(|loss| loss.run));
         }
         cell.batch_recorded(batch, self.now);
--- a/tests/random_world/settings.rs
+++ b/tests/random_world/settings.rs
@@ -1,5 +1,5 @@
-//! Settings from environment variables: `CROSSWEIR_SEED`, `CROSSWEIR_RUNS`, `CROSSWEIR_SPAN` and
-//! `RUST_LOG`.
+//! Settings from environment variables: `CROSSWEIR_SEED`, `CROSSWEIR_RUNS`, `CROSSWEIR_SPAN`,
+//! `CROSSWEIR_LATE` and `RUST_LOG`.
 
 /// Prints the log as `RUST_LOG` selects it; prints errors only without it.
 pub fn print_log() {
--- a/tests/random_world/wire.rs
+++ b/tests/random_world/wire.rs
@@ -1,8 +1,9 @@
 //! Calls and answers between the owner and its workers: their delays, losses and effects.
 
 use super::{
-    CRASHING_TASK, DelayedOrder, MAX_MESSAGE_DELAY, MAX_ORDER_DELAY, MAX_POLL_HOLD, Message,
-    Moment, ORDER_TIMEOUT, Payload, UnresolvedStart, World, held_by, worker_with_gpus,
+    CRASHING_TASK, DelayedOrder, LATE_START_PERCENT, MAX_MESSAGE_DELAY, MAX_ORDER_DELAY,
+    MAX_POLL_HOLD, Message, Moment, ORDER_TIMEOUT, Payload, UnresolvedStart, World, held_by,
+    number, worker_with_gpus,
 };
 use crate::lives::WorkerLife;
 use crossweir::cell::order::{
@@ -61,6 +62,15 @@
                 Payload::Stop(order) => self.stop_arrives(epoch, order),
                 Payload::Poll(order) => self.poll_arrives(epoch, order),
                 answer if epoch == self.epoch => self.answer_arrives(answer),
+                Payload::StartAnswer(run, outcome, _) => {
+                    tracing::debug!(
+                        now = self.now,
+                        epoch,
+                        ?run,
+                        ?outcome,
+                        "answer finds no owner"
+                    );
+                }
                 _ => {}
             }
         }
@@ -90,10 +100,12 @@
                 } else if let Some(start) = self.unresolved_starts.get_mut(&(self.epoch, run)) {
                     start.given_up = Some(self.now);
                 }
+                tracing::debug!(now = self.now, ?run, ?outcome, clock, "start is answered");
                 cell.start_answered(run, outcome, clock, self.now);
                 self.note_moment(Moment::Answer);
             }
             Payload::StopAnswer(worker, run) => {
+                tracing::debug!(now = self.now, ?run, "stop is confirmed");
                 cell.stop_confirmed(run);
                 if cell.is_doubtful(run) {
                     // As the owner does: the next poll of the worker's own loop may come late.
@@ -139,6 +151,17 @@
         let lost_before = lost_before || self.is_lost_with_its_life(&order);
         let lost_after = self.chance(4);
         let is_down = self.is_down(&order.to.life.id);
+        tracing::debug!(
+            now = self.now,
+            sent = order.sent,
+            owner = epoch,
+            to = %order.to.life,
+            epoch = order.to.epoch,
+            lost_before,
+            lost_after,
+            is_down,
+            "poll arrives"
+        );
         if !lost_before {
             self.note_ends_dropped_by_worker(&order);
             if self.workers.contains_key(&order.to.life.id) && epoch == self.epoch {
@@ -191,6 +214,15 @@
             });
         }
         let has_ends = matches!(&answer, Ok(list) if !list.ended.is_empty());
+        tracing::debug!(
+            now = self.now,
+            sent = order.sent,
+            owner = self.epoch,
+            to = %order.to.life,
+            born = answer.as_ref().ok().and_then(|list| list.born),
+            failure = answer.as_ref().err().map(tracing::field::debug),
+            "poll is answered"
+        );
         match answer {
             Ok(list) => cell.poll_answered(order, &list, self.now),
             Err(failure) => cell.poll_failed(order.to.worker, failure, self.now),
@@ -237,6 +269,18 @@
             "{}:{} starts on {}",
             order.task, order.number, order.to.life
         ));
+        tracing::debug!(
+            now = self.now,
+            owner = self.epoch,
+            task = %order.task,
+            number = order.number,
+            run = ?order.run,
+            to = %order.to.life,
+            epoch = order.to.epoch,
+            due = order.due,
+            recorded = self.recorded_runs.contains(&order.number),
+            "start is sent"
+        );
         self.note_moment(Moment::Start);
         let (run, now) = (order.run, self.now);
         let start = UnresolvedStart {
@@ -246,9 +290,11 @@
         };
         self.unresolved_starts.insert((self.epoch, run), start);
         if self.is_disconnected(&order.to.life.id) {
+            tracing::debug!(now, number = order.number, "start is lost on its way");
             self.send_lost_start_answer(run);
-        } else if self.chance(5) {
+        } else if self.chance(number("CROSSWEIR_LATE", LATE_START_PERCENT) as u32) {
             let at = now + self.rng.random_range(0..MAX_ORDER_DELAY);
+            tracing::debug!(now, number = order.number, at, "start will arrive late");
             self.delayed_orders.push((at, DelayedOrder::Start(order)));
             self.send_lost_start_answer(run);
         } else {
@@ -283,13 +329,33 @@
 
     pub(super) fn execute_start(&mut self, order: &StartOrder) -> StartOutcome {
         let Some(worker) = self.workers.get_mut(&order.to.life.id) else {
+            tracing::debug!(
+                now = self.now,
+                task = %order.task,
+                number = order.number,
+                to = %order.to.life,
+                "start finds no worker"
+            );
             return if self.is_down(&order.to.life.id) {
                 StartOutcome::Refused(Refusal::NotSent)
             } else {
                 StartOutcome::Refused(Refusal::Gone)
             };
         };
-        let (outcome, _) = worker.start(order, self.now);
+        let (outcome, clock) = worker.start(order, self.now);
+        let present = self.entries.iter().map(|entry| &entry.life);
+        let present = present.into_iter().find(|life| life.id == order.to.life.id);
+        tracing::debug!(
+            now = self.now,
+            task = %order.task,
+            number = order.number,
+            to = %order.to.life,
+            by = present.map(tracing::field::display),
+            was_polled = present.is_some_and(|life| self.polled_lives.contains(life)),
+            clock,
+            ?outcome,
+            "start arrives"
+        );
         let is_meant = self.entries.iter().any(|entry| entry.life == order.to.life);
         if outcome == StartOutcome::Started && is_meant {
             // Everything that runs there counts, including starts meant for a former life.
@@ -318,6 +384,10 @@
             "{}:{} stops on {}",
             order.task, order.number, order.to.life
         ));
+        tracing::debug!(
+            now = self.now, task = %order.task, number = order.number, to = %order.to.life,
+            "stop is sent"
+        );
         if self.is_disconnected(&order.to.life.id) {
             return;
         }
--- a/tests/random_world/workers.rs
+++ b/tests/random_world/workers.rs
@@ -121,6 +121,7 @@
         entry.life.id = format!("w{}", self.next_worker_number);
         self.next_worker_number += 1;
         let worker = WorkerLife::begun_at(0, MemoryWorker::default());
+        tracing::debug!(now = self.now, life = %entry.life, "life begins");
         self.workers.insert(entry.life.id.clone(), worker);
         if self.has_late_entries {
             let listed = self.now + self.rng.random_range(0..MAX_LISTING_DELAY);
@@ -138,6 +139,7 @@
         let mut memory = MemoryWorker::born_at(born);
         memory.fails_all_tasks =
             !self.faults_ended && self.rng.random_ratio(1, FAILING_LIFE_ONE_IN);
+        tracing::debug!(now = self.now, %life, "life begins");
         self.listed.remove(&life.id);
         self.lease_expiries.remove(&life.id);
         let worker = WorkerLife::begun_at(self.now, memory);
