Log noted and forgotten losses of runs

Cause: the log of the core told of a crash that was counted, not of the losses that were noted before or forgotten again, so that nobody could tell why a crash of a worker counted against no task.

Change: at level debug, `note_loss` and `forget_losses` tell the run, its life and its blame. What they do is as before.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -268,6 +268,9 @@
             Some(_) => return,
             None => losses.push(loss),
         }
+        tracing::debug!(
+            request = %job.id, run = run.number, %life, ?blame, unanswered, "loss is noted"
+        );
         job.dirty = true;
         let answered = self.runs[key].start_heard.is_some();
         let loss_key = self.loss_key(key);
@@ -693,10 +696,10 @@
         let Some(step) = self.steps.get_mut(step) else {
             return;
         };
+        let task = step.task_name(index);
         let losses = &mut step.tasks[index as usize].losses;
-        let before = losses.len();
-        losses.retain(|loss| !is_cleared(loss));
-        if losses.len() < before {
+        for loss in losses.extract_if(.., |loss| is_cleared(loss)) {
+            tracing::debug!(request = %task.step.job, %task, ?loss, "loss is forgotten");
             self.jobs[step.job].dirty = true;
         }
     }
