tests/first_starts: how long urgent jobs wait after a change of owner, measured in virtual time

Cause: a successor may have to record a start before it sends it (src/cell/plan.rs), and nobody had measured what that costs urgent jobs.

Change: the random world notes when urgent jobs that wait at a claim, or are submitted in the 3 s after it, get their first start sent (tests/random_world/first_starts.rs says what counts). It draws nothing. tests/first_starts.rs plays five worlds, with owners lost at all moments on an unreliable store, and at random times only, and prints a line for each. It checks that half of the first starts are sent within the time in which an owner can have heard every worker (860 ms by the delays of the world; docs/DESIGN.md, "Settling"), and where no task crashes workers and owners are lost at moments, also half of those of jobs that were there at the claim.

--- a/tests/random_world/mod.rs
+++ b/tests/random_world/mod.rs
@@ -6,11 +6,13 @@
 #![allow(dead_code, unused_imports)]
 
 mod checks;
+mod first_starts;
 mod owner_loss;
 mod settings;
 mod wire;
 mod workers;
 
+pub use first_starts::{FirstStart, FirstStarts, MAX_HEARING_TIME};
 pub use owner_loss::Moment;
 pub use settings::{number, print_log};
 
@@ -19,6 +21,7 @@
 };
 use crate::halls::{HALLS, Operator};
 use crate::lives::WorkerLife;
+use crossweir::cell::intake::CancelOutcome;
 use crossweir::cell::job::JobState;
 use crossweir::cell::life::{FormerLives, Life};
 use crossweir::cell::name::TaskName;
@@ -34,6 +37,7 @@
 use crossweir::embedded::worker::{MemoryWorker, RunRecord};
 use crossweir::queue::{Configuration, Queue};
 use crossweir::workspace::Workspace;
+use first_starts::URGENT_QUEUE;
 use owner_loss::OwnerLoss;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -228,12 +232,14 @@
     history: Vec<String>,
     /// Loses owners just after certain moments; `None` if they are lost at random times only.
     owner_loss: Option<OwnerLoss>,
+    /// How long urgent jobs wait for their first start after a change of owner.
+    first_starts: FirstStarts,
 }
 
 impl World {
     /// A world whose workers restart under new ids.
     pub fn new(seed: u64) -> Self {
-        let queues = [queue("urgent", 0), advised_queue("later", 2)].map(|queue| Queue {
+        let queues = [queue(URGENT_QUEUE, 0), advised_queue("later", 2)].map(|queue| Queue {
             attempts: 1_000,
             ..queue
         });
@@ -291,6 +297,7 @@
             idle_reserve: None,
             history: Vec::new(),
             owner_loss: None,
+            first_starts: FirstStarts::default(),
         };
         world.take_over();
         world
@@ -398,6 +405,11 @@
         &self.history
     }
 
+    /// Ends the world and returns the first starts of its urgent jobs.
+    pub fn into_first_starts(self) -> FirstStarts {
+        self.first_starts
+    }
+
     /// A successor claims the cell and reads its rows.
     pub(super) fn take_over(&mut self) {
         if !self.store_is_up() {
@@ -445,11 +457,14 @@
             confirmed: self.now,
             claimed_at: self.now,
         };
+        self.first_starts.note_claim(self.now);
         self.note_moment(Moment::Claim);
     }
 
     /// Runs the world until all jobs have ended or the time for recovery is over.
     pub fn play(&mut self) {
+        // Claims before the play are no changes of owner: there is no job yet.
+        self.first_starts = FirstStarts::default();
         while self.now < FAULT_TIME {
             self.inject_faults();
             self.tick();
@@ -535,6 +550,7 @@
         }
         if self.store_is_up() {
             self.owner.cell.accept(&row, None, false, self.now);
+            self.first_starts.note_submission(&row, self.now);
             self.rows.insert(number, row);
         }
     }
@@ -557,7 +573,10 @@
         }) else {
             return;
         };
-        self.owner.cell.cancel(JobId(number));
+        let id = JobId(number);
+        if self.owner.cell.cancel(id) == CancelOutcome::Decided {
+            self.first_starts.note_cancellation(id);
+        }
     }
 
     pub(super) fn tick(&mut self) {
--- a/tests/random_world/wire.rs
+++ b/tests/random_world/wire.rs
@@ -283,6 +283,8 @@
         );
         self.note_moment(Moment::Start);
         let (run, now) = (order.run, self.now);
+        let recorded_first = self.recorded_runs.contains(&order.number);
+        self.first_starts.note_start(&order, recorded_first, now);
         let start = UnresolvedStart {
             task: order.task,
             life: order.to.life.id.clone(),
