--- a/src/cell/barred_start.rs
+++ b/src/cell/barred_start.rs
@@ -41,7 +41,7 @@
         let run = &self.runs[key];
         let (loss_key, worker) = (LossKey::of(run), run.worker);
         let is_open = run.phase != Phase::Planned && run.start_heard.is_none();
-        if !is_open || !self.may_restart_under_its_id(worker) {
+        if !is_open || !self.workers[worker].entry.life.may_recur() {
             return self.forget_loss(loss_key);
         }
         let loss = self.loss_of(key);
@@ -82,12 +82,6 @@
         self.add_barred_loss(&entry.life, &entry.machine, loss_key, now);
     }
 
-    /// Returns whether a later life of a worker may have the same id, and so carry out what was
-    /// meant for this one.  A worker that does not report when its life began has a new id in each.
-    pub(super) fn may_restart_under_its_id(&self, key: WorkerKey) -> bool {
-        self.workers[key].entry.life.born.is_some()
-    }
-
     /// Returns whether a start that a life has barred, and that could arrive until `until`, is
     /// void: the life was heard after that.  If it stays silent, its end is awaited no longer than
     /// that of any other.
--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -426,8 +426,8 @@
         if !pending.losses.is_empty() {
             self.pending_losses.insert(life.clone(), pending);
         }
-        let may_come_later =
-            |loss: &PendingLoss| !loss.answered && self.may_restart_under_its_id(key);
+        let may_recur = self.workers[key].entry.life.may_recur();
+        let may_come_later = |loss: &PendingLoss| !loss.answered && may_recur;
         let (barred, clear): (Vec<_>, Vec<_>) = clear.into_iter().partition(may_come_later);
         self.forget_pending(clear);
         for loss in barred {
--- a/src/cell/life.rs
+++ b/src/cell/life.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Returns whether a later life may have the same id, and so carry out what was meant for this
+    /// one.  A worker that does not report when its life began has a new id in each.
+    pub fn may_recur(&self) -> bool {
+        self.born.is_some()
+    }
+
     /// Returns whether a worker of this id that reports `born` as its start time is certainly
     /// another life.  The wall clock may be set back, so start times only distinguish lives; they
     /// do not show which one is the later.
--- a/src/cell/lost.rs
+++ b/src/cell/lost.rs
@@ -80,7 +80,7 @@
             jobs: None,
             ..entry.clone()
         };
-        if entry.worker.life.born.is_some() {
+        if entry.worker.life.may_recur() {
             // The owner that found it ended may have started tasks itself before.
             self.assume_two_unrecorded_starts();
         }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -185,6 +185,8 @@
     planned: Vec<RunKey>,
     /// A former owner may have started tasks, of jobs that it knew, without recording that.
     may_have_unrecorded_starts: bool,
+    /// The former owner owned the cell only briefly ([`Cell::note_brief_predecessor`]).
+    predecessor_was_brief: bool,
     /// Two former owners may each have started a task, of a job that they knew, without recording
     /// that.
     may_have_two_unrecorded_starts: bool,
@@ -272,6 +274,7 @@
             awaiting_verdict: BTreeMap::new(),
             planned: Vec::new(),
             may_have_unrecorded_starts: false,
+            predecessor_was_brief: false,
             may_have_two_unrecorded_starts: false,
             former_orders_end: now + tuning::OWNER_STOP_TIME + tuning::MAX_ORDER_DELAY,
             former_orders_reviewed: false,
--- a/src/cell/parking.rs
+++ b/src/cell/parking.rs
@@ -31,6 +31,9 @@
     /// what was read may run something, so no worker is parked before it has answered.
     pub fn mark_roster_incomplete(&mut self) {
         self.roster_is_complete = false;
+        if self.predecessor_was_brief {
+            self.assume_two_unrecorded_starts();
+        }
         self.assume_unrecorded_starts();
     }
 
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -41,13 +41,18 @@
         );
     }
 
-    /// Assumes that each of two predecessors has started tasks that no record shows.
+    /// Notes that the predecessor owned the cell for less than
+    /// [`FormerLives::RELEVANT_FOR`](crate::cell::life::FormerLives::RELEVANT_FOR).
     ///
-    /// To be called before anything is restored if the last predecessor owned the cell for less
-    /// than [`FormerLives::RELEVANT_FOR`](crate::cell::life::FormerLives::RELEVANT_FOR): starts of
-    /// the one before it may have arrived meanwhile, on lives that it did not find, while it
-    /// started the same tasks.
-    pub fn assume_two_unrecorded_starts(&mut self) {
+    /// Starts of the owner before it may have arrived meanwhile, on lives that it did not find,
+    /// while it started the same tasks.  To be called before the roster is restored, which tells
+    /// whether there are workers where that can happen.
+    pub fn note_brief_predecessor(&mut self) {
+        self.predecessor_was_brief = true;
+    }
+
+    /// Assumes that each of two predecessors has started tasks that no record shows.
+    pub(super) fn assume_two_unrecorded_starts(&mut self) {
         self.may_have_two_unrecorded_starts = true;
     }
 
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -189,6 +189,9 @@
     /// Takes over the recorded roster of the former owner, which may have used these workers.
     pub fn restore_roster(&mut self, entries: Vec<RosterEntry>, now: Millis) {
         for entry in entries {
+            if self.predecessor_was_brief && entry.worker.life.may_recur() {
+                self.assume_two_unrecorded_starts();
+            }
             if entry.lost.is_some() {
                 self.inherit_ended_life(&entry);
             }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -376,9 +376,8 @@
     /// of the id that no poll has reached.  This life refuses it once it has answered, but a later
     /// one does not.
     pub fn may_have_late_starts(&self, former_orders_end: Millis) -> bool {
-        let may_restart = self.entry.life.born.is_some();
-        let is_outlived = self.fenced && (!may_restart || self.last_heard >= former_orders_end);
-        self.inherited.is_some() && !is_outlived
+        let is_past = !self.entry.life.may_recur() || self.last_heard >= former_orders_end;
+        self.inherited.is_some() && !(self.fenced && is_past)
     }
 
     /// Returns whether a successor must know of this worker: something runs here or may soon be
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -142,7 +142,7 @@
     let mut cell = Cell::new(epoch, config, now);
     cell.set_wall_clock(clock::unix_time());
     if shared.owner().former_was_brief() {
-        cell.assume_two_unrecorded_starts();
+        cell.note_brief_predecessor();
     }
     let (roster, workers) = RosterRows::read(&former.0);
     if roster.has_unreadable_rows() {
--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -150,7 +150,7 @@
         self.cell.set_lanes(&[true]);
         let former_claim = self.claimed_at.replace(self.now);
         if former_claim.is_some_and(|at| self.now < at + FormerLives::RELEVANT_FOR) {
-            self.cell.assume_two_unrecorded_starts();
+            self.cell.note_brief_predecessor();
         }
         self.cell.restore_roster(self.roster.clone(), self.now);
         self.cell.list_workers(self.entries.clone(), self.now);
--- a/tests/random_world/mod.rs
+++ b/tests/random_world/mod.rs
@@ -421,7 +421,7 @@
         let mut cell = Cell::new(self.epoch, self.config(), self.now);
         cell.set_lanes(&[true]);
         if self.now < self.owner.claimed_at + FormerLives::RELEVANT_FOR {
-            cell.assume_two_unrecorded_starts();
+            cell.note_brief_predecessor();
         }
         if let Some(idle_reserve) = self.idle_reserve {
             cell.set_idle_reserve(idle_reserve);
