Barred starts cost innocent jobs little: bounded rows, no verdict from lost orders alone, another worker next

Change: (1) a job keeps 128 barred starts and 128 planned ones that have not proved to run. (2) Barred starts count only beside two crashes; beside one, the next start waits until a barred one can no longer arrive; by themselves they hold nothing up. (3) The next start goes to another worker if there is one. (4) A start that is recorded only for a barred one waits 300 ms for that. (5) That two owners may have started a task unrecorded is kept by task, and not assumed of one with recorded losses. (6) A life that comes back under another id proves nothing of barred starts. (7) A start that is void leaves the row.

--- a/src/cell/barred_start.rs
+++ b/src/cell/barred_start.rs
@@ -28,7 +28,9 @@
     pub(super) fn has_barred_start(&self, key: StepKey, index: u32) -> bool {
         let step = &self.steps[key];
         if step.step().gang {
-            step.tasks.iter().any(Task::has_barred_start)
+            // All members are recorded together, and their job's row is limited.
+            step.tasks.len() <= tuning::MAX_BARRED_STARTS
+                && step.tasks.iter().any(Task::has_barred_start)
         } else {
             step.tasks[index as usize].has_barred_start()
         }
@@ -45,12 +47,18 @@
             return self.forget_loss(loss_key);
         }
         let loss = self.loss_of(key);
+        let job = self.steps[loss_key.step].job;
+        let is_full = self.count_losses(job, |loss| loss.barred) >= tuning::MAX_BARRED_STARTS;
         let Some(task) = self.task_of_loss(loss_key) else {
             return;
         };
         if !task.losses.iter().any(|known| known.run == loss.run) {
+            if is_full {
+                return;
+            }
             task.losses.push(loss);
         }
+        task.avoid = Some(worker);
         self.bar_loss(worker, loss_key, now);
     }
 
@@ -93,11 +101,22 @@
         outlived || now >= until + tuning::CRASH_VERDICT_TIMEOUT
     }
 
-    /// Forgets a barred start that can no longer arrive.  A successor that finds it recorded takes
-    /// it for one that may, so this alone is not worth a write.
-    pub(super) fn forget_barred_start(&mut self, loss_key: LossKey) {
-        if let Some(task) = self.task_of_loss(loss_key) {
-            task.losses.retain(|loss| loss.run != loss_key.run);
+    /// Forgets counted barred starts of tasks that wait for nothing else, once they can no longer
+    /// arrive: their job is not given up for them.
+    pub(super) fn release_tasks_from_barred_starts(&mut self, now: Millis) {
+        let counted = std::mem::take(&mut self.counted_barred_starts);
+        for (loss_key, until) in counted {
+            let Some(task) = self.task_of_loss(loss_key) else {
+                continue;
+            };
+            if !task.losses.iter().any(|loss| loss.run == loss_key.run) {
+                continue;
+            }
+            if now >= until && task.waits_for_barred_starts() {
+                self.forget_loss(loss_key);
+            } else {
+                self.counted_barred_starts.push((loss_key, until));
+            }
         }
     }
 
--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -7,13 +7,15 @@
 //! isolation, as a trial (docs/DESIGN.md, "Tasks that crash their workers";
 //! docs/incidents/crashing-tasks.md).
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::cell::job::{JobState, Phase, Run, Task};
 use crate::cell::life::Life;
 use crate::cell::order::StartOutcome;
 use crate::cell::sequence::Sequence;
-use crate::cell::{Cell, JobKey, RunKey, StepKey, WorkerKey, tuning};
+use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
 /// How strongly a loss implicates a run in the crash of its worker.
@@ -99,7 +101,7 @@
 }
 
 /// Identifies a loss by the task and run for which it is noted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct LossKey {
     pub(super) step: StepKey,
     pub(super) index: u32,
@@ -146,30 +148,47 @@
     /// Returns whether the losses of the task allow another start. If a pending verdict could fail
     /// the job, it is awaited first: otherwise a task could crash one more worker while the last
     /// one is slow to come back.
-    pub(super) fn losses_allow_start(&self, max_crashes: usize) -> bool {
+    pub(super) fn losses_allow_start(&self) -> bool {
         let may_count = |loss: &Loss| loss.crashed || loss.barred || loss.blame != Blame::Late;
-        !self.exceeds_crash_limit(max_crashes, may_count)
+        !self.exceeds_crash_limit(may_count) && !self.awaits_barred_starts(may_count)
     }
 
-    /// Returns whether the losses for which `counts` holds are enough to fail the job, of which
-    /// `max_crashes` of any kind are.
-    fn exceeds_crash_limit(&self, max_crashes: usize, counts: impl Fn(&Loss) -> bool) -> bool {
+    /// Returns whether the losses for which `counts` holds are enough to fail the job.
+    fn exceeds_crash_limit(&self, counts: impl Fn(&Loss) -> bool) -> bool {
         let counted = || self.losses.iter().filter(|loss| counts(loss));
         let sole = || counted().filter(|loss| loss.blame == Blame::Sole);
         let shown = sole().filter(|loss| !loss.unanswered);
+        let crashes = counted().filter(|loss| !loss.barred).count();
+        let barred = match crashes >= tuning::MIN_CRASHES_BESIDE_BARRED {
+            true => counted().filter(|loss| loss.barred).count(),
+            false => 0,
+        };
         shown.count() >= tuning::MAX_CONFIRMED_SOLE_CRASHES
             || sole().count() >= tuning::MAX_SOLE_CRASHES
-            || counted().count() >= max_crashes
+            || crashes + barred >= self.max_crashes()
     }
-}
 
-impl Cell {
-    /// Returns how many crashes of any kind under one task fail a job: with each start that a
-    /// former owner may have made without recording it, no more than the platform's limit.
-    pub(super) fn max_crashes(&self, key: JobKey) -> usize {
-        tuning::MAX_CRASHES - usize::from(self.has_two_unrecorded_starts(key))
+    /// Returns whether the losses of the task, with its barred starts, are as many as fail its job,
+    /// but too few of them are crashes.  The next start then waits until a barred one can no longer
+    /// arrive.  A task without any crash does not wait: it merely has many lost orders.
+    fn awaits_barred_starts(&self, counts: impl Fn(&Loss) -> bool) -> bool {
+        let counted = || self.losses.iter().filter(|loss| counts(loss));
+        counted().any(|loss| !loss.barred) && counted().count() >= self.max_crashes()
+    }
+
+    /// Returns whether the next start waits for barred starts, and not for a verdict.
+    pub(super) fn waits_for_barred_starts(&self) -> bool {
+        self.awaits_barred_starts(|loss| loss.crashed || loss.barred)
+    }
+
+    /// Returns how many crashes of any kind fail the job: one less if a second start may have been
+    /// made without a record.
+    fn max_crashes(&self) -> usize {
+        tuning::MAX_CRASHES - usize::from(self.two_starts_unrecorded)
     }
+}
 
+impl Cell {
     /// Notes the fresh starts on a worker once it has been silent for [`tuning::SUSPECT_AFTER`], so
     /// that they are recorded and the next owner knows what may have crashed it.
     pub(super) fn note_suspects_of_silent(&mut self, key: WorkerKey, now: Millis) {
@@ -467,9 +486,13 @@
         let Some(pending) = self.pending_losses.swap_remove(life) else {
             return;
         };
-        for PendingLoss { loss_key, .. } in pending.losses {
-            if !awaited.contains(&loss_key) {
-                self.count_crash(loss_key, now);
+        // Under another id, the next life refuses what was meant for this one.
+        let recurs = self.worker_ids.contains_key(&life.id);
+        for loss in pending.losses {
+            if loss.is_barred() && !recurs {
+                self.forget_loss(loss.loss_key);
+            } else if !awaited.contains(&loss.loss_key) {
+                self.count_crash(loss.loss_key, now);
             }
         }
     }
@@ -514,7 +537,6 @@
         let Some(job) = self.steps.get(loss_key.step).map(|step| step.job) else {
             return;
         };
-        let max_crashes = self.max_crashes(job);
         let step = &mut self.steps[loss_key.step];
         let name = step.task_name(loss_key.index);
         let task = &mut step.tasks[loss_key.index as usize];
@@ -523,10 +545,14 @@
         };
         loss.crashed = true;
         loss.planned = false;
+        if loss.barred {
+            self.counted_barred_starts
+                .push((loss_key, now + tuning::MAX_ORDER_DELAY));
+        }
         let (worker, blame, barred) = (loss.worker.clone(), loss.blame, loss.barred);
         let (losses, hopeless) = (
             task.losses.len(),
-            task.exceeds_crash_limit(max_crashes, |loss| loss.crashed),
+            task.exceeds_crash_limit(|loss| loss.crashed),
         );
         // Runs that were merely present, up to ten in a crash, are not logged one by one.
         if blame != Blame::Late || barred || hopeless {
@@ -561,8 +587,7 @@
             return;
         }
         let mut crashed = Vec::new();
-        let mut expired = Vec::new();
-        let mut void = Vec::new();
+        let mut expired = BTreeSet::new();
         for (life, pending) in &self.pending_losses {
             if self.is_crash_proven(life, pending) {
                 crashed.push(life.clone());
@@ -570,29 +595,26 @@
             }
             let is_late = now.saturating_sub(pending.since) > tuning::CRASH_VERDICT_TIMEOUT;
             for loss in &pending.losses {
-                match loss.arrives_until {
-                    Some(until) if self.is_barred_start_void(life, until, now) => {
-                        void.push(loss.loss_key);
-                    }
-                    None if is_late => expired.push(loss.loss_key),
-                    _ => {}
+                let is_expired = match loss.arrives_until {
+                    Some(until) => self.is_barred_start_void(life, until, now),
+                    None => is_late,
+                };
+                if is_expired {
+                    expired.insert(loss.loss_key);
                 }
             }
         }
         for life in crashed {
             self.confirm_crash(&life, &[], now);
         }
-        self.drop_pending(&[&expired[..], &void[..]].concat());
+        self.drop_pending(&expired);
         for loss_key in expired {
             self.forget_loss(loss_key);
         }
-        for loss_key in void {
-            self.forget_barred_start(loss_key);
-        }
     }
 
     /// Removes these from the pending losses.
-    fn drop_pending(&mut self, dropped: &[LossKey]) {
+    fn drop_pending(&mut self, dropped: &BTreeSet<LossKey>) {
         if dropped.is_empty() {
             return;
         }
@@ -634,6 +656,12 @@
             ..loss.clone()
         };
         self.steps[step].tasks[index as usize].losses = losses.iter().map(recorded).collect();
+        for loss in losses.iter().filter(|loss| loss.crashed && loss.barred) {
+            let run = loss.run;
+            let loss_key = LossKey { step, index, run };
+            self.counted_barred_starts
+                .push((loss_key, now + tuning::MAX_ORDER_DELAY));
+        }
         for loss in losses.iter().filter(|loss| !loss.crashed) {
             let run = loss.run;
             let loss_key = LossKey { step, index, run };
@@ -665,6 +693,7 @@
         }
         if !run.proven {
             self.mark_proven(key);
+            self.steps[step].tasks[index as usize].two_starts_unrecorded = false;
             self.forget_losses(step, index, |loss| loss.blame != Blame::Late || loss.barred);
         }
         if age >= tuning::LOSSES_EXPIRE_AFTER {
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -90,6 +90,7 @@
             self.begin_recorded_occurrences(key, progress);
             self.restore(key, progress, now);
         }
+        self.mark_tasks_started_unrecorded(key);
         if self.may_have_unrecorded_starts || (self.settled && self.may_have_two_unrecorded_starts)
         {
             self.set_record_starts_first(key);
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -93,7 +93,7 @@
     /// A former owner may have started tasks of the job without recording that, so each further
     /// start is recorded before it is sent.
     pub record_starts_first: bool,
-    /// Two former owners may each have started a task of the job without recording that.
+    /// Two former owners may each have started those tasks of the job of which nothing is recorded.
     pub two_starts_unrecorded: bool,
     /// The steps of each occurrence begun so far; only 0 exists for a job without schedule.
     pub occurrences: BTreeMap<u32, Vec<StepKey>>,
@@ -182,6 +182,9 @@
     pub slow_runs: u32,
     /// Runs that were on a worker when it was lost, since the last run that ran well.
     pub losses: Vec<Loss>,
+    /// Two former owners may each have started the task without recording that, since the last run
+    /// that ran well.
+    pub two_starts_unrecorded: bool,
 }
 
 impl Task {
@@ -229,6 +232,8 @@
     pub number: u64,
     /// How certain it is that the run is going on.
     pub phase: Phase,
+    /// When the run was decided on, by our clock in milliseconds; 0 if a former owner did.
+    pub decided_at: Millis,
     /// When the run was first known to have begun, by our clock in milliseconds; 0 before that.
     pub began_at: Millis,
     /// The point at which that became known, from the answer to the start or from a list of runs.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -174,6 +174,9 @@
     former_lives: IndexMap<String, FormerLives>,
     /// Losses on each life that is not yet known to have crashed or survived.
     pending_losses: IndexMap<Life, crash::PendingLosses>,
+    /// Barred starts that were counted as crashes, each with the time after which it no longer
+    /// keeps its task from being started.
+    counted_barred_starts: Vec<(crash::LossKey, Millis)>,
     /// Starts whose worker was lost before it was known whether it had carried them out.
     ///
     /// An entry outlives its run in `runs`, whose slot a later run may then reuse.  So this is an
@@ -271,6 +274,7 @@
             early_ends: IndexMap::new(),
             former_lives: IndexMap::new(),
             pending_losses: IndexMap::new(),
+            counted_barred_starts: Vec::new(),
             awaiting_verdict: BTreeMap::new(),
             planned: Vec::new(),
             may_have_unrecorded_starts: false,
@@ -487,6 +491,7 @@
             self.tick_worker(key, now);
         }
         self.resolve_pending_losses(now);
+        self.release_tasks_from_barred_starts(now);
         self.repeat_stops(now);
     }
 
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -7,7 +7,7 @@
 //! no more than one start of a task ever stays unknown, however many owners are lost
 //! (docs/DESIGN.md, "Tasks that crash their workers").
 
-use crate::cell::crash::LossKey;
+use crate::cell::crash::{Loss, LossKey};
 use crate::cell::job::{Phase, Task};
 use crate::cell::{Cell, JobKey, RunKey, StepKey, tuning};
 use crate::clock::Millis;
@@ -56,16 +56,32 @@
         self.may_have_two_unrecorded_starts = true;
     }
 
-    /// Returns whether two former owners may each have started a task of a job without recording
-    /// that.
-    pub(super) fn has_two_unrecorded_starts(&self, key: JobKey) -> bool {
+    /// Returns whether two former owners may each have started those tasks of a job of which
+    /// nothing is recorded.
+    pub(super) fn may_have_two_unrecorded_starts_of(&self, key: JobKey) -> bool {
         let job = &self.jobs[key];
         job.two_starts_unrecorded || (self.may_have_two_unrecorded_starts && job.predates_ownership)
     }
 
+    /// Marks the tasks of a job, which has just been restored, that two former owners may each have
+    /// started without recording that.  An owner that has recorded a loss of a task has recorded
+    /// all its earlier starts of it as well, so tasks with losses are not among them.
+    pub(super) fn mark_tasks_started_unrecorded(&mut self, key: JobKey) {
+        if !self.may_have_two_unrecorded_starts_of(key) {
+            return;
+        }
+        for &step in self.jobs[key].occurrences.values().flatten() {
+            let step = &mut self.steps[step];
+            let tasks = step.tasks.iter_mut().filter(|_| step.ready);
+            for task in tasks.filter(|task| task.losses.is_empty()) {
+                task.two_starts_unrecorded = true;
+            }
+        }
+    }
+
     /// Returns whether each start of a job is recorded before it is sent.
     pub(super) fn records_starts_first(&self, key: JobKey) -> bool {
-        self.jobs[key].record_starts_first || self.has_two_unrecorded_starts(key)
+        self.jobs[key].record_starts_first || self.may_have_two_unrecorded_starts_of(key)
     }
 
     /// Has the jobs marked in their rows of which two former owners may have started tasks, as far
@@ -148,7 +164,17 @@
         let job = self.steps[key].job;
         let planned = self.planned.iter().filter_map(|&run| self.runs.get(run));
         let of_job = planned.filter(|run| self.steps[run.step].job == job);
-        tuning::MAX_PLANNED_STARTS.saturating_sub(of_job.count())
+        let waiting = tuning::MAX_PLANNED_STARTS.saturating_sub(of_job.count());
+        let recorded = self.count_losses(job, |loss| loss.planned);
+        waiting.min(tuning::MAX_UNPROVEN_PLANNED_STARTS.saturating_sub(recorded))
+    }
+
+    /// Counts the losses of a job's tasks for which `counts` holds.
+    pub(super) fn count_losses(&self, job: JobKey, counts: impl Fn(&Loss) -> bool) -> usize {
+        let steps = self.jobs[job].occurrences.values().flatten();
+        let tasks = steps.flat_map(|&step| &self.steps[step].tasks);
+        let losses = tasks.flat_map(|task| &task.losses);
+        losses.filter(|&loss| counts(loss)).count()
     }
 
     /// Sends the planned starts that are recorded, and drops those whose placement is no longer
@@ -160,7 +186,7 @@
             }
             if !self.can_send_planned_start(key, now) {
                 self.drop_planned_start(key);
-            } else if self.is_plan_recorded(key) && self.is_trial_conclusive(key, now) {
+            } else if self.may_send_planned_start(key, now) && self.is_trial_conclusive(key, now) {
                 self.send_start(key, now);
             } else {
                 self.planned.push(key);
@@ -173,6 +199,16 @@
         run.is_some_and(|run| run.phase == Phase::Planned)
     }
 
+    /// Returns whether a planned start is recorded, or is recorded only because of a barred one and
+    /// has waited for that for [`tuning::MAX_BARRED_RECORD_WAIT`].
+    fn may_send_planned_start(&self, key: RunKey, now: Millis) -> bool {
+        let run = &self.runs[key];
+        let must_be_recorded = self.records_starts_first(self.steps[run.step].job)
+            || self.needs_trial(run.step, run.index);
+        let waits_too_long = now >= run.decided_at + tuning::MAX_BARRED_RECORD_WAIT;
+        self.is_plan_recorded(key) || (!must_be_recorded && waits_too_long)
+    }
+
     /// Returns whether a successor would know of a planned start; for a gang, of the starts of all
     /// its members.
     fn is_plan_recorded(&self, key: RunKey) -> bool {
--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -301,6 +301,7 @@
             sent_to: worker,
             number: entry.number,
             phase: Phase::Running,
+            decided_at: 0,
             began_at: now,
             start_heard: Some(self.workers[worker].last_answer),
             doubt_heard: None,
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -93,7 +93,7 @@
         let mut limit = None;
         let mut candidates = self.placement_candidates(key, round);
         let is_step_suspect = self.is_step_suspect(key);
-        let mut planned_starts_left = self.planned_starts_left(key);
+        let mut planned_starts_left = None;
         for index in waiting {
             limit = self.exceeded_limit(key, 1);
             if limit.is_some() {
@@ -113,10 +113,11 @@
                 break;
             };
             if self.is_recorded_first(key, index) {
-                if planned_starts_left == 0 {
+                let left = planned_starts_left.get_or_insert_with(|| self.planned_starts_left(key));
+                if *left == 0 {
                     continue;
                 }
-                planned_starts_left -= 1;
+                *left -= 1;
             }
             let placement = Placement {
                 worker,
@@ -192,15 +193,13 @@
     /// The tasks that may be started: those that neither run nor are done, and those of which a
     /// speculative run should be started.
     fn waiting_tasks(&self, key: StepKey, now: Millis) -> impl Iterator<Item = u32> {
-        let step = &self.steps[key];
-        let max_crashes = self.max_crashes(step.job);
-        let tasks = step.tasks.iter().enumerate();
+        let tasks = self.steps[key].tasks.iter().enumerate();
         tasks
             .filter(move |(_, task)| !task.done && task.paused_until <= now)
             .filter(move |(_, task)| {
                 task.runs.is_empty() || self.needs_speculative_run(key, &task.runs)
             })
-            .filter(move |(_, task)| task.losses_allow_start(max_crashes))
+            .filter(|(_, task)| task.losses_allow_start())
             .map(|(index, _)| index as u32)
     }
 
@@ -450,6 +449,7 @@
             sent_to: worker_key,
             number,
             phase: Phase::Planned,
+            decided_at: now,
             began_at: 0,
             start_heard: None,
             doubt_heard: None,
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -168,9 +168,20 @@
 /// had run.  One less than the platform's limit of five starts, to allow for one start that is lost
 /// with its owner.
 pub const MAX_CRASHES: usize = 4;
+/// Barred starts count towards [`MAX_CRASHES`] only beside this many crashes.  An innocent task may
+/// lose many orders, also to workers that all restart, and be beside a crash once.
+pub const MIN_CRASHES_BESIDE_BARRED: usize = 2;
 /// The most starts of one job that wait to be recorded at a time: each takes some 170 bytes of the
 /// job's row, and the store accepts rows of up to 64 KB.
 pub const MAX_PLANNED_STARTS: usize = 64;
+/// The most starts of one job that are recorded as planned at a time, whether sent or not.  Together
+/// with [`MAX_BARRED_STARTS`] they take less than 45 KB of the job's row.
+pub const MAX_UNPROVEN_PLANNED_STARTS: usize = 128;
+/// The most barred starts of one job that are kept.
+pub const MAX_BARRED_STARTS: usize = 128;
+/// How long a start waits for its record that is recorded only because an earlier one is barred.
+/// Urgent jobs have 0.9 s to spare, and without the store no other node can claim the cell.
+pub const MAX_BARRED_RECORD_WAIT: Millis = 300;
 /// A start that was answered this long ago has not crashed its worker.  This is ten times the time
 /// in which a crash showed, and short enough that a busy worker has such moments.
 pub const START_SETTLED_AFTER: Millis = 100;
