Starts that may follow a late one of a former owner are recorded first; brief owners are taken out again

Cause: that each of two brief owners may have forgotten a start was paid for by one crash less for every task that nothing is recorded of. It also needed marks in two rows and a node's knowledge of epochs.

Change: for 14 s from the claim (2 s for a former owner's window, 12 s for a late order) the starts of jobs that predate it are recorded first, if the roster has workers that may restart under their ids; such a start waits 300 ms for its record at the longest.

--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -165,7 +165,7 @@
         };
         shown.count() >= tuning::MAX_CONFIRMED_SOLE_CRASHES
             || sole().count() >= tuning::MAX_SOLE_CRASHES
-            || crashes + barred >= self.max_crashes()
+            || crashes + barred >= tuning::MAX_CRASHES
     }
 
     /// Returns whether the losses of the task, with its barred starts, are as many as fail its job,
@@ -173,19 +173,13 @@
     /// arrive.  A task without any crash does not wait: it merely has many lost orders.
     fn awaits_barred_starts(&self, counts: impl Fn(&Loss) -> bool) -> bool {
         let counted = || self.losses.iter().filter(|loss| counts(loss));
-        counted().any(|loss| !loss.barred) && counted().count() >= self.max_crashes()
+        counted().any(|loss| !loss.barred) && counted().count() >= tuning::MAX_CRASHES
     }
 
     /// Returns whether the next start waits for barred starts, and not for a verdict.
     pub(super) fn waits_for_barred_starts(&self) -> bool {
         self.awaits_barred_starts(|loss| loss.crashed || loss.barred)
     }
-
-    /// Returns how many crashes of any kind fail the job: one less if a second start may have been
-    /// made without a record.
-    fn max_crashes(&self) -> usize {
-        tuning::MAX_CRASHES - usize::from(self.two_starts_unrecorded)
-    }
 }
 
 impl Cell {
@@ -693,7 +687,6 @@
         }
         if !run.proven {
             self.mark_proven(key);
-            self.steps[step].tasks[index as usize].two_starts_unrecorded = false;
             self.forget_losses(step, index, |loss| loss.blame != Blame::Late || loss.barred);
         }
         if age >= tuning::LOSSES_EXPIRE_AFTER {
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -65,7 +65,6 @@
             accepted_at: now,
             predates_ownership: predates || self.has_unread_jobs,
             record_starts_first: false,
-            two_starts_unrecorded: false,
             occurrences: Default::default(),
             dirty: false,
         });
@@ -75,7 +74,6 @@
             job.state = progress.state;
             job.recorded = progress.state;
             job.record_starts_first = progress.record_starts_first;
-            job.two_starts_unrecorded = progress.two_starts_unrecorded;
         }
         if self.jobs[key].state.is_final() {
             return;
@@ -90,9 +88,7 @@
             self.begin_recorded_occurrences(key, progress);
             self.restore(key, progress, now);
         }
-        self.mark_tasks_started_unrecorded(key);
-        if self.may_have_unrecorded_starts || (self.settled && self.may_have_two_unrecorded_starts)
-        {
+        if self.may_have_unrecorded_starts {
             self.set_record_starts_first(key);
         }
         if let Some(state) = self.early_ends.swap_remove(&row.id) {
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -93,8 +93,6 @@
     /// A former owner may have started tasks of the job without recording that, so each further
     /// start is recorded before it is sent.
     pub record_starts_first: bool,
-    /// Two former owners may each have started those tasks of the job of which nothing is recorded.
-    pub two_starts_unrecorded: bool,
     /// The steps of each occurrence begun so far; only 0 exists for a job without schedule.
     pub occurrences: BTreeMap<u32, Vec<StepKey>>,
     /// The job's progress has changed since it was last recorded.
@@ -182,9 +180,6 @@
     pub slow_runs: u32,
     /// Runs that were on a worker when it was lost, since the last run that ran well.
     pub losses: Vec<Loss>,
-    /// Two former owners may each have started the task without recording that, since the last run
-    /// that ran well.
-    pub two_starts_unrecorded: bool,
 }
 
 impl Task {
--- a/src/cell/lost.rs
+++ b/src/cell/lost.rs
@@ -80,10 +80,6 @@
             jobs: None,
             ..entry.clone()
         };
-        if entry.worker.life.may_recur() {
-            // The owner that found it ended may have started tasks itself before.
-            self.assume_two_unrecorded_starts();
-        }
         self.keep_in_roster(entry, true);
         self.assume_unrecorded_starts();
     }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -188,11 +188,8 @@
     planned: Vec<RunKey>,
     /// A former owner may have started tasks, of jobs that it knew, without recording that.
     may_have_unrecorded_starts: bool,
-    /// The former owner owned the cell only briefly ([`Cell::note_brief_predecessor`]).
-    predecessor_was_brief: bool,
-    /// Two former owners may each have started a task, of a job that they knew, without recording
-    /// that.
-    may_have_two_unrecorded_starts: bool,
+    /// A former owner used workers that may restart under their ids.
+    former_lives_may_recur: bool,
     /// When the last order of a former owner can have arrived.
     former_orders_end: Millis,
     /// It was checked after that which workers a former owner's starts may have reached last.
@@ -278,8 +275,7 @@
             awaiting_verdict: BTreeMap::new(),
             planned: Vec::new(),
             may_have_unrecorded_starts: false,
-            predecessor_was_brief: false,
-            may_have_two_unrecorded_starts: false,
+            former_lives_may_recur: false,
             former_orders_end: now + tuning::OWNER_STOP_TIME + tuning::MAX_ORDER_DELAY,
             former_orders_reviewed: false,
             ended_lives: Vec::new(),
--- a/src/cell/parking.rs
+++ b/src/cell/parking.rs
@@ -31,9 +31,7 @@
     /// what was read may run something, so no worker is parked before it has answered.
     pub fn mark_roster_incomplete(&mut self) {
         self.roster_is_complete = false;
-        if self.predecessor_was_brief {
-            self.assume_two_unrecorded_starts();
-        }
+        self.former_lives_may_recur = true;
         self.assume_unrecorded_starts();
     }
 
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -8,14 +8,16 @@
 //! (docs/DESIGN.md, "Tasks that crash their workers").
 
 use crate::cell::crash::{Loss, LossKey};
-use crate::cell::job::{Phase, Task};
+use crate::cell::job::Phase;
 use crate::cell::{Cell, JobKey, RunKey, StepKey, tuning};
 use crate::clock::Millis;
 
 impl Cell {
     /// Returns whether a start of a task must be recorded before it is sent.
-    pub(super) fn is_recorded_first(&self, key: StepKey, index: u32) -> bool {
-        self.records_starts_first(self.steps[key].job)
+    pub(super) fn is_recorded_first(&self, key: StepKey, index: u32, now: Millis) -> bool {
+        let job = self.steps[key].job;
+        self.jobs[job].record_starts_first
+            || self.may_follow_late_start(job, now)
             || self.needs_trial(key, index)
             || self.has_barred_start(key, index)
     }
@@ -41,66 +43,12 @@
         );
     }
 
-    /// Notes that the predecessor owned the cell for less than
-    /// [`FormerLives::RELEVANT_FOR`](crate::cell::life::FormerLives::RELEVANT_FOR).
-    ///
-    /// Starts of the owner before it may have arrived meanwhile, on lives that it did not find,
-    /// while it started the same tasks.  To be called before the roster is restored, which tells
-    /// whether there are workers where that can happen.
-    pub fn note_brief_predecessor(&mut self) {
-        self.predecessor_was_brief = true;
-    }
-
-    /// Assumes that each of two predecessors has started tasks that no record shows.
-    pub(super) fn assume_two_unrecorded_starts(&mut self) {
-        self.may_have_two_unrecorded_starts = true;
-    }
-
-    /// Returns whether two former owners may each have started those tasks of a job of which
-    /// nothing is recorded.
-    pub(super) fn may_have_two_unrecorded_starts_of(&self, key: JobKey) -> bool {
-        let job = &self.jobs[key];
-        job.two_starts_unrecorded || (self.may_have_two_unrecorded_starts && job.predates_ownership)
-    }
-
-    /// Marks the tasks of a job, which has just been restored, that two former owners may each have
-    /// started without recording that.  An owner that has recorded a loss of a task has recorded
-    /// all its earlier starts of it as well, so tasks with losses are not among them.
-    pub(super) fn mark_tasks_started_unrecorded(&mut self, key: JobKey) {
-        if !self.may_have_two_unrecorded_starts_of(key) {
-            return;
-        }
-        for &step in self.jobs[key].occurrences.values().flatten() {
-            let step = &mut self.steps[step];
-            let tasks = step.tasks.iter_mut().filter(|_| step.ready);
-            for task in tasks.filter(|task| task.losses.is_empty()) {
-                task.two_starts_unrecorded = true;
-            }
-        }
-    }
-
-    /// Returns whether each start of a job is recorded before it is sent.
-    pub(super) fn records_starts_first(&self, key: JobKey) -> bool {
-        self.jobs[key].record_starts_first || self.may_have_two_unrecorded_starts_of(key)
-    }
-
-    /// Has the jobs marked in their rows of which two former owners may have started tasks, as far
-    /// as such tasks wait: those that run are known.
-    pub(super) fn mark_jobs_with_two_unrecorded_starts(&mut self) {
-        if !self.may_have_two_unrecorded_starts {
-            return;
-        }
-        for key in self.jobs.keys().collect::<Vec<_>>() {
-            if self.has_waiting_task(key) {
-                self.set_record_starts_first(key);
-            }
-        }
-    }
-
-    fn has_waiting_task(&self, key: JobKey) -> bool {
-        let steps = self.jobs[key].occurrences.values().flatten();
-        let mut steps = steps.map(|&step| &self.steps[step]);
-        steps.any(|step| step.ready && step.tasks.iter().any(Task::waits))
+    /// Returns whether a start of a task must be recorded since one that a former owner has sent may
+    /// still arrive, at a life that refuses nothing of it: if this owner then was lost as well, both
+    /// would be forgotten.
+    fn may_follow_late_start(&self, key: JobKey, now: Millis) -> bool {
+        let predates = self.jobs[key].predates_ownership;
+        predates && self.former_lives_may_recur && now < self.former_orders_end
     }
 
     /// Has each further start of a job recorded before it is sent, if a predecessor may have
@@ -110,7 +58,6 @@
         if !job.predates_ownership || job.state.is_final() {
             return;
         }
-        job.two_starts_unrecorded |= self.may_have_two_unrecorded_starts;
         if !job.record_starts_first {
             job.record_starts_first = true;
             job.dirty = true;
@@ -199,13 +146,13 @@
         run.is_some_and(|run| run.phase == Phase::Planned)
     }
 
-    /// Returns whether a planned start is recorded, or is recorded only because of a barred one and
-    /// has waited for that for [`tuning::MAX_BARRED_RECORD_WAIT`].
+    /// Returns whether a planned start is recorded, or is recorded only because another one may
+    /// arrive late and has waited for that for [`tuning::MAX_LATE_START_RECORD_WAIT`].
     fn may_send_planned_start(&self, key: RunKey, now: Millis) -> bool {
         let run = &self.runs[key];
-        let must_be_recorded = self.records_starts_first(self.steps[run.step].job)
-            || self.needs_trial(run.step, run.index);
-        let waits_too_long = now >= run.decided_at + tuning::MAX_BARRED_RECORD_WAIT;
+        let job = &self.jobs[self.steps[run.step].job];
+        let must_be_recorded = job.record_starts_first || self.needs_trial(run.step, run.index);
+        let waits_too_long = now >= run.decided_at + tuning::MAX_LATE_START_RECORD_WAIT;
         self.is_plan_recorded(key) || (!must_be_recorded && waits_too_long)
     }
 
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -43,13 +43,6 @@
         skip_serializing_if = "std::ops::Not::not"
     )]
     pub record_starts_first: bool,
-    /// Two former owners may each have started those tasks of the job of which nothing is recorded.
-    #[serde(
-        rename = "careful_twice",
-        default,
-        skip_serializing_if = "std::ops::Not::not"
-    )]
-    pub two_starts_unrecorded: bool,
     /// The name of the job's workspace, kept here because this row outlasts that of the job.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<String>,
@@ -81,14 +74,6 @@
     /// Runs that were on a worker when it was lost, or may have been lost.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub losses: Vec<Loss>,
-    /// Two former owners may each have started the task without recording that, so its job is given
-    /// up after one crash less.
-    #[serde(
-        rename = "careful_twice",
-        default,
-        skip_serializing_if = "std::ops::Not::not"
-    )]
-    pub two_starts_unrecorded: bool,
 }
 
 /// The changes that are written to the store in one transaction.
@@ -158,7 +143,6 @@
                         failed: task.failed.clone(),
                         checkpoint: checkpoint.to_owned(),
                         losses: task.losses.clone(),
-                        two_starts_unrecorded: task.two_starts_unrecorded,
                     });
                 }
             }
@@ -166,8 +150,7 @@
         JobProgress {
             state: job.state,
             tasks,
-            record_starts_first: self.records_starts_first(key),
-            two_starts_unrecorded: self.may_have_two_unrecorded_starts_of(key),
+            record_starts_first: job.record_starts_first,
             workspace: self
                 .workspace_of(key)
                 .map(|workspace| workspace.name.clone()),
@@ -292,7 +275,6 @@
             task.done = record.done;
             task.failed.clone_from(&record.failed);
             task.checkpoint = record.checkpoint.clone();
-            task.two_starts_unrecorded = record.two_starts_unrecorded;
             self.restore_losses(step_key, index, &record.losses, now);
         }
         for time in times {
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -189,9 +189,7 @@
     /// Takes over the recorded roster of the former owner, which may have used these workers.
     pub fn restore_roster(&mut self, entries: Vec<RosterEntry>, now: Millis) {
         for entry in entries {
-            if self.predecessor_was_brief && entry.worker.life.may_recur() {
-                self.assume_two_unrecorded_starts();
-            }
+            self.former_lives_may_recur |= entry.worker.life.may_recur();
             if entry.lost.is_some() {
                 self.inherit_ended_life(&entry);
             }
@@ -261,7 +259,6 @@
             self.keep_ended_life(key);
         }
         self.unsettled = UnsettledJobs::Jobs(BTreeSet::new());
-        self.mark_jobs_with_two_unrecorded_starts();
         tracing::info!(epoch = self.epoch, fenced, "ownership settled");
         self.break_partial_gangs(now);
     }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -112,7 +112,7 @@
                 }
                 break;
             };
-            if self.is_recorded_first(key, index) {
+            if self.is_recorded_first(key, index, round.now) {
                 let left = planned_starts_left.get_or_insert_with(|| self.planned_starts_left(key));
                 if *left == 0 {
                     continue;
@@ -441,7 +441,7 @@
             tracing::error!(task = %self.steps[key].task_name(index), rule, "start withheld");
             return None;
         }
-        let is_planned = self.is_recorded_first(key, index);
+        let is_planned = self.is_recorded_first(key, index, now);
         let run = self.add_run(Run {
             step: key,
             index,
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -179,9 +179,10 @@
 pub const MAX_UNPROVEN_PLANNED_STARTS: usize = 128;
 /// The most barred starts of one job that are kept.
 pub const MAX_BARRED_STARTS: usize = 128;
-/// How long a start waits for its record that is recorded only because an earlier one is barred.
-/// Urgent jobs have 0.9 s to spare, and without the store no other node can claim the cell.
-pub const MAX_BARRED_RECORD_WAIT: Millis = 300;
+/// How long a start waits for its record that is recorded only because another start of its task
+/// may arrive late.  Urgent jobs have 0.9 s to spare, and while the store takes no record no other
+/// node can claim the cell.
+pub const MAX_LATE_START_RECORD_WAIT: Millis = 300;
 /// A start that was answered this long ago has not crashed its worker.  This is ten times the time
 /// in which a crash showed, and short enough that a busy worker has such moments.
 pub const START_SETTLED_AFTER: Millis = 100;
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -141,9 +141,6 @@
     let config = shared.config().unwrap_or_default();
     let mut cell = Cell::new(epoch, config, now);
     cell.set_wall_clock(clock::unix_time());
-    if shared.owner().former_was_brief() {
-        cell.note_brief_predecessor();
-    }
     let (roster, workers) = RosterRows::read(&former.0);
     if roster.has_unreadable_rows() {
         cell.mark_roster_incomplete();
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 
-use crate::cell::life::FormerLives;
-use crate::cell::tuning;
 use crate::clock::Millis;
 use crate::rpc::node::Heartbeat;
 
@@ -30,10 +28,6 @@
     pub pending: Vec<(String, u32)>,
     /// The interval of the owner's heartbeats to this node, in milliseconds.
     interval: Millis,
-    /// When this node learnt of the present epoch; none before it has learnt of any.
-    epoch_since: Option<Millis>,
-    /// See [`Owner::former_was_brief`].
-    former_was_brief: bool,
 }
 
 impl Default for Owner {
@@ -45,8 +39,6 @@
             claim_seen: None,
             pending: Vec::new(),
             interval: HEARTBEAT_INTERVAL,
-            epoch_since: None,
-            former_was_brief: false,
         }
     }
 }
@@ -111,7 +103,7 @@
 
     /// Notes that a node has claimed the cell under `epoch` and needs time to load it.
     pub fn await_claimant(&mut self, epoch: u64, address: Option<SocketAddr>, now: Millis) {
-        self.begin_epoch(epoch, now);
+        self.epoch = epoch;
         self.address = address;
         self.last_heard = None;
         self.claim_seen = Some(now);
@@ -132,32 +124,11 @@
 
     /// Notes a heartbeat of the owner under `epoch`.
     pub fn note_heartbeat(&mut self, epoch: u64, address: Option<SocketAddr>, now: Millis) {
-        self.begin_epoch(epoch, now);
+        self.epoch = epoch;
         self.address = address;
         self.last_heard = Some(now);
         self.claim_seen = None;
     }
-
-    /// Returns whether the owner before the present one may have owned the cell for less than
-    /// [`FormerLives::RELEVANT_FOR`], so that late starts of the one before that matter to the
-    /// present one (`docs/DESIGN.md`, "Tasks that crash their workers").  Assumed if this node does
-    /// not know.
-    pub fn former_was_brief(&self) -> bool {
-        self.former_was_brief
-    }
-
-    fn begin_epoch(&mut self, epoch: u64, now: Millis) {
-        if epoch == self.epoch {
-            return;
-        }
-        let is_first = epoch <= tuning::next_epoch(0);
-        let is_next = epoch == tuning::next_epoch(self.epoch);
-        let was_long = elapsed(self.epoch_since, now) >= FormerLives::RELEVANT_FOR;
-        let is_known_long = is_next && was_long && self.epoch_since.is_some();
-        self.former_was_brief = !is_first && !is_known_long;
-        self.epoch = epoch;
-        self.epoch_since = Some(now);
-    }
 }
 
 /// How long an owner or claimant whose heartbeats come at this interval may be silent before it is
--- a/tests/cancelling.rs
+++ b/tests/cancelling.rs
@@ -36,7 +36,6 @@
         state,
         tasks: Vec::new(),
         record_starts_first: false,
-        two_starts_unrecorded: false,
         workspace: None,
     };
     bench.cell.add_unread_job_progress(JobId(7), progress);
--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -8,7 +8,6 @@
 
 use crossweir::cell::Cell;
 use crossweir::cell::job::JobState;
-use crossweir::cell::life::FormerLives;
 use crossweir::cell::name::TaskName;
 use crossweir::cell::order::{
     EndKind, Order, PollFailure, PollOrder, PollReport, Refusal, StartOrder, StartOutcome,
@@ -108,8 +107,6 @@
     pub store_is_up: bool,
     ended_lives: Vec<WorkerLife>,
     epoch: u64,
-    /// When the present owner claimed the cell; none before the first one has.
-    claimed_at: Option<Millis>,
     job_count: u64,
     rows: BTreeMap<JobId, JobRow>,
     progress: BTreeMap<JobId, JobProgress>,
@@ -128,7 +125,6 @@
             store_is_up: true,
             ended_lives: Vec::new(),
             epoch: 0,
-            claimed_at: None,
             job_count: 0,
             rows: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -148,10 +144,6 @@
         let config = configuration(std::slice::from_ref(&self.queue));
         self.cell = Cell::new(self.epoch, config, self.now);
         self.cell.set_lanes(&[true]);
-        let former_claim = self.claimed_at.replace(self.now);
-        if former_claim.is_some_and(|at| self.now < at + FormerLives::RELEVANT_FOR) {
-            self.cell.note_brief_predecessor();
-        }
         self.cell.restore_roster(self.roster.clone(), self.now);
         self.cell.list_workers(self.entries.clone(), self.now);
         for row in self.rows.values() {
--- a/tests/random_world/mod.rs
+++ b/tests/random_world/mod.rs
@@ -23,7 +23,7 @@
 use crate::lives::WorkerLife;
 use crossweir::cell::intake::CancelOutcome;
 use crossweir::cell::job::JobState;
-use crossweir::cell::life::{FormerLives, Life};
+use crossweir::cell::life::Life;
 use crossweir::cell::name::TaskName;
 use crossweir::cell::order::{
     EndEntry, PollFailure, PollOrder, PollReport, StartOrder, StartOutcome, StopOrder,
@@ -151,7 +151,6 @@
     cell: Cell,
     keys: BTreeMap<String, WorkerKey>,
     confirmed: Millis,
-    claimed_at: Millis,
 }
 
 /// A cell with its workers, its owner and the rows of the store.
@@ -270,7 +269,6 @@
                 cell: Cell::new(0, configuration(&[]), 0),
                 keys: BTreeMap::new(),
                 confirmed: 0,
-                claimed_at: 0,
             },
             epoch: 0,
             queues,
@@ -420,9 +418,6 @@
         self.add_history(format!("owner {} begins", self.epoch));
         let mut cell = Cell::new(self.epoch, self.config(), self.now);
         cell.set_lanes(&[true]);
-        if self.now < self.owner.claimed_at + FormerLives::RELEVANT_FOR {
-            cell.note_brief_predecessor();
-        }
         if let Some(idle_reserve) = self.idle_reserve {
             cell.set_idle_reserve(idle_reserve);
         }
@@ -455,7 +450,6 @@
             cell,
             keys: BTreeMap::new(),
             confirmed: self.now,
-            claimed_at: self.now,
         };
         self.first_starts.note_claim(self.now);
         self.note_moment(Moment::Claim);
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -123,7 +123,6 @@
         state: JobState::Succeeded,
         tasks: Vec::new(),
         record_starts_first: false,
-        two_starts_unrecorded: false,
         workspace: None,
     };
     let mut tx = Transaction::default();
