--- a/src/cell/barred_start.rs
+++ b/src/cell/barred_start.rs
@@ -3,10 +3,10 @@
 //! A start that brings no answer may arrive up to [`tuning::MAX_ORDER_DELAY`] late.  The life that
 //! it was meant for refuses it once it has confirmed the stop, or has seen the epoch of the next
 //! owner.  That bar ends with the life: until a poll reaches the next one, that life has seen
-//! neither and carries the start out.  If the task crashes it, its owner may never hear of it.  So
-//! the start stays with its task as a barred loss until it can no longer arrive, and counts as a
-//! crash if its life is found ended before that (docs/DESIGN.md, "Tasks that crash their workers";
-//! docs/incidents/late-starts.md).
+//! neither and carries the start out.  If the task crashes it, the owner may never hear of it.  So
+//! the start stays with its task as a barred loss until it can no longer arrive, and counts beside
+//! crashes if its life is found ended before that (docs/DESIGN.md, "Tasks that crash their
+//! workers"; docs/incidents/late-starts.md).
 
 use crate::cell::crash::{Blame, LossKey};
 use crate::cell::job::{Phase, Task};
@@ -28,16 +28,14 @@
     pub(super) fn has_barred_start(&self, key: StepKey, index: u32) -> bool {
         let step = &self.steps[key];
         if step.step().gang {
-            // All members are recorded together, and their job's row is limited.
-            step.tasks.len() <= tuning::MAX_BARRED_STARTS
-                && step.tasks.iter().any(Task::has_barred_start)
+            step.tasks.iter().any(Task::has_barred_start)
         } else {
             step.tasks[index as usize].has_barred_start()
         }
     }
 
     /// Keeps the start of a run that is about to be removed as a barred loss, unless it was
-    /// answered or can reach no other life.  Replaces what was noted of the run as a possible cause
+    /// answered, can reach no other life, or the job has [`tuning::MAX_BARRED_STARTS`].  Replaces what was noted of the run as a possible cause
     /// of a crash: the life that it was meant for has not begun it.
     pub(super) fn bar_start(&mut self, key: RunKey, now: Millis) {
         let run = &self.runs[key];
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -3,8 +3,9 @@
 //! A successor does not know of a start that the owner has sent and not recorded.  So a task that
 //! crashes its workers could be started once more by each of many owners that are lost soon after
 //! the start.  To prevent this, a start is recorded first if its task needs a trial, or if a life
-//! of a worker has ended on which a predecessor may have started tasks without recording them.  So
-//! no more than one start of a task ever stays unknown, however many owners are lost
+//! of a worker has ended on which a predecessor may have started tasks without recording them.  It
+//! is also recorded first, if the store is not slow, while an earlier start of the task may still
+//! arrive late.  So no more than one start of a task stays unknown, however many owners are lost
 //! (docs/DESIGN.md, "Tasks that crash their workers").
 
 use crate::cell::crash::{Loss, LossKey};
@@ -15,11 +16,14 @@
 impl Cell {
     /// Returns whether a start of a task must be recorded before it is sent.
     pub(super) fn is_recorded_first(&self, key: StepKey, index: u32, now: Millis) -> bool {
-        let job = self.steps[key].job;
-        self.jobs[job].record_starts_first
-            || self.may_follow_late_start(job, now)
+        let step = &self.steps[key];
+        // All members of a gang are recorded together, and the row of their job is limited.
+        let is_small = !step.step().gang || step.tasks.len() <= tuning::MAX_UNPROVEN_PLANNED_STARTS;
+        let may_follow_late_start =
+            self.may_follow_late_start(step.job, now) || self.has_barred_start(key, index);
+        self.jobs[step.job].record_starts_first
             || self.needs_trial(key, index)
-            || self.has_barred_start(key, index)
+            || (is_small && may_follow_late_start)
     }
 
     /// Assumes that the predecessor has started tasks that no record shows: a life of a worker that
@@ -43,9 +47,9 @@
         );
     }
 
-    /// Returns whether a start of a task must be recorded since one that a former owner has sent may
-    /// still arrive, at a life that refuses nothing of it: if this owner then was lost as well, both
-    /// would be forgotten.
+    /// Returns whether a start that a former owner has sent for a job may still arrive, at a life
+    /// that does not refuse it.  If this owner started the same task unrecorded and was lost, both
+    /// starts would be forgotten.
     fn may_follow_late_start(&self, key: JobKey, now: Millis) -> bool {
         let predates = self.jobs[key].predates_ownership;
         predates && self.former_lives_may_recur && now < self.former_orders_end
@@ -55,10 +59,7 @@
     /// started its tasks.
     pub(super) fn set_record_starts_first(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
-        if !job.predates_ownership || job.state.is_final() {
-            return;
-        }
-        if !job.record_starts_first {
+        if job.predates_ownership && !job.record_starts_first && !job.state.is_final() {
             job.record_starts_first = true;
             job.dirty = true;
             self.note_unrecorded_starts(key);
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -169,8 +169,8 @@
 /// with its owner.
 pub const MAX_CRASHES: usize = 4;
 /// Barred starts count towards [`MAX_CRASHES`] only beside this many crashes.  An innocent task may
-/// lose many orders, also to workers that all restart, and be beside a crash once.
-pub const MIN_CRASHES_BESIDE_BARRED: usize = 2;
+/// lose many orders, also to workers that all restart, and be beside a crash or two.
+pub const MIN_CRASHES_BESIDE_BARRED: usize = 3;
 /// The most starts of one job that wait to be recorded at a time: each takes some 170 bytes of the
 /// job's row, and the store accepts rows of up to 64 KB.
 pub const MAX_PLANNED_STARTS: usize = 64;
