--- a/src/cell/lost.rs
+++ b/src/cell/lost.rs
@@ -39,7 +39,7 @@
     /// is not in the roster was never sent a start.
     pub(super) fn keep_ended_life(&mut self, key: WorkerKey) {
         let worker = &self.workers[key];
-        let may_have_unknown_starts = worker.may_have_unknown_starts();
+        let may_have_unknown_starts = worker.may_have_unknown_starts(self.former_orders_end);
         if worker.roster_state != RosterState::Absent {
             let entry = RosterEntry {
                 jobs: None,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -8,6 +8,7 @@
 #![deny(clippy::disallowed_types)]
 
 pub mod advice;
+mod barred_start;
 pub mod crash;
 mod evacuation;
 mod forecast;
@@ -173,6 +174,9 @@
     former_lives: IndexMap<String, FormerLives>,
     /// Losses on each life that is not yet known to have crashed or survived.
     pending_losses: IndexMap<Life, crash::PendingLosses>,
+    /// Barred starts that were counted as crashes, each with the time after which it no longer
+    /// keeps its task from being started.
+    counted_barred_starts: Vec<(crash::LossKey, Millis)>,
     /// Starts whose worker was lost before it was known whether it had carried them out.
     ///
     /// An entry outlives its run in `runs`, whose slot a later run may then reuse.  So this is an
@@ -184,6 +188,12 @@
     planned: Vec<RunKey>,
     /// A former owner may have started tasks, of jobs that it knew, without recording that.
     may_have_unrecorded_starts: bool,
+    /// A former owner used workers that may restart under their ids.
+    former_lives_may_recur: bool,
+    /// When the last order of a former owner can have arrived.
+    former_orders_end: Millis,
+    /// It was checked after that which workers a former owner's starts may have reached last.
+    former_orders_reviewed: bool,
     /// Lives that have ended, and that stay in the roster until what was noted about them is
     /// recorded.
     ended_lives: Vec<lost::EndedLife>,
@@ -261,9 +271,13 @@
             early_ends: IndexMap::new(),
             former_lives: IndexMap::new(),
             pending_losses: IndexMap::new(),
+            counted_barred_starts: Vec::new(),
             awaiting_verdict: BTreeMap::new(),
             planned: Vec::new(),
             may_have_unrecorded_starts: false,
+            former_lives_may_recur: false,
+            former_orders_end: now + tuning::OWNER_STOP_TIME + tuning::MAX_ORDER_DELAY,
+            former_orders_reviewed: false,
             ended_lives: Vec::new(),
             has_unread_jobs: false,
             scheduled: Vec::new(),
@@ -462,6 +476,7 @@
     /// Does what is due at `now`: leases run out, stops are repeated, the ownership settles.
     pub fn tick(&mut self, now: Millis) {
         self.settle(now);
+        self.review_former_orders(now);
         self.review_parking(now);
         self.update_roster(now);
         self.begin_due_occurrences();
@@ -472,6 +487,7 @@
             self.tick_worker(key, now);
         }
         self.resolve_pending_losses(now);
+        self.release_tasks_from_barred_starts(now);
         self.repeat_stops(now);
     }
 
--- a/src/cell/parking.rs
+++ b/src/cell/parking.rs
@@ -31,6 +31,7 @@
     /// what was read may run something, so no worker is parked before it has answered.
     pub fn mark_roster_incomplete(&mut self) {
         self.roster_is_complete = false;
+        self.former_lives_may_recur = true;
         self.assume_unrecorded_starts();
     }
 
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -3,19 +3,27 @@
 //! A successor does not know of a start that the owner has sent and not recorded.  So a task that
 //! crashes its workers could be started once more by each of many owners that are lost soon after
 //! the start.  To prevent this, a start is recorded first if its task needs a trial, or if a life
-//! of a worker has ended on which a predecessor may have started tasks without recording them.  So
-//! no more than one start of a task ever stays unknown, however many owners are lost
+//! of a worker has ended on which a predecessor may have started tasks without recording them.  It
+//! is also recorded first, if the store is not slow, while an earlier start of the task may still
+//! arrive late.  So no more than one start of a task stays unknown, however many owners are lost
 //! (docs/DESIGN.md, "Tasks that crash their workers").
 
-use crate::cell::crash::LossKey;
+use crate::cell::crash::{Loss, LossKey};
 use crate::cell::job::Phase;
 use crate::cell::{Cell, JobKey, RunKey, StepKey, tuning};
 use crate::clock::Millis;
 
 impl Cell {
     /// Returns whether a start of a task must be recorded before it is sent.
-    pub(super) fn is_recorded_first(&self, key: StepKey, index: u32) -> bool {
-        self.jobs[self.steps[key].job].record_starts_first || self.needs_trial(key, index)
+    pub(super) fn is_recorded_first(&self, key: StepKey, index: u32, now: Millis) -> bool {
+        let step = &self.steps[key];
+        // All members of a gang are recorded together, and the row of their job is limited.
+        let is_small = !step.step().gang || step.tasks.len() <= tuning::MAX_UNPROVEN_PLANNED_STARTS;
+        let may_follow_late_start =
+            self.may_follow_late_start(step.job, now) || self.has_barred_start(key, index);
+        self.jobs[step.job].record_starts_first
+            || self.needs_trial(key, index)
+            || (is_small && may_follow_late_start)
     }
 
     /// Assumes that the predecessor has started tasks that no record shows: a life of a worker that
@@ -39,6 +47,14 @@
         );
     }
 
+    /// Returns whether a start that a former owner has sent for a job may still arrive, at a life
+    /// that does not refuse it.  If this owner started the same task unrecorded and was lost, both
+    /// starts would be forgotten.
+    fn may_follow_late_start(&self, key: JobKey, now: Millis) -> bool {
+        let predates = self.jobs[key].predates_ownership;
+        predates && self.former_lives_may_recur && now < self.former_orders_end
+    }
+
     /// Has each further start of a job recorded before it is sent, if a predecessor may have
     /// started its tasks.
     pub(super) fn set_record_starts_first(&mut self, key: JobKey) {
@@ -46,6 +62,40 @@
         if job.predates_ownership && !job.record_starts_first && !job.state.is_final() {
             job.record_starts_first = true;
             job.dirty = true;
+            self.note_unrecorded_starts(key);
+        }
+    }
+
+    /// Notes the starts of a job that this owner has sent and not recorded, unless their tasks are
+    /// known to run well, so that a successor learns of them together with the mark of the job.
+    fn note_unrecorded_starts(&mut self, key: JobKey) {
+        let steps = self.jobs[key].occurrences.values().flatten();
+        let tasks = steps.flat_map(|&step| &self.steps[step].tasks);
+        let runs = tasks.flat_map(|task| task.runs.iter().copied());
+        let is_unknown = |&run: &RunKey| {
+            let run = &self.runs[run];
+            let losses = &self.steps[run.step].tasks[run.index as usize].losses;
+            !run.proven && !losses.iter().any(|loss| loss.run == run.number)
+        };
+        let unknown = runs.filter(is_unknown).take(tuning::MAX_PLANNED_STARTS);
+        for run in unknown.collect::<Vec<_>>() {
+            self.note_planned_start(run);
+        }
+    }
+
+    /// Once no order of a former owner can arrive any more, looks for workers that were not heard
+    /// since: a life of theirs that was not found may have carried a late start out.
+    pub(super) fn review_former_orders(&mut self, now: Millis) {
+        let due = self.former_orders_end + tuning::STALE_AFTER;
+        if self.former_orders_reviewed || now < due {
+            return;
+        }
+        self.former_orders_reviewed = true;
+        let mut workers = self.workers.values();
+        if workers
+            .any(|worker| !worker.parked && worker.may_have_late_starts(self.former_orders_end))
+        {
+            self.assume_unrecorded_starts();
         }
     }
 
@@ -62,7 +112,17 @@
         let job = self.steps[key].job;
         let planned = self.planned.iter().filter_map(|&run| self.runs.get(run));
         let of_job = planned.filter(|run| self.steps[run.step].job == job);
-        tuning::MAX_PLANNED_STARTS.saturating_sub(of_job.count())
+        let waiting = tuning::MAX_PLANNED_STARTS.saturating_sub(of_job.count());
+        let recorded = self.count_losses(job, |loss| loss.planned);
+        waiting.min(tuning::MAX_UNPROVEN_PLANNED_STARTS.saturating_sub(recorded))
+    }
+
+    /// Counts the losses of a job's tasks for which `counts` holds.
+    pub(super) fn count_losses(&self, job: JobKey, counts: impl Fn(&Loss) -> bool) -> usize {
+        let steps = self.jobs[job].occurrences.values().flatten();
+        let tasks = steps.flat_map(|&step| &self.steps[step].tasks);
+        let losses = tasks.flat_map(|task| &task.losses);
+        losses.filter(|&loss| counts(loss)).count()
     }
 
     /// Sends the planned starts that are recorded, and drops those whose placement is no longer
@@ -74,7 +134,7 @@
             }
             if !self.can_send_planned_start(key, now) {
                 self.drop_planned_start(key);
-            } else if self.is_plan_recorded(key) && self.is_trial_conclusive(key, now) {
+            } else if self.may_send_planned_start(key, now) && self.is_trial_conclusive(key, now) {
                 self.send_start(key, now);
             } else {
                 self.planned.push(key);
@@ -87,6 +147,16 @@
         run.is_some_and(|run| run.phase == Phase::Planned)
     }
 
+    /// Returns whether a planned start is recorded, or is recorded only because another one may
+    /// arrive late and has waited for that for [`tuning::MAX_LATE_START_RECORD_WAIT`].
+    fn may_send_planned_start(&self, key: RunKey, now: Millis) -> bool {
+        let run = &self.runs[key];
+        let job = &self.jobs[self.steps[run.step].job];
+        let must_be_recorded = job.record_starts_first || self.needs_trial(run.step, run.index);
+        let waits_too_long = now >= run.decided_at + tuning::MAX_LATE_START_RECORD_WAIT;
+        self.is_plan_recorded(key) || (!must_be_recorded && waits_too_long)
+    }
+
     /// Returns whether a successor would know of a planned start; for a gang, of the starts of all
     /// its members.
     fn is_plan_recorded(&self, key: RunKey) -> bool {
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -189,6 +189,7 @@
     /// Takes over the recorded roster of the former owner, which may have used these workers.
     pub fn restore_roster(&mut self, entries: Vec<RosterEntry>, now: Millis) {
         for entry in entries {
+            self.former_lives_may_recur |= entry.worker.life.may_recur();
             if entry.lost.is_some() {
                 self.inherit_ended_life(&entry);
             }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -93,7 +93,7 @@
         let mut limit = None;
         let mut candidates = self.placement_candidates(key, round);
         let is_step_suspect = self.is_step_suspect(key);
-        let mut planned_starts_left = self.planned_starts_left(key);
+        let mut planned_starts_left = None;
         for index in waiting {
             limit = self.exceeded_limit(key, 1);
             if limit.is_some() {
@@ -112,11 +112,12 @@
                 }
                 break;
             };
-            if self.is_recorded_first(key, index) {
-                if planned_starts_left == 0 {
+            if self.is_recorded_first(key, index, round.now) {
+                let left = planned_starts_left.get_or_insert_with(|| self.planned_starts_left(key));
+                if *left == 0 {
                     continue;
                 }
-                planned_starts_left -= 1;
+                *left -= 1;
             }
             let placement = Placement {
                 worker,
@@ -440,7 +441,7 @@
             tracing::error!(task = %self.steps[key].task_name(index), rule, "start withheld");
             return None;
         }
-        let is_planned = self.is_recorded_first(key, index);
+        let is_planned = self.is_recorded_first(key, index, now);
         let run = self.add_run(Run {
             step: key,
             index,
@@ -448,6 +449,7 @@
             sent_to: worker_key,
             number,
             phase: Phase::Planned,
+            decided_at: now,
             began_at: 0,
             start_heard: None,
             doubt_heard: None,
