--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -5,10 +5,10 @@
 //! are counted, and one start may be forgotten with its owner (docs/DESIGN.md, "Tasks that crash
 //! their workers").  Each test forces one order of events and counts what the workers executed.
 //!
-//! A start is written off, with whatever was noted of it, once the life that it was meant for has
-//! answered a poll after confirming its stop, or after the start's due time by its clock.  That
-//! life does not carry the start out any more, but the next one of the same id does: it has seen
-//! neither the stop nor the epoch, and its clock begins anew.
+//! A start that brings no answer may arrive late.  The life that it was meant for refuses it once it
+//! has confirmed the stop, has seen the next owner's epoch, or is past the start's due time by its
+//! clock.  The next life of the same id has seen neither stop nor epoch, and its clock begins anew,
+//! so it carries the start out until a poll has reached it (`cell::barred_start`).
 
 mod cell_core;
 mod lives;
