--- a/src/cell/crash.rs
+++ b/src/cell/crash.rs
@@ -58,7 +58,7 @@
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub planned: bool,
     /// The life that the start was meant for will not begin it any more, but a later life of the
-    /// worker's id may (`cell::late_start`).
+    /// worker's id may (`cell::barred_start`).
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub barred: bool,
     /// The loss is durable, so that a successor will know of it.
@@ -168,9 +168,9 @@
             || crashes + barred >= tuning::MAX_CRASHES
     }
 
-    /// Returns whether the losses of the task, with its barred starts, are as many as fail its job,
-    /// but too few of them are crashes.  The next start then waits until a barred one can no longer
-    /// arrive.  A task without any crash does not wait: it merely has many lost orders.
+    /// Returns whether the losses of the task are as many as fail its job, barred starts included,
+    /// and some of them are no barred starts.  The next start then waits until a barred one can no
+    /// longer arrive.  A task that has only barred starts does not wait: it merely lost many orders.
     fn awaits_barred_starts(&self, counts: impl Fn(&Loss) -> bool) -> bool {
         let counted = || self.losses.iter().filter(|loss| counts(loss));
         counted().any(|loss| !loss.barred) && counted().count() >= tuning::MAX_CRASHES
