--- a/src/cell/barred_start.rs
+++ b/src/cell/barred_start.rs
@@ -35,8 +35,9 @@
     }
 
     /// Keeps the start of a run that is about to be removed as a barred loss, unless it was
-    /// answered, can reach no other life, or the job has [`tuning::MAX_BARRED_STARTS`].  Replaces what was noted of the run as a possible cause
-    /// of a crash: the life that it was meant for has not begun it.
+    /// answered, can reach no other life, or the job has [`tuning::MAX_BARRED_STARTS`].  Replaces
+    /// what was noted of the run as a possible cause of a crash: the life that it was meant for has
+    /// not begun it.
     pub(super) fn bar_start(&mut self, key: RunKey, now: Millis) {
         let run = &self.runs[key];
         let (loss_key, worker) = (LossKey::of(run), run.worker);
--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -437,7 +437,7 @@
 }
 
 /// The late start was recorded first.  Its owner is lost, and the life that it was meant for
-/// answers the successor, which clears the record.
+/// answers the successor.
 fn late_start_that_a_former_owner_had_recorded(script: &mut Script) {
     script.pass_until_started();
     script.lose_owner();
@@ -482,6 +482,23 @@
     late_start_that_its_owner_has_written_off(script);
 }
 
+/// One start is forgotten with its owner, and two of the next owner are late.
+fn two_late_starts_after_a_forgotten_one(script: &mut Script) {
+    script.pass_until_started();
+    script.lose_owner();
+    script.hold_next_start();
+    two_late_starts_of_this_owner(script);
+}
+
+/// A second start of the present owner is late, and the third one is executed.
+fn two_late_starts_of_this_owner(script: &mut Script) {
+    script.hold_next_start();
+    script.pass_until_started();
+    script.lose_owner();
+    script.deliver_to_next_lives();
+    script.lose_all_further_owners();
+}
+
 /// Three starts of the first owner are late.
 fn three_late_starts(script: &mut Script) {
     script.hold_next_start();
@@ -538,7 +555,7 @@
 
 /// Guards against a sixth start of a crashing task (seed 47477 of `tests/lost_owners.rs`, as a
 /// script): a start that is recorded first is late, the life that it was meant for answers the next
-/// owner, which therefore clears the record, and the life after that one carries the start out.
+/// owner, and the life after that one carries the start out.
 #[test]
 fn a_recorded_start_that_a_next_life_carries_out_late_still_counts() {
     // Act.
@@ -593,3 +610,14 @@
     let is_within = |&starts: &usize| starts <= MAX_STARTS;
     assert!(counts.iter().all(is_within), "{counts:?} starts");
 }
+
+/// Guards against a sixth start of a crashing task of which one start is forgotten with its owner,
+/// two are carried out late by next lives, and no other owner lives to see a crash.
+#[test]
+fn two_starts_that_come_late_after_a_forgotten_one_still_count() {
+    // Act.
+    let starts = count_starts(two_late_starts_after_a_forgotten_one);
+
+    // Assert.
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+}
