Interfaces for uneven workers and contended capacity; smaller scheduling modules

The settings get a section [scheduling], and the core `Options`; nothing reads them yet, so decisions do not change.

Candidates, gangs and starts are modules of their own now, a round only holds data, and the reasons for waiting are in cell::wait.

--- a/src/cell/forecast.rs
+++ b/src/cell/forecast.rs
@@ -1,49 +1,10 @@
 //! Forecasts of when room becomes free on a worker, from the progress of its runs.
 
-use crate::cell::round::Round;
+use crate::cell::round::{Forecast, Round};
 use crate::cell::spec::Demand;
 use crate::cell::{Cell, RunKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
-/// The free room of one worker, now and as its runs are expected to end.
-#[derive(Debug, Clone)]
-pub(super) struct Forecast {
-    /// Room that is free now.
-    free: Demand,
-    /// Expected ends of runs and the room that each frees, soonest first; runs of lasting steps
-    /// are left out.
-    releases: Vec<(Millis, Demand)>,
-    /// No task starts there before this time: now, or later while the worker is shunned.
-    not_before: Millis,
-}
-
-impl Forecast {
-    /// When there is expected to be room for `wanted`; [`Millis::MAX`] if no known end of a run
-    /// frees enough.
-    pub(super) fn earliest_fit(&self, wanted: &Demand) -> Millis {
-        let mut free = self.free;
-        if wanted.fits(&free) {
-            return self.not_before;
-        }
-        for (at, room) in &self.releases {
-            free.add(room);
-            if wanted.fits(&free) {
-                return self.not_before.max(*at);
-            }
-        }
-        Millis::MAX
-    }
-
-    /// The room that is expected to be free at a time.
-    pub(super) fn free_at(&self, at: Millis) -> Demand {
-        let mut free = self.free;
-        for (_, room) in self.releases.iter().take_while(|(end, _)| *end <= at) {
-            free.add(room);
-        }
-        free
-    }
-}
-
 impl Cell {
     /// Returns the forecast of a worker.  It is computed once a round, and again after a start on
     /// that worker.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -9,9 +9,11 @@
 
 pub mod advice;
 mod barred_start;
+mod candidates;
 pub mod crash;
 mod evacuation;
 mod forecast;
+mod gang;
 pub mod intake;
 pub mod job;
 pub mod lapse;
@@ -20,6 +22,7 @@
 pub mod lost;
 pub mod membership;
 pub mod name;
+pub mod options;
 pub mod order;
 mod parking;
 mod plan;
@@ -33,10 +36,12 @@
 pub mod schedule;
 pub mod sequence;
 pub mod spec;
+mod start;
 mod trial;
 pub mod tuning;
 mod urgency;
 pub mod view;
+pub mod wait;
 pub mod worker;
 
 use std::collections::BTreeMap;
@@ -49,10 +54,11 @@
 use crate::cell::ledger::Ledger;
 use crate::cell::life::{FormerLives, Life};
 use crate::cell::membership::LostBy;
+use crate::cell::options::Options;
 use crate::cell::order::{Addressee, Order, PollOrder, StopOrder};
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{Demand, JobId};
-use crate::cell::view::Waiting;
+use crate::cell::wait::Waiting;
 use crate::cell::worker::{NextForget, Worker};
 use crate::clock::Millis;
 use crate::evacuation::Halls;
@@ -151,6 +157,7 @@
     sequence: Sequence,
     config: Arc<Configuration>,
     policy: Arc<dyn Policy>,
+    options: Options,
     workers: SlotMap<WorkerKey, Worker>,
     /// The present life of each worker, by the worker's id.
     worker_ids: IndexMap<String, WorkerKey>,
@@ -259,6 +266,7 @@
             sequence: Sequence::default(),
             config,
             policy: Arc::new(BuiltIn),
+            options: Options::default(),
             workers: SlotMap::with_key(),
             worker_ids: IndexMap::new(),
             roster_version: 1,
@@ -465,6 +473,11 @@
         }
     }
 
+    /// Switches optional parts of scheduling on or off.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
     /// Applies a newer policy, also to jobs that wait.
     pub fn set_policy(&mut self, policy: Arc<dyn Policy>) {
         self.policy = policy;
--- a/src/cell/reservation.rs
+++ b/src/cell/reservation.rs
@@ -11,20 +11,11 @@
 //! reservations and 0.90 without, over days with faults.  For other kinds of work it differed by no
 //! more than 0.01 (docs/DECISIONS.md).
 
-use crate::cell::round::Round;
+use crate::cell::round::{Reservation, Round};
 use crate::cell::spec::{Demand, Step};
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
-/// Room that is reserved on one worker.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Reservation {
-    /// The sum over all steps that have reserved room there.
-    room: Demand,
-    /// When the first of them is expected to get it.
-    at: Millis,
-}
-
 /// Room for one task, and when it becomes free.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Slot {
--- a/src/cell/round.rs
+++ b/src/cell/round.rs
@@ -1,16 +1,64 @@
-//! State of one scheduling round: what is computed once a round, and limits on its work.
+//! State of one scheduling round: what is computed once a round, and limits on its work.  It holds
+//! what the decisions of a round pass on to one another, and decides nothing itself.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use slotmap::SecondaryMap;
 
-use crate::cell::forecast::Forecast;
-use crate::cell::reservation::Reservation;
-use crate::cell::view::{WaitReason, Waiting};
+use crate::cell::spec::Demand;
+use crate::cell::wait::{WaitReason, Waiting};
 use crate::cell::{WorkerKey, tuning};
 use crate::clock::Millis;
 
+/// The free room of one worker, now and as its runs are expected to end.
+#[derive(Debug, Clone)]
+pub(super) struct Forecast {
+    /// Room that is free now.
+    pub(super) free: Demand,
+    /// Expected ends of runs and the room that each frees, soonest first; runs of lasting steps
+    /// are left out.
+    pub(super) releases: Vec<(Millis, Demand)>,
+    /// No task starts there before this time: now, or later while the worker is shunned.
+    pub(super) not_before: Millis,
+}
+
+impl Forecast {
+    /// When there is expected to be room for `wanted`; [`Millis::MAX`] if no known end of a run
+    /// frees enough.
+    pub(super) fn earliest_fit(&self, wanted: &Demand) -> Millis {
+        let mut free = self.free;
+        if wanted.fits(&free) {
+            return self.not_before;
+        }
+        for (at, room) in &self.releases {
+            free.add(room);
+            if wanted.fits(&free) {
+                return self.not_before.max(*at);
+            }
+        }
+        Millis::MAX
+    }
+
+    /// The room that is expected to be free at a time.
+    pub(super) fn free_at(&self, at: Millis) -> Demand {
+        let mut free = self.free;
+        for (_, room) in self.releases.iter().take_while(|(end, _)| *end <= at) {
+            free.add(room);
+        }
+        free
+    }
+}
+
+/// Room that is reserved on one worker.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Reservation {
+    /// The sum over all steps that have reserved room there.
+    pub(super) room: Demand,
+    /// When the first of them is expected to get it.
+    pub(super) at: Millis,
+}
+
 /// One scheduling round.
 pub(super) struct Round {
     /// The time at which the round takes place.
--- a/src/cell/trial.rs
+++ b/src/cell/trial.rs
@@ -6,7 +6,7 @@
 //! (docs/DESIGN.md, "Tasks that crash their workers").
 
 use crate::cell::job::{Phase, Task};
-use crate::cell::schedule::PlacementCandidate;
+use crate::cell::candidates::PlacementCandidate;
 use crate::cell::{Cell, RunKey, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -3,7 +3,8 @@
 use std::fmt::Write;
 
 use crate::cell::spec::Demand;
-use crate::cell::view::{JobView, WaitReason};
+use crate::cell::view::JobView;
+use crate::cell::wait::WaitReason;
 use crate::node::status::NodeStatus;
 use crate::refusal::Refusal;
 
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -61,6 +61,7 @@
             Load::new(settings.millicores),
             Metrics::new()?,
             links(Arc::new(link)),
+            settings.scheduling,
         );
         Ok(Self {
             front: Arc::new(Frontend::new(shared)),
--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -17,6 +17,9 @@
 /// The kind of a value that is an address.
 const ADDRESS: &str = "IP number and port";
 
+/// The kind of a value that switches something on or off.
+const FLAG: &str = "yes or no";
+
 /// All keys, in the order of the reference page.
 pub const KEYS: &[Key] = &[
     required(
@@ -87,6 +90,30 @@
         ADDRESS,
         "The advice service; queues that need advice wait without it.",
     ),
+    optional(
+        "scheduling",
+        "worker_speed",
+        FLAG,
+        "Learns how fast each worker is, and places urgent work by it; `no` if not given.",
+    ),
+    optional(
+        "scheduling",
+        "shares",
+        FLAG,
+        "When room is contended, workspaces of one priority share it by weight; `no` if not given.",
+    ),
+    optional(
+        "scheduling",
+        "advice_planning",
+        FLAG,
+        "Asks the advice service only about steps that can start soon; `no` if not given.",
+    ),
+    optional(
+        "scheduling",
+        "reject_after",
+        "whole number",
+        "Refuses a job that is expected to take more than this many times what its queue grants, 1 to 100; never if not given.",
+    ),
     optional(
         "operator",
         "token_file",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -5,6 +5,7 @@
 
 use ini::Ini;
 
+use crate::cell::options::Options;
 use crate::error::{Error, Result, SettingsFault, SettingsRule};
 use crate::node::setting_keys::KEYS;
 
@@ -39,6 +40,8 @@
     pub advice: Option<SocketAddr>,
     /// The file that holds the operators' token; without it no call is accepted as an operator's.
     pub token_file: Option<PathBuf>,
+    /// The optional parts of scheduling that are switched on.
+    pub scheduling: Options,
 }
 
 /// The default filter of logged lines.
@@ -55,6 +58,9 @@
 const WORKERS_PERCENT: u32 = 60;
 /// The greatest CPU capacity that the settings accept, in cores.
 const MAX_CORES: f64 = 1_024.0;
+/// The greatest value of `[scheduling] reject_after`.  A job that may take longer is as good as never
+/// refused.
+const MAX_REJECT_AFTER: u32 = 100;
 
 impl Settings {
     /// Reads and checks a settings file.
@@ -126,6 +132,7 @@
         let seeds = self.addresses("peers", "seeds");
         let millicores = self.millicores();
         let descriptors = self.descriptors();
+        let scheduling = self.scheduling();
         self.check_distinct(&[callers, ready, peers, metrics, api]);
         Some(Settings {
             name: self.text("node", "name")?,
@@ -142,6 +149,7 @@
             advice,
             api,
             token_file: self.text("operator", "token_file").map(PathBuf::from),
+            scheduling,
         })
     }
 
@@ -233,6 +241,40 @@
         }
     }
 
+    fn scheduling(&mut self) -> Options {
+        Options {
+            worker_speed: self.flag("scheduling", "worker_speed"),
+            shares: self.flag("scheduling", "shares"),
+            advice_planning: self.flag("scheduling", "advice_planning"),
+            reject_after: self.reject_after(),
+        }
+    }
+
+    /// Returns whether a flag is set; false if the key is missing.
+    fn flag(&mut self, section: &str, key: &str) -> bool {
+        match self.text(section, key).as_deref() {
+            Some("yes") => true,
+            Some("no") | None => false,
+            Some(value) => {
+                let (value, expected) = (value.to_owned(), "`yes` or `no`");
+                self.report(section, key, SettingsRule::WrongType { value, expected });
+                false
+            }
+        }
+    }
+
+    fn reject_after(&mut self) -> Option<u32> {
+        let (section, key) = ("scheduling", "reject_after");
+        let value = self.text(section, key)?;
+        let factor = value.parse().ok();
+        let factor = factor.filter(|factor| (1..=MAX_REJECT_AFTER).contains(factor));
+        if factor.is_none() {
+            let expected = "a whole number from 1 to 100";
+            self.report(section, key, SettingsRule::WrongType { value, expected });
+        }
+        factor
+    }
+
     fn address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
         let value = self.text(section, key)?;
         let address = value.parse().ok();
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
+use crate::cell::options::Options;
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
 use crate::node::early_ends::EarlyEnds;
@@ -72,6 +73,8 @@
     pub address: SocketAddr,
     /// Addresses of nodes to ask when the store cannot be reached.
     pub seeds: Vec<SocketAddr>,
+    /// The optional parts of scheduling that the settings switch on.
+    pub options: Options,
     /// The clock by which the node measures time.
     pub clock: Arc<dyn Clock>,
     /// The CPU capacity of this node, and whether it is overloaded.
@@ -110,6 +113,7 @@
         load: Load,
         metrics: Metrics,
         links: Links,
+        options: Options,
     ) -> Arc<Self> {
         let row = NodeRow {
             address: identity.address,
@@ -121,6 +125,7 @@
             boot: identity.boot,
             address: identity.address,
             seeds,
+            options,
             clock,
             load,
             metrics,
--- a/src/node/summary.rs
+++ b/src/node/summary.rs
@@ -2,7 +2,7 @@
 //! is in use, the state of the workers, and whether the owner keeps up.
 
 use crate::cell::spec::Demand;
-use crate::cell::view::Waiting;
+use crate::cell::wait::Waiting;
 use crate::cell::{Cell, Counts, WorkerCounts};
 use crate::clock::Millis;
 use crate::node::pace::RoundStats;
--- a/tests/caps.rs
+++ b/tests/caps.rs
@@ -17,7 +17,7 @@
 use crossweir::cell::record::JobRow;
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::{Demand, JobId, Step};
-use crossweir::cell::view::WaitReason;
+use crossweir::cell::wait::WaitReason;
 use crossweir::cell::{Cell, tuning};
 use crossweir::workspace::{Caller, Workspace};
 
--- a/tests/evacuated_halls.rs
+++ b/tests/evacuated_halls.rs
@@ -15,7 +15,7 @@
 use crossweir::cell::Cell;
 use crossweir::cell::order::{EndKind, StartOrder};
 use crossweir::cell::spec::{JobId, Step};
-use crossweir::cell::view::WaitReason;
+use crossweir::cell::wait::WaitReason;
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::evacuation::{Evacuations, Halls};
 use yare::parameterized;
--- a/tests/parked_workers.rs
+++ b/tests/parked_workers.rs
@@ -14,7 +14,7 @@
 use crossweir::cell::order::{EndKind, StartOrder};
 use crossweir::cell::roster::RosterEntry;
 use crossweir::cell::spec::{JobId, Step};
-use crossweir::cell::view::WaitReason;
+use crossweir::cell::wait::WaitReason;
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::cell::{Cell, WorkerKey, tuning};
 use yare::parameterized;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -8,7 +8,7 @@
 use crossweir::cell::job::JobState;
 use crossweir::cell::order::EndKind;
 use crossweir::cell::spec::JobId;
-use crossweir::cell::view::WaitReason;
+use crossweir::cell::wait::WaitReason;
 use crossweir::policy::{Program, ProgramError, ProgramPolicy};
 use yare::parameterized;
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,6 +2,7 @@
 //! it breaks.
 
 use crossweir::Error;
+use crossweir::cell::options::Options;
 use crossweir::node::settings::Settings;
 use yare::parameterized;
 
@@ -33,6 +34,8 @@
     wrong_type = { "[advice]\naddress = here", "test.ini: [advice] address: `here` is not an IP number and port" },
 
     section_twice = { "[node]\nlog = info", "test.ini: [node] : the section stands there twice" },
+    not_a_flag = { "[scheduling]\nshares = true", "test.ini: [scheduling] shares: `true` is not `yes` or `no`" },
+    no_multiple = { "[scheduling]\nreject_after = 0", "test.ini: [scheduling] reject_after: `0` is not a whole number from 1 to 100" },
     bad_seed = { "[peers]\nseeds = 127.0.0.1:9,there", "test.ini: [peers] seeds: `there` is not an IP number and port" },
 )]
 fn a_fault_names_file_section_key_and_rule(added: &str, fault: &str) {
@@ -66,3 +69,25 @@
         millicores
     );
 }
+
+#[test]
+fn optional_parts_of_scheduling_are_off_unless_the_settings_ask_for_them() {
+    let settings = Settings::parse(VALID, "test.ini").expect("no faults");
+
+    assert_eq!(settings.scheduling, Options::default());
+}
+
+#[test]
+fn optional_parts_of_scheduling_are_switched_on_one_by_one() {
+    let source =
+        format!("{VALID}[scheduling]\nshares = yes\nworker_speed = no\nreject_after = 3\n");
+
+    let settings = Settings::parse(&source, "test.ini").expect("no faults");
+
+    let expected = Options {
+        shares: true,
+        reject_after: Some(3),
+        ..Options::default()
+    };
+    assert_eq!(settings.scheduling, expected);
+}
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
+use crossweir::cell::options::Options;
 use crossweir::clock::Millis;
 use crossweir::embedded::store::MemoryStore;
 use crossweir::metrics::Metrics;
@@ -236,6 +237,7 @@
             Load::new(millicores),
             Metrics::new().expect("collectors"),
             links,
+            Options::default(),
         );
         let front = Arc::new(Frontend::new(Arc::clone(&shared)));
         self.network.nodes().insert(address, Arc::downgrade(&front));
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use crossweir::cell::options::Options;
 use crossweir::cell::order::{
     PollFailure, PollOrder, PollReport, StartOrder, StartOutcome, StopOrder,
 };
@@ -313,6 +314,7 @@
         load,
         Metrics::new().expect("collectors"),
         links,
+        Options::default(),
     );
     VirtualNode {
         store,
