Contended capacity is divided among workspaces by weight

Cause: the weight of a workspace was read and not used. By turn alone, the jobs of all workspaces wait until the backlog of the one that sent a burst is done.

Change: while running and waiting work wants more than the usable workers have, waiting steps beyond the entitlement of their workspace go behind the others of their priority (cell::shares, weighted dominant-resource fairness). The ledger holds the room of runs by workspace and priority, so that batch runs do not count against urgent work. WaitReason::Share, the gauges contended and beyond_share, and a log line when contention begins and ends.

--- a/src/cell/ledger.rs
+++ b/src/cell/ledger.rs
@@ -1,4 +1,5 @@
-//! What the runs of each workspace hold, checked against its cap.
+//! What the runs of each workspace hold, checked against its cap and used to divide contended
+//! capacity (`cell::shares`).
 //!
 //! A run is charged to its workspace when its start is decided, and released when it can no longer
 //! be running: at its end, when its lease has run out, or when the life of its worker has ended.  A
@@ -10,19 +11,26 @@
 use slotmap::SlotMap;
 
 use crate::cell::roster::InheritedWork;
-use crate::cell::spec::Demand;
+use crate::cell::shares::Claimant;
+use crate::cell::spec::{Demand, Step};
 use crate::cell::worker::Worker;
 use crate::cell::{Cell, JobKey, StepKey, WorkspaceKey};
 use crate::clock::Millis;
 use crate::queue::Configuration;
 use crate::workspace::Workspace;
 
+/// Room that runs take on workers, by the priority of their jobs; without entries of nothing.  For
+/// fillers it is less than their demand.
+type HeldRoom = BTreeMap<u32, Demand>;
+
 /// The usage of one workspace.
 #[derive(Debug)]
 struct Account {
     workspace: Workspace,
     /// The demand of all runs that are or may be going on.
     held: Demand,
+    /// The room that these runs take on workers.
+    room: HeldRoom,
     /// An upper bound on the demand of runs that this owner does not know of.
     unknown: Demand,
 }
@@ -32,6 +40,8 @@
 pub(super) struct Ledger {
     accounts: SlotMap<WorkspaceKey, Account>,
     keys_by_name: BTreeMap<String, WorkspaceKey>,
+    /// The room that runs of jobs without a workspace take.
+    public_room: HeldRoom,
 }
 
 impl Ledger {
@@ -43,6 +53,7 @@
         let key = self.accounts.insert(Account {
             workspace: workspace.clone(),
             held: Demand::default(),
+            room: HeldRoom::default(),
             unknown: Demand::default(),
         });
         self.keys_by_name.insert(workspace.name.clone(), key);
@@ -69,15 +80,55 @@
         self.accounts[key].held
     }
 
-    /// Charges the demand of a run to a workspace.
-    pub(super) fn charge(&mut self, key: WorkspaceKey, demand: &Demand) {
-        self.accounts[key].held.add(demand);
+    /// The room that the known runs of jobs without a workspace take.
+    pub(super) fn public_room(&self) -> &HeldRoom {
+        &self.public_room
+    }
+
+    /// All workspaces that had jobs under this owner, with their weights, the room that their known
+    /// runs take, and their caps.
+    pub(super) fn claimants(&self) -> impl Iterator<Item = (WorkspaceKey, Claimant<'_>)> {
+        self.accounts.iter().map(|(key, account)| {
+            let claimant = Claimant {
+                weight: account.workspace.weight,
+                held: &account.room,
+                cap: account.workspace.cap,
+            };
+            (key, claimant)
+        })
+    }
+
+    /// Charges a run of a step to a workspace, or to the jobs without one.
+    pub(super) fn charge(&mut self, workspace: Option<WorkspaceKey>, priority: u32, spec: &Step) {
+        if let Some(key) = workspace {
+            self.accounts[key].held.add(&spec.demand);
+        }
+        if spec.room() != Demand::default() {
+            let room = self.room_mut(workspace);
+            room.entry(priority).or_default().add(&spec.room());
+        }
+    }
+
+    /// Releases what a run of a step was charged with.
+    pub(super) fn release(&mut self, workspace: Option<WorkspaceKey>, priority: u32, spec: &Step) {
+        if let Some(key) = workspace {
+            let account = &mut self.accounts[key];
+            account.held = account.held.minus(&spec.demand);
+        }
+        let room = self.room_mut(workspace);
+        if let Some(held) = room.get_mut(&priority) {
+            *held = held.minus(&spec.room());
+            if *held == Demand::default() {
+                room.remove(&priority);
+            }
+        }
     }
 
-    /// Releases the demand of a run.
-    pub(super) fn release(&mut self, key: WorkspaceKey, demand: &Demand) {
-        let account = &mut self.accounts[key];
-        account.held = account.held.minus(demand);
+    fn room_mut(&mut self, workspace: Option<WorkspaceKey>) -> &mut HeldRoom {
+        match workspace {
+            Some(key) => &mut self.accounts[key].room,
+            None => &mut self.public_room,
+        }
     }
 
     /// Returns whether `wanted` is within a workspace's cap beside its known and unknown runs.
@@ -168,6 +219,7 @@
     }
 
     /// Recounts all runs, and returns for how many workspaces the ledger differs from that count.
+    /// Jobs without a workspace count as one more.
     pub fn ledger_errors(&self) -> usize {
         let mut counted: BTreeMap<WorkspaceKey, Demand> = BTreeMap::new();
         for run in self.runs.values() {
@@ -176,14 +228,38 @@
                 counted.entry(key).or_default().add(&step.step().demand);
             }
         }
+        let rooms = self.count_room();
         let differs = |(key, account): (WorkspaceKey, &Account)| {
             account.held != counted.get(&key).copied().unwrap_or_default()
+                || account.room != rooms.get(&Some(key)).cloned().unwrap_or_default()
         };
-        self.ledger
-            .accounts
-            .iter()
-            .filter(|&account| differs(account))
-            .count()
+        let accounts = self.ledger.accounts.iter();
+        let errors = accounts.filter(|&account| differs(account)).count();
+        let public_room = rooms.get(&None).cloned().unwrap_or_default();
+        errors + usize::from(self.ledger.public_room != public_room)
+    }
+
+    /// Counts the room that all runs take, by workspace and priority.
+    fn count_room(&self) -> BTreeMap<Option<WorkspaceKey>, HeldRoom> {
+        let mut rooms: BTreeMap<Option<WorkspaceKey>, HeldRoom> = BTreeMap::new();
+        for run in self.runs.values() {
+            let step = &self.steps[run.step];
+            let (job, room) = (&self.jobs[step.job], step.step().room());
+            if room != Demand::default() {
+                let held = rooms.entry(job.workspace).or_default();
+                held.entry(job.decision.priority).or_default().add(&room);
+            }
+        }
+        rooms
+    }
+
+    /// Charges all runs anew after the priorities of their jobs may have changed.
+    pub(super) fn recharge_room(&mut self) {
+        let mut rooms = self.count_room();
+        self.ledger.public_room = rooms.remove(&None).unwrap_or_default();
+        for (key, account) in &mut self.ledger.accounts {
+            account.room = rooms.remove(&Some(key)).unwrap_or_default();
+        }
     }
 
     /// The workspace of a job, if it has one.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -35,6 +35,7 @@
 pub mod run;
 pub mod schedule;
 pub mod sequence;
+pub mod shares;
 pub mod spec;
 mod start;
 mod trial;
@@ -57,6 +58,7 @@
 use crate::cell::options::Options;
 use crate::cell::order::{Addressee, Order, PollOrder, StopOrder};
 use crate::cell::sequence::Sequence;
+use crate::cell::shares::SharesState;
 use crate::cell::spec::{Demand, JobId};
 use crate::cell::wait::Waiting;
 use crate::cell::worker::{NextForget, Worker};
@@ -253,6 +255,8 @@
     job_waits: Vec<Wait>,
     /// What each waiting step waited for in the last scheduling round.
     waiting: Waiting,
+    /// What the last scheduling round decided about shares.
+    shares: SharesState,
     counts: Counts,
 }
 
@@ -311,6 +315,7 @@
             orders: Vec::new(),
             job_waits: Vec::new(),
             waiting: Waiting::new(),
+            shares: SharesState::default(),
             counts: Counts::default(),
         }
     }
@@ -471,6 +476,7 @@
             }
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
+        self.recharge_room();
     }
 
     /// Switches optional parts of scheduling on or off.
@@ -484,6 +490,7 @@
         for job in self.jobs.values_mut() {
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
+        self.recharge_room();
     }
 
     /// Does what is due at `now`: leases run out, stops are repeated, the ownership settles.
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -43,9 +43,8 @@
         let spec = step.step();
         self.workers[worker_key].hold(key, spec, is_trial);
         let job = &self.jobs[step.job];
-        if let Some(workspace) = job.workspace {
-            self.ledger.charge(workspace, &spec.demand);
-        }
+        let priority = job.decision.priority;
+        self.ledger.charge(job.workspace, priority, spec);
         let queue = &job.queue.name;
         let millicores = spec.room().millicores;
         match self.held_millicores.get_mut(queue) {
@@ -69,9 +68,8 @@
             worker.release(key, spec, run.trial && !run.proven);
         }
         let job = &self.jobs[step.job];
-        if let Some(workspace) = job.workspace {
-            self.ledger.release(workspace, &spec.demand);
-        }
+        let priority = job.decision.priority;
+        self.ledger.release(job.workspace, priority, spec);
         let queue = &job.queue.name;
         if let Some(held) = self.held_millicores.get_mut(queue) {
             *held -= spec.room().millicores;
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -3,6 +3,7 @@
 
 use crate::cell::candidates::best_worker;
 use crate::cell::round::Round;
+use crate::cell::shares::OrderedStep;
 use crate::cell::start::Placement;
 use crate::cell::wait::WaitReason;
 use crate::cell::{Cell, RunKey, StepKey};
@@ -16,7 +17,7 @@
         // A task whose planned start is dropped here waits again, so this comes before waiting
         // tasks are collected.
         self.send_planned_starts(now);
-        let mut order: Vec<(u32, Millis, usize, StepKey)> = Vec::new();
+        let mut order: Vec<OrderedStep> = Vec::new();
         let awaiting_poll = self.jobs_awaiting_poll();
         for (position, &key) in self.open_steps.iter().enumerate() {
             let step = &self.steps[key];
@@ -32,15 +33,28 @@
             if self.waiting_tasks(key, now).next().is_none() {
                 continue;
             }
-            let rank = self.rank(key, now);
-            order.push((job.decision.priority, rank, position, key));
+            order.push(OrderedStep {
+                priority: job.decision.priority,
+                beyond_share: false,
+                rank: self.rank(key, now),
+                position,
+                key,
+            });
         }
         order.sort_unstable();
+        self.order_by_shares(&mut order, now);
         let mut round = Round::new(now);
-        for (priority, .., key) in order {
-            if let Some((reason, tasks)) = self.schedule_step(key, &mut round) {
-                round.record_wait(priority, reason, tasks);
+        for step in order {
+            let Some((mut reason, tasks)) = self.schedule_step(step.key, &mut round) else {
+                continue;
+            };
+            if step.beyond_share {
+                self.note_waiting_beyond_share(tasks);
+                if reason == WaitReason::NoRoom {
+                    reason = WaitReason::Share;
+                }
             }
+            round.record_wait(step.priority, reason, tasks);
         }
         self.counts.candidates_examined += round.candidates_examined;
         self.waiting = round.waiting;
@@ -146,7 +160,7 @@
 
     /// Returns whether so many more tasks of a step are within the quota that the policy gives its
     /// queue.
-    fn is_within_quota(&self, key: StepKey, tasks: u32) -> bool {
+    pub(super) fn is_within_quota(&self, key: StepKey, tasks: u32) -> bool {
         let step = &self.steps[key];
         let job = &self.jobs[step.job];
         let Some(quota) = job.decision.quota else {
@@ -162,7 +176,7 @@
 
     /// The tasks that may be started: those that neither run nor are done, and those of which a
     /// speculative run should be started.
-    fn waiting_tasks(&self, key: StepKey, now: Millis) -> impl Iterator<Item = u32> {
+    pub(super) fn waiting_tasks(&self, key: StepKey, now: Millis) -> impl Iterator<Item = u32> {
         let tasks = self.steps[key].tasks.iter().enumerate();
         tasks
             .filter(move |(_, task)| !task.done && task.paused_until <= now)
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -206,6 +206,10 @@
 /// The most by which a job is moved back for its work, so that a large job does not wait forever.
 pub const MAX_WORK_PENALTY: Millis = 60_000;
 
+/// Contention of the capacity counts as over after this time without any.  A full cell is often
+/// contended in one round and not in the next, and each change would be logged.
+pub const CONTENTION_END_DELAY: Millis = 1_000;
+
 /// Returns the epoch of the owner that succeeds an owner with `epoch`.
 ///
 /// Epochs of owners that ran a former version may follow one another without room for lives.
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -28,8 +28,23 @@
     /// well.
     #[serde(default)]
     pub lost_runs: u32,
-    /// Why the other tasks wait; none if no task waits.
+    /// Why the other tasks wait; none if no task waits.  Never [`WaitReason::Share`], which nodes of
+    /// the previous version cannot decode; see [`Self::reason`].
     pub waits_for: Option<WaitReason>,
+    /// The tasks wait for room behind those of other workspaces, since their own workspace already
+    /// has its share.
+    #[serde(default)]
+    pub beyond_share: bool,
+}
+
+impl StepView {
+    /// Returns why the other tasks wait; none if no task waits.
+    pub fn reason(&self) -> Option<WaitReason> {
+        match self.waits_for {
+            Some(WaitReason::NoRoom) if self.beyond_share => Some(WaitReason::Share),
+            reason => reason,
+        }
+    }
 }
 
 /// The usage and cap of a job's workspace.
@@ -112,6 +127,7 @@
         };
         let waiting = count(&Task::waits);
         let open = waiting > 0 && !self.jobs[step.job].state.is_final();
+        let waits_for = open.then(|| self.wait_reason(step.job, key, now));
         StepView {
             time: step.name.time,
             step: step.name.step,
@@ -120,7 +136,8 @@
             running: count(&|task| !task.runs.is_empty()),
             failed_runs: step.tasks.iter().map(|task| task.failed.len() as u32).sum(),
             lost_runs: step.tasks.iter().map(|task| task.losses.len() as u32).sum(),
-            waits_for: open.then(|| self.wait_reason(step.job, key, now)),
+            waits_for,
+            beyond_share: waits_for == Some(WaitReason::NoRoom) && self.is_beyond_share(key),
         }
     }
 
--- a/src/cell/wait.rs
+++ b/src/cell/wait.rs
@@ -24,6 +24,9 @@
     Advice,
     /// Workers that may run the tasks have room, but only in a hall that is evacuated.
     Evacuated,
+    /// No worker that may run the tasks has room, and their workspace already has its share of the
+    /// contended capacity.
+    Share,
     /// No worker that may run the tasks has room.
     NoRoom,
     /// The tasks are about to start.
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -108,7 +108,7 @@
     let waiting = view
         .steps
         .iter()
-        .filter_map(|step| Some((step, step.waits_for?)));
+        .filter_map(|step| Some((step, step.reason()?)));
     let mut any_waits = false;
     for (step, reason) in waiting {
         let (why, remedy) = describe(reason);
@@ -157,6 +157,10 @@
             "there is room for it in evacuated halls only",
             "wait, free room elsewhere, or have the operator put a hall back into use",
         ),
+        WaitReason::Share => (
+            "its workspace already has its share of the contended capacity",
+            "wait, send less at a time, or have the operator raise the weight or add workers",
+        ),
         WaitReason::NoRoom => (
             "no worker that may run it has room",
             "free room, add workers, or ask for less",
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -205,11 +205,20 @@
 
     /// Exports the core's counts as metrics.
     pub fn export_counts(&self, metrics: &crate::metrics::Metrics) {
-        let (counts, (used, capacity), ledger_errors, parked) = {
+        let (counts, (used, capacity), ledger_errors, parked, contention) = {
             let cell = self.cell();
+            let (counts, room) = (cell.counts(), cell.room());
             let parked = cell.count_workers().parked;
-            (cell.counts(), cell.room(), cell.ledger_errors(), parked)
+            (
+                counts,
+                room,
+                cell.ledger_errors(),
+                parked,
+                cell.contention(),
+            )
         };
+        metrics.gauge("contended", i64::from(contention.contended));
+        metrics.gauge("beyond_share", i64::from(contention.beyond_share));
         metrics.gauge("ledger_errors", ledger_errors as i64);
         metrics.gauge("parked_workers", parked as i64);
         metrics.gauge("workers_age_ms", self.workers_age() as i64);
--- a/src/workspace.rs
+++ b/src/workspace.rs
@@ -18,7 +18,7 @@
 pub struct Workspace {
     /// The name of the workspace.
     pub name: String,
-    /// Its share of a fully loaded cell, in jobs per second.  The scheduler does not use it.
+    /// Its weight when contended capacity is divided among workspaces (`cell::shares`).
     pub weight: f64,
     /// The room that its tasks may hold on all workers together.  Zero means no limit.
     pub cap: Demand,
