All runs of a workspace count against its share, whatever their priority

Cause: counting only runs that are at least as urgent as the waiting step needs the room by priority, and was meant to keep urgent work from waiting behind batch runs of its own workspace.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -476,7 +476,6 @@
             }
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
-        self.recharge_room();
     }
 
     /// Switches optional parts of scheduling on or off.
@@ -490,7 +489,6 @@
         for job in self.jobs.values_mut() {
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
-        self.recharge_room();
     }
 
     /// Does what is due at `now`: leases run out, stops are repeated, the ownership settles.
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -43,8 +43,7 @@
         let spec = step.step();
         self.workers[worker_key].hold(key, spec, is_trial);
         let job = &self.jobs[step.job];
-        let priority = job.decision.priority;
-        self.ledger.charge(job.workspace, priority, spec);
+        self.ledger.charge(job.workspace, spec);
         let queue = &job.queue.name;
         let millicores = spec.room().millicores;
         match self.held_millicores.get_mut(queue) {
@@ -68,8 +67,7 @@
             worker.release(key, spec, run.trial && !run.proven);
         }
         let job = &self.jobs[step.job];
-        let priority = job.decision.priority;
-        self.ledger.release(job.workspace, priority, spec);
+        self.ledger.release(job.workspace, spec);
         let queue = &job.queue.name;
         if let Some(held) = self.held_millicores.get_mut(queue) {
             *held -= spec.room().millicores;
