--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -11,6 +11,8 @@
 mod barred_start;
 mod candidates;
 pub mod crash;
+mod crash_limit;
+mod crash_verdict;
 mod evacuation;
 mod forecast;
 mod gang;
@@ -180,7 +182,7 @@
     /// The former lives of workers that are not in `workers` any more, by worker id.
     former_lives: IndexMap<String, FormerLives>,
     /// Losses on each life that is not yet known to have crashed or survived.
-    pending_losses: IndexMap<Life, crash::PendingLosses>,
+    pending_losses: IndexMap<Life, crash_verdict::PendingLosses>,
     /// Barred starts that were counted as crashes, each with the time after which it no longer
     /// keeps its task from being started.
     counted_barred_starts: Vec<(crash::LossKey, Millis)>,
