--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -136,7 +136,7 @@
             },
         };
         let now = self.shared.now();
-        if outcome == SubmitOutcome::Doubtful {
+        if outcome == SubmitOutcome::Doubtful && self.shared.options.reject_after.is_some() {
             self.admission().note_doubtful(id, now);
         }
         tracing::info!(
