--- a/src/cell/parking.rs
+++ b/src/cell/parking.rs
@@ -22,6 +22,14 @@
 }
 
 impl Cell {
+    /// Returns whether the capacity of a worker can be used: it will take work, or it is parked and
+    /// is unparked as soon as there is work for it.
+    pub(super) fn provides_capacity(&self, key: WorkerKey, now: Millis) -> bool {
+        let worker = &self.workers[key];
+        let can_be_unparked = worker.parked && worker.entry.leaving.is_none();
+        self.will_take_work(key, now) || (can_be_unparked && self.is_hall_open(key))
+    }
+
     /// Sets how many idle workers of each service are kept unparked as a reserve.
     pub fn set_idle_reserve(&mut self, idle_reserve: usize) {
         self.idle_reserve = idle_reserve;
--- a/src/cell/shares.rs
+++ b/src/cell/shares.rs
@@ -396,8 +396,7 @@
     fn usable_capacity(&self, now: Millis) -> (Demand, Demand) {
         let (mut all, mut largest) = (Demand::default(), Demand::default());
         for (key, worker) in &self.workers {
-            let is_parked = worker.parked && worker.entry.leaving.is_none();
-            if self.will_take_work(key, now) || (is_parked && self.is_hall_open(key)) {
+            if self.provides_capacity(key, now) {
                 let capacity = &worker.entry.capacity;
                 all.add(capacity);
                 largest.millicores = largest.millicores.max(capacity.millicores);
