Expected waits are checked in random worlds and are zero while nothing waits

The new check found two faults. A workspace had a wait of its own although all of its tasks beyond its share had found capacity, and a queue had a wait although no task waited: runs alone can take up more than the usable workers have.

A workspace counts as beyond its share from the priority of the first of its marked steps that still waits after the round. The wait of a queue is zero while no task of its priority or of a lower number waits.

--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -13,7 +13,6 @@
 use slotmap::SecondaryMap;
 
 use crate::cell::job::Run;
-use crate::cell::shares::BeyondShare;
 use crate::cell::spec::Demand;
 use crate::cell::{Cell, JobKey, StepKey, WorkspaceKey, tuning};
 use crate::clock::Millis;
@@ -198,6 +197,8 @@
     free: Vec<(Option<WorkspaceKey>, Load)>,
     /// Loads under a limit, in millicores, by what it is for.
     limited: BTreeMap<LimitKey<'a>, (Load, u64)>,
+    /// Some tasks wait.
+    has_waiting: bool,
 }
 
 impl Loads<'_> {
@@ -231,17 +232,22 @@
     })
 }
 
-/// The workspaces beyond their share, by key.
-type BeyondShares<'a> = BTreeMap<Option<WorkspaceKey>, &'a BeyondShare>;
+/// A workspace with waiting tasks beyond its share.
+#[derive(Debug, Clone, Copy)]
+struct Beyond {
+    /// The priority number from which its work is beyond its share.
+    priority: u32,
+    /// The processors to which it is entitled, in millicores.
+    entitled: f64,
+}
+
+/// The workspaces with waiting tasks beyond their share.
+type BeyondShares = BTreeMap<Option<WorkspaceKey>, Beyond>;
 
 /// Returns the loads that go before a new job of a workspace within its share.  Work that has the
 /// job's priority and is beyond the share of its workspace goes behind it, so such a workspace
 /// counts for no more than its entitlement less its more urgent work.
-fn loads_before_others(
-    loads: &LoadMap<'_>,
-    key: (&str, u32),
-    beyond: &BeyondShares<'_>,
-) -> Vec<Load> {
+fn loads_before_others(loads: &LoadMap<'_>, key: (&str, u32), beyond: &BeyondShares) -> Vec<Load> {
     let mut before = Vec::new();
     // The load at this priority and the processors for more urgent work.
     let mut by_workspace: BTreeMap<Option<WorkspaceKey>, (Load, f64)> = BTreeMap::new();
@@ -273,10 +279,16 @@
 fn priority_waits(
     (loads, own_loads): (&LoadMap<'_>, &LoadMap<'_>),
     key: (&str, u32),
-    beyond: &BeyondShares<'_>,
+    beyond: &BeyondShares,
     millicores: f64,
 ) -> PriorityWaits {
-    let general = expected_wait(loads_before_others(loads, key, beyond), millicores);
+    // Runs alone may take up more than the usable workers have, for instance on workers that accept
+    // no work any more.  Jobs do not pile up behind them.
+    let mut before = loads.range((key.0, 0)..=key);
+    let general = match before.any(|(_, loads)| loads.has_waiting) {
+        true => expected_wait(loads_before_others(loads, key, beyond), millicores),
+        false => 0,
+    };
     let mut own: BTreeMap<Option<WorkspaceKey>, Vec<Load>> = BTreeMap::new();
     for (_, workspace, load) in loads_before(own_loads, key) {
         if beyond[&workspace].priority <= key.1 {
@@ -322,7 +334,11 @@
         }
         let usable = self.usable_by_service(now);
         let beyond = self.shares.beyond_workspaces.iter();
-        let beyond: BeyondShares<'_> = beyond.map(|other| (other.workspace, other)).collect();
+        let beyond = beyond.filter_map(|(&workspace, beyond)| {
+            let (priority, entitled) = (beyond.waiting_priority?, beyond.entitled);
+            Some((workspace, Beyond { priority, entitled }))
+        });
+        let beyond: BeyondShares = beyond.collect();
         let (loads, own_loads) = self.loads(&usable, &beyond);
         let mut by_priority: BTreeMap<(&str, u32), PriorityWaits> = BTreeMap::new();
         let mut waits = Vec::new();
@@ -397,10 +413,11 @@
     fn loads(
         &self,
         usable: &BTreeMap<&str, Usable>,
-        beyond: &BeyondShares<'_>,
+        beyond: &BeyondShares,
     ) -> (LoadMap<'_>, LoadMap<'_>) {
         let mut running: SecondaryMap<JobKey, f64> = SecondaryMap::new();
         let mut by_job: SecondaryMap<JobKey, Load> = SecondaryMap::new();
+        let mut waiting_jobs: SecondaryMap<JobKey, ()> = SecondaryMap::new();
         let mut endless: SecondaryMap<JobKey, Load> = SecondaryMap::new();
         let by_step = self.step_runs();
         let size_of = |key: StepKey| {
@@ -428,6 +445,7 @@
             if waiting == 0 || !self.jobs[step.job].queue_configured {
                 continue;
             }
+            waiting_jobs.insert(step.job, ());
             let spec = step.step();
             let millicores = size_of(key) * f64::from(waiting);
             // Later steps of a job go before a new job as well, but not beside its earlier steps.
@@ -454,6 +472,11 @@
                 self.add_to(&mut own_loads, key, load);
             }
         }
+        for key in waiting_jobs.keys() {
+            let job = &self.jobs[key];
+            let of_priority = (job.queue.service.as_str(), job.decision.priority);
+            loads.entry(of_priority).or_default().has_waiting = true;
+        }
         (loads, own_loads)
     }
 
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -49,7 +49,7 @@
                 continue;
             };
             if step.beyond_share {
-                self.note_waiting_beyond_share(tasks);
+                self.note_waiting_beyond_share(&step, tasks);
                 if reason == WaitReason::NoRoom {
                     reason = WaitReason::Share;
                 }
--- a/src/cell/shares.rs
+++ b/src/cell/shares.rs
@@ -12,6 +12,8 @@
 //! above it would be taken from the time that callers of the other workspaces are granted.
 //! The rules are described in `docs/design/contended-cells.md`, "Part 2: shares".
 
+use std::collections::BTreeMap;
+
 use slotmap::SecondaryMap;
 
 use crate::cell::spec::Demand;
@@ -336,14 +338,13 @@
     division: Division,
 }
 
-/// A workspace, or all jobs without one, with waiting steps beyond its share.
+/// What a round decided about a workspace, or about all jobs without one, with steps beyond its
+/// share.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct BeyondShare {
-    /// The workspace; none for the jobs without one.
-    pub(super) workspace: Option<WorkspaceKey>,
-    /// The priority number of its first step beyond its share.  All of its steps of a greater one
-    /// are beyond its share too.
-    pub(super) priority: u32,
+    /// The priority number of its first step beyond its share that still waits after the round; none
+    /// if all of them found capacity.  All of its steps of a greater one are beyond its share too.
+    pub(super) waiting_priority: Option<u32>,
     /// The processors to which it is entitled, in millicores.
     pub(super) entitled: f64,
 }
@@ -354,8 +355,8 @@
     pub(super) contention: Contention,
     /// The waiting steps beyond the share of their workspace, in the order of the round.
     pub(super) beyond: Vec<StepKey>,
-    /// The workspaces of these steps.
-    pub(super) beyond_workspaces: Vec<BeyondShare>,
+    /// The workspaces of these steps; none stands for the jobs without one.
+    pub(super) beyond_workspaces: BTreeMap<Option<WorkspaceKey>, BeyondShare>,
     /// When the present contention began and was last seen; none while there is none.  A pause of
     /// less than [`tuning::CONTENTION_END_DELAY`] does not end it.
     since: Option<(Millis, Millis)>,
@@ -390,7 +391,6 @@
             division,
         }) = shares
         {
-            let mut is_listed = vec![false; claimants.len()];
             for (index, step) in order.iter_mut().enumerate() {
                 step.beyond_share = division.marks[index];
                 if !step.beyond_share {
@@ -398,13 +398,12 @@
                 }
                 self.shares.beyond.push(step.key);
                 let claimant = waiting[index].claimant;
-                if !std::mem::replace(&mut is_listed[claimant], true) {
-                    self.shares.beyond_workspaces.push(BeyondShare {
-                        workspace: claimants[claimant],
-                        priority: step.priority,
-                        entitled: division.entitled[claimant],
-                    });
-                }
+                let workspace = BeyondShare {
+                    waiting_priority: None,
+                    entitled: division.entitled[claimant],
+                };
+                let workspaces = &mut self.shares.beyond_workspaces;
+                workspaces.insert(claimants[claimant], workspace);
             }
         }
         self.note_contention(contended, now);
@@ -414,9 +413,13 @@
         }
     }
 
-    /// Counts tasks that still wait after the round and are beyond the share of their workspace.
-    pub(super) fn note_waiting_beyond_share(&mut self, tasks: usize) {
+    /// Notes tasks of a step beyond the share of its workspace that still wait after the round.
+    pub(super) fn note_waiting_beyond_share(&mut self, step: &OrderedStep, tasks: usize) {
         self.shares.contention.beyond_share += tasks as u32;
+        let workspace = self.jobs[self.steps[step.key].job].workspace;
+        if let Some(beyond) = self.shares.beyond_workspaces.get_mut(&workspace) {
+            beyond.waiting_priority.get_or_insert(step.priority);
+        }
     }
 
     /// Divides the capacity among the workspaces whose steps wait in this order; `None` if it is
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -162,7 +162,7 @@
     print_log();
     let first = number("CROSSWEIR_SEED", FIRST_SEED);
     let runs = number("CROSSWEIR_RUNS", RUNS);
-    let (mut beyond_share, mut longest_wait) = (0, 0);
+    let (mut beyond_share, mut longest_wait, mut own_waits) = (0, 0, 0);
     for seed in first..first + runs {
         for has_crashing_tasks in [false, true] {
             println!("seed {seed}, crashing tasks: {has_crashing_tasks}");
@@ -177,12 +177,14 @@
             let (beyond, longest) = world.share_figures();
             beyond_share += beyond;
             longest_wait = longest_wait.max(longest);
+            own_waits += world.own_expected_waits();
         }
     }
     println!("steps beyond their share: {beyond_share}, longest wait within: {longest_wait} ms");
+    println!("expected waits of workspaces: {own_waits}");
     // Some single seeds have none.
     assert!(
-        beyond_share > 0 || runs < RUNS,
+        beyond_share > 0 && own_waits > 0 || runs < RUNS,
         "no world has contended capacity"
     );
 }
--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -133,6 +133,19 @@
     assert_eq!(wait_of(&bench, "q"), Some(300_000));
 }
 
+#[test]
+fn runs_alone_make_no_job_wait() {
+    // Tasks count with the processors that stay idle beside them, so these runs count for 36 of 32
+    // cores although all of them have found room.
+    let q = queue("q", 0);
+    let mut bench = Bench::new(2, std::slice::from_ref(&q));
+    bench.accept(&job(1, &q, vec![step(6, 4_500)]));
+    assert_eq!(bench.start_all().len(), 6);
+    bench.accept(&job(2, &q, vec![step(4, 1_000)]));
+    assert_eq!(bench.start_all().len(), 4);
+    assert_eq!(wait_of(&bench, "q"), Some(0));
+}
+
 #[test]
 fn a_step_that_no_worker_can_hold_makes_no_job_wait() {
     let q = queue("q", 0);
--- a/tests/random_world/checks.rs
+++ b/tests/random_world/checks.rs
@@ -1,11 +1,12 @@
 //! Invariants, checked on what the workers ran.
 
 use super::{
-    ATTEMPTS, MAX_MESSAGE_DELAY, MAX_WAIT_WITHIN_SHARE, MOST_CRASHES, World, held_by,
-    worker_with_gpus,
+    ATTEMPTS, MAX_MESSAGE_DELAY, MAX_WAIT_WITHIN_SHARE, MOST_CRASHES, SHARE_CHECK_INTERVAL, World,
+    held_by, worker_with_gpus,
 };
 use crate::halls::MAX_NOTICE_DELAY;
 use crate::lives::WorkerLife;
+use crossweir::cell::expected_wait::NO_WORKSPACE;
 use crossweir::cell::job::JobState;
 use crossweir::cell::name::{StepName, TaskName};
 use crossweir::cell::order::{EndEntry, EndKind, PollOrder, StartOrder};
@@ -14,7 +15,7 @@
 use crossweir::clock::Millis;
 use crossweir::embedded::worker::RunRecord;
 use crossweir::workspace::Workspace;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl World {
     /// Nothing is started in a hall that was evacuated more than [`MAX_NOTICE_DELAY`] ago: by then
@@ -102,6 +103,59 @@
         }
     }
 
+    /// The owner expects new jobs to wait only while tasks wait, and tells a wait of its own only of
+    /// a workspace with waiting tasks that wants more than its share.
+    ///
+    /// Called after a round, before anything that it decided is answered.
+    pub(super) fn check_expected_waits(&mut self) {
+        if self.caps.is_empty() || !self.now.is_multiple_of(SHARE_CHECK_INTERVAL) {
+            return;
+        }
+        let cell = &self.owner.cell;
+        let waits = cell.expected_waits(self.now);
+        if waits
+            .iter()
+            .all(|entry| entry.wait == 0 && entry.workspace.is_empty())
+        {
+            return;
+        }
+        // The workspaces with tasks that wait.
+        let mut waiting = BTreeSet::new();
+        for row in self.rows.values() {
+            let workspace = row.workspace.as_ref().map(|w| w.name.as_str());
+            let view = cell.view(row.id, self.now);
+            let mut steps = view.iter().flat_map(|view| &view.steps);
+            if steps.any(|step| step.waits_for.is_some()) {
+                waiting.insert(workspace.unwrap_or(NO_WORKSPACE));
+            }
+        }
+        for entry in &waits {
+            assert!(
+                entry.wait == 0 || !waiting.is_empty(),
+                "{entry:?} at {} while nothing waits",
+                self.now
+            );
+            if !entry.workspace.is_empty() {
+                assert!(
+                    cell.contention().contended && cell.contention().beyond_share > 0,
+                    "{entry:?} at {} without contention",
+                    self.now
+                );
+                assert!(
+                    waiting.contains(entry.workspace.as_str()),
+                    "{entry:?} at {} while no task of the workspace waits",
+                    self.now
+                );
+                self.own_expected_waits += 1;
+            }
+        }
+    }
+
+    /// How often a workspace had an expected wait of its own.
+    pub fn own_expected_waits(&self) -> usize {
+        self.own_expected_waits
+    }
+
     /// How often a step was beyond the share of its workspace, and the longest time for which one
     /// within it found no room.
     pub fn share_figures(&self) -> (usize, Millis) {
--- a/tests/random_world/mod.rs
+++ b/tests/random_world/mod.rs
@@ -237,6 +237,8 @@
     /// The longest such time, and how often a step was beyond the share of its workspace.
     longest_wait_within_share: Millis,
     steps_beyond_share: usize,
+    /// How often a workspace beyond its share had an expected wait of its own.
+    own_expected_waits: usize,
     /// Evacuates halls and takes them back; `None` if nobody does.
     operator: Option<Operator>,
     /// How many idle workers stay awake; `None` if all do.
@@ -307,6 +309,7 @@
             caps: Vec::new(),
             waits_within_share: BTreeMap::new(),
             longest_wait_within_share: 0,
+            own_expected_waits: 0,
             steps_beyond_share: 0,
             operator: None,
             idle_reserve: None,
@@ -623,6 +626,7 @@
             self.poll_workers();
             self.deliver();
             self.run_scheduling_round();
+            self.check_expected_waits();
             self.deliver();
         }
         self.record();
