Speed of workers: learned from runs, used for placement, questions, forecasts and slow runs

Cause: in a cell where a third of the workers takes twice as long, the scheduler places urgent tasks on slow workers although fast ones are free (docs/design/contended-cells.md, part 1).

Change: cell::speed learns a slowdown for each worker and class from the times of runs that succeeded. With [scheduling] worker_speed, steps that could be late on a slow worker prefer fast ones; forecasts, reservations and the detection of slow runs use the expected time on the worker. Slowdowns are kept in a table that is computed at most every 100 ms.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -16,6 +16,7 @@
 use crate::cell::job::Ticket;
 use crate::cell::order::{AdviceOrder, Order};
 use crate::cell::round::Round;
+use crate::cell::speed::SpeedPreference;
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 use crate::queue::AdviceTiming;
@@ -144,7 +145,8 @@
 
     /// Chooses the workers to name in a question, and returns whether they are expected to be
     /// enough. Approved workers whose tickets have run out come first, then those not asked about
-    /// yet; among each, those with the most room come first.
+    /// yet; among each, those with the most room come first.  For a step that prefers fast workers, these
+    /// come first among those with room that were not asked about.
     ///
     /// Whether a worker may run a step never changes, so the first question also names workers that
     /// have no room yet: a step that waits for room then knows where to reserve it.
@@ -162,10 +164,19 @@
             now + timing.duration(tuning::MAX_ADVICE_WORKERS) + tuning::ADVICE_LOOKAHEAD;
         let mut candidates = self.advice_candidates(key, needed, round);
         candidates.retain(|candidate| !candidate.approved || candidate.free_at <= answer_by);
+        let preference = self.speed_preference(key, round);
         candidates.sort_unstable_by_key(|candidate| {
             let less_room = u32::MAX - candidate.fit;
+            let speed = match preference {
+                SpeedPreference::Fast if !candidate.approved && candidate.fit > 0 => {
+                    self.speed_rank(preference, candidate.worker)
+                }
+                _ => 0,
+            };
             (
                 !candidate.approved,
+                candidate.fit == 0,
+                speed,
                 less_room,
                 candidate.free_at,
                 candidate.worker,
--- a/src/cell/candidates.rs
+++ b/src/cell/candidates.rs
@@ -2,6 +2,7 @@
 
 use crate::cell::job::StepRun;
 use crate::cell::round::Round;
+use crate::cell::speed::SpeedPreference;
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 
 /// A worker on which a task of a step can start now.
@@ -10,7 +11,21 @@
     /// How many tasks of the step can start there.
     pub(super) fit: u32,
     /// Lower is better.
-    score: u64,
+    score: Score,
+}
+
+/// How well a worker suits a step; lower is better, and earlier fields go before later ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Score {
+    /// The platform does not list the worker.  It may be leaving without notice, or its entry may
+    /// come back.
+    is_unlisted: bool,
+    /// The worker is not in the rack where the data lies.
+    is_elsewhere: bool,
+    /// By the step's speed preference.
+    speed: i32,
+    /// By the room that would be left.
+    room: u64,
 }
 
 impl Cell {
@@ -93,35 +108,31 @@
         (fit > 0).then(|| PlacementCandidate {
             worker: worker_key,
             fit,
-            score: self.score(step, worker_key),
+            score: self.score(step, worker_key, self.speed_preference(key, round)),
         })
     }
 
     /// The score of a worker for a step; lower is better.  The tightest fit goes first, except that
-    /// lasting tasks, fillers and jobs that the policy spreads go to the emptiest worker.  The rack
-    /// where the data lies goes before others, and workers that the platform does not list go last.
-    fn score(&self, step: &StepRun, key: WorkerKey) -> u64 {
+    /// lasting tasks, fillers and jobs that the policy spreads go to the emptiest worker.  Before
+    /// that goes the speed that the step prefers, and before this the rack where the data lies.
+    /// Workers that the platform does not list go last.
+    fn score(&self, step: &StepRun, key: WorkerKey, preference: SpeedPreference) -> Score {
         let spec = step.step();
         let worker = &self.workers[key];
         let free = worker.free();
-        let rack_penalty = match &spec.near {
-            Some(rack) if worker.entry.rack.as_ref() != Some(rack) => 1_000_000_000,
-            _ => 0,
-        };
-        // It may be leaving without notice, or its entry may come back.
-        let unlisted_penalty = match worker.unlisted_since {
-            Some(_) => 10_000_000_000,
-            None => 0,
-        };
         let spread = spec.lasting || spec.filler || self.jobs[step.job].decision.spread;
         let left = free.millicores.saturating_sub(spec.room().millicores);
-        unlisted_penalty
-            + rack_penalty
-            + if spread {
+        let near = spec.near.as_ref();
+        Score {
+            is_unlisted: worker.unlisted_since.is_some(),
+            is_elsewhere: near.is_some_and(|rack| worker.entry.rack.as_ref() != Some(rack)),
+            speed: self.speed_rank(preference, key),
+            room: if spread {
                 100_000_000 - left.min(100_000_000)
             } else {
                 left
-            }
+            },
+        }
     }
 
     /// Updates the candidates of a step after one of its tasks was placed on `worker`.  A start
--- a/src/cell/forecast.rs
+++ b/src/cell/forecast.rs
@@ -42,7 +42,8 @@
         if spec.lasting {
             return None;
         }
-        Some(now.saturating_add(run.remaining(spec.estimate)))
+        let duration = self.expected_duration(run.step, run.worker);
+        Some(now.saturating_add(run.remaining(duration)))
     }
 
     fn run_room(&self, key: RunKey) -> Demand {
--- a/src/cell/gang.rs
+++ b/src/cell/gang.rs
@@ -44,7 +44,7 @@
             };
             started.extend(self.start(key, index as u32, placement, round));
         }
-        self.log_starts(key, &started, round.now);
+        self.log_starts(key, &started, round);
         None
     }
 
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -226,6 +226,7 @@
                 ready: step.after.is_empty(),
                 advice: Advice::default(),
                 next_wake: 0,
+                run_times: Vec::new(),
             });
             keys.push(step_key);
             self.open_steps.push(step_key);
--- a/src/cell/membership.rs
+++ b/src/cell/membership.rs
@@ -98,6 +98,7 @@
         worker.leaving_since = worker.entry.leaving.map(|_| now);
         worker.set_former_lives(self.former_lives.swap_remove(&id).unwrap_or_default(), now);
         let key = self.workers.insert(worker);
+        self.speeds.worker_added();
         self.worker_ids.insert(id, key);
     }
 
@@ -203,6 +204,7 @@
             next.lease_end = now + FormerLives::RELEVANT_FOR;
         }
         let next_key = self.workers.insert(next);
+        self.speeds.worker_added();
         for run in listed {
             self.move_run(run, next_key);
         }
@@ -325,6 +327,7 @@
             self.keep_ended_life(key);
         }
         let worker = self.workers.remove(key)?;
+        self.speeds.forget(key);
         if worker.parked {
             self.remove_parked(key);
         }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -40,6 +40,7 @@
 pub mod sequence;
 pub mod shares;
 pub mod spec;
+pub mod speed;
 mod start;
 mod trial;
 pub mod tuning;
@@ -63,6 +64,7 @@
 use crate::cell::sequence::Sequence;
 use crate::cell::shares::SharesState;
 use crate::cell::spec::{Demand, JobId};
+use crate::cell::speed::Speeds;
 use crate::cell::wait::Waiting;
 use crate::cell::worker::{NextForget, Worker};
 use crate::clock::Millis;
@@ -226,6 +228,8 @@
     lanes: Vec<advice::Lane>,
     /// How far callers' estimates of run times are off, by the queue's name.
     estimate_errors: BTreeMap<String, progress::EstimateError>,
+    /// How fast workers are, learned from their runs.
+    speeds: Speeds,
     /// The share of workers that the advice service approves for a step, learned by queue.
     approved_share: BTreeMap<String, f64>,
     /// The Unix time in milliseconds; none until it has been passed in.
@@ -303,6 +307,7 @@
             open_steps: Vec::new(),
             lanes: Vec::new(),
             estimate_errors: BTreeMap::new(),
+            speeds: Speeds::default(),
             approved_share: BTreeMap::new(),
             unix_time: None,
             awaits_worker_list: false,
@@ -484,6 +489,9 @@
     /// Switches optional parts of scheduling on or off.
     pub fn set_options(&mut self, options: Options) {
         self.options = options;
+        if !options.worker_speed {
+            self.speeds = Speeds::default();
+        }
     }
 
     /// Applies a newer policy, also to jobs that wait.
--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -88,7 +88,8 @@
         let Some(expected) = self.expected_rate(key) else {
             return;
         };
-        if rate >= expected * tuning::SLOW_RATE_SHARE {
+        let expected_here = expected / self.slowdown(run.worker);
+        if rate >= expected_here * tuning::SLOW_RATE_SHARE {
             return;
         }
         let here = run.remaining(spec.estimate);
@@ -106,7 +107,7 @@
             worker = self.workers[worker].entry.life.id,
             percent = run.progress.last.0,
             rate,
-            expected,
+            expected = expected_here,
             "run is slow"
         );
         self.runs[key].progress.slow = true;
@@ -119,8 +120,8 @@
         }
     }
 
-    /// Returns the rate that a run should have: the median of the same step's runs on other
-    /// workers, else the rate by the worst estimate error of the queue; none if there is nothing to
+    /// Returns the rate that a run should have on a typical worker: the median of the same step's
+    /// runs on other workers, corrected for their speed, else the rate by the worst estimate error of the queue; none if there is nothing to
     /// compare with.
     fn expected_rate(&self, key: RunKey) -> Option<f64> {
         let run = &self.runs[key];
@@ -131,7 +132,7 @@
             .flat_map(|task| &task.runs)
             .map(|&other| &self.runs[other])
             .filter(|other| other.worker != run.worker)
-            .filter_map(|other| other.progress.rate());
+            .filter_map(|other| Some(other.progress.rate()? * self.slowdown(other.worker)));
         // The median and not the fastest, since tasks of one step differ by more than workers do.
         let elsewhere = median(elsewhere.collect());
         if elsewhere > 0.0 {
@@ -151,7 +152,8 @@
         if run.restored || run.began_at == 0 || estimate == 0 || step.step().gang {
             return;
         }
-        let took = now.saturating_sub(run.began_at) as f64 / estimate as f64;
+        let expected = estimate as f64 * self.slowdown(run.worker);
+        let took = now.saturating_sub(run.began_at) as f64 / expected;
         let queue = self.jobs[step.job].queue.name.clone();
         let error = self.estimate_errors.entry(queue).or_default();
         error.samples += 1;
@@ -197,7 +199,7 @@
         }
         spec.lasting
             || run
-                .remaining(spec.estimate)
+                .remaining(self.expected_duration(run.step, run.worker))
                 .saturating_add(tuning::LEAVE_MARGIN)
                 > left
     }
--- a/src/cell/reservation.rs
+++ b/src/cell/reservation.rs
@@ -113,7 +113,7 @@
         let Some(&reservation) = round.reservations.get(worker) else {
             return fit;
         };
-        let end = round.now + spec.estimate;
+        let end = round.now + self.expected_time(spec.estimate, worker);
         if !spec.lasting && end <= reservation.at {
             return fit;
         }
--- a/src/cell/round.rs
+++ b/src/cell/round.rs
@@ -7,8 +7,9 @@
 use slotmap::SecondaryMap;
 
 use crate::cell::spec::Demand;
+use crate::cell::speed::SpeedPreference;
 use crate::cell::wait::{WaitReason, Waiting};
-use crate::cell::{WorkerKey, tuning};
+use crate::cell::{StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
 /// The free room of one worker, now and as its runs are expected to end.
@@ -75,6 +76,8 @@
     pub(super) waiting: Waiting,
     /// By service, the workers that will take work, in the order of their keys.
     pub(super) usable_workers: BTreeMap<String, Rc<[WorkerKey]>>,
+    /// Which workers steps prefer, for the steps of which that was needed in this round.
+    pub(super) speed_preferences: SecondaryMap<StepKey, SpeedPreference>,
     /// How many steps have searched for workers to ask the advice service about.
     advice_searches: usize,
 }
@@ -90,6 +93,7 @@
             candidates_examined: 0,
             waiting: Waiting::new(),
             usable_workers: BTreeMap::new(),
+            speed_preferences: SecondaryMap::new(),
             advice_searches: 0,
         }
     }
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -299,6 +299,7 @@
         match end.how {
             EndKind::Done => {
                 self.learn_estimate_error(&run, now);
+                self.learn_speed(&run, now);
                 self.task_done(run.step, run.index, end.number, now);
             }
             EndKind::Failed => self.task_failed(run.step, run.index, end.number, run.worker, now),
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -14,6 +14,7 @@
     /// about steps that lack tickets.
     pub fn schedule(&mut self, now: Millis) {
         self.update_unknown_usage(now);
+        self.update_speeds(now);
         // A task whose planned start is dropped here waits again, so this comes before waiting
         // tasks are collected.
         self.send_planned_starts(now);
@@ -112,7 +113,7 @@
             self.refresh_candidate(&mut candidates, key, worker, round);
             left -= 1;
         }
-        self.log_starts(key, &started, round.now);
+        self.log_starts(key, &started, round);
         if left == 0 {
             return None;
         }
--- a/src/cell/start.rs
+++ b/src/cell/start.rs
@@ -24,6 +24,8 @@
     worker: WorkerKey,
     free_millicores: u64,
     heard_ms_ago: Millis,
+    /// The slowdown of the worker.
+    slowdown: f64,
     /// The start is recorded before it is sent.
     is_planned: bool,
 }
@@ -84,6 +86,7 @@
             worker: worker_key,
             free_millicores: worker.free().millicores,
             heard_ms_ago: now.saturating_sub(worker.last_heard),
+            slowdown: self.slowdown(worker_key),
             is_planned,
         })
     }
@@ -124,7 +127,11 @@
 
     /// Logs all starts of a step in one line.  With one line for each start, a busy owner wrote 90
     /// KB of log a second, and entries older than two seconds were lost.
-    pub(super) fn log_starts(&self, key: StepKey, started: &[OrderedStart], now: Millis) {
+    ///
+    /// `speed` tells which workers the step prefers, and each start on a worker outside the dead
+    /// band its slowdown: a step that prefers fast workers runs on slow ones only if no fast one
+    /// with room is known to be permitted.
+    pub(super) fn log_starts(&self, key: StepKey, started: &[OrderedStart], round: &Round) {
         if started.is_empty() {
             return;
         }
@@ -138,8 +145,12 @@
             } else {
                 ""
             };
+            let speed = match start.slowdown {
+                1.0 => String::new(),
+                slowdown => format!(" slowdown {slowdown:.2}"),
+            };
             format!(
-                "{}:{}@{worker} {free} {heard}{first}",
+                "{}:{}@{worker} {free} {heard}{speed}{first}",
                 start.index, start.run
             )
         });
@@ -148,7 +159,8 @@
             request = %job.id,
             step = %step.name,
             predates = job.predates_ownership,
-            known_ms = now.saturating_sub(job.accepted_at),
+            known_ms = round.now.saturating_sub(job.accepted_at),
+            speed = self.speed_preference_text(key, round),
             starts = texts.join(", "),
             "starts ordered"
         );
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -125,6 +125,45 @@
 /// The factor by which the worst estimate error decays with each run, so that one sick worker is
 /// forgotten after some hundred runs.
 pub const ESTIMATE_ERROR_DECAY: f64 = 0.995;
+/// A run's time is taken as at most this many times its estimate and at least the reciprocal, so
+/// that a single run with a useless estimate does not decide how fast its worker is.
+pub const MAX_RUN_TIME_RATIO: f64 = 8.0;
+/// Runs are compared with one another if at least this many have ended, else with those of their
+/// queue.  The mean of three scatters by about a third.
+pub const MIN_COMPARED_RUNS: usize = 3;
+/// The runs of a step are compared once this many have ended, if not all of its tasks are done
+/// before.  The first ones to end are the shorter ones, so comparing fewer makes workers look more
+/// alike: a slowdown of 2.0 was learned as 1.5 when each run was compared with those before it.
+pub const MAX_COMPARED_RUNS: usize = 32;
+/// The speed of a worker is a mean over about this many of its runs: a worker that becomes slow is
+/// recognized after some ten.
+pub const WORKER_SPEED_RUNS: u32 = 32;
+/// The speed of a class, and the usual run times of a queue, are means over about this many runs.
+/// Run times scatter by a half, and such a mean by 3%.
+pub const CLASS_SPEED_RUNS: u32 = 256;
+/// The speed of a class is used once it has this many runs.  Run times scatter by a half and the
+/// mean of 16 by an eighth, which is half of the dead band.
+pub const MIN_CLASS_RUNS: u32 = 16;
+/// The times of a worker's runs are corrected by its own mean once it has this many runs: that
+/// scatters by a fifth.
+pub const MIN_OWN_RUNS: u32 = 8;
+/// A worker's own speed has the same weight as that of its class after this many runs: their mean
+/// scatters by a fifth, which is less than the dead band.
+pub const CLASS_WEIGHT_RUNS: f64 = 8.0;
+/// A slowdown within this factor of the typical one counts as 1.0.  A job that may take 1.5 times
+/// its critical path tolerates it, and the mean of eight runs scatters by a fifth.
+pub const SPEED_DEAD_BAND: f64 = 1.3;
+/// Where labels do not tell fast workers from slow ones, a step prefers fast workers by the
+/// slowdown that one in this many workers exceeds.  A few sick workers are avoided by other means.
+pub const WORKERS_PER_SLOW_ONE: usize = 10;
+/// Slowdowns within about this factor of each other count as equal for placement.
+pub const EQUAL_SPEEDS: f64 = 1.1;
+/// The time of a task may exceed its expected time by this factor: tasks of one step differ from
+/// their estimate by a half and more.
+pub const TASK_TIME_SPREAD: f64 = 2.0;
+/// The shortest time between two computations of all slowdowns, which go over all workers.  The
+/// means change little within it.
+pub const SPEED_INTERVAL: Millis = 100;
 /// The cost of a new start beyond the work itself: a stop, advice and an order.
 pub const RESTART_COST: Millis = 300;
 /// How long a run that was started from a checkpoint may show no progress: the platform restores
--- a/src/cell/urgency.rs
+++ b/src/cell/urgency.rs
@@ -30,12 +30,26 @@
     /// The latest time at which the rest of a job's critical path must start, so that the job ends
     /// within the time that its queue grants.
     fn latest_start(&self, job: &Job, step: &StepRun, now: Millis) -> Millis {
-        let due = self
-            .deadline_base(job, step.name.time, now)
-            .saturating_add(job.queue.granted_time(job.critical_path));
+        let due = self.due(job, step, now);
         due.saturating_sub(self.remaining_critical_path(job, step.name.time))
     }
 
+    /// When the granted time of a step's job is over.
+    fn due(&self, job: &Job, step: &StepRun, now: Millis) -> Millis {
+        self.deadline_base(job, step.name.time, now)
+            .saturating_add(job.queue.granted_time(job.critical_path))
+    }
+
+    /// The time that is left for a step: until the granted time of its job is over, less the
+    /// critical path of the steps behind it.
+    pub(super) fn step_time_left(&self, key: StepKey, now: Millis) -> Millis {
+        let step = &self.steps[key];
+        let left = self
+            .due(&self.jobs[step.job], step, now)
+            .saturating_sub(now);
+        left.saturating_sub(path_behind(&step.spec, usize::from(step.name.step)))
+    }
+
     /// The time from which a job's granted time counts: when the job was taken in or, if later,
     /// when the occurrence was due.
     fn deadline_base(&self, job: &Job, time: u32, now: Millis) -> Millis {
@@ -73,6 +87,21 @@
     of_task.saturating_mul(u64::from(tasks)) / 1_000
 }
 
+/// The length of the critical path of the steps that come after a step, by its caller's estimates.
+fn path_behind(spec: &JobSpec, step: usize) -> Millis {
+    let mut ends: Vec<Option<Millis>> = vec![None; spec.steps.len()];
+    ends[step] = Some(0);
+    for (index, later) in spec.steps.iter().enumerate().skip(step + 1) {
+        let start = later
+            .after
+            .iter()
+            .filter_map(|&earlier| ends[earlier])
+            .max();
+        ends[index] = start.map(|start| start.saturating_add(later.estimate));
+    }
+    ends.into_iter().flatten().max().unwrap_or_default()
+}
+
 /// The length of a job's critical path by its caller's estimates; steps for which `is_included`
 /// returns false take no time.
 pub fn critical_path(spec: &JobSpec, is_included: impl Fn(usize) -> bool) -> Millis {
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -234,7 +234,7 @@
 
     /// Exports the core's counts as metrics.
     pub fn export_counts(&self, metrics: &crate::metrics::Metrics) {
-        let (counts, (used, capacity), ledger_errors, parked, contention) = {
+        let (counts, (used, capacity), ledger_errors, parked, contention, uneven) = {
             let cell = self.cell();
             let (counts, room) = (cell.counts(), cell.room());
             let parked = cell.count_workers().parked;
@@ -244,12 +244,14 @@
                 cell.ledger_errors(),
                 parked,
                 cell.contention(),
+                cell.count_uneven_workers(),
             )
         };
         metrics.gauge("contended", i64::from(contention.contended));
         metrics.gauge("beyond_share", i64::from(contention.beyond_share));
         metrics.gauge("ledger_errors", ledger_errors as i64);
         metrics.gauge("parked_workers", parked as i64);
+        metrics.gauge("slow_workers", uneven as i64);
         metrics.gauge("workers_age_ms", self.workers_age() as i64);
         metrics.gauge("held_millicores", used.millicores as i64);
         metrics.gauge("millicores", capacity.millicores as i64);
