--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -145,8 +145,8 @@
 
     /// Chooses the workers to name in a question, and returns whether they are expected to be
     /// enough. Approved workers whose tickets have run out come first, then those not asked about
-    /// yet; among each, those with the most room come first.  For a step that prefers fast workers, these
-    /// come first among those with room that were not asked about.
+    /// yet; among each, those with the most room come first.  For a step that prefers fast workers,
+    /// these come first among those with room that were not asked about.
     ///
     /// Whether a worker may run a step never changes, so the first question also names workers that
     /// have no room yet: a step that waits for room then knows where to reserve it.
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -7,6 +7,7 @@
 use crate::cell::order::{EndEntry, EndKind};
 use crate::cell::record::{JobProgress, JobRow};
 use crate::cell::spec::JobId;
+use crate::cell::speed::RunTimes;
 use crate::cell::{Cell, JobKey, StepKey, WorkerKey, urgency};
 use crate::clock::Millis;
 
@@ -226,7 +227,7 @@
                 ready: step.after.is_empty(),
                 advice: Advice::default(),
                 next_wake: 0,
-                run_times: Vec::new(),
+                run_times: RunTimes::default(),
             });
             keys.push(step_key);
             self.open_steps.push(step_key);
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -10,7 +10,7 @@
 use crate::cell::progress::RunProgress;
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{JobId, JobSpec, Step};
-use crate::cell::speed::RunTime;
+use crate::cell::speed::RunTimes;
 use crate::cell::{JobKey, RunKey, StepKey, WorkerKey, WorkspaceKey, tuning};
 use crate::clock::Millis;
 use crate::policy::Decision;
@@ -144,8 +144,8 @@
     pub advice: Advice,
     /// The earliest time at which the step may wake parked workers again.
     pub next_wake: Millis,
-    /// Runs that have succeeded and of which nothing was learned about their workers yet.
-    pub run_times: Vec<RunTime>,
+    /// The times of the runs that have succeeded.
+    pub run_times: RunTimes,
 }
 
 impl StepRun {
--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -121,8 +121,8 @@
     }
 
     /// Returns the rate that a run should have on a typical worker: the median of the same step's
-    /// runs on other workers, corrected for their speed, else the rate by the worst estimate error of the queue; none if there is nothing to
-    /// compare with.
+    /// runs on other workers, corrected for their speed, else the rate by the worst estimate error
+    /// of the queue; none if there is nothing to compare with.
     fn expected_rate(&self, key: RunKey) -> Option<f64> {
         let run = &self.runs[key];
         let step = &self.steps[run.step];
--- a/src/cell/speed.rs
+++ b/src/cell/speed.rs
@@ -63,6 +63,17 @@
     log: f64,
 }
 
+/// The times of the runs of one step.
+#[derive(Debug, Default)]
+pub struct RunTimes {
+    /// Runs that have not been compared yet.
+    waiting: Vec<RunTime>,
+    /// How many runs were compared.
+    compared: usize,
+    /// The sum of their logarithms, corrected for the slowdowns of their workers.
+    sum: f64,
+}
+
 /// Which workers a step prefers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum SpeedPreference {
@@ -195,8 +206,8 @@
 #[derive(Debug, Clone, Default)]
 struct ServiceSpeed {
     classes: BTreeMap<String, ClassSpeed>,
-    /// The slowdown of the slowest class, or of the slowest tenth of the workers if that is more; at
-    /// least 1.0.
+    /// The slowdown of the slowest class, or of the slowest tenth of the workers if that is more;
+    /// at least 1.0.
     slowest: f64,
     /// How many workers are outside the dead band.
     outside: usize,
@@ -233,23 +244,25 @@
         self.changed = true;
     }
 
-    /// Learns from runs of one step, by comparing each with the others, or with those of its queue if
-    /// they are few.
+    /// Learns from the waiting runs of a step, by comparing each with all others of the step that
+    /// have ended, or with those of its queue if they are few.
     ///
     /// The times are corrected for the slowdowns of their workers as known so far.  Where steps run
     /// only on the fast workers, or only on the slow ones, comparing plain times would make the
     /// workers look even again.
-    fn compare(&mut self, times: &[RunTime], queue: &str, workers: &SlotMap<WorkerKey, Worker>) {
-        let typical_times = times.iter().map(|time| {
+    fn compare(&mut self, times: &mut RunTimes, queue: &str, workers: &SlotMap<WorkerKey, Worker>) {
+        let waiting = std::mem::take(&mut times.waiting);
+        let typical_times = waiting.iter().map(|time| {
             let slowdown = self.table.get(time.worker);
             time.log - slowdown.map_or(0.0, |slowdown| slowdown.correction)
         });
         let typical_times: Vec<f64> = typical_times.collect();
-        let sum: f64 = typical_times.iter().sum();
+        times.sum += typical_times.iter().sum::<f64>();
+        times.compared += waiting.len();
         let of_queue = self.queues.get(queue).copied().unwrap_or_default();
-        for (time, typical) in times.iter().zip(&typical_times) {
-            let mean = if times.len() >= tuning::MIN_COMPARED_RUNS {
-                (sum - typical) / (times.len() - 1) as f64
+        for (time, typical) in waiting.iter().zip(&typical_times) {
+            let mean = if times.compared >= tuning::MIN_COMPARED_RUNS {
+                (times.sum - typical) / (times.compared - 1) as f64
             } else if of_queue.count as usize >= tuning::MIN_COMPARED_RUNS {
                 of_queue.value
             } else {
@@ -357,7 +370,8 @@
         slowdown.copied().unwrap_or(Slowdown::TYPICAL)
     }
 
-    /// The slowdown of the slowest class, or tenth of the workers, of a service; none while all its workers count as 1.0.
+    /// The slowdown of the slowest class, or tenth of the workers, of a service; none while all its
+    /// workers count as 1.0.
     fn slowest(&self, service: &str) -> Option<f64> {
         let service = self.services.get(service)?;
         (service.outside > 0).then_some(service.slowest)
@@ -453,8 +467,8 @@
         }
     }
 
-    /// Notes the time of a run that succeeded.  Once the last task of its step is done, or many are,
-    /// learns about the workers from the step's runs.
+    /// Notes the time of a run that succeeded.  Once the last task of its step is done, or many
+    /// are, learns about the workers from the step's runs.
     pub(super) fn learn_speed(&mut self, run: &Run, now: Millis) {
         let step = &mut self.steps[run.step];
         let spec = step.step();
@@ -469,15 +483,15 @@
         if is_comparable && began {
             let ratio = now.saturating_sub(run.began_at) as f64 / estimate as f64;
             let bound = tuning::MAX_RUN_TIME_RATIO;
-            step.run_times.push(RunTime {
+            step.run_times.waiting.push(RunTime {
                 worker: run.worker,
                 log: ratio.clamp(1.0 / bound, bound).ln(),
             });
         }
-        if step.open <= 1 || step.run_times.len() >= tuning::MAX_COMPARED_RUNS {
-            let times = std::mem::take(&mut step.run_times);
+        if step.open <= 1 || step.run_times.waiting.len() >= tuning::MAX_WAITING_RUN_TIMES {
             let queue = &self.jobs[step.job].queue.name;
-            self.speeds.compare(&times, queue, &self.workers);
+            self.speeds
+                .compare(&mut step.run_times, queue, &self.workers);
         }
     }
 
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -131,10 +131,11 @@
 /// Runs are compared with one another if at least this many have ended, else with those of their
 /// queue.  The mean of three scatters by about a third.
 pub const MIN_COMPARED_RUNS: usize = 3;
-/// The runs of a step are compared once this many have ended, if not all of its tasks are done
+/// The runs of a step are compared once this many more have ended, if not all of its tasks are done
 /// before.  The first ones to end are the shorter ones, so comparing fewer makes workers look more
-/// alike: a slowdown of 2.0 was learned as 1.5 when each run was compared with those before it.
-pub const MAX_COMPARED_RUNS: usize = 32;
+/// alike: when each run was compared with those before it, a slowdown of 2.0 was learned as 1.58 to
+/// 1.83, and otherwise as 1.77 to 2.0.
+pub const MAX_WAITING_RUN_TIMES: usize = 32;
 /// The speed of a worker is a mean over about this many of its runs: a worker that becomes slow is
 /// recognized after some ten.
 pub const WORKER_SPEED_RUNS: u32 = 32;
--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -150,8 +150,8 @@
         let scatter = low + 2.0 * self.scatter * self.rng.random::<f64>();
         let worker = start.to.worker;
         let name = start.task.to_string();
-        let is_first = !self.started.iter().any(|(_, task)| *task == name);
-        let is_interrupted = self.interrupts_first_runs && is_first;
+        let is_interrupted =
+            self.interrupts_first_runs && !self.started.iter().any(|(_, task)| *task == name);
         self.started.push((start.to.life.id.clone(), name));
         self.active.push(Active {
             worker,
@@ -263,8 +263,8 @@
     }
 }
 
-/// Workers of which two thirds take 0.75 to 0.98 of the usual time, and one third, the numbers 2, 5,
-/// 8 and so on, twice as long, 1.35 to 2.2.  Their first labels tell this if `classes` is set.
+/// Workers of which two thirds take 0.75 to 0.98 of the usual time, and one third, the numbers 2,
+/// 5, 8 and so on, twice as long, 1.35 to 2.2.  Their first labels tell this if `classes` is set.
 fn uneven_workers(count: usize, classes: bool) -> Vec<(&'static str, f64)> {
     let of = |number: usize| {
         let part = (number % 30) as f64 / 30.0;
@@ -387,6 +387,18 @@
     assert_eq!(site.bench.cell.count_uneven_workers(), 0);
 }
 
+/// Guards against comparing only runs that end together: in a step with many tasks, all runs on the
+/// fast workers end before the first one on a slow worker.
+#[test]
+fn slow_workers_are_found_from_steps_with_many_tasks() {
+    let q = queue("q", 0);
+    let workers = [("a", 1.0), ("a", 1.0), ("a", 2.0)].repeat(30);
+    let mut site = Site::new(speed_on(), &workers, std::slice::from_ref(&q));
+    site.teach(&q, 12);
+
+    assert_eq!(site.bench.cell.count_uneven_workers(), 30);
+}
+
 /// Guards against a successor that acts on too few runs, and against one that takes long to learn.
 #[test]
 fn a_new_owner_knows_the_classes_after_some_tens_of_runs() {
