Candidates of steps with a speed preference are grouped by speed before they are sorted

Cause: with 6,000 workers of equal room, of which every third is slow, sorting the candidates of steps that prefer fast workers doubled the time of a round.

Change: candidates are grouped by speed, and each group is sorted; a step's preference is looked up once and not for each candidate.

--- a/src/cell/candidates.rs
+++ b/src/cell/candidates.rs
@@ -1,5 +1,7 @@
 //! The workers on which a waiting task can start now, best first.
 
+use std::collections::BTreeMap;
+
 use crate::cell::job::StepRun;
 use crate::cell::round::Round;
 use crate::cell::speed::SpeedPreference;
@@ -51,6 +53,7 @@
         let step = &self.steps[key];
         let queue = &self.jobs[step.job].queue;
         let spec = step.step();
+        let preference = self.speed_preference(key, round);
         let mut candidates = Vec::new();
         if queue.advice.is_some() {
             for (&worker, ticket) in &step.advice.tickets {
@@ -60,6 +63,7 @@
                         step,
                         worker,
                         &queue.service,
+                        preference,
                         round,
                     ));
                 }
@@ -71,11 +75,12 @@
                     step,
                     worker,
                     &queue.service,
+                    preference,
                     round,
                 ));
             }
         }
-        candidates.sort_unstable_by_key(|candidate| (candidate.score, candidate.worker));
+        sort(&mut candidates, preference);
         debug_assert!(
             candidates.iter().all(|candidate| candidate.fit > 0),
             "{spec:?}"
@@ -91,6 +96,7 @@
         step: &StepRun,
         worker_key: WorkerKey,
         service: &str,
+        preference: SpeedPreference,
         round: &mut Round,
     ) -> Option<PlacementCandidate> {
         round.candidates_examined += 1;
@@ -108,7 +114,7 @@
         (fit > 0).then(|| PlacementCandidate {
             worker: worker_key,
             fit,
-            score: self.score(step, worker_key, self.speed_preference(key, round)),
+            score: self.score(step, worker_key, preference),
         })
     }
 
@@ -147,7 +153,9 @@
         candidates.retain(|candidate| candidate.worker != worker);
         let step = &self.steps[key];
         let service = &self.jobs[step.job].queue.service;
-        if let Some(candidate) = self.placement_candidate(key, step, worker, service, round) {
+        let preference = self.speed_preference(key, round);
+        let candidate = self.placement_candidate(key, step, worker, service, preference, round);
+        if let Some(candidate) = candidate {
             let order = |other: &PlacementCandidate| (other.score, other.worker);
             let at = candidates.partition_point(|other| order(other) < order(&candidate));
             candidates.insert(at, candidate);
@@ -155,6 +163,34 @@
     }
 }
 
+/// Sorts candidates, the best first.
+///
+/// Workers with equal room, as in a cell that is mostly idle, come in the order of their keys and
+/// need no sorting.  With a preference they are only in order within each speed, so they are
+/// grouped first.
+fn sort(candidates: &mut Vec<PlacementCandidate>, preference: SpeedPreference) {
+    let order = |candidate: &PlacementCandidate| (candidate.score, candidate.worker);
+    if preference == SpeedPreference::None {
+        candidates.sort_unstable_by_key(order);
+        return;
+    }
+    let mut groups: BTreeMap<_, Vec<PlacementCandidate>> = BTreeMap::new();
+    for candidate in candidates.drain(..) {
+        let Score {
+            is_unlisted,
+            is_elsewhere,
+            speed,
+            ..
+        } = candidate.score;
+        let group = groups.entry((is_unlisted, is_elsewhere, speed));
+        group.or_default().push(candidate);
+    }
+    for mut group in groups.into_values() {
+        group.sort_unstable_by_key(order);
+        candidates.append(&mut group);
+    }
+}
+
 /// The best worker; the one to avoid is chosen only if there is no other.
 pub(super) fn best_worker(
     candidates: &[PlacementCandidate],
