Experiments with urgent and batch jobs that need advice

Cause: the second cell of docs/design/contended-cells.md has 400 to 2,300 waiting tasks while 13% of its cores are free, and no experiment showed what the lanes' time is spent on.

--- a/src/bin/crossweir-bench/main.rs
+++ b/src/bin/crossweir-bench/main.rs
@@ -22,6 +22,10 @@
         optional --bad percent: f64
         /// Runs gangs and single tasks that need accelerators and advice, instead of cores alone.
         optional --accelerators
+        /// Runs urgent and batch jobs that need cores and advice, instead of cores alone.
+        optional --advised-cores
+        /// Spends questions to the advice service on steps that can start soon.
+        optional --advice-planning
         /// Turns reservations off: waiting steps reserve no room against less urgent ones.
         optional --no-reserve
         /// Runs each order in which jobs of one queue can be considered, for comparison.
@@ -58,10 +62,12 @@
 
 fn setup(flags: &Bench, workers: usize, load_percent: f64, turn: Turn) -> Setup {
     Setup {
-        kind: match flags.accelerators {
-            true => Kind::Accelerators,
-            false => Kind::Cores,
+        kind: match (flags.accelerators, flags.advised_cores) {
+            (true, _) => Kind::Accelerators,
+            (false, true) => Kind::AdvisedCores,
+            (false, false) => Kind::Cores,
         },
+        advice_planning: flags.advice_planning,
         reserves: !flags.no_reserve,
         turn,
         workers,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -16,6 +16,7 @@
 mod evacuation;
 pub mod expected_wait;
 mod forecast;
+pub mod free_room;
 mod gang;
 pub mod intake;
 pub mod job;
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 //! There is no network and no store: orders are executed at once, and every 20 ms all changes count
 //! as recorded.  `docs/CAPACITY.md` gives figures and commands.
 
+mod advice_use;
 pub mod load;
 mod objective;
 
@@ -15,11 +16,13 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
+use crate::cell::options::Options;
 use crate::cell::order::{AdviceOrder, Order};
 use crate::cell::spec::JobSpec;
 use crate::cell::{Cell, Milestone, WorkerKey};
 use crate::clock::Millis;
 use crate::embedded::worker::MemoryWorker;
+use crate::experiment::advice_use::{AdviceOutcome, AdviceUse};
 use crate::experiment::load::Load;
 use crate::experiment::objective::Objectives;
 use crate::policy::{BuiltIn, Decision, Policy, Turn};
@@ -35,6 +38,8 @@
 const MAX_VALUE: u64 = 60_000_000_000;
 /// The number of lanes to the advice service: the third user's nodes, each of which is one lane.
 const LANES: usize = 9;
+/// The number of lanes of [`Kind::AdvisedCores`].
+const ADVISED_CORES_LANES: usize = 34;
 
 /// The kind of load of an experiment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -43,13 +48,23 @@
     Cores,
     /// Gangs and jobs of independent tasks, all of which need accelerators and advice.
     Accelerators,
+    /// Short urgent jobs and long batch jobs, all of which need advice.
+    AdvisedCores,
 }
 
 impl Kind {
+    fn lanes(self) -> usize {
+        match self {
+            Self::Cores | Self::Accelerators => LANES,
+            Self::AdvisedCores => ADVISED_CORES_LANES,
+        }
+    }
+
     fn load(self) -> Box<dyn Load> {
         match self {
             Self::Cores => Box::new(load::Cores),
             Self::Accelerators => Box::new(load::Accelerators),
+            Self::AdvisedCores => Box::new(load::AdvisedCores),
         }
     }
 }
@@ -61,6 +76,8 @@
     pub kind: Kind,
     /// Waiting steps reserve room against less urgent ones.
     pub reserves: bool,
+    /// Questions are only asked for steps that can start soon.
+    pub advice_planning: bool,
     /// The order in which jobs of one queue are considered.
     pub turn: Turn,
     /// The number of workers.
@@ -89,6 +106,10 @@
     pub urgent_wait_ms: [u64; 3],
     /// The same for the other queue.
     pub batch_wait_ms: [u64; 3],
+    /// The median and the 95th percentile of the same, for each queue.
+    pub median_and_p95_wait_ms: [[u64; 2]; 2],
+    /// How the lanes to the advice service were used, and what capacity stayed free meanwhile.
+    pub advice: AdviceOutcome,
     /// For each queue, the share of jobs that ended within the queue's objective among those that
     /// should have ended by the end of the experiment, in percent.
     pub in_time_percent: [f64; 2],
@@ -128,6 +149,7 @@
     /// Questions to the advice service that are not answered yet, with the time of their answer.
     open_questions: Vec<(Millis, AdviceOrder)>,
     objectives: Objectives,
+    advice_use: AdviceUse,
     rng: StdRng,
     now: Millis,
     /// The number of jobs that have arrived; also the id of the last one.
@@ -170,7 +192,11 @@
             reserves: setup.reserves,
             turn: setup.turn,
         }));
-        cell.set_lanes(&[true; LANES]);
+        cell.set_options(Options {
+            advice_planning: setup.advice_planning,
+            ..Options::default()
+        });
+        cell.set_lanes(&vec![true; setup.kind.lanes()]);
         let entries = (0..setup.workers).map(|number| load.worker(number));
         cell.list_workers(entries.collect(), 1);
         let failing = (setup.workers as f64 * setup.bad_percent / 100.0) as usize;
@@ -189,6 +215,7 @@
             queues,
             open_questions: Vec::new(),
             objectives: Objectives::default(),
+            advice_use: AdviceUse::default(),
             now: TIME_STEP,
             jobs: 0,
             next_arrival: TIME_STEP as f64,
@@ -209,6 +236,14 @@
             let (used, capacity) = self.cell.room();
             self.cores_used
                 .push(100.0 * used.millicores as f64 / capacity.millicores as f64);
+            if self.now.is_multiple_of(advice_use::SAMPLE_INTERVAL) {
+                let (load, objectives) = (&self.load, &self.objectives);
+                let free = self.cell.free_room(self.now, |step, worker| {
+                    let percent = load.approved_percent(objectives.priority(step.job));
+                    load::is_approved(percent, &step.to_string(), worker)
+                });
+                self.advice_use.note_free_room(&free, &capacity);
+            }
         }
     }
 
@@ -244,10 +279,12 @@
             let step = order.name.to_string();
             let priority = self.objectives.priority(order.name.job);
             let ids = order.workers.iter().map(|(_, id)| id);
-            let approved = ids.filter(|id| load::is_approved(priority, &step, id));
+            let percent = self.load.approved_percent(priority);
+            let approved = ids.filter(|id| load::is_approved(percent, &step, id));
             let tickets = approved.map(|id| (id.clone(), String::from("ticket")));
-            self.cell
-                .advice_answered(&order, Some(tickets.collect()), now);
+            let tickets: Vec<(String, String)> = tickets.collect();
+            self.advice_use.note_answer(&order, &tickets);
+            self.cell.advice_answered(&order, Some(tickets), now);
         }
     }
 
@@ -301,6 +338,7 @@
                 let Some(worker) = self.workers.get_mut(&order.to.worker) else {
                     return;
                 };
+                self.advice_use.note_start(&order);
                 let outcome = worker.start(&order, now);
                 self.cell.start_answered(order.run, outcome, Some(now), now);
             }
@@ -341,6 +379,9 @@
             starts: counts.starts,
             urgent_wait_ms: percentiles(urgent),
             batch_wait_ms: percentiles(batch),
+            median_and_p95_wait_ms: [urgent, batch]
+                .map(|h| [0.5, 0.95].map(|q| h.value_at_quantile(q))),
+            advice: self.advice_use.outcome(counts.starts),
             in_time_percent: self.objectives.in_time_percent(self.now),
             cores_used_percent: self.cores_used.iter().sum::<f64>()
                 / self.cores_used.len().max(1) as f64,
--- a/tests/experiment.rs
+++ b/tests/experiment.rs
@@ -8,6 +8,7 @@
     run(&Setup {
         kind: Kind::Cores,
         reserves: true,
+        advice_planning: false,
         turn: Turn::Balanced,
         workers: 8,
         load_percent,
@@ -42,6 +43,7 @@
     let outcome = run(&Setup {
         kind: Kind::Accelerators,
         reserves,
+        advice_planning: false,
         turn: Turn::Balanced,
         workers: 13,
         load_percent: 85.0,
