--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -182,6 +182,10 @@
     /// Returns `None` if it may not, or if its valid tickets are enough.
     ///
     /// While no lane is free nothing is examined, and what was decided last remains.
+    ///
+    /// Only a question whose first claim is not enough is restricted to the workers on which room
+    /// was claimed.  With all questions restricted once foreseen room is counted, they named half as
+    /// many workers, and 65% of the urgent jobs were in time instead of all (350 workers, 115% load).
     fn plan_question(
         &mut self,
         key: StepKey,
