Steps that cannot start for another reason than capacity are not marked beyond a share

Cause: a step that fits on no worker, or whose queue is at its quota, wants nothing of the capacity but was marked once its workspace had its share. crossweir explain told the caller of a step that needs a larger worker to wait or have the weight raised, and crossweir_state{what="beyond_share"} counted it.

Change: a step that wants nothing gets no mark.

--- a/src/cell/shares.rs
+++ b/src/cell/shares.rs
@@ -247,7 +247,8 @@
         let sum = &mut sums[step.claimant];
         let before = dominant(&resource_shares(sum, capacity));
         sum.add(&step.demand);
-        before >= limits[step.claimant]
+        // A step that wants nothing waits for another reason than its share.
+        step.demand != Demand::default() && before >= limits[step.claimant]
     });
     Some(marks.collect())
 }
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -706,6 +706,19 @@
     assert_eq!(by_workspace(&by_job(&bench.start_all())), (8, 8));
 }
 
+/// Guards against an operator who is told to wait for a share, or to raise a weight, when a step needs
+/// a larger worker.
+#[test]
+fn a_step_that_fits_on_no_worker_does_not_wait_for_a_share() {
+    let list = [weighted("a", 1.0), weighted("b", 1.0)];
+    let mut bench = two_waiting(&list, 40, 1);
+    bench.accept(&owned(150, &list[0], vec![step(1, 17_000)]));
+    bench.start_all();
+    assert_eq!(view_step(&bench, 139).reason(), Some(WaitReason::Share));
+    assert_eq!(view_step(&bench, 150).reason(), Some(WaitReason::NoRoom));
+    assert_eq!(bench.cell.contention().beyond_share, 64);
+}
+
 /// Contention that pauses for less than a second goes on; the metrics show each round.
 #[test]
 fn the_metrics_follow_each_round() {
