Tasks above the quota of their queue do not count as wanted capacity

Cause: as long as the quota of a queue had room for one task, all waiting tasks of its steps counted. They used up the share of their workspace, and their backlog alone made capacity contended, though they could not start.

Change: of a queue with a quota, only tasks within the rest of the quota count, and of a gang none if it is above as a whole. Whether a step may start at all is a check of its own, so that steps whose rest of a quota is used up by steps before them keep their mark.

--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -166,14 +166,15 @@
         let Some(quota) = job.decision.quota else {
             return true;
         };
-        let held = self
-            .held_millicores
-            .get(&job.queue.name)
-            .copied()
-            .unwrap_or_default();
+        let held = self.queue_millicores(&job.queue.name);
         held + u64::from(tasks) * step.step().room().millicores <= quota
     }
 
+    /// The processors that the runs of a queue hold, in millicores.
+    pub(super) fn queue_millicores(&self, queue: &str) -> u64 {
+        self.held_millicores.get(queue).copied().unwrap_or_default()
+    }
+
     /// The tasks that may be started: those that neither run nor are done, and those of which a
     /// speculative run should be started.
     pub(super) fn waiting_tasks(&self, key: StepKey, now: Millis) -> impl Iterator<Item = u32> {
--- a/src/cell/shares.rs
+++ b/src/cell/shares.rs
@@ -12,6 +12,8 @@
 //! above it would be taken from the time that callers of the other workspaces are granted.
 //! The rules are described in `docs/design/contended-cells.md`, "Part 2: shares".
 
+use std::collections::BTreeMap;
+
 use slotmap::SecondaryMap;
 
 use crate::cell::spec::Demand;
@@ -247,8 +249,7 @@
         let sum = &mut sums[step.claimant];
         let before = dominant(&resource_shares(sum, capacity));
         sum.add(&step.demand);
-        // A step that wants nothing waits for another reason than its share.
-        step.demand != Demand::default() && before >= limits[step.claimant]
+        before >= limits[step.claimant]
     });
     Some(marks.collect())
 }
@@ -369,27 +370,64 @@
             ..Claimant::default()
         });
         let mut has_waiting = vec![false; claimants.len()];
+        let mut can_start = Vec::with_capacity(order.len());
+        let mut counted_by_queue = BTreeMap::new();
         let waiting = order.iter().map(|ordered| {
             let workspace = self.jobs[self.steps[ordered.key].job].workspace;
             let claimant = workspace.map_or(public, |key: WorkspaceKey| indices[key]);
-            let demand = self.waiting_demand(ordered.key, &largest, now);
+            can_start.push(self.may_start(ordered.key, &largest));
+            let demand = match can_start.last() {
+                Some(true) => self.waiting_demand(ordered.key, now, &mut counted_by_queue),
+                _ => Demand::default(),
+            };
             has_waiting[claimant] |= demand != Demand::default();
             WaitingDemand { claimant, demand }
         });
         let waiting: Vec<WaitingDemand> = waiting.collect();
         claimants[public].weight = mean_weight(&claimants[..public], &has_waiting);
-        mark_beyond_share(&claimants, &waiting, &capacity)
+        let mut marks = mark_beyond_share(&claimants, &waiting, &capacity)?;
+        // A step that cannot start at all waits for another reason than its share.
+        for (mark, can_start) in marks.iter_mut().zip(can_start) {
+            *mark &= can_start;
+        }
+        Some(marks)
     }
 
-    /// What the waiting tasks of a step want together; nothing if they cannot start at present for
-    /// another reason than capacity.  `largest` is the largest amount of each resource on a worker.
-    fn waiting_demand(&self, key: StepKey, largest: &Demand, now: Millis) -> Demand {
-        let room = self.steps[key].step().room();
-        // Tasks that fit on no worker would use up the share of their workspace and never run.
-        if !room.fits(largest) || !self.is_within_quota(key, 1) {
-            return Demand::default();
-        }
-        room.of_tasks(self.waiting_tasks(key, now).count() as u32)
+    /// Returns whether tasks of a step could start if there was room; `largest` is the largest amount
+    /// of each resource on a worker.
+    fn may_start(&self, key: StepKey, largest: &Demand) -> bool {
+        let spec = self.steps[key].step();
+        spec.room().fits(largest) && self.is_within_quota(key, spec.tasks_at_once())
+    }
+
+    /// What the waiting tasks of a step want together.  Tasks above the quota of their queue are left
+    /// out, since they would use up the share of their workspace and could not start.
+    /// `counted_by_queue` holds the millicores that steps before it want of queues with a quota.
+    fn waiting_demand<'a>(
+        &'a self,
+        key: StepKey,
+        now: Millis,
+        counted_by_queue: &mut BTreeMap<&'a str, u64>,
+    ) -> Demand {
+        let step = &self.steps[key];
+        let (spec, job) = (step.step(), &self.jobs[step.job]);
+        let room = spec.room();
+        let waiting = self.waiting_tasks(key, now).count() as u32;
+        let Some(quota) = job.decision.quota else {
+            return room.of_tasks(waiting);
+        };
+        let queue = job.queue.name.as_str();
+        let counted = counted_by_queue.entry(queue).or_default();
+        let left = quota.saturating_sub(self.queue_millicores(queue) + *counted);
+        let within = left.checked_div(room.millicores).unwrap_or(u64::MAX);
+        let tasks = match u32::try_from(within) {
+            Ok(within) if within < waiting && spec.gang => 0,
+            Ok(within) => within.min(waiting),
+            Err(_) => waiting,
+        };
+        let demand = room.of_tasks(tasks);
+        *counted += demand.millicores;
+        demand
     }
 
     /// The capacity of all workers that accept work, and the largest amount of each resource on one
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -7,6 +7,7 @@
 mod cell_core;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cell_core::{
@@ -24,8 +25,10 @@
 use crossweir::clock::Millis;
 use crossweir::node::links::Decoder;
 use crossweir::platform::decode::PlatformDecoder;
+use crossweir::policy::{Program, ProgramPolicy};
 use crossweir::queue::Queue;
 use crossweir::workspace::Workspace;
+use yare::parameterized;
 
 const SHARES: Options = Options {
     worker_speed: false,
@@ -719,6 +722,95 @@
     assert_eq!(bench.cell.contention().beyond_share, 64);
 }
 
+/// A policy that lets the runs of the queue `batch` hold 8 cores at most, at the priority of the
+/// others.
+fn with_quota(bench: &mut Bench) {
+    let source = "if queue == \"batch\" { #{ priority: 0, spread: false, quota_millicores: 8000 } } \
+                  else { #{ priority: 0, spread: false } }";
+    let program = Program::parse_and_test(source).expect("a policy");
+    bench.cell.set_policy(Arc::new(ProgramPolicy(program)));
+}
+
+/// Guards against a workspace whose other work goes last because of tasks that wait for a quota,
+/// including while there is room for some of them within the quota.
+#[parameterized(
+    one_step = { 1, 50 },
+    many_steps = { 50, 1 },
+)]
+fn tasks_above_a_quota_do_not_use_up_a_share(steps: u64, tasks: u32) {
+    let list = [weighted("a", 1.0), weighted("b", 1.0)];
+    let mut bench = bench(4, &list);
+    with_quota(&mut bench);
+    for id in 0..steps {
+        let limited = job(250 + id, &batch(), vec![step(tasks, 4_000)]);
+        bench.accept(&JobRow {
+            workspace: Some(list[1].clone()),
+            ..limited
+        });
+    }
+    // Long enough for the limited steps to go first, although they are more work.
+    bench.pass(60_000);
+    bench.poll_all();
+    for id in 100..140 {
+        bench.accept(&owned(id, &list[0], vec![step(1, 4_000)]));
+    }
+    bench.pass(10);
+    for id in 200..240 {
+        bench.accept(&owned(id, &list[1], vec![step(1, 4_000)]));
+    }
+    // Each is entitled to 8 tasks; the second starts two of them in the limited queue.
+    let starts = by_job(&bench.start_all());
+    let limited: usize = starts.range(250..).map(|(_, count)| *count).sum();
+    assert_eq!((limited, by_workspace(&starts)), (2, (8, 8)));
+}
+
+/// Guards against steps that pass the others because steps before them use up what the quota leaves.
+#[test]
+fn tasks_above_a_quota_stay_behind_if_their_workspace_has_its_share() {
+    let list = [weighted("a", 1.0), weighted("b", 1.0)];
+    let mut bench = bench(4, &list);
+    with_quota(&mut bench);
+    for id in 200..240 {
+        bench.accept(&owned(id, &list[1], vec![step(1, 4_000)]));
+    }
+    assert_eq!(bench.start_all().len(), 16);
+    for id in 250..300 {
+        let limited = job(id, &batch(), vec![step(1, 4_000)]);
+        bench.accept(&JobRow {
+            workspace: Some(list[1].clone()),
+            ..limited
+        });
+    }
+    bench.pass(10);
+    bench.poll_all();
+    for id in 100..140 {
+        bench.accept(&owned(id, &list[0], vec![step(1, 4_000)]));
+    }
+    bench.start_all();
+    let ended = (200..204).map(|id| end_and_decide(&mut bench, id, 1));
+    let started: Vec<u64> = ended.flat_map(BTreeMap::into_keys).collect();
+    assert!(
+        started.len() == 4 && started.iter().all(|id| *id < 200),
+        "{started:?}"
+    );
+}
+
+/// Guards against contention that is only the backlog of a queue with a quota.
+#[test]
+fn tasks_above_a_quota_do_not_make_capacity_contended() {
+    let list = [weighted("a", 1.0), weighted("b", 1.0)];
+    let mut bench = bench(4, &list);
+    with_quota(&mut bench);
+    let limited = job(250, &batch(), vec![step(50, 4_000)]);
+    bench.accept(&JobRow {
+        workspace: Some(list[1].clone()),
+        ..limited
+    });
+    bench.accept(&owned(100, &list[0], vec![step(2, 4_000)]));
+    assert_eq!(bench.start_all().len(), 4);
+    assert!(!bench.cell.contention().contended);
+}
+
 /// Contention that pauses for less than a second goes on; the metrics show each round.
 #[test]
 fn the_metrics_follow_each_round() {
