A test of what shares cost the urgent jobs of a workspace with batch work

Cause: runs of all priorities count against a share, so a workspace whose batch runs hold its share has its urgent jobs behind those of all others. No test showed what that costs.

Change: a test with batch runs of 2 s and an urgent load that the cell can carry. It bounds the waits by the time that callers grant beyond the run.

--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -402,6 +402,29 @@
             let large = if (200..400).contains(&tick) { 84 } else { 12 };
             self.tick(tick, large);
         }
+        self.into_waits()
+    }
+
+    /// Sends the usual urgent load for 12 s, while batch tasks of the large workspace wait all the
+    /// time and its batch runs hold its share.  Leaves out the jobs of the first 4 s, which wait for
+    /// the first batch runs to end whatever the order is.
+    fn play_with_batch_backlog(mut self) -> (Waits, Waits) {
+        for _ in 0..600 {
+            self.submit(Self::LARGE, &batch(), Self::BATCH_RUN_TIME);
+        }
+        for tick in 0..600 {
+            if tick == 200 {
+                self.waits.iter_mut().for_each(Waits::clear);
+                self.unstarted.clear();
+            }
+            self.tick(tick, 12);
+        }
+        self.into_waits()
+    }
+
+    /// The waits of the large workspace and of the others.  Jobs that have not started count with
+    /// the time that they have waited.
+    fn into_waits(mut self) -> (Waits, Waits) {
         for (owner, submitted) in std::mem::take(&mut self.unstarted).into_values() {
             self.waits[owner].push(self.bench.now - submitted);
         }
@@ -434,6 +457,20 @@
     assert!(percentile(&by_share, 100) <= 750);
 }
 
+/// Guards against urgent jobs that are late because batch runs of their workspace hold its share, so
+/// that they go behind the urgent jobs of all others, although there is room for all urgent jobs.
+#[test]
+fn batch_runs_of_a_workspace_do_not_make_its_urgent_jobs_late() {
+    let (large, others) = Burst::new(SHARES).play_with_batch_backlog();
+    for (name, waits) in [("large", &large), ("others", &others)] {
+        let waits_at = [50, 90, 95, 99, 100].map(|percent| percentile(waits, percent));
+        println!("{name}: {} jobs, waits {waits_at:?}", waits.len());
+    }
+    assert!(percentile(&large, 95) <= 250);
+    assert!(percentile(&large, 100) <= 750);
+    assert!(percentile(&others, 100) <= 250);
+}
+
 /// Two workspaces that want more than a cell of 64 cores has; the first has submitted first, in
 /// `count` steps of `tasks` tasks of 4 cores.
 fn two_waiting(list: &[Workspace; 2], count: u64, tasks: u32) -> Bench {
