Only runs that are at least as urgent as a step count against its workspace's share

What callers saw: the urgent jobs of a workspace whose batch tasks held its share went behind those of all other workspaces.

--- a/src/cell/ledger.rs
+++ b/src/cell/ledger.rs
@@ -19,14 +19,18 @@
 use crate::queue::Configuration;
 use crate::workspace::Workspace;
 
+/// Room that runs take on workers, by the priority of their jobs; without entries of nothing.  For
+/// fillers it is less than their demand.
+type HeldRoom = BTreeMap<u32, Demand>;
+
 /// The usage of one workspace.
 #[derive(Debug)]
 struct Account {
     workspace: Workspace,
     /// The demand of all runs that are or may be going on.
     held: Demand,
-    /// The room that these runs take on workers, which for fillers is less than their demand.
-    room: Demand,
+    /// The room that these runs take on workers.
+    room: HeldRoom,
     /// An upper bound on the demand of runs that this owner does not know of.
     unknown: Demand,
 }
@@ -37,7 +41,7 @@
     accounts: SlotMap<WorkspaceKey, Account>,
     keys_by_name: BTreeMap<String, WorkspaceKey>,
     /// The room that runs of jobs without a workspace take.
-    public_room: Demand,
+    public_room: HeldRoom,
 }
 
 impl Ledger {
@@ -49,7 +53,7 @@
         let key = self.accounts.insert(Account {
             workspace: workspace.clone(),
             held: Demand::default(),
-            room: Demand::default(),
+            room: HeldRoom::default(),
             unknown: Demand::default(),
         });
         self.keys_by_name.insert(workspace.name.clone(), key);
@@ -77,17 +81,17 @@
     }
 
     /// The room that the known runs of jobs without a workspace take.
-    pub(super) fn public_room(&self) -> Demand {
-        self.public_room
+    pub(super) fn public_room(&self) -> &HeldRoom {
+        &self.public_room
     }
 
     /// All workspaces that had jobs under this owner, with their weights, the room that their known
     /// runs take, and their caps.
-    pub(super) fn claimants(&self) -> impl Iterator<Item = (WorkspaceKey, Claimant)> {
+    pub(super) fn claimants(&self) -> impl Iterator<Item = (WorkspaceKey, Claimant<'_>)> {
         self.accounts.iter().map(|(key, account)| {
             let claimant = Claimant {
                 weight: account.workspace.weight,
-                held: account.room,
+                held: &account.room,
                 cap: account.workspace.cap,
             };
             (key, claimant)
@@ -95,26 +99,35 @@
     }
 
     /// Charges a run of a step to a workspace, or to the jobs without one.
-    pub(super) fn charge(&mut self, workspace: Option<WorkspaceKey>, spec: &Step) {
-        match workspace {
-            Some(key) => {
-                let account = &mut self.accounts[key];
-                account.held.add(&spec.demand);
-                account.room.add(&spec.room());
-            }
-            None => self.public_room.add(&spec.room()),
+    pub(super) fn charge(&mut self, workspace: Option<WorkspaceKey>, priority: u32, spec: &Step) {
+        if let Some(key) = workspace {
+            self.accounts[key].held.add(&spec.demand);
+        }
+        if spec.room() != Demand::default() {
+            let room = self.room_mut(workspace);
+            room.entry(priority).or_default().add(&spec.room());
         }
     }
 
     /// Releases what a run of a step was charged with.
-    pub(super) fn release(&mut self, workspace: Option<WorkspaceKey>, spec: &Step) {
-        match workspace {
-            Some(key) => {
-                let account = &mut self.accounts[key];
-                account.held = account.held.minus(&spec.demand);
-                account.room = account.room.minus(&spec.room());
+    pub(super) fn release(&mut self, workspace: Option<WorkspaceKey>, priority: u32, spec: &Step) {
+        if let Some(key) = workspace {
+            let account = &mut self.accounts[key];
+            account.held = account.held.minus(&spec.demand);
+        }
+        let room = self.room_mut(workspace);
+        if let Some(held) = room.get_mut(&priority) {
+            *held = held.minus(&spec.room());
+            if *held == Demand::default() {
+                room.remove(&priority);
             }
-            None => self.public_room = self.public_room.minus(&spec.room()),
+        }
+    }
+
+    fn room_mut(&mut self, workspace: Option<WorkspaceKey>) -> &mut HeldRoom {
+        match workspace {
+            Some(key) => &mut self.accounts[key].room,
+            None => &mut self.public_room,
         }
     }
 
@@ -208,28 +221,47 @@
     /// Recounts all runs, and returns for how many workspaces the ledger differs from that count.
     /// Jobs without a workspace count as one more.
     pub fn ledger_errors(&self) -> usize {
-        let mut counted: BTreeMap<WorkspaceKey, (Demand, Demand)> = BTreeMap::new();
-        let mut public_room = Demand::default();
+        let mut counted: BTreeMap<WorkspaceKey, Demand> = BTreeMap::new();
         for run in self.runs.values() {
             let step = &self.steps[run.step];
-            let spec = step.step();
-            match self.jobs[step.job].workspace {
-                Some(key) => {
-                    let (held, room) = counted.entry(key).or_default();
-                    held.add(&spec.demand);
-                    room.add(&spec.room());
-                }
-                None => public_room.add(&spec.room()),
+            if let Some(key) = self.jobs[step.job].workspace {
+                counted.entry(key).or_default().add(&step.step().demand);
             }
         }
+        let rooms = self.count_room();
         let differs = |(key, account): (WorkspaceKey, &Account)| {
-            (account.held, account.room) != counted.get(&key).copied().unwrap_or_default()
+            account.held != counted.get(&key).copied().unwrap_or_default()
+                || account.room != rooms.get(&Some(key)).cloned().unwrap_or_default()
         };
         let accounts = self.ledger.accounts.iter();
         let errors = accounts.filter(|&account| differs(account)).count();
+        let public_room = rooms.get(&None).cloned().unwrap_or_default();
         errors + usize::from(self.ledger.public_room != public_room)
     }
 
+    /// Counts the room that all runs take, by workspace and priority.
+    fn count_room(&self) -> BTreeMap<Option<WorkspaceKey>, HeldRoom> {
+        let mut rooms: BTreeMap<Option<WorkspaceKey>, HeldRoom> = BTreeMap::new();
+        for run in self.runs.values() {
+            let step = &self.steps[run.step];
+            let (job, room) = (&self.jobs[step.job], step.step().room());
+            if room != Demand::default() {
+                let held = rooms.entry(job.workspace).or_default();
+                held.entry(job.decision.priority).or_default().add(&room);
+            }
+        }
+        rooms
+    }
+
+    /// Charges all runs anew after the priorities of their jobs may have changed.
+    pub(super) fn recharge_room(&mut self) {
+        let mut rooms = self.count_room();
+        self.ledger.public_room = rooms.remove(&None).unwrap_or_default();
+        for (key, account) in &mut self.ledger.accounts {
+            account.room = rooms.remove(&Some(key)).unwrap_or_default();
+        }
+    }
+
     /// The workspace of a job, if it has one.
     pub(super) fn workspace_of(&self, job: JobKey) -> Option<&Workspace> {
         let key = self.jobs[job].workspace?;
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -498,6 +498,7 @@
             }
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
+        self.recharge_room();
     }
 
     /// Switches optional parts of scheduling on or off.
@@ -514,6 +515,7 @@
         for job in self.jobs.values_mut() {
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
+        self.recharge_room();
     }
 
     /// Does what is due at `now`: leases run out, stops are repeated, the ownership settles.
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -43,7 +43,8 @@
         let spec = step.step();
         self.workers[worker_key].hold(key, spec, is_trial);
         let job = &self.jobs[step.job];
-        self.ledger.charge(job.workspace, spec);
+        let priority = job.decision.priority;
+        self.ledger.charge(job.workspace, priority, spec);
         let queue = &job.queue.name;
         let millicores = spec.room().millicores;
         match self.held_millicores.get_mut(queue) {
@@ -67,7 +68,8 @@
             worker.release(key, spec, run.trial && !run.proven);
         }
         let job = &self.jobs[step.job];
-        self.ledger.release(job.workspace, spec);
+        let priority = job.decision.priority;
+        self.ledger.release(job.workspace, priority, spec);
         let queue = &job.queue.name;
         if let Some(held) = self.held_millicores.get_mut(queue) {
             *held -= spec.room().millicores;
--- a/src/cell/shares.rs
+++ b/src/cell/shares.rs
@@ -12,7 +12,8 @@
 //! above it would be taken from the time that callers of the other workspaces are granted.
 //! The rules are described in `docs/design/contended-cells.md`, "Part 2: shares".
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, btree_map};
+use std::iter::Peekable;
 
 use slotmap::SecondaryMap;
 
@@ -179,6 +180,8 @@
 /// The waiting tasks of one step, in the order of a round.
 #[derive(Debug, Clone, Copy)]
 pub struct WaitingDemand {
+    /// The priority of the step's job.
+    pub priority: u32,
     /// The index of the claimant to which the step belongs.
     pub claimant: usize,
     /// What its waiting tasks want together.
@@ -186,28 +189,56 @@
 }
 
 /// One workspace, or all jobs without one, as it takes part in the division of the capacity.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Claimant {
+#[derive(Debug, Clone, Copy)]
+pub struct Claimant<'a> {
     /// The weight of the workspace.
     pub weight: f64,
-    /// The room that its runs hold.
-    pub held: Demand,
+    /// The room that its runs hold, by priority.
+    pub held: &'a BTreeMap<u32, Demand>,
     /// The most that it may hold.  Zeros stand for no limit.
     pub cap: Demand,
 }
 
+impl Claimant<'_> {
+    fn all_held(&self) -> Demand {
+        let held = self.held.values();
+        held.fold(Demand::default(), |sum, held| sum.plus(held))
+    }
+}
+
+/// The sum of what one claimant holds and wants, in the order of a round.
+struct RunningSum<'a> {
+    sum: Demand,
+    /// What it holds at priorities that are not in the sum yet.
+    held: Peekable<btree_map::Iter<'a, u32, Demand>>,
+}
+
+impl RunningSum<'_> {
+    /// Adds a step's demand; returns the sum before it.
+    fn add(&mut self, step: &WaitingDemand) -> Demand {
+        while let Some((_, held)) = self.held.next_if(|(held, _)| **held <= step.priority) {
+            self.sum.add(held);
+        }
+        let before = self.sum;
+        self.sum.add(&step.demand);
+        before
+    }
+}
+
 /// Decides which waiting steps are beyond the share of their workspace; returns a mark for each
 /// step, or `None` if capacity is not contended or cannot be divided.
 ///
-/// The demand of each claimant is summed up in the order of `waiting`, from what its runs of all
-/// priorities hold.  The step that crosses its entitlement is still within it.
+/// The demand of each claimant is summed up in the order of `waiting`, at each priority from what
+/// its runs of that priority and of lower numbers hold.  Runs that are less urgent do not count: a
+/// workspace that fills its share with batch work would otherwise wait with its urgent work as long
+/// as one whose urgent work alone is beyond its share.  The step that crosses the entitlement is
+/// still within it.
 pub fn mark_beyond_share(
     claimants: &[Claimant],
     waiting: &[WaitingDemand],
     capacity: &Demand,
 ) -> Option<Vec<bool>> {
-    let held: Vec<Demand> = claimants.iter().map(|claimant| claimant.held).collect();
-    let mut sums = held.clone();
+    let mut sums: Vec<Demand> = claimants.iter().map(Claimant::all_held).collect();
     for step in waiting {
         sums[step.claimant].add(&step.demand);
     }
@@ -244,12 +275,14 @@
         }
     });
     let limits: Vec<f64> = limits.collect();
-    let mut sums = held;
+    let sums = claimants.iter().map(|claimant| RunningSum {
+        sum: Demand::default(),
+        held: claimant.held.iter().peekable(),
+    });
+    let mut sums: Vec<RunningSum> = sums.collect();
     let marks = waiting.iter().map(|step| {
-        let sum = &mut sums[step.claimant];
-        let before = dominant(&resource_shares(sum, capacity));
-        sum.add(&step.demand);
-        before >= limits[step.claimant]
+        let before = sums[step.claimant].add(step);
+        dominant(&resource_shares(&before, capacity)) >= limits[step.claimant]
     });
     Some(marks.collect())
 }
@@ -271,7 +304,7 @@
     if part >= 1.0 {
         return *wanted;
     }
-    let held = &claimant.held;
+    let held = claimant.all_held();
     let reduced = |wanted: u64, held: u64| ((wanted as f64 * part) as u64).max(held);
     Demand {
         millicores: reduced(wanted.millicores, held.millicores),
@@ -366,8 +399,9 @@
         }
         let public = claimants.len();
         claimants.push(Claimant {
+            weight: 0.0,
             held: self.ledger.public_room(),
-            ..Claimant::default()
+            cap: Demand::default(),
         });
         let mut has_waiting = vec![false; claimants.len()];
         let mut can_start = Vec::with_capacity(order.len());
@@ -381,7 +415,11 @@
                 _ => Demand::default(),
             };
             has_waiting[claimant] |= demand != Demand::default();
-            WaitingDemand { claimant, demand }
+            WaitingDemand {
+                priority: ordered.priority,
+                claimant,
+                demand,
+            }
         });
         let waiting: Vec<WaitingDemand> = waiting.collect();
         claimants[public].weight = mean_weight(&claimants[..public], &has_waiting);
@@ -476,8 +514,7 @@
 /// The mean weight of the workspaces that have running or waiting work; 0 if none has.
 fn mean_weight(workspaces: &[Claimant], has_waiting: &[bool]) -> f64 {
     let with_work = workspaces.iter().zip(has_waiting);
-    let with_work =
-        with_work.filter(|(claimant, waits)| **waits || claimant.held != Demand::default());
+    let with_work = with_work.filter(|(claimant, waits)| **waits || !claimant.held.is_empty());
     let weights: Vec<f64> = with_work.map(|(claimant, _)| claimant.weight).collect();
     weights.iter().sum::<f64>() / weights.len().max(1) as f64
 }
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -212,12 +212,18 @@
     waiting: &[(usize, u64)],
     capacity: u64,
 ) -> Option<Vec<bool>> {
-    let claimants = claimants.iter().map(|&(weight, held, cap)| Claimant {
+    let held: Vec<BTreeMap<u32, Demand>> = claimants
+        .iter()
+        .map(|&(_, held, _)| BTreeMap::from_iter((held > 0).then(|| (0, cores(held)))))
+        .collect();
+    let claimants = claimants.iter().zip(&held);
+    let claimants = claimants.map(|(&(weight, _, cap), held)| Claimant {
         weight,
-        held: cores(held),
+        held,
         cap: cores(cap),
     });
     let waiting = waiting.iter().map(|&(claimant, wanted)| WaitingDemand {
+        priority: 0,
         claimant,
         demand: cores(wanted),
     });
@@ -259,6 +265,32 @@
     assert_eq!(marks, Some(expected));
 }
 
+/// Guards against urgent work that waits because less urgent runs fill the share.
+#[test]
+fn less_urgent_runs_do_not_count_against_urgent_work() {
+    let held = [
+        BTreeMap::from([(2, cores(6))]),
+        BTreeMap::from([(0, cores(6))]),
+    ];
+    let claimants: Vec<Claimant> = held
+        .iter()
+        .map(|held| Claimant {
+            weight: 1.0,
+            held,
+            cap: Demand::default(),
+        })
+        .collect();
+    let waiting: Vec<WaitingDemand> = [(0, 0), (0, 1), (2, 0)]
+        .map(|(priority, claimant)| WaitingDemand {
+            priority,
+            claimant,
+            demand: cores(2),
+        })
+        .to_vec();
+    let marks = mark_beyond_share(&claimants, &waiting, &cores(10));
+    assert_eq!(marks, Some(vec![false, true, true]));
+}
+
 /// How long the jobs of one workspace waited for their first start, sorted, in milliseconds.
 type Waits = Vec<Millis>;
 
@@ -921,14 +953,21 @@
 /// Guards against work that grows faster than the waiting steps and workspaces.
 #[test]
 fn the_decision_for_250_workspaces_takes_linear_time() {
-    let claimant = |number: u64| Claimant {
-        weight: 1.0 + (number % 9) as f64,
-        held: cores(number % 40),
-        cap: cores(if number.is_multiple_of(3) { 60 } else { 0 }),
-    };
-    let claimants: Vec<Claimant> = (0..250).map(claimant).collect();
+    let held: Vec<BTreeMap<u32, Demand>> = (0..250)
+        .map(|number| BTreeMap::from([(0, cores(number % 40)), (2, cores(number % 17))]))
+        .collect();
+    let claimants: Vec<Claimant> = held
+        .iter()
+        .enumerate()
+        .map(|(number, held)| Claimant {
+            weight: 1.0 + (number % 9) as f64,
+            held,
+            cap: cores(if number % 3 == 0 { 60 } else { 0 }),
+        })
+        .collect();
     let steps = |count: usize| -> Vec<WaitingDemand> {
         let step = |number: usize| WaitingDemand {
+            priority: if number < count / 2 { 0 } else { 2 },
             claimant: number * number % 250,
             demand: Demand {
                 memory: 100 + number as u64 % 7,
