--- a/src/cell/candidates.rs
+++ b/src/cell/candidates.rs
@@ -1,7 +1,10 @@
 //! The workers on which a waiting task can start now, best first.
 
+use std::collections::BTreeMap;
+
 use crate::cell::job::StepRun;
 use crate::cell::round::Round;
+use crate::cell::speed::SpeedPreference;
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 
 /// A worker on which a task of a step can start now.
@@ -10,7 +13,21 @@
     /// How many tasks of the step can start there.
     pub(super) fit: u32,
     /// Lower is better.
-    score: u64,
+    score: Score,
+}
+
+/// How well a worker suits a step; lower is better, and earlier fields go before later ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Score {
+    /// The platform does not list the worker.  It may be leaving without notice, or its entry may
+    /// come back.
+    is_unlisted: bool,
+    /// The worker is not in the rack where the data lies.
+    is_elsewhere: bool,
+    /// By the step's speed preference.
+    speed: i32,
+    /// By the room that would be left.
+    room: u64,
 }
 
 impl Cell {
@@ -36,6 +53,7 @@
         let step = &self.steps[key];
         let queue = &self.jobs[step.job].queue;
         let spec = step.step();
+        let preference = self.speed_preference(key, round);
         let mut candidates = Vec::new();
         if queue.advice.is_some() {
             for (&worker, ticket) in &step.advice.tickets {
@@ -45,6 +63,7 @@
                         step,
                         worker,
                         &queue.service,
+                        preference,
                         round,
                     ));
                 }
@@ -56,11 +75,12 @@
                     step,
                     worker,
                     &queue.service,
+                    preference,
                     round,
                 ));
             }
         }
-        candidates.sort_unstable_by_key(|candidate| (candidate.score, candidate.worker));
+        sort(&mut candidates, preference);
         debug_assert!(
             candidates.iter().all(|candidate| candidate.fit > 0),
             "{spec:?}"
@@ -76,6 +96,7 @@
         step: &StepRun,
         worker_key: WorkerKey,
         service: &str,
+        preference: SpeedPreference,
         round: &mut Round,
     ) -> Option<PlacementCandidate> {
         round.candidates_examined += 1;
@@ -93,35 +114,31 @@
         (fit > 0).then(|| PlacementCandidate {
             worker: worker_key,
             fit,
-            score: self.score(step, worker_key),
+            score: self.score(step, worker_key, preference),
         })
     }
 
     /// The score of a worker for a step; lower is better.  The tightest fit goes first, except that
-    /// lasting tasks, fillers and jobs that the policy spreads go to the emptiest worker.  The rack
-    /// where the data lies goes before others, and workers that the platform does not list go last.
-    fn score(&self, step: &StepRun, key: WorkerKey) -> u64 {
+    /// lasting tasks, fillers and jobs that the policy spreads go to the emptiest worker.  Before
+    /// that goes the speed that the step prefers, and before this the rack where the data lies.
+    /// Workers that the platform does not list go last.
+    fn score(&self, step: &StepRun, key: WorkerKey, preference: SpeedPreference) -> Score {
         let spec = step.step();
         let worker = &self.workers[key];
         let free = worker.free();
-        let rack_penalty = match &spec.near {
-            Some(rack) if worker.entry.rack.as_ref() != Some(rack) => 1_000_000_000,
-            _ => 0,
-        };
-        // It may be leaving without notice, or its entry may come back.
-        let unlisted_penalty = match worker.unlisted_since {
-            Some(_) => 10_000_000_000,
-            None => 0,
-        };
         let spread = spec.lasting || spec.filler || self.jobs[step.job].decision.spread;
         let left = free.millicores.saturating_sub(spec.room().millicores);
-        unlisted_penalty
-            + rack_penalty
-            + if spread {
+        let near = spec.near.as_ref();
+        Score {
+            is_unlisted: worker.unlisted_since.is_some(),
+            is_elsewhere: near.is_some_and(|rack| worker.entry.rack.as_ref() != Some(rack)),
+            speed: self.speed_rank(preference, key),
+            room: if spread {
                 100_000_000 - left.min(100_000_000)
             } else {
                 left
-            }
+            },
+        }
     }
 
     /// Updates the candidates of a step after one of its tasks was placed on `worker`.  A start
@@ -136,7 +153,9 @@
         candidates.retain(|candidate| candidate.worker != worker);
         let step = &self.steps[key];
         let service = &self.jobs[step.job].queue.service;
-        if let Some(candidate) = self.placement_candidate(key, step, worker, service, round) {
+        let preference = self.speed_preference(key, round);
+        let candidate = self.placement_candidate(key, step, worker, service, preference, round);
+        if let Some(candidate) = candidate {
             let order = |other: &PlacementCandidate| (other.score, other.worker);
             let at = candidates.partition_point(|other| order(other) < order(&candidate));
             candidates.insert(at, candidate);
@@ -144,6 +163,34 @@
     }
 }
 
+/// Sorts candidates, the best first.
+///
+/// Workers with equal room, as in a cell that is mostly idle, come in the order of their keys and
+/// need no sorting.  With a preference they are only in order within each speed, so they are
+/// grouped first.
+fn sort(candidates: &mut Vec<PlacementCandidate>, preference: SpeedPreference) {
+    let order = |candidate: &PlacementCandidate| (candidate.score, candidate.worker);
+    if preference == SpeedPreference::None {
+        candidates.sort_unstable_by_key(order);
+        return;
+    }
+    let mut groups: BTreeMap<_, Vec<PlacementCandidate>> = BTreeMap::new();
+    for candidate in candidates.drain(..) {
+        let Score {
+            is_unlisted,
+            is_elsewhere,
+            speed,
+            ..
+        } = candidate.score;
+        let group = groups.entry((is_unlisted, is_elsewhere, speed));
+        group.or_default().push(candidate);
+    }
+    for mut group in groups.into_values() {
+        group.sort_unstable_by_key(order);
+        candidates.append(&mut group);
+    }
+}
+
 /// The best worker; the one to avoid is chosen only if there is no other.
 pub(super) fn best_worker(
     candidates: &[PlacementCandidate],
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -10,6 +10,7 @@
 use crate::cell::progress::RunProgress;
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{JobId, JobSpec, Step};
+use crate::cell::speed::RunTimes;
 use crate::cell::{JobKey, RunKey, StepKey, WorkerKey, WorkspaceKey, tuning};
 use crate::clock::Millis;
 use crate::policy::Decision;
@@ -118,6 +119,11 @@
     pub rejected: BTreeSet<WorkerKey>,
     /// A question has been sent and not answered yet.
     pub asking: bool,
+    /// The workers that the question in flight names, if questions are planned.
+    pub named: Vec<WorkerKey>,
+    /// Since when the step has been kept from asking, because no capacity is left for it; `None` if
+    /// it may ask.
+    pub kept_since: Option<Millis>,
     /// When the last question was answered or failed, by our clock; 0 before that.
     pub last_answer: Millis,
     /// The last search found no workers to ask about, and the next one is made from this time on.
@@ -143,6 +149,8 @@
     pub advice: Advice,
     /// The earliest time at which the step may wake parked workers again.
     pub next_wake: Millis,
+    /// The times of the runs that have succeeded.
+    pub run_times: RunTimes,
 }
 
 impl StepRun {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -8,6 +8,7 @@
 #![deny(clippy::disallowed_types)]
 
 pub mod advice;
+pub mod advice_plan;
 mod barred_start;
 mod candidates;
 pub mod crash;
@@ -16,6 +17,7 @@
 mod evacuation;
 pub mod expected_wait;
 mod forecast;
+pub mod free_room;
 mod gang;
 pub mod intake;
 pub mod job;
@@ -40,6 +42,7 @@
 pub mod sequence;
 pub mod shares;
 pub mod spec;
+pub mod speed;
 mod start;
 mod trial;
 pub mod tuning;
@@ -63,6 +66,7 @@
 use crate::cell::sequence::Sequence;
 use crate::cell::shares::SharesState;
 use crate::cell::spec::{Demand, JobId};
+use crate::cell::speed::Speeds;
 use crate::cell::wait::Waiting;
 use crate::cell::worker::{NextForget, Worker};
 use crate::clock::Millis;
@@ -226,6 +230,12 @@
     lanes: Vec<advice::Lane>,
     /// How far callers' estimates of run times are off, by the queue's name.
     estimate_errors: BTreeMap<String, progress::EstimateError>,
+    /// How fast workers are, learned from their runs.
+    speeds: Speeds,
+    /// When a step that had been kept from asking for long was last allowed to ask.
+    last_overdue_question: Millis,
+    /// How many waiting steps were kept from asking in the last scheduling round.
+    steps_not_asking: u32,
     /// The share of workers that the advice service approves for a step, learned by queue.
     approved_share: BTreeMap<String, f64>,
     /// The Unix time in milliseconds; none until it has been passed in.
@@ -302,7 +312,10 @@
             ledger: Ledger::default(),
             open_steps: Vec::new(),
             lanes: Vec::new(),
+            last_overdue_question: 0,
+            steps_not_asking: 0,
             estimate_errors: BTreeMap::new(),
+            speeds: Speeds::default(),
             approved_share: BTreeMap::new(),
             unix_time: None,
             awaits_worker_list: false,
@@ -333,6 +346,12 @@
         &self.waiting
     }
 
+    /// Returns how many waiting steps were kept from asking the advice service in the last
+    /// scheduling round.
+    pub fn steps_not_asking(&self) -> u32 {
+        self.steps_not_asking
+    }
+
     /// Takes the orders given since the last call.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
@@ -479,11 +498,15 @@
             }
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
+        self.recharge_room();
     }
 
     /// Switches optional parts of scheduling on or off.
     pub fn set_options(&mut self, options: Options) {
         self.options = options;
+        if !options.worker_speed {
+            self.speeds = Speeds::default();
+        }
     }
 
     /// Applies a newer policy, also to jobs that wait.
@@ -492,6 +515,7 @@
         for job in self.jobs.values_mut() {
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
+        self.recharge_room();
     }
 
     /// Does what is due at `now`: leases run out, stops are repeated, the ownership settles.
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -14,6 +14,7 @@
     /// about steps that lack tickets.
     pub fn schedule(&mut self, now: Millis) {
         self.update_unknown_usage(now);
+        self.update_speeds(now);
         // A task whose planned start is dropped here waits again, so this comes before waiting
         // tasks are collected.
         self.send_planned_starts(now);
@@ -57,6 +58,7 @@
             round.record_wait(step.priority, reason, tasks);
         }
         self.counts.candidates_examined += round.candidates_examined;
+        self.steps_not_asking = round.steps_not_asking;
         self.waiting = round.waiting;
     }
 
@@ -112,7 +114,7 @@
             self.refresh_candidate(&mut candidates, key, worker, round);
             left -= 1;
         }
-        self.log_starts(key, &started, round.now);
+        self.log_starts(key, &started, round);
         if left == 0 {
             return None;
         }
@@ -143,6 +145,9 @@
     pub(super) fn placement_wait_reason(&self, key: StepKey, now: Millis) -> WaitReason {
         let step = &self.steps[key];
         let uses_advice = self.jobs[step.job].queue.advice.is_some();
+        if step.advice.kept_since.is_some() {
+            return WaitReason::NoRoom;
+        }
         let mut ticketed = step.advice.tickets.keys();
         match uses_advice && !ticketed.any(|&worker| self.has_valid_ticket(key, worker, now)) {
             true => WaitReason::Advice,
@@ -166,14 +171,15 @@
         let Some(quota) = job.decision.quota else {
             return true;
         };
-        let held = self
-            .held_millicores
-            .get(&job.queue.name)
-            .copied()
-            .unwrap_or_default();
+        let held = self.queue_millicores(&job.queue.name);
         held + u64::from(tasks) * step.step().room().millicores <= quota
     }
 
+    /// The processors that the runs of a queue hold, in millicores.
+    pub(super) fn queue_millicores(&self, queue: &str) -> u64 {
+        self.held_millicores.get(queue).copied().unwrap_or_default()
+    }
+
     /// The tasks that may be started: those that neither run nor are done, and those of which a
     /// speculative run should be started.
     pub(super) fn waiting_tasks(&self, key: StepKey, now: Millis) -> impl Iterator<Item = u32> {
