New setting: the address at which other nodes reach this one

Cause: a node announced the address to which it had bound `[listen] peers`, so nothing could stand between two nodes. The soak test puts proxies there.

Change: `[listen] advertise` is announced in place of the bound address. Without it nothing changes.

--- a/src/bin/crossweird/node.rs
+++ b/src/bin/crossweird/node.rs
@@ -76,7 +76,8 @@
         .as_ref()
         .map(|(_, address)| address.to_string());
     tracing::info!(callers = %callers_at, ready = %ready_at, peers = %peers_at, metrics = %metrics_at, api, "node listens");
-    let node = Node::new(&settings, peers_at, |peers| links(&settings, peers))?;
+    let reached_at = settings.advertise.unwrap_or(peers_at);
+    let node = Node::new(&settings, reached_at, |peers| links(&settings, peers))?;
     let front = node.start(peers);
     spawn_server(ingress::serve(callers, Arc::clone(&front)));
     spawn_server(ingress::serve_status(ready, Arc::clone(&front)));
--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -65,6 +65,12 @@
         "Where the load balancer asks whether the node takes work.",
     ),
     required("listen", "peers", ADDRESS, "Where other nodes are served."),
+    optional(
+        "listen",
+        "advertise",
+        ADDRESS,
+        "Where other nodes reach `peers` if that is not the address itself, as behind a proxy.",
+    ),
     required(
         "listen",
         "metrics",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -28,6 +28,8 @@
     pub ready: SocketAddr,
     /// The address on which other nodes are served.
     pub peers: SocketAddr,
+    /// The address at which other nodes reach `peers`, if it differs from the bound one.
+    pub advertise: Option<SocketAddr>,
     /// The address on which metrics are served.
     pub metrics: SocketAddr,
     /// The address on which the product's own API is served; none if it is not.
@@ -125,6 +127,7 @@
         let callers = self.address("listen", "callers");
         let ready = self.address("listen", "ready");
         let peers = self.address("listen", "peers");
+        let advertise = self.optional_address("listen", "advertise");
         let metrics = self.address("listen", "metrics");
         let store = self.address("store", "address");
         let api = self.optional_address("listen", "api");
@@ -143,6 +146,7 @@
             callers: callers?,
             ready: ready?,
             peers: peers?,
+            advertise,
             metrics: metrics?,
             seeds,
             store: store?,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -42,6 +42,24 @@
     assert_eq!(faults(&format!("{VALID}{added}\n")), [fault]);
 }
 
+#[parameterized(
+    absent = { "", None },
+    given = { "127.0.0.1:9", Some("127.0.0.1:9") },
+)]
+fn the_address_for_other_nodes_is_read(text: &str, wanted: Option<&str>) {
+    let line = if text.is_empty() {
+        String::new()
+    } else {
+        format!("advertise = {text}\n")
+    };
+    let source = VALID.replace("[store]", &format!("{line}[store]"));
+    let settings = Settings::parse(&source, "test.ini").expect("no faults");
+    assert_eq!(
+        settings.advertise,
+        wanted.map(|text| text.parse().expect("an address"))
+    );
+}
+
 #[test]
 fn two_equal_addresses_contradict_each_other() {
     let source = VALID.replace("metrics = 127.0.0.1:4", "metrics = 127.0.0.1:1");
