--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -43,7 +43,7 @@
     pub listed_until: u64,
     /// A time that is not later than the start of the stand-in's clock.
     clock_began: Option<Instant>,
-    by_task: BTreeMap<String, BTreeMap<(u64, u64, String), Run>>,
+    pub by_task: BTreeMap<String, BTreeMap<(u64, u64, String), Run>>,
 }
 
 impl Runs {
--- a/tests/soak/jobs.rs
+++ b/tests/soak/jobs.rs
@@ -51,7 +51,9 @@
             millicores: rng.random_range(2..=8) * 500,
         });
         let steps = steps.collect();
-        let duration = rng.random_range(100..=800);
+        // Only tasks that outlast a lease can run twice at the same time.
+        let is_long = rng.random_bool(0.05);
+        let duration = rng.random_range(if is_long { 4_000..=7_000 } else { 100..=800 });
         Self {
             workspace,
             queue: QUEUES[rng.random_range(0..QUEUES.len())],
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -147,14 +147,14 @@
     let mut workspaces = Vec::new();
     for number in 0..count {
         let is_capped = rng.random_bool(0.4);
-        let cap = capacity / rng.random_range(3..=6);
-        let window = rng.random_range(12..=24);
+        let cap = capacity / rng.random_range(2..=4);
+        let window = rng.random_range(10..=18);
         workspaces.push(Workspace {
             name: format!("ws{number}"),
             key: format!("key-{number}"),
             weight: f64::from(rng.random_range(1..=4)),
             cap: if is_capped { cap } else { 0 },
-            window: if number == flooding { 90 } else { window },
+            window: if number == flooding { 50 } else { window },
         });
     }
     workspaces
@@ -206,7 +206,7 @@
             3 => LinkFault::HoldReplies,
             _ => LinkFault::Silent,
         };
-        let lasts = millis(rng, 200..=5_000);
+        let lasts = millis(rng, 200..=8_000);
         faults.push((at, Trouble::Link(link, fault, lasts)));
         // Nodes refuse jobs only if none of them reaches the store.
         let all = if rng.random_bool(0.1) { nodes } else { 0 };
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -199,13 +199,14 @@
     let refused = jobs().filter(|job| job.refusals > 0).count();
     let doubtful = jobs().filter(|job| job.doubtful).count();
     let (seed, nodes, workers) = (plan.seed, plan.nodes, plan.slowdowns.len());
+    let again = runs.by_task.values().filter(|runs| runs.len() > 1).count();
     let (faults, runs, drain) = (plan.trouble.len(), runs.all().count(), drain.as_secs());
     let done: Vec<usize> = (0..plan.workspaces.len())
         .map(|workspace| ledger.ended_in_trouble(workspace))
         .collect();
     println!(
         "seed {seed}: {nodes} nodes, {workers} workers, {faults} faults; {accepted} jobs accepted, \
-         {refused} refused at times, {never_taken} never taken, {doubtful} doubtful; {runs} runs; \
-         done during the trouble by workspace {done:?}, the rest in {drain} s"
+         {refused} refused at times, {never_taken} never taken, {doubtful} doubtful; {runs} runs, \
+         {again} tasks again; done in trouble by workspace {done:?}, the rest in {drain} s"
     );
 }
