--- /dev/null
+++ b/src/cell/query.rs
@@ -0,0 +1,95 @@
+//! What the owner tells callers and other nodes of its jobs.
+
+use std::collections::BTreeMap;
+
+use crate::cell::Cell;
+use crate::cell::job::{self, Job, JobState, StepRun};
+use crate::cell::spec::JobId;
+use crate::workspace::Caller;
+
+impl Cell {
+    /// Returns the state of a job; none if it is not known.  An end is shown only once it is
+    /// recorded or another node knows of it.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        let ended = self.ended.get(&id).map(|job| job.state);
+        if let Some(state) = ended.or(self.early_ends.get(&id).copied()) {
+            return Some(state);
+        }
+        let job = self.jobs.get(*self.job_ids.get(&id)?)?;
+        Some(if job.recorded.is_final() {
+            job.recorded
+        } else if job.state.is_final() && job.known_to_peer {
+            job.state
+        } else if job.state.is_final() {
+            JobState::Running
+        } else {
+            job.state
+        })
+    }
+
+    /// Returns whether a caller may see and cancel a job.  Also true for a job that is not known.
+    pub fn may_see(&self, caller: &Caller, id: JobId) -> bool {
+        if let Some(ended) = self.ended.get(&id) {
+            return caller.may_see(ended.workspace.as_deref());
+        }
+        let Some(&key) = self.job_ids.get(&id) else {
+            return true;
+        };
+        let workspace = self.workspace_of(key);
+        caller.may_see(workspace.map(|workspace| workspace.name.as_str()))
+    }
+
+    /// Returns the name of a job's workspace; none if the job has no workspace, is not known, or
+    /// ended under a former owner.
+    pub fn workspace_name(&self, id: JobId) -> Option<String> {
+        let workspace = self.workspace_of(*self.job_ids.get(&id)?)?;
+        Some(workspace.name.clone())
+    }
+
+    /// Returns whether a job may end at any moment: all its remaining tasks have started, or its
+    /// end is decided and not shown yet.
+    pub fn may_end_soon(&self, id: JobId) -> bool {
+        let Some(job) = self.job_ids.get(&id).and_then(|&key| self.jobs.get(key)) else {
+            return false;
+        };
+        if job.state.is_final() {
+            return !job.recorded.is_final() && !job.known_to_peer;
+        }
+        let steps = job
+            .occurrences
+            .values()
+            .flatten()
+            .map(|&key| &self.steps[key]);
+        let is_under_way = |step: &StepRun| {
+            let runs = |task: &job::Task| task.done || !task.runs.is_empty();
+            step.open == 0 || (step.ready && !step.step().lasting && step.tasks.iter().all(runs))
+        };
+        job.spec.schedule.is_none() && steps.into_iter().all(is_under_way)
+    }
+
+    /// Returns whether the end of a job is recorded.
+    pub fn is_end_recorded(&self, id: JobId) -> bool {
+        let recorded = |key| {
+            self.jobs
+                .get(key)
+                .is_some_and(|job: &Job| job.recorded.is_final())
+        };
+        self.ended.contains_key(&id) || self.job_ids.get(&id).is_some_and(|&key| recorded(key))
+    }
+
+    /// Returns whether a job is known, ended ones included.
+    pub fn knows_job(&self, id: JobId) -> bool {
+        self.job_ids.contains_key(&id) || self.ended.contains_key(&id)
+    }
+
+    /// Counts the accepted jobs of which nothing has started, by the queue's name.
+    pub fn pending(&self) -> BTreeMap<String, u32> {
+        let mut pending = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.state == JobState::Queued {
+                *pending.entry(job.queue.name.clone()).or_default() += 1;
+            }
+        }
+        pending
+    }
+}
