Speeds: runs whose end was read late give no samples

Cause: the time of a run lasted until its end was read. A worker whose polls are late or lost, or are held back for up to 400 ms because the store records its former ends slowly, looked slow.

Change: each answer to a poll notes by how much its ends may be read late. A run gives no sample if that is above 100 ms and above a quarter of its time. `learn_speed` is split.

--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -37,6 +37,7 @@
         // Answers that were in flight at the same time may arrive in either order: the older list
         // must neither bring back a run that has ended nor hide work whose job is not read yet.
         let newest = worker.last_answer < order.sequence;
+        worker.max_end_delay = max_end_delay(worker, order, now);
         if newest {
             worker.clear_listed_state();
         }
@@ -417,3 +418,15 @@
     }
     missing
 }
+
+/// The longest time that an end in the answer to a poll may have waited there.  A worker reports an end
+/// at once while a poll is open, so an end waits until the poll is sent, or while the answer is
+/// delayed.  It may have waited longer if the list before was full.
+fn max_end_delay(worker: &Worker, order: &PollOrder, now: Millis) -> Millis {
+    if worker.more_ends {
+        return Millis::MAX;
+    }
+    let before_poll = order.sent.saturating_sub(worker.last_heard);
+    let open = now.saturating_sub(order.sent);
+    before_poll + open.saturating_sub(order.wait)
+}
--- a/src/cell/speed.rs
+++ b/src/cell/speed.rs
@@ -470,24 +470,12 @@
     /// Notes the time of a run that succeeded.  Once the last task of its step is done, or many
     /// are, learns about the workers from the step's runs.
     pub(super) fn learn_speed(&mut self, run: &Run, now: Millis) {
-        let step = &mut self.steps[run.step];
-        let spec = step.step();
-        // The times of fillers depend on what other tasks leave them.  A run that a former owner
-        // started (`decided_at` is 0) began at an unknown time.
-        let is_comparable = !(spec.gang || spec.lasting || spec.filler || run.restored);
-        let began = run.began_at > 0 && run.decided_at > 0;
-        let estimate = spec.estimate;
-        if !self.options.worker_speed || estimate == 0 {
+        if !self.options.worker_speed {
             return;
         }
-        if is_comparable && began {
-            let ratio = now.saturating_sub(run.began_at) as f64 / estimate as f64;
-            let bound = tuning::MAX_RUN_TIME_RATIO;
-            step.run_times.waiting.push(RunTime {
-                worker: run.worker,
-                log: ratio.clamp(1.0 / bound, bound).ln(),
-            });
-        }
+        let time = self.run_time(run, now);
+        let step = &mut self.steps[run.step];
+        step.run_times.waiting.extend(time);
         if step.open <= 1 || step.run_times.waiting.len() >= tuning::MAX_WAITING_RUN_TIMES {
             let queue = &self.jobs[step.job].queue.name;
             self.speeds
@@ -495,6 +483,37 @@
         }
     }
 
+    /// The time of a run that has just ended; none if it tells nothing about its worker.
+    fn run_time(&self, run: &Run, now: Millis) -> Option<RunTime> {
+        let spec = self.steps[run.step].step();
+        // The times of fillers depend on what other tasks leave them.
+        if spec.gang || spec.lasting || spec.filler || run.restored || spec.estimate == 0 {
+            return None;
+        }
+        // A run that a former owner started (`decided_at` is 0) began at an unknown time.
+        if run.began_at == 0 || run.decided_at == 0 {
+            return None;
+        }
+        let time = now.saturating_sub(run.began_at);
+        if self.is_end_late(run.worker, time) {
+            return None;
+        }
+        let ratio = time as f64 / spec.estimate as f64;
+        let bound = tuning::MAX_RUN_TIME_RATIO;
+        Some(RunTime {
+            worker: run.worker,
+            log: ratio.clamp(1.0 / bound, bound).ln(),
+        })
+    }
+
+    /// Returns whether the end of a run, which seems to have taken `time`, may have been read so
+    /// late that its time is useless.
+    fn is_end_late(&self, worker: WorkerKey, time: Millis) -> bool {
+        let worker = self.workers.get(worker);
+        let delay = worker.map_or(Millis::MAX, |worker| worker.max_end_delay);
+        delay > tuning::USUAL_END_DELAY && delay as f64 > time as f64 * tuning::MAX_END_DELAY_SHARE
+    }
+
     /// The preference of a step, computed once a round.
     pub(super) fn speed_preference(&self, key: StepKey, round: &mut Round) -> SpeedPreference {
         if !self.options.worker_speed {
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -103,6 +103,8 @@
     reported_born: Option<Millis>,
     /// When it last answered a poll.
     pub last_heard: Millis,
+    /// By how much the ends in its last answer may be read late.
+    pub max_end_delay: Millis,
     /// The latest poll whose answer was processed; polls may overtake each other.
     pub last_poll: Sequence,
     /// When an answer was last processed: an answer to a poll sent before that may be the older
@@ -188,6 +190,7 @@
             fenced: false,
             reported_born: None,
             last_heard: 0,
+            max_end_delay: Millis::MAX,
             last_poll: Sequence::default(),
             last_answer: Sequence::default(),
             silent_since: None,
--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -28,6 +28,8 @@
 
 /// The time between two polls of a worker.
 const TURN: Millis = 20;
+/// The time between two polls of a worker whose polls are late or lost.
+const LONG_TURN: Millis = 1_300;
 
 /// A run that goes on.
 struct Active {
@@ -57,6 +59,8 @@
     ended_runs: usize,
     /// The first run of each task ends early, with a checkpoint.
     interrupts_first_runs: bool,
+    /// Workers that are polled once in [`LONG_TURN`] only.
+    rarely_polled: BTreeSet<WorkerKey>,
     next_job: u64,
 }
 
@@ -101,6 +105,7 @@
             started: Vec::new(),
             ended_runs: 0,
             interrupts_first_runs: false,
+            rarely_polled: BTreeSet::new(),
             next_job: 1,
         }
     }
@@ -137,7 +142,9 @@
             self.ended_runs += 1;
         }
         for key in self.paces.keys().copied().collect::<Vec<_>>() {
-            self.poll(key);
+            if !self.rarely_polled.contains(&key) || now % LONG_TURN < TURN {
+                self.poll(key);
+            }
         }
         self.bench.record();
         started
@@ -530,6 +537,26 @@
     assert!(runs.iter().all(|runs| (4..=16).contains(runs)), "{runs:?}");
 }
 
+/// Guards against workers that are taken for slow because their ends are read late: polls are lost,
+/// or wait until former ends are recorded while the store is slow.
+#[test]
+fn ends_that_are_read_late_give_no_samples() {
+    let q = queue("q", 0);
+    let mut site = Site::new(speed_on(), &[("a", 1.0); 12], std::slice::from_ref(&q));
+    site.teach(&q, 10);
+    let late = site.bench.worker(4);
+    site.rarely_polled.insert(late);
+
+    site.teach(&q, 20);
+    assert_eq!(site.slowdowns(), [1.0; 12]);
+
+    // Its runs count again once it is polled in time.
+    site.rarely_polled.clear();
+    site.paces.insert(late, 2.2);
+    site.teach(&q, 20);
+    assert!(site.slowdown(4) > 1.5, "{}", site.slowdown(4));
+}
+
 /// Guards against samples from runs whose time does not depend on their worker alone: all members
 /// of a gang wait for the slowest, and fillers run on what other tasks leave.
 #[test]
