Speeds: runs whose begin became known late give no samples

Cause: the time of a run counted from the answer to its start. A worker whose answers are late or lost looked fast, and so attracted the steps that prefer fast workers.

Change: runs note when their start was sent. The time until the answer and the time by which the end may be read late together must not exceed 100 ms or a quarter of the run's time.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -237,6 +237,9 @@
     pub phase: Phase,
     /// When the run was decided on, by our clock in milliseconds; 0 if a former owner did.
     pub decided_at: Millis,
+    /// When its start was sent, by our clock in milliseconds; 0 before that, and if a former owner
+    /// sent it.
+    pub sent_at: Millis,
     /// When the run was first known to have begun, by our clock in milliseconds; 0 before that.
     pub began_at: Millis,
     /// The point at which that became known, from the answer to the start or from a list of runs.
--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -303,6 +303,7 @@
             number: entry.number,
             phase: Phase::Running,
             decided_at: 0,
+            sent_at: 0,
             began_at: now,
             start_heard: Some(self.workers[worker].last_answer),
             doubt_heard: None,
--- a/src/cell/speed.rs
+++ b/src/cell/speed.rs
@@ -490,12 +490,12 @@
         if spec.gang || spec.lasting || spec.filler || run.restored || spec.estimate == 0 {
             return None;
         }
-        // A run that a former owner started (`decided_at` is 0) began at an unknown time.
-        if run.began_at == 0 || run.decided_at == 0 {
+        // A run that a former owner started (`sent_at` is 0) began at an unknown time.
+        if run.began_at == 0 || run.sent_at == 0 {
             return None;
         }
         let time = now.saturating_sub(run.began_at);
-        if self.is_end_late(run.worker, time) {
+        if !self.is_time_exact(run, time) {
             return None;
         }
         let ratio = time as f64 / spec.estimate as f64;
@@ -506,12 +506,15 @@
         })
     }
 
-    /// Returns whether the end of a run, which seems to have taken `time`, may have been read so
-    /// late that its time is useless.
-    fn is_end_late(&self, worker: WorkerKey, time: Millis) -> bool {
-        let worker = self.workers.get(worker);
-        let delay = worker.map_or(Millis::MAX, |worker| worker.max_end_delay);
-        delay > tuning::USUAL_END_DELAY && delay as f64 > time as f64 * tuning::MAX_END_DELAY_SHARE
+    /// Returns whether the begin and the end of a run that seems to have taken `time` became known
+    /// soon enough for that time to be of use.
+    fn is_time_exact(&self, run: &Run, time: Millis) -> bool {
+        let worker = self.workers.get(run.worker);
+        let end_delay = worker.map_or(Millis::MAX, |worker| worker.max_end_delay);
+        let begin_delay = run.began_at.saturating_sub(run.sent_at);
+        let error = begin_delay.saturating_add(end_delay);
+        error <= tuning::USUAL_RUN_TIME_ERROR
+            || error as f64 <= time as f64 * tuning::MAX_RUN_TIME_ERROR
     }
 
     /// The preference of a step, computed once a round.
--- a/src/cell/start.rs
+++ b/src/cell/start.rs
@@ -63,6 +63,7 @@
             number,
             phase: Phase::Planned,
             decided_at: now,
+            sent_at: 0,
             began_at: 0,
             start_heard: None,
             doubt_heard: None,
@@ -108,6 +109,7 @@
         let checkpoint = step.tasks[index as usize].checkpoint.clone();
         let run = &mut self.runs[key];
         run.phase = Phase::Sent;
+        run.sent_at = now;
         run.expires = due;
         run.crash_is_evidence = crash_is_evidence;
         run.restored = !checkpoint.is_empty();
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -135,12 +135,12 @@
 /// A run's time is taken as at most this many times its estimate and at least the reciprocal, so
 /// that a single run with a useless estimate does not decide how fast its worker is.
 pub const MAX_RUN_TIME_RATIO: f64 = 8.0;
-/// A run gives no sample if its end may have been read late by more than this share of its time.
-/// The dead band tolerates an error of a quarter.
-pub const MAX_END_DELAY_SHARE: f64 = 0.25;
-/// An end counts as read in time if it is read late by at most this: after each end, a worker is
-/// polled again only once the end is recorded, which takes some 20 ms.
-pub const USUAL_END_DELAY: Millis = 100;
+/// A run gives no sample if its time may be wrong by more than this share of it, because its begin
+/// or its end became known late.  The dead band tolerates an error of a quarter.
+pub const MAX_RUN_TIME_ERROR: f64 = 0.25;
+/// Errors of run times up to this do not count: after each end, a worker is polled again only once
+/// the end is recorded, which takes some 20 ms.
+pub const USUAL_RUN_TIME_ERROR: Millis = 100;
 /// Runs are compared with one another if at least this many have ended, else with those of their
 /// queue.  The mean of three scatters by about a third.
 pub const MIN_COMPARED_RUNS: usize = 3;
--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -30,6 +30,8 @@
 const TURN: Millis = 20;
 /// The time between two polls of a worker whose polls are late or lost.
 const LONG_TURN: Millis = 1_300;
+/// The time after which a late answer to a start arrives.
+const LATE_ANSWER: Millis = 400;
 
 /// A run that goes on.
 struct Active {
@@ -61,6 +63,10 @@
     interrupts_first_runs: bool,
     /// Workers that are polled once in [`LONG_TURN`] only.
     rarely_polled: BTreeSet<WorkerKey>,
+    /// Workers whose answers to starts take [`LATE_ANSWER`], and that list the runs no earlier.
+    late_starters: BTreeSet<WorkerKey>,
+    /// The starts that are not answered yet, and when they will be.
+    unanswered: Vec<(StartOrder, Millis)>,
     next_job: u64,
 }
 
@@ -106,6 +112,8 @@
             ended_runs: 0,
             interrupts_first_runs: false,
             rarely_polled: BTreeSet::new(),
+            late_starters: BTreeSet::new(),
+            unanswered: Vec::new(),
             next_job: 1,
         }
     }
@@ -134,6 +142,10 @@
         }
         self.bench.pass(TURN);
         let now = self.bench.now;
+        let answered = self.unanswered.extract_if(.., |(_, at)| *at <= now);
+        for (start, _) in answered.collect::<Vec<_>>() {
+            self.bench.start(&start);
+        }
         let is_over = |run: &&Active| now >= run.began + run.takes;
         let over = self.active.iter().filter(is_over);
         let over: Vec<_> = over.map(|run| (run.task, run.number, run.how)).collect();
@@ -142,7 +154,12 @@
             self.ended_runs += 1;
         }
         for key in self.paces.keys().copied().collect::<Vec<_>>() {
-            if !self.rarely_polled.contains(&key) || now % LONG_TURN < TURN {
+            let is_unanswered = self
+                .unanswered
+                .iter()
+                .any(|(start, _)| start.to.worker == key);
+            let is_late = self.rarely_polled.contains(&key) && now % LONG_TURN >= TURN;
+            if !is_unanswered && !is_late {
                 self.poll(key);
             }
         }
@@ -151,7 +168,12 @@
     }
 
     fn begin(&mut self, start: &StartOrder) {
-        self.bench.start(start);
+        if self.late_starters.contains(&start.to.worker) {
+            let answered_at = self.bench.now + LATE_ANSWER;
+            self.unanswered.push((start.clone(), answered_at));
+        } else {
+            self.bench.start(start);
+        }
         let estimate = self.estimates[&start.task.step.job.0] as f64;
         let low = 1.0 - self.scatter;
         let scatter = low + 2.0 * self.scatter * self.rng.random::<f64>();
@@ -557,6 +579,20 @@
     assert!(site.slowdown(4) > 1.5, "{}", site.slowdown(4));
 }
 
+/// Guards against workers that are taken for fast because the owner hears late that their runs have
+/// begun.
+#[test]
+fn runs_whose_begin_is_known_late_give_no_samples() {
+    let q = queue("q", 0);
+    let mut site = Site::new(speed_on(), &[("a", 1.0); 12], std::slice::from_ref(&q));
+    site.teach(&q, 10);
+    site.late_starters.insert(site.bench.worker(4));
+
+    site.teach(&q, 20);
+
+    assert_eq!(site.slowdowns(), [1.0; 12]);
+}
+
 /// Guards against samples from runs whose time does not depend on their worker alone: all members
 /// of a gang wait for the slowest, and fillers run on what other tasks leave.
 #[test]
