Speeds: the usual run time of a queue follows its estimates faster than workers become slow

Cause: steps with fewer than three ended runs are compared with the usual run time of their queue, a mean over 256 runs. When the estimates of a queue became worse, its workers looked slow first.

Change: that mean is over 16 runs.

--- a/src/cell/speed.rs
+++ b/src/cell/speed.rs
@@ -274,7 +274,7 @@
         }
         let of_queue = entry_of(&mut self.queues, queue);
         for typical in typical_times {
-            of_queue.add(typical, tuning::CLASS_SPEED_RUNS);
+            of_queue.add(typical, tuning::QUEUE_TIME_RUNS);
         }
     }
 
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -152,9 +152,13 @@
 /// The speed of a worker is a mean over about this many of its runs: a worker that becomes slow is
 /// recognized after some ten.
 pub const WORKER_SPEED_RUNS: u32 = 32;
-/// The speed of a class, and the usual run times of a queue, are means over about this many runs.
-/// Run times scatter by a half, and such a mean by 3%.
+/// The speed of a class is a mean over about this many runs.  Run times scatter by a half, and such a
+/// mean by 3%.
 pub const CLASS_SPEED_RUNS: u32 = 256;
+/// The usual run time of a queue is a mean over about this many runs, half as many as the speed of
+/// a worker.  When estimates become worse, it must follow before the workers look slow: with 256
+/// runs, two workers used by such a queue alone stayed slow for good.
+pub const QUEUE_TIME_RUNS: u32 = 16;
 /// The speed of a class is used once it has this many runs.  Run times scatter by a half and the
 /// mean of 16 by an eighth, which is half of the dead band.
 pub const MIN_CLASS_RUNS: u32 = 16;
--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -593,6 +593,59 @@
     assert_eq!(site.slowdowns(), [1.0; 12]);
 }
 
+/// Guards against workers that stay slow for good because the estimates of the only queue that uses
+/// them become worse: its short steps are compared with the usual run time of the queue.
+#[test]
+fn a_queue_whose_estimates_become_worse_does_not_make_its_workers_slow() {
+    for (old, tasks) in [(1, 1), (2, 1), (6, 2)] {
+        // Arrange: even workers, of which only the queue "pinned" uses the old ones.
+        let (q, pinned) = (queue("q", 0), queue("pinned", 1));
+        let mut workers = vec![("new", 1.0); 30 - old];
+        workers.extend(vec![("old", 1.0); old]);
+        let mut site = Site::new(speed_on(), &workers, &[q.clone(), pinned.clone()]);
+        site.scatter = 0.3;
+        site.teach(&q, 12);
+        let step = Step {
+            label: Some(String::from("old")),
+            ..step(tasks, 16_000)
+        };
+
+        for round in 0..140 {
+            // Act: after 40 rounds, tasks take twice as long as before.
+            let factor = if round < 40 { 1 } else { 2 };
+            for _ in 0..old as u32 / tasks {
+                let id = site.submit(&pinned, vec![step.clone()]);
+                site.estimates.insert(id, step.estimate * factor);
+            }
+            for _ in 0..45 * factor {
+                site.turn();
+            }
+
+            // Assert.
+            assert_eq!(site.slowdowns(), [1.0; 30], "round {round}, {old} old");
+        }
+    }
+}
+
+#[test]
+fn slow_workers_are_found_from_steps_with_one_task() {
+    let q = queue("q", 0);
+    let workers = uneven_workers(30, true);
+    let mut site = Site::new(speed_on(), &workers, std::slice::from_ref(&q));
+    site.scatter = 0.3;
+    for _ in 0..20 {
+        for _ in 0..30 {
+            site.submit(&q, vec![step(1, 16_000)]);
+        }
+        for _ in 0..100 {
+            site.turn();
+        }
+    }
+
+    let slow = site.slowdowns();
+    assert!((0..30).all(|number| (slow[number] > 1.0) == (number % 3 == 2)));
+}
+
 /// Guards against samples from runs whose time does not depend on their worker alone: all members
 /// of a gang wait for the slowest, and fillers run on what other tasks leave.
 #[test]
