--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -135,6 +135,12 @@
 /// A run's time is taken as at most this many times its estimate and at least the reciprocal, so
 /// that a single run with a useless estimate does not decide how fast its worker is.
 pub const MAX_RUN_TIME_RATIO: f64 = 8.0;
+/// A run gives no sample if its time may be wrong by more than this share of it, because its begin
+/// or its end became known late.  The dead band tolerates an error of a quarter.
+pub const MAX_RUN_TIME_ERROR: f64 = 0.25;
+/// Errors of run times up to this do not count: after each end, a worker is polled again only once
+/// the end is recorded, which takes some 20 ms.
+pub const USUAL_RUN_TIME_ERROR: Millis = 100;
 /// Runs are compared with one another if at least this many have ended, else with those of their
 /// queue.  The mean of three scatters by about a third.
 pub const MIN_COMPARED_RUNS: usize = 3;
@@ -146,9 +152,13 @@
 /// The speed of a worker is a mean over about this many of its runs: a worker that becomes slow is
 /// recognized after some ten.
 pub const WORKER_SPEED_RUNS: u32 = 32;
-/// The speed of a class, and the usual run times of a queue, are means over about this many runs.
-/// Run times scatter by a half, and such a mean by 3%.
+/// The speed of a class is a mean over about this many runs.  Run times scatter by a half, and such a
+/// mean by 3%.
 pub const CLASS_SPEED_RUNS: u32 = 256;
+/// The usual run time of a queue is a mean over about this many runs, half as many as the speed of
+/// a worker.  When estimates become worse, it must follow before the workers look slow: with 256
+/// runs, two workers used by such a queue alone stayed slow for good.
+pub const QUEUE_TIME_RUNS: u32 = 16;
 /// The speed of a class is used once it has this many runs.  Run times scatter by a half and the
 /// mean of 16 by an eighth, which is half of the dead band.
 pub const MIN_CLASS_RUNS: u32 = 16;
--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -28,6 +28,10 @@
 
 /// The time between two polls of a worker.
 const TURN: Millis = 20;
+/// The time between two polls of a worker whose polls are late or lost.
+const LONG_TURN: Millis = 1_300;
+/// The time after which a late answer to a start arrives.
+const LATE_ANSWER: Millis = 400;
 
 /// A run that goes on.
 struct Active {
@@ -57,6 +61,12 @@
     ended_runs: usize,
     /// The first run of each task ends early, with a checkpoint.
     interrupts_first_runs: bool,
+    /// Workers that are polled once in [`LONG_TURN`] only.
+    rarely_polled: BTreeSet<WorkerKey>,
+    /// Workers whose answers to starts take [`LATE_ANSWER`], and that list the runs no earlier.
+    late_starters: BTreeSet<WorkerKey>,
+    /// The starts that are not answered yet, and when they will be.
+    unanswered: Vec<(StartOrder, Millis)>,
     next_job: u64,
 }
 
@@ -101,6 +111,9 @@
             started: Vec::new(),
             ended_runs: 0,
             interrupts_first_runs: false,
+            rarely_polled: BTreeSet::new(),
+            late_starters: BTreeSet::new(),
+            unanswered: Vec::new(),
             next_job: 1,
         }
     }
@@ -129,6 +142,10 @@
         }
         self.bench.pass(TURN);
         let now = self.bench.now;
+        let answered = self.unanswered.extract_if(.., |(_, at)| *at <= now);
+        for (start, _) in answered.collect::<Vec<_>>() {
+            self.bench.start(&start);
+        }
         let is_over = |run: &&Active| now >= run.began + run.takes;
         let over = self.active.iter().filter(is_over);
         let over: Vec<_> = over.map(|run| (run.task, run.number, run.how)).collect();
@@ -137,14 +154,26 @@
             self.ended_runs += 1;
         }
         for key in self.paces.keys().copied().collect::<Vec<_>>() {
-            self.poll(key);
+            let is_unanswered = self
+                .unanswered
+                .iter()
+                .any(|(start, _)| start.to.worker == key);
+            let is_late = self.rarely_polled.contains(&key) && now % LONG_TURN >= TURN;
+            if !is_unanswered && !is_late {
+                self.poll(key);
+            }
         }
         self.bench.record();
         started
     }
 
     fn begin(&mut self, start: &StartOrder) {
-        self.bench.start(start);
+        if self.late_starters.contains(&start.to.worker) {
+            let answered_at = self.bench.now + LATE_ANSWER;
+            self.unanswered.push((start.clone(), answered_at));
+        } else {
+            self.bench.start(start);
+        }
         let estimate = self.estimates[&start.task.step.job.0] as f64;
         let low = 1.0 - self.scatter;
         let scatter = low + 2.0 * self.scatter * self.rng.random::<f64>();
@@ -530,6 +559,93 @@
     assert!(runs.iter().all(|runs| (4..=16).contains(runs)), "{runs:?}");
 }
 
+/// Guards against workers that are taken for slow because their ends are read late: polls are lost,
+/// or wait until former ends are recorded while the store is slow.
+#[test]
+fn ends_that_are_read_late_give_no_samples() {
+    let q = queue("q", 0);
+    let mut site = Site::new(speed_on(), &[("a", 1.0); 12], std::slice::from_ref(&q));
+    site.teach(&q, 10);
+    let late = site.bench.worker(4);
+    site.rarely_polled.insert(late);
+
+    site.teach(&q, 20);
+    assert_eq!(site.slowdowns(), [1.0; 12]);
+
+    // Its runs count again once it is polled in time.
+    site.rarely_polled.clear();
+    site.paces.insert(late, 2.2);
+    site.teach(&q, 20);
+    assert!(site.slowdown(4) > 1.5, "{}", site.slowdown(4));
+}
+
+/// Guards against workers that are taken for fast because the owner hears late that their runs have
+/// begun.
+#[test]
+fn runs_whose_begin_is_known_late_give_no_samples() {
+    let q = queue("q", 0);
+    let mut site = Site::new(speed_on(), &[("a", 1.0); 12], std::slice::from_ref(&q));
+    site.teach(&q, 10);
+    site.late_starters.insert(site.bench.worker(4));
+
+    site.teach(&q, 20);
+
+    assert_eq!(site.slowdowns(), [1.0; 12]);
+}
+
+/// Guards against workers that stay slow for good because the estimates of the only queue that uses
+/// them become worse: its short steps are compared with the usual run time of the queue.
+#[test]
+fn a_queue_whose_estimates_become_worse_does_not_make_its_workers_slow() {
+    for (old, tasks) in [(1, 1), (2, 1), (6, 2)] {
+        // Arrange: even workers, of which only the queue "pinned" uses the old ones.
+        let (q, pinned) = (queue("q", 0), queue("pinned", 1));
+        let mut workers = vec![("new", 1.0); 30 - old];
+        workers.extend(vec![("old", 1.0); old]);
+        let mut site = Site::new(speed_on(), &workers, &[q.clone(), pinned.clone()]);
+        site.scatter = 0.3;
+        site.teach(&q, 12);
+        let step = Step {
+            label: Some(String::from("old")),
+            ..step(tasks, 16_000)
+        };
+
+        for round in 0..140 {
+            // Act: after 40 rounds, tasks take twice as long as before.
+            let factor = if round < 40 { 1 } else { 2 };
+            for _ in 0..old as u32 / tasks {
+                let id = site.submit(&pinned, vec![step.clone()]);
+                site.estimates.insert(id, step.estimate * factor);
+            }
+            for _ in 0..45 * factor {
+                site.turn();
+            }
+
+            // Assert.
+            assert_eq!(site.slowdowns(), [1.0; 30], "round {round}, {old} old");
+        }
+    }
+}
+
+#[test]
+fn slow_workers_are_found_from_steps_with_one_task() {
+    let q = queue("q", 0);
+    let workers = uneven_workers(30, true);
+    let mut site = Site::new(speed_on(), &workers, std::slice::from_ref(&q));
+    site.scatter = 0.3;
+    for _ in 0..20 {
+        for _ in 0..30 {
+            site.submit(&q, vec![step(1, 16_000)]);
+        }
+        for _ in 0..100 {
+            site.turn();
+        }
+    }
+
+    let slow = site.slowdowns();
+    assert!((0..30).all(|number| (slow[number] > 1.0) == (number % 3 == 2)));
+}
+
 /// Guards against samples from runs whose time does not depend on their worker alone: all members
 /// of a gang wait for the slowest, and fillers run on what other tasks leave.
 #[test]
