An owner that was not confirmed of late tells no state of a job

Cause: an owner that had been paused for seconds answered from its memory before it learned of its successor.

--- a/src/node/owner_calls.rs
+++ b/src/node/owner_calls.rs
@@ -37,10 +37,17 @@
         {
             NodeReply::UnknownJob
         }
-        NodeCall::State(JobRequest { job: id, .. }) => match engine.state_or_end(id).await {
-            Some(state) => NodeReply::State(state),
-            None => NodeReply::UnknownJob,
-        },
+        NodeCall::State(JobRequest { job: id, .. }) => {
+            let state = engine.state_or_end(id).await;
+            // A successor may have shown an end meanwhile that this owner does not know of.
+            if !engine.is_active() {
+                return NodeReply::Unavailable;
+            }
+            match state {
+                Some(state) => NodeReply::State(state),
+                None => NodeReply::UnknownJob,
+            }
+        }
         NodeCall::Explain(JobRequest { job: id, .. }) => {
             match engine.view(id).map(|view| serde_json::to_vec(&view)) {
                 Some(Ok(view)) => NodeReply::Explained(view),
