--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -13,11 +13,11 @@
 use slotmap::Key;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::cell::advice_plan::{Budget, Claim, lanes_for_short_questions};
+use crate::cell::advice_plan::lanes_for_short_questions;
 use crate::cell::job::Ticket;
 use crate::cell::order::{AdviceOrder, Order};
-use crate::cell::round::{AdviceBudget, Round};
-use crate::cell::spec::Demand;
+use crate::cell::question_plan::QuestionPlan;
+use crate::cell::round::Round;
 use crate::cell::speed::SpeedPreference;
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
@@ -35,34 +35,16 @@
 }
 
 /// A worker that a question may name.
-struct AdviceCandidate {
+pub(super) struct AdviceCandidate {
     worker: WorkerKey,
     /// The advice service has approved it for the step.
-    approved: bool,
+    pub(super) approved: bool,
     /// How many of the tasks that need tickets have room there now.
     fit: u32,
     /// When the first task is expected to have room there.
     free_at: Millis,
 }
 
-/// What a question is for.
-struct QuestionPlan {
-    /// The number of tasks that need tickets.
-    needed: u32,
-    /// The workers that the question may name; `None` for all.
-    among: Option<Vec<WorkerKey>>,
-}
-
-impl QuestionPlan {
-    /// A question that may name any worker.
-    fn unplanned(needed: u32) -> Self {
-        Self {
-            needed,
-            among: None,
-        }
-    }
-}
-
 /// Workers that a question may name.
 #[derive(Default)]
 struct CandidatePool {
@@ -94,7 +76,7 @@
 
     /// Finds a free lane for a question.  Long questions leave one of several usable lanes to short
     /// ones, or more if questions are planned.
-    fn free_lane(&self, long: bool) -> Option<usize> {
+    pub(super) fn free_lane(&self, long: bool) -> Option<usize> {
         let up = self.lanes.iter().filter(|lane| lane.up).count();
         let long_busy = self
             .lanes
@@ -179,166 +161,6 @@
         }));
     }
 
-    /// Decides whether a step may ask: only if capacity is left for it after the steps before it.
-    /// Returns `None` if it may not, or if its valid tickets are enough.
-    ///
-    /// While no lane is free nothing is examined, and what was decided last remains.
-    ///
-    /// Only a question whose first claim is not enough is restricted to the workers on which room
-    /// was claimed.  With all questions restricted once foreseen room is counted, they named half as
-    /// many workers, and 65% of the urgent jobs were in time instead of all (350 workers, 115% load).
-    fn plan_question(
-        &mut self,
-        key: StepKey,
-        needed: u32,
-        timing: &AdviceTiming,
-        round: &mut Round,
-    ) -> Option<QuestionPlan> {
-        let now = round.now;
-        let long = timing.duration(0) > tuning::LONG_ADVICE;
-        if self.free_lane(long).is_none() {
-            round.steps_not_asking += u32::from(self.steps[key].advice.kept_since.is_some());
-            return None;
-        }
-        self.prepare_budget(key, round);
-        let service = &self.jobs[self.steps[key].job].queue.service;
-        // It is put back below; claims and forecasts both need the round.
-        let mut budget = round.budgets.remove(service)?;
-        let step = &self.steps[key];
-        let mut claim = Claim {
-            room: step.step().room(),
-            tasks: f64::from(needed),
-            max_per_worker: needed,
-        };
-        let ticketed = self.workers_with_coming_room(key, round);
-        claim.tasks -= budget.budget.claim_on(&claim, ticketed).tasks;
-        let share = self.approved_share(&self.jobs[step.job].queue.name);
-        let named = step.advice.named.iter().map(|&worker| (worker, share));
-        claim.tasks -= budget.budget.claim_on(&claim, named).tasks;
-        let missing = claim.tasks.ceil().max(0.0) as u32;
-        if missing == 0 {
-            round.budgets.insert(service.clone(), budget);
-            self.steps[key].advice.kept_since = None;
-            return None;
-        }
-        let mut plan = QuestionPlan {
-            needed: missing,
-            among: None,
-        };
-        let probability = |worker| self.approval_probability(key, worker, share, now);
-        let mut granted = budget.budget.claim(&claim, probability);
-        if granted.tasks < claim.tasks {
-            claim.tasks -= granted.tasks;
-            claim.max_per_worker = 1;
-            self.widen_budget(&mut budget, timing, round);
-            let foreseen = budget.budget.claim(&claim, |worker| {
-                let is_new = !granted.workers.contains(&worker);
-                is_new.then(|| probability(worker)).flatten()
-            });
-            granted.workers.extend(foreseen.workers);
-            plan.among = Some(granted.workers.clone());
-        }
-        let is_undecided = budget.budget.is_examined_enough();
-        round.budgets.insert(service.clone(), budget);
-        if !granted.workers.is_empty() {
-            self.steps[key].advice.kept_since = None;
-            return Some(plan);
-        }
-        if is_undecided {
-            self.steps[key].advice.kept_since = None;
-            return Some(QuestionPlan::unplanned(missing));
-        }
-        self.keep_from_asking(key, round)
-            .then(|| QuestionPlan::unplanned(needed))
-    }
-
-    /// Notes that no capacity is left for a step.  Returns true if it may ask all the same, because
-    /// it has been kept from asking for long.
-    fn keep_from_asking(&mut self, key: StepKey, round: &mut Round) -> bool {
-        let now = round.now;
-        let advice = &mut self.steps[key].advice;
-        let since = *advice.kept_since.get_or_insert(now);
-        let is_overdue = since + tuning::MAX_ADVICE_DELAY <= now;
-        let next = self.last_overdue_question + tuning::OVERDUE_QUESTION_INTERVAL;
-        if is_overdue && !advice.asking && next <= now {
-            advice.kept_since = Some(now);
-            self.last_overdue_question = now;
-            return true;
-        }
-        round.steps_not_asking += 1;
-        false
-    }
-
-    /// Begins the budget of a step's service with the room that is free now.
-    fn prepare_budget(&self, key: StepKey, round: &mut Round) {
-        let service = &self.jobs[self.steps[key].job].queue.service;
-        if round.budgets.contains_key(service) {
-            return;
-        }
-        let usable = self.usable_workers(key, round);
-        let free = |worker| match self.takes_work(worker, round.now) {
-            true => self.workers[worker].free(),
-            false => Demand::default(),
-        };
-        let rooms = usable.iter().map(|&worker| (worker, free(worker)));
-        let first = xxh3_64(&round.now.to_le_bytes()) as usize;
-        let budget = AdviceBudget {
-            budget: Budget::new(rooms, first),
-            includes_forecasts: false,
-        };
-        round.budgets.insert(service.clone(), budget);
-    }
-
-    /// Adds the room that is foreseen to become free before the tickets of a question with this
-    /// timing that is asked now would expire.
-    fn widen_budget(&self, budget: &mut AdviceBudget, timing: &AdviceTiming, round: &mut Round) {
-        if budget.includes_forecasts {
-            return;
-        }
-        budget.includes_forecasts = true;
-        let valid = timing.valid.saturating_sub(tuning::TICKET_MARGIN);
-        let horizon = round.now + timing.duration(tuning::MAX_ADVICE_WORKERS) + valid;
-        budget
-            .budget
-            .widen(|worker| self.forecast(worker, round).free_at(horizon));
-    }
-
-    /// The workers for which a step has a ticket that is still valid when room for a task is
-    /// foreseen there, each with the probability 1 that the step may run there.
-    fn workers_with_coming_room(&self, key: StepKey, round: &mut Round) -> Vec<(WorkerKey, f64)> {
-        let now = round.now;
-        let step = &self.steps[key];
-        let room = step.step().room();
-        let mut workers = Vec::new();
-        for (&worker, ticket) in &step.advice.tickets {
-            let usable_until = ticket.expires.saturating_sub(tuning::TICKET_MARGIN);
-            if usable_until > now
-                && self.will_take_work(worker, now)
-                && self.forecast(worker, round).earliest_fit(&room) < usable_until
-            {
-                workers.push((worker, 1.0));
-            }
-        }
-        workers
-    }
-
-    /// The probability that a question about a step yields a ticket for a worker; `None` if the
-    /// step has a valid one, or cannot use the worker.
-    fn approval_probability(
-        &self,
-        key: StepKey,
-        worker: WorkerKey,
-        share: f64,
-        now: Millis,
-    ) -> Option<f64> {
-        let advice = &self.steps[key].advice;
-        if advice.rejected.contains(&worker) || advice.named.contains(&worker) {
-            return None;
-        }
-        let candidate = self.advice_candidate(key, worker, 1, now)?;
-        Some(if candidate.approved { 1.0 } else { share })
-    }
-
     /// Chooses the workers to name in a question, and returns whether they are expected to be
     /// enough. Approved workers whose tickets have run out come first, then those not asked about
     /// yet; among each, those with the most room come first.  For a step that prefers fast workers,
@@ -471,7 +293,7 @@
     /// Returns a worker as a candidate for a question about a step, unless the step has a valid
     /// ticket for it or cannot use it.  `free_at` is set to `now`, which is right only if there is
     /// room now.
-    fn advice_candidate(
+    pub(super) fn advice_candidate(
         &self,
         key: StepKey,
         worker_key: WorkerKey,
@@ -514,7 +336,7 @@
     }
 
     /// The workers of a step's service that will take work, computed once a round.
-    fn usable_workers(&self, key: StepKey, round: &mut Round) -> Rc<[WorkerKey]> {
+    pub(super) fn usable_workers(&self, key: StepKey, round: &mut Round) -> Rc<[WorkerKey]> {
         let service = &self.jobs[self.steps[key].job].queue.service;
         if let Some(usable) = round.usable_workers.get(service) {
             return Rc::clone(usable);
@@ -532,7 +354,7 @@
 
     /// The share of workers named in questions of a queue that the advice service approves, learned
     /// from its answers.
-    fn approved_share(&self, queue: &str) -> f64 {
+    pub(super) fn approved_share(&self, queue: &str) -> f64 {
         self.approved_share
             .get(queue)
             .copied()
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -33,6 +33,7 @@
 mod plan;
 pub mod poll;
 pub mod progress;
+mod question_plan;
 pub mod record;
 mod reservation;
 pub mod roster;
