Steps kept from asking for long take turns

Steps were visited in their order, so the first ten were due again before the eleventh had its turn: the steps behind them never asked while those ten waited. A turn also counted as taken if the round's searches were used up and nothing was asked.

Now the step that has been kept for the longest time goes first, and a turn counts once workers are searched for it.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -104,9 +104,10 @@
             true => self.plan_question(key, needed, &timing, round),
             false => Some(QuestionPlan::unplanned(needed)),
         };
-        let Some(QuestionPlan { needed, among }) = plan else {
+        let Some(plan) = plan else {
             return;
         };
+        let (needed, among) = (plan.needed, plan.among);
         let step = &self.steps[key];
         let pause = tuning::ADVICE_INTERVAL.min(2 * timing.duration(0));
         let pause_over = step.advice.last_answer == 0 || step.advice.last_answer + pause <= now;
@@ -117,6 +118,9 @@
             return;
         }
         self.counts.advice_searches += 1;
+        if plan.is_overdue {
+            self.note_overdue_search(key, now);
+        }
         let (workers, are_enough) =
             self.select_advice_workers(key, needed, &timing, among.as_deref(), round);
         if !are_enough {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -235,6 +235,9 @@
     speeds: Speeds,
     /// When a step that had been kept from asking for long was last allowed to ask.
     last_overdue_question: Millis,
+    /// The step that has been kept from asking for the longest time, as of the last scheduling round
+    /// that kept any.
+    longest_kept: Option<StepKey>,
     /// How many waiting steps were kept from asking in the last scheduling round.
     steps_not_asking: u32,
     /// The share of workers that the advice service approves for a step, learned by queue.
@@ -314,6 +317,7 @@
             open_steps: Vec::new(),
             lanes: Vec::new(),
             last_overdue_question: 0,
+            longest_kept: None,
             steps_not_asking: 0,
             estimate_errors: BTreeMap::new(),
             speeds: Speeds::default(),
--- a/src/cell/question_plan.rs
+++ b/src/cell/question_plan.rs
@@ -15,6 +15,8 @@
     pub(super) needed: u32,
     /// The workers that the question may name; `None` for all.
     pub(super) among: Option<Vec<WorkerKey>>,
+    /// No capacity is left for the step, but it has been kept from asking for long.
+    pub(super) is_overdue: bool,
 }
 
 impl QuestionPlan {
@@ -23,6 +25,7 @@
         Self {
             needed,
             among: None,
+            is_overdue: false,
         }
     }
 }
@@ -70,10 +73,7 @@
             self.steps[key].advice.kept_since = None;
             return None;
         }
-        let mut plan = QuestionPlan {
-            needed: missing,
-            among: None,
-        };
+        let mut plan = QuestionPlan::unplanned(missing);
         let probability = |worker| self.approval_probability(key, worker, share, now);
         let mut granted = budget.budget.claim(&claim, probability);
         if granted.tasks < claim.tasks {
@@ -97,27 +97,41 @@
             self.steps[key].advice.kept_since = None;
             return Some(QuestionPlan::unplanned(missing));
         }
-        self.keep_from_asking(key, round)
-            .then(|| QuestionPlan::unplanned(needed))
+        self.keep_from_asking(key, round).then(|| QuestionPlan {
+            is_overdue: true,
+            ..QuestionPlan::unplanned(needed)
+        })
     }
 
     /// Notes that no capacity is left for a step.  Returns true if it may ask all the same, because
-    /// it has been kept from asking for long.
+    /// it has been kept from asking for long and no other step for longer.
     fn keep_from_asking(&mut self, key: StepKey, round: &mut Round) -> bool {
         let now = round.now;
+        let is_next = self.longest_kept == Some(key);
+        let next_question = self.last_overdue_question + tuning::OVERDUE_QUESTION_INTERVAL;
         let advice = &mut self.steps[key].advice;
         let since = *advice.kept_since.get_or_insert(now);
         let is_overdue = since + tuning::MAX_ADVICE_DELAY <= now;
-        let next = self.last_overdue_question + tuning::OVERDUE_QUESTION_INTERVAL;
-        if is_overdue && !advice.asking && next <= now {
-            advice.kept_since = Some(now);
-            self.last_overdue_question = now;
+        if is_overdue && is_next && !advice.asking && next_question <= now {
             return true;
         }
+        let longest = round
+            .longest_kept
+            .map_or(Millis::MAX, |(longest, _)| longest);
+        if !advice.asking && since < longest {
+            round.longest_kept = Some((since, key));
+        }
         round.steps_not_asking += 1;
         false
     }
 
+    /// Notes that workers are searched for a step that was kept from asking for long.  It waits
+    /// again for its next turn, whether or not a worker is found.
+    pub(super) fn note_overdue_search(&mut self, key: StepKey, now: Millis) {
+        self.steps[key].advice.kept_since = Some(now);
+        self.last_overdue_question = now;
+    }
+
     /// Begins the budget of a step's service with the room that is free now.
     fn prepare_budget(&self, key: StepKey, round: &mut Round) {
         let service = &self.jobs[self.steps[key].job].queue.service;
--- a/src/cell/round.rs
+++ b/src/cell/round.rs
@@ -91,6 +91,8 @@
     pub(super) budgets: BTreeMap<String, AdviceBudget>,
     /// How many steps were kept from asking the advice service.
     pub(super) steps_not_asking: u32,
+    /// The step among them that has been kept from asking for the longest time, and since when.
+    pub(super) longest_kept: Option<(Millis, StepKey)>,
     /// How many steps have searched for workers to ask the advice service about.
     advice_searches: usize,
 }
@@ -109,6 +111,7 @@
             speed_preferences: SecondaryMap::new(),
             budgets: BTreeMap::new(),
             steps_not_asking: 0,
+            longest_kept: None,
             advice_searches: 0,
         }
     }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -59,6 +59,9 @@
         }
         self.counts.candidates_examined += round.candidates_examined;
         self.steps_not_asking = round.steps_not_asking;
+        if let Some((_, key)) = round.longest_kept {
+            self.longest_kept = Some(key);
+        }
         self.waiting = round.waiting;
     }
 
--- a/tests/advice_planning.rs
+++ b/tests/advice_planning.rs
@@ -266,6 +266,25 @@
     }
 }
 
+/// Guards against starvation of the steps behind the first ten: these were due again before the
+/// steps behind them had been allowed to ask.
+#[test]
+fn each_of_many_steps_that_are_kept_from_asking_asks_in_its_turn() {
+    let mut bench = planning(4, 2);
+    fill_for_good(&mut bench, 1, 4);
+    let waiting = 2..=15;
+    for id in waiting.clone() {
+        bench.accept(&job(id, &batch(), vec![wide_step()]));
+    }
+
+    let asked = pass_with_failing_questions(&mut bench, 30_000);
+
+    let mut jobs: Vec<u64> = asked.iter().map(|order| order.name.job.0).collect();
+    jobs.sort_unstable();
+    jobs.dedup();
+    assert_eq!(jobs, waiting.collect::<Vec<_>>());
+}
+
 #[test]
 fn a_step_asks_through_another_lane_when_the_node_of_its_lane_is_lost() {
     let mut bench = planning(4, 2);
