Steps kept from asking unpark workers

Workers are unparked for a step with advice when a question has too few workers to name. A step that the planning keeps from asking did not come to that, so it waited beside parked workers until it was overdue after 5 s. It now unparks workers like a step that asks.

tests/advice_planning.rs a_step_for_which_no_capacity_is_foreseen_unparks_workers: no worker of 3 parked ones was unparked before.

--- a/src/cell/question_plan.rs
+++ b/src/cell/question_plan.rs
@@ -97,6 +97,7 @@
             self.steps[key].advice.kept_since = None;
             return Some(QuestionPlan::unplanned(missing));
         }
+        self.unpark_for_step(key, missing, now);
         self.keep_from_asking(key, round).then(|| QuestionPlan {
             is_overdue: true,
             ..QuestionPlan::unplanned(needed)
--- a/tests/advice_planning.rs
+++ b/tests/advice_planning.rs
@@ -9,7 +9,6 @@
 use cell_core::{
     Bench, advised_queue, job, question_workers, questions, queue, starts, step, worker,
 };
-use crossweir::cell::WorkerKey;
 use crossweir::cell::advice_plan::{Budget, Claim, lanes_for_short_questions};
 use crossweir::cell::life::Life;
 use crossweir::cell::options::Options;
@@ -17,6 +16,7 @@
 use crossweir::cell::spec::{Demand, Step};
 use crossweir::cell::wait::WaitReason;
 use crossweir::cell::worker::WorkerEntry;
+use crossweir::cell::{WorkerKey, tuning};
 use crossweir::queue::{AdviceTiming, Queue};
 
 /// The queue of long questions.
@@ -285,6 +285,23 @@
     assert_eq!(jobs, waiting.collect::<Vec<_>>());
 }
 
+/// Guards against a step that waits for seconds beside parked workers that could run it.
+#[test]
+fn a_step_for_which_no_capacity_is_foreseen_unparks_workers() {
+    let mut bench = planning(4, 2);
+    bench.cell.set_idle_reserve(1);
+    bench.pass(tuning::PARKING_INTERVAL);
+    fill_for_good(&mut bench, 1, 1);
+    bench.cell.set_idle_reserve(0);
+    assert_eq!(bench.cell.count_workers().parked, 3);
+    bench.cell.take_unparked();
+
+    bench.accept(&job(2, &batch(), vec![wide_step()]));
+    bench.decide();
+
+    assert!(!bench.cell.take_unparked().is_empty());
+}
+
 #[test]
 fn a_step_asks_through_another_lane_when_the_node_of_its_lane_is_lost() {
     let mut bench = planning(4, 2);
