Foreseen capacity reaches to the end of each question's tickets

The first step of a round that needed foreseen capacity fixed how far it was foreseen for all later ones. Behind a short question this was about 0.8 s less than a long question's tickets are valid, so a long one was held back. The budget is now widened again for a question whose tickets expire later.

--- a/src/cell/question_plan.rs
+++ b/src/cell/question_plan.rs
@@ -148,7 +148,7 @@
         let first = xxh3_64(&round.now.to_le_bytes()) as usize;
         let budget = AdviceBudget {
             budget: Budget::new(rooms, first),
-            includes_forecasts: false,
+            foreseen_until: round.now,
         };
         round.budgets.insert(service.clone(), budget);
     }
@@ -156,12 +156,12 @@
     /// Adds the room that is foreseen to become free before the tickets of a question with this
     /// timing that is asked now would expire.
     fn widen_budget(&self, budget: &mut AdviceBudget, timing: &AdviceTiming, round: &mut Round) {
-        if budget.includes_forecasts {
-            return;
-        }
-        budget.includes_forecasts = true;
         let valid = timing.valid.saturating_sub(tuning::TICKET_MARGIN);
         let horizon = round.now + timing.duration(tuning::MAX_ADVICE_WORKERS) + valid;
+        if budget.foreseen_until >= horizon {
+            return;
+        }
+        budget.foreseen_until = horizon;
         budget
             .budget
             .widen(|worker| self.forecast(worker, round).free_at(horizon));
--- a/src/cell/round.rs
+++ b/src/cell/round.rs
@@ -64,9 +64,9 @@
 /// The room that steps of one service may still ask for.
 pub(super) struct AdviceBudget {
     pub(super) budget: Budget<WorkerKey>,
-    /// Room that is foreseen to become free is included.  It is left out until a step needs it,
-    /// since a forecast of all workers takes most of a round.
-    pub(super) includes_forecasts: bool,
+    /// Room that is foreseen to become free by this time is included.  It is left out until a step
+    /// needs it, since a forecast of all workers takes most of a round.
+    pub(super) foreseen_until: Millis,
 }
 
 /// One scheduling round.
--- a/tests/advice_planning.rs
+++ b/tests/advice_planning.rs
@@ -302,6 +302,23 @@
     assert!(!bench.cell.take_unparked().is_empty());
 }
 
+/// Guards against long questions that are held back because a short one, whose tickets expire
+/// sooner, was considered before.
+#[test]
+fn capacity_is_foreseen_until_the_tickets_of_the_longer_question_expire() {
+    let mut bench = planning(4, 2);
+    fill(&mut bench, 1, 1, 2_800);
+    fill_for_good(&mut bench, 2, 3);
+    let urgent = advised_queue("urgent", 1);
+    bench.accept(&job(3, &urgent, vec![wide_step()]));
+    bench.accept(&job(4, &batch(), vec![wide_step()]));
+
+    let asked = questions(&bench.decide());
+
+    let jobs: Vec<u64> = asked.iter().map(|order| order.name.job.0).collect();
+    assert_eq!(jobs, [4]);
+}
+
 #[test]
 fn a_step_asks_through_another_lane_when_the_node_of_its_lane_is_lost() {
     let mut bench = planning(4, 2);
