A ticket counts for one task when questions are planned

A valid ticket for a worker with coming capacity counted for as many tasks as fit in all the capacity foreseen there, also in what is foreseen only after the ticket has expired. A step with a few tickets thus counted as provided for, did not ask about more workers, and started its tasks one after another.

--- a/src/cell/question_plan.rs
+++ b/src/cell/question_plan.rs
@@ -60,10 +60,12 @@
         let mut claim = Claim {
             room: step.step().room(),
             tasks: f64::from(needed),
-            max_per_worker: needed,
+            // Room for more tasks may be foreseen there only after the ticket has expired.
+            max_per_worker: 1,
         };
         let ticketed = self.workers_with_coming_room(key, round);
         claim.tasks -= budget.budget.claim_on(&claim, ticketed).tasks;
+        claim.max_per_worker = needed;
         let share = self.approved_share(&self.jobs[step.job].queue.name);
         let named = step.advice.named.iter().map(|&worker| (worker, share));
         claim.tasks -= budget.budget.claim_on(&claim, named).tasks;
--- a/tests/advice_planning.rs
+++ b/tests/advice_planning.rs
@@ -319,6 +319,51 @@
     assert_eq!(jobs, [4]);
 }
 
+/// Guards against a step that starts one task after the other because it has a ticket for a worker
+/// where all of them would find room, but most of them only after the ticket has expired.
+#[test]
+fn a_ticket_counts_for_one_task_while_no_more_have_room() {
+    let mut bench = planning(3, 2);
+    let lasting = Step {
+        lasting: true,
+        per_worker: 1,
+        ..step(3, 4_000)
+    };
+    let ending = |tasks, millicores, estimate| Step {
+        estimate,
+        ..step(tasks, millicores)
+    };
+    // On each worker 12 cores are left.  Those of two workers are in use for a minute, those of the
+    // third until 1 s and 2.3 s from now.
+    let fillings = [
+        lasting,
+        ending(2, 12_000, 60_000),
+        ending(1, 4_000, 1_000),
+        ending(2, 4_000, 2_300),
+    ];
+    let mut started = Vec::new();
+    for (id, filling) in (1..).zip(fillings) {
+        bench.accept(&job(id, &plain(), vec![filling]));
+        started.push(bench.start_all());
+    }
+    let urgent = advised_queue("urgent", 1);
+    bench.accept(&job(5, &urgent, vec![wide_step()]));
+    bench.accept(&job(6, &batch(), vec![step(3, 4_000)]));
+    let first = questions(&bench.decide());
+    let ending_on = started[2][0].to.life.id.as_str();
+    assert_eq!(question_workers(&first[0]), [ending_on]);
+    approve_all(&mut bench, &first[0]);
+
+    let freed = &started[1][0];
+    bench.end(freed.task, freed.number, EndKind::Done);
+    bench.pass(300);
+    bench.poll(freed.to.worker);
+    let asked = questions(&bench.decide());
+
+    assert_eq!(asked.len(), 1);
+    assert_eq!(question_workers(&asked[0]), [freed.to.life.id.as_str()]);
+}
+
 #[test]
 fn a_step_asks_through_another_lane_when_the_node_of_its_lane_is_lost() {
     let mut bench = planning(4, 2);
