Claims of advice questions are kept by resource

A claim was kept as a share of the scarcest resource of a worker's room. When foreseen room was added, the share was scaled by the processors alone: 4 accelerators that were claimed stayed the whole room when 4 more were foreseen beside the same processors. Claims are now sums of processors, memory and accelerators, which need no scaling.

tests/advice_planning.rs claims_leave_the_accelerators_that_are_foreseen_beside_them: the second claim got nothing before.

--- a/src/cell/advice_plan.rs
+++ b/src/cell/advice_plan.rs
@@ -39,8 +39,22 @@
 #[derive(Debug, Clone, Copy)]
 struct Room {
     room: Demand,
-    /// The sum of all claims, as a share of the room.
-    claimed: f64,
+    /// The sum of all claims: processors, memory and accelerators.
+    claimed: [f64; 3],
+}
+
+impl Room {
+    fn claim(&mut self, wanted: &Demand, tasks: f64) {
+        for (claimed, wanted) in self.claimed.iter_mut().zip(amounts(wanted)) {
+            *claimed += tasks * wanted;
+        }
+    }
+
+    /// Returns whether any resource is claimed completely.
+    fn is_claimed(&self) -> bool {
+        let mut pairs = self.claimed.iter().zip(amounts(&self.room));
+        pairs.any(|(&claimed, room)| claimed > 0.0 && claimed >= room)
+    }
 }
 
 /// What a step claims.
@@ -79,7 +93,10 @@
     /// Begins a round with the room of each worker.  Claims begin at the worker at `first`.
     pub fn new(rooms: impl IntoIterator<Item = (K, Demand)>, first: usize) -> Self {
         let rooms = rooms.into_iter();
-        let unclaimed = |room| Room { room, claimed: 0.0 };
+        let unclaimed = |room| Room {
+            room,
+            claimed: [0.0; 3],
+        };
         let rooms: IndexMap<K, Room> = rooms.map(|(key, room)| (key, unclaimed(room))).collect();
         Self {
             next: first.checked_rem(rooms.len()).unwrap_or_default(),
@@ -93,13 +110,7 @@
     pub fn widen(&mut self, mut room_of: impl FnMut(K) -> Demand) {
         self.without_room.clear();
         for (&key, room) in &mut self.rooms {
-            let wider = room_of(key);
-            // Claims are kept as a share of the room, which is smaller for a larger room.
-            let before = room.room.millicores as f64;
-            if wider.millicores > 0 {
-                room.claimed *= (before / wider.millicores as f64).min(1.0);
-            }
-            room.room = wider;
+            room.room = room_of(key);
         }
     }
 
@@ -163,7 +174,7 @@
             return false;
         };
         let fit = room.room.times(&claim.room).min(claim.max_per_worker);
-        if fit == 0 || room.claimed >= 1.0 {
+        if fit == 0 || room.is_claimed() {
             return false;
         }
         let Some(probability) = probability(key).filter(|&probability| probability > 0.0) else {
@@ -171,7 +182,7 @@
         };
         let missing = (claim.tasks - granted.tasks) / probability;
         let tasks = f64::from(fit).min(missing) * probability;
-        room.claimed += tasks * dominant_share(&claim.room, &room.room);
+        room.claim(&claim.room, tasks);
         granted.tasks += tasks;
         granted.workers.push(key);
         true
@@ -187,10 +198,7 @@
     }
 }
 
-/// The greatest share of any resource in `room` that `wanted` takes.
-fn dominant_share(wanted: &Demand, room: &Demand) -> f64 {
-    let share = |wanted: u64, room: u64| wanted as f64 / room.max(1) as f64;
-    share(wanted.millicores, room.millicores)
-        .max(share(wanted.memory, room.memory))
-        .max(share(wanted.gpus, room.gpus))
+/// The processors, memory and accelerators of a demand.
+fn amounts(demand: &Demand) -> [f64; 3] {
+    [demand.millicores, demand.memory, demand.gpus].map(|amount| amount as f64)
 }
--- a/tests/advice_planning.rs
+++ b/tests/advice_planning.rs
@@ -140,6 +140,28 @@
     assert_eq!(budget.claim(&claim(4, 1.0), |_| Some(1.0)).tasks, 1.0);
 }
 
+/// Guards against accelerators that are held back because the processors beside them did not become
+/// more.
+#[test]
+fn claims_leave_the_accelerators_that_are_foreseen_beside_them() {
+    let accelerators = |gpus| Demand { gpus, ..cores(16) };
+    let of_four = Claim {
+        room: Demand {
+            gpus: 4,
+            ..cores(1)
+        },
+        tasks: 1.0,
+        max_per_worker: 1,
+    };
+    let mut budget = Budget::new([("a", accelerators(4))], 0);
+    assert_eq!(budget.claim(&of_four, |_| Some(1.0)).tasks, 1.0);
+
+    budget.widen(|_| accelerators(8));
+
+    assert_eq!(budget.claim(&of_four, |_| Some(1.0)).tasks, 1.0);
+    assert_eq!(budget.claim(&of_four, |_| Some(1.0)).tasks, 0.0);
+}
+
 /// Guards against a round whose work grows with the number of waiting steps.
 #[test]
 fn claims_of_one_round_examine_a_bounded_number_of_workers() {
