--- a/tests/advice_planning.rs
+++ b/tests/advice_planning.rs
@@ -9,7 +9,6 @@
 use cell_core::{
     Bench, advised_queue, job, question_workers, questions, queue, starts, step, worker,
 };
-use crossweir::cell::WorkerKey;
 use crossweir::cell::advice_plan::{Budget, Claim, lanes_for_short_questions};
 use crossweir::cell::life::Life;
 use crossweir::cell::options::Options;
@@ -17,6 +16,7 @@
 use crossweir::cell::spec::{Demand, Step};
 use crossweir::cell::wait::WaitReason;
 use crossweir::cell::worker::WorkerEntry;
+use crossweir::cell::{WorkerKey, tuning};
 use crossweir::queue::{AdviceTiming, Queue};
 
 /// The queue of long questions.
@@ -140,6 +140,28 @@
     assert_eq!(budget.claim(&claim(4, 1.0), |_| Some(1.0)).tasks, 1.0);
 }
 
+/// Guards against accelerators that are held back because the processors beside them did not become
+/// more.
+#[test]
+fn claims_leave_the_accelerators_that_are_foreseen_beside_them() {
+    let accelerators = |gpus| Demand { gpus, ..cores(16) };
+    let of_four = Claim {
+        room: Demand {
+            gpus: 4,
+            ..cores(1)
+        },
+        tasks: 1.0,
+        max_per_worker: 1,
+    };
+    let mut budget = Budget::new([("a", accelerators(4))], 0);
+    assert_eq!(budget.claim(&of_four, |_| Some(1.0)).tasks, 1.0);
+
+    budget.widen(|_| accelerators(8));
+
+    assert_eq!(budget.claim(&of_four, |_| Some(1.0)).tasks, 1.0);
+    assert_eq!(budget.claim(&of_four, |_| Some(1.0)).tasks, 0.0);
+}
+
 /// Guards against a round whose work grows with the number of waiting steps.
 #[test]
 fn claims_of_one_round_examine_a_bounded_number_of_workers() {
@@ -266,6 +288,104 @@
     }
 }
 
+/// Guards against starvation of the steps behind the first ten: these were due again before the
+/// steps behind them had been allowed to ask.
+#[test]
+fn each_of_many_steps_that_are_kept_from_asking_asks_in_its_turn() {
+    let mut bench = planning(4, 2);
+    fill_for_good(&mut bench, 1, 4);
+    let waiting = 2..=15;
+    for id in waiting.clone() {
+        bench.accept(&job(id, &batch(), vec![wide_step()]));
+    }
+
+    let asked = pass_with_failing_questions(&mut bench, 30_000);
+
+    let mut jobs: Vec<u64> = asked.iter().map(|order| order.name.job.0).collect();
+    jobs.sort_unstable();
+    jobs.dedup();
+    assert_eq!(jobs, waiting.collect::<Vec<_>>());
+}
+
+/// Guards against a step that waits for seconds beside parked workers that could run it.
+#[test]
+fn a_step_for_which_no_capacity_is_foreseen_unparks_workers() {
+    let mut bench = planning(4, 2);
+    bench.cell.set_idle_reserve(1);
+    bench.pass(tuning::PARKING_INTERVAL);
+    fill_for_good(&mut bench, 1, 1);
+    bench.cell.set_idle_reserve(0);
+    assert_eq!(bench.cell.count_workers().parked, 3);
+    bench.cell.take_unparked();
+
+    bench.accept(&job(2, &batch(), vec![wide_step()]));
+    bench.decide();
+
+    assert!(!bench.cell.take_unparked().is_empty());
+}
+
+/// Guards against long questions that are held back because a short one, whose tickets expire
+/// sooner, was considered before.
+#[test]
+fn capacity_is_foreseen_until_the_tickets_of_the_longer_question_expire() {
+    let mut bench = planning(4, 2);
+    fill(&mut bench, 1, 1, 2_800);
+    fill_for_good(&mut bench, 2, 3);
+    let urgent = advised_queue("urgent", 1);
+    bench.accept(&job(3, &urgent, vec![wide_step()]));
+    bench.accept(&job(4, &batch(), vec![wide_step()]));
+
+    let asked = questions(&bench.decide());
+
+    let jobs: Vec<u64> = asked.iter().map(|order| order.name.job.0).collect();
+    assert_eq!(jobs, [4]);
+}
+
+/// Guards against a step that starts one task after the other because it has a ticket for a worker
+/// where all of them would find room, but most of them only after the ticket has expired.
+#[test]
+fn a_ticket_counts_for_one_task_while_no_more_have_room() {
+    let mut bench = planning(3, 2);
+    let lasting = Step {
+        lasting: true,
+        per_worker: 1,
+        ..step(3, 4_000)
+    };
+    let ending = |tasks, millicores, estimate| Step {
+        estimate,
+        ..step(tasks, millicores)
+    };
+    // On each worker 12 cores are left.  Those of two workers are in use for a minute, those of the
+    // third until 1 s and 2.3 s from now.
+    let fillings = [
+        lasting,
+        ending(2, 12_000, 60_000),
+        ending(1, 4_000, 1_000),
+        ending(2, 4_000, 2_300),
+    ];
+    let mut started = Vec::new();
+    for (id, filling) in (1..).zip(fillings) {
+        bench.accept(&job(id, &plain(), vec![filling]));
+        started.push(bench.start_all());
+    }
+    let urgent = advised_queue("urgent", 1);
+    bench.accept(&job(5, &urgent, vec![wide_step()]));
+    bench.accept(&job(6, &batch(), vec![step(3, 4_000)]));
+    let first = questions(&bench.decide());
+    let ending_on = started[2][0].to.life.id.as_str();
+    assert_eq!(question_workers(&first[0]), [ending_on]);
+    approve_all(&mut bench, &first[0]);
+
+    let freed = &started[1][0];
+    bench.end(freed.task, freed.number, EndKind::Done);
+    bench.pass(300);
+    bench.poll(freed.to.worker);
+    let asked = questions(&bench.decide());
+
+    assert_eq!(asked.len(), 1);
+    assert_eq!(question_workers(&asked[0]), [freed.to.life.id.as_str()]);
+}
+
 #[test]
 fn a_step_asks_through_another_lane_when_the_node_of_its_lane_is_lost() {
     let mut bench = planning(4, 2);
