Speeds and shares: plainer comments and private names

The module comments quoted the load of one deployment at length, and some private names did not say what they hold. Comments are shortened to their reasons; `SharesState::since` becomes `contended_period`, `counted_by_queue` becomes `planned_by_queue`, and `is_time_exact` becomes `is_time_accurate`. No change of behaviour; fmt and clippy pass.

--- a/src/cell/shares.rs
+++ b/src/cell/shares.rs
@@ -1,16 +1,14 @@
 //! Which waiting tasks go behind the others of their priority because their workspace already has
 //! its share of the contended capacity.
 //!
-//! The load that this answers: twenty workspaces send work to a full cell, and for some seconds one
-//! of them sends seven times its usual load.  By turn alone, the jobs of all others would wait as
-//! long as those of that workspace, until its backlog is done.  An urgent job is granted 1.5 times
-//! its critical path of about 1 s, plus 250 ms, so it is late after waiting for less than 1 s.
+//! It is for full cells in which one of some twenty workspaces sends several times its usual load.
+//! In the order of turns alone, the jobs of all workspaces would wait until the backlog of that one
+//! is done.  Urgent jobs are late after waiting for less than 1 s.
 //!
-//! Two thresholds decide.  Capacity is contended as soon as all work together wants more than the
-//! usable workers have: only then does starting one task delay another one.  A workspace goes
-//! behind the others from the first step that it would start beyond its entitlement: any tolerance
-//! above it would be taken from the time that callers of the other workspaces are granted.
-//! The rules are described in `docs/design/contended-cells.md`, "Part 2: shares".
+//! Capacity is contended as soon as all work together wants more than the usable workers have: only
+//! then does starting one task delay another one.  A workspace goes behind the others from the first
+//! step beyond its entitlement.  Any tolerance above the entitlement would delay the jobs of the
+//! other workspaces.  The rules are described in `docs/design/contended-cells.md`, "Part 2: shares".
 
 use std::collections::{BTreeMap, btree_map};
 use std::iter::Peekable;
@@ -39,8 +37,8 @@
 /// Divides the capacity among claims by weighted dominant-resource fairness; returns the dominant
 /// share to which each claim is entitled, from 0 to 1.
 ///
-/// All dominant shares rise together, each in proportion to its weight, until the claim has what it
-/// wants or a resource that it needs is used up.  Claims of weight 0 get what the others leave, in
+/// All dominant shares rise together in proportion to their weights.  That of a claim stops when it
+/// has what it wants, or when a resource that it needs is used up.  Claims of weight 0 get what the others leave, in
 /// equal parts.  Resources of which there is no capacity do not count.
 pub fn fair_shares(claims: &[Claim], capacity: &Demand) -> Vec<f64> {
     let mut filling = Filling {
@@ -70,9 +68,9 @@
 struct Filling {
     /// The shares of each resource that each claim wants.
     wanted: Vec<[f64; RESOURCES]>,
-    /// The share of each resource that is not given away yet.
+    /// The share of each resource that is not allocated yet.
     free: [f64; RESOURCES],
-    /// The dominant share that each claim has got.
+    /// The dominant share that is allocated to each claim.
     shares: Vec<f64>,
 }
 
@@ -247,10 +245,9 @@
 /// Divides the capacity; returns `None` if it is not contended or cannot be divided.
 ///
 /// The demand of each claimant is summed up in the order of `waiting`, at each priority from what
-/// its runs of that priority and of lower numbers hold.  Runs that are less urgent do not count: a
-/// workspace that fills its share with batch work would otherwise wait with its urgent work as long
-/// as one whose urgent work alone is beyond its share.  The step that crosses the entitlement is
-/// still within it.
+/// its runs of that priority and of lower numbers hold.  Less urgent runs do not count, since the
+/// urgent work of a workspace would otherwise wait because of its own batch work.  The step that
+/// crosses the entitlement is still within it.
 pub fn divide(
     claimants: &[Claimant],
     waiting: &[WaitingDemand],
@@ -376,7 +373,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct BeyondShare {
     /// The priority number of its first step beyond its share that still waits after the round; none
-    /// if all of them found capacity.  All of its steps of a greater one are beyond its share too.
+    /// if all of them found capacity.  Its steps with a greater number are beyond its share too.
     pub(super) waiting_priority: Option<u32>,
     /// The processors to which it is entitled, in millicores.
     pub(super) entitled: f64,
@@ -390,9 +387,9 @@
     pub(super) beyond: Vec<StepKey>,
     /// The workspaces of these steps; none stands for the jobs without one.
     pub(super) beyond_workspaces: BTreeMap<Option<WorkspaceKey>, BeyondShare>,
-    /// When the present contention began and was last seen; none while there is none.  A pause of
-    /// less than [`tuning::CONTENTION_END_DELAY`] does not end it.
-    since: Option<(Millis, Millis)>,
+    /// When the present contention began and when it was last seen; none if there is none.  A pause
+    /// of less than [`tuning::CONTENTION_END_DELAY`] does not end it.
+    contended_period: Option<(Millis, Millis)>,
 }
 
 impl Cell {
@@ -402,7 +399,7 @@
     }
 
     /// Returns whether the last round put a step behind others because its workspace has its share.
-    /// Takes a pass over the steps that were, so this is for queries and not for rounds.
+    /// It searches a list of all such steps, so it is for queries and not for rounds.
     pub(super) fn is_beyond_share(&self, key: StepKey) -> bool {
         self.shares.beyond.contains(&key)
     }
@@ -478,13 +475,13 @@
         });
         let mut has_waiting = vec![false; claimants.len()];
         let mut can_start = Vec::with_capacity(order.len());
-        let mut counted_by_queue = BTreeMap::new();
+        let mut planned_by_queue = BTreeMap::new();
         let waiting = order.iter().map(|ordered| {
             let workspace = self.jobs[self.steps[ordered.key].job].workspace;
             let claimant = workspace.map_or(public, |key: WorkspaceKey| indices[key]);
             can_start.push(self.may_start(ordered.key, &largest));
             let demand = match can_start.last() {
-                Some(true) => self.waiting_demand(ordered.key, now, &mut counted_by_queue),
+                Some(true) => self.waiting_demand(ordered.key, now, &mut planned_by_queue),
                 _ => Demand::default(),
             };
             has_waiting[claimant] |= demand != Demand::default();
@@ -517,12 +514,12 @@
 
     /// What the waiting tasks of a step want together.  Tasks above the quota of their queue are left
     /// out, since they would use up the share of their workspace and could not start.
-    /// `counted_by_queue` holds the millicores that steps before it want of queues with a quota.
+    /// `planned_by_queue` holds the millicores that earlier steps want from queues with a quota.
     fn waiting_demand<'a>(
         &'a self,
         key: StepKey,
         now: Millis,
-        counted_by_queue: &mut BTreeMap<&'a str, u64>,
+        planned_by_queue: &mut BTreeMap<&'a str, u64>,
     ) -> Demand {
         let step = &self.steps[key];
         let (spec, job) = (step.step(), &self.jobs[step.job]);
@@ -532,8 +529,8 @@
             return room.of_tasks(waiting);
         };
         let queue = job.queue.name.as_str();
-        let counted = counted_by_queue.entry(queue).or_default();
-        let left = quota.saturating_sub(self.queue_millicores(queue) + *counted);
+        let planned = planned_by_queue.entry(queue).or_default();
+        let left = quota.saturating_sub(self.queue_millicores(queue) + *planned);
         let within = left.checked_div(room.millicores).unwrap_or(u64::MAX);
         let tasks = match u32::try_from(within) {
             Ok(within) if within < waiting && spec.gang => 0,
@@ -541,7 +538,7 @@
             Err(_) => waiting,
         };
         let demand = room.of_tasks(tasks);
-        *counted += demand.millicores;
+        *planned += demand.millicores;
         demand
     }
 
@@ -564,9 +561,9 @@
     /// Notes whether capacity is contended, and logs when that begins and ends.
     fn note_contention(&mut self, contended: bool, now: Millis) {
         self.shares.contention.contended = contended;
-        match self.shares.since {
+        match self.shares.contended_period {
             None if contended => {
-                self.shares.since = Some((now, now));
+                self.shares.contended_period = Some((now, now));
                 let (used, capacity) = self.room();
                 tracing::info!(
                     beyond_share_steps = self.shares.beyond.len(),
@@ -577,9 +574,9 @@
                     "capacity is contended and divided among workspaces by weight"
                 );
             }
-            Some((since, _)) if contended => self.shares.since = Some((since, now)),
+            Some((since, _)) if contended => self.shares.contended_period = Some((since, now)),
             Some((since, last)) if now >= last + tuning::CONTENTION_END_DELAY => {
-                self.shares.since = None;
+                self.shares.contended_period = None;
                 let lasted_ms = last - since;
                 tracing::info!(lasted_ms, "capacity is no longer contended");
             }
--- a/src/cell/speed.rs
+++ b/src/cell/speed.rs
@@ -1,9 +1,9 @@
 //! How fast workers are: how long a task takes on a worker compared with a typical worker of the
 //! same service, learned from the times of runs.
 //!
-//! It answers cells in which the same work takes up to three times as long on some workers as on
-//! others: urgent jobs may take 1.5 times their critical path, so one task on a slow worker makes
-//! a job late although there is free capacity.  See "Uneven workers" in `docs/DESIGN.md`.
+//! It is for cells in which the same work takes up to three times as long on some workers as on
+//! others.  Urgent jobs may take 1.5 times their critical path, so one task on a slow worker makes a
+//! job late although there is free capacity.  See "Uneven workers" in `docs/DESIGN.md`.
 
 use std::collections::BTreeMap;
 
@@ -16,7 +16,7 @@
 use crate::cell::{Cell, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
-/// The mean of a series of values; when it is full, old values decay.
+/// The mean of a series of values in which old values decay.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Mean {
     /// The number of values so far.
@@ -35,7 +35,7 @@
     }
 }
 
-/// A class of workers: those of one service that have the same first label, which tells the kind of
+/// A class of workers: those of one service with the same first label, which names the kind of
 /// machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Class<'a> {
@@ -91,8 +91,8 @@
     /// `slowest`.  `time_left` is the time in which the step must end so that its job ends within
     /// its granted time.
     ///
-    /// A task that takes [`tuning::TASK_TIME_SPREAD`] times its expected time there and is still in
-    /// time gains nothing from a fast worker, which is then left to steps that do.
+    /// A task that is in time even if it takes [`tuning::TASK_TIME_SPREAD`] times its expected time
+    /// there gains nothing from a fast worker.  Fast workers are left to other steps then.
     pub fn of(step: &Step, slowest: f64, time_left: Millis) -> Self {
         if step.lasting {
             return Self::Slow;
@@ -128,14 +128,14 @@
 struct Slowdown {
     /// The natural logarithm of the slowdown, without the dead band.
     log: f64,
-    /// By how much the logarithms of run times are corrected before they are compared: the worker's
-    /// own mean, once it has [`tuning::MIN_OWN_RUNS`].  Corrected by its slowdown, which is moved
-    /// towards that of its class, the difference would shrink further with each comparison.
+    /// What is subtracted from the logarithms of run times before they are compared: the worker's
+    /// own mean, once it has [`tuning::MIN_OWN_RUNS`].  The slowdown itself is moved towards that of
+    /// the class, so subtracting it would make the learned difference smaller each time.
     correction: f64,
     /// The slowdown, which is 1.0 within the dead band.
     factor: f64,
-    /// Slowdowns within about a tenth of each other are of one tier; higher is slower, and 0 is
-    /// typical.
+    /// Slowdowns within about [`tuning::EQUAL_SPEEDS`] of each other are of one tier; higher is
+    /// slower, and 0 is typical.
     tier: i32,
 }
 
@@ -170,7 +170,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Spread {
     median: f64,
-    /// The value that one in [`tuning::WORKERS_PER_SLOW_ONE`] workers exceeds.
+    /// The value that one in [`tuning::WORKERS_PER_SLOW_ONE`] workers reaches.
     slow: f64,
 }
 
@@ -206,8 +206,8 @@
 #[derive(Debug, Clone, Default)]
 struct ServiceSpeed {
     classes: BTreeMap<String, ClassSpeed>,
-    /// The slowdown of the slowest class, or of the slowest tenth of the workers if that is more;
-    /// at least 1.0.
+    /// The slowdown of the slowest class, or that of the slowest tenth of the workers if it is
+    /// greater; at least 1.0.
     slowest: f64,
     /// How many workers are outside the dead band.
     outside: usize,
@@ -244,12 +244,11 @@
         self.changed = true;
     }
 
-    /// Learns from the waiting runs of a step, by comparing each with all others of the step that
-    /// have ended, or with those of its queue if they are few.
+    /// Learns from the waiting runs of a step.  Each is compared with the other runs of the step
+    /// that have ended, or with those of its queue if the step has few.
     ///
-    /// The times are corrected for the slowdowns of their workers as known so far.  Where steps run
-    /// only on the fast workers, or only on the slow ones, comparing plain times would make the
-    /// workers look even again.
+    /// The times are corrected for what is known of their workers so far.  Otherwise workers would
+    /// look even wherever a step runs only on fast ones, or only on slow ones.
     fn compare(&mut self, times: &mut RunTimes, queue: &str, workers: &SlotMap<WorkerKey, Worker>) {
         let waiting = std::mem::take(&mut times.waiting);
         let typical_times = waiting.iter().map(|time| {
@@ -285,7 +284,7 @@
         self.changed = true;
     }
 
-    /// Has the table computed in the next round, since a worker was added.
+    /// Has the table computed in the next round, so that it includes a worker that was added.
     pub(super) fn worker_added(&mut self) {
         self.changed = true;
         self.computed_at = 0;
@@ -330,8 +329,8 @@
         }
     }
 
-    /// Enters the logarithm for each worker whose class is known into the table, and returns
-    /// their spread in each service.
+    /// Fills the table for the workers whose class is known, relative to the estimates and not yet
+    /// to the typical worker.  Returns the spread of their logarithms by service.
     fn compute_logs<'a>(
         &mut self,
         workers: impl Iterator<Item = (WorkerKey, &'a Worker)>,
@@ -370,8 +369,7 @@
         slowdown.copied().unwrap_or(Slowdown::TYPICAL)
     }
 
-    /// The slowdown of the slowest class, or tenth of the workers, of a service; none while all its
-    /// workers count as 1.0.
+    /// Returns [`ServiceSpeed::slowest`] of a service; none while all its workers count as 1.0.
     fn slowest(&self, service: &str) -> Option<f64> {
         let service = self.services.get(service)?;
         (service.outside > 0).then_some(service.slowest)
@@ -420,7 +418,7 @@
     }
 }
 
-/// Moves the mean of a class towards the worker's own mean, the more the more runs that has.
+/// Moves the mean of a class towards the worker's own mean, whose weight grows with its runs.
 fn combine(class: f64, own: Mean) -> f64 {
     let runs = f64::from(own.count.min(tuning::WORKER_SPEED_RUNS));
     let weight = runs / (runs + tuning::CLASS_WEIGHT_RUNS);
@@ -483,7 +481,7 @@
         }
     }
 
-    /// The time of a run that has just ended; none if it tells nothing about its worker.
+    /// The time of a run that has just ended; none if it is no measure of the worker's speed.
     fn run_time(&self, run: &Run, now: Millis) -> Option<RunTime> {
         let spec = self.steps[run.step].step();
         // The times of fillers depend on what other tasks leave them.
@@ -495,7 +493,7 @@
             return None;
         }
         let time = now.saturating_sub(run.began_at);
-        if !self.is_time_exact(run, time) {
+        if !self.is_time_accurate(run, time) {
             return None;
         }
         let ratio = time as f64 / spec.estimate as f64;
@@ -506,9 +504,9 @@
         })
     }
 
-    /// Returns whether the begin and the end of a run that seems to have taken `time` became known
-    /// soon enough for that time to be of use.
-    fn is_time_exact(&self, run: &Run, time: Millis) -> bool {
+    /// Returns whether the begin and the end of a run became known early enough for the measured
+    /// `time` to be accurate.
+    fn is_time_accurate(&self, run: &Run, time: Millis) -> bool {
         let worker = self.workers.get(run.worker);
         let end_delay = worker.map_or(Millis::MAX, |worker| worker.max_end_delay);
         let begin_delay = run.began_at.saturating_sub(run.sent_at);
