Waits, advice planning, admission: plainer comments

Several comments told what was tried, spoke of callers who come back, or needed a second reading. They now give the reason in one or two sentences; figures that stand behind a constant or a design choice stay. Private locals `of_all` and `long` become `wait_for_all` and `is_long`. No change of behaviour; fmt and clippy pass.

--- a/src/cell/advice_plan.rs
+++ b/src/cell/advice_plan.rs
@@ -1,15 +1,15 @@
 //! Which waiting steps may ask the advice service, and how many lanes long questions leave free.
 //!
-//! The load that this answers is a full cell with a backlog of batch steps.  An answer about such a
-//! step occupies a lane for 0.5 to 1.2 s, its tickets are valid for 2.5 s, and only a third of the
-//! workers are approved.  If all waiting steps ask, three quarters of the tickets expire unused, and
-//! capacity stays free because no step has a ticket for it (`docs/design/contended-cells.md`).
+//! It is for full cells with a backlog of batch steps, whose questions occupy a lane for up to 1.2 s
+//! and whose tickets are valid for 2.5 s.  If all waiting steps ask, three quarters of the tickets
+//! expire unused, and capacity stays free because no step has a ticket for it
+//! (`docs/design/contended-cells.md`).
 //!
 //! A [`Budget`] holds the room that is free or becomes free while the tickets of a question asked
-//! now are valid.  Steps claim it in the order of decisions.  A step whose claim finds nothing left
-//! does not ask.  A claim on a worker that may not be approved counts as much as the share of
-//! approved workers: this is the room that the step is expected to use.  To let two to five steps
-//! claim the same room gave no less free capacity (trials with 350 workers and 115% load).
+//! now are valid.  Steps claim it in the order of decisions, and a step for which none is left does
+//! not ask.  A claim on a worker that may not be approved is multiplied by the probability of
+//! approval, which gives the room that the step is expected to use.  Room is not claimed several
+//! times over, since this did not reduce the free capacity.
 
 use std::hash::Hash;
 
@@ -17,9 +17,8 @@
 
 use crate::cell::spec::Demand;
 
-/// The most workers that all claims of a round examine, which bounds the work of a round at about
-/// what the search for workers to name may cost.  It is enough for 11 passes over 350 workers.
-/// Steps that come after that ask as if there were no budget.
+/// The most workers that all claims of a round examine, which bounds the work of a round.  It is
+/// enough for 11 passes over 350 workers.  Steps that come after that ask as if there were no budget.
 pub const MAX_EXAMINED: usize = 4_000;
 /// The most demands for which it is noted that no room is left.
 const MAX_NOTED_DEMANDS: usize = 16;
--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -1,11 +1,10 @@
 //! How long the first task of a new job can be expected to wait, by queue.
 //!
-//! Nodes refuse jobs by these figures (`node::admission`).  They answer lasting overload: work
-//! that arrives faster than the workers do it, so that each further job would wait longer.  The
-//! wait is the work that goes before a new job, divided by the processors that can do it.
+//! Nodes use these waits to refuse jobs under lasting overload (`node::admission`).  A wait is the
+//! work that goes before a new job, divided by the processors that can do it.
 //!
-//! The figures are by the callers' estimates.  They hold without the work that arrives later, so
-//! that of a queue with a steady stream of more urgent work before it is too short.
+//! The waits depend on the callers' estimates and leave out work that arrives later.  That of a
+//! queue is therefore too short if more urgent work keeps arriving.
 
 use std::cell::LazyCell;
 use std::collections::BTreeMap;
@@ -20,8 +19,8 @@
 /// The waits are computed at most once in this time, in milliseconds: heartbeats to one node are
 /// no closer together.
 pub const COMPUTE_INTERVAL: Millis = 100;
-/// A new owner publishes nothing for this long, in milliseconds: the processors of workers that it
-/// has not heard from yet do not count, so the waits would be too long.
+/// A new owner publishes nothing for this long, in milliseconds.  Workers that it has not heard
+/// from yet do not count, so the waits would be too long.
 pub const QUIET_AFTER_CLAIM: Millis = 1_000;
 /// The most waits that are published.  A heartbeat grows by some 3 KB with that many.
 pub const MAX_PUBLISHED: usize = 64;
@@ -61,9 +60,9 @@
 /// Returns how long `millicores` are taken up by `loads`, in milliseconds: the sum of their work
 /// over the processors, where no load counts for more than it can do in that time.
 ///
-/// That bound matters for tasks without an end, for workspaces at their cap and for estimates of a
-/// year: they hold their processors and leave the others to a new job.  Loads that fit side by side
-/// make no job wait.
+/// The bound matters for tasks without an end, for workspaces at their cap and for estimates of a
+/// year: these hold their processors and leave the others to a new job.  The wait is zero if all
+/// loads fit side by side.
 pub fn expected_wait(mut loads: Vec<Load>, millicores: f64) -> Millis {
     loads.retain(|load| load.millicores > 0.0);
     let duration = |load: &Load| load.work / load.millicores;
@@ -117,7 +116,7 @@
         }
     }
 
-    /// Has the waits computed anew if that is due.
+    /// Computes the waits again if that is due.
     pub fn refresh(&mut self, now: Millis, compute: impl FnOnce() -> Vec<ExpectedWait>) {
         let is_fresh = |at: Millis| now.saturating_sub(at) < COMPUTE_INTERVAL;
         if now < self.held_since + QUIET_AFTER_CLAIM || self.computed_at.is_some_and(is_fresh) {
@@ -127,7 +126,7 @@
         self.computed_at = Some(now);
     }
 
-    /// Drops the waits: they are not known until they are computed again.
+    /// Drops the waits, so that none are known until they are computed again.
     pub fn withdraw(&mut self) {
         self.waits.clear();
         self.computed_at = None;
@@ -154,10 +153,10 @@
     }
 
     /// The processors that a task takes up together with those that stay idle beside it, in
-    /// millicores: three tasks of 4.5 cores take up a worker of 16.  With the bare demand the
-    /// expected wait of such tasks is too short by a sixth, so that jobs that are just accepted end
-    /// too late; with a limit of three times the granted time refusing then serves no more callers
-    /// than queueing.  Zero if no worker can hold such a task.
+    /// millicores; zero if no worker can hold such a task.
+    ///
+    /// For instance, three tasks of 4.5 cores take up a worker of 16.  By their demand alone, the
+    /// expected wait would be a sixth too short, and jobs that are just accepted would end too late.
     fn taken_up_by(&self, room: &Demand) -> f64 {
         if room.millicores == 0 {
             return 0.0;
@@ -282,8 +281,8 @@
     beyond: &BeyondShares,
     millicores: f64,
 ) -> PriorityWaits {
-    // Runs alone may take up more than the usable workers have, for instance on workers that accept
-    // no work any more.  Jobs do not pile up behind them.
+    // Runs alone may take up more than the usable workers have, for instance if some run on workers
+    // that no longer accept work.  New jobs do not wait for these.
     let mut before = loads.range((key.0, 0)..=key);
     let general = match before.any(|(_, loads)| loads.has_waiting) {
         true => expected_wait(loads_before_others(loads, key, beyond), millicores),
@@ -296,14 +295,14 @@
         }
     }
     // Without an entitlement a workspace waits for all other work.
-    let of_all = LazyCell::new(|| {
+    let wait_for_all = LazyCell::new(|| {
         let all = loads_before(loads, key).map(|(_, _, load)| load);
         expected_wait(all.collect(), millicores)
     });
     let own = own.into_iter().map(|(workspace, own)| {
         let entitled = beyond[&workspace].entitled;
         let wait = match entitled < 1.0 {
-            true => *of_all,
+            true => *wait_for_all,
             false => expected_wait(own, entitled),
         };
         // Its jobs go behind those of workspaces within their share.
@@ -325,9 +324,9 @@
     /// Returns the expected wait of each configured queue, also where it is zero, and that of each
     /// workspace that is beyond its share there.
     ///
-    /// Nothing is known, and nothing is returned, for queues whose service has no usable workers:
-    /// that is an outage and not load.  The same goes for all queues while rows of jobs are unread,
-    /// since the owner could not tell then whether a job is known.
+    /// Queues whose service has no usable workers are left out: that is an outage and not load.
+    /// While rows of jobs are unread, nothing is returned, since the owner cannot tell then whether
+    /// a job is known.
     pub fn expected_waits(&self, now: Millis) -> Vec<ExpectedWait> {
         if self.has_unread_jobs {
             return Vec::new();
@@ -378,7 +377,7 @@
         usable
     }
 
-    /// What runs, by step.
+    /// The runs of each step.
     fn step_runs(&self) -> SecondaryMap<StepKey, StepRuns> {
         let mut by_step: SecondaryMap<StepKey, StepRuns> = SecondaryMap::new();
         for run in self.runs.values() {
@@ -401,7 +400,7 @@
         match run.remaining(step.estimate) {
             _ if run.stop.is_some() => Some(tuning::TYPICAL_STOP_TIME),
             _ if step.lasting => None,
-            // A run that shows no progress yet: a task of an hour takes 36 s to show one percent.
+            // No progress is reported yet: a task of an hour takes 36 s to reach one percent.
             Millis::MAX => Some(step.estimate),
             remaining => Some(remaining),
         }
--- a/src/cell/question_plan.rs
+++ b/src/cell/question_plan.rs
@@ -1,4 +1,4 @@
-//! Decides which steps may ask the advice service, within the room that is left for them.
+//! Decides which steps may ask the advice service, by the room that is left for them.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -34,11 +34,11 @@
     /// Decides whether a step may ask: only if capacity is left for it after the steps before it.
     /// Returns `None` if it may not, or if its valid tickets are enough.
     ///
-    /// While no lane is free nothing is examined, and what was decided last remains.
+    /// While no lane is free, no step is examined and the last decision about it stands.
     ///
-    /// Only a question whose first claim is not enough is restricted to the workers on which room
-    /// was claimed.  With all questions restricted once foreseen room is counted, they named half as
-    /// many workers, and 65% of the urgent jobs were in time instead of all (350 workers, 115% load).
+    /// Only a question for which the room that is free now does not suffice is restricted to the
+    /// workers on which room was claimed.  If all questions are, they name too few workers: a third
+    /// of the urgent jobs were late at 115% load.
     pub(super) fn plan_question(
         &mut self,
         key: StepKey,
@@ -47,20 +47,20 @@
         round: &mut Round,
     ) -> Option<QuestionPlan> {
         let now = round.now;
-        let long = timing.duration(0) > tuning::LONG_ADVICE;
-        if self.free_lane(long).is_none() {
+        let is_long = timing.duration(0) > tuning::LONG_ADVICE;
+        if self.free_lane(is_long).is_none() {
             round.steps_not_asking += u32::from(self.steps[key].advice.kept_since.is_some());
             return None;
         }
         self.prepare_budget(key, round);
         let service = &self.jobs[self.steps[key].job].queue.service;
-        // It is put back below; claims and forecasts both need the round.
+        // Taken out of the round, which forecasts need as well, and put back below.
         let mut budget = round.budgets.remove(service)?;
         let step = &self.steps[key];
         let mut claim = Claim {
             room: step.step().room(),
             tasks: f64::from(needed),
-            // Room for more tasks may be foreseen there only after the ticket has expired.
+            // More room there may become free only after the ticket has expired.
             max_per_worker: 1,
         };
         let ticketed = self.workers_with_coming_room(key, round);
--- a/src/cell/speed.rs
+++ b/src/cell/speed.rs
@@ -170,7 +170,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Spread {
     median: f64,
-    /// The value that one in [`tuning::WORKERS_PER_SLOW_ONE`] workers reaches.
+    /// The value that one in [`tuning::WORKERS_PER_SLOW_ONE`] workers exceeds.
     slow: f64,
 }
 
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -99,9 +99,9 @@
 /// The most steps per scheduling round for which workers to ask about are searched, so that a
 /// backlog of hundreds of steps cannot delay the round.
 pub const MAX_ADVICE_SEARCHES: usize = 16;
-/// A step that has been kept from asking for this time may ask all the same: a task that needs a
-/// whole worker finds that much room only where it has reserved it, and for that it needs a ticket.
-/// Batch jobs are allowed about this much time beyond their critical path.
+/// A step that has been kept from asking for this time may ask all the same.  A task that needs a
+/// whole worker finds room only where it has reserved it, and a reservation needs a ticket.  Batch
+/// jobs are allowed about this much time beyond their critical path.
 pub const MAX_ADVICE_DELAY: Millis = 5_000;
 /// The shortest time between two questions of steps that have been kept from asking for
 /// [`MAX_ADVICE_DELAY`].  At 0.8 s per question they take less than two lanes.
@@ -144,10 +144,9 @@
 /// Runs are compared with one another if at least this many have ended, else with those of their
 /// queue.  The mean of three scatters by about a third.
 pub const MIN_COMPARED_RUNS: usize = 3;
-/// The runs of a step are compared once this many more have ended, if not all of its tasks are done
-/// before.  The first ones to end are the shorter ones, so comparing fewer makes workers look more
-/// alike: when each run was compared with those before it, a slowdown of 2.0 was learned as 1.58 to
-/// 1.83, and otherwise as 1.77 to 2.0.
+/// The runs of a step are compared once this many more have ended, or all of its tasks are done.
+/// Short runs end first, so comparing fewer makes workers look more alike: if each run is compared
+/// with those before it, a slowdown of 2.0 is learned as 1.58 to 1.83 instead of 1.77 to 2.0.
 pub const MAX_WAITING_RUN_TIMES: usize = 32;
 /// The speed of a worker is a mean over about this many of its runs: a worker that becomes slow is
 /// recognized after some ten.
@@ -156,8 +155,8 @@
 /// mean by 3%.
 pub const CLASS_SPEED_RUNS: u32 = 256;
 /// The usual run time of a queue is a mean over about this many runs, half as many as the speed of
-/// a worker.  When estimates become worse, it must follow before the workers look slow: with 256
-/// runs, two workers used by such a queue alone stayed slow for good.
+/// a worker.  When estimates become worse, it must follow before the workers look slow.  With 256
+/// runs, workers that only this queue used never stopped looking slow.
 pub const QUEUE_TIME_RUNS: u32 = 16;
 /// The speed of a class is used once it has this many runs.  Run times scatter by a half and the
 /// mean of 16 by an eighth, which is half of the dead band.
@@ -171,16 +170,17 @@
 /// A slowdown within this factor of the typical one counts as 1.0.  A job that may take 1.5 times
 /// its critical path tolerates it, and the mean of eight runs scatters by a fifth.
 pub const SPEED_DEAD_BAND: f64 = 1.3;
-/// Where labels do not tell fast workers from slow ones, a step prefers fast workers by the
-/// slowdown that one in this many workers exceeds.  A few sick workers are avoided by other means.
+/// Where labels do not distinguish fast workers from slow ones, the slowdown that one in this many
+/// workers exceeds decides whether a step prefers fast workers.  Fewer slow workers do not count,
+/// since failing ones are avoided by other means.
 pub const WORKERS_PER_SLOW_ONE: usize = 10;
 /// Slowdowns within about this factor of each other count as equal for placement.
 pub const EQUAL_SPEEDS: f64 = 1.1;
 /// The time of a task may exceed its expected time by this factor: tasks of one step differ from
 /// their estimate by a half and more.
 pub const TASK_TIME_SPREAD: f64 = 2.0;
-/// The shortest time between two computations of all slowdowns, which go over all workers.  The
-/// means change little within it.
+/// The shortest time between two computations of all slowdowns, each a pass over all workers.  The
+/// means change little in this time.
 pub const SPEED_INTERVAL: Millis = 100;
 /// The cost of a new start beyond the work itself: a stop, advice and an order.
 pub const RESTART_COST: Millis = 300;
@@ -269,8 +269,8 @@
 /// The most by which a job is moved back for its work, so that a large job does not wait forever.
 pub const MAX_WORK_PENALTY: Millis = 60_000;
 
-/// Contention of the capacity counts as over after this time without any.  A full cell is often
-/// contended in one round and not in the next, and each change would be logged.
+/// Contention counts as over after this time without any.  A full cell is often contended in one
+/// round and not in the next, and each change would be logged.
 pub const CONTENTION_END_DELAY: Millis = 1_000;
 
 /// Returns the epoch of the owner that succeeds an owner with `epoch`.
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -1,12 +1,12 @@
 //! Whether a submitted job is refused because of load.
 //!
-//! A job that would end after three times its granted time is worth nothing to its caller, and its
-//! work would take capacity from jobs that can still be in time.  So under lasting overload a node
-//! refuses a job at once if the wait that the owner expects for it (`cell::expected_wait`) leaves
-//! no chance of that, and tells the caller when to come back.
+//! A job that ends long after its granted time is worth nothing to its caller, and takes capacity
+//! from jobs that can still be in time.  Under lasting overload a node therefore refuses a job at
+//! once if it is expected to take too long with its expected wait (`cell::expected_wait`), and tells
+//! the caller when to retry.
 //!
-//! A refused job must not run, and a job must not be refused for a load that is over.  So a node
-//! refuses only by a recent value of the present owner, and accepts in every case of doubt.
+//! A refused job must not run, and a job must not be refused for a load that is over.  A node
+//! therefore refuses only by a recent value of the present owner, and accepts in case of doubt.
 
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
@@ -24,19 +24,19 @@
 /// Waits heard longer ago than this, in milliseconds, are not used: three intervals of heartbeats
 /// to nodes that are no watchers, so two may be lost.
 pub const MAX_AGE: Millis = 1_500;
-/// After a refusal the limit is reduced to this share of itself, in percent.  Without it, a wait
-/// that stays near the limit makes callers with equal jobs be accepted and refused in turn.
+/// After a refusal the limit is reduced to this share of itself, in percent.  Otherwise equal jobs
+/// would be accepted and refused in turn while the wait stays near the limit.
 const REDUCED_LIMIT_PERCENT: Millis = 80;
-/// How long the reduced limit counts without another refusal, in milliseconds: a few renewals of
-/// the value at every node.
+/// How long the reduced limit counts without another refusal, in milliseconds: each node hears the
+/// waits a few times in it.
 const REDUCED_FOR: Millis = 2_000;
 /// The shortest pause before a refused job is submitted again, in milliseconds, as for all other
 /// refusals.
 const MIN_PAUSE: Millis = 1_000;
 /// The longest pause, in milliseconds: callers should learn soon that the load is over.
 const MAX_PAUSE: Millis = 30_000;
-/// The longest pause before it is lengthened by up to half of itself, in milliseconds.  A longer
-/// one would give all callers [`MAX_PAUSE`], who would then return together.
+/// The longest pause before it is lengthened by up to half of itself, in milliseconds.  Longer ones
+/// would be cut to [`MAX_PAUSE`], and those callers would return together.
 const MAX_BASE_PAUSE: Millis = MAX_PAUSE * 2 / 3;
 /// The owner is asked about earlier refusals of a job if its expected wait is above this share of
 /// the accepted one, in percent.
@@ -148,13 +148,13 @@
 #[derive(Debug, Clone, Copy)]
 struct FirstRefusal {
     noted_at: Millis,
-    /// How long before that it was.  Its time itself may be before the start of the node's clock.
+    /// How long before `noted_at` it was.  The time of the refusal may precede the node's clock.
     age: Millis,
-    /// Until when the job can be worth something to its caller.
+    /// When it stops to count.
     until: Millis,
 }
 
-/// When jobs were first refused, as far as their callers may still come back.
+/// The first refusals of jobs that may still be submitted again.
 #[derive(Debug, Default)]
 pub struct FirstRefusals {
     by_job: HashMap<JobId, FirstRefusal>,
@@ -196,11 +196,11 @@
 /// The decisions of one node, and what it remembers of earlier ones.
 #[derive(Debug, Default)]
 pub struct Admission {
-    /// The last refusal by queue and workspace, while the reduced limit counts.
+    /// The time of the last refusal by queue and workspace, while the reduced limit counts.
     refused_at: HashMap<(String, String), Millis>,
     /// When jobs were first refused, as far as this node knows.
     first_refusals: FirstRefusals,
-    /// Jobs with a doubtful outcome at this node, with its time.
+    /// When a submission of a job at this node had a doubtful outcome.
     doubtful: HashMap<JobId, Millis>,
 }
 
@@ -252,8 +252,8 @@
     /// Returns whether a job that this node would accept could be refused if another node had
     /// refused it before.  The owner is asked about such jobs.
     ///
-    /// Jobs with a wait below [`ASKED_WAIT_PERCENT`] of what is accepted are not worth the call:
-    /// their callers have mostly not been told to come back so late that these jobs end too late.
+    /// Below [`ASKED_WAIT_PERCENT`] of the accepted wait the call is saved: earlier refusals have
+    /// rarely delayed such a job so much that it ends too late.
     pub fn may_have_lost_time(
         &self,
         job: &Arrival<'_>,
@@ -321,9 +321,9 @@
     (job.queue.to_owned(), job.workspace.to_owned())
 }
 
-/// How long the caller of a refused job should wait: `excess`, the part of the expected wait that
-/// is too much, lengthened by up to half of itself so that callers do not return together; in
-/// milliseconds, as whole seconds.
+/// How long the caller of a refused job should wait, in milliseconds and as whole seconds.  It is
+/// the part of the expected wait above the accepted one, `excess`, lengthened by up to half of
+/// itself so that callers do not return together.
 fn pause(excess: Millis, id: JobId) -> Millis {
     let base = excess.clamp(MIN_PAUSE, MAX_BASE_PAUSE);
     let spread = xxh3_64(&id.0.to_be_bytes()) % (base / 2 + 1);
