Expected waits, advice planning: two functions split

`Cell::loads` counted the work of each job and also grouped it; the counting is now `job_loads`. `Cell::plan_question` also claimed room on workers with tickets or in the question in flight; that is now `claim_asked_workers`. The statements are moved unchanged.

--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -186,6 +186,19 @@
     endless: u32,
 }
 
+/// The work of each job.
+#[derive(Default)]
+struct JobLoads {
+    /// Work that ends, waiting and running.
+    ending: SecondaryMap<JobKey, Load>,
+    /// The part of `ending` that runs, in millicore-milliseconds.
+    running: SecondaryMap<JobKey, f64>,
+    /// Work without an end, waiting and running.
+    endless: SecondaryMap<JobKey, Load>,
+    /// The jobs with waiting tasks.
+    waiting: SecondaryMap<JobKey, ()>,
+}
+
 /// Jobs of one queue and workspace share their limits on processors.
 type LimitKey<'a> = (&'a str, Option<WorkspaceKey>);
 
@@ -406,18 +419,9 @@
         }
     }
 
-    /// What waits and runs, and of the workspaces beyond their share the work that waits only: new
-    /// jobs of these start when the tasks before them have started, in the room that their own runs
-    /// leave.
-    fn loads(
-        &self,
-        usable: &BTreeMap<&str, Usable>,
-        beyond: &BeyondShares,
-    ) -> (LoadMap<'_>, LoadMap<'_>) {
-        let mut running: SecondaryMap<JobKey, f64> = SecondaryMap::new();
-        let mut by_job: SecondaryMap<JobKey, Load> = SecondaryMap::new();
-        let mut waiting_jobs: SecondaryMap<JobKey, ()> = SecondaryMap::new();
-        let mut endless: SecondaryMap<JobKey, Load> = SecondaryMap::new();
+    /// The work of each job, waiting and running.
+    fn job_loads(&self, usable: &BTreeMap<&str, Usable>) -> JobLoads {
+        let mut jobs = JobLoads::default();
         let by_step = self.step_runs();
         let size_of = |key: StepKey| {
             let step = &self.steps[key];
@@ -428,13 +432,13 @@
             let (job, size) = (self.steps[key].job, size_of(key));
             let ending = f64::from(runs.runs - runs.endless);
             let work = size * runs.remaining;
-            add_load(&mut by_job, job, load(work, size * ending));
-            if let Some(entry) = running.entry(job) {
+            add_load(&mut jobs.ending, job, load(work, size * ending));
+            if let Some(entry) = jobs.running.entry(job) {
                 *entry.or_default() += work;
             }
             if runs.endless > 0 {
                 let millicores = size * f64::from(runs.endless);
-                add_load(&mut endless, job, load(f64::INFINITY, millicores));
+                add_load(&mut jobs.endless, job, load(f64::INFINITY, millicores));
             }
         }
         for &key in &self.open_steps {
@@ -444,34 +448,46 @@
             if waiting == 0 || !self.jobs[step.job].queue_configured {
                 continue;
             }
-            waiting_jobs.insert(step.job, ());
+            jobs.waiting.insert(step.job, ());
             let spec = step.step();
             let millicores = size_of(key) * f64::from(waiting);
             // Later steps of a job go before a new job as well, but not beside its earlier steps.
             let at_once = if step.ready { millicores } else { 0.0 };
             if spec.lasting {
-                add_load(&mut endless, step.job, load(f64::INFINITY, at_once));
+                add_load(&mut jobs.endless, step.job, load(f64::INFINITY, at_once));
             } else {
                 let work = millicores * spec.estimate.max(1) as f64;
-                add_load(&mut by_job, step.job, load(work, at_once));
+                add_load(&mut jobs.ending, step.job, load(work, at_once));
             }
         }
+        jobs
+    }
+
+    /// Returns the loads of all work, and those of the workspaces beyond their share without the
+    /// work that runs.  New jobs of such a workspace start once the tasks before them have started,
+    /// in the room that its own runs leave.
+    fn loads(
+        &self,
+        usable: &BTreeMap<&str, Usable>,
+        beyond: &BeyondShares,
+    ) -> (LoadMap<'_>, LoadMap<'_>) {
+        let jobs = self.job_loads(usable);
         let (mut loads, mut own_loads) = (LoadMap::new(), LoadMap::new());
-        for (key, load) in by_job {
+        for (key, load) in jobs.ending {
             self.add_to(&mut loads, key, load);
             if beyond.contains_key(&self.jobs[key].workspace) {
-                let running = running.get(key).copied().unwrap_or_default();
+                let running = jobs.running.get(key).copied().unwrap_or_default();
                 let work = (load.work - running).max(0.0);
                 self.add_to(&mut own_loads, key, Load { work, ..load });
             }
         }
-        for (key, load) in endless {
+        for (key, load) in jobs.endless {
             self.add_to(&mut loads, key, load);
             if beyond.contains_key(&self.jobs[key].workspace) {
                 self.add_to(&mut own_loads, key, load);
             }
         }
-        for key in waiting_jobs.keys() {
+        for key in jobs.waiting.keys() {
             let job = &self.jobs[key];
             let of_priority = (job.queue.service.as_str(), job.decision.priority);
             loads.entry(of_priority).or_default().has_waiting = true;
--- a/src/cell/question_plan.rs
+++ b/src/cell/question_plan.rs
@@ -56,19 +56,8 @@
         let service = &self.jobs[self.steps[key].job].queue.service;
         // Taken out of the round, which forecasts need as well, and put back below.
         let mut budget = round.budgets.remove(service)?;
-        let step = &self.steps[key];
-        let mut claim = Claim {
-            room: step.step().room(),
-            tasks: f64::from(needed),
-            // More room there may become free only after the ticket has expired.
-            max_per_worker: 1,
-        };
-        let ticketed = self.workers_with_coming_room(key, round);
-        claim.tasks -= budget.budget.claim_on(&claim, ticketed).tasks;
-        claim.max_per_worker = needed;
-        let share = self.approved_share(&self.jobs[step.job].queue.name);
-        let named = step.advice.named.iter().map(|&worker| (worker, share));
-        claim.tasks -= budget.budget.claim_on(&claim, named).tasks;
+        let share = self.approved_share(&self.jobs[self.steps[key].job].queue.name);
+        let mut claim = self.claim_asked_workers(key, needed, share, &mut budget, round);
         let missing = claim.tasks.ceil().max(0.0) as u32;
         if missing == 0 {
             round.budgets.insert(service.clone(), budget);
@@ -106,6 +95,31 @@
         })
     }
 
+    /// Claims room on the workers for which a step has tickets, and on those that its question in
+    /// flight names.  Returns the claim for the tasks that these workers leave.
+    fn claim_asked_workers(
+        &self,
+        key: StepKey,
+        needed: u32,
+        share: f64,
+        budget: &mut AdviceBudget,
+        round: &mut Round,
+    ) -> Claim {
+        let step = &self.steps[key];
+        let mut claim = Claim {
+            room: step.step().room(),
+            tasks: f64::from(needed),
+            // More room there may become free only after the ticket has expired.
+            max_per_worker: 1,
+        };
+        let ticketed = self.workers_with_coming_room(key, round);
+        claim.tasks -= budget.budget.claim_on(&claim, ticketed).tasks;
+        claim.max_per_worker = needed;
+        let named = step.advice.named.iter().map(|&worker| (worker, share));
+        claim.tasks -= budget.budget.claim_on(&claim, named).tasks;
+        claim
+    }
+
     /// Notes that no capacity is left for a step.  Returns true if it may ask all the same, because
     /// it has been kept from asking for long and no other step for longer.
     fn keep_from_asking(&mut self, key: StepKey, round: &mut Round) -> bool {
