Shares split, plainer comments in the core and the node

`divide` also computed the limit and the processors of each claim; these are now `share_limit` and `entitled_millicores`, with the statements unchanged. The score of a candidate listed its criteria twice, in words and as fields. Other comments are shortened to their reasons.

--- a/src/cell/candidates.rs
+++ b/src/cell/candidates.rs
@@ -22,9 +22,9 @@
     is_unlisted: bool,
     /// The worker is not in the rack where the data lies.
     is_elsewhere: bool,
-    /// By the step's speed preference.
+    /// The rank by the step's speed preference.
     speed: i32,
-    /// By the room that would be left.
+    /// The rank by the room that would be left.
     room: u64,
 }
 
@@ -116,10 +116,9 @@
         })
     }
 
-    /// The score of a worker for a step; lower is better.  The tightest fit goes first, except that
-    /// lasting tasks, fillers and jobs that the policy spreads go to the emptiest worker.  Before
-    /// that goes the speed that the step prefers, and before this the rack where the data lies.
-    /// Workers that the platform does not list go last.
+    /// The score of a worker for a step; lower is better.  [`Score`] has the order of its criteria.
+    /// By room, the tightest fit is best, except that lasting tasks, fillers and jobs that the policy
+    /// spreads go to the emptiest worker.
     fn score(&self, step: &StepRun, key: WorkerKey, preference: SpeedPreference) -> Score {
         let spec = step.step();
         let worker = &self.workers[key];
@@ -172,14 +171,14 @@
         candidates.sort_unstable_by_key(order);
         return;
     }
-    let kind = |score: &Score| (score.is_unlisted, score.is_elsewhere, score.speed);
+    let group_key = |score: &Score| (score.is_unlisted, score.is_elsewhere, score.speed);
     let mut groups: Vec<Vec<PlacementCandidate>> = Vec::new();
     let count = candidates.len();
     for candidate in candidates.drain(..) {
         // There are few groups, so a search in order is faster than a map.
         let group = groups
             .iter_mut()
-            .find(|group| kind(&group[0].score) == kind(&candidate.score));
+            .find(|group| group_key(&group[0].score) == group_key(&candidate.score));
         match group {
             Some(group) => group.push(candidate),
             None => {
@@ -189,7 +188,7 @@
             }
         }
     }
-    groups.sort_unstable_by_key(|group| kind(&group[0].score));
+    groups.sort_unstable_by_key(|group| group_key(&group[0].score));
     for mut group in groups {
         group.sort_unstable_by_key(order);
         candidates.append(&mut group);
--- a/src/cell/ledger.rs
+++ b/src/cell/ledger.rs
@@ -19,8 +19,8 @@
 use crate::queue::Configuration;
 use crate::workspace::Workspace;
 
-/// Room that runs take on workers, by the priority of their jobs; without entries of nothing.  For
-/// fillers it is less than their demand.
+/// Room that runs take on workers, by the priority of their jobs; there are no empty entries.
+/// Fillers take less than their demand.
 type HeldRoom = BTreeMap<u32, Demand>;
 
 /// The usage of one workspace.
@@ -253,7 +253,7 @@
         rooms
     }
 
-    /// Charges all runs anew after the priorities of their jobs may have changed.
+    /// Charges all runs again after the priorities of their jobs may have changed.
     pub(super) fn recharge_room(&mut self) {
         let mut rooms = self.count_room();
         self.ledger.public_room = rooms.remove(&None).unwrap_or_default();
--- a/src/cell/options.rs
+++ b/src/cell/options.rs
@@ -1,18 +1,17 @@
-//! The optional parts of scheduling, which the operator's settings switch on.
+//! The optional parts of scheduling, which the operator's settings enable.
 
 use crate::clock::Millis;
 
-/// Which optional parts of scheduling are in use; by default none.
+/// Which optional parts of scheduling are enabled; by default none.
 ///
-/// They are described in `docs/design/contended-cells.md`, and the settings that switch them on in
-/// `docs/SETTINGS.md`.
+/// They are described in `docs/design/contended-cells.md`, and their settings in `docs/SETTINGS.md`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Options {
-    /// How fast each worker is, is learned from its runs and used for placement.
+    /// The speed of each worker is learned from its runs and used for placement.
     pub worker_speed: bool,
-    /// Workspaces of one priority share contended room by weight.
+    /// Contended capacity is divided among workspaces by weight, within each priority.
     pub shares: bool,
-    /// Questions to the advice service are only asked for steps that can start soon.
+    /// The advice service is asked only about steps that can start soon.
     pub advice_planning: bool,
     /// A job that is expected to take more than this many times the time that its queue grants is
     /// refused; `None` if jobs are never refused for load.
--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -420,9 +420,9 @@
     missing
 }
 
-/// The longest time that an end in the answer to a poll may have waited there.  A worker reports an end
-/// at once while a poll is open, so an end waits until the poll is sent, or while the answer is
-/// delayed.  It may have waited longer if the list before was full.
+/// The longest time that an end in the answer to a poll may have waited to be heard.  While a poll is
+/// open, the worker reports an end at once.  An end therefore waits for the next poll or for a
+/// delayed answer, and possibly longer if the previous list was full.
 fn max_end_delay(worker: &Worker, order: &PollOrder, now: Millis) -> Millis {
     if worker.more_ends {
         return Millis::MAX;
--- a/src/cell/query.rs
+++ b/src/cell/query.rs
@@ -1,4 +1,4 @@
-//! What the owner tells callers and other nodes of its jobs.
+//! Answers of the owner to callers and other nodes about its jobs.
 
 use std::collections::BTreeMap;
 
--- a/src/cell/round.rs
+++ b/src/cell/round.rs
@@ -1,5 +1,5 @@
-//! State of one scheduling round: what is computed once a round, and limits on its work.  It holds
-//! what the decisions of a round pass on to one another, and decides nothing itself.
+//! State of one scheduling round: values that its decisions compute once and share, and limits on
+//! its work.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/src/cell/shares.rs
+++ b/src/cell/shares.rs
@@ -280,23 +280,10 @@
         return None;
     }
     let shares = fair_shares(&claims, capacity);
-    let limits = shares.iter().zip(&claims).map(|(&share, claim)| {
-        let all = dominant(&resource_shares(&claim.wanted, capacity));
-        // A claimant that gets all it wants has no work beyond its share.  Its sum may reach its
-        // share before its last step, if that step wants little of its dominant resource.
-        match share >= all * (1.0 - ROUNDING) {
-            true => f64::INFINITY,
-            false => share * (1.0 - ROUNDING),
-        }
-    });
+    let shares = || shares.iter().zip(&claims);
+    let limits = shares().map(|(&share, claim)| share_limit(claim, share, capacity));
     let limits: Vec<f64> = limits.collect();
-    // All resources of a claim rise together, so its processors are in proportion to its share.
-    let entitled = shares.iter().zip(&claims).map(|(&share, claim)| {
-        match dominant(&resource_shares(&claim.wanted, capacity)) {
-            0.0 => 0.0,
-            all => claim.wanted.millicores as f64 * share / all,
-        }
-    });
+    let entitled = shares().map(|(&share, claim)| entitled_millicores(claim, share, capacity));
     let sums = claimants.iter().map(|claimant| RunningSum {
         sum: Demand::default(),
         held: claimant.held.iter().peekable(),
@@ -312,6 +299,26 @@
     })
 }
 
+/// Returns the dominant share from which the work of a claim entitled to `share` is beyond it.
+fn share_limit(claim: &Claim, share: f64, capacity: &Demand) -> f64 {
+    let all = dominant(&resource_shares(&claim.wanted, capacity));
+    // A claimant that gets all it wants has no work beyond its share.  Its sum may reach its share
+    // before its last step, if that step wants little of its dominant resource.
+    match share >= all * (1.0 - ROUNDING) {
+        true => f64::INFINITY,
+        false => share * (1.0 - ROUNDING),
+    }
+}
+
+/// Returns the processors of a claim that is entitled to `share`, in millicores.  All resources of a
+/// claim rise together, so its processors are in proportion to its share.
+fn entitled_millicores(claim: &Claim, share: f64, capacity: &Demand) -> f64 {
+    match dominant(&resource_shares(&claim.wanted, capacity)) {
+        0.0 => 0.0,
+        all => claim.wanted.millicores as f64 * share / all,
+    }
+}
+
 /// What a claimant wants, reduced in proportion to what its cap lets it hold.  What runs already is
 /// not reduced, since a lower cap stops nothing.
 fn within_cap(wanted: &Demand, claimant: &Claimant) -> Demand {
--- a/src/cell/start.rs
+++ b/src/cell/start.rs
@@ -130,9 +130,8 @@
     /// Logs all starts of a step in one line.  With one line for each start, a busy owner wrote 90
     /// KB of log a second, and entries older than two seconds were lost.
     ///
-    /// `speed` tells which workers the step prefers, and each start on a worker outside the dead
-    /// band its slowdown: a step that prefers fast workers runs on slow ones only if no fast one
-    /// with room is known to be permitted.
+    /// `speed` tells which workers the step prefers.  A start on a worker outside the dead band shows
+    /// the slowdown, which tells whether the preference was met.
     pub(super) fn log_starts(&self, key: StepKey, started: &[OrderedStart], round: &Round) {
         if started.is_empty() {
             return;
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -211,9 +211,9 @@
         self.cell().pending().into_iter().collect()
     }
 
-    /// Returns how long new jobs are expected to wait.  Without an option to refuse jobs nothing is
-    /// computed.  An owner that may not give orders does not know: it cannot tell whether its jobs
-    /// still wait.
+    /// Returns how long new jobs are expected to wait.  Nothing is computed unless jobs may be refused.
+    /// An owner that may not give orders knows no waits, since it cannot tell whether its jobs still
+    /// wait.
     pub fn expected_waits(&self) -> HeardWaits {
         if self.shared.options.reject_after.is_none() {
             return HeardWaits::default();
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -177,8 +177,8 @@
 
     /// Returns why a job is refused because of load; none if it is accepted.
     ///
-    /// Nothing is refused while the store is slow: rows that were written in doubt are many then,
-    /// and the owner learns late of them, so it could not tell which jobs are known.
+    /// Nothing is refused while the store is slow: the outcome of many writes is unknown then, and
+    /// the owner reads their rows late, so it cannot tell which jobs are known.
     async fn find_overload(&self, row: &JobRow) -> Option<Overload> {
         let shared = &self.shared;
         shared.options.reject_after?;
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -42,7 +42,7 @@
     pub advice: Option<SocketAddr>,
     /// The file that holds the operators' token; without it no call is accepted as an operator's.
     pub token_file: Option<PathBuf>,
-    /// The optional parts of scheduling that are switched on.
+    /// The optional parts of scheduling that are enabled.
     pub scheduling: Options,
 }
 
@@ -60,8 +60,7 @@
 const WORKERS_PERCENT: u32 = 60;
 /// The greatest CPU capacity that the settings accept, in cores.
 const MAX_CORES: f64 = 1_024.0;
-/// The greatest value of `[scheduling] reject_after`.  A job that may take longer is as good as never
-/// refused.
+/// The greatest value of `[scheduling] reject_after`.  Greater ones would hardly ever refuse a job.
 const MAX_REJECT_AFTER: u32 = 100;
 
 impl Settings {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -74,7 +74,7 @@
     pub address: SocketAddr,
     /// Addresses of nodes to ask when the store cannot be reached.
     pub seeds: Vec<SocketAddr>,
-    /// The optional parts of scheduling that the settings switch on.
+    /// The optional parts of scheduling that the settings enable.
     pub options: Options,
     /// The clock by which the node measures time.
     pub clock: Arc<dyn Clock>,
