Tests of contended cells: plainer comments

Some comments of tests/load_control.rs, worker_speed.rs and shares.rs were figurative, or told a load instead of the failure that is guarded against; one test told no failure. Only comments change.

--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -1,9 +1,9 @@
 //! Load control at intake: a job that would end too late because of load is refused at once.
 //!
 //! Guards against two faults.  Without refusals, work that arrives faster than it is done makes
-//! every job late, and capacity goes to jobs that are worth nothing any more.  With refusals, a
-//! node must not refuse a job by a value that no longer holds, and must not say of a job that was
-//! accepted that it never will run.
+//! every job late, and capacity is spent on jobs that end too late for their callers.  With
+//! refusals, a node may refuse a job by an outdated value, or tell the caller of an accepted job that
+//! the job will never run.
 
 mod cell_core;
 mod virtual_node;
@@ -1161,7 +1161,7 @@
     assert_eq!(count.as_deref(), Some("2"));
 }
 
-// The load that refusals answer.
+// Lasting overload of a batch queue.
 
 /// The time that the batch load lasts.
 const LOAD_TIME: Millis = 60_000;
@@ -1169,12 +1169,13 @@
 const TICK: Millis = 100;
 /// How often a node hears the owner.
 const HEARD_EVERY: Millis = 500;
-/// The nodes that take jobs in, as many as in the first cell.
+/// The number of nodes to which callers submit jobs, as many as in the first cell.
 const NODES: usize = 31;
-/// A caller makes its first attempt again only so many times its granted time after the first.
+/// A caller starts over after this many times the granted time since its first attempt, since the
+/// job is worth nothing by then.
 const WORTH: Millis = 3;
 
-/// A run that goes on.
+/// A run that has not ended.
 struct Going {
     task: TaskName,
     number: u64,
@@ -1194,7 +1195,7 @@
     ended_at: Option<Millis>,
 }
 
-/// A core with workers on which tasks take as long as they take, and one node that takes jobs in.
+/// A core with workers whose tasks take their actual times, and one node to which jobs are submitted.
 struct World {
     cell: Cell,
     now: Millis,
@@ -1287,7 +1288,7 @@
     }
 }
 
-/// How long a task of the batch load takes by its estimate, and what it takes up.
+/// The estimate of a task of the batch load, and the processors that it needs.
 const TASK_TIME: Millis = 4_800;
 const TASK_MILLICORES: u64 = 4_500;
 const WORKERS: u16 = 20;
@@ -1295,16 +1296,15 @@
 /// What the callers of refused jobs do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Callers {
-    /// They submit the job again when they are told to, as long as that can be worth it, and to the
-    /// same node.
+    /// They submit the job again to the same node after the pause, until it is worth nothing.
     Return,
-    /// The same, to another node each time.
+    /// They do so at another node each time.
     ReturnElsewhere,
-    /// They never do.
+    /// They never submit it again.
     GiveUp,
 }
 
-/// What became of the jobs of a load.
+/// The outcome of the jobs of a load.
 #[derive(Debug, Default)]
 struct Outcome {
     jobs: usize,
@@ -1500,6 +1500,7 @@
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
 const ESTIMATE_ERROR: f64 = 0.2;
 
+/// Guards against refusals under lasting overload that serve callers no better than queueing.
 #[test]
 fn refusing_serves_more_callers_of_an_overloaded_queue_than_queueing() {
     for seed in SEEDS {
@@ -1552,8 +1553,8 @@
 const SHARED_WORKERS: u16 = 40;
 const WORKSPACES: usize = 20;
 const SMALL_TASKS: u32 = 2;
-/// The load of all workspaces together without the flood, in parts of the capacity, and how many
-/// times its usual load the first workspace sends for [`LOAD_TIME`].
+/// The load of all workspaces together without the flood, relative to the capacity, and the factor
+/// by which the first workspace raises its load for [`LOAD_TIME`].
 const USUAL_LOAD: f64 = 0.95;
 const FLOOD: f64 = 7.5;
 /// How long all send their usual load.  It goes on after the flood, since its backlog would be done
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -1,7 +1,7 @@
 //! Contended capacity is divided among workspaces by weight.
 //!
-//! The load: twenty workspaces share a full cell, and one of them sends seven times its usual load
-//! for some seconds.  Each failure and special case of `docs/design/contended-cells.md`, "Part 2:
+//! Guards against one workspace that delays the jobs of all others in a full cell by sending several
+//! times its usual load.  Each failure and special case of `docs/design/contended-cells.md`, "Part 2:
 //! shares", has a test.
 
 mod cell_core;
@@ -108,7 +108,7 @@
     counts
 }
 
-/// Ends so many runs of a job, and returns the starts of the next round.
+/// Ends this many runs of a job, and returns the starts of the next round.
 fn end_and_decide(bench: &mut Bench, id: u64, count: usize) -> BTreeMap<u64, usize> {
     let runs = bench.running.values().flatten();
     let of_job = runs.filter(|(task, _)| task.step.job == JobId(id));
--- a/tests/worker_speed.rs
+++ b/tests/worker_speed.rs
@@ -1,8 +1,7 @@
 //! What the core learns about the speed of workers, and how it uses that.
 //!
 //! Guards against urgent jobs that are late because one of their tasks was placed on a slow worker
-//! although fast ones were free, as 112 of 1,545 were in a cell where a third of the workers takes
-//! up to twice as long.  The cells here are scaled down to 30 or fewer workers.
+//! although fast ones were free.  A third of the workers take up to twice as long.  The cells here are scaled down to 30 or fewer workers.
 
 mod cell_core;
 
@@ -33,7 +32,7 @@
 /// The time after which a late answer to a start arrives.
 const LATE_ANSWER: Millis = 400;
 
-/// A run that goes on.
+/// A run that has not ended.
 struct Active {
     worker: WorkerKey,
     task: TaskName,
@@ -242,7 +241,7 @@
         self.bench.cell.poll_answered(&order, &report, now);
     }
 
-    /// Lets each worker run so many tasks, one at a time.
+    /// Has each worker run this many tasks, one at a time.
     fn teach(&mut self, queue: &Queue, runs: usize) {
         for _ in 0..runs {
             let tasks = self.paces.len() as u32;
@@ -258,7 +257,7 @@
         self.settle();
     }
 
-    /// Lets the time pass after which what was learned is used.
+    /// Lets enough time pass that learned speeds are used.
     fn settle(&mut self) {
         for _ in 0..=100 / TURN {
             self.turn();
@@ -308,8 +307,7 @@
 }
 
 /// Runs the load of the first cell for a minute, scaled from its 350 workers to the number of
-/// `workers`.  Returns how many urgent
-/// jobs ended in their granted time, and how many there were.
+/// `workers`.  Returns how many urgent jobs ended in their granted time, and how many there were.
 fn urgent_jobs_in_time(options: Options, workers: &[(&str, f64)]) -> (usize, usize, Site) {
     let (urgent, batch) = (urgent_queue(), batch_queue());
     let mut site = Site::new(options, workers, &[urgent.clone(), batch.clone()]);
