--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -1171,12 +1171,11 @@
 const HEARD_EVERY: Millis = 500;
 /// The number of nodes to which callers submit jobs, as many as in the first cell.
 const NODES: usize = 31;
-/// A caller starts over after this many times the granted time since its first attempt, since the
-/// job is worth nothing by then.
-const WORTH: Millis = 3;
+/// A job is worth nothing to its caller after this many times its granted time.
+const MAX_GRANTED_TIMES: Millis = 3;
 
 /// A run that has not ended.
-struct Going {
+struct ActiveRun {
     task: TaskName,
     number: u64,
     from: Millis,
@@ -1200,7 +1199,7 @@
     cell: Cell,
     now: Millis,
     rng: StdRng,
-    running: BTreeMap<WorkerKey, Vec<Going>>,
+    running: BTreeMap<WorkerKey, Vec<ActiveRun>>,
     ends: BTreeMap<WorkerKey, Vec<EndEntry>>,
     last_end: u64,
 }
@@ -1244,7 +1243,7 @@
         let factor = self.rng.random_range(range);
         let lasts = (TASK_TIME as f64 * factor) as Millis;
         let running = self.running.get_mut(&start.to.worker).expect("a worker");
-        running.push(Going {
+        running.push(ActiveRun {
             task: start.task,
             number: start.number,
             from: self.now,
@@ -1461,7 +1460,7 @@
                         admission.note_refused(&arrival, &overload, now);
                         let next = now + overload.pause;
                         let is_worth_it = callers != Callers::GiveUp
-                            && next + 2 * TASK_TIME <= job.first_at + WORTH * granted;
+                            && next + 2 * TASK_TIME <= job.first_at + MAX_GRANTED_TIMES * granted;
                         job.next_at = is_worth_it.then_some(next);
                         if !is_worth_it {
                             outcome.given_up += 1;
@@ -1482,7 +1481,7 @@
                 let took = now - job.first_at;
                 match took {
                     _ if took <= granted => outcome.in_time += 1,
-                    _ if took <= WORTH * granted => outcome.late += 1,
+                    _ if took <= MAX_GRANTED_TIMES * granted => outcome.late += 1,
                     _ => outcome.worthless += 1,
                 }
             }
