--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -1,11 +1,10 @@
 //! How long the first task of a new job can be expected to wait, by queue.
 //!
-//! Nodes refuse jobs by these figures (`node::admission`).  They answer lasting overload: work
-//! that arrives faster than the workers do it, so that each further job would wait longer.  The
-//! wait is the work that goes before a new job, divided by the processors that can do it.
+//! Nodes use these waits to refuse jobs under lasting overload (`node::admission`).  A wait is the
+//! work that goes before a new job, divided by the processors that can do it.
 //!
-//! The figures are by the callers' estimates.  They hold without the work that arrives later, so
-//! that of a queue with a steady stream of more urgent work before it is too short.
+//! The waits depend on the callers' estimates and leave out work that arrives later.  That of a
+//! queue is therefore too short if more urgent work keeps arriving.
 
 use std::cell::LazyCell;
 use std::collections::BTreeMap;
@@ -20,8 +19,8 @@
 /// The waits are computed at most once in this time, in milliseconds: heartbeats to one node are
 /// no closer together.
 pub const COMPUTE_INTERVAL: Millis = 100;
-/// A new owner publishes nothing for this long, in milliseconds: the processors of workers that it
-/// has not heard from yet do not count, so the waits would be too long.
+/// A new owner publishes nothing for this long, in milliseconds.  Workers that it has not heard
+/// from yet do not count, so the waits would be too long.
 pub const QUIET_AFTER_CLAIM: Millis = 1_000;
 /// The most waits that are published.  A heartbeat grows by some 3 KB with that many.
 pub const MAX_PUBLISHED: usize = 64;
@@ -61,9 +60,9 @@
 /// Returns how long `millicores` are taken up by `loads`, in milliseconds: the sum of their work
 /// over the processors, where no load counts for more than it can do in that time.
 ///
-/// That bound matters for tasks without an end, for workspaces at their cap and for estimates of a
-/// year: they hold their processors and leave the others to a new job.  Loads that fit side by side
-/// make no job wait.
+/// The bound matters for tasks without an end, for workspaces at their cap and for estimates of a
+/// year: these hold their processors and leave the others to a new job.  The wait is zero if all
+/// loads fit side by side.
 pub fn expected_wait(mut loads: Vec<Load>, millicores: f64) -> Millis {
     loads.retain(|load| load.millicores > 0.0);
     let duration = |load: &Load| load.work / load.millicores;
@@ -117,7 +116,7 @@
         }
     }
 
-    /// Has the waits computed anew if that is due.
+    /// Computes the waits again if that is due.
     pub fn refresh(&mut self, now: Millis, compute: impl FnOnce() -> Vec<ExpectedWait>) {
         let is_fresh = |at: Millis| now.saturating_sub(at) < COMPUTE_INTERVAL;
         if now < self.held_since + QUIET_AFTER_CLAIM || self.computed_at.is_some_and(is_fresh) {
@@ -127,7 +126,7 @@
         self.computed_at = Some(now);
     }
 
-    /// Drops the waits: they are not known until they are computed again.
+    /// Drops the waits, so that none are known until they are computed again.
     pub fn withdraw(&mut self) {
         self.waits.clear();
         self.computed_at = None;
@@ -154,10 +153,10 @@
     }
 
     /// The processors that a task takes up together with those that stay idle beside it, in
-    /// millicores: three tasks of 4.5 cores take up a worker of 16.  With the bare demand the
-    /// expected wait of such tasks is too short by a sixth, so that jobs that are just accepted end
-    /// too late; with a limit of three times the granted time refusing then serves no more callers
-    /// than queueing.  Zero if no worker can hold such a task.
+    /// millicores; zero if no worker can hold such a task.
+    ///
+    /// For instance, three tasks of 4.5 cores take up a worker of 16.  By their demand alone, the
+    /// expected wait would be a sixth too short, and jobs that are just accepted would end too late.
     fn taken_up_by(&self, room: &Demand) -> f64 {
         if room.millicores == 0 {
             return 0.0;
@@ -187,6 +186,19 @@
     endless: u32,
 }
 
+/// The work of each job.
+#[derive(Default)]
+struct JobLoads {
+    /// Work that ends, waiting and running.
+    ending: SecondaryMap<JobKey, Load>,
+    /// The part of `ending` that runs, in millicore-milliseconds.
+    running: SecondaryMap<JobKey, f64>,
+    /// Work without an end, waiting and running.
+    endless: SecondaryMap<JobKey, Load>,
+    /// The jobs with waiting tasks.
+    waiting: SecondaryMap<JobKey, ()>,
+}
+
 /// Jobs of one queue and workspace share their limits on processors.
 type LimitKey<'a> = (&'a str, Option<WorkspaceKey>);
 
@@ -282,8 +294,8 @@
     beyond: &BeyondShares,
     millicores: f64,
 ) -> PriorityWaits {
-    // Runs alone may take up more than the usable workers have, for instance on workers that accept
-    // no work any more.  Jobs do not pile up behind them.
+    // Runs alone may take up more than the usable workers have, for instance if some run on workers
+    // that no longer accept work.  New jobs do not wait for these.
     let mut before = loads.range((key.0, 0)..=key);
     let general = match before.any(|(_, loads)| loads.has_waiting) {
         true => expected_wait(loads_before_others(loads, key, beyond), millicores),
@@ -296,14 +308,14 @@
         }
     }
     // Without an entitlement a workspace waits for all other work.
-    let of_all = LazyCell::new(|| {
+    let wait_for_all = LazyCell::new(|| {
         let all = loads_before(loads, key).map(|(_, _, load)| load);
         expected_wait(all.collect(), millicores)
     });
     let own = own.into_iter().map(|(workspace, own)| {
         let entitled = beyond[&workspace].entitled;
         let wait = match entitled < 1.0 {
-            true => *of_all,
+            true => *wait_for_all,
             false => expected_wait(own, entitled),
         };
         // Its jobs go behind those of workspaces within their share.
@@ -325,9 +337,9 @@
     /// Returns the expected wait of each configured queue, also where it is zero, and that of each
     /// workspace that is beyond its share there.
     ///
-    /// Nothing is known, and nothing is returned, for queues whose service has no usable workers:
-    /// that is an outage and not load.  The same goes for all queues while rows of jobs are unread,
-    /// since the owner could not tell then whether a job is known.
+    /// Queues whose service has no usable workers are left out: that is an outage and not load.
+    /// While rows of jobs are unread, nothing is returned, since the owner cannot tell then whether
+    /// a job is known.
     pub fn expected_waits(&self, now: Millis) -> Vec<ExpectedWait> {
         if self.has_unread_jobs {
             return Vec::new();
@@ -378,7 +390,7 @@
         usable
     }
 
-    /// What runs, by step.
+    /// The runs of each step.
     fn step_runs(&self) -> SecondaryMap<StepKey, StepRuns> {
         let mut by_step: SecondaryMap<StepKey, StepRuns> = SecondaryMap::new();
         for run in self.runs.values() {
@@ -401,24 +413,15 @@
         match run.remaining(step.estimate) {
             _ if run.stop.is_some() => Some(tuning::TYPICAL_STOP_TIME),
             _ if step.lasting => None,
-            // A run that shows no progress yet: a task of an hour takes 36 s to show one percent.
+            // No progress is reported yet: a task of an hour takes 36 s to reach one percent.
             Millis::MAX => Some(step.estimate),
             remaining => Some(remaining),
         }
     }
 
-    /// What waits and runs, and of the workspaces beyond their share the work that waits only: new
-    /// jobs of these start when the tasks before them have started, in the room that their own runs
-    /// leave.
-    fn loads(
-        &self,
-        usable: &BTreeMap<&str, Usable>,
-        beyond: &BeyondShares,
-    ) -> (LoadMap<'_>, LoadMap<'_>) {
-        let mut running: SecondaryMap<JobKey, f64> = SecondaryMap::new();
-        let mut by_job: SecondaryMap<JobKey, Load> = SecondaryMap::new();
-        let mut waiting_jobs: SecondaryMap<JobKey, ()> = SecondaryMap::new();
-        let mut endless: SecondaryMap<JobKey, Load> = SecondaryMap::new();
+    /// The work of each job, waiting and running.
+    fn job_loads(&self, usable: &BTreeMap<&str, Usable>) -> JobLoads {
+        let mut jobs = JobLoads::default();
         let by_step = self.step_runs();
         let size_of = |key: StepKey| {
             let step = &self.steps[key];
@@ -429,13 +432,13 @@
             let (job, size) = (self.steps[key].job, size_of(key));
             let ending = f64::from(runs.runs - runs.endless);
             let work = size * runs.remaining;
-            add_load(&mut by_job, job, load(work, size * ending));
-            if let Some(entry) = running.entry(job) {
+            add_load(&mut jobs.ending, job, load(work, size * ending));
+            if let Some(entry) = jobs.running.entry(job) {
                 *entry.or_default() += work;
             }
             if runs.endless > 0 {
                 let millicores = size * f64::from(runs.endless);
-                add_load(&mut endless, job, load(f64::INFINITY, millicores));
+                add_load(&mut jobs.endless, job, load(f64::INFINITY, millicores));
             }
         }
         for &key in &self.open_steps {
@@ -445,34 +448,46 @@
             if waiting == 0 || !self.jobs[step.job].queue_configured {
                 continue;
             }
-            waiting_jobs.insert(step.job, ());
+            jobs.waiting.insert(step.job, ());
             let spec = step.step();
             let millicores = size_of(key) * f64::from(waiting);
             // Later steps of a job go before a new job as well, but not beside its earlier steps.
             let at_once = if step.ready { millicores } else { 0.0 };
             if spec.lasting {
-                add_load(&mut endless, step.job, load(f64::INFINITY, at_once));
+                add_load(&mut jobs.endless, step.job, load(f64::INFINITY, at_once));
             } else {
                 let work = millicores * spec.estimate.max(1) as f64;
-                add_load(&mut by_job, step.job, load(work, at_once));
+                add_load(&mut jobs.ending, step.job, load(work, at_once));
             }
         }
+        jobs
+    }
+
+    /// Returns the loads of all work, and those of the workspaces beyond their share without the
+    /// work that runs.  New jobs of such a workspace start once the tasks before them have started,
+    /// in the room that its own runs leave.
+    fn loads(
+        &self,
+        usable: &BTreeMap<&str, Usable>,
+        beyond: &BeyondShares,
+    ) -> (LoadMap<'_>, LoadMap<'_>) {
+        let jobs = self.job_loads(usable);
         let (mut loads, mut own_loads) = (LoadMap::new(), LoadMap::new());
-        for (key, load) in by_job {
+        for (key, load) in jobs.ending {
             self.add_to(&mut loads, key, load);
             if beyond.contains_key(&self.jobs[key].workspace) {
-                let running = running.get(key).copied().unwrap_or_default();
+                let running = jobs.running.get(key).copied().unwrap_or_default();
                 let work = (load.work - running).max(0.0);
                 self.add_to(&mut own_loads, key, Load { work, ..load });
             }
         }
-        for (key, load) in endless {
+        for (key, load) in jobs.endless {
             self.add_to(&mut loads, key, load);
             if beyond.contains_key(&self.jobs[key].workspace) {
                 self.add_to(&mut own_loads, key, load);
             }
         }
-        for key in waiting_jobs.keys() {
+        for key in jobs.waiting.keys() {
             let job = &self.jobs[key];
             let of_priority = (job.queue.service.as_str(), job.decision.priority);
             loads.entry(of_priority).or_default().has_waiting = true;
--- a/src/cell/question_plan.rs
+++ b/src/cell/question_plan.rs
@@ -1,4 +1,4 @@
-//! Decides which steps may ask the advice service, within the room that is left for them.
+//! Decides which steps may ask the advice service, by the room that is left for them.
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -34,11 +34,11 @@
     /// Decides whether a step may ask: only if capacity is left for it after the steps before it.
     /// Returns `None` if it may not, or if its valid tickets are enough.
     ///
-    /// While no lane is free nothing is examined, and what was decided last remains.
+    /// While no lane is free, no step is examined and the last decision about it stands.
     ///
-    /// Only a question whose first claim is not enough is restricted to the workers on which room
-    /// was claimed.  With all questions restricted once foreseen room is counted, they named half as
-    /// many workers, and 65% of the urgent jobs were in time instead of all (350 workers, 115% load).
+    /// Only a question for which the room that is free now does not suffice is restricted to the
+    /// workers on which room was claimed.  If all questions are, they name too few workers: a third
+    /// of the urgent jobs were late at 115% load.
     pub(super) fn plan_question(
         &mut self,
         key: StepKey,
@@ -47,28 +47,17 @@
         round: &mut Round,
     ) -> Option<QuestionPlan> {
         let now = round.now;
-        let long = timing.duration(0) > tuning::LONG_ADVICE;
-        if self.free_lane(long).is_none() {
+        let is_long = timing.duration(0) > tuning::LONG_ADVICE;
+        if self.free_lane(is_long).is_none() {
             round.steps_not_asking += u32::from(self.steps[key].advice.kept_since.is_some());
             return None;
         }
         self.prepare_budget(key, round);
         let service = &self.jobs[self.steps[key].job].queue.service;
-        // It is put back below; claims and forecasts both need the round.
+        // Taken out of the round, which forecasts need as well, and put back below.
         let mut budget = round.budgets.remove(service)?;
-        let step = &self.steps[key];
-        let mut claim = Claim {
-            room: step.step().room(),
-            tasks: f64::from(needed),
-            // Room for more tasks may be foreseen there only after the ticket has expired.
-            max_per_worker: 1,
-        };
-        let ticketed = self.workers_with_coming_room(key, round);
-        claim.tasks -= budget.budget.claim_on(&claim, ticketed).tasks;
-        claim.max_per_worker = needed;
-        let share = self.approved_share(&self.jobs[step.job].queue.name);
-        let named = step.advice.named.iter().map(|&worker| (worker, share));
-        claim.tasks -= budget.budget.claim_on(&claim, named).tasks;
+        let share = self.approved_share(&self.jobs[self.steps[key].job].queue.name);
+        let mut claim = self.claim_asked_workers(key, needed, share, &mut budget, round);
         let missing = claim.tasks.ceil().max(0.0) as u32;
         if missing == 0 {
             round.budgets.insert(service.clone(), budget);
@@ -106,6 +95,31 @@
         })
     }
 
+    /// Claims room on the workers for which a step has tickets, and on those that its question in
+    /// flight names.  Returns the claim for the tasks that these workers leave.
+    fn claim_asked_workers(
+        &self,
+        key: StepKey,
+        needed: u32,
+        share: f64,
+        budget: &mut AdviceBudget,
+        round: &mut Round,
+    ) -> Claim {
+        let step = &self.steps[key];
+        let mut claim = Claim {
+            room: step.step().room(),
+            tasks: f64::from(needed),
+            // More room there may become free only after the ticket has expired.
+            max_per_worker: 1,
+        };
+        let ticketed = self.workers_with_coming_room(key, round);
+        claim.tasks -= budget.budget.claim_on(&claim, ticketed).tasks;
+        claim.max_per_worker = needed;
+        let named = step.advice.named.iter().map(|&worker| (worker, share));
+        claim.tasks -= budget.budget.claim_on(&claim, named).tasks;
+        claim
+    }
+
     /// Notes that no capacity is left for a step.  Returns true if it may ask all the same, because
     /// it has been kept from asking for long and no other step for longer.
     fn keep_from_asking(&mut self, key: StepKey, round: &mut Round) -> bool {
