--- a/src/cell/question_plan.rs
+++ b/src/cell/question_plan.rs
@@ -37,8 +37,8 @@
     /// While no lane is free, no step is examined and the last decision about it stands.
     ///
     /// Only a question for which the room that is free now does not suffice is restricted to the
-    /// workers on which room was claimed.  If all questions are, they name too few workers: a third
-    /// of the urgent jobs were late at 115% load.
+    /// workers on which room was claimed.  If all questions were, they would name too few workers, and
+    /// urgent jobs would be late.
     pub(super) fn plan_question(
         &mut self,
         key: StepKey,
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -145,8 +145,7 @@
 /// queue.  The mean of three scatters by about a third.
 pub const MIN_COMPARED_RUNS: usize = 3;
 /// The runs of a step are compared once this many more have ended, or all of its tasks are done.
-/// Short runs end first, so comparing fewer makes workers look more alike: if each run is compared
-/// with those before it, a slowdown of 2.0 is learned as 1.58 to 1.83 instead of 1.77 to 2.0.
+/// Short runs end first, so comparing fewer makes workers look more alike.
 pub const MAX_WAITING_RUN_TIMES: usize = 32;
 /// The speed of a worker is a mean over about this many of its runs: a worker that becomes slow is
 /// recognized after some ten.
@@ -155,8 +154,8 @@
 /// mean by 3%.
 pub const CLASS_SPEED_RUNS: u32 = 256;
 /// The usual run time of a queue is a mean over about this many runs, half as many as the speed of
-/// a worker.  When estimates become worse, it must follow before the workers look slow.  With 256
-/// runs, workers that only this queue used never stopped looking slow.
+/// a worker.  When estimates become worse, it must follow before the workers look slow: those that
+/// only this queue uses would not stop looking slow.
 pub const QUEUE_TIME_RUNS: u32 = 16;
 /// The speed of a class is used once it has this many runs.  Run times scatter by a half and the
 /// mean of 16 by an eighth, which is half of the dead band.
