Configuration: log and count how a node learns of a version and gets it

Cause of the change: in the incident's timeline no hypothesis could be told from another. The log had only "configuration in force"; a fetch or a read that failed left no line, nor did the moment at which a node learned of a newer version.

Change, no behaviour: node::freshness keeps the first and the newest notice of a version above the one in force, and when that one was last known to be the newest. Lines: "newer configuration is known" (node, age), "configuration fetched" / "not fetched" (address, ms, bytes, reason), "operator's rows cannot be read" (reason, ms, age), "configuration is followed" (by store or owner), and "configuration in force" names its source and for how long it was known. Gauges newer_configuration and configuration_age_ms, retries configuration_read_failed and configuration_fetch_failed, histogram configuration; crossweir status names nodes that are behind.

The age counts the owner's version as the newest one when its heartbeat comes: what the owner knows has no age yet.

--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -24,6 +24,7 @@
         status.configuration,
         store_state(status.reaches_store),
     );
+    let _ = writeln!(out, "  configuration: {}", freshness(status));
     let _ = writeln!(out, "  evacuated halls: {}", halls(status));
     let _ = writeln!(
         out,
@@ -55,6 +56,19 @@
     out
 }
 
+fn freshness(status: &NodeStatus) -> String {
+    let own = match (status.newer_configuration, status.configuration_age_ms) {
+        (Some(newer), _) => format!("version {newer} is known and not in force here"),
+        (None, Some(age)) => format!("known to be the newest {age} ms ago"),
+        (None, None) => String::from("not known whether it is the newest"),
+    };
+    let behind: Vec<&str> = status.behind().map(|node| node.name.as_str()).collect();
+    match behind.as_slice() {
+        [] => own,
+        names => format!("{own}; nodes behind: {}", names.join(", ")),
+    }
+}
+
 fn halls(status: &NodeStatus) -> String {
     match &status.evacuated {
         None => String::from("not known"),
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -8,9 +8,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
+use crate::node::freshness::Source;
 use crate::node::halls;
 use crate::node::shared::Shared;
 use crate::queue::Configuration;
+use crate::rpc::PeerError;
 use crate::rpc::node::{NodeCall, NodeReply};
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
 
@@ -40,25 +42,40 @@
 /// low in a large cell.  At the store these nodes only hold a request for changes of nodes' rows,
 /// which shows whether the store can be reached.
 pub async fn follow(shared: Arc<Shared>) {
-    let mut source = Source::Nothing;
+    let mut route = Route::Nothing;
     loop {
-        source = match source {
-            Source::Nothing => read_all(&shared).await,
-            Source::Operator(after) if is_notified(&shared) => {
+        let next = match route {
+            Route::Nothing => read_all(&shared).await,
+            Route::Operator(after) if is_notified(&shared) => {
                 shared.hall_rows().stop_following();
-                Source::Owner(after)
+                Route::Owner(after)
             }
-            Source::Operator(after) => follow_changes(&shared, after).await,
+            Route::Operator(after) => follow_changes(&shared, after).await,
             // Changes since the notifications stopped have not reached this node.
-            Source::Owner(_) if !is_notified(&shared) => Source::Nothing,
-            Source::Owner(after) => follow_owner(&shared, after).await,
+            Route::Owner(_) if !is_notified(&shared) => Route::Nothing,
+            Route::Owner(after) => follow_owner(&shared, after).await,
         };
+        if std::mem::discriminant(&next) != std::mem::discriminant(&route) {
+            log_route(&shared, next);
+        }
+        route = next;
     }
 }
 
-/// From where a node learns of changes of the operator's rows.
+fn log_route(shared: &Shared, route: Route) {
+    let by = match route {
+        Route::Nothing => "nothing",
+        Route::Operator(_) => "store",
+        Route::Owner(_) => "owner",
+    };
+    let age_ms = shared.freshness().age(shared.now());
+    let version = shared.config_version();
+    tracing::info!(by, version, age_ms, "configuration is followed");
+}
+
+/// The route by which a node learns of changes of the operator's rows.
 #[derive(Debug, Clone, Copy)]
-enum Source {
+enum Route {
     /// Nothing is followed, so all rows have to be read.
     Nothing,
     /// From the operator's rows in the store, after this version.
@@ -67,51 +84,63 @@
     Owner(Version),
 }
 
-async fn read_all(shared: &Arc<Shared>) -> Source {
+async fn read_all(shared: &Arc<Shared>) -> Route {
+    let asked = shared.now();
     let reply = read_rows(shared).await;
-    apply_reply(shared, reply, 0).await
+    apply_reply(shared, reply, 0, asked).await
 }
 
-async fn follow_changes(shared: &Arc<Shared>, after: Version) -> Source {
+async fn follow_changes(shared: &Arc<Shared>, after: Version) -> Route {
+    let asked = shared.now();
     let reply = changes(shared, Table::Operator, after, CHANGES_WAIT).await;
-    apply_reply(shared, reply, after).await
+    apply_reply(shared, reply, after, asked).await
 }
 
-/// Applies the operator's rows, and returns from where to follow further changes.
+/// Applies the operator's rows as they were at `asked` or later, and returns from where to follow
+/// further changes.
 async fn apply_reply(
     shared: &Arc<Shared>,
     reply: Result<StoreReply, StoreError>,
     after: Version,
-) -> Source {
+    asked: Millis,
+) -> Route {
     match reply {
         Ok(StoreReply::Rows { rows, version, .. }) => {
             apply_configuration(shared, &rows);
+            shared.freshness().confirm(asked);
             halls::apply_changes(shared, &rows);
-            return Source::Operator(version.max(after));
+            return Route::Operator(version.max(after));
         }
         Ok(StoreReply::Forgotten) => {}
         Ok(_) => {
             tracing::error!("unexpected kind of answer from the store to a request for changes")
         }
         Err(err) => {
-            tracing::debug!(%err, "cannot follow the configuration");
+            shared.metrics.retry("configuration_read_failed");
+            tracing::info!(
+                %err,
+                ms = shared.now().saturating_sub(asked),
+                version = shared.config_version(),
+                age_ms = shared.freshness().age(asked),
+                "operator's rows cannot be read"
+            );
             read_halls_as_owner(shared).await;
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
-    Source::Nothing
+    Route::Nothing
 }
 
 /// Holds a request for changes of nodes' rows at the store until there are some, or until this node
 /// is no longer notified by the owner.  Only the version in the answer is used.
-async fn follow_owner(shared: &Arc<Shared>, after: Version) -> Source {
+async fn follow_owner(shared: &Arc<Shared>, after: Version) -> Route {
     let answer = tokio::select! {
         answer = changes(shared, Table::Nodes, after, NOTIFIED_CHANGES_WAIT) => answer,
-        () = until_not_notified(shared) => return Source::Nothing,
+        () = until_not_notified(shared) => return Route::Nothing,
     };
     match answer {
-        Ok(StoreReply::Rows { version, .. }) => Source::Owner(version.max(after)),
-        _ => Source::Nothing,
+        Ok(StoreReply::Rows { version, .. }) => Route::Owner(version.max(after)),
+        _ => Route::Nothing,
     }
 }
 
@@ -180,7 +209,7 @@
     let key = shared.decoder.configuration_key();
     for row in rows.iter().filter(|row| row.key == key && !row.dropped) {
         match shared.decoder.configuration(&row.value) {
-            Ok(config) => shared.adopt_config(config, "store"),
+            Ok(config) => shared.adopt_config(config, Source::Store),
             Err(err) => {
                 tracing::error!(%err, "cannot decode the configuration; keeping the former one");
                 shared.metrics.event("unreadable_configuration");
@@ -234,18 +263,38 @@
 /// Fetches the configuration from one node; false if it did not send one.
 async fn fetch(shared: &Arc<Shared>, address: SocketAddr) -> bool {
     let call = NodeCall::Configuration(shared.config_version());
-    let Ok(NodeReply::Configuration(body)) = shared.peers.call(address, call, FETCH_TIMEOUT).await
-    else {
-        return false;
+    let asked = shared.now();
+    let reply = shared.peers.call(address, call, FETCH_TIMEOUT).await;
+    let ms = shared.now().saturating_sub(asked);
+    let failure = match reply {
+        Ok(NodeReply::Configuration(body)) => match serde_json::from_slice(&body) {
+            Ok::<Configuration, _>(config) => {
+                tracing::info!(%address, version = config.version, bytes = body.len(), ms, "configuration fetched");
+                shared.adopt_config(config, Source::Node(address));
+                return true;
+            }
+            Err(err) => {
+                tracing::error!(%err, "cannot decode the configuration of another node");
+                FetchFailure::Malformed
+            }
+        },
+        Ok(_) => FetchFailure::NothingNewer,
+        Err(err) => FetchFailure::Peer(err),
     };
-    match serde_json::from_slice::<Configuration>(&body) {
-        Ok(config) => {
-            shared.adopt_config(config, "node");
-            true
-        }
-        Err(err) => {
-            tracing::error!(%err, "cannot decode the configuration of another node");
-            false
-        }
-    }
+    shared.metrics.retry("configuration_fetch_failed");
+    let wanted = shared.freshness().newer().map(|notice| notice.version);
+    let in_force = shared.config_version();
+    tracing::info!(%address, %failure, ms, in_force, wanted, "configuration not fetched");
+    false
+}
+
+/// Why another node did not send its configuration.
+#[derive(Debug, Clone, Copy, thiserror::Error)]
+enum FetchFailure {
+    #[error("it has no newer one")]
+    NothingNewer,
+    #[error("what it sent cannot be decoded")]
+    Malformed,
+    #[error(transparent)]
+    Peer(PeerError),
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,7 @@
 pub mod election;
 pub mod engine;
 pub mod following;
+pub mod freshness;
 pub mod front;
 pub mod halls;
 pub mod heartbeat;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -11,6 +11,7 @@
 use crate::node::admission::HeardWaits;
 use crate::node::early_ends::EarlyEnds;
 use crate::node::engine::Engine;
+use crate::node::freshness::{self, Freshness, Notice};
 use crate::node::halls::HallRows;
 use crate::node::links::{Advisor, Decoder, Workers};
 use crate::node::load::Load;
@@ -94,6 +95,7 @@
     members: Mutex<Members>,
     /// The configuration in force; none until one is known.
     config: RwLock<Option<Arc<Configuration>>>,
+    freshness: Mutex<Freshness>,
     hall_rows: Mutex<HallRows>,
     owner: Mutex<Owner>,
     early_ends: Mutex<EarlyEnds>,
@@ -137,6 +139,7 @@
             store: RoutedStore::new(links.store),
             members: Mutex::new(members),
             config: RwLock::new(None),
+            freshness: Mutex::default(),
             hall_rows: Mutex::default(),
             owner: Mutex::default(),
             early_ends: Mutex::default(),
@@ -191,19 +194,23 @@
 
     /// Puts a configuration in force if its version is higher than the present one's.  `source` is
     /// logged.
-    pub fn adopt_config(&self, config: Configuration, source: &'static str) {
+    pub fn adopt_config(&self, config: Configuration, source: freshness::Source) {
         let mut in_force = self.config.write().unwrap_or_else(PoisonError::into_inner);
         let version = in_force.as_ref().map_or(0, |config| config.version);
         if config.version <= version {
             return;
         }
+        let notice = self.freshness().note_in_force(config.version);
+        let known_for = notice.map_or(0, |notice| self.now().saturating_sub(notice.at));
         tracing::info!(
             version = config.version,
             former = version,
-            source,
+            %source,
+            known_ms = known_for,
             queues = config.queues().len(),
             "configuration in force"
         );
+        self.metrics.wait("configuration", known_for);
         *in_force = Some(Arc::new(config));
         drop(in_force);
         if let Some(engine) = self.engine() {
@@ -211,6 +218,44 @@
         }
     }
 
+    /// Locks and returns what this node knows about newer versions of the configuration.
+    pub fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies what a node reports of its configuration: a version above the one in force is newer,
+    /// and the owner's version counts as the newest one.
+    fn note_configuration(&self, beat: &Heartbeat, now: Millis) {
+        let in_force = self.config_version();
+        if beat.configuration <= in_force {
+            if beat.owns && beat.configuration == in_force {
+                self.freshness().confirm(now);
+            }
+            return;
+        }
+        let Ok(address) = beat.address.parse() else {
+            return;
+        };
+        let notice = Notice {
+            version: beat.configuration,
+            from: freshness::Source::Node(address),
+            at: now,
+        };
+        let mut freshness = self.freshness();
+        let age = freshness.age(now);
+        if freshness.note_newer(notice) {
+            tracing::info!(
+                version = beat.configuration,
+                in_force,
+                node = beat.name,
+                age_ms = age,
+                "newer configuration is known"
+            );
+        }
+    }
+
     /// Locks and returns the evacuated halls according to the operator's rows.
     pub fn hall_rows(&self) -> MutexGuard<'_, HallRows> {
         self.hall_rows
@@ -250,6 +295,16 @@
         self.metrics.gauge("owns_cell", owns);
         self.metrics
             .gauge("configuration", self.config_version() as i64);
+        let (newer, age) = {
+            let freshness = self.freshness();
+            (freshness.newer(), freshness.age(self.now()))
+        };
+        self.metrics.gauge(
+            "newer_configuration",
+            newer.map_or(0, |notice| notice.version as i64),
+        );
+        self.metrics
+            .gauge("configuration_age_ms", age.map_or(-1, |age| age as i64));
         let evacuated = self.hall_rows().evacuated();
         self.metrics.gauge(
             "evacuated_halls",
@@ -464,6 +519,7 @@
     pub fn apply_heartbeat(&self, beat: &Heartbeat) {
         let now = self.now();
         self.apply_members(beat, now);
+        self.note_configuration(beat, now);
         self.apply_ends(beat);
         let mut owner = self.owner();
         if beat.owns && beat.epoch >= owner.epoch {
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -8,6 +8,9 @@
 use crate::evacuation::Halls;
 use crate::node::front::Frontend;
 
+/// What a node last reported counts for this long, in milliseconds: four heartbeats.
+const HEARD_OF_LATE: Millis = 2_000;
+
 /// What this node knows of another one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
@@ -53,6 +56,13 @@
     pub reaches_store: bool,
     /// The version of the configuration in force.
     pub configuration: u64,
+    /// The newest version that is known to exist and is not in force here; none if there is none.
+    #[serde(default)]
+    pub newer_configuration: Option<u64>,
+    /// Milliseconds since the version in force was last known to be the newest; none if it never
+    /// was.
+    #[serde(default)]
+    pub configuration_age_ms: Option<Millis>,
     /// The evacuated data halls; none if they could not be read yet.
     #[serde(default)]
     pub evacuated: Option<Halls>,
@@ -62,6 +72,18 @@
     pub queues: Vec<QueueStatus>,
 }
 
+impl NodeStatus {
+    /// The nodes that were heard of late and whose configuration is older than the newest one known
+    /// here.  Only the owner hears all nodes regularly.
+    pub fn behind(&self) -> impl Iterator<Item = &MemberStatus> {
+        let newest = self.newer_configuration.unwrap_or(self.configuration);
+        self.members
+            .iter()
+            .filter(|member| member.heard_ms_ago.is_some_and(|ms| ms <= HEARD_OF_LATE))
+            .filter(move |member| member.configuration < newest)
+    }
+}
+
 impl Frontend {
     /// Returns the status of this node.
     pub fn status(&self) -> NodeStatus {
@@ -79,6 +101,10 @@
         });
         let members = members.collect();
         drop(known);
+        let (newer, age) = {
+            let freshness = shared.freshness();
+            (freshness.newer(), freshness.age(now))
+        };
         let config = shared.config();
         let queues = config.iter().flat_map(|config| config.queues());
         NodeStatus {
@@ -89,6 +115,8 @@
             owner: owner.address.map(|address| address.to_string()),
             reaches_store: shared.reaches_store(),
             configuration: shared.config_version(),
+            newer_configuration: newer.map(|notice| notice.version),
+            configuration_age_ms: age,
             evacuated: shared.hall_rows().evacuated().map(Arc::unwrap_or_clone),
             members,
             queues: queues
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -15,6 +15,7 @@
 use crossweir::embedded::JsonDecoder;
 use crossweir::embedded::worker::MemoryWorkers;
 use crossweir::node::engine::Engine;
+use crossweir::node::freshness;
 use crossweir::node::links::Workers;
 use crossweir::queue::{Configuration, Draft};
 use crossweir::store::{RowKey, Table, Transaction, encode};
@@ -81,7 +82,7 @@
             max_body: 1_000,
             workspaces: None,
         }),
-        "test",
+        freshness::Source::Local,
     );
     let mut tx = Transaction::default();
     for number in 0..2 {
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -17,6 +17,7 @@
 use crossweir::clock::{Clock, Millis};
 use crossweir::embedded::store::MemoryStore;
 use crossweir::metrics::Metrics;
+use crossweir::node::freshness;
 use crossweir::node::intake::SubmitOutcome;
 use crossweir::node::links::{DecodeError, Decoder, Workers};
 use crossweir::node::load::Load;
@@ -373,7 +374,7 @@
         max_body: 1_000,
         workspaces: None,
     });
-    node.shared.adopt_config(config, "test");
+    node.shared.adopt_config(config, freshness::Source::Local);
     let mut tx = Transaction::default();
     for entry in workers {
         let key = RowKey::new(Table::Workers, "", &entry.life.id);
