Failing test: large versions of the configuration at narrow links

The virtual cell gets links with a bandwidth and a queue for each direction, nodes that can be cut off, and nodes that follow the configuration. The test writes versions of 1,400, 4,200 and 5,600 queues, each followed by a small change, to a cell like that of the incident (31 nodes, 25 of them on links of 10 Mbit/s), and asks that each is in force at all nodes within 2 s.

--- /dev/null
+++ b/tests/virtual_cell/link.rs
@@ -0,0 +1,75 @@
+//! Links with a bandwidth: bytes wait in a queue for each direction of a VM's link.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Concurrent transfers take turns on a link after this many bytes.
+const SEGMENT_BYTES: usize = 16_384;
+/// The bandwidth of a link without a limit, in bytes per millisecond.
+pub const UNLIMITED: usize = usize::MAX;
+/// Bytes per millisecond of a link of 1 Mbit/s.
+pub const MEGABIT: usize = 125;
+
+/// One direction of a link.
+struct Direction {
+    bytes_per_ms: usize,
+    free_at: Mutex<Instant>,
+}
+
+impl Direction {
+    fn new(bytes_per_ms: usize) -> Self {
+        Self {
+            bytes_per_ms,
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Queues bytes; returns when the last of them has been sent.
+    fn reserve(&self, bytes: usize) -> Instant {
+        let micros = bytes as u64 * 1_000 / self.bytes_per_ms as u64;
+        let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+        *free_at = (*free_at).max(Instant::now()) + Duration::from_micros(micros);
+        *free_at
+    }
+}
+
+/// The link of a VM.
+pub struct Link {
+    incoming: Direction,
+    outgoing: Direction,
+}
+
+impl Link {
+    /// Creates a link with this bandwidth in each direction.
+    pub fn new(bytes_per_ms: usize) -> Self {
+        Self {
+            incoming: Direction::new(bytes_per_ms),
+            outgoing: Direction::new(bytes_per_ms),
+        }
+    }
+
+    /// Waits until `bytes` have arrived from a sender whose link is unlimited.
+    pub async fn receive(&self, bytes: usize) {
+        for segment in segments(bytes) {
+            tokio::time::sleep_until(self.incoming.reserve(segment)).await;
+        }
+    }
+}
+
+/// Waits until `bytes` have gone from one VM to another.  A transfer that is dropped stops after
+/// the segment that is on its way.
+pub async fn transfer(from: &Link, to: &Link, bytes: usize) {
+    for segment in segments(bytes) {
+        let sent = from.outgoing.reserve(segment);
+        let received = to.incoming.reserve(segment);
+        tokio::time::sleep_until(sent.max(received)).await;
+    }
+}
+
+fn segments(bytes: usize) -> impl Iterator<Item = usize> {
+    (0..bytes)
+        .step_by(SEGMENT_BYTES)
+        .map(move |start| SEGMENT_BYTES.min(bytes - start))
+}
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -2,31 +2,35 @@
 //! traffic.
 #![allow(dead_code)]
 
-use std::collections::HashMap;
+pub mod link;
+
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use crossweir::cell::options::Options;
 use crossweir::clock::Millis;
+use crossweir::embedded::JsonDecoder;
 use crossweir::embedded::store::MemoryStore;
 use crossweir::metrics::Metrics;
-use crossweir::node::election;
 use crossweir::node::front::Frontend;
 use crossweir::node::links::Decoder;
 use crossweir::node::load::Load;
 use crossweir::node::recording::OwnerRow;
 use crossweir::node::shared::{Identity, Links, Shared};
+use crossweir::node::{configuration, election};
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply, NodeService};
-use crossweir::store::{Store, StoreCall, StoreError, StoreReply};
+use crossweir::store::{Row, Store, StoreCall, StoreError, StoreReply};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use crate::virtual_node::{NoDecoder, NoWorkers, RuntimeClock};
+use link::{Link, UNLIMITED, transfer};
 
 /// The delay of a message in one direction.
 const ONE_WAY_DELAY: Duration = Duration::from_millis(1);
@@ -40,10 +44,21 @@
     pub bytes: u64,
 }
 
+/// What a node's VM is like.
+#[derive(Debug, Clone, Copy)]
+pub struct VmPlan {
+    pub millicores: u32,
+    /// The bandwidth of its link in each direction.
+    pub bytes_per_ms: usize,
+}
+
 /// Carries calls between nodes, and counts calls and bytes.
 #[derive(Default)]
 pub struct Network {
     nodes: Mutex<HashMap<SocketAddr, Weak<Frontend>>>,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    /// Calls from and to these nodes are never answered.
+    cut: Mutex<HashSet<SocketAddr>>,
     calls: AtomicU64,
     bytes: AtomicU64,
 }
@@ -64,21 +79,55 @@
         }
     }
 
-    async fn exchange(&self, addr: SocketAddr, call: NodeCall) -> Result<NodeReply, PeerError> {
-        self.calls.fetch_add(1, Ordering::Relaxed);
-        self.count(call.wire_bytes());
+    /// Cuts a node off from the others.
+    pub fn cut(&self, addr: SocketAddr) {
+        let mut cut = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        cut.insert(addr);
+    }
+
+    fn is_cut(&self, addr: SocketAddr) -> bool {
+        let cut = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        cut.contains(&addr)
+    }
+
+    fn link(&self, addr: SocketAddr) -> Option<Arc<Link>> {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.get(&addr).cloned()
+    }
+
+    /// Waits until `bytes` have gone from one node to another; forever if either is cut off.
+    async fn carry(&self, from: SocketAddr, to: SocketAddr, bytes: usize) {
+        self.count(bytes);
         tokio::time::sleep(ONE_WAY_DELAY).await;
+        if let (Some(sender), Some(receiver)) = (self.link(from), self.link(to)) {
+            transfer(&sender, &receiver, bytes).await;
+        }
+        if self.is_cut(from) || self.is_cut(to) {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn exchange(
+        &self,
+        caller: SocketAddr,
+        addr: SocketAddr,
+        call: NodeCall,
+    ) -> Result<NodeReply, PeerError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.carry(caller, addr, call.wire_bytes()).await;
         let node = self.nodes().get(&addr).and_then(Weak::upgrade);
         let node = node.ok_or(PeerError::NotSent)?;
         let reply = node.serve(call).await;
-        self.count(reply.wire_bytes());
-        tokio::time::sleep(ONE_WAY_DELAY).await;
+        self.carry(addr, caller, reply.wire_bytes()).await;
         Ok(reply)
     }
 }
 
 /// A node's access to the network.
-struct NetworkLink(Arc<Network>);
+struct NetworkLink {
+    network: Arc<Network>,
+    caller: SocketAddr,
+}
 
 impl NodeLink for NetworkLink {
     fn call(
@@ -89,7 +138,7 @@
     ) -> BoxFuture<'_, Result<NodeReply, PeerError>> {
         async move {
             let limit = Duration::from_millis(timeout);
-            let exchange = self.0.exchange(addr, call);
+            let exchange = self.network.exchange(self.caller, addr, call);
             tokio::time::timeout(limit, exchange)
                 .await
                 .unwrap_or(Err(PeerError::Unanswered))
@@ -98,13 +147,49 @@
     }
 }
 
-/// The store as one node sees it; calls of the node fail while it is `unavailable`.
+/// The store as one node sees it; calls of the node fail while it is `unavailable`, and are never
+/// answered while it is `silent`.
 pub struct NodeStore {
     store: Arc<MemoryStore>,
-    pub unavailable: std::sync::atomic::AtomicBool,
+    pub unavailable: AtomicBool,
+    pub silent: AtomicBool,
     timing: Arc<StoreTiming>,
+    link: Arc<Link>,
 }
 
+/// The time limit of the store's client for a read, beyond the time that the store may hold it.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+impl NodeStore {
+    /// Waits for the answer to a call as the store's client does.
+    async fn receive(
+        &self,
+        wait: Duration,
+        answer: impl Future<Output = Result<StoreReply, StoreError>>,
+    ) -> Result<StoreReply, StoreError> {
+        let receiving = async {
+            let reply = answer.await;
+            if let Ok(StoreReply::Rows { rows, .. }) = &reply {
+                self.link.receive(wire_bytes(rows)).await;
+            }
+            reply
+        };
+        tokio::time::timeout(wait + READ_TIMEOUT, receiving)
+            .await
+            .unwrap_or(Err(StoreError::Unavailable))
+    }
+}
+
+/// The size of rows in an answer of the store: their values are sent as base64.
+fn wire_bytes(rows: &[Row]) -> usize {
+    rows.iter()
+        .map(|row| row.key.len() + row.value.len() * 4 / 3 + ROW_OVERHEAD)
+        .sum()
+}
+
+/// The size of a row without its key and value, in bytes.
+const ROW_OVERHEAD: usize = 60;
+
 /// How slow the store is, and how many claims of the cell it has received.
 #[derive(Default)]
 pub struct StoreTiming {
@@ -147,13 +232,21 @@
         if self.unavailable.load(Ordering::Relaxed) {
             return async { Err(StoreError::Unavailable) }.boxed();
         }
+        if self.silent.load(Ordering::Relaxed) {
+            return std::future::pending().boxed();
+        }
+        let wait = match &call {
+            StoreCall::Changes { wait, .. } => Duration::from_millis(*wait),
+            _ => Duration::ZERO,
+        };
         // A call that was sent is executed even if the sender gives up.
         let (timing, store) = (Arc::clone(&self.timing), Arc::clone(&self.store));
         let call_task = tokio::spawn(async move {
             timing.wait(&call).await;
             store.call(call).await
         });
-        async move { call_task.await.unwrap_or(Err(StoreError::Unanswered)) }.boxed()
+        let answer = async move { call_task.await.unwrap_or(Err(StoreError::Unanswered)) };
+        self.receive(wait, answer).boxed()
     }
 }
 
@@ -174,6 +267,13 @@
     }
 }
 
+fn default_vm(place: usize) -> VmPlan {
+    VmPlan {
+        millicores: if place < STRONG_NODES { 500 } else { 120 },
+        bytes_per_ms: UNLIMITED,
+    }
+}
+
 /// All nodes of a cell.
 pub struct VirtualCell {
     pub network: Arc<Network>,
@@ -181,17 +281,30 @@
     pub timing: Arc<StoreTiming>,
     pub members: Vec<Member>,
     started: usize,
+    /// The VM of each node by its place in the order of starts; none for the default VMs, whose
+    /// nodes follow no configuration.
+    plan: Option<fn(usize) -> VmPlan>,
 }
 
 impl VirtualCell {
     /// Starts a cell of `nodes` and waits 5 s, within which one of them becomes the owner.
     pub async fn settled(nodes: usize) -> Self {
+        Self::settled_on(nodes, None).await
+    }
+
+    /// Starts such a cell whose nodes run on VMs as planned and follow the configuration.
+    pub async fn settled_with_configuration(nodes: usize, plan: fn(usize) -> VmPlan) -> Self {
+        Self::settled_on(nodes, Some(plan)).await
+    }
+
+    async fn settled_on(nodes: usize, plan: Option<fn(usize) -> VmPlan>) -> Self {
         let mut cell = Self {
             network: Arc::default(),
             store: Arc::default(),
             timing: Arc::default(),
             members: Vec::new(),
             started: 0,
+            plan,
         };
         for _ in 0..nodes {
             cell.add(&[]);
@@ -213,18 +326,34 @@
         let place = self.started;
         self.started += 1;
         let address = SocketAddr::from(([10, 0, (place / 250) as u8, (place % 250) as u8], 7_000));
-        let millicores = if place < STRONG_NODES { 500 } else { 120 };
+        let vm = match self.plan {
+            Some(plan) => plan(place),
+            None => default_vm(place),
+        };
+        let link = Arc::new(Link::new(vm.bytes_per_ms));
+        let mut links = self.network.links.lock().expect("links");
+        links.insert(address, Arc::clone(&link));
+        drop(links);
         let node_store = Arc::new(NodeStore {
             store: Arc::clone(&self.store),
             unavailable: unavailable.into(),
+            silent: AtomicBool::new(false),
             timing: Arc::clone(&self.timing),
+            link,
         });
+        let decoder: Arc<dyn Decoder> = match self.plan {
+            Some(_) => Arc::new(JsonDecoder),
+            None => Arc::new(NoDecoder),
+        };
         let links = Links {
             store: node_store.clone(),
             workers: Arc::new(NoWorkers),
             advisor: None,
-            decoder: Arc::new(NoDecoder) as Arc<dyn Decoder>,
-            peers: Arc::new(NetworkLink(Arc::clone(&self.network))),
+            decoder,
+            peers: Arc::new(NetworkLink {
+                network: Arc::clone(&self.network),
+                caller: address,
+            }),
         };
         let shared = Shared::new(
             Identity {
@@ -234,18 +363,23 @@
             },
             seeds.to_vec(),
             Arc::new(RuntimeClock(Instant::now())),
-            Load::new(millicores),
+            Load::new(vm.millicores),
             Metrics::new().expect("collectors"),
             links,
             Options::default(),
         );
         let front = Arc::new(Frontend::new(Arc::clone(&shared)));
         self.network.nodes().insert(address, Arc::downgrade(&front));
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(Arc::clone(&shared).probe_store()).abort_handle(),
             tokio::spawn(election::register(Arc::clone(&shared))).abort_handle(),
-            tokio::spawn(election::run(shared)).abort_handle(),
+            tokio::spawn(election::run(Arc::clone(&shared))).abort_handle(),
         ];
+        if self.plan.is_some() {
+            let following = configuration::follow(Arc::clone(&shared));
+            tasks.push(tokio::spawn(following).abort_handle());
+            tasks.push(tokio::spawn(configuration::follow_members(shared)).abort_handle());
+        }
         self.members.push(Member {
             front,
             node_store,
