Reads of the store are limited by their progress, not by their size

Cause: a read of the store had 1.2 s for its whole answer. The row of a configuration of 5,600 queues takes 1.3 s at 10 Mbit/s, that of 4,200 takes 0.8 s if nothing else uses the link, so such reads were given up with most bytes there and begun anew from the first. The same limit held for the rows of jobs and workers that a new owner reads, up to 1 MB a page, 24 partitions at once.

Change: HttpClient::get limits the begin of the answer (as before) and each pause of its body (1.2 s), 20 s in all. The limits of transactions are unchanged.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -31,6 +31,8 @@
 const DEFAULT_TOTAL: usize = 1_024;
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The longest time for a response body whose time is not limited as a whole.
+const MAX_BODY_TIME: Duration = Duration::from_secs(20);
 /// The largest response body that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -136,12 +138,45 @@
     ) -> Result<FullResponse, CallError> {
         let (host, req) = build_request(method, url, headers, body)?;
         let deadline = Instant::now() + timeout;
-        let slot = tokio::time::timeout_at(deadline, self.pool.acquire_slot(&host)).await;
-        let _slot = slot.map_err(|_| CallError::Busy)?;
-        let connecting = tokio::time::timeout_at(deadline, self.connection(&host)).await;
+        let (connection, _slot) = self.acquire(&host, deadline).await?;
+        let limits = ResponseTimeout::ByCaller;
+        let answer = timeout::wait_until(deadline, self.exchange(&host, connection, req, limits));
+        answer.await.unwrap_or(Err(CallError::Unanswered))
+    }
+
+    /// Reads `url`.  The response must begin within `timeout`, and its body must not pause for
+    /// longer than `stall_timeout`; beyond that it may take as long as its size and the bandwidth
+    /// of the link ask for, [`MAX_BODY_TIME`] at most.
+    ///
+    /// # Errors
+    /// As [`HttpClient::call`].
+    pub async fn get(
+        &self,
+        url: &str,
+        timeout: Duration,
+        stall_timeout: Duration,
+    ) -> Result<FullResponse, CallError> {
+        let (host, req) = build_request(Method::GET, url, &[], Vec::new())?;
+        let deadline = Instant::now() + timeout;
+        let (connection, _slot) = self.acquire(&host, deadline).await?;
+        let limits = ResponseTimeout::Stall {
+            begin: deadline,
+            stall: stall_timeout,
+        };
+        self.exchange(&host, connection, req, limits).await
+    }
+
+    /// Waits until `deadline` for a call slot of `host` and a connection to it.
+    async fn acquire(
+        &self,
+        host: &str,
+        deadline: Instant,
+    ) -> Result<(Connection, Option<OwnedSemaphorePermit>), CallError> {
+        let slot = tokio::time::timeout_at(deadline, self.pool.acquire_slot(host)).await;
+        let slot = slot.map_err(|_| CallError::Busy)?;
+        let connecting = tokio::time::timeout_at(deadline, self.connection(host)).await;
         let connection = connecting.map_err(|_| CallError::NotSent)??;
-        let answer = timeout::wait_until(deadline, self.exchange(&host, connection, req)).await;
-        answer.unwrap_or(Err(CallError::Unanswered))
+        Ok((connection, slot))
     }
 
     /// Posts a value as JSON.
@@ -167,14 +202,16 @@
         host: &str,
         mut connection: Connection,
         req: OutgoingRequest,
+        limits: ResponseTimeout,
     ) -> Result<FullResponse, CallError> {
         let mut in_flight = InFlight::new(&self.pool, host);
-        let sent = connection.sender.try_send_request(req).await;
+        let sent = limits.limit_begin(connection.sender.try_send_request(req));
+        let sent = sent.await.ok_or(CallError::Unanswered)?;
         let response = sent.map_err(|mut err| match err.take_message() {
             Some(_) => CallError::NotSent,
             None => CallError::Unanswered,
         })?;
-        let answer = read_response(response).await?;
+        let answer = read_response(response, limits).await?;
         in_flight.answered = true;
         self.pool.put(host, connection);
         Ok(answer)
@@ -248,16 +285,60 @@
     Ok(sender)
 }
 
-async fn read_response(response: Response<Incoming>) -> Result<FullResponse, CallError> {
+/// How long a response may take, if its caller does not limit that itself.
+#[derive(Debug, Clone, Copy)]
+enum ResponseTimeout {
+    /// The caller limits the whole exchange.
+    ByCaller,
+    /// The response must begin by `begin`, and its body must not pause for longer than `stall`.
+    Stall { begin: Instant, stall: Duration },
+}
+
+impl ResponseTimeout {
+    /// Waits for the begin of a response; none on timeout.
+    async fn limit_begin<T>(self, begin: impl Future<Output = T>) -> Option<T> {
+        match self {
+            Self::ByCaller => Some(begin.await),
+            Self::Stall {
+                begin: deadline, ..
+            } => timeout::wait_until(deadline, begin).await,
+        }
+    }
+
+    /// Waits for the next part of a body that began at `began`; none on timeout.
+    async fn limit_frame<T>(self, began: Instant, frame: impl Future<Output = T>) -> Option<T> {
+        match self {
+            Self::ByCaller => Some(frame.await),
+            Self::Stall { stall, .. } => {
+                let deadline = (Instant::now() + stall).min(began + MAX_BODY_TIME);
+                timeout::wait_until(deadline, frame).await
+            }
+        }
+    }
+}
+
+async fn read_response(
+    response: Response<Incoming>,
+    limits: ResponseTimeout,
+) -> Result<FullResponse, CallError> {
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES)
-        .collect()
-        .await
-        .map_err(|_| CallError::Unanswered)?;
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+    let mut bytes = Vec::new();
+    let began = Instant::now();
+    loop {
+        let frame = limits.limit_frame(began, body.frame()).await;
+        let Some(frame) = frame.ok_or(CallError::Unanswered)? else {
+            break;
+        };
+        let frame = frame.map_err(|_| CallError::Unanswered)?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
     Ok(FullResponse {
         status: parts.status,
         headers: parts.headers,
-        body: body.to_bytes().to_vec(),
+        body: bytes,
     })
 }
 
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -195,3 +195,48 @@
     assert_eq!(answer, Err(CallError::Unanswered));
     assert!(began.elapsed() < Duration::from_secs(10));
 }
+
+/// The parts of the body that [`answer_in_parts`] sends, and the pause between them.
+const PARTS: usize = 8;
+const PART_PAUSE: Duration = Duration::from_millis(100);
+
+/// Answers one request with a body of [`PARTS`] bytes, one at a time.  Sends only `sent` of them
+/// and goes silent then.
+async fn answer_in_parts(listener: TcpListener, sent: usize) {
+    let (mut stream, _) = listener.accept().await.expect("a caller");
+    let mut buf = [0; 256];
+    let read = stream.read(&mut buf).await.expect("a request");
+    assert!(read > 0);
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {PARTS}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("the head");
+    for _ in 0..sent {
+        tokio::time::sleep(PART_PAUSE).await;
+        stream.write_all(b"x").await.expect("a part");
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Reads from such a server with limits that are shorter than the whole answer takes.
+async fn read_in_parts(sent: usize) -> Result<usize, CallError> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = tokio::spawn(answer_in_parts(listener, sent));
+    let limit = PART_PAUSE * 4;
+    let answer = HttpClient::new()
+        .get(&format!("http://{address}/"), limit, limit)
+        .await;
+    server.abort();
+    answer.map(|answer| answer.body.len())
+}
+
+// Guards against a time limit for the whole of a large answer, which a slow link never meets.
+#[tokio::test]
+async fn an_answer_that_keeps_arriving_is_read_to_its_end() {
+    assert_eq!(read_in_parts(PARTS).await, Ok(PARTS));
+}
+
+// Guards against waiting for the rest of an answer on a connection that has gone silent.
+#[tokio::test]
+async fn an_answer_that_stops_arriving_is_given_up() {
+    assert_eq!(read_in_parts(PARTS / 2).await, Err(CallError::Unanswered));
+}
