The probe of the store reads no row

Cause: once one call of a node had failed, its way to the store was probed by reading the row of the configuration, with a limit of 0.7 s and a new probe each 0.2 s until one succeeds. The row of 4,200 queues is 1 MB: 0.8 s at 10 Mbit/s. So no probe succeeded, the node held its way to the store for broken for good, and the probes, up to four at once, filled its link, so that every fetch from another node and every read of the store failed at its limit too.

Change: the probe asks for a key that no row has, in the same table and partition. Its answer has some 40 bytes at any size of the configuration.

--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -117,8 +117,10 @@
     }
 
     async fn probe_once(&self, shared: &Shared) -> bool {
-        let key = shared.decoder.configuration_key();
-        let call = StoreCall::row(Table::Operator, "", key);
+        // No row has this key: an answer with a row may be too large for the time limit, and would
+        // fill the link for all other calls.
+        let key = format!("{}\u{1}", shared.decoder.configuration_key());
+        let call = StoreCall::row(Table::Operator, "", &key);
         let reply = tokio::time::timeout(PROBE_TIMEOUT, self.direct.call(call)).await;
         matches!(reply, Ok(Ok(_)))
     }
--- a/tests/large_configurations.rs
+++ b/tests/large_configurations.rs
@@ -5,6 +5,7 @@
 mod virtual_cell;
 mod virtual_node;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cell_core::queue;
@@ -20,6 +21,10 @@
 /// A version that is confirmed must be in force within this time at each node that can reach the
 /// store or another node that has it, in milliseconds (docs/DESIGN.md, "Configuration").
 const IN_FORCE_WITHIN: Millis = 2_000;
+/// An outage of the store, longer than the store holds a request for changes.
+const OUTAGE: Duration = Duration::from_secs(6);
+/// A node has to notice within this time that the store can be reached again.
+const REGAINED_WITHIN: Duration = Duration::from_millis(500);
 /// The number of nodes.
 const NODES: usize = 31;
 /// The number of nodes with wide links; of the others, as many have more processors than the rest.
@@ -82,6 +87,31 @@
     }
 }
 
+/// Writes version 1 with this many queues, and waits until it is in force at all nodes.
+async fn write_first(cell: &VirtualCell, size: usize) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let queues: Vec<Queue> = (0..size).map(|_| random_queue(&mut rng)).collect();
+    write(cell, 1, &queues);
+    until_in_force(cell, 1).await;
+}
+
+// Guards against probes of the store that read a row of any size: at 10 Mbit/s none of them ends in
+// time, and together they fill the link.
+#[tokio::test(start_paused = true)]
+async fn a_node_with_a_narrow_link_regains_the_store_beside_a_large_configuration() {
+    let cell = VirtualCell::settled_with_configuration(NODES, vm).await;
+    write_first(&cell, 5_600).await;
+    let node = &cell.members[NODES - 1];
+    node.node_store.unavailable.store(true, Ordering::Relaxed);
+    tokio::time::sleep(OUTAGE).await;
+    assert!(!node.shared().reaches_store(), "the outage is noticed");
+
+    node.node_store.unavailable.store(false, Ordering::Relaxed);
+    tokio::time::sleep(REGAINED_WITHIN).await;
+
+    assert!(node.shared().reaches_store());
+}
+
 // Guards against time limits that do not depend on the size of what is sent: at 10 Mbit/s a
 // version of thousands of queues then takes several attempts, or never arrives.
 #[tokio::test(start_paused = true)]
