A configuration that was read is in force before the halls are read

Cause: a node that read all rows of the operator applied the configuration only after a second call, for the rows about evacuated halls, had succeeded as well.

Change: the configuration is applied when it arrives; the halls are read after it, and until that succeeds changes of the configuration are followed all the same (Route::Configuration). Still unknown halls stop an owner, not a caller.

Ruled out: reading the halls only if they are not known. An evacuation that ends while the store is away leaves no row, so they must be read after every gap (an_evacuation_that_ends_while_the_store_is_unavailable_is_ended_afterwards failed with that form).

Evidence: a_configuration_does_not_wait_for_the_evacuated_halls failed on the sources before, passes now; evacuated_halls_that_could_not_be_read_are_read_again holds on both.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -46,16 +46,17 @@
     loop {
         let next = match route {
             Route::Nothing => read_all(&shared).await,
-            Route::Operator(after) if is_notified(&shared) => {
+            Route::Configuration(after) | Route::Operator(after) if is_notified(&shared) => {
                 shared.hall_rows().stop_following();
                 Route::Owner(after)
             }
+            Route::Configuration(after) => read_halls(&shared, after).await,
             Route::Operator(after) => follow_changes(&shared, after).await,
             // Changes since the notifications stopped have not reached this node.
             Route::Owner(_) if !is_notified(&shared) => Route::Nothing,
             Route::Owner(after) => follow_owner(&shared, after).await,
         };
-        if std::mem::discriminant(&next) != std::mem::discriminant(&route) {
+        if next.source() != route.source() {
             log_route(&shared, next);
         }
         route = next;
@@ -63,11 +64,7 @@
 }
 
 fn log_route(shared: &Shared, route: Route) {
-    let by = match route {
-        Route::Nothing => "nothing",
-        Route::Operator(_) => "store",
-        Route::Owner(_) => "owner",
-    };
+    let by = route.source();
     let age_ms = shared.freshness().age(shared.now());
     let version = shared.config_version();
     tracing::info!(by, version, age_ms, "configuration is followed");
@@ -78,16 +75,50 @@
 enum Route {
     /// Nothing is followed, so all rows have to be read.
     Nothing,
+    /// From the operator's rows in the store, after this version; the rows about evacuated halls
+    /// still have to be read.
+    Configuration(Version),
     /// From the operator's rows in the store, after this version.
     Operator(Version),
     /// From the owner.  The version is that after which changes of nodes' rows are requested.
     Owner(Version),
 }
 
+impl Route {
+    /// Who tells this node of changes, for the log.
+    fn source(self) -> &'static str {
+        match self {
+            Self::Nothing => "nothing",
+            Self::Configuration(_) | Self::Operator(_) => "store",
+            Self::Owner(_) => "owner",
+        }
+    }
+}
+
 async fn read_all(shared: &Arc<Shared>) -> Route {
     let asked = shared.now();
-    let reply = read_rows(shared).await;
-    apply_reply(shared, reply, 0, asked).await
+    let key = shared.decoder.configuration_key();
+    let call = StoreCall::row(Table::Operator, "", key);
+    let reply = shared.store_direct(call).await;
+    match apply_reply(shared, reply, 0, asked).await {
+        Route::Operator(after) => Route::Configuration(after),
+        route => route,
+    }
+}
+
+/// Reads the rows about evacuated halls.  The configuration does not wait for them; changes made
+/// between the two reads come once more after `after`.
+async fn read_halls(shared: &Arc<Shared>, after: Version) -> Route {
+    match halls::read(shared).await {
+        Ok(()) => Route::Operator(after),
+        Err(err) => {
+            tracing::info!(%err, "evacuated halls cannot be read");
+            match follow_changes(shared, after).await {
+                Route::Operator(after) => Route::Configuration(after),
+                route => route,
+            }
+        }
+    }
 }
 
 async fn follow_changes(shared: &Arc<Shared>, after: Version) -> Route {
@@ -185,16 +216,6 @@
     shared.store_direct(call).await
 }
 
-/// Reads the configuration, and then the evacuated halls.  The reply is that to the first read, so
-/// changes are followed from its version on, and any made between the two reads are applied again.
-async fn read_rows(shared: &Arc<Shared>) -> Result<StoreReply, StoreError> {
-    let key = shared.decoder.configuration_key();
-    let call = StoreCall::row(Table::Operator, "", key);
-    let reply = shared.store_direct(call).await?;
-    halls::read(shared).await?;
-    Ok(reply)
-}
-
 /// Reads the evacuated halls, through a peer if need be, if this node owns the cell: it must know
 /// them even when the store refuses its own calls, since it may start nothing there.
 async fn read_halls_as_owner(shared: &Arc<Shared>) {
--- a/tests/told_configuration.rs
+++ b/tests/told_configuration.rs
@@ -149,3 +149,39 @@
 
     assert_eq!(node.shared.config_version(), 3);
 }
+
+/// Starts a node that can read the configuration, but not the rows about evacuated halls.
+async fn node_without_halls() -> VirtualNode {
+    let node = node().await;
+    let unavailable = &node.faulty_store.halls_unavailable;
+    unavailable.store(true, Ordering::Relaxed);
+    tokio::spawn(configuration::follow(Arc::clone(&node.shared)));
+    pass(&node, None, 500).await;
+    node
+}
+
+// Guards against a configuration that has been read and is not put in force, because the rows about
+// evacuated halls cannot be read.
+#[tokio::test(start_paused = true)]
+async fn a_configuration_does_not_wait_for_the_evacuated_halls() {
+    let node = node_without_halls().await;
+    assert_eq!(node.shared.config_version(), 1);
+
+    write(&node, 2);
+    pass(&node, None, 2_000).await;
+
+    assert_eq!(node.shared.config_version(), 2);
+    assert!(node.shared.hall_rows().evacuated().is_none());
+}
+
+// Guards against evacuated halls that stay unknown once a read of them has failed.
+#[tokio::test(start_paused = true)]
+async fn evacuated_halls_that_could_not_be_read_are_read_again() {
+    let node = node_without_halls().await;
+
+    let unavailable = &node.faulty_store.halls_unavailable;
+    unavailable.store(false, Ordering::Relaxed);
+    pass(&node, None, 2_000).await;
+
+    assert!(node.shared.hall_rows().evacuated().is_some());
+}
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -15,6 +15,7 @@
 use crossweir::cell::spec::JobId;
 use crossweir::cell::worker::WorkerEntry;
 use crossweir::clock::{Clock, Millis};
+use crossweir::embedded::JsonDecoder;
 use crossweir::embedded::store::MemoryStore;
 use crossweir::metrics::Metrics;
 use crossweir::node::freshness;
@@ -51,6 +52,8 @@
     pub silent: AtomicBool,
     /// The connection breaks during each call of the node under test: it fails with `Unanswered`.
     pub lossy: AtomicBool,
+    /// Calls of the node under test for rows about evacuated halls fail with `Unavailable`.
+    pub halls_unavailable: AtomicBool,
     /// How long the store takes for each answer, in milliseconds.
     pub delay: AtomicU64,
     /// How often the node under test has read the operator's rows.
@@ -64,7 +67,8 @@
         if reads_operator_rows(&call) {
             self.operator_calls.fetch_add(1, Ordering::Relaxed);
         }
-        if self.unavailable.load(Ordering::Relaxed) {
+        let lacks_halls = self.halls_unavailable.load(Ordering::Relaxed) && lists_halls(&call);
+        if lacks_halls || self.unavailable.load(Ordering::Relaxed) {
             return async { Err(StoreError::Unavailable) }.boxed();
         }
         if self.lossy.load(Ordering::Relaxed) {
@@ -89,6 +93,11 @@
     *table == Table::Operator
 }
 
+fn lists_halls(call: &StoreCall) -> bool {
+    let prefix = JsonDecoder.evacuation_prefix();
+    matches!(call, StoreCall::List { table: Table::Operator, from, .. } if from == prefix)
+}
+
 /// How a peer handles a store call that it is asked to relay.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Relay {
@@ -309,6 +318,7 @@
         unavailable: AtomicBool::new(false),
         silent: AtomicBool::new(false),
         lossy: AtomicBool::new(false),
+        halls_unavailable: AtomicBool::new(false),
         delay: AtomicU64::new(0),
         operator_calls: AtomicUsize::new(0),
         configuration: Arc::default(),
