What a node knows of the configuration has an age

Cause: it trusted the owner's version as the newest one for as long as it heard the owner, however old that was: an owner and watchers that the store does not answer kept every other node on the version before, for good, while those could read the store. It trusted silence for 1.2 s more, and then read all rows, 1 MB with 4,200 queues, at each change of owner, in each node.

Change: - Heartbeats tell when the sender last knew that its configuration was the newest, and up to which version of the store. A node relies on the owner while that is less than 1.2 s ago.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
@@ -18,15 +19,24 @@
 /// change must be in force within 2 s, and a held request may miss one if the store drops its
 /// history.
 const CHANGES_WAIT: Millis = 1_200;
+/// The same for the owner, in milliseconds: other nodes rely on what it knows, and an answer without
+/// changes tells it that there are none.
+const OWNER_CHANGES_WAIT: Millis = 300;
 /// How long the store may hold the request of a node that is notified of newer versions by the
 /// owner, in milliseconds.
 const NOTIFIED_CHANGES_WAIT: Millis = 4_000;
-/// A node counts on the owner's notifications if it has heard the owner within this time, in
-/// milliseconds: two intervals of heartbeats at the default of 500 ms, and 200 ms because one of
-/// the two may be late.
-const NOTIFIED_WITHIN: Millis = 1_200;
+/// A node relies on the owner's notifications while the version in force was known to be the newest
+/// within this time, in milliseconds: the owner's request is held for 300 ms, its heartbeats come
+/// every 500 ms, and a heartbeat may be late by 400 ms.
+const MAX_NOTIFIED_AGE: Millis = 1_200;
+/// A node to which the store does not answer asks other nodes once the version in force has not been
+/// known to be the newest for this long, in milliseconds: somewhat longer than the store holds a
+/// request.
+const MAX_UNKNOWN_AGE: Millis = 1_300;
 /// The pause after a failed read of the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The shortest time from the beginning of one fetch to that of the next.
+const MIN_FETCH_INTERVAL: Duration = Duration::from_millis(100);
 /// How often the versions of other nodes are compared with the own one.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
 /// A node whose fetch of a newer version brings nothing for this long, in milliseconds, reads the
@@ -54,8 +64,7 @@
             }
             Route::Configuration(after) => read_halls(&shared, after).await,
             Route::Operator(after) => follow_changes(&shared, after).await,
-            // Changes since the notifications stopped have not reached this node.
-            Route::Owner(_) if !is_notified(&shared) => Route::Nothing,
+            Route::Owner(_) if !is_notified(&shared) => resume(&shared),
             Route::Owner(after) => follow_owner(&shared, after).await,
         };
         if next.source() != route.source() {
@@ -108,41 +117,59 @@
     }
 }
 
-/// Reads the rows about evacuated halls.  The configuration does not wait for them; changes made
-/// between the two reads come once more after `after`.
+/// Returns the route after that from the owner: from where the operator's rows are known to hold no
+/// newer configuration, so that only changes have to be read.
+fn resume(shared: &Shared) -> Route {
+    match shared.freshness().rows() {
+        Some(rows) => Route::Configuration(rows),
+        None => Route::Nothing,
+    }
+}
+
+/// Reads the rows about evacuated halls.  Changes are followed meanwhile: those made before the
+/// halls are read come once more after `after`.
 async fn read_halls(shared: &Arc<Shared>, after: Version) -> Route {
-    match halls::read(shared).await {
-        Ok(()) => Route::Operator(after),
-        Err(err) => {
+    let (read, route) = tokio::join!(halls::read(shared), follow_changes(shared, after));
+    match (read, route) {
+        (Err(err), Route::Operator(after)) => {
             tracing::info!(%err, "evacuated halls cannot be read");
-            match follow_changes(shared, after).await {
-                Route::Operator(after) => Route::Configuration(after),
-                route => route,
-            }
+            Route::Configuration(after)
         }
+        (_, route) => route,
     }
 }
 
 async fn follow_changes(shared: &Arc<Shared>, after: Version) -> Route {
+    let wait = match shared.engine() {
+        Some(_) => OWNER_CHANGES_WAIT,
+        None => CHANGES_WAIT,
+    };
     let asked = shared.now();
-    let reply = changes(shared, Table::Operator, after, CHANGES_WAIT).await;
-    apply_reply(shared, reply, after, asked).await
+    let reply = changes(shared, Table::Operator, after, wait).await;
+    // The store answers without changes only when it has held the request for that long.
+    let is_unchanged = matches!(&reply, Ok(StoreReply::Rows { rows, .. }) if rows.is_empty());
+    let as_of = match is_unchanged && shared.now() >= asked + wait {
+        true => asked + wait,
+        false => asked,
+    };
+    apply_reply(shared, reply, after, as_of).await
 }
 
-/// Applies the operator's rows as they were at `asked` or later, and returns from where to follow
+/// Applies the operator's rows as they were at `as_of` or later, and returns from where to follow
 /// further changes.
 async fn apply_reply(
     shared: &Arc<Shared>,
     reply: Result<StoreReply, StoreError>,
     after: Version,
-    asked: Millis,
+    as_of: Millis,
 ) -> Route {
     match reply {
         Ok(StoreReply::Rows { rows, version, .. }) => {
             apply_configuration(shared, &rows);
-            shared.freshness().confirm(asked);
+            let version = version.max(after);
+            shared.freshness().confirm(as_of, Some(version));
             halls::apply_changes(shared, &rows);
-            return Route::Operator(version.max(after));
+            return Route::Operator(version);
         }
         Ok(StoreReply::Forgotten) => {}
         Ok(_) => {
@@ -152,9 +179,9 @@
             shared.metrics.retry("configuration_read_failed");
             tracing::info!(
                 %err,
-                ms = shared.now().saturating_sub(asked),
+                ms = shared.now().saturating_sub(as_of),
                 version = shared.config_version(),
-                age_ms = shared.freshness().age(asked),
+                age_ms = shared.freshness().age(shared.now()),
                 "operator's rows cannot be read"
             );
             read_halls_as_owner(shared).await;
@@ -165,40 +192,49 @@
 }
 
 /// Holds a request for changes of nodes' rows at the store until there are some, or until this node
-/// is no longer notified by the owner.  Only the version in the answer is used.
+/// cannot rely on the owner any more.  Only the version in the answer is used.
 async fn follow_owner(shared: &Arc<Shared>, after: Version) -> Route {
     let answer = tokio::select! {
         answer = changes(shared, Table::Nodes, after, NOTIFIED_CHANGES_WAIT) => answer,
-        () = until_not_notified(shared) => return Route::Nothing,
+        () = until_not_notified(shared) => return Route::Owner(after),
+        () = until_fetch_stalls(shared) => return Route::Nothing,
     };
     match answer {
         Ok(StoreReply::Rows { version, .. }) => Route::Owner(version.max(after)),
-        _ => Route::Nothing,
+        Ok(_) => Route::Nothing,
+        Err(err) => {
+            tracing::debug!(%err, "cannot follow changes of nodes' rows");
+            tokio::time::sleep(RETRY_PAUSE).await;
+            Route::Owner(after)
+        }
     }
 }
 
-/// Returns whether this node relies on the owner to notify it of newer versions: it hears the
-/// owner, and it is neither the owner itself nor a watcher, since these read the store.
+/// Returns whether this node relies on the owner to notify it of newer versions: what the owner
+/// reported is recent, and this node is neither the owner itself nor a watcher, since these read the
+/// store.
 fn is_notified(shared: &Shared) -> bool {
-    let is_heard = {
-        let owner = shared.owner();
-        let is_other = owner
-            .address
-            .is_some_and(|address| address != shared.address);
-        is_other && owner.silence(shared.now()) < NOTIFIED_WITHIN
-    };
-    is_heard && shared.engine().is_none() && !shared.members().watches(&shared.name)
+    let owner = shared.owner().address;
+    let has_other_owner = owner.is_some_and(|address| address != shared.address);
+    let age = shared.freshness().age(shared.now());
+    has_other_owner
+        && age.is_some_and(|age| age < MAX_NOTIFIED_AGE)
+        && shared.engine().is_none()
+        && !shared.members().watches(&shared.name)
 }
 
-/// Waits until this node is no longer notified by the owner, or its fetch of a newer version has
-/// brought nothing for [`MAX_FETCH_STALL`].
+/// Waits until this node cannot rely on the owner any more.
 async fn until_not_notified(shared: &Shared) {
-    loop {
+    while is_notified(shared) {
+        tokio::time::sleep(COMPARE_INTERVAL).await;
+    }
+}
+
+/// Waits until the fetch of a newer version has brought nothing for [`MAX_FETCH_STALL`].
+async fn until_fetch_stalls(shared: &Shared) {
+    let stall = || shared.freshness().stalled_for(shared.now());
+    while stall().is_none_or(|stall| stall < MAX_FETCH_STALL) {
         tokio::time::sleep(COMPARE_INTERVAL).await;
-        let stall = shared.freshness().stalled_for(shared.now());
-        if !is_notified(shared) || stall.is_some_and(|stall| stall >= MAX_FETCH_STALL) {
-            return;
-        }
     }
 }
 
@@ -240,22 +276,56 @@
 pub async fn follow_members(shared: Arc<Shared>) {
     let mut failures = 0;
     let mut download = Download::default();
+    let mut asked = Instant::now();
     loop {
-        tokio::time::sleep(COMPARE_INTERVAL).await;
-        let Some(newest) = newer_member(&shared) else {
-            continue;
-        };
-        let address = match is_notified(&shared) {
-            true => watcher_to_ask(&shared, failures).unwrap_or(newest),
-            false => newest,
+        wait_for_notice(&shared, asked).await;
+        let newest = newer_member(&shared);
+        let address = match newest {
+            Some(newest) if is_notified(&shared) => {
+                watcher_to_ask(&shared, failures).unwrap_or(newest)
+            }
+            Some(newest) => newest,
+            None if is_outdated(&shared) => match candidate_to_ask(&shared, failures) {
+                Some(address) => address,
+                None => continue,
+            },
+            None => continue,
         };
-        failures = match fetch(&shared, address, &mut download).await {
+        asked = Instant::now();
+        failures = match fetch(&shared, address, failures, &mut download).await {
             true => 0,
             false => failures + 1,
         };
     }
 }
 
+/// Waits until a newer version is reported or it is time to compare versions, and at least for
+/// [`MIN_FETCH_INTERVAL`] from `asked` on.
+async fn wait_for_notice(shared: &Shared, asked: Instant) {
+    if shared.freshness().newer().is_none() {
+        let noticed = shared.newer_config_noticed.notified();
+        // Without a notice, the members are compared all the same.
+        let _ = tokio::time::timeout(COMPARE_INTERVAL, noticed).await;
+    }
+    tokio::time::sleep_until(asked + MIN_FETCH_INTERVAL).await;
+}
+
+/// Returns whether a node should ask others although it knows of no newer version: neither the owner
+/// nor the store has told it of late that there is none.
+fn is_outdated(shared: &Shared) -> bool {
+    let age = shared.freshness().age(shared.now());
+    age.is_none_or(|age| age > MAX_UNKNOWN_AGE)
+}
+
+/// Returns the address of the node to ask after this many failures in a row, of all nodes.  Nodes
+/// start at different ones.
+fn candidate_to_ask(shared: &Shared, failures: usize) -> Option<SocketAddr> {
+    let candidates = shared.members().candidates();
+    let first = xxh3_64(shared.name.as_bytes()) as usize;
+    let place = first.wrapping_add(failures) % candidates.len().max(1);
+    candidates.get(place).copied()
+}
+
 /// Returns the address of a node with a newer configuration than this one's: of those with the
 /// newest, the one that was heard last.
 fn newer_member(shared: &Shared) -> Option<SocketAddr> {
@@ -286,11 +356,16 @@
 }
 
 /// Fetches the configuration from one node; false if it did not send all of it.
-async fn fetch(shared: &Arc<Shared>, address: SocketAddr, download: &mut Download) -> bool {
+async fn fetch(
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+    failures: usize,
+    download: &mut Download,
+) -> bool {
     let asked = shared.now();
     let progress = || shared.freshness().note_progress(shared.now());
     let peers = shared.peers.as_ref();
-    let fetched = download.fetch(peers, address, shared.config_version(), progress);
+    let fetched = download.fetch(peers, address, shared.config_version(), failures, progress);
     let fetched = fetched.await;
     let ms = shared.now().saturating_sub(asked);
     match fetched {
--- a/src/node/configuration_transfer.rs
+++ b/src/node/configuration_transfer.rs
@@ -22,7 +22,10 @@
 /// The bytes of a piece: 26 ms at 10 Mbit/s.
 pub const PIECE_BYTES: usize = 32 * 1024;
 /// Time limit for a piece, in milliseconds: a node may send to ten others at once over such a link.
-const PIECE_TIMEOUT: Millis = 400;
+/// It doubles with each failure in a row, [`MAX_DOUBLINGS`] times at most.
+const PIECE_TIMEOUT: Millis = 300;
+/// See [`PIECE_TIMEOUT`].
+const MAX_DOUBLINGS: usize = 2;
 /// Time limit for a whole configuration, in milliseconds, from a node of a version that sends no
 /// pieces.
 const WHOLE_TIMEOUT: Millis = 800;
@@ -118,8 +121,8 @@
         self.bytes.len()
     }
 
-    /// Fetches the rest of a configuration above the version `above` from one node.  `progress` is
-    /// called for each piece.
+    /// Fetches the rest of a configuration above the version `above` from one node, after this many
+    /// failures in a row.  `progress` is called for each piece.
     ///
     /// # Errors
     /// See [`FetchError`].  What has arrived is kept, unless it cannot be decoded.
@@ -128,11 +131,13 @@
         peers: &dyn NodeLink,
         address: SocketAddr,
         above: u64,
+        failures: usize,
         progress: impl Fn(),
     ) -> Result<Configuration, FetchError> {
+        let timeout = PIECE_TIMEOUT << failures.min(MAX_DOUBLINGS);
         loop {
             let call = NodeCall::ConfigurationPiece(self.request(above));
-            let reply = match peers.call(address, call, PIECE_TIMEOUT).await {
+            let reply = match peers.call(address, call, timeout).await {
                 // A node of a version that does not know pieces.
                 Err(PeerError::Malformed) => return fetch_whole(peers, address, above).await,
                 reply => reply?,
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
+use crate::store::Version;
 
 /// Where a node learned of a version, or got it from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +47,8 @@
     progress_at: Millis,
     /// The latest time at which the version in force was known to be the newest.
     confirmed_at: Option<Millis>,
+    /// The version of the store up to which no row of the operator has a newer configuration.
+    rows: Option<Version>,
 }
 
 impl Freshness {
@@ -81,9 +84,17 @@
         Some(now.saturating_sub(first.at.max(self.progress_at)))
     }
 
-    /// Notes that no version newer than the one in force existed at `at`.
-    pub fn confirm(&mut self, at: Millis) {
+    /// Notes that no version newer than the one in force existed at `at`, and that none is in the
+    /// operator's rows up to the version `rows` of the store, if that is known.
+    pub fn confirm(&mut self, at: Millis, rows: Option<Version>) {
         self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.rows = self.rows.max(rows);
+    }
+
+    /// The version of the store after which a newer configuration may have been written; none if
+    /// that is not known.
+    pub fn rows(&self) -> Option<Version> {
+        self.rows
     }
 
     /// The newest version that is known to exist and is not in force; none if there is none.
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -104,9 +104,10 @@
             WATCHER_INTERVAL
         };
         beat = beat.filter(|(made, _)| now.saturating_sub(*made) < age);
-        let (_, base) = beat.get_or_insert_with(|| (now, shared.heartbeat()));
+        let (made, base) = beat.get_or_insert_with(|| (now, shared.heartbeat()));
+        let since = now.saturating_sub(*made) as u32;
         for node in due {
-            spawn_exchange(shared, base, node);
+            spawn_exchange(shared, base, since, node);
         }
         if now.saturating_sub(reviewed) >= REVIEW_INTERVAL {
             reviewed = now;
@@ -117,7 +118,8 @@
     }
 }
 
-fn spawn_exchange(shared: &Arc<Shared>, base: &Heartbeat, node: Due) {
+/// Sends a node the heartbeat `base`, which was made `since` milliseconds ago.
+fn spawn_exchange(shared: &Arc<Shared>, base: &Heartbeat, since: u32, node: Due) {
     let (membership, changes) = {
         let mut members = shared.members();
         (members.digest(), members.changes_for(&node.name))
@@ -126,6 +128,7 @@
         interval: node.interval as u32,
         membership,
         changes,
+        configuration_age: base.configuration_age.map(|age| age.saturating_add(since)),
         ..base.clone()
     };
     let shared = Arc::clone(shared);
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -6,6 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use crate::cell::options::Options;
+use tokio::sync::Notify;
+
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
 use crate::node::admission::HeardWaits;
@@ -96,6 +98,8 @@
     members: Mutex<Members>,
     /// The configuration in force; none until one is known.
     config: RwLock<Option<Arc<Configuration>>>,
+    /// Notified when a version above the one in force is reported.
+    pub newer_config_noticed: Notify,
     /// The configuration as it is sent to other nodes, once one has asked for it.
     encoded_config: Mutex<Option<Arc<EncodedConfiguration>>>,
     freshness: Mutex<Freshness>,
@@ -142,6 +146,7 @@
             store: RoutedStore::new(links.store),
             members: Mutex::new(members),
             config: RwLock::new(None),
+            newer_config_noticed: Notify::new(),
             encoded_config: Mutex::default(),
             freshness: Mutex::default(),
             hall_rows: Mutex::default(),
@@ -246,13 +251,20 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies what a node reports of its configuration: a version above the one in force is newer,
-    /// and the owner's version counts as the newest one.
+    /// Applies what a node reports of its configuration: that there is a version above the one in
+    /// force, or when there was none.
     fn note_configuration(&self, beat: &Heartbeat, now: Millis) {
         let in_force = self.config_version();
         if beat.configuration <= in_force {
-            if beat.owns && beat.configuration == in_force {
-                self.freshness().confirm(now);
+            let rows = (beat.operator_rows > 0).then_some(beat.operator_rows);
+            match beat.configuration_age {
+                Some(age) => {
+                    let at = now.saturating_sub(age.into());
+                    self.freshness().confirm(at, rows);
+                }
+                // The owner is of a version that does not report the age.
+                None if beat.owns => self.freshness().confirm(now, None),
+                None => {}
             }
             return;
         }
@@ -267,6 +279,7 @@
         let mut freshness = self.freshness();
         let age = freshness.age(now);
         if freshness.note_newer(notice) {
+            self.newer_config_noticed.notify_one();
             tracing::info!(
                 version = beat.configuration,
                 in_force,
@@ -470,6 +483,10 @@
             Some(engine) => engine.workspaces_of(&ends),
             None => self.early_ends().workspaces(),
         };
+        let (age, rows) = {
+            let freshness = self.freshness();
+            (freshness.age(now), freshness.rows())
+        };
         Heartbeat {
             name: self.name.clone(),
             boot: self.boot,
@@ -478,6 +495,8 @@
             owns: engine.is_some(),
             leaving: self.is_leaving(),
             configuration: self.config_version(),
+            configuration_age: Some(age.map_or(u32::MAX, |age| age.min(u32::MAX.into()) as u32)),
+            operator_rows: rows.unwrap_or_default(),
             reaches_store: self.reaches_store(),
             owner_silence: if engine.is_some() {
                 0
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -146,6 +146,12 @@
   claimAge @17 :UInt32;
   # Set by the owner only: the longest expected waits of new jobs, without those that are zero.
   waits @18 :List(Wait);
+  # One more than the milliseconds since the sender last knew that no newer configuration existed; 0
+  # if it does not report that.
+  configurationAge @19 :UInt32;
+  # The version of the store up to which no row of the operator has a newer configuration; 0 if that
+  # is not known.
+  operatorRows @20 :UInt64;
 }
 
 struct End {
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -37,6 +37,12 @@
     pub leaving: bool,
     /// The version of the configuration in force on it; zero if it has none.
     pub configuration: u64,
+    /// Milliseconds since that version was last known to be the newest, the maximum if it never was;
+    /// none if the sender is of a version that does not report it.
+    pub configuration_age: Option<u32>,
+    /// The version of the store up to which no row of the operator has a newer configuration; zero
+    /// if that is not known.
+    pub operator_rows: u64,
     /// It reaches the store directly.
     pub reaches_store: bool,
     /// Milliseconds since it last heard the owner of `epoch`; zero if it is the owner.
@@ -321,6 +327,9 @@
     out.set_owns(heartbeat.owns);
     out.set_leaving(heartbeat.leaving);
     out.set_configuration(heartbeat.configuration);
+    let age = heartbeat.configuration_age;
+    out.set_configuration_age(age.map_or(0, |age| age.saturating_add(1)));
+    out.set_operator_rows(heartbeat.operator_rows);
     out.set_reaches_store(heartbeat.reaches_store);
     out.set_owner_silence(heartbeat.owner_silence);
     out.set_strength(heartbeat.strength);
@@ -423,6 +432,8 @@
         owns: heartbeat.get_owns(),
         leaving: heartbeat.get_leaving(),
         configuration: heartbeat.get_configuration(),
+        configuration_age: heartbeat.get_configuration_age().checked_sub(1),
+        operator_rows: heartbeat.get_operator_rows(),
         reaches_store: heartbeat.get_reaches_store(),
         owner_silence: heartbeat.get_owner_silence(),
         strength: heartbeat.get_strength(),
--- a/src/rpc/node_capnp.rs
+++ b/src/rpc/node_capnp.rs
@@ -3828,11 +3828,19 @@
         pub fn has_waits(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_configuration_age(self) -> u32 {
+            self.reader.get_data_field::<u32>(15)
+        }
+        #[inline]
+        pub fn get_operator_rows(self) -> u64 {
+            self.reader.get_data_field::<u64>(8)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4090,6 +4098,22 @@
         pub fn has_waits(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_configuration_age(self) -> u32 {
+            self.builder.get_data_field::<u32>(15)
+        }
+        #[inline]
+        pub fn set_configuration_age(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(15, value);
+        }
+        #[inline]
+        pub fn get_operator_rows(self) -> u64 {
+            self.builder.get_data_field::<u64>(8)
+        }
+        #[inline]
+        pub fn set_operator_rows(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(8, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4101,156 +4125,170 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 325] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 358] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(3, 62, 160, 251, 87, 11, 78, 175),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(210, 198, 161, 244, 224, 91, 211, 183),
             ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 47, 4, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 159, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(233, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4427,6 +4465,25 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
+            ::capnp::word(97, 116, 105, 111, 110, 65, 103, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 112, 101, 114, 97, 116, 111, 114),
+            ::capnp::word(82, 111, 119, 115, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4449,6 +4506,8 @@
                 16 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 17 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::wait::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                19 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                20 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4462,9 +4521,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,9,17,6,11,3,15,5,13,16,0,14,8,4,10,7,12,18];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,9,17,6,19,11,3,15,5,13,16,0,20,14,8,4,10,7,12,18];
         pub(crate) const TYPE_ID: u64 = 0xaf4e_0b57_fba0_3e03;
     }
 }
--- a/tests/told_configuration.rs
+++ b/tests/told_configuration.rs
@@ -60,20 +60,45 @@
     for number in 1..=PEERS {
         let owns = number == PEERS;
         node.shared.apply_heartbeat(&Heartbeat {
-            name: format!("a{number:02}"),
-            boot: 1,
-            address: format!("127.0.0.1:{number}"),
-            epoch: 16,
             owns,
             configuration: if owns { version } else { 1 },
-            reaches_store: true,
-            millicores: 8_000,
-            interval: 500,
-            ..Heartbeat::default()
+            ..peer_heartbeat(number)
         });
     }
 }
 
+fn peer_heartbeat(number: u16) -> Heartbeat {
+    Heartbeat {
+        name: format!("a{number:02}"),
+        boot: 1,
+        address: format!("127.0.0.1:{number}"),
+        epoch: 16,
+        configuration: 1,
+        reaches_store: true,
+        millicores: 8_000,
+        interval: 500,
+        ..Heartbeat::default()
+    }
+}
+
+/// Lets time pass while the owner sends heartbeats and does not learn of newer versions any more.
+async fn pass_beside_an_outdated_owner(node: &VirtualNode, version: u64, millis: u64) {
+    for age in (0..millis).step_by(100) {
+        node.shared
+            .apply_heartbeat(&owner_heartbeat(version, age as u32));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn owner_heartbeat(version: u64, age: u32) -> Heartbeat {
+    Heartbeat {
+        owns: true,
+        configuration: version,
+        configuration_age: Some(age),
+        ..peer_heartbeat(PEERS)
+    }
+}
+
 /// Lets time pass.  The peers send heartbeats every 100 ms, unless `version` is none.
 async fn pass(node: &VirtualNode, version: Option<u64>, millis: u64) {
     for _ in 0..millis / 100 {
@@ -185,3 +210,16 @@
 
     assert!(node.shared.hall_rows().evacuated().is_some());
 }
+
+// Guards against trust in an owner that itself learns of nothing any more.
+#[tokio::test(start_paused = true)]
+async fn a_node_whose_owner_is_outdated_reads_the_store_itself() {
+    let node = notified_node().await;
+    let peers_have = &node.faulty_store.configuration;
+
+    write(&node, 2);
+    peers_have.store(1, Ordering::Relaxed);
+    pass_beside_an_outdated_owner(&node, 1, 2_000).await;
+
+    assert_eq!(node.shared.config_version(), 2);
+}
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -86,7 +86,8 @@
         cut.insert(addr);
     }
 
-    fn is_cut(&self, addr: SocketAddr) -> bool {
+    /// Returns whether a node is cut off.
+    pub fn is_cut(&self, addr: SocketAddr) -> bool {
         let cut = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
         cut.contains(&addr)
     }
@@ -169,6 +170,13 @@
         wait: Duration,
         answer: impl Future<Output = Result<StoreReply, StoreError>>,
     ) -> Result<StoreReply, StoreError> {
+        let answer = async {
+            let reply = answer.await;
+            if self.silent.load(Ordering::Relaxed) {
+                std::future::pending::<()>().await;
+            }
+            reply
+        };
         let reply = tokio::time::timeout(wait + ANSWER_TIMEOUT, answer)
             .await
             .unwrap_or(Err(StoreError::Unavailable))?;
@@ -233,9 +241,6 @@
         if self.unavailable.load(Ordering::Relaxed) {
             return async { Err(StoreError::Unavailable) }.boxed();
         }
-        if self.silent.load(Ordering::Relaxed) {
-            return std::future::pending().boxed();
-        }
         let wait = match &call {
             StoreCall::Changes { wait, .. } => Duration::from_millis(*wait),
             _ => Duration::ZERO,
@@ -401,6 +406,13 @@
         }
     }
 
+    /// Kills all nodes, so that they take no time of later tests.
+    pub fn kill_all(&mut self) {
+        while !self.members.is_empty() {
+            self.kill(0);
+        }
+    }
+
     pub fn owners(&self) -> usize {
         self.members.iter().filter(|member| member.owns()).count()
     }
