Fetches of the configuration: paced reads, bounded askers, undecodable rows

Found by reading the diff: - A reported version that nobody has (or that this build cannot decode) made a node read all rows of the operator without a pause, 1 MB each time with 4,200 queues. A read counts as progress now, so there are two a second. - A node that could not decode the newest row called its own version the newest, and nodes that can decode it relied on that. - Answers "nothing newer" doubled the time limit of later pieces, and were logged ten times a second while the store is away. - A node that neither owner nor store answers asked all others in turn, a connection to each; now the watchers and twelve more.

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
 use crate::node::configuration_transfer::Download;
 use crate::node::freshness::Source;
 use crate::node::halls;
+use crate::node::members::WATCHERS;
 use crate::node::shared::Shared;
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
 
@@ -33,6 +33,8 @@
 /// known to be the newest for this long, in milliseconds: somewhat longer than the store holds a
 /// request.
 const MAX_UNKNOWN_AGE: Millis = 1_300;
+/// How many nodes are asked in turn then, since each one takes a connection.
+const MAX_CANDIDATES: usize = 2 * WATCHERS;
 /// The pause after a failed read of the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The shortest time from the beginning of one fetch to that of the next.
@@ -167,7 +169,11 @@
         Ok(StoreReply::Rows { rows, version, .. }) => {
             apply_configuration(shared, &rows);
             let version = version.max(after);
-            shared.freshness().confirm(as_of, Some(version));
+            {
+                let mut freshness = shared.freshness();
+                freshness.confirm(as_of, Some(version));
+                freshness.note_progress(shared.now());
+            }
             halls::apply_changes(shared, &rows);
             return Route::Operator(version);
         }
@@ -265,6 +271,7 @@
             Ok(config) => shared.adopt_config(config, Source::Store),
             Err(err) => {
                 tracing::error!(%err, "cannot decode the configuration; keeping the former one");
+                shared.freshness().note_undecodable();
                 shared.metrics.event("unreadable_configuration");
             }
         }
@@ -276,38 +283,40 @@
 pub async fn follow_members(shared: Arc<Shared>) {
     let mut failures = 0;
     let mut download = Download::default();
-    let mut asked = Instant::now();
     loop {
-        wait_for_notice(&shared, asked).await;
-        let newest = newer_member(&shared);
-        let address = match newest {
-            Some(newest) if is_notified(&shared) => {
-                watcher_to_ask(&shared, failures).unwrap_or(newest)
-            }
-            Some(newest) => newest,
-            None if is_outdated(&shared) => match candidate_to_ask(&shared, failures) {
-                Some(address) => address,
-                None => continue,
-            },
-            None => continue,
+        wait_for_notice(&shared).await;
+        let Some(address) = node_to_ask(&shared, failures) else {
+            continue;
         };
-        asked = Instant::now();
-        failures = match fetch(&shared, address, failures, &mut download).await {
+        let pause = tokio::time::sleep(MIN_FETCH_INTERVAL);
+        failures = match fetch(&shared, address, &mut download).await {
             true => 0,
             false => failures + 1,
         };
+        pause.await;
     }
 }
 
-/// Waits until a newer version is reported or it is time to compare versions, and at least for
-/// [`MIN_FETCH_INTERVAL`] from `asked` on.
-async fn wait_for_notice(shared: &Shared, asked: Instant) {
+/// Waits until a newer version is known, for [`COMPARE_INTERVAL`] at most.
+async fn wait_for_notice(shared: &Shared) {
     if shared.freshness().newer().is_none() {
         let noticed = shared.newer_config_noticed.notified();
-        // Without a notice, the members are compared all the same.
+        // Whether or not there was a notice, the caller looks for a node to ask.
         let _ = tokio::time::timeout(COMPARE_INTERVAL, noticed).await;
     }
-    tokio::time::sleep_until(asked + MIN_FETCH_INTERVAL).await;
+}
+
+/// Returns the address of the node to ask for a newer configuration after this many failures in a
+/// row; none if there is no reason to ask.
+fn node_to_ask(shared: &Shared, failures: usize) -> Option<SocketAddr> {
+    match newer_member(shared) {
+        Some(newest) if is_notified(shared) => {
+            Some(watcher_to_ask(shared, failures).unwrap_or(newest))
+        }
+        Some(newest) => Some(newest),
+        None if is_outdated(shared) => candidate_to_ask(shared, failures),
+        None => None,
+    }
 }
 
 /// Returns whether a node should ask others although it knows of no newer version: neither the owner
@@ -317,10 +326,11 @@
     age.is_none_or(|age| age > MAX_UNKNOWN_AGE)
 }
 
-/// Returns the address of the node to ask after this many failures in a row, of all nodes.  Nodes
-/// start at different ones.
+/// Returns the address of the node to ask after this many failures in a row, of the watchers and
+/// some others.  Nodes start at different ones.
 fn candidate_to_ask(shared: &Shared, failures: usize) -> Option<SocketAddr> {
-    let candidates = shared.members().candidates();
+    let mut candidates = shared.members().candidates();
+    candidates.truncate(MAX_CANDIDATES);
     let first = xxh3_64(shared.name.as_bytes()) as usize;
     let place = first.wrapping_add(failures) % candidates.len().max(1);
     candidates.get(place).copied()
@@ -356,16 +366,11 @@
 }
 
 /// Fetches the configuration from one node; false if it did not send all of it.
-async fn fetch(
-    shared: &Arc<Shared>,
-    address: SocketAddr,
-    failures: usize,
-    download: &mut Download,
-) -> bool {
+async fn fetch(shared: &Arc<Shared>, address: SocketAddr, download: &mut Download) -> bool {
     let asked = shared.now();
+    let in_force = shared.config_version();
     let progress = || shared.freshness().note_progress(shared.now());
-    let peers = shared.peers.as_ref();
-    let fetched = download.fetch(peers, address, shared.config_version(), failures, progress);
+    let fetched = download.fetch(shared.peers.as_ref(), address, in_force, progress);
     let fetched = fetched.await;
     let ms = shared.now().saturating_sub(asked);
     match fetched {
@@ -375,11 +380,13 @@
             true
         }
         Err(err) => {
-            shared.metrics.retry("configuration_fetch_failed");
             let wanted = shared.freshness().newer().map(|notice| notice.version);
-            let in_force = shared.config_version();
-            let received = download.received();
-            tracing::info!(%address, %err, ms, received, in_force, wanted, "configuration not fetched");
+            // Without a notice, it is only asked whether there is a newer version.
+            if wanted.is_some() {
+                shared.metrics.retry("configuration_fetch_failed");
+                let received = download.received();
+                tracing::info!(%address, %err, ms, received, in_force, wanted, "configuration not fetched");
+            }
             false
         }
     }
--- a/src/node/configuration_transfer.rs
+++ b/src/node/configuration_transfer.rs
@@ -22,10 +22,10 @@
 /// The bytes of a piece: 26 ms at 10 Mbit/s.
 pub const PIECE_BYTES: usize = 32 * 1024;
 /// Time limit for a piece, in milliseconds: a node may send to ten others at once over such a link.
-/// It doubles with each failure in a row, [`MAX_DOUBLINGS`] times at most.
+/// It doubles with each call in a row that is not answered, [`MAX_DOUBLINGS`] times at most.
 const PIECE_TIMEOUT: Millis = 300;
 /// See [`PIECE_TIMEOUT`].
-const MAX_DOUBLINGS: usize = 2;
+const MAX_DOUBLINGS: u32 = 2;
 /// Time limit for a whole configuration, in milliseconds, from a node of a version that sends no
 /// pieces.
 const WHOLE_TIMEOUT: Millis = 800;
@@ -113,6 +113,8 @@
     digest: u64,
     size: usize,
     bytes: Vec<u8>,
+    /// How many calls in a row were not answered.
+    unanswered: u32,
 }
 
 impl Download {
@@ -121,8 +123,8 @@
         self.bytes.len()
     }
 
-    /// Fetches the rest of a configuration above the version `above` from one node, after this many
-    /// failures in a row.  `progress` is called for each piece.
+    /// Fetches the rest of a configuration above the version `above` from one node.  `progress` is
+    /// called for each piece.
     ///
     /// # Errors
     /// See [`FetchError`].  What has arrived is kept, unless it cannot be decoded.
@@ -131,17 +133,21 @@
         peers: &dyn NodeLink,
         address: SocketAddr,
         above: u64,
-        failures: usize,
         progress: impl Fn(),
     ) -> Result<Configuration, FetchError> {
-        let timeout = PIECE_TIMEOUT << failures.min(MAX_DOUBLINGS);
         loop {
             let call = NodeCall::ConfigurationPiece(self.request(above));
+            let timeout = PIECE_TIMEOUT << self.unanswered.min(MAX_DOUBLINGS);
             let reply = match peers.call(address, call, timeout).await {
                 // A node of a version that does not know pieces.
                 Err(PeerError::Malformed) => return fetch_whole(peers, address, above).await,
-                reply => reply?,
+                Err(err) => {
+                    self.unanswered += 1;
+                    return Err(err.into());
+                }
+                Ok(reply) => reply,
             };
+            self.unanswered = 0;
             match reply {
                 NodeReply::ConfigurationPiece(piece) => self.add(piece)?,
                 NodeReply::NothingNewer => return Err(FetchError::NothingNewer),
@@ -172,7 +178,7 @@
             *self = Self {
                 digest: piece.digest,
                 size: piece.size as usize,
-                bytes: Vec::new(),
+                ..Self::default()
             };
         }
         let is_last = self.bytes.len() + piece.bytes.len() >= self.size;
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -47,6 +47,8 @@
     progress_at: Millis,
     /// The latest time at which the version in force was known to be the newest.
     confirmed_at: Option<Millis>,
+    /// The store holds a version that this node cannot decode.
+    has_undecodable: bool,
     /// The version of the store up to which no row of the operator has a newer configuration.
     rows: Option<Version>,
 }
@@ -65,6 +67,7 @@
     /// Notes that `version` is in force now, and returns the first notice of a version that it
     /// replaces or is.  The notice of a version that is newer still is kept.
     pub fn note_in_force(&mut self, version: u64) -> Option<Notice> {
+        self.has_undecodable = false;
         let (first, newest) = self.notices.take()?;
         if newest.version > version {
             self.notices = Some((newest, newest));
@@ -84,9 +87,18 @@
         Some(now.saturating_sub(first.at.max(self.progress_at)))
     }
 
+    /// Notes that the store holds a version that this node cannot decode.  Until another one is in
+    /// force, this node must not tell others that it has the newest.
+    pub fn note_undecodable(&mut self) {
+        self.has_undecodable = true;
+    }
+
     /// Notes that no version newer than the one in force existed at `at`, and that none is in the
     /// operator's rows up to the version `rows` of the store, if that is known.
     pub fn confirm(&mut self, at: Millis, rows: Option<Version>) {
+        if self.has_undecodable {
+            return;
+        }
         self.confirmed_at = self.confirmed_at.max(Some(at));
         self.rows = self.rows.max(rows);
     }
--- a/tests/configuration_transfer.rs
+++ b/tests/configuration_transfer.rs
@@ -104,7 +104,7 @@
 }
 
 async fn fetch(download: &mut Download, node: &ScriptedNode) -> Result<Configuration, FetchError> {
-    download.fetch(node, ADDRESS, 0, 0, || ()).await
+    download.fetch(node, ADDRESS, 0, || ()).await
 }
 
 // Guards against a transfer that begins anew when its sender is lost: on a slow link it would never
@@ -170,7 +170,7 @@
     let mut download = Download::default();
 
     let count = || pieces.set(pieces.get() + 1);
-    let fetched = download.fetch(&node, ADDRESS, 1, 0, count).await;
+    let fetched = download.fetch(&node, ADDRESS, 1, count).await;
 
     assert_eq!(fetched, Err(FetchError::NothingNewer));
     assert_eq!(pieces.get(), 0);
--- a/tests/told_configuration.rs
+++ b/tests/told_configuration.rs
@@ -26,6 +26,10 @@
 /// The number of peers of the node under test; the last peer owns the cell.
 const PEERS: u16 = 40;
 
+/// Two reads a second, of the configuration and of the evacuated halls, and those of one held
+/// request.
+const MAX_READS_IN_5_S: usize = 40;
+
 fn configuration_of(version: u64) -> Configuration {
     Configuration::from(Draft {
         version,
@@ -274,3 +278,34 @@
         Refusal::OutdatedConfiguration
     );
 }
+
+// Guards against reading all rows without a pause while the store does not have the version that a
+// node has reported.
+#[tokio::test(start_paused = true)]
+async fn a_version_that_nobody_has_causes_few_reads() {
+    let node = notified_node().await;
+    node.faulty_store.configuration.store(1, Ordering::Relaxed);
+    let before = operator_reads(&node);
+
+    pass(&node, Some(2), 5_000).await;
+
+    assert!(operator_reads(&node) - before <= MAX_READS_IN_5_S);
+}
+
+// Guards against a node that calls the version in force the newest although it cannot decode what
+// the operator has written since: nodes that can would rely on it.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_cannot_decode_a_version_does_not_call_its_own_the_newest() {
+    let node = node().await;
+    tokio::spawn(configuration::follow(Arc::clone(&node.shared)));
+    pass(&node, None, 1_000).await;
+    let mut tx = Transaction::default();
+    let key = RowKey::new(Table::Operator, "", "configuration");
+    tx.puts.push((key, String::from("{")));
+
+    node.store.commit(&tx);
+    pass(&node, None, 5_000).await;
+
+    let age = node.shared.heartbeat().configuration_age;
+    assert!(age.is_some_and(|age| age > 3_000), "{age:?}");
+}
