The refusal by configuration holds no lock while it reads the version

Found by the last reading of the diff: refusal_by_configuration read the configuration's version under the lock of its freshness, while adopt_config takes the two the other way round. The daemon has one thread, so nothing could come of it; with several threads it could have been a deadlock. No behaviour changes.

--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -122,10 +122,12 @@
             return refusal;
         }
         let shared = &self.shared;
-        let freshness = shared.freshness();
-        let age = freshness.age(shared.now());
+        let (newer, age) = {
+            let freshness = shared.freshness();
+            (freshness.newer(), freshness.age(shared.now()))
+        };
         let is_certain = age.is_some_and(|age| age <= MAX_CERTAIN_AGE);
-        match freshness.newer() {
+        match newer {
             None if is_certain => refusal,
             newer => {
                 tracing::info!(
