--- a/review/cell.py
+++ b/review/cell.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -25,16 +26,26 @@
 
 
 def free_ports(count):
-    """Returns ports of loopback that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Returns ports of loopback that are free now, below those that the kernel gives to clients."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15_000, 30_000)
+        if port in _given:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given.add(port)
+        ports.append(port)
     return ports
 
 
+# Ports that were given out before.
+_given = set()
+
+
 def deploy_value(name):
     """Reads a text of the deploy file, such as the command of the role."""
     with open(os.path.join(ROOT, "deploy/system.toml")) as file:
@@ -42,6 +53,10 @@
     return found.group(1)
 
 
+def _port(address):
+    return int(address.rsplit(":", 1)[1])
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
@@ -62,8 +77,9 @@
         self.record.write("%8.3f s  %s\n" % (time.monotonic() - self.began, text))
         self.record.flush()
 
-    def start(self):
-        """Starts everything, and waits until all nodes say that they are ready."""
+    def start(self, links=None):
+        """Starts everything, and waits until all nodes say that they are ready.  With `links`, all
+        paths of the nodes lead through proxies that can be cut."""
         store, advice = free_ports(2)
         standin = os.path.join(ROOT, "target/release/crossweir-standin")
         node = deploy_value("run").split(" ")
@@ -71,12 +87,25 @@
         for program in (standin, node[0]):
             if not os.path.exists(program):
                 raise CannotRun("not built: " + os.path.basename(program))
-        self._spawn("standin", [standin, "--store", "127.0.0.1:%d" % store,
-                                "--advice", "127.0.0.1:%d" % advice, "--workers", str(WORKERS)])
+        command = [standin, "--store", "127.0.0.1:%d" % store, "--advice", "127.0.0.1:%d" % advice]
+        if links is None:
+            self._spawn("standin", command + ["--workers", str(WORKERS)])
+        else:
+            runners = [links.proxy("w%d" % number) for number in range(WORKERS)]
+            self._spawn("standin", command + ["--site", self._write_site(runners)])
         self._await_port(store)
-        self.runs_port = self._read_runs_port()
+        told = self._read_addresses()
+        self.runs_port = _port(told["runs"])
         ports = [free_ports(4) for _ in range(NODES)]
-        seeds = ",".join("127.0.0.1:%d" % p[2] for p in ports[:3])
+        reached_at = [port[2] for port in ports]
+        store_at = store
+        if links is not None:
+            for runner, address in zip(runners, told["workers"]):
+                runner.target = _port(address)
+            store_at = links.proxy("store", store).port
+            reached_at = [links.proxy("n%d" % number, port[2]).port
+                          for number, port in enumerate(ports)]
+        seeds = ",".join("127.0.0.1:%d" % port for port in reached_at[:3])
         with open(os.path.join(ROOT, deploy_value("template"))) as file:
             template = file.read()
         for number, (front, ready, control, metrics) in enumerate(ports):
@@ -85,15 +114,20 @@
                 "limits.max_fds": "4100", "listen.front": "127.0.0.1:%d" % front,
                 "listen.ready": "127.0.0.1:%d" % ready, "listen.control": "127.0.0.1:%d" % control,
                 "ip": "127.0.0.1", "port_range.1": str(metrics), "seeds": seeds,
-                "platform.address": "127.0.0.1:%d" % store, "advice": "127.0.0.1:%d" % advice,
+                "platform.address": "127.0.0.1:%d" % store_at, "advice": "127.0.0.1:%d" % advice,
             }
             settings = re.sub(r"\{\{(.*?)\}\}", lambda m: values[m.group(1)], template)
+            if links is not None:
+                advertise = "[listen]\nadvertise = 127.0.0.1:%d" % reached_at[number]
+                settings = settings.replace("[listen]", advertise)
             path = os.path.join(self.folder, "n%d.ini" % number)
             with open(path, "w") as file:
                 file.write(settings)
             process = self._spawn("n%d" % number, node, {"CROSSWEIR_CONFIG": path})
             self.nodes.append({"name": "n%d" % number, "front": front, "ready": ready,
-                               "process": process})
+                               "metrics": metrics, "process": process})
+            if links is not None:
+                links.nodes["n%d" % number] = process.pid
         until = time.monotonic() + 10
         while not all(self.is_ready(node) for node in self.nodes):
             if time.monotonic() > until:
@@ -119,14 +153,28 @@
                 time.sleep(0.05)
         raise CannotRun("the stand-in does not listen")
 
-    def _read_runs_port(self):
-        """Reads from the stand-in's first line where it lists the runs of all runners."""
+    def _write_site(self, runners):
+        """Writes a site of the stand-in whose runners are reached through proxies."""
+        route = {"name": "plain", "host": HOST, "path_prefix": "/plain/", "service": "svc",
+                 "priority": 0, "attempts": 2, "stretch": 1.5, "slo_ms": 250}
+        config = {"version": 1, "routes": [route],
+                  "services": [{"name": "svc", "rejects_overload": False}],
+                  "limits": {"max_body_bytes": 262144}}
+        workers = [{"advertise": "127.0.0.1:%d" % runner.port, "slowdown": 1.0}
+                   for runner in runners]
+        path = os.path.join(self.folder, "site.json")
+        with open(path, "w") as file:
+            json.dump({"config": config, "workers": workers}, file)
+        return path
+
+    def _read_addresses(self):
+        """Reads the stand-in's first line, which tells where it listens."""
         until = time.monotonic() + 5
         while time.monotonic() < until:
             with open(os.path.join(self.folder, "standin.log")) as file:
                 line = file.readline()
             if line.endswith("\n"):
-                return int(json.loads(line)["runs"].rsplit(":", 1)[1])
+                return json.loads(line)
             time.sleep(0.05)
         raise CannotRun("the stand-in does not tell its addresses")
 
@@ -137,6 +185,17 @@
             raise CannotRun("the stand-in does not list the runs")
         return json.loads(answer)["runs"]
 
+    def owner(self):
+        """Returns the node that says it owns the cell; none if it is not exactly one."""
+        owners = [node for node in self.nodes if self.owns(node)]
+        return owners[0] if len(owners) == 1 else None
+
+    def owns(self, node):
+        """Returns whether a node says that it owns the cell."""
+        status, answer = self._call(node["metrics"], "GET", "/metrics", None, 1.0)
+        gauge = re.search(r'^\S*owns_cell\S* 1$', answer or "", re.M)
+        return status == 200 and gauge is not None
+
     def is_ready(self, node):
         """Returns whether a node answers its health check with 200, as the platform asks it."""
         status, _ = self._call(node["ready"], "GET", "/ready", None, 1.0)
@@ -218,14 +277,16 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(folder, case):
-    """Runs a case with the record in its folder; returns the exit code of the script."""
+def play(folder, case, starts=True):
+    """Runs a case with the record in its folder; returns the exit code of the script.  With
+    `starts`, the deployment is started before the case."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     with open(os.path.join(folder, "record.txt"), "w") as record:
         cell = Cell(record)
         cell.log("TROUBLE=%d" % trouble)
         try:
-            cell.start()
+            if starts:
+                cell.start()
             faults = case(cell, trouble)
         except CannotRun as err:
             cell.log("cannot run: %s" % err)
