--- a/review/cell.py
+++ b/review/cell.py
@@ -281,6 +281,8 @@
     """Runs a case with the record in its folder; returns the exit code of the script.  With
     `starts`, the deployment is started before the case."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # So that what was started is ended, also when the script itself is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with open(os.path.join(folder, "record.txt"), "w") as record:
         cell = Cell(record)
         cell.log("TROUBLE=%d" % trouble)
