The rank of a step goes over its job once a round, not once for each step

Cause: a round ranks each step that waits, and the rank adds up the work of all steps of the job: n x n steps a round, on the only thread of the process, under the lock of the core.

Evidence, on with real processes: all seven nodes at 100% of a core with 34 MB each; 99.65% of the samples of the owner in the sum of `remaining_work`, and five of five stacks are schedule, rank, remaining_work. Ruled out as the first cause: memory (34 MB) and the record (no transaction is reached).

Change: the remaining work of a job is computed once a round. What logs and metrics lacked: the steps in memory, the open ones and those examined are logged once a second and exported.

Test: a_round_examines_each_step_of_a_job_a_bounded_number_of_times. Before (with the count, without the change): failed, "steps examined: 160400" for 400 occurrences; now 800.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -106,6 +106,8 @@
     pub advice_workers: u64,
     /// Workers examined as placement candidates for a step.
     pub candidates_examined: u64,
+    /// Steps examined in scheduling rounds: once each, and once more for the ranks of their job.
+    pub steps_examined: u64,
     /// Violations of an invariant: starts withheld because they would break one, and runs taken
     /// over that do not fit on their worker.
     pub violations: u64,
@@ -357,6 +359,11 @@
         self.steps_not_asking
     }
 
+    /// Returns how many steps are kept in memory, and how many of them have unfinished tasks.
+    pub fn step_counts(&self) -> (usize, usize) {
+        (self.steps.len(), self.open_steps.len())
+    }
+
     /// Takes the orders given since the last call.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -5,6 +5,7 @@
 use crate::cell::round::Round;
 use crate::cell::shares::OrderedStep;
 use crate::cell::start::Placement;
+use crate::cell::urgency::RemainingWork;
 use crate::cell::wait::WaitReason;
 use crate::cell::{Cell, RunKey, StepKey};
 use crate::clock::Millis;
@@ -19,6 +20,7 @@
         // tasks are collected.
         self.send_planned_starts(now);
         let mut order: Vec<OrderedStep> = Vec::new();
+        let mut work = RemainingWork::default();
         let awaiting_poll = self.jobs_awaiting_poll();
         for (position, &key) in self.open_steps.iter().enumerate() {
             let step = &self.steps[key];
@@ -29,19 +31,20 @@
             if !job.queue_configured || self.is_unsettled(step, &awaiting_poll) {
                 continue;
             }
-            // Checked before computing the rank, which goes over the whole job, since most steps
-            // have no waiting task.
+            // Checked before computing the rank, which takes longer, since most steps have no waiting
+            // task.
             if self.waiting_tasks(key, now).next().is_none() {
                 continue;
             }
             order.push(OrderedStep {
                 priority: job.decision.priority,
                 beyond_share: false,
-                rank: self.rank(key, now),
+                rank: self.rank(key, &mut work, now),
                 position,
                 key,
             });
         }
+        self.counts.steps_examined += self.open_steps.len() as u64 + work.steps_examined;
         order.sort_unstable();
         self.order_by_shares(&mut order, now);
         let mut round = Round::new(now);
--- a/src/cell/urgency.rs
+++ b/src/cell/urgency.rs
@@ -4,23 +4,33 @@
 //! step a rank in milliseconds (a time, or an amount of work), and the lowest rank goes first
 //! (docs/design/full-cell.md).
 
+use slotmap::SecondaryMap;
+
 use crate::cell::job::{Job, StepRun};
 use crate::cell::spec::{JobSpec, Step};
-use crate::cell::{Cell, StepKey, tuning};
+use crate::cell::{Cell, JobKey, StepKey, tuning};
 use crate::clock::Millis;
 use crate::policy::Turn;
 
+/// The remaining work of jobs, computed once in a scheduling round for all steps of a job.
+#[derive(Debug, Default)]
+pub(super) struct RemainingWork {
+    by_job: SecondaryMap<JobKey, u64>,
+    /// The number of steps that were examined for it.
+    pub(super) steps_examined: u64,
+}
+
 impl Cell {
     /// The rank of a step among those of the same priority; the lowest goes first.
-    pub(super) fn rank(&self, key: StepKey, now: Millis) -> Millis {
+    pub(super) fn rank(&self, key: StepKey, work: &mut RemainingWork, now: Millis) -> Millis {
         let step = &self.steps[key];
         let job = &self.jobs[step.job];
         match job.decision.turn {
             Turn::Arrival => job.accepted_at,
-            Turn::LeastWork => self.remaining_work(job),
+            Turn::LeastWork => self.remaining_work(step.job, work),
             Turn::LeastLaxity => self.latest_start(job, step, now),
             Turn::Balanced => {
-                let penalty = self.remaining_work(job) / tuning::WORK_PER_RANK_MS;
+                let penalty = self.remaining_work(step.job, work) / tuning::WORK_PER_RANK_MS;
                 let latest = self.latest_start(job, step, now);
                 latest.saturating_add(penalty.min(tuning::MAX_WORK_PENALTY))
             }
@@ -70,14 +80,18 @@
     }
 
     /// The estimated work of all tasks of a job that are not done, in core-milliseconds.
-    fn remaining_work(&self, job: &Job) -> Millis {
-        let steps = job
-            .occurrences
-            .values()
-            .flatten()
-            .map(|&key| &self.steps[key]);
-        let work = |step: &StepRun| work_of(step.step(), step.open);
-        steps.map(work).fold(0, u64::saturating_add)
+    fn remaining_work(&self, key: JobKey, work: &mut RemainingWork) -> u64 {
+        if let Some(&known) = work.by_job.get(key) {
+            return known;
+        }
+        let mut sum: u64 = 0;
+        for step in self.jobs[key].occurrences.values().flatten() {
+            let step = &self.steps[*step];
+            sum = sum.saturating_add(work_of(step.step(), step.open));
+            work.steps_examined += 1;
+        }
+        work.by_job.insert(key, sum);
+        sum
     }
 }
 
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -260,6 +260,9 @@
         let (counts, (used, capacity), ledger_errors, parked, contention, uneven) = {
             let cell = self.cell();
             let (counts, room) = (cell.counts(), cell.room());
+            let (steps, open_steps) = cell.step_counts();
+            metrics.gauge("steps", steps as i64);
+            metrics.gauge("open_steps", open_steps as i64);
             let parked = cell.count_workers().parked;
             metrics.gauge("steps_not_asking", i64::from(cell.steps_not_asking()));
             (
@@ -286,6 +289,7 @@
             ("advice_looks", counts.advice_searches),
             ("advice_workers", counts.advice_workers),
             ("places", counts.candidates_examined),
+            ("steps_examined", counts.steps_examined),
             ("withheld_starts", counts.violations),
             ("lapsed_runs", counts.lapsed),
             ("adopted_runs", counts.adopted),
--- a/src/node/summary.rs
+++ b/src/node/summary.rs
@@ -17,6 +17,8 @@
     /// The whole room of all workers.
     capacity: Demand,
     workers: WorkerCounts,
+    /// The number of steps in memory, and of those with unfinished tasks.
+    steps: (usize, usize),
     /// How old the owner's knowledge of the workers' entries is, in milliseconds.
     workers_age: Millis,
     rounds: RoundStats,
@@ -37,6 +39,7 @@
             held,
             capacity,
             workers: cell.count_workers(),
+            steps: cell.step_counts(),
             workers_age,
             rounds,
             counts: cell.counts(),
@@ -62,6 +65,8 @@
             answered = self.workers.answered,
             silent = self.workers.silent,
             parked = self.workers.parked,
+            steps = self.steps.0,
+            open_steps = self.steps.1,
             workers_age = self.workers_age,
             late_ms = self.delay,
             rounds = self.rounds.count,
@@ -69,6 +74,7 @@
             longest_round_ms = self.rounds.longest,
             orders = self.rounds.orders,
             all_starts = self.counts.starts,
+            all_steps_examined = self.counts.steps_examined,
             all_places = self.counts.candidates_examined,
             all_advice_looks = self.counts.advice_searches,
             all_advice_workers = self.counts.advice_workers,
