A job costs what is in progress of it, not its occurrences and done tasks

Beside it, without any trouble: jobs with more than some 1,190 done tasks shown as failed though no task had failed.

The record named each done task in some 55 bytes; the store rejects a row of more than 64 KB, and the job then failed. first + time * interval could overflow.

Ruled out: a limit of 2,048 started tasks of a job. tests/shares.rs runs 6,000 at once.

--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -8,7 +8,7 @@
 use crate::cell::record::{JobProgress, JobRow};
 use crate::cell::spec::JobId;
 use crate::cell::speed::RunTimes;
-use crate::cell::{Cell, JobKey, StepKey, WorkerKey, urgency};
+use crate::cell::{Cell, JobKey, WorkerKey, tuning, urgency};
 use crate::clock::Millis;
 
 /// The outcome of a cancellation.
@@ -67,6 +67,8 @@
             predates_ownership: predates || self.has_unread_jobs,
             record_starts_first: false,
             occurrences: Default::default(),
+            done: Default::default(),
+            unfinished_starts: 0,
             dirty: false,
         });
         self.job_ids.insert(row.id, key);
@@ -79,16 +81,15 @@
         if self.jobs[key].state.is_final() {
             return;
         }
-        if row.spec.schedule.is_none() {
-            self.begin_occurrence(key, 0);
-        } else {
-            self.scheduled.push(key);
-            self.begin_due_occurrences();
-        }
         if let Some(progress) = progress {
-            self.begin_recorded_occurrences(key, progress);
             self.restore(key, progress, now);
         }
+        if row.spec.schedule.is_some() {
+            self.scheduled.push(key);
+            self.begin_due_occurrences_of(key);
+        } else if !self.jobs[key].occurrences.has_begun(0) {
+            self.begin_occurrence(key, 0);
+        }
         if self.may_have_unrecorded_starts {
             self.set_record_starts_first(key);
         }
@@ -206,7 +207,7 @@
     }
 
     /// Creates the steps of one occurrence.
-    fn begin_occurrence(&mut self, key: JobKey, time: u32) {
+    pub(super) fn begin_occurrence(&mut self, key: JobKey, time: u32) {
         let job = &self.jobs[key];
         let spec = Arc::clone(&job.spec);
         let id = job.id;
@@ -224,6 +225,9 @@
                 spec: Arc::clone(&spec),
                 tasks,
                 open: step.tasks,
+                idle: step.tasks,
+                first_open: 0,
+                started_end: 0,
                 ready: step.after.is_empty(),
                 advice: Advice::default(),
                 next_wake: 0,
@@ -232,39 +236,69 @@
             keys.push(step_key);
             self.open_steps.push(step_key);
         }
-        self.jobs[key].occurrences.insert(time, keys);
+        self.jobs[key].occurrences.begin(time, keys);
     }
 
-    /// Begins the occurrences of scheduled jobs that are due.
+    /// Begins the occurrences of scheduled jobs that are due, as far as the limits allow.
     pub(super) fn begin_due_occurrences(&mut self) {
         let jobs = &self.jobs;
         let has_ended = |key| jobs.get(key).is_none_or(|job: &Job| job.state.is_final());
         self.scheduled.retain(|&key| !has_ended(key));
         for key in self.scheduled.clone() {
-            while let Some(time) = self.due_occurrence(key) {
-                self.begin_occurrence(key, time);
-            }
+            self.begin_due_occurrences_of(key);
         }
     }
 
-    /// Begins the occurrences of which progress is recorded, even if they are not due yet: the
-    /// former owner's wall clock may have been ahead of ours.
-    fn begin_recorded_occurrences(&mut self, key: JobKey, progress: &JobProgress) {
-        let recorded = progress.tasks.iter().map(|task| task.place.0 + 1).max();
-        let begun = self.jobs[key].occurrences.len() as u32;
-        for time in begun..recorded.unwrap_or_default() {
+    fn begin_due_occurrences_of(&mut self, key: JobKey) {
+        while let Some(time) = self.due_occurrence(key) {
             self.begin_occurrence(key, time);
         }
     }
 
-    /// Returns the next occurrence of a scheduled job, if it is due.
+    /// Returns the next occurrence of a scheduled job, if it is due and may begin.
     fn due_occurrence(&self, key: JobKey) -> Option<u32> {
         let unix_time = self.unix_time?;
         let job = &self.jobs[key];
         let schedule = job.spec.schedule?;
-        let next = job.occurrences.len() as u32;
-        let at = schedule.first + u64::from(next) * schedule.interval;
-        (next < schedule.times && unix_time >= at).then_some(next)
+        let next = job.occurrences.next();
+        let is_due = next < schedule.times && unix_time >= schedule.due(next);
+        (is_due && self.may_begin_occurrence(job)).then_some(next)
+    }
+
+    /// Returns whether another occurrence of a job may be in progress beside the others.  One may
+    /// always be, so that the job goes on.
+    fn may_begin_occurrence(&self, job: &Job) -> bool {
+        let in_progress = job.occurrences.in_progress() as u64;
+        let tasks = (in_progress + 1).saturating_mul(job.spec.tasks_per_occurrence());
+        let has_room = self.open_steps.len() < tuning::MAX_OPEN_STEPS;
+        in_progress == 0 || (has_room && tasks <= tuning::MAX_TASKS_IN_PROGRESS)
+    }
+
+    /// Drops the steps of occurrences of scheduled jobs that are done, once none of their runs is
+    /// left.  Steps of other jobs stay until the job is forgotten.
+    pub(super) fn drop_done_occurrences(&mut self) {
+        for (key, time) in std::mem::take(&mut self.done_steps) {
+            let job = self.jobs.get(key);
+            let recurs = |job: &Job| job.spec.schedule.is_some() && !job.state.is_final();
+            let Some(steps) = job
+                .filter(|job| recurs(job))
+                .and_then(|job| job.occurrences.get(time))
+            else {
+                continue;
+            };
+            if steps.iter().any(|&step| self.steps[step].open > 0) {
+                // The step that is done last is noted as well.
+                continue;
+            }
+            let mut tasks = steps.iter().flat_map(|&step| &self.steps[step].tasks);
+            if tasks.any(|task| !task.runs.is_empty()) {
+                self.done_steps.push((key, time));
+                continue;
+            }
+            for step in self.jobs[key].occurrences.finish(time) {
+                self.steps.remove(step);
+            }
+        }
     }
 
     /// Sets the current time in Unix milliseconds, which scheduled jobs follow.
@@ -274,7 +308,7 @@
 
     /// Makes the steps of an occurrence ready for which all earlier steps are done.
     pub(super) fn make_ready(&mut self, key: JobKey, time: u32) {
-        let Some(keys) = self.jobs[key].occurrences.get(&time).cloned() else {
+        let Some(keys) = self.jobs[key].occurrences.get(time).map(<[_]>::to_vec) else {
             return;
         };
         for &step_key in &keys {
@@ -291,15 +325,12 @@
     /// Ends a job as succeeded once all steps of all its occurrences are done.
     pub(super) fn finish_if_done(&mut self, key: JobKey) {
         let job = &self.jobs[key];
-        let times = job.spec.schedule.map_or(1, |schedule| schedule.times);
-        let begun_all = job.occurrences.len() as u32 >= times;
-        let done = begun_all
-            && job
-                .occurrences
-                .values()
-                .flatten()
-                .all(|&step| self.steps[step].open == 0);
-        if done {
+        let have_all_begun = job.occurrences.next() >= job.spec.times();
+        let are_done = job
+            .occurrences
+            .steps()
+            .all(|step| self.steps[step].open == 0);
+        if have_all_begun && are_done {
             self.end_job(key, JobState::Succeeded);
         }
     }
@@ -313,8 +344,7 @@
         tracing::info!(job = %job.id, queue = job.queue.name, ?state, "job ends");
         job.state = state;
         job.dirty = true;
-        let steps: Vec<StepKey> = job.occurrences.values().flatten().copied().collect();
-        self.open_steps.retain(|step| !steps.contains(step));
+        self.open_steps.retain(|&step| self.steps[step].job != key);
     }
 
     /// Cancels a job.  Its tasks are stopped once the cancellation is recorded.
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -1,16 +1,19 @@
 //! Jobs, their steps and tasks, and the runs of tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::cell::crash::Loss;
 use crate::cell::name::{StepName, TaskName};
+use crate::cell::occurrences::Occurrences;
 use crate::cell::progress::RunProgress;
 use crate::cell::sequence::Sequence;
-use crate::cell::spec::{JobId, JobSpec, Step};
+use crate::cell::spec::{JobId, JobSpec, Step, TaskPlace};
 use crate::cell::speed::RunTimes;
+use crate::cell::task_set::TaskSet;
 use crate::cell::{JobKey, RunKey, StepKey, WorkerKey, WorkspaceKey, tuning};
 use crate::clock::Millis;
 use crate::policy::Decision;
@@ -53,8 +56,8 @@
 pub struct UnrecordedEnd {
     /// The worker that lists the end.
     pub worker: WorkerKey,
-    /// The task: occurrence, step and index.
-    pub place: (u32, u16, u32),
+    /// The task.
+    pub place: TaskPlace,
     /// The run's number.
     pub run: u64,
 }
@@ -94,8 +97,13 @@
     /// A former owner may have started tasks of the job without recording that, so each further
     /// start is recorded before it is sent.
     pub record_starts_first: bool,
-    /// The steps of each occurrence begun so far; only 0 exists for a job without schedule.
-    pub occurrences: BTreeMap<u32, Vec<StepKey>>,
+    /// The occurrences; only 0 exists for a job without schedule.
+    pub occurrences: Occurrences,
+    /// The tasks that are done.
+    pub done: TaskSet,
+    /// How many tasks were started at least once, or skipped for a later one, and are not done.
+    /// Tasks of gangs and lasting steps do not count.
+    pub unfinished_starts: u32,
     /// The job's progress has changed since it was last recorded.
     pub dirty: bool,
 }
@@ -143,6 +151,12 @@
     pub tasks: Vec<Task>,
     /// The number of tasks that are not done.
     pub open: u32,
+    /// The number of tasks that are not done and have no run.
+    pub idle: u32,
+    /// The first task that is not done; the number of tasks if all are.
+    pub first_open: u32,
+    /// No task from this index on was ever started.
+    pub started_end: u32,
     /// All steps that must come before this one are done.
     pub ready: bool,
     /// Where the step may run.
@@ -159,6 +173,40 @@
         &self.spec.steps[usize::from(self.name.step)]
     }
 
+    /// The indices of all tasks that were started and are not done, with some others between them.
+    pub fn started_range(&self) -> Range<usize> {
+        let end = self.started_end.max(self.first_open);
+        self.first_open as usize..end as usize
+    }
+
+    /// The tasks in [`Self::started_range`].  Others have no runs, no failures and no losses, and
+    /// are not done unless they come before these.
+    pub fn started_tasks(&self) -> &[Task] {
+        &self.tasks[self.started_range()]
+    }
+
+    /// Returns whether the tasks count towards the limit of unfinished starts.  The members of a
+    /// gang are done together, and lasting tasks never, so neither leaves gaps in a record.
+    pub fn limits_starts(&self) -> bool {
+        !self.step().gang && !self.step().lasting
+    }
+
+    /// Marks a task as done.  Returns false if it was done already.
+    pub fn mark_done(&mut self, index: u32) -> bool {
+        let task = &mut self.tasks[index as usize];
+        if task.done {
+            return false;
+        }
+        task.done = true;
+        self.open -= 1;
+        self.idle -= u32::from(task.runs.is_empty());
+        let is_done = |first: u32| self.tasks.get(first as usize).is_some_and(|task| task.done);
+        while is_done(self.first_open) {
+            self.first_open += 1;
+        }
+        true
+    }
+
     /// Returns the name of one of the tasks.
     pub fn task_name(&self, index: u32) -> TaskName {
         TaskName {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -27,6 +27,7 @@
 pub mod lost;
 pub mod membership;
 pub mod name;
+pub mod occurrences;
 pub mod options;
 pub mod order;
 mod parking;
@@ -46,6 +47,7 @@
 pub mod spec;
 pub mod speed;
 mod start;
+pub mod task_set;
 mod trial;
 pub mod tuning;
 pub mod urgency;
@@ -106,7 +108,8 @@
     pub advice_workers: u64,
     /// Workers examined as placement candidates for a step.
     pub candidates_examined: u64,
-    /// Steps examined in scheduling rounds: once each, and once more for the ranks of their job.
+    /// Steps examined in scheduling rounds: once each, and once more for each step whose rank
+    /// depends on them.
     pub steps_examined: u64,
     /// Violations of an invariant: starts withheld because they would break one, and runs taken
     /// over that do not fit on their worker.
@@ -124,6 +127,9 @@
     pub rival_lives: u64,
     /// Lives that had forgotten ends before an owner had read them.
     pub unread_ends: u64,
+    /// Tasks of which failures, losses or a checkpoint did not fit into the record of their job,
+    /// counted each time it is recorded.
+    pub omitted_progress: u64,
 }
 
 /// Numbers of workers by state, for metrics.
@@ -221,6 +227,9 @@
     has_unread_jobs: bool,
     /// Scheduled jobs that have not ended.
     scheduled: Vec<JobKey>,
+    /// Occurrences, by job and number, of which a step was done since they were last looked at, or
+    /// that are done and have runs left.
+    done_steps: Vec<(JobKey, u32)>,
     steps: SlotMap<StepKey, StepRun>,
     runs: SlotMap<RunKey, Run>,
     /// The processors that the runs of each queue hold, in millicores, by the queue's name.
@@ -312,6 +321,7 @@
             ended_lives: Vec::new(),
             has_unread_jobs: false,
             scheduled: Vec::new(),
+            done_steps: Vec::new(),
             steps: SlotMap::with_key(),
             runs: SlotMap::with_key(),
             held_millicores: BTreeMap::new(),
@@ -451,6 +461,7 @@
         self.review_former_orders(now);
         self.review_parking(now);
         self.update_roster(now);
+        self.drop_done_occurrences();
         self.begin_due_occurrences();
         let workers = self.workers.iter();
         let due =
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -69,8 +69,8 @@
     /// Notes the starts of a job that this owner has sent and not recorded, unless their tasks are
     /// known to run well, so that a successor learns of them together with the mark of the job.
     fn note_unrecorded_starts(&mut self, key: JobKey) {
-        let steps = self.jobs[key].occurrences.values().flatten();
-        let tasks = steps.flat_map(|&step| &self.steps[step].tasks);
+        let steps = self.jobs[key].occurrences.steps();
+        let tasks = steps.flat_map(|step| self.steps[step].started_tasks());
         let runs = tasks.flat_map(|task| task.runs.iter().copied());
         let is_unknown = |&run: &RunKey| {
             let run = &self.runs[run];
@@ -119,8 +119,8 @@
 
     /// Counts the losses of a job's tasks for which `counts` holds.
     pub(super) fn count_losses(&self, job: JobKey, counts: impl Fn(&Loss) -> bool) -> usize {
-        let steps = self.jobs[job].occurrences.values().flatten();
-        let tasks = steps.flat_map(|&step| &self.steps[step].tasks);
+        let steps = self.jobs[job].occurrences.steps();
+        let tasks = steps.flat_map(|step| self.steps[step].started_tasks());
         let losses = tasks.flat_map(|task| &task.losses);
         losses.filter(|&loss| counts(loss)).count()
     }
--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -160,7 +160,7 @@
             .spec
             .schedule
             .is_some_and(|schedule| time < schedule.times);
-        is_scheduled && !job.state.is_final() && !job.occurrences.contains_key(&time)
+        is_scheduled && !job.state.is_final() && !job.occurrences.has_begun(time)
     }
 
     fn process_end(&mut self, key: WorkerKey, end: &EndEntry, now: Millis) {
--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -127,7 +127,7 @@
         let run = &self.runs[key];
         let step = &self.steps[run.step];
         let elsewhere = step
-            .tasks
+            .started_tasks()
             .iter()
             .flat_map(|task| &task.runs)
             .map(|&other| &self.runs[other])
--- a/src/cell/query.rs
+++ b/src/cell/query.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::cell::Cell;
-use crate::cell::job::{self, Job, JobState, StepRun};
+use crate::cell::job::{Job, JobState};
 use crate::cell::spec::JobId;
+use crate::cell::{Cell, StepKey};
 use crate::workspace::Caller;
 
 impl Cell {
@@ -55,16 +55,11 @@
         if job.state.is_final() {
             return !job.recorded.is_final() && !job.known_to_peer;
         }
-        let steps = job
-            .occurrences
-            .values()
-            .flatten()
-            .map(|&key| &self.steps[key]);
-        let is_under_way = |step: &StepRun| {
-            let runs = |task: &job::Task| task.done || !task.runs.is_empty();
-            step.open == 0 || (step.ready && !step.step().lasting && step.tasks.iter().all(runs))
+        let is_under_way = |key: StepKey| {
+            let step = &self.steps[key];
+            step.open == 0 || (step.ready && !step.step().lasting && step.idle == 0)
         };
-        job.spec.schedule.is_none() && steps.into_iter().all(is_under_way)
+        job.spec.schedule.is_none() && job.occurrences.steps().all(is_under_way)
     }
 
     /// Returns whether the end of a job is recorded.
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -3,13 +3,18 @@
 //! A job has two rows: the job as it was accepted, written once by the node that accepted it, and
 //! its progress, written by the owner of the cell.
 
+use std::cmp::Reverse;
+use std::ops::Range;
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::cell::crash::Loss;
-use crate::cell::job::{JobState, UnrecordedEnd};
+use crate::cell::job::{Job, JobState, StepRun, Task, UnrecordedEnd};
 use crate::cell::sequence::Sequence;
-use crate::cell::spec::{JobId, JobSpec};
-use crate::cell::{Cell, JobKey, Milestone, StepKey, WorkerKey};
+use crate::cell::spec::{JobId, JobSpec, TaskPlace};
+use crate::cell::task_set::TaskSet;
+use crate::cell::{Cell, JobKey, Milestone, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 use crate::queue::Queue;
 use crate::workspace::Workspace;
@@ -33,8 +38,12 @@
 pub struct JobProgress {
     /// The state of the job.
     pub state: JobState,
-    /// The progress of tasks that are done, have failed, have a checkpoint or have lost workers.
+    /// The progress of tasks that have failed, have a checkpoint or have lost workers; also of done
+    /// tasks if these are few.
     pub tasks: Vec<TaskProgress>,
+    /// The tasks that are done, if they are too many to be in `tasks`.
+    #[serde(default, skip_serializing_if = "TaskSet::is_empty")]
+    pub done: TaskSet,
     /// A former owner may have started tasks of the job without recording that, so each further
     /// start is recorded before it is sent.
     #[serde(
@@ -50,12 +59,16 @@
 
 impl JobProgress {
     /// Returns whether the end of a run is covered; the end of the job covers all of its runs.
-    fn contains(&self, end: &UnrecordedEnd) -> bool {
+    fn contains(&self, end: &UnrecordedEnd, spec: &JobSpec) -> bool {
+        let is_done = || {
+            let number = spec.task_number(end.place);
+            number.is_some_and(|number| self.done.contains(number))
+        };
         let mut tasks = self.tasks.iter();
         let is_in = |task: &TaskProgress| {
             task.place == end.place && (task.done || task.failed.contains(&end.run))
         };
-        self.state.is_final() || tasks.any(is_in)
+        self.state.is_final() || is_done() || tasks.any(is_in)
     }
 }
 
@@ -63,7 +76,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TaskProgress {
     /// The task's occurrence, step and index.
-    pub place: (u32, u16, u32),
+    pub place: TaskPlace,
     /// The task has succeeded.
     pub done: bool,
     /// The numbers of the runs that have failed.
@@ -121,40 +134,64 @@
         self.jobs.values().any(|job| job.dirty)
     }
 
-    fn progress(&self, key: JobKey) -> JobProgress {
+    fn progress(&mut self, key: JobKey) -> JobProgress {
         let job = &self.jobs[key];
-        let mut tasks = Vec::new();
-        if !job.state.is_final() {
-            for &step_key in job.occurrences.values().flatten() {
-                let step = &self.steps[step_key];
-                for (index, task) in step.tasks.iter().enumerate() {
-                    let lost = !task.losses.is_empty();
-                    if !task.done && task.failed.is_empty() && task.checkpoint.is_empty() && !lost {
-                        continue;
-                    }
-                    let checkpoint = if task.done {
-                        ""
-                    } else {
-                        task.checkpoint.as_str()
-                    };
-                    tasks.push(TaskProgress {
-                        place: (step.name.time, step.name.step, index as u32),
-                        done: task.done,
-                        failed: task.failed.clone(),
-                        checkpoint: checkpoint.to_owned(),
-                        losses: task.losses.clone(),
-                    });
-                }
-            }
-        }
-        JobProgress {
+        let mut progress = JobProgress {
             state: job.state,
-            tasks,
+            tasks: Vec::new(),
+            done: TaskSet::default(),
             record_starts_first: job.record_starts_first,
             workspace: self
                 .workspace_of(key)
                 .map(|workspace| workspace.name.clone()),
+        };
+        if job.state.is_final() {
+            return progress;
         }
+        if job.done.has_at_most(tuning::MAX_LISTED_TASKS) {
+            progress.tasks = done_task_progress(job).collect();
+        } else {
+            progress.done = job.done.clone();
+        }
+        let used = encoded_size(&progress.tasks) + encoded_size(&progress.done);
+        let (open, omitted) =
+            self.open_task_progress(job, tuning::MAX_RECORD_BYTES.saturating_sub(used));
+        progress.tasks.extend(open);
+        if omitted > 0 {
+            self.counts.omitted_progress += omitted as u64;
+            tracing::warn!(job = %job.id, omitted, "progress of some tasks is not recorded");
+        }
+        progress
+    }
+
+    /// Returns the progress of tasks that are not done, without what exceeds `left` bytes, and the
+    /// number of tasks of which something was left out.  Losses go first, then failures, since both
+    /// decide whether a task is given up; a task without its checkpoint only begins again.
+    fn open_task_progress(&self, job: &Job, mut left: usize) -> (Vec<TaskProgress>, usize) {
+        let mut tasks: Vec<TaskProgress> = Vec::new();
+        for step in job.occurrences.steps().map(|key| &self.steps[key]) {
+            let started = step.started_range();
+            for (index, task) in started.zip(step.started_tasks()) {
+                if !task.done && task.has_progress() {
+                    tasks.push(TaskProgress::of_open_task(step, index as u32, task));
+                }
+            }
+        }
+        tasks.sort_by_key(|task| (Reverse(task.losses.len()), Reverse(task.failed.len())));
+        let mut omitted = 0;
+        tasks.retain_mut(|task| {
+            if encoded_size(task) >= left {
+                omitted += 1;
+                task.checkpoint.clear();
+            }
+            // The comma between two entries counts as well.
+            let size = encoded_size(task) + 1;
+            let fits = size <= left && !task.is_empty();
+            left -= if fits { size } else { 0 };
+            fits
+        });
+        tasks.sort_by_key(|task| task.place);
+        (tasks, omitted)
     }
 
     /// Notes that a batch is durable, and stops the runs of jobs whose end it records.
@@ -164,7 +201,9 @@
                 continue;
             };
             job.recorded = progress.state;
-            job.unrecorded_ends.retain(|end| !progress.contains(end));
+            let spec = Arc::clone(&job.spec);
+            job.unrecorded_ends
+                .retain(|end| !progress.contains(end, &spec));
             for task in progress.tasks.iter().filter(|task| !task.losses.is_empty()) {
                 if let Some((step, index)) = self.find_task(key, task.place) {
                     self.mark_losses_recorded(step, index, &task.losses);
@@ -206,13 +245,7 @@
 
     /// Stops the remaining runs of a job that has ended.
     fn stop_ended_job(&mut self, key: JobKey, now: Millis) {
-        let steps: Vec<_> = self.jobs[key]
-            .occurrences
-            .values()
-            .flatten()
-            .copied()
-            .collect();
-        for step in steps {
+        for step in self.jobs[key].occurrences.steps().collect::<Vec<_>>() {
             self.stop_step(step, now, "job has ended");
         }
     }
@@ -229,12 +262,7 @@
         let Some(&key) = self.job_ids.get(&id) else {
             return true;
         };
-        let steps: Vec<StepKey> = self.jobs[key]
-            .occurrences
-            .values()
-            .flatten()
-            .copied()
-            .collect();
+        let steps: Vec<StepKey> = self.jobs[key].occurrences.steps().collect();
         let mut tasks = steps.iter().flat_map(|&step| &self.steps[step].tasks);
         let runs = tasks.any(|task| !task.runs.is_empty());
         if runs || !self.jobs[key].recorded.is_final() {
@@ -248,39 +276,136 @@
         true
     }
 
-    /// Finds a task of a job by its occurrence, step and index.
-    fn find_task(&self, key: JobKey, place: (u32, u16, u32)) -> Option<(StepKey, u32)> {
+    /// Finds a task in an occurrence in progress.
+    fn find_task(&self, key: JobKey, place: TaskPlace) -> Option<(StepKey, u32)> {
         let (time, step, index) = place;
-        let steps = self.jobs[key].occurrences.get(&time)?;
+        let steps = self.jobs[key].occurrences.get(time)?;
         let step = steps.get(usize::from(step)).copied()?;
         let known = (index as usize) < self.steps[step].tasks.len();
         known.then_some((step, index))
     }
 
+    /// Finds a task of which progress is recorded.  Its occurrence begins if it has not, also if it
+    /// is not due: the former owner's wall clock may have been ahead of ours.
+    fn find_recorded_task(&mut self, key: JobKey, place: TaskPlace) -> Option<(StepKey, u32)> {
+        let job = &self.jobs[key];
+        let (time, ..) = place;
+        if job.spec.task_number(place).is_none() {
+            tracing::warn!(job = %job.id, ?place, "progress of an unknown task");
+            return None;
+        }
+        if !job.occurrences.has_begun(time) {
+            self.begin_occurrence(key, time);
+        }
+        self.find_task(key, place)
+    }
+
     /// Restores the progress that a former owner recorded.
     pub(super) fn restore(&mut self, key: JobKey, progress: &JobProgress, now: Millis) {
-        let mut times: Vec<u32> = progress.tasks.iter().map(|t| t.place.0).collect();
-        times.sort_unstable();
-        times.dedup();
+        let first_step = self.open_steps.len();
+        for range in progress.done.ranges() {
+            self.restore_done(key, range.clone());
+        }
         for record in &progress.tasks {
-            let Some((step_key, index)) = self.find_task(key, record.place) else {
-                tracing::warn!(job = %self.jobs[key].id, ?record.place, "progress of an unknown task");
+            let Some((step_key, index)) = self.find_recorded_task(key, record.place) else {
                 continue;
             };
-            let step = &mut self.steps[step_key];
-            let task = &mut step.tasks[index as usize];
-            if record.done && !task.done {
-                step.open -= 1;
+            if record.done {
+                self.mark_done(step_key, index);
             }
-            task.done = record.done;
+            self.note_started(step_key, index);
+            let task = &mut self.steps[step_key].tasks[index as usize];
             task.failed.clone_from(&record.failed);
             task.checkpoint = record.checkpoint.clone();
             self.restore_losses(step_key, index, &record.losses, now);
         }
-        for time in times {
+        for time in self.jobs[key].occurrences.times().collect::<Vec<_>>() {
             self.make_ready(key, time);
+            self.done_steps.push((key, time));
         }
-        self.open_steps.retain(|&step| self.steps[step].open > 0);
+        // All steps that were added here are of this job.
+        let is_open = |&step: &StepKey| self.steps[step].open > 0;
+        let restored: Vec<StepKey> = self
+            .open_steps
+            .drain(first_step..)
+            .filter(is_open)
+            .collect();
+        self.open_steps.extend(restored);
         self.finish_if_done(key);
     }
+
+    /// Restores a range of done tasks.  Occurrences that are whole in it get no steps.
+    fn restore_done(&mut self, key: JobKey, range: Range<u64>) {
+        let spec = Arc::clone(&self.jobs[key].spec);
+        let per_occurrence = spec.tasks_per_occurrence().max(1);
+        let end = u64::from(spec.times()).saturating_mul(per_occurrence);
+        if range.end > end {
+            tracing::warn!(job = %self.jobs[key].id, ?range, "progress of unknown tasks");
+        }
+        let range = range.start..range.end.min(end);
+        let first_whole = range.start.div_ceil(per_occurrence);
+        let end_whole = range.end / per_occurrence;
+        if spec.schedule.is_some() && first_whole < end_whole {
+            let job = &mut self.jobs[key];
+            job.done
+                .insert_range(first_whole * per_occurrence..end_whole * per_occurrence);
+            job.occurrences
+                .finish_all(first_whole as u32..end_whole as u32);
+            self.restore_done_tasks(key, range.start..first_whole * per_occurrence);
+            self.restore_done_tasks(key, end_whole * per_occurrence..range.end);
+        } else {
+            self.restore_done_tasks(key, range);
+        }
+    }
+
+    fn restore_done_tasks(&mut self, key: JobKey, range: Range<u64>) {
+        for number in range {
+            let place = self.jobs[key].spec.task_place(number);
+            let task = place.and_then(|place| self.find_recorded_task(key, place));
+            if let Some((step, index)) = task {
+                self.mark_done(step, index);
+            }
+        }
+    }
+}
+
+impl Task {
+    /// Returns whether a successor must know more of the task than that it is not done.
+    fn has_progress(&self) -> bool {
+        !self.failed.is_empty() || !self.checkpoint.is_empty() || !self.losses.is_empty()
+    }
+}
+
+impl TaskProgress {
+    fn of_open_task(step: &StepRun, index: u32, task: &Task) -> Self {
+        Self {
+            place: (step.name.time, step.name.step, index),
+            done: false,
+            failed: task.failed.clone(),
+            checkpoint: task.checkpoint.clone(),
+            losses: task.losses.clone(),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.failed.is_empty() && self.checkpoint.is_empty() && self.losses.is_empty()
+    }
+}
+
+/// The length of a part of a record in a row, in bytes.
+fn encoded_size(part: &impl Serialize) -> usize {
+    serde_json::to_vec(part).map_or(usize::MAX, |json| json.len())
+}
+
+/// Names each task of a job that is done by itself.
+fn done_task_progress(job: &Job) -> impl Iterator<Item = TaskProgress> {
+    let numbers = job.done.ranges().cloned().flatten();
+    let places = numbers.filter_map(|number| job.spec.task_place(number));
+    places.map(|place| TaskProgress {
+        place,
+        done: true,
+        failed: Vec::new(),
+        checkpoint: String::new(),
+        losses: Vec::new(),
+    })
 }
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -12,7 +12,7 @@
     /// Finds the step of a task by name.
     pub(super) fn find_step(&self, task: TaskName) -> Option<StepKey> {
         let job = self.jobs.get(*self.job_ids.get(&task.step.job)?)?;
-        let steps = job.occurrences.get(&task.step.time)?;
+        let steps = job.occurrences.get(task.step.time)?;
         let key = steps.get(usize::from(task.step.step)).copied()?;
         let known = (task.index as usize) < self.steps[key].tasks.len();
         known.then_some(key)
@@ -38,8 +38,11 @@
         let (step_key, index, worker_key) = (run.step, run.index, run.worker);
         let is_trial = run.trial;
         let key = self.runs.insert(run);
+        self.note_started(step_key, index);
         let step = &mut self.steps[step_key];
-        step.tasks[index as usize].runs.push(key);
+        let task = &mut step.tasks[index as usize];
+        step.idle -= u32::from(task.waits());
+        task.runs.push(key);
         let spec = step.step();
         self.workers[worker_key].hold(key, spec, is_trial);
         let job = &self.jobs[step.job];
@@ -56,13 +59,32 @@
         key
     }
 
+    /// Notes that a task was started at least once, by this owner or a former one.
+    pub(super) fn note_started(&mut self, key: StepKey, index: u32) {
+        let step = &mut self.steps[key];
+        let started = (index + 1).saturating_sub(step.started_end);
+        step.started_end += started;
+        if step.limits_starts() {
+            self.jobs[step.job].unfinished_starts += started;
+        }
+    }
+
+    /// Returns whether a task may be started as far as the number of unfinished starts of its job
+    /// is limited.  One that was started before always may.
+    pub(super) fn may_start_another(&self, key: StepKey, index: u32) -> bool {
+        let step = &self.steps[key];
+        let unfinished = self.jobs[step.job].unfinished_starts;
+        let is_limited = step.limits_starts() && index >= step.started_end;
+        !is_limited || unfinished < tuning::MAX_UNFINISHED_STARTS
+    }
+
     /// Removes a run and gives its room back.
     pub(super) fn remove_run(&mut self, key: RunKey) -> Option<Run> {
         let run = self.runs.remove(key)?;
         let step = &mut self.steps[run.step];
-        step.tasks[run.index as usize]
-            .runs
-            .retain(|&other| other != key);
+        let task = &mut step.tasks[run.index as usize];
+        task.runs.retain(|&other| other != key);
+        step.idle += u32::from(task.waits());
         let spec = step.step();
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.release(key, spec, run.trial && !run.proven);
@@ -316,6 +338,7 @@
     /// Keeps the latest checkpoint of a task, from which its next run continues; all members of a
     /// gang share it.
     pub(super) fn set_checkpoint(&mut self, step: StepKey, index: u32, checkpoint: &str) {
+        self.note_started(step, index);
         let step = &mut self.steps[step];
         if step.step().gang {
             for task in &mut step.tasks {
@@ -329,24 +352,17 @@
     /// Marks a task as done, and with it all members of its gang. Has no effect on lasting
     /// steps, whose tasks run until the job is cancelled.
     pub(super) fn task_done(&mut self, key: StepKey, index: u32, number: u64, now: Millis) {
-        let step = &mut self.steps[key];
-        if step.step().lasting {
+        if self.steps[key].step().lasting {
             return;
         }
-        let job_key = step.job;
-        let name = step.name;
-        if step.step().gang {
-            step.tasks.iter_mut().for_each(|task| task.done = true);
-            step.open = 0;
-        } else if !step.tasks[index as usize].done {
-            step.tasks[index as usize].done = true;
-            step.open -= 1;
-        }
-        if step.step().gang {
-            step.tasks.iter_mut().for_each(|task| task.losses.clear());
+        if self.steps[key].step().gang {
+            let members = self.steps[key].tasks.len() as u32;
+            (0..members).for_each(|member| self.mark_done(key, member));
         } else {
-            step.tasks[index as usize].losses.clear();
+            self.mark_done(key, index);
         }
+        let step = &self.steps[key];
+        let (job_key, name) = (step.job, step.name);
         tracing::info!(
             request = %name.job,
             step = %name,
@@ -367,6 +383,23 @@
             self.open_steps.retain(|&open| open != key);
             self.make_ready(job_key, name.time);
             self.finish_if_done(job_key);
+            self.done_steps.push((job_key, name.time));
+        }
+    }
+
+    /// Marks one task as done, and forgets which losses it had.
+    pub(super) fn mark_done(&mut self, key: StepKey, index: u32) {
+        self.note_started(key, index);
+        let step = &mut self.steps[key];
+        step.tasks[index as usize].losses.clear();
+        if !step.mark_done(index) {
+            return;
+        }
+        let name = step.name;
+        let job = &mut self.jobs[step.job];
+        job.unfinished_starts -= u32::from(step.limits_starts());
+        if let Some(number) = job.spec.task_number((name.time, name.step, index)) {
+            job.done.insert(number);
         }
     }
 
@@ -378,6 +411,7 @@
         worker: WorkerKey,
         now: Millis,
     ) {
+        self.note_started(key, index);
         let step = &mut self.steps[key];
         let lasting = step.step().lasting;
         let gang = step.step().gang;
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -83,6 +83,7 @@
         let mut left = waiting.len() as u32;
         let mut started = Vec::new();
         let mut limit = None;
+        let mut is_job_at_limit = false;
         let mut candidates = self.placement_candidates(key, round);
         let is_step_suspect = self.is_step_suspect(key);
         let mut planned_starts_left = None;
@@ -91,6 +92,10 @@
             if limit.is_some() {
                 break;
             }
+            is_job_at_limit = !self.may_start_another(key, index);
+            if is_job_at_limit {
+                break;
+            }
             let task = &self.steps[key].tasks[index as usize];
             let trial = is_step_suspect || task.is_suspect();
             let worker = if trial {
@@ -124,7 +129,7 @@
         if left == 0 {
             return None;
         }
-        if limit.is_none() {
+        if limit.is_none() && !is_job_at_limit {
             self.request_capacity(key, left, round);
         }
         let reason = limit.unwrap_or_else(|| self.placement_wait_reason(key, round.now));
@@ -189,7 +194,14 @@
     /// The tasks that may be started: those that neither run nor are done, and those of which a
     /// speculative run should be started.
     pub(super) fn waiting_tasks(&self, key: StepKey, now: Millis) -> impl Iterator<Item = u32> {
-        let tasks = self.steps[key].tasks.iter().enumerate();
+        let step = &self.steps[key];
+        // Most steps with open tasks have all of them running.
+        let has_none = step.idle == 0 && !step.step().copies;
+        let first = match has_none {
+            true => step.tasks.len(),
+            false => step.first_open as usize,
+        };
+        let tasks = step.tasks.iter().enumerate().skip(first);
         tasks
             .filter(move |(_, task)| !task.done && task.paused_until <= now)
             .filter(move |(_, task)| {
--- a/src/cell/spec.rs
+++ b/src/cell/spec.rs
@@ -179,6 +179,17 @@
     pub interval: Millis,
 }
 
+impl Schedule {
+    /// When an occurrence is due, in Unix milliseconds; [`Millis::MAX`] if that is out of range.
+    pub fn due(&self, time: u32) -> Millis {
+        let after_first = self.interval.saturating_mul(Millis::from(time));
+        self.first.saturating_add(after_first)
+    }
+}
+
+/// The place of a task in its job: occurrence, step and index.
+pub type TaskPlace = (u32, u16, u32);
+
 /// A job as its caller describes it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -254,6 +265,48 @@
         self
     }
 
+    /// The number of occurrences; one without a schedule.
+    pub fn times(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.times)
+    }
+
+    /// The number of tasks of each occurrence.
+    pub fn tasks_per_occurrence(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
+    /// Numbers the tasks of all occurrences, in the order of occurrences, steps and indices.
+    /// Returns none for a task that the job does not have.
+    pub fn task_number(&self, place: TaskPlace) -> Option<u64> {
+        let (time, step, index) = place;
+        let tasks = self.steps.get(usize::from(step))?.tasks;
+        if index >= tasks || time >= self.times() {
+            return None;
+        }
+        let before = self.steps[..usize::from(step)].iter();
+        let before: u64 = before.map(|step| u64::from(step.tasks)).sum();
+        Some(u64::from(time) * self.tasks_per_occurrence() + before + u64::from(index))
+    }
+
+    /// Returns the place of the task with this number; none if the job does not have it.
+    pub fn task_place(&self, number: u64) -> Option<TaskPlace> {
+        let per_occurrence = self.tasks_per_occurrence();
+        let time = u32::try_from(number.checked_div(per_occurrence)?).ok()?;
+        let mut left = number % per_occurrence;
+        for (step, tasks) in self
+            .steps
+            .iter()
+            .map(|step| u64::from(step.tasks))
+            .enumerate()
+        {
+            if left < tasks {
+                return (time < self.times()).then_some((time, step as u16, left as u32));
+            }
+            left -= tasks;
+        }
+        None
+    }
+
     /// Checks the job against the rules.
     ///
     /// `after` may only name earlier steps, so there are no cycles.
--- a/src/cell/trial.rs
+++ b/src/cell/trial.rs
@@ -24,8 +24,9 @@
         let is_cleared = |task: &Task| task.runs.iter().any(|&run| self.runs[run].proven);
         let fell_silent = |task: &Task| task.runs.iter().any(|&run| self.fell_silent_at_start(run));
         let is_suspect = |task: &Task| task.is_suspect() || fell_silent(task);
-        step.tasks.iter().any(is_suspect)
-            && !step.tasks.iter().any(|task| task.done || is_cleared(task))
+        let has_done = (step.open as usize) < step.tasks.len();
+        let started = step.started_tasks();
+        !has_done && started.iter().any(is_suspect) && !started.iter().any(is_cleared)
     }
 
     /// Returns whether the worker of a run fell silent while the run was being started, or just
@@ -85,7 +86,8 @@
             let is_trial = self.runs[run].trial && !self.runs[run].proven;
             is_trial || self.fell_silent_at_start(run)
         };
-        let mut runs = self.steps[key].tasks.iter().flat_map(|task| &task.runs);
+        let started = self.steps[key].started_tasks();
+        let mut runs = started.iter().flat_map(|task| &task.runs);
         let max_trials = (self.workers.len() / tuning::WORKERS_PER_TRIAL).max(1);
         let trials: u32 = self.workers.values().map(|worker| worker.trials).sum();
         (trials as usize) < max_trials && !runs.any(is_unresolved)
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -233,6 +233,20 @@
 /// barred starts make [`MAX_STARTS`]: all of them may have been carried out.  After one such crash
 /// the task goes on, since workers may restart for another reason while its orders get lost.
 pub const MIN_IMPLICATING_CRASHES: usize = 2;
+/// The most tasks in the occurrences of a job that are in progress at a time, unless it is one
+/// occurrence.  Each step of them is examined in each round.
+pub const MAX_TASKS_IN_PROGRESS: u64 = 512;
+/// While there are this many steps with open tasks, each scheduled job has only one occurrence in
+/// progress, so that the memory of thousands of jobs that are behind is limited.
+pub const MAX_OPEN_STEPS: usize = 20_000;
+/// The most tasks of a job that were started and are not done, as many as a step can have.  Each may
+/// cause a gap in the ranges of done tasks; the ranges of 640,000 tasks with this many gaps take
+/// less than 35 KB of the job's record.
+pub const MAX_UNFINISHED_STARTS: u32 = 10_000;
+/// A record names each done task by itself, as former versions do, up to this many.
+pub const MAX_LISTED_TASKS: u64 = 256;
+/// The most bytes of a job's record for its tasks; the store accepts rows of up to 64 KB.
+pub const MAX_RECORD_BYTES: usize = 60_000;
 /// The most starts of one job that wait to be recorded at a time: each takes some 170 bytes of the
 /// job's row, and the store accepts rows of up to 64 KB.
 pub const MAX_PLANNED_STARTS: usize = 64;
--- a/src/cell/urgency.rs
+++ b/src/cell/urgency.rs
@@ -66,27 +66,28 @@
         let (Some(schedule), Some(unix_time)) = (job.spec.schedule, self.unix_time) else {
             return job.accepted_at;
         };
-        let due = schedule.first + u64::from(time) * schedule.interval;
+        let due = schedule.due(time);
         now.saturating_sub(unix_time.saturating_sub(due))
             .max(job.accepted_at)
     }
 
     /// The length of the critical path over the steps of one occurrence with tasks left to do.
     fn remaining_critical_path(&self, job: &Job, time: u32) -> Millis {
-        let Some(steps) = job.occurrences.get(&time) else {
+        let Some(steps) = job.occurrences.get(time) else {
             return 0;
         };
         critical_path(&job.spec, |index| self.steps[steps[index]].open > 0)
     }
 
-    /// The estimated work of all tasks of a job that are not done, in core-milliseconds.
+    /// The estimated work of all tasks that are not done in the begun occurrences of a job, in
+    /// core-milliseconds.
     fn remaining_work(&self, key: JobKey, work: &mut RemainingWork) -> u64 {
         if let Some(&known) = work.by_job.get(key) {
             return known;
         }
         let mut sum: u64 = 0;
-        for step in self.jobs[key].occurrences.values().flatten() {
-            let step = &self.steps[*step];
+        for step in self.jobs[key].occurrences.steps() {
+            let step = &self.steps[step];
             sum = sum.saturating_add(work_of(step.step(), step.open));
             work.steps_examined += 1;
         }
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -95,7 +95,7 @@
     pub fn view(&self, id: JobId, now: Millis) -> Option<JobView> {
         let state = self.state(id)?;
         let job = self.job_ids.get(&id).and_then(|&key| self.jobs.get(key));
-        let steps = job.map(|job| job.occurrences.values().flatten());
+        let steps = job.map(|job| job.occurrences.steps());
         Some(JobView {
             id: id.to_string(),
             queue: job.map_or_else(String::new, |job| job.queue.name.clone()),
@@ -104,7 +104,7 @@
             steps: steps
                 .into_iter()
                 .flatten()
-                .map(|&key| self.view_step(key, now))
+                .map(|key| self.view_step(key, now))
                 .collect(),
         })
     }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -298,6 +298,7 @@
             ("other_lives", counts.other_lives),
             ("rival_lives", counts.rival_lives),
             ("unread_ends", counts.unread_ends),
+            ("omitted_progress", counts.omitted_progress),
         ] {
             metrics.gauge(name, value as i64);
         }
--- a/tests/cancelling.rs
+++ b/tests/cancelling.rs
@@ -33,6 +33,7 @@
     let mut bench = Bench::under(2, 1, &[queue("q", 0)]);
     bench.cell.set_has_unread_jobs(true);
     let progress = JobProgress {
+        done: Default::default(),
         state,
         tasks: Vec::new(),
         record_starts_first: false,
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -261,6 +261,17 @@
 
     /// Ends a run.  Its worker lists the end at the next poll.
     pub fn end(&mut self, task: TaskName, number: u64, how: EndKind) {
+        self.end_with_checkpoint(task, number, how, "");
+    }
+
+    /// Ends a run that has left a checkpoint.
+    pub fn end_with_checkpoint(
+        &mut self,
+        task: TaskName,
+        number: u64,
+        how: EndKind,
+        checkpoint: &str,
+    ) {
         for (key, runs) in &mut self.running {
             if let Some(index) = runs.iter().position(|run| *run == (task, number)) {
                 runs.remove(index);
@@ -270,7 +281,7 @@
                     task,
                     number,
                     how,
-                    checkpoint: String::new(),
+                    checkpoint: checkpoint.to_owned(),
                 });
             }
         }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -120,6 +120,7 @@
 /// Writes the progress of [`ENDED_JOBS`] ended jobs to the store.
 fn add_ended_jobs(node: &VirtualNode) {
     let progress = JobProgress {
+        done: Default::default(),
         state: JobState::Succeeded,
         tasks: Vec::new(),
         record_starts_first: false,
