--- a/src/cell/lapse.rs
+++ b/src/cell/lapse.rs
@@ -46,6 +46,10 @@
             } else {
                 worker.inherited_until.min(settle_deadline)
             };
+            if until == Millis::MAX {
+                // A former owner may renew it still.
+                continue;
+            }
             if within.len() < MAX_WORKERS {
                 within.insert(worker.entry.life.id.clone(), until.saturating_sub(now));
             }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -275,8 +275,11 @@
     settled: bool,
     /// Until the ownership is settled, the jobs that a former owner may have left running.
     unsettled: roster::UnsettledJobs,
-    /// When the ownership is settled at the latest, unless a worker may have the longest lease.
+    /// When the ownership is settled at the latest, unless a worker may have the longest lease;
+    /// [`Millis::MAX`] while a former owner may act.
     settle_deadline: Millis,
+    /// When nobody else owned the cell, by our clock; [`Millis::MAX`] if there never is another owner.
+    exclusive_at: Millis,
     /// Orders that have not been taken yet.
     orders: Vec<Order>,
     /// Waiting times that have not been taken yet.
@@ -291,7 +294,6 @@
 impl Cell {
     /// Creates the state for an ownership of the cell that begins at `now` under `epoch`.
     pub fn new(epoch: u64, config: Arc<Configuration>, now: Millis) -> Self {
-        let window = tuning::LEASE + tuning::LEASE * tuning::MAX_CLOCK_DRIFT_PERMILLE / 1_000;
         Self {
             epoch,
             last_run_number: epoch * tuning::RUNS_PER_EPOCH,
@@ -344,7 +346,11 @@
             roster_is_complete: true,
             settled: false,
             unsettled: roster::UnsettledJobs::Any,
-            settle_deadline: now + window + tuning::LEASE_MARGIN + tuning::OWNER_STOP_TIME,
+            settle_deadline: now
+                + tuning::OWNER_STOP_TIME
+                + tuning::LEASE_WINDOW
+                + tuning::LEASE_MARGIN,
+            exclusive_at: Millis::MAX,
             orders: Vec::new(),
             job_waits: Vec::new(),
             waiting: Waiting::new(),
@@ -479,7 +485,10 @@
         self.stop_runs_outlasting_worker(key, now);
         self.note_suspects_of_silent(key, now);
         let worker = &self.workers[key];
-        if !worker.is_silent() || now <= worker.lease_end {
+        if !worker.is_silent()
+            || now <= worker.lease_end
+            || self.may_be_renewed_by_successor(worker)
+        {
             return;
         }
         if !worker.runs.is_empty() {
@@ -499,6 +508,25 @@
         }
     }
 
+    /// Returns whether a successor may have renewed a lease before it ran out, and the runs may go on.
+    fn may_be_renewed_by_successor(&self, worker: &Worker) -> bool {
+        worker.lease_end >= self.exclusive_at
+    }
+
+    /// Sets when nobody else owned the cell, by our clock.
+    pub fn set_exclusive_at(&mut self, at: Millis) {
+        self.exclusive_at = at;
+    }
+
+    /// Returns whether leases have run out by our reckoning, and it must be confirmed that no
+    /// successor has renewed them.
+    pub fn awaits_confirmation(&self, now: Millis) -> bool {
+        self.workers.values().any(|worker| {
+            let has_run_out = worker.is_silent() && now > worker.lease_end;
+            has_run_out && !worker.runs.is_empty() && self.may_be_renewed_by_successor(worker)
+        })
+    }
+
     /// Addresses the present life of a worker, under an epoch that rises with each life so that
     /// this life refuses orders meant for a former one.
     fn addressee(&self, key: WorkerKey) -> Addressee {
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -86,7 +86,7 @@
     /// Once no order of a former owner can arrive any more, looks for workers that were not heard
     /// since: a life of theirs that was not found may have carried a late start out.
     pub(super) fn review_former_orders(&mut self, now: Millis) {
-        let due = self.former_orders_end + tuning::STALE_AFTER;
+        let due = self.former_orders_end.saturating_add(tuning::STALE_AFTER);
         if self.former_orders_reviewed || now < due {
             return;
         }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -241,6 +241,19 @@
         }) && self.is_hall_open(key)
     }
 
+    /// Waits for the former owners to stop before their leases count as running out.
+    pub fn await_former_owners(&mut self) {
+        self.settle_deadline = Millis::MAX;
+        self.former_orders_end = Millis::MAX;
+    }
+
+    /// Notes that no former owner has given orders or renewed leases since `at`.
+    pub fn note_former_owners_stopped(&mut self, at: Millis) {
+        let settled = at + tuning::LEASE_WINDOW + tuning::LEASE_MARGIN;
+        self.settle_deadline = self.settle_deadline.min(settled);
+        self.former_orders_end = self.former_orders_end.min(at + tuning::MAX_ORDER_DELAY);
+    }
+
     /// Settles the ownership once no run of a former owner can be left that this one does not know
     /// of: from then on the tasks of jobs that the former owner knew may start.
     pub(super) fn settle(&mut self, now: Millis) {
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -26,6 +26,8 @@
 pub const START_ANSWER_WAIT: Millis = 250;
 /// The most by which a worker's clock may run slow, in thousandths, fixed by the platform.
 pub const MAX_CLOCK_DRIFT_PERMILLE: Millis = 21;
+/// How long by our clock a lease may last that is given now.
+pub const LEASE_WINDOW: Millis = LEASE + LEASE * MAX_CLOCK_DRIFT_PERMILLE / 1_000;
 /// Added to a lease, since readings of a worker's clock may be a few seconds old.
 pub const LEASE_MARGIN: Millis = 200;
 /// A worker that has not answered for this time gets no new tasks: two polls of a second each.
--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -3,6 +3,7 @@
 //! An owner gives no orders unless its ownership was confirmed recently; a successor relies on that
 //! when it cannot reach a worker (see "Ownership" in `docs/DESIGN.md`).
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -11,185 +12,204 @@
 use futures::future::join_all;
 
 use crate::clock::Millis;
+use crate::node::election;
 use crate::node::engine::{Engine, PEER_ALIVE_WINDOW};
-use crate::node::heartbeat;
+use crate::node::heartbeat::{self, HEARTBEAT_TIMEOUT};
 use crate::node::members::Member;
 use crate::node::recording::{OWNER_KEY, OwnerRow};
 use crate::node::route;
 use crate::node::shared::CELL_PARTITION;
-use crate::store::{StoreCall, StoreError, StoreReply, Table};
+use crate::node::succession::Share;
+use crate::store::{StoreCall, StoreReply, Table};
 
 /// How often the owner checks how long ago its ownership was confirmed.
 const CONFIRM_POLL: Duration = Duration::from_millis(250);
 /// An ownership that was confirmed within this time, in milliseconds, is not confirmed again yet.
 const CONFIRM_AFTER: Millis = 700;
+/// The shortest time between two confirmations, in milliseconds, if one is needed at once.
+const MIN_CONFIRM_INTERVAL: Millis = 50;
 /// When the store has not answered for this long, the other nodes are asked as well.  A read takes
 /// 6 ms, and time spent waiting here is taken from the 2 s for which a confirmation lasts.
 const HEDGE_AFTER: Duration = Duration::from_millis(150);
-/// A node that has said that it does not reach the store, in answer to a heartbeat sent within this
-/// time, need not be asked.  The time, in milliseconds, is the interval of heartbeats and the time
+/// What a node has said in answer to a heartbeat sent within this time counts, so that it need not be
+/// asked: whether it reaches the store, and whether it knows of a successor.  The time, in milliseconds, is the interval of heartbeats and the time
 /// limit of their answers.
 const RECENT_ANSWER: Millis = heartbeat::DEFAULT_INTERVAL + heartbeat::HEARTBEAT_TIMEOUT;
 /// Time limit for one read of the ownership row, in milliseconds: a slow store takes 400 ms.
 const READ_LIMIT: Millis = 700;
 
-/// What one node answers when it is asked for the ownership row.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Response {
-    /// The row as read from the store; none if there is no row or it cannot be parsed.
-    Row(Option<OwnerRow>),
-    /// The node does not reach the store, so it has not claimed the cell.
-    Away,
-    /// The node has not answered, or not with a row.
-    Silent,
-}
+/// The ownership row as one node has read it from the store; none if there is no row or it cannot be
+/// parsed.
+type RowRead = Option<OwnerRow>;
 
-/// The conclusion from the responses of all nodes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Verdict {
-    Holds,
-    Lost,
-    Unknown,
+/// A node that has said of late that it knows of no successor.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Supporter {
+    name: String,
+    /// When its process was first heard, by our clock.
+    since: Millis,
 }
 
 impl Engine {
     pub(super) async fn confirm_loop(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(CONFIRM_POLL).await;
+            let needed = self.confirm_needed.notified();
+            let is_needed = tokio::time::timeout(CONFIRM_POLL, needed).await.is_ok();
             let sent = self.shared.now();
-            if sent.saturating_sub(self.confirmed_at.load(Ordering::Relaxed)) < CONFIRM_AFTER {
+            let (last, interval) = match is_needed {
+                true => (&self.exclusive_at, MIN_CONFIRM_INTERVAL),
+                false => (&self.confirmed_at, CONFIRM_AFTER),
+            };
+            if sent.saturating_sub(last.load(Ordering::Relaxed)) < interval {
                 continue;
             }
-            let responses = self.collect_responses(sent).await;
-            self.apply_responses(sent, &responses);
+            let rows = self.collect_rows(sent).await;
+            self.apply_rows(sent, &rows);
         }
     }
 
     /// Reads the ownership row from the store.  If that fails or takes long, also asks every other
     /// node that was heard recently, except those that have just said in a heartbeat that they do
     /// not reach the store: during an outage of the store, 146 nodes are not asked each time.
-    async fn collect_responses(&self, sent: Millis) -> Vec<Response> {
+    async fn collect_rows(&self, sent: Millis) -> Vec<RowRead> {
         let own = self.read_directly();
         tokio::pin!(own);
         let early = tokio::time::timeout(HEDGE_AFTER, &mut own).await.ok();
-        if let Some(response @ Response::Row(_)) = early {
-            return vec![response];
+        if let Some(Some(row)) = early {
+            return vec![row];
         }
-        let (away, asked) = self.classify_peers(sent);
-        let others = join_all(asked.into_iter().map(|addr| self.ask_node(addr)));
-        let (mut responses, own) = match early {
-            Some(response) => (others.await, response),
+        // Row or not, the ownership must not lapse while the others are asked.
+        self.apply_support();
+        let asked = self.peers_to_ask(sent).into_iter();
+        let others = join_all(asked.map(|addr| self.ask_node(addr)));
+        let (others, own) = match early {
+            Some(row) => (others.await, row),
             None => tokio::join!(others, own),
         };
-        responses.push(own);
-        responses.extend(std::iter::repeat_n(Response::Away, away));
-        responses
-    }
-
-    fn apply_responses(&self, sent: Millis, responses: &[Response]) {
-        match self.verdict(responses) {
-            Verdict::Holds if has_row(responses) => self.confirm(sent),
-            // Some of the responses were taken from heartbeats, which may be as old as this.
-            Verdict::Holds => self.confirm_by_peers(sent.saturating_sub(RECENT_ANSWER)),
-            Verdict::Lost => self.retire("the ownership row names another owner"),
-            Verdict::Unknown => tracing::info!(
-                ?responses,
-                active = self.is_active(),
-                "ownership is not confirmed"
-            ),
-        }
+        others.into_iter().chain([own]).flatten().collect()
     }
 
-    /// Decides whether the ownership holds.  Any row that was read is decisive.  Without one, most
-    /// known nodes must say that they do not reach the store, since only a node that reaches it can
-    /// claim the cell.
-    fn verdict(&self, responses: &[Response]) -> Verdict {
-        let rows: Vec<&Option<OwnerRow>> = responses
-            .iter()
-            .filter_map(|response| match response {
-                Response::Row(row) => Some(row),
-                Response::Away | Response::Silent => None,
-            })
-            .collect();
-        let is_ours = |row: &Option<OwnerRow>| {
+    /// Any row that was read is decisive.
+    fn apply_rows(&self, sent: Millis, rows: &[RowRead]) {
+        let is_ours = |row: &RowRead| {
             row.as_ref()
                 .is_some_and(|row| row.epoch == self.epoch && row.boot == self.shared.boot)
         };
-        if rows.iter().any(|row| !is_ours(row)) {
-            return Verdict::Lost;
+        if !rows.iter().all(is_ours) {
+            self.retire("the ownership row names another owner");
+        } else if rows.is_empty() {
+            self.apply_support();
+        } else {
+            self.confirm(sent);
         }
-        let now_known = self.node_count();
-        let known = now_known.max(self.max_node_count.fetch_max(now_known, Ordering::Relaxed));
-        let away = responses
-            .iter()
-            .filter(|response| **response == Response::Away)
-            .count();
-        if !rows.is_empty() || away * 2 > known {
-            return Verdict::Holds;
+    }
+
+    /// Confirms the ownership without its row if most of the recorded voters say that they know of no
+    /// successor: one that starts what may run already has the answers of most of them ("Two owners"
+    /// in `docs/DESIGN.md`).
+    fn apply_support(&self) {
+        let asked = self.shared.now().saturating_sub(RECENT_ANSWER);
+        let supporters = self.supporters(asked);
+        let names: BTreeSet<&str> = supporters.iter().map(|node| node.name.as_str()).collect();
+        let share = self.voters().share_of(&names);
+        match share {
+            Share::Few => tracing::info!(
+                ?supporters,
+                active = self.is_active(),
+                "ownership is not confirmed"
+            ),
+            // A voter that has restarted may have known of a successor.
+            Share::All if supporters.iter().all(|node| self.is_unchanged(node)) => {
+                self.confirm(asked);
+            }
+            Share::Most | Share::All => self.confirm_by_majority(asked),
         }
-        Verdict::Unknown
     }
 
-    /// The number of nodes that this one knows, including itself.
-    pub(super) fn node_count(&self) -> usize {
-        self.shared.members().iter().count() + 1
+    /// Returns whether the process of a node is the one that it was when nobody else could own the
+    /// cell.
+    fn is_unchanged(&self, node: &Supporter) -> bool {
+        node.since <= self.exclusive_at.load(Ordering::Relaxed)
     }
 
-    async fn read_directly(&self) -> Response {
+    async fn read_directly(&self) -> Option<RowRead> {
         if !self.shared.reaches_store() {
-            return Response::Away;
+            return None;
         }
         let limit = Duration::from_millis(READ_LIMIT);
         let read = self.shared.store_direct(read_owner_call());
-        match tokio::time::timeout(limit, read).await {
-            Ok(reply) => response(reply),
-            Err(_) => Response::Away,
-        }
+        let reply = tokio::time::timeout(limit, read).await.ok()?;
+        row_in(reply.ok()?)
     }
 
-    async fn ask_node(&self, addr: SocketAddr) -> Response {
-        match route::ask_to_relay(&self.shared, addr, &read_owner_call(), READ_LIMIT).await {
-            Ok(reply) => response(reply),
-            Err(_) => Response::Silent,
+    /// Asks a node for the row.  If it cannot read it, its answer to a heartbeat still tells whether it
+    /// knows of a successor.
+    async fn ask_node(&self, addr: SocketAddr) -> Option<RowRead> {
+        let call = read_owner_call();
+        let reply = route::ask_to_relay(&self.shared, addr, &call, READ_LIMIT).await;
+        if let Ok(Ok(reply)) = reply {
+            return row_in(reply);
         }
+        let beat = self.shared.heartbeat();
+        election::exchange(&self.shared, addr, beat, HEARTBEAT_TIMEOUT).await;
+        None
     }
 
-    /// Considers the nodes that were heard recently and know of no higher epoch.  Returns how many
-    /// of them have just said that they do not reach the store, and the addresses of the others.
-    fn classify_peers(&self, sent: Millis) -> (usize, Vec<SocketAddr>) {
+    /// The addresses of the nodes that were heard recently, know of no higher epoch and may reach the
+    /// store.
+    fn peers_to_ask(&self, sent: Millis) -> Vec<SocketAddr> {
+        let lacks_store = |member: &Member| {
+            let asked = member.no_store_asked;
+            asked > 0 && sent.saturating_sub(asked) < RECENT_ANSWER
+        };
         let members = self.shared.members();
-        let (away, asked): (Vec<&Member>, Vec<&Member>) = members
+        let asked = members
             .iter()
             .map(|(_, member)| member)
-            .filter(|m| m.was_heard(PEER_ALIVE_WINDOW, sent))
-            .filter(|m| m.epoch <= self.epoch)
-            .partition(|m| {
-                m.no_store_asked > 0 && sent.saturating_sub(m.no_store_asked) < RECENT_ANSWER
-            });
-        (away.len(), asked.iter().map(|m| m.address).collect())
+            .filter(|member| member.was_heard(PEER_ALIVE_WINDOW, sent))
+            .filter(|member| member.epoch <= self.epoch && !lacks_store(member));
+        asked.map(|member| member.address).collect()
     }
-}
 
-/// Returns whether the ownership row was read, by this node or another one.
-fn has_row(responses: &[Response]) -> bool {
-    responses
-        .iter()
-        .any(|response| matches!(response, Response::Row(_)))
+    /// The nodes that have answered a call sent since `asked` and know of no successor; this one is
+    /// one of them.  A node that knows of a successor forgets that when it restarts.  While the
+    /// ownership is confirmed any process counts; once it is not, only one that was there when it
+    /// last was ("Two owners" in `docs/DESIGN.md`).
+    fn supporters(&self, asked: Millis) -> Vec<Supporter> {
+        let is_active = self.is_active();
+        let confirmed_at = self.confirmed_at.load(Ordering::Relaxed);
+        let supports = |member: &Member| {
+            let is_same_process = member.boot_since <= confirmed_at;
+            let answer = member.following.filter(|answer| answer.until >= asked);
+            answer.is_some_and(|answer| answer.boot == member.boot && answer.epoch <= self.epoch)
+                && (is_active || is_same_process)
+        };
+        let members = self.shared.members();
+        let others = members.iter().filter(|(_, member)| supports(member));
+        let others = others.map(|(name, member)| Supporter {
+            name: name.clone(),
+            since: member.boot_since,
+        });
+        let own = Supporter {
+            name: self.shared.name.clone(),
+            since: 0,
+        };
+        others.chain([own]).collect()
+    }
 }
 
 fn read_owner_call() -> StoreCall {
     StoreCall::row(Table::Cells, CELL_PARTITION, OWNER_KEY)
 }
 
-fn response(reply: Result<StoreReply, StoreError>) -> Response {
+fn row_in(reply: StoreReply) -> Option<RowRead> {
     match reply {
-        Ok(StoreReply::Rows { rows, .. }) => Response::Row(rows.first().and_then(OwnerRow::read)),
-        Ok(_) => {
+        StoreReply::Rows { rows, .. } => Some(rows.first().and_then(OwnerRow::read)),
+        _ => {
             tracing::warn!(
                 "unexpected kind of answer from the store to a read of the ownership row"
             );
-            Response::Silent
+            None
         }
-        Err(_) => Response::Away,
     }
 }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -22,6 +22,7 @@
 use crate::node::owner;
 use crate::node::recording::{OWNER_KEY, OwnerRow};
 use crate::node::shared::{CELL_PARTITION, NODES_PARTITION, Shared};
+use crate::node::succession::FormerOwners;
 use crate::rpc::node::{Heartbeat, NodeCall, NodeReply};
 use crate::store::{self, RowKey, StoreCall, StoreError, StoreReply, Table, Transaction, Version};
 
@@ -216,13 +217,14 @@
 }
 
 /// Checks that the owner performs several times a second beside its heartbeats: updates which
-/// nodes' connections to the advice service can be used, and gives the cell up if another node is
+/// nodes' connections to the advice service can be used, looks whether former owners have stopped, and gives the cell up if another node is
 /// far stronger.
 pub(super) async fn review_ownership(shared: &Arc<Shared>) {
     let Some(engine) = shared.engine() else {
         return;
     };
     engine.set_lanes();
+    engine.review_succession();
     if should_yield(shared, &engine, shared.now()) {
         shared.metrics.event("cell_yielded");
         give_up(shared, YIELD_TIMEOUT, "another node is stronger").await;
@@ -406,6 +408,7 @@
         epoch: tuning::next_epoch(former.as_ref().map_or(0, |owner| owner.epoch)),
         batch: 0,
         released: false,
+        former_owners: FormerOwners::before_claim(former.as_ref(), &shared.address.to_string()),
     };
     let former = former.map(|owner| owner.name);
     tracing::info!(epoch = claimed.epoch, ?former, "cell is claimed");
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -27,6 +27,7 @@
 use crate::node::recording::MAX_JOBS;
 use crate::node::roster_rows::RosterRows;
 use crate::node::shared::Shared;
+use crate::node::succession::{self, FormerOwners, RecordedVoters, Succession, Successor, Voters};
 use crate::node::summary::Summary;
 use crate::rpc::node::{JobRequest, NodeReply};
 use crate::store::Version;
@@ -40,6 +41,8 @@
 /// of heartbeats and the time limit of one, since one of the two may be late.
 pub(super) const PEER_ALIVE_WINDOW: Millis =
     2 * heartbeat::DEFAULT_INTERVAL + heartbeat::HEARTBEAT_TIMEOUT;
+/// The shortest time between two changes of the recorded voters, in milliseconds.
+const VOTERS_INTERVAL: Millis = 2_000;
 /// How long the answer to a request for the state of a job waits for the job's end: three times the
 /// time that it takes to learn of an end and record it.
 const END_WAIT: Duration = Duration::from_millis(120);
@@ -64,6 +67,8 @@
     pub(super) wake: Notify,
     /// Triggers the recording of what has changed.
     pub(super) record: Notify,
+    /// Triggers a confirmation of the ownership before it is due.
+    pub(super) confirm_needed: Notify,
     /// Signals that changes are recorded, or that other nodes have learned of ends of jobs.
     pub(super) recorded: Notify,
     /// The version of the ownership row as we last wrote it, and the number of the batch in it.
@@ -80,9 +85,13 @@
     pub(super) stalled: AtomicBool,
     /// When the latest call that confirmed the ownership was sent, by our clock.
     pub(super) confirmed_at: AtomicU64,
-    /// The highest number of nodes known at any time since the store last confirmed the ownership.
-    /// A node that has been forgotten since, because it was silent, may have claimed the cell.
-    pub(super) max_node_count: AtomicUsize,
+    /// When the latest call was sent by which the store or all voters confirmed the ownership, by our
+    /// clock: nobody else owned the cell then.
+    pub(super) exclusive_at: AtomicU64,
+    /// The nodes whose answers count while the store is away.
+    voters: Mutex<RecordedVoters>,
+    /// What is known of the former owners.
+    succession: Mutex<Succession>,
     /// All entries of workers that were written before this time, by our clock, are applied.
     pub(super) workers_read_at: AtomicU64,
     /// The workers for which a poll loop was started.
@@ -117,6 +126,7 @@
             first_refusals: Mutex::default(),
             wake: Notify::new(),
             record: Notify::new(),
+            confirm_needed: Notify::new(),
             recorded: Notify::new(),
             ownership_row: tokio::sync::Mutex::new((version, 0)),
             roster_rows: Mutex::new(loaded.roster),
@@ -126,7 +136,12 @@
             releasing: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
             confirmed_at: AtomicU64::new(shared.now()),
-            max_node_count: AtomicUsize::new(1),
+            exclusive_at: AtomicU64::new(shared.now()),
+            voters: Mutex::new(RecordedVoters {
+                recorded: loaded.voters,
+                ..RecordedVoters::default()
+            }),
+            succession: Mutex::new(loaded.succession),
             workers_read_at: AtomicU64::new(shared.now()),
             polled_workers: Mutex::default(),
             unpark_notifiers: Mutex::default(),
@@ -185,17 +200,88 @@
         !self.is_retired() && self.shared.now().saturating_sub(confirmed) < tuning::OWNER_STOP_TIME
     }
 
-    /// Notes that a call sent at `sent` has found the ownership row to be ours.
+    /// Notes that a call sent at `sent` has found the ownership row to be ours, or that all voters
+    /// have said after `sent` that they know of no successor.
     pub(super) fn confirm(&self, sent: Millis) {
-        self.max_node_count
-            .store(self.node_count(), Ordering::Relaxed);
+        self.exclusive_at.fetch_max(sent, Ordering::Relaxed);
         self.confirmed_at.fetch_max(sent, Ordering::Relaxed);
     }
 
-    /// Notes that most nodes have said, after `sent`, that they do not reach the store, so that
-    /// none of them can have claimed the cell.
-    pub(super) fn confirm_by_peers(&self, sent: Millis) {
-        self.confirmed_at.fetch_max(sent, Ordering::Relaxed);
+    /// Notes that most voters have said after `sent` that they know of no successor.  That counts
+    /// only for a limited time.
+    pub(super) fn confirm_by_majority(&self, sent: Millis) {
+        let exclusive_at = self.exclusive_at.load(Ordering::Relaxed);
+        let until = exclusive_at + succession::MAX_TERM_BY_MAJORITY;
+        self.confirmed_at
+            .fetch_max(sent.min(until), Ordering::Relaxed);
+    }
+
+    /// Locks and returns the voters.
+    pub(super) fn voters(&self) -> MutexGuard<'_, RecordedVoters> {
+        self.voters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn succession(&self) -> MutexGuard<'_, Succession> {
+        self.succession
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn successor(&self) -> Successor<'_> {
+        Successor {
+            name: &self.shared.name,
+            epoch: self.epoch,
+            since: self.held_since,
+        }
+    }
+
+    /// The former owners that are not known to have stopped.
+    pub(super) fn former_owners(&self) -> Option<FormerOwners> {
+        self.succession().former().cloned()
+    }
+
+    /// Looks whether the former owners have stopped, so that their leases run out.
+    pub(super) fn review_succession(&self) {
+        let stopped = {
+            let members = self.shared.members();
+            let now = self.shared.now();
+            self.succession().review(self.successor(), &members, now)
+        };
+        if let Some(at) = stopped {
+            self.cell().note_former_owners_stopped(at);
+        }
+    }
+
+    /// Returns whether no former owner takes in jobs of which it is told any more.
+    pub(super) fn is_alone_with_new_jobs(&self) -> bool {
+        let since = self.succession().no_new_jobs_since(self.successor());
+        since.is_some_and(|since| self.shared.now() > since)
+    }
+
+    /// Returns the voters that are to be recorded, if they have changed.  They stay as they are while
+    /// a former owner may go by them.
+    pub(super) fn changed_voters(&self) -> Option<Voters> {
+        if self.former_owners().is_some() {
+            return None;
+        }
+        let now = self.shared.now();
+        let chosen = Voters::choose(&self.shared.name, &self.shared.members());
+        let mut voters = self.voters();
+        let is_due = voters.recorded.is_none() || now >= voters.sent_at + VOTERS_INTERVAL;
+        if voters.pending.is_none() && (!is_due || voters.recorded.as_ref() == Some(&chosen)) {
+            return None;
+        }
+        voters.sent_at = now;
+        let sent = voters.pending.get_or_insert(chosen);
+        Some(sent.clone())
+    }
+
+    /// Notes that the voters that were sent last are recorded.
+    pub(super) fn mark_voters_recorded(&self) {
+        let mut voters = self.voters();
+        if let Some(recorded) = voters.pending.take() {
+            voters.recorded = Some(recorded);
+        }
     }
 
     /// Applies the configuration in force to the core.
@@ -304,11 +390,20 @@
         }
     }
 
-    /// Adds an accepted job, whose row is durable, to the core.
-    pub fn accepted(&self, row: &JobRow) {
+    /// Adds an accepted job, whose row is durable, to the core.  Returns false if a successor may be
+    /// told of the job as well: the cell may have one unless the store or all voters have just
+    /// denied it.  The job is then read from the store once that answers.
+    pub fn accepted(&self, row: &JobRow) -> bool {
         let now = self.shared.now();
+        let exclusive_at = self.exclusive_at.load(Ordering::Relaxed);
+        if now.saturating_sub(exclusive_at) >= tuning::OWNER_STOP_TIME {
+            self.shared.metrics.event("job_not_taken_in");
+            tracing::info!(request = %row.id, "new job is left to the store");
+            return false;
+        }
         self.cell().accept(row, None, false, now);
         self.wake.notify_one();
+        true
     }
 
     /// Returns whether ends of jobs wait to be recorded, because the store fails or is slow.
@@ -405,7 +500,9 @@
         if outcome == CancelOutcome::Unknown {
             match loading::find_job(&self.shared, id).await {
                 Ok(Some(row)) => {
-                    self.accepted(&row);
+                    if !self.accepted(&row) {
+                        return NodeReply::Unavailable;
+                    }
                     if !self.may_see(request) {
                         return NodeReply::UnknownJob;
                     }
@@ -454,7 +551,11 @@
                     cell.set_evacuated_halls(halls);
                 }
                 cell.set_wall_clock(clock::unix_time());
+                cell.set_exclusive_at(self.exclusive_at.load(Ordering::Relaxed));
                 cell.tick(now);
+                if cell.awaits_confirmation(now) {
+                    self.confirm_needed.notify_one();
+                }
                 cell.schedule(now);
                 self.notify_unparked(&cell.take_unparked());
                 if cell.roster_version() != self.recorded_roster_version.load(Ordering::Relaxed) {
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crate::cell::tuning;
 use crate::node::cleaning::Cleaner;
 use crate::node::engine::Engine;
 use crate::node::loading::{self, JobRows};
@@ -134,7 +133,7 @@
                 cleaner.add_rows(&missing.rows);
                 unread = missing.unread;
             }
-            let former_owner_stopped = self.has_former_owner_stopped();
+            let is_alone = self.is_alone_with_new_jobs();
             let call = StoreCall::Changes {
                 table: Table::Jobs,
                 after,
@@ -146,7 +145,7 @@
                     self.apply_job_rows(&rows);
                     cleaner.add_rows(&rows);
                     self.cell()
-                        .set_has_unread_jobs(!(former_owner_stopped && unread.is_empty()));
+                        .set_has_unread_jobs(!(is_alone && unread.is_empty()));
                 }
                 Ok(_) => {
                     tracing::info!(
@@ -166,13 +165,6 @@
         }
     }
 
-    /// Returns whether the former owner has certainly stopped giving orders.  Until then it may
-    /// still be notified of new jobs and start their tasks, and a worker may report such a run
-    /// before this owner has read the job's row.
-    fn has_former_owner_stopped(&self) -> bool {
-        self.shared.now() > self.held_since + tuning::OWNER_STOP_TIME
-    }
-
     fn apply_job_rows(&self, rows: &[Row]) {
         for row in rows.iter().filter(|row| !row.dropped) {
             // The node that accepted a job has usually notified the owner of it.
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::node::roster_rows::RosterRows;
 use crate::node::shared::{CELL_PARTITION, JOB_PARTITIONS, Shared, job_partition};
+use crate::node::succession::{Succession, Voters};
 use crate::node::{halls, recording};
 use crate::store::{Row, StoreCall, StoreError, StoreReply, Table, Version};
 
@@ -33,6 +34,10 @@
     pub roster: RosterRows,
     /// The rows of jobs that were read.
     pub jobs: JobRows,
+    /// What is known of the former owners.
+    pub succession: Succession,
+    /// The recorded voters.
+    pub voters: Option<Voters>,
 }
 
 /// Reads all rows of a partition, with the version from which to follow changes.
@@ -180,8 +185,17 @@
     }
     // Even if all rows were read, the former owner may still be notified of new jobs for a while.
     cell.set_has_unread_jobs(true);
+    let voters = Voters::read(&former.0);
+    let succession = Succession::new(
+        recording::read_former_owners(&former.0, epoch),
+        voters.clone(),
+    );
+    if succession.former().is_some() {
+        cell.await_former_owners();
+    }
     tracing::info!(
         epoch,
+        former_owners = ?succession.former(),
         workers = cell.worker_keys().len(),
         jobs = jobs.rows.len(),
         unread = ?jobs.unread,
@@ -189,7 +203,13 @@
         version = jobs.version,
         "cell loaded"
     );
-    Ok(LoadedCell { cell, roster, jobs })
+    Ok(LoadedCell {
+        cell,
+        roster,
+        jobs,
+        succession,
+        voters,
+    })
 }
 
 /// The rows of jobs from those partitions that could be read.
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -70,6 +70,10 @@
     /// When the call was sent to which it last answered that it does not reach the store; zero if
     /// it has reported since that it does.
     pub no_store_asked: Millis,
+    /// When this start of its process was first heard.
+    pub boot_since: Millis,
+    /// What it last answered about the ownership; none if it has answered no call.
+    pub following: Option<Following>,
     /// The digest of its list of nodes, as it last reported.
     membership: u64,
     /// The number of the last change of its row.
@@ -93,6 +97,8 @@
             strength: 0,
             owner_silence: 0,
             no_store_asked: 0,
+            boot_since: 0,
+            following: None,
             membership: 0,
             changed: 0,
             sent_from: u64::MAX,
@@ -112,6 +118,19 @@
     }
 }
 
+/// What a node has answered about the ownership, the same in each answer of a span.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Following {
+    /// Identifies the start of its process.
+    pub boot: u64,
+    /// The highest epoch that it knows.
+    pub epoch: u64,
+    /// When the first of these answers was heard.
+    pub since: Millis,
+    /// When the call was sent to which the last of them was given.
+    pub until: Millis,
+}
+
 /// Where a report on a third node comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -181,7 +200,10 @@
         let Some(member) = self.known.get_mut(&beat.name) else {
             return refused;
         };
-        member.boot = beat.boot;
+        if member.boot != beat.boot {
+            member.boot = beat.boot;
+            member.boot_since = now;
+        }
         member.last_heard = now;
         member.reaches_store = beat.reaches_store;
         if beat.reaches_store {
@@ -200,8 +222,23 @@
     /// time of sending counts, since the time of arrival does not show when the answer was given:
     /// this process may have been suspended meanwhile.
     pub fn note_store_answer(&mut self, name: &str, asked: Millis) {
-        if let Some(member) = self.known.get_mut(name) {
-            member.no_store_asked = if member.reaches_store { 0 } else { asked };
+        let Some(member) = self.known.get_mut(name) else {
+            return;
+        };
+        member.no_store_asked = if member.reaches_store { 0 } else { asked };
+        let (boot, epoch) = (member.boot, member.epoch);
+        match &mut member.following {
+            Some(known) if known.boot == boot && known.epoch == epoch => {
+                known.until = known.until.max(asked);
+            }
+            following => {
+                *following = Some(Following {
+                    boot,
+                    epoch,
+                    since: member.last_heard,
+                    until: asked,
+                });
+            }
         }
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -35,4 +35,5 @@
 pub mod shared;
 pub mod status;
 pub mod store_latency;
+pub mod succession;
 pub mod summary;
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -15,6 +15,7 @@
 use crate::node::engine::Engine;
 use crate::node::roster_rows::RosterWrite;
 use crate::node::shared::CELL_PARTITION;
+use crate::node::succession::{FormerOwners, Voters};
 use crate::store::{self, Row, RowKey, StoreCall, StoreError, StoreReply, Table, Transaction};
 
 /// The key of the ownership row.
@@ -33,7 +34,7 @@
 /// and some rows of the roster.
 pub(super) const MAX_JOBS: usize = 80;
 /// The most rows of jobs and of the roster in a transaction.  The rest of the 100 is for the
-/// ownership row, its expected version and the row of leases that a release writes.
+/// ownership row, its expected version, the voters and the row of leases that a release writes.
 const MAX_ROWS: usize = 96;
 /// The most rows of the roster in a transaction, so that there is room for jobs beside them.
 const MAX_ROSTER_ROWS: usize = 48;
@@ -57,6 +58,9 @@
     pub batch: u64,
     /// The owner has given the cell up.
     pub released: bool,
+    /// Owners before this one that may still act; none if all are known to have stopped.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub former_owners: Option<FormerOwners>,
 }
 
 impl OwnerRow {
@@ -119,7 +123,8 @@
         let batch = self
             .cell()
             .take_batch(max_jobs.min(MAX_ROWS - workers.rows()));
-        if batch.rows.is_empty() && workers.rows() == 0 && !release {
+        let voters = self.changed_voters();
+        if batch.rows.is_empty() && workers.rows() == 0 && voters.is_none() && !release {
             self.max_jobs.store(MAX_JOBS, Ordering::Relaxed);
             self.mark_roster_written(roster, &workers);
             if !batch.ends.is_empty() || !batch.ended_lives.is_empty() {
@@ -129,6 +134,9 @@
         }
         let number = row.1 + 1;
         let mut tx = self.build_transaction(&batch, number, &workers, release);
+        if let Some(voters) = &voters {
+            tx.puts.push((Voters::key(), store::encode(voters)));
+        }
         if release {
             let leases = self.cell().seal_silent(self.shared.now());
             tx.puts
@@ -184,6 +192,9 @@
         }
         self.stalled.store(false, Ordering::Relaxed);
         self.max_jobs.store(MAX_JOBS, Ordering::Relaxed);
+        if voters.is_some() {
+            self.mark_voters_recorded();
+        }
         self.mark_roster_written(roster, &workers);
         self.apply_recorded(batch);
     }
@@ -261,6 +272,7 @@
             epoch: self.epoch,
             batch: number,
             released: release,
+            former_owners: self.former_owners(),
         };
         tx.puts.push((OwnerRow::key(), owner.write()));
         tx.puts.extend(workers.puts.iter().cloned());
@@ -305,6 +317,13 @@
     }
 }
 
+/// Returns which former owners may still act, as the claim under `epoch` says.
+pub fn read_former_owners(rows: &[Row], epoch: u64) -> Option<FormerOwners> {
+    let row = rows.iter().find(|row| row.key == OWNER_KEY)?;
+    let owner = OwnerRow::read(row).filter(|owner| owner.epoch == epoch)?;
+    owner.former_owners
+}
+
 fn remaining_leases_key() -> RowKey {
     RowKey::new(Table::Cells, CELL_PARTITION, REMAINING_LEASES_KEY)
 }
--- a/tests/confirming.rs
+++ b/tests/confirming.rs
@@ -29,6 +29,8 @@
     node.shared.set_engine(Some(Arc::clone(&engine)));
     let bench = Bench { node, engine };
     bench.receive_heartbeats(relays);
+    // Until the nodes whose answers count are recorded.
+    tokio::time::sleep(Duration::from_millis(500)).await;
     bench
 }
 
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -112,11 +112,9 @@
     assert!((strong + 250..strong + 600).contains(&weak), "{weak}");
 }
 
-/// A weak owner that receives heartbeats of a peer of this strength, in millicores, for 5 s.
-async fn owner_that_hears_peer(strength: u32) -> VirtualNode {
-    let node = virtual_node_with_millicores(100, &[]);
-    time_to_claim(&node).await;
-    for _ in 0..50 {
+/// The node receives heartbeats of a peer of this strength, in millicores, for `seconds`.
+async fn hear_peer(node: &VirtualNode, strength: u32, seconds: u64) {
+    for _ in 0..10 * seconds {
         node.shared.apply_heartbeat(&Heartbeat {
             strength,
             epoch: tuning::next_epoch(0),
@@ -124,6 +122,13 @@
         });
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
+}
+
+/// A weak owner that receives heartbeats of a peer of this strength, in millicores, for 5 s.
+async fn owner_that_hears_peer(strength: u32) -> VirtualNode {
+    let node = virtual_node_with_millicores(100, &[]);
+    time_to_claim(&node).await;
+    hear_peer(&node, strength, 5).await;
     node
 }
 
@@ -158,21 +163,15 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_owner_that_does_not_know_whether_it_released_the_cell_does_not_go_on() {
-    // Arrange: an owner that has not yet noticed that the store no longer answers.
+    // Arrange: an owner that has not yet noticed that the store no longer answers, with nothing left
+    // to record.
     let node = virtual_node_with_millicores(100, &[]);
     time_to_claim(&node).await;
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    hear_peer(&node, 100, 3).await;
     node.faulty_store.silent.store(true, Ordering::Relaxed);
 
-    // Act: the owner receives heartbeats of a far stronger node for 5 s.
-    for _ in 0..50 {
-        node.shared.apply_heartbeat(&Heartbeat {
-            strength: 500,
-            epoch: tuning::next_epoch(0),
-            ..heartbeat_after_start()
-        });
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
+    // Act: the other node is far stronger now.
+    hear_peer(&node, 500, 5).await;
 
     // Assert: the transaction that releases the cell may or may not have been committed.
     assert!(node.shared.engine().is_none());
@@ -181,6 +180,7 @@
 /// The node hears the peer `n1` as owner under `epoch`, and then that it has released the cell.
 fn another_node_releases_cell(node: &VirtualNode, epoch: u64) {
     let row = OwnerRow {
+        former_owners: None,
         name: String::from("n1"),
         address: String::from("127.0.0.1:1"),
         boot: 1,
--- /dev/null
+++ b/tests/split_cell/mod.rs
@@ -0,0 +1,432 @@
+//! Fixture: a cell of seven nodes and eight workers in virtual time, in which single paths between
+//! nodes, to workers and to the store can be cut, and nodes be killed and started again.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
+
+use crossweir::cell::name::TaskName;
+use crossweir::cell::options::Options;
+use crossweir::cell::order::{
+    EndKind, PollFailure, PollOrder, PollReport, Refusal, StartOrder, StartOutcome, StopOrder,
+};
+use crossweir::cell::record::JobRow;
+use crossweir::clock::{Clock, Millis};
+use crossweir::embedded::JsonDecoder;
+use crossweir::embedded::store::MemoryStore;
+use crossweir::embedded::worker::{MemoryWorkers, RunRecord};
+use crossweir::metrics::Metrics;
+use crossweir::node::front::Frontend;
+use crossweir::node::links::Workers;
+use crossweir::node::load::Load;
+use crossweir::node::shared::{Identity, Links, Shared, job_partition};
+use crossweir::node::{configuration as settings, election, freshness};
+use crossweir::rpc::PeerError;
+use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply, NodeService};
+use crossweir::store::{
+    RowKey, Store, StoreCall, StoreError, StoreReply, Table, Transaction, encode,
+};
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::cell_core::{configuration, job, queue, step, worker};
+use crate::virtual_node::RuntimeClock;
+
+pub const NODES: usize = 7;
+pub const WORKERS: u16 = 8;
+/// The delay of a message in one direction.
+const DELAY: Duration = Duration::from_millis(1);
+/// How long a call to a worker that is cut off takes to fail.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How the store treats a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreState {
+    Serves,
+    TurnsAway,
+    Silent,
+}
+
+/// Which paths are cut.
+struct Paths {
+    nodes: BTreeSet<(usize, usize)>,
+    workers: BTreeSet<(usize, u16)>,
+    store: [StoreState; NODES],
+}
+
+/// What all nodes share: the paths, and the processes by their nodes' numbers.
+pub struct World {
+    paths: Mutex<Paths>,
+    fronts: Mutex<BTreeMap<usize, Weak<Frontend>>>,
+    store: Arc<MemoryStore>,
+    workers: MemoryWorkers,
+}
+
+impl World {
+    fn paths(&self) -> MutexGuard<'_, Paths> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn front(&self, node: usize) -> Option<Arc<Frontend>> {
+        let fronts = self.fronts.lock().unwrap_or_else(PoisonError::into_inner);
+        fronts.get(&node).and_then(Weak::upgrade)
+    }
+
+    fn is_node_cut(&self, from: usize, to: usize) -> bool {
+        self.paths().nodes.contains(&(from, to))
+    }
+
+    fn is_worker_cut(&self, node: usize, id: &str) -> bool {
+        let number = id.trim_start_matches('w').parse().expect("a worker's id");
+        self.paths().workers.contains(&(node, number))
+    }
+
+    /// Makes a call from one node to another; it fails if either direction is cut.
+    pub async fn call(
+        &self,
+        from: usize,
+        to: usize,
+        call: NodeCall,
+        timeout: Millis,
+    ) -> Result<NodeReply, PeerError> {
+        let exchange = async {
+            tokio::time::sleep(DELAY).await;
+            if self.is_node_cut(from, to) || self.is_node_cut(to, from) {
+                std::future::pending::<()>().await;
+            }
+            let front = self.front(to).ok_or(PeerError::NotSent)?;
+            let reply = front.serve(call).await;
+            tokio::time::sleep(DELAY).await;
+            if self.is_node_cut(to, from) {
+                std::future::pending::<()>().await;
+            }
+            Ok(reply)
+        };
+        let limit = Duration::from_millis(timeout);
+        let reply = tokio::time::timeout(limit, exchange).await;
+        reply.unwrap_or(Err(PeerError::Unanswered))
+    }
+}
+
+/// The world as one node sees it.
+struct View {
+    node: usize,
+    world: Arc<World>,
+}
+
+impl Store for View {
+    fn call(&self, call: StoreCall) -> BoxFuture<'_, Result<StoreReply, StoreError>> {
+        async move {
+            tokio::time::sleep(DELAY).await;
+            let state = self.world.paths().store[self.node];
+            match state {
+                StoreState::Serves => self.world.store.call(call).await,
+                StoreState::TurnsAway => Err(StoreError::Unavailable),
+                StoreState::Silent => {
+                    tokio::time::sleep(Duration::from_millis(1_200)).await;
+                    Err(StoreError::Unanswered)
+                }
+            }
+        }
+        .boxed()
+    }
+}
+
+impl NodeLink for View {
+    fn call(
+        &self,
+        address: SocketAddr,
+        call: NodeCall,
+        timeout: Millis,
+    ) -> BoxFuture<'_, Result<NodeReply, PeerError>> {
+        let to = usize::from(address.port());
+        self.world.call(self.node, to, call, timeout).boxed()
+    }
+}
+
+impl Workers for View {
+    fn start<'a>(&'a self, order: &'a StartOrder) -> BoxFuture<'a, (StartOutcome, Option<Millis>)> {
+        async move {
+            if self.world.is_worker_cut(self.node, &order.to.life.id) {
+                tokio::time::sleep(ORDER_TIMEOUT).await;
+                return (StartOutcome::Unanswered, None);
+            }
+            self.world.workers.start(order).await
+        }
+        .boxed()
+    }
+
+    fn stop<'a>(&'a self, order: &'a StopOrder) -> BoxFuture<'a, Result<(), Option<Refusal>>> {
+        async move {
+            if self.world.is_worker_cut(self.node, &order.to.life.id) {
+                tokio::time::sleep(ORDER_TIMEOUT).await;
+                return Err(None);
+            }
+            self.world.workers.stop(order).await
+        }
+        .boxed()
+    }
+
+    fn poll<'a>(&'a self, order: &'a PollOrder) -> BoxFuture<'a, Result<PollReport, PollFailure>> {
+        async move {
+            if self.world.is_worker_cut(self.node, &order.to.life.id) {
+                tokio::time::sleep(ORDER_TIMEOUT).await;
+                return Err(PollFailure::Unanswered);
+            }
+            let answer = self.world.workers.poll(order).await;
+            match self.world.is_worker_cut(self.node, &order.to.life.id) {
+                true => Err(PollFailure::Unanswered),
+                false => answer,
+            }
+        }
+        .boxed()
+    }
+}
+
+struct Process {
+    front: Arc<Frontend>,
+    tasks: Vec<AbortHandle>,
+}
+
+/// The cell.
+pub struct SplitCell {
+    pub world: Arc<World>,
+    clock: Arc<dyn Clock>,
+    processes: BTreeMap<usize, Process>,
+    boots: u64,
+    jobs: u64,
+}
+
+fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], node as u16))
+}
+
+impl SplitCell {
+    /// Starts all nodes, and waits until one of them owns the cell and has settled.
+    pub async fn settled() -> Self {
+        let clock: Arc<dyn Clock> = Arc::new(RuntimeClock(Instant::now()));
+        let store = MemoryStore::default();
+        let mut tx = Transaction::default();
+        for number in 0..WORKERS {
+            let entry = worker(number);
+            let key = RowKey::new(Table::Workers, "", &entry.life.id);
+            tx.puts.push((key, encode(&entry)));
+        }
+        store.commit(&tx);
+        let ids = (0..WORKERS).map(|number| format!("w{number}"));
+        let world = World {
+            paths: Mutex::new(Paths {
+                nodes: BTreeSet::new(),
+                workers: BTreeSet::new(),
+                store: [StoreState::Serves; NODES],
+            }),
+            fronts: Mutex::default(),
+            store: Arc::new(store),
+            workers: MemoryWorkers::new(Arc::clone(&clock), ids),
+        };
+        let mut cell = Self {
+            world: Arc::new(world),
+            clock,
+            processes: BTreeMap::new(),
+            boots: 0,
+            jobs: 0,
+        };
+        for node in 0..NODES {
+            cell.start(node);
+        }
+        pass(5_000).await;
+        assert_eq!(cell.owners().len(), 1, "one node owns the cell");
+        cell
+    }
+
+    /// Starts a node that does not run.
+    pub fn start(&mut self, node: usize) {
+        if self.processes.contains_key(&node) {
+            return;
+        }
+        self.boots += 1;
+        let view = Arc::new(View {
+            node,
+            world: Arc::clone(&self.world),
+        });
+        let links = Links {
+            store: view.clone(),
+            workers: view.clone(),
+            advisor: None,
+            decoder: Arc::new(JsonDecoder),
+            peers: view,
+        };
+        let identity = Identity {
+            name: format!("n{node}"),
+            boot: self.boots,
+            address: address(node),
+        };
+        let seeds = (0..NODES).map(address).collect();
+        let metrics = Metrics::new().expect("collectors");
+        let shared = Shared::new(
+            identity,
+            seeds,
+            Arc::clone(&self.clock),
+            Load::new(500),
+            metrics,
+            links,
+            Options::default(),
+        );
+        let config = configuration(&[queue("q", 0)]);
+        shared.adopt_config((*config).clone(), freshness::Source::Local);
+        let front = Arc::new(Frontend::new(Arc::clone(&shared)));
+        let mut fronts = self.world.fronts.lock().expect("nodes");
+        fronts.insert(node, Arc::downgrade(&front));
+        drop(fronts);
+        let tasks = vec![
+            tokio::spawn(Arc::clone(&shared).probe_store()).abort_handle(),
+            tokio::spawn(election::register(Arc::clone(&shared))).abort_handle(),
+            tokio::spawn(election::run(Arc::clone(&shared))).abort_handle(),
+            tokio::spawn(settings::follow(Arc::clone(&shared))).abort_handle(),
+            tokio::spawn(settings::follow_members(shared)).abort_handle(),
+        ];
+        self.processes.insert(node, Process { front, tasks });
+    }
+
+    /// Kills a node.
+    pub fn kill(&mut self, node: usize) {
+        let Some(process) = self.processes.remove(&node) else {
+            return;
+        };
+        self.world.fronts.lock().expect("nodes").remove(&node);
+        for task in &process.tasks {
+            task.abort();
+        }
+        if let Some(engine) = process.front.shared.engine() {
+            engine.retire("killed");
+        }
+    }
+
+    /// Kills all nodes, so that they take no time of later worlds.
+    pub fn end(&mut self) {
+        (0..NODES).for_each(|node| self.kill(node));
+    }
+
+    pub fn runs(&self, node: usize) -> bool {
+        self.processes.contains_key(&node)
+    }
+
+    /// The nodes that say they own the cell.
+    pub fn owners(&self) -> Vec<usize> {
+        let owns = |process: &Process| process.front.shared.engine().is_some();
+        let owners = self.processes.iter().filter(|(_, process)| owns(process));
+        owners.map(|(&node, _)| node).collect()
+    }
+
+    /// The nodes that own the cell and may give orders.
+    pub fn active_owners(&self) -> Vec<usize> {
+        let is_active = |process: &Process| {
+            let engine = process.front.shared.engine();
+            engine.is_some_and(|engine| engine.is_active())
+        };
+        let active = self
+            .processes
+            .iter()
+            .filter(|(_, process)| is_active(process));
+        active.map(|(&node, _)| node).collect()
+    }
+
+    /// Hands a job of equal tasks in at a node, which tells the owner that it knows.  Returns the
+    /// id, or none if the node runs not or does not reach the store.
+    pub async fn submit(&mut self, node: usize, tasks: u32, time: Millis) -> Option<u64> {
+        let serves = self.world.paths().store[node] == StoreState::Serves;
+        let process = self.processes.get(&node).filter(|_| serves)?;
+        self.jobs += 1;
+        let mut row: JobRow = job(self.jobs, &queue("q", 0), vec![step(tasks, 8_000)]);
+        row.spec.text = time.to_string();
+        let mut tx = Transaction::default();
+        let key = RowKey::new(Table::Jobs, &job_partition(node), &row.id.to_string());
+        tx.puts.push((key, encode(&row)));
+        self.world.store.commit(&tx);
+        let owner = process.front.shared.owner().address;
+        if let Some(owner) = owner {
+            let body = serde_json::to_vec(&row).expect("JSON");
+            let owner = usize::from(owner.port());
+            let told = self.world.call(node, owner, NodeCall::Accepted(body), 600);
+            // An owner that is not told finds the row by itself.
+            let _ = told.await;
+        }
+        Some(self.jobs)
+    }
+
+    /// Sets how the store treats these nodes.
+    pub fn set_store(&self, nodes: &[usize], state: StoreState) {
+        for &node in nodes {
+            self.world.paths().store[node] = state;
+        }
+    }
+
+    /// Cuts all paths between the nodes of two sides.
+    pub fn part(&self, near: &[usize], far: &[usize]) {
+        let mut paths = self.world.paths();
+        for &a in near {
+            for &b in far {
+                paths.nodes.extend([(a, b), (b, a)]);
+            }
+        }
+    }
+
+    /// Cuts the paths from these nodes to these workers.
+    pub fn cut_workers(&self, nodes: &[usize], workers: impl Iterator<Item = u16> + Clone) {
+        for &node in nodes {
+            let cuts = workers.clone().map(|worker| (node, worker));
+            self.world.paths().workers.extend(cuts);
+        }
+    }
+
+    /// Makes all paths whole again.
+    pub fn heal(&self) {
+        let mut paths = self.world.paths();
+        paths.nodes.clear();
+        paths.workers.clear();
+        paths.store = [StoreState::Serves; NODES];
+    }
+
+    /// All runs by task, in the order of their beginnings.
+    pub fn history(&self) -> BTreeMap<TaskName, Vec<RunRecord>> {
+        let mut by_task: BTreeMap<TaskName, Vec<RunRecord>> = BTreeMap::new();
+        for run in self.world.workers.history() {
+            by_task.entry(run.task).or_default().push(run);
+        }
+        for runs in by_task.values_mut() {
+            runs.sort_by_key(|run| run.began);
+        }
+        by_task
+    }
+
+    /// The runs that began while an earlier run of the same task was going on.
+    pub fn overlapping_runs(&self) -> Vec<(RunRecord, RunRecord)> {
+        let mut overlapping = Vec::new();
+        for runs in self.history().into_values() {
+            for pair in runs.windows(2) {
+                let ended = pair[0].ended.as_ref().map_or(Millis::MAX, |(at, _)| *at);
+                if ended > pair[1].began {
+                    overlapping.push((pair[0].clone(), pair[1].clone()));
+                }
+            }
+        }
+        overlapping
+    }
+
+    /// How many tasks of a job have a run that ended well.
+    pub fn done_tasks(&self, id: u64) -> usize {
+        let is_done = |run: &RunRecord| matches!(run.ended, Some((_, EndKind::Done)));
+        let history = self.history();
+        let of_job = history.iter().filter(|(task, _)| task.step.job.0 == id);
+        of_job.filter(|(_, runs)| runs.iter().any(is_done)).count()
+    }
+}
+
+/// Lets virtual time pass.
+pub async fn pass(time: Millis) {
+    tokio::time::sleep(Duration::from_millis(time)).await;
+}
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -142,6 +142,11 @@
             let body = match call {
                 NodeCall::Relay(body) => body,
                 NodeCall::ConfigurationPiece(request) => return Ok(self.piece(&request)),
+                NodeCall::Beat(beat) if relay == Relay::Away => {
+                    return Ok(NodeReply::Beat(Box::new(away_heartbeat(
+                        address, beat.epoch,
+                    ))));
+                }
                 NodeCall::Write(rows) if relay == Relay::Works => {
                     self.written.fetch_add(rows.len(), Ordering::Relaxed);
                     return Ok(NodeReply::Written(vec![
@@ -183,6 +188,18 @@
     }
 }
 
+/// The heartbeat with which the peer at an address answers one of the owner, if it does not reach
+/// the store.
+fn away_heartbeat(address: SocketAddr, epoch: u64) -> Heartbeat {
+    Heartbeat {
+        name: format!("n{}", address.port()),
+        boot: 1,
+        address: address.to_string(),
+        epoch,
+        ..Heartbeat::default()
+    }
+}
+
 impl Peers {
     fn piece(&self, request: &PieceRequest) -> NodeReply {
         let version = self.configuration.load(Ordering::Relaxed);
@@ -359,6 +376,7 @@
 /// Writes an ownership row that names `name`; returns the version of the row.
 pub fn claim(store: &MemoryStore, name: &str, boot: u64, epoch: u64) -> u64 {
     let row = OwnerRow {
+        former_owners: None,
         name: name.to_owned(),
         address: String::from("127.0.0.1:100"),
         boot,
