An owner that may have a successor takes in no jobs from the store either

What callers see: a job that the successor has begun runs a second time beside it.

Cause: an owner that neither the store nor all voters had confirmed refused jobs that it was told of, but still took in those that it read as changes of the store. When the store serves it again, or serves the partitions of jobs and not the cell's own, it reads jobs before the row that names its successor.

Random worlds have a store without the cell's partition.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -394,18 +394,24 @@
     /// told of the job as well: the cell may have one unless the store or all voters have just
     /// denied it.  The job is then read from the store once that answers.
     pub fn accepted(&self, row: &JobRow) -> bool {
-        let now = self.shared.now();
-        let exclusive_at = self.exclusive_at.load(Ordering::Relaxed);
-        if now.saturating_sub(exclusive_at) >= tuning::OWNER_STOP_TIME {
+        if !self.may_take_in_jobs() {
             self.shared.metrics.event("job_not_taken_in");
             tracing::info!(request = %row.id, "new job is left to the store");
             return false;
         }
+        let now = self.shared.now();
         self.cell().accept(row, None, false, now);
         self.wake.notify_one();
         true
     }
 
+    /// Returns whether the store or all voters have confirmed the ownership of late, so that no
+    /// successor takes jobs for new that this owner may be told of.
+    pub(super) fn may_take_in_jobs(&self) -> bool {
+        let exclusive_at = self.exclusive_at.load(Ordering::Relaxed);
+        self.shared.now().saturating_sub(exclusive_at) < tuning::OWNER_STOP_TIME
+    }
+
     /// Returns whether ends of jobs wait to be recorded, because the store fails or is slow.
     pub fn is_stalled(&self) -> bool {
         self.stalled.load(Ordering::Relaxed)
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -127,8 +127,14 @@
         cleaner.add_ended(self.cell().ended_under_former_owner(), self.shared.now());
         loop {
             tokio::time::sleep(JOBS_POLL).await;
+            if !self.may_take_in_jobs() {
+                continue;
+            }
             if !unread.is_empty() {
                 let missing = loading::list_job_partitions(&self.shared, &unread).await;
+                if !self.may_take_in_jobs() {
+                    continue;
+                }
                 self.apply_job_rows(&missing.rows);
                 cleaner.add_rows(&missing.rows);
                 unread = missing.unread;
@@ -140,6 +146,8 @@
                 wait: 0,
             };
             match self.shared.store(call).await {
+                // The rows are read again if a successor may have read them as well.
+                Ok(_) if !self.may_take_in_jobs() => continue,
                 Ok(StoreReply::Rows { rows, version, .. }) => {
                     after = version.max(after);
                     self.apply_job_rows(&rows);
@@ -153,6 +161,9 @@
                         "store no longer has the changes of jobs; listing all"
                     );
                     let jobs = loading::list_jobs(&self.shared).await;
+                    if !self.may_take_in_jobs() {
+                        continue;
+                    }
                     self.apply_job_rows(&jobs.rows);
                     cleaner.add_rows(&jobs.rows);
                     unread = jobs.unread;
--- a/tests/split_cell/mod.rs
+++ b/tests/split_cell/mod.rs
@@ -21,7 +21,7 @@
 use crossweir::node::front::Frontend;
 use crossweir::node::links::Workers;
 use crossweir::node::load::Load;
-use crossweir::node::shared::{Identity, Links, Shared, job_partition};
+use crossweir::node::shared::{CELL_PARTITION, Identity, Links, Shared, job_partition};
 use crossweir::node::{configuration as settings, election, freshness};
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply, NodeService};
@@ -49,6 +49,8 @@
     Serves,
     TurnsAway,
     Silent,
+    /// It serves all partitions but the cell's own.
+    LacksCell,
 }
 
 /// Which paths are cut.
@@ -124,7 +126,8 @@
             tokio::time::sleep(DELAY).await;
             let state = self.world.paths().store[self.node];
             match state {
-                StoreState::Serves => self.world.store.call(call).await,
+                StoreState::LacksCell if names_cell(&call) => Err(StoreError::Unavailable),
+                StoreState::Serves | StoreState::LacksCell => self.world.store.call(call).await,
                 StoreState::TurnsAway => Err(StoreError::Unavailable),
                 StoreState::Silent => {
                     tokio::time::sleep(Duration::from_millis(1_200)).await;
@@ -136,6 +139,18 @@
     }
 }
 
+/// Returns whether a call is for rows of the cell's own partition.
+fn names_cell(call: &StoreCall) -> bool {
+    match call {
+        StoreCall::List { partition, .. } => partition == CELL_PARTITION,
+        StoreCall::Commit(tx) => tx
+            .puts
+            .iter()
+            .any(|(key, _)| key.partition == CELL_PARTITION),
+        StoreCall::Changes { .. } => false,
+    }
+}
+
 impl NodeLink for View {
     fn call(
         &self,
--- a/tests/two_owners.rs
+++ b/tests/two_owners.rs
@@ -130,6 +130,32 @@
     cell.end();
 }
 
+/// An owner that reads jobs from the store, but not whether it still owns the cell, must not start
+/// what its successor has started.
+#[tokio::test(start_paused = true)]
+async fn a_former_owner_starts_no_job_of_its_successor_that_it_finds_in_the_store() {
+    // Arrange: a successor on the other side has begun a job.
+    let mut cell = SplitCell::settled().await;
+    let owner = cell.owners()[0];
+    let (near, far) = sides(&cell, 4);
+    cell.set_store(&near, StoreState::TurnsAway);
+    cell.part(&near, &far);
+    cell.cut_workers(&far, 0..4);
+    pass(5_000).await;
+    cell.submit(far[0], 4, 10_000).await.expect("a job");
+    pass(2_000).await;
+
+    // Act.
+    cell.set_store(&[owner], StoreState::LacksCell);
+    pass(5_000).await;
+
+    // Assert.
+    assert_eq!(cell.history().len(), 4, "tasks were started");
+    let twice = cell.overlapping_runs();
+    assert!(twice.is_empty(), "{:?}", twice[0]);
+    cell.end();
+}
+
 /// What is left of a cell must serve, however many nodes are lost for good, and must start the tasks
 /// of workers that were lost with them after a bounded time.
 #[tokio::test(start_paused = true)]
@@ -199,9 +225,10 @@
     let (near, far) = nodes.split_at(rng.random_range(1..=NODES));
     submit(cell, jobs, rng).await;
     pass(rng.random_range(100..2_000)).await;
-    let store = match rng.random_bool(0.3) {
-        true => StoreState::Silent,
-        false => StoreState::TurnsAway,
+    let store = match rng.random_range(0..10) {
+        0..3 => StoreState::Silent,
+        3 => StoreState::LacksCell,
+        _ => StoreState::TurnsAway,
     };
     cell.set_store(near, store);
     // Some nodes may still be reached by both sides.
