A scheduling round looks for places for a limited number of waiting steps

Cause: the bound of one job does not bound what thousands of jobs that come due together cost a round; a round that takes longer than a lease loses the cell, and the next owner meets the same.

Change: a round goes over 4,096 waiting steps at most, half of them in order, the others in turns, so that work which could start is not kept from it by work in front that finds no room.

Cells with fewer waiting steps decide as before.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -238,6 +238,9 @@
     ledger: Ledger,
     /// Steps with unfinished tasks, in the order in which they were added.
     open_steps: Vec<StepKey>,
+    /// Which waiting steps behind the first ones are considered next, if they are too many for one
+    /// round.
+    next_turn: usize,
     /// The lanes to the advice service, each with the kind of question that it carries at present.
     lanes: Vec<advice::Lane>,
     /// How far callers' estimates of run times are off, by the queue's name.
@@ -329,6 +332,7 @@
             held_millicores: BTreeMap::new(),
             ledger: Ledger::default(),
             open_steps: Vec::new(),
+            next_turn: 0,
             lanes: Vec::new(),
             last_overdue_question: 0,
             longest_kept: None,
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -7,7 +7,7 @@
 use crate::cell::start::Placement;
 use crate::cell::urgency::RemainingWork;
 use crate::cell::wait::WaitReason;
-use crate::cell::{Cell, RunKey, StepKey};
+use crate::cell::{Cell, RunKey, StepKey, tuning};
 use crate::clock::Millis;
 
 impl Cell {
@@ -48,7 +48,7 @@
         order.sort_unstable();
         self.order_by_shares(&mut order, now);
         let mut round = Round::new(now);
-        for step in order {
+        for step in self.take_turns(order) {
             let Some((mut reason, tasks)) = self.schedule_step(step.key, &mut round) else {
                 continue;
             };
@@ -68,6 +68,20 @@
         self.waiting = round.waiting;
     }
 
+    /// Limits a round to [`tuning::MAX_STEPS_PER_ROUND`] waiting steps, so that the owner answers
+    /// others in between: the first ones, and as many of the rest, which take turns.
+    fn take_turns(&mut self, order: Vec<OrderedStep>) -> Vec<OrderedStep> {
+        if order.len() <= tuning::MAX_STEPS_PER_ROUND {
+            return order;
+        }
+        let half = tuning::MAX_STEPS_PER_ROUND / 2;
+        let (first, rest) = order.split_at(half);
+        let start = self.next_turn % rest.len();
+        self.next_turn = start + half;
+        let turns = rest.iter().cycle().skip(start).take(half);
+        first.iter().chain(turns).copied().collect()
+    }
+
     /// Starts the tasks of a step that can start now; returns why the others wait, and how many.
     fn schedule_step(&mut self, key: StepKey, round: &mut Round) -> Option<(WaitReason, usize)> {
         let waiting: Vec<u32> = self.waiting_tasks(key, round.now).collect();
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -91,6 +91,8 @@
 /// The most steps that reserve room in one scheduling round.  This bounds the work of a round when
 /// hundreds of steps wait; the steps behind these find little room anyway.
 pub const MAX_RESERVING_STEPS: usize = 32;
+/// The most waiting steps for which one scheduling round looks for places.
+pub const MAX_STEPS_PER_ROUND: usize = 4_096;
 /// How long a step is skipped after no workers to ask about were found for it, because the search
 /// examines every worker.  Urgent jobs have 0.9 s to spare.
 pub const ADVICE_SEARCH_INTERVAL: Millis = 20;
