Voters are chosen every 2 s, and confirmations have a least interval

Found by reading the diff: the set of voters was chosen anew before each transaction, 50 times a second over all nodes; and while a worker's lease waits for a confirmation that cannot be had, each round of 50 ms asked for one and logged the names of all supporters.

Change: the set is reviewed once in 2 s, attempts are at least 100 ms apart, and the log line tells numbers. tests/two_owners.rs, confirming, election, unconfirmed_owner, size: passed.

--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -19,15 +19,16 @@
 use crate::node::recording::{OWNER_KEY, OwnerRow};
 use crate::node::route;
 use crate::node::shared::CELL_PARTITION;
-use crate::node::succession::Share;
+use crate::node::succession::{Share, Voters};
 use crate::store::{StoreCall, StoreReply, Table};
 
 /// How often the owner checks how long ago its ownership was confirmed.
 const CONFIRM_POLL: Duration = Duration::from_millis(250);
 /// An ownership that was confirmed within this time, in milliseconds, is not confirmed again yet.
 const CONFIRM_AFTER: Millis = 700;
-/// The shortest time between two confirmations, in milliseconds, if one is needed at once.
-const MIN_CONFIRM_INTERVAL: Millis = 50;
+/// The shortest time between two attempts to confirm the ownership, in milliseconds, if that is needed
+/// at once.
+const MIN_CONFIRM_INTERVAL: Millis = 100;
 /// When the store has not answered for this long, the other nodes are asked as well.  A read takes
 /// 6 ms, and time spent waiting here is taken from the 2 s for which a confirmation lasts.
 const HEDGE_AFTER: Duration = Duration::from_millis(150);
@@ -52,17 +53,22 @@
 
 impl Engine {
     pub(super) async fn confirm_loop(self: Arc<Self>) {
+        let mut attempted = 0;
         loop {
             let needed = self.confirm_needed.notified();
             let is_needed = tokio::time::timeout(CONFIRM_POLL, needed).await.is_ok();
             let sent = self.shared.now();
-            let (last, interval) = match is_needed {
-                true => (&self.exclusive_at, MIN_CONFIRM_INTERVAL),
-                false => (&self.confirmed_at, CONFIRM_AFTER),
+            let is_due = match is_needed {
+                true => sent.saturating_sub(attempted) >= MIN_CONFIRM_INTERVAL,
+                false => {
+                    let confirmed_at = self.confirmed_at.load(Ordering::Relaxed);
+                    sent.saturating_sub(confirmed_at) >= CONFIRM_AFTER
+                }
             };
-            if sent.saturating_sub(last.load(Ordering::Relaxed)) < interval {
+            if !is_due {
                 continue;
             }
+            attempted = sent;
             let rows = self.collect_rows(sent).await;
             self.apply_rows(sent, &rows);
         }
@@ -114,7 +120,8 @@
         let share = self.voters().share_of(&names);
         match share {
             Share::Few => tracing::info!(
-                ?supporters,
+                supporters = supporters.len(),
+                voters = self.voters().recorded.as_ref().map(Voters::count),
                 active = self.is_active(),
                 "ownership is not confirmed"
             ),
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -265,15 +265,14 @@
             return None;
         }
         let now = self.shared.now();
-        let chosen = Voters::choose(&self.shared.name, &self.shared.members());
         let mut voters = self.voters();
-        let is_due = voters.recorded.is_none() || now >= voters.sent_at + VOTERS_INTERVAL;
-        if voters.pending.is_none() && (!is_due || voters.recorded.as_ref() == Some(&chosen)) {
-            return None;
+        let is_due = voters.recorded.is_none() || now >= voters.reviewed_at + VOTERS_INTERVAL;
+        if voters.pending.is_none() && is_due {
+            voters.reviewed_at = now;
+            let chosen = Voters::choose(&self.shared.name, &self.shared.members());
+            voters.pending = Some(chosen).filter(|chosen| voters.recorded.as_ref() != Some(chosen));
         }
-        voters.sent_at = now;
-        let sent = voters.pending.get_or_insert(chosen);
-        Some(sent.clone())
+        voters.pending.clone()
     }
 
     /// Notes that the voters that were sent last are recorded.
--- a/src/node/succession.rs
+++ b/src/node/succession.rs
@@ -99,6 +99,11 @@
         self.0.contains(&name_hash(name))
     }
 
+    /// The number of voters.
+    pub fn count(&self) -> usize {
+        self.0.len()
+    }
+
     /// Returns how many of the voters are among these nodes.
     pub fn share_of(&self, names: &BTreeSet<&str>) -> Share {
         let votes = names.iter().filter(|name| self.contains(name)).count();
@@ -118,8 +123,8 @@
     pub recorded: Option<Voters>,
     /// The set in a transaction without a known result.
     pub pending: Option<Voters>,
-    /// When a set was last sent.
-    pub sent_at: Millis,
+    /// When it was last looked whether the set has changed.
+    pub reviewed_at: Millis,
 }
 
 impl RecordedVoters {
