--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -33,8 +33,8 @@
 /// 6 ms, and time spent waiting here is taken from the 2 s for which a confirmation lasts.
 const HEDGE_AFTER: Duration = Duration::from_millis(150);
 /// What a node has said in answer to a heartbeat sent within this time counts, so that it need not be
-/// asked: whether it reaches the store, and whether it knows of a successor.  The time, in milliseconds, is the interval of heartbeats and the time
-/// limit of their answers.
+/// asked: whether it reaches the store, and whether it knows of a successor.  The time, in
+/// milliseconds, is the interval of heartbeats and the time limit of their answers.
 const RECENT_ANSWER: Millis = heartbeat::DEFAULT_INTERVAL + heartbeat::HEARTBEAT_TIMEOUT;
 /// Time limit for one read of the ownership row, in milliseconds: a slow store takes 400 ms.
 const READ_LIMIT: Millis = 700;
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -217,8 +217,8 @@
 }
 
 /// Checks that the owner performs several times a second beside its heartbeats: updates which
-/// nodes' connections to the advice service can be used, looks whether former owners have stopped, and gives the cell up if another node is
-/// far stronger.
+/// nodes' connections to the advice service can be used, looks whether former owners have stopped,
+/// and gives the cell up if another node is far stronger.
 pub(super) async fn review_ownership(shared: &Arc<Shared>) {
     let Some(engine) = shared.engine() else {
         return;
