An owner is confirmed as of the time at which it read its row, not as of the end of the load

Cause: a new owner took the end of the load, which may take seconds on a slow store, for a confirmation. A node may have claimed the cell meanwhile, so the former owner ordered for longer after that claim than its successor assumes.

Change: what counts is the time before the rows are read, which hold the ownership; a confirmation is asked for at once. Test: an_owner_that_loads_the_cell_slowly_is_not_confirmed_by_ the_end_of_the_load; it failed before the change.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -115,6 +115,8 @@
         epoch: u64,
         version: Version,
     ) -> Result<Arc<Self>, crate::store::StoreError> {
+        // The row of ownership is read with the others.  A node may have claimed the cell since.
+        let read_at = shared.now();
         let loaded = loading::load(shared, epoch).await?;
         let engine = Arc::new(Self {
             epoch,
@@ -135,8 +137,8 @@
             retired: AtomicBool::new(false),
             releasing: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
-            confirmed_at: AtomicU64::new(shared.now()),
-            exclusive_at: AtomicU64::new(shared.now()),
+            confirmed_at: AtomicU64::new(read_at),
+            exclusive_at: AtomicU64::new(read_at),
             voters: Mutex::new(RecordedVoters {
                 recorded: loaded.voters,
                 ..RecordedVoters::default()
@@ -151,6 +153,7 @@
         engine.spawn(Arc::clone(&engine).schedule_loop());
         engine.spawn(Arc::clone(&engine).record_loop());
         engine.spawn(Arc::clone(&engine).confirm_loop());
+        engine.confirm_needed.notify_one();
         engine.spawn(Arc::clone(&engine).workers_loop());
         engine.spawn(Arc::clone(&engine).jobs_loop(loaded.jobs));
         engine.spawn(Arc::clone(&engine).policy_loop());
--- a/tests/confirming.rs
+++ b/tests/confirming.rs
@@ -122,3 +122,21 @@
         "none of the nodes that answer can claim the cell"
     );
 }
+
+/// Another node may claim the cell while its owner still loads it; that owner must not order for as
+/// long after the load as after a confirmation.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_loads_the_cell_slowly_is_not_confirmed_by_the_end_of_the_load() {
+    // Arrange.
+    let node = virtual_node(&[]);
+    let version = claim(&node.store, "n0", 7, 1);
+    node.faulty_store.delay.store(3_000, Ordering::Relaxed);
+
+    // Act.
+    let engine = Engine::start(&node.shared, 1, version).await;
+    let engine = engine.expect("the cell loads");
+    let is_active = engine.is_active();
+
+    // Assert.
+    assert!(!is_active, "its row was read 3 s ago");
+}
