--- a/src/cell/candidates.rs
+++ b/src/cell/candidates.rs
@@ -1,5 +1,6 @@
 //! The workers on which a waiting task can start now, best first.
 
+use crate::cell::health::FailedWorkers;
 use crate::cell::job::StepRun;
 use crate::cell::round::Round;
 use crate::cell::speed::SpeedPreference;
@@ -195,14 +196,17 @@
     }
 }
 
-/// The best worker; the one to avoid is chosen only if there is no other.
+/// The best worker for a task; one on which the task, or another of its step, has failed is chosen only
+/// if there is no other.
 pub(super) fn best_worker(
     candidates: &[PlacementCandidate],
     avoid: Option<WorkerKey>,
+    failed: &FailedWorkers,
 ) -> Option<WorkerKey> {
-    candidates
-        .iter()
-        .find(|candidate| Some(candidate.worker) != avoid)
-        .or(candidates.first())
-        .map(|candidate| candidate.worker)
+    let workers = || candidates.iter().map(|candidate| candidate.worker);
+    let mut others = workers().filter(|&worker| Some(worker) != avoid);
+    let untried = others.clone().find(|&worker| !failed.include(worker));
+    untried
+        .or_else(|| others.next())
+        .or_else(|| workers().next())
 }
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::cell::health::FailedWorkers;
 use crate::cell::job::{Advice, EndedJob, Job, JobState, StepRun, Task};
 use crate::cell::name::StepName;
 use crate::cell::record::{JobProgress, JobRow};
@@ -141,6 +142,7 @@
                 advice: Advice::default(),
                 next_wake: 0,
                 run_times: RunTimes::default(),
+                failed_workers: FailedWorkers::default(),
             });
             keys.push(step_key);
             self.open_steps.push(step_key);
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cell::crash::Loss;
+use crate::cell::health::FailedWorkers;
 use crate::cell::name::{StepName, TaskName};
 use crate::cell::occurrences::Occurrences;
 use crate::cell::progress::RunProgress;
@@ -149,6 +150,8 @@
     pub next_wake: Millis,
     /// The times of the runs that have succeeded.
     pub run_times: RunTimes,
+    /// The workers on which runs have failed since one went well.
+    pub failed_workers: FailedWorkers,
 }
 
 impl StepRun {
@@ -214,8 +217,11 @@
     pub runs: Vec<RunKey>,
     /// The worker on which the task last failed or ran too slowly.
     pub avoid: Option<WorkerKey>,
-    /// The task is not started before this time, because a worker did not recognise its last start.
+    /// The task is not started before this time, because a worker did not recognise its last start,
+    /// or because it lasts and keeps failing.
     pub paused_until: Millis,
+    /// How many times in a row it has failed soon after its start, if it lasts.
+    pub early_failures: u8,
     /// How many runs of the task this owner has found to be slow.
     pub slow_runs: u32,
     /// Runs that were on a worker when it was lost, since the last run that ran well.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -20,6 +20,7 @@
 mod forecast;
 pub mod free_room;
 mod gang;
+pub mod health;
 pub mod intake;
 pub mod job;
 pub mod lapse;
--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -160,19 +160,6 @@
         error.worst_ratio = took.max(error.worst_ratio * tuning::ESTIMATE_ERROR_DECAY);
     }
 
-    /// Shuns a worker: nothing is placed on it for [`tuning::SHUN_TIME`], and then only one task
-    /// until a run there succeeds.
-    pub(super) fn shun(&mut self, key: WorkerKey, now: Millis) {
-        let worker = &mut self.workers[key];
-        worker.health.shunned_until = now + tuning::SHUN_TIME;
-        worker.health.on_trial = true;
-        tracing::info!(
-            worker = worker.entry.life.id,
-            failures = worker.health.failures,
-            "worker shunned"
-        );
-    }
-
     /// Stops the runs that would not end before their worker leaves, so that they start elsewhere.
     pub(super) fn stop_runs_outlasting_worker(&mut self, key: WorkerKey, now: Millis) {
         let worker = &self.workers[key];
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -5,7 +5,7 @@
 use crate::cell::membership::LostBy;
 use crate::cell::name::TaskName;
 use crate::cell::order::{EndEntry, EndKind, Refusal, StartOutcome};
-use crate::cell::{Cell, JobKey, Milestone, RunKey, StepKey, WorkerKey, tuning};
+use crate::cell::{Cell, JobKey, Milestone, RunKey, StepKey, WorkerKey, health, tuning};
 use crate::clock::Millis;
 
 impl Cell {
@@ -326,10 +326,13 @@
                 self.learn_speed(&run, now);
                 self.task_done(run.step, run.index, end.number, now);
             }
-            EndKind::Failed => self.task_failed(run.step, run.index, end.number, run.worker, now),
+            EndKind::Failed => {
+                self.pause_lasting_task(&run, now);
+                self.task_failed(run.step, run.index, end.number, run.worker, now);
+            }
             EndKind::Alone | EndKind::Broken | EndKind::Stopped | EndKind::Lapsed => {}
         }
-        self.update_health(run.worker, end.how, now);
+        self.update_health(&run, end.how, now);
         if end.how != EndKind::Done {
             self.stop_gang(run.step, now, "a member of the gang has ended");
         }
@@ -445,32 +448,28 @@
         }
     }
 
+    /// Has a lasting task that fails again and again soon after its start wait before the next one: its
+    /// starts cost others, and the room that it takes for a moment is lost to them.
+    fn pause_lasting_task(&mut self, run: &Run, now: Millis) {
+        let step = &mut self.steps[run.step];
+        if !step.step().lasting {
+            return;
+        }
+        let is_early = now.saturating_sub(run.began_at) < tuning::MIN_SOUND_RUN;
+        let task = &mut step.tasks[run.index as usize];
+        task.early_failures = match is_early {
+            true => task.early_failures.saturating_add(1),
+            false => 0,
+        };
+        task.paused_until = now + health::pause_after_failures(task.early_failures);
+    }
+
     /// Counts the failure of a run that this owner did not start, or has written off.
     pub(super) fn count_unknown_failure(&mut self, key: StepKey, end: &EndEntry, now: Millis) {
         let no_worker = WorkerKey::default();
         self.task_failed(key, end.task.index, end.number, no_worker, now);
     }
 
-    /// Updates the health of a worker by how a run ended there.
-    fn update_health(&mut self, key: WorkerKey, how: EndKind, now: Millis) {
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        match how {
-            EndKind::Done => {
-                worker.health.failures = 0;
-                worker.health.on_trial = false;
-            }
-            EndKind::Failed => {
-                worker.health.failures += 1;
-                if worker.health.failures >= tuning::MAX_CONSECUTIVE_FAILURES {
-                    self.shun(key, now);
-                }
-            }
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
-        }
-    }
-
     /// Writes off all runs on a worker that was lost without reporting their ends.
     pub(super) fn write_off(&mut self, key: WorkerKey, now: Millis) {
         if !self.workers[key].runs.is_empty() {
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -110,12 +110,13 @@
             if is_job_at_limit {
                 break;
             }
-            let task = &self.steps[key].tasks[index as usize];
+            let step = &self.steps[key];
+            let task = &step.tasks[index as usize];
             let trial = is_step_suspect || task.is_suspect();
             let worker = if trial {
                 self.trial_worker(key, index, &candidates, round.now)
             } else {
-                best_worker(&candidates, task.avoid)
+                best_worker(&candidates, task.avoid, &step.failed_workers)
             };
             let Some(worker) = worker else {
                 if trial {
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -112,10 +112,16 @@
 pub const OVERDUE_QUESTION_INTERVAL: Millis = 500;
 /// Questions that are expected to take longer than this leave one lane free for short ones.
 pub const LONG_ADVICE: Millis = 150;
-/// A worker is shunned after this many failures in a row, whether or not they are of the same job.
+/// A worker is shunned after this many failures in a row that count against it.
 pub const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 /// How long nothing is placed on a shunned worker.
 pub const SHUN_TIME: Millis = 4_000;
+/// A lasting task whose run has lasted this long has not failed because of its start.
+pub const MIN_SOUND_RUN: Millis = 2_000;
+/// How long a lasting task waits after it has failed twice in a row soon after its start.
+pub const FIRST_FAILURE_PAUSE: Millis = 200;
+/// The longest such wait.  The platform wants a job to have something running within 3 s.
+pub const MAX_FAILURE_PAUSE: Millis = 1_500;
 /// How long nothing is placed on a worker that reports itself as unhealthy or out of room.
 pub const UNHEALTHY_PAUSE: Millis = 500;
 /// How long a task waits after a worker did not recognise its start.  This limits such refusals to
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cell::health::Health;
 use crate::cell::life::{FormerLives, Life, NextLife};
 use crate::cell::roster::{InheritedWork, RosterState};
 use crate::cell::sequence::Sequence;
@@ -51,20 +52,6 @@
     UpTo(u64),
 }
 
-/// How far a worker's results can be trusted.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Health {
-    /// How many runs have failed since the last one that succeeded.
-    pub failures: u32,
-    /// No task is placed on the worker before this time, because runs failed or were slow there, or
-    /// it refused a start for lack of health or room.  Unlike [`Worker::quarantined_until`], this
-    /// says nothing about which orders can still reach the worker.
-    pub shunned_until: Millis,
-    /// The worker was shunned for failed or slow runs: it gets one task at a time until one has
-    /// succeeded.
-    pub on_trial: bool,
-}
-
 /// One life of a worker of the cell.  Times are by the owner's clock unless stated otherwise.
 #[derive(Debug)]
 pub struct Worker {
