--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -262,6 +262,7 @@
     pub fn cancel(&mut self, id: JobId) -> CancelOutcome {
         let Some(&key) = self.job_ids.get(&id) else {
             return match self.ended.contains_key(&id) {
+                true if self.unknown_cancels.is_unrecorded(id) => CancelOutcome::Decided,
                 true => CancelOutcome::Final,
                 false => CancelOutcome::Unknown,
             };
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -52,6 +52,7 @@
 pub mod task_set;
 mod trial;
 pub mod tuning;
+mod unknown_cancel;
 pub mod urgency;
 pub mod view;
 pub mod wait;
@@ -74,6 +75,7 @@
 use crate::cell::shares::SharesState;
 use crate::cell::spec::{Demand, JobId};
 use crate::cell::speed::Speeds;
+use crate::cell::unknown_cancel::UnknownCancels;
 use crate::cell::wait::Waiting;
 use crate::cell::worker::{NextForget, Worker};
 use crate::clock::Millis;
@@ -194,6 +196,8 @@
     job_ids: IndexMap<JobId, JobKey>,
     /// Jobs that ended under a former owner.
     ended: IndexMap<JobId, EndedJob>,
+    /// Cancellations of jobs that are not known, which are in `ended` too.
+    unknown_cancels: UnknownCancels,
     /// Recorded progress of jobs whose own rows could not be read yet.
     unread_job_progress: IndexMap<JobId, record::JobProgress>,
     /// The former lives of workers that are not in `workers` any more, by worker id.
@@ -321,6 +325,7 @@
             jobs: SlotMap::with_key(),
             job_ids: IndexMap::new(),
             ended: IndexMap::new(),
+            unknown_cancels: UnknownCancels::default(),
             unread_job_progress: IndexMap::new(),
             former_lives: IndexMap::new(),
             pending_losses: IndexMap::new(),
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -79,12 +79,28 @@
 pub struct Batch {
     /// The jobs with their progress.
     pub rows: Vec<(JobKey, JobId, JobProgress)>,
+    /// Cancelled jobs that are not known.
+    pub unknown_cancels: Vec<(JobId, JobProgress)>,
     /// For each worker the number of the last end that is covered by the rows.
     pub ends: Vec<(WorkerKey, u64)>,
     /// Lives that have ended and of which everything known is covered by the rows.
     pub ended_lives: Vec<Sequence>,
 }
 
+impl Batch {
+    /// Returns whether there are no rows to write.
+    pub fn is_empty(&self) -> bool {
+        self.progress().next().is_none()
+    }
+
+    /// The rows to write, by their jobs.
+    pub fn progress(&self) -> impl Iterator<Item = (JobId, &JobProgress)> {
+        let known = self.rows.iter().map(|(_, id, progress)| (*id, progress));
+        let unknown = self.unknown_cancels.iter();
+        known.chain(unknown.map(|(id, progress)| (*id, progress)))
+    }
+}
+
 impl Cell {
     /// Collects the changes of at most `most` jobs, those that have ended first, since callers wait
     /// for that.  Ends are included only if the batch holds every change, because workers are told to
@@ -97,7 +113,11 @@
             .map(|(key, _)| key)
             .collect();
         dirty.sort_by_key(|&key| !self.jobs[key].state.is_final());
-        let mut batch = Batch::default();
+        let mut batch = Batch {
+            unknown_cancels: self.unrecorded_cancels(most),
+            ..Batch::default()
+        };
+        let most = most - batch.unknown_cancels.len();
         for &key in dirty.iter().take(most) {
             let progress = self.progress(key);
             let job = &mut self.jobs[key];
@@ -118,7 +138,7 @@
 
     /// Returns whether the progress of any job waits to be recorded.
     pub fn has_unrecorded_progress(&self) -> bool {
-        self.jobs.values().any(|job| job.dirty)
+        self.unknown_cancels.has_unrecorded() || self.jobs.values().any(|job| job.dirty)
     }
 
     fn progress(&mut self, key: JobKey) -> JobProgress {
@@ -183,6 +203,9 @@
 
     /// Notes that a batch is durable, and stops the runs of jobs whose end it records.
     pub fn batch_recorded(&mut self, batch: Batch, now: Millis) {
+        for (id, _) in batch.unknown_cancels {
+            self.unknown_cancels.mark_recorded(id);
+        }
         for (key, _, progress) in batch.rows {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
@@ -243,6 +266,7 @@
     /// its tasks may still run or its end is not recorded.
     pub fn forget_job(&mut self, id: JobId) -> bool {
         self.ended.swap_remove(&id);
+        self.unknown_cancels.forget(id);
         let Some(&key) = self.job_ids.get(&id) else {
             return true;
         };
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -112,6 +112,9 @@
 pub const OVERDUE_QUESTION_INTERVAL: Millis = 500;
 /// Questions that are expected to take longer than this leave one lane free for short ones.
 pub const LONG_ADVICE: Millis = 150;
+/// The most cancellations of unknown jobs that an owner keeps, each for five minutes: 33 a second.  A
+/// successor reads a row of 100 bytes for each.
+pub const MAX_UNKNOWN_CANCELS: usize = 10_000;
 /// A worker is shunned after this many failures in a row that count against it.
 pub const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 /// How long nothing is placed on a shunned worker.
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -503,28 +503,43 @@
         self.cell().may_see(&request.caller, request.job)
     }
 
-    /// Cancels a job and waits until that is recorded, for at most `CANCEL_TIMEOUT`.
+    /// Cancels a job and waits until that is recorded, for at most `CANCEL_TIMEOUT`.  Also a job that is
+    /// not known: its row may still come.
     pub async fn cancel(&self, request: &JobRequest) -> NodeReply {
         let id = request.job;
-        let mut outcome = self.cell().cancel(id);
-        if outcome == CancelOutcome::Unknown {
-            match loading::find_job(&self.shared, id).await {
-                Ok(Some(row)) => {
-                    if !self.accepted(&row) {
-                        return NodeReply::Unavailable;
-                    }
-                    if !self.may_see(request) {
-                        return NodeReply::UnknownJob;
-                    }
-                    outcome = self.cell().cancel(id);
-                }
-                Ok(None) => return NodeReply::UnknownJob,
-                Err(_) => return NodeReply::Unavailable,
-            }
-        }
-        if outcome != CancelOutcome::Decided {
+        let outcome = self.cell().cancel(id);
+        if outcome == CancelOutcome::Final {
             return NodeReply::Cancelled;
         }
+        if outcome == CancelOutcome::Decided {
+            return self.await_cancellation(id, NodeReply::Cancelled).await;
+        }
+        match loading::find_job(&self.shared, id).await {
+            Ok(Some(row)) if !self.accepted(&row) => return NodeReply::Unavailable,
+            Ok(_) => {}
+            Err(_) => return NodeReply::Unavailable,
+        }
+        // The node that accepted the job may have told of it meanwhile.
+        if !self.may_see(request) {
+            return NodeReply::UnknownJob;
+        }
+        let workspace = request.caller.workspace().map(str::to_owned);
+        let answer = {
+            let mut cell = self.cell();
+            match cell.cancel(id) {
+                CancelOutcome::Unknown if !cell.cancel_unknown(id, workspace) => {
+                    self.shared.metrics.event("unknown_cancel_refused");
+                    return NodeReply::Unavailable;
+                }
+                CancelOutcome::Unknown => NodeReply::UnknownJob,
+                CancelOutcome::Decided | CancelOutcome::Final => NodeReply::Cancelled,
+            }
+        };
+        self.await_cancellation(id, answer).await
+    }
+
+    /// Returns `answer` once the cancellation of a job is recorded.
+    async fn await_cancellation(&self, id: JobId, answer: NodeReply) -> NodeReply {
         self.record.notify_one();
         let until_recorded = async {
             loop {
@@ -536,7 +551,7 @@
             }
         };
         match tokio::time::timeout(CANCEL_TIMEOUT, until_recorded).await {
-            Ok(()) => NodeReply::Cancelled,
+            Ok(()) => answer,
             Err(_) => NodeReply::Unavailable,
         }
     }
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -120,7 +120,7 @@
             .cell()
             .take_batch(max_jobs.min(MAX_ROWS - workers.rows()));
         let voters = self.changed_voters();
-        if batch.rows.is_empty() && workers.rows() == 0 && voters.is_none() && !release {
+        if batch.is_empty() && workers.rows() == 0 && voters.is_none() && !release {
             self.max_jobs.store(MAX_JOBS, Ordering::Relaxed);
             self.mark_roster_written(roster, &workers);
             if !batch.ends.is_empty() || !batch.ended_lives.is_empty() {
@@ -162,8 +162,8 @@
     /// Logs which row holds the ends that callers are told from now on: that of each job's progress,
     /// as of this version of the store.
     fn log_recorded_ends(&self, batch: &Batch, version: Version) {
-        let ended = batch.rows.iter().filter(|(.., row)| row.state.is_final());
-        let ended: Vec<String> = ended.map(|(_, id, _)| id.to_string()).collect();
+        let ended = batch.progress().filter(|(_, row)| row.state.is_final());
+        let ended: Vec<String> = ended.map(|(id, _)| id.to_string()).collect();
         if ended.is_empty() {
             return;
         }
@@ -240,7 +240,7 @@
         tx.puts.push((OwnerRow::key(), owner.write()));
         tx.puts.extend(workers.puts.iter().cloned());
         tx.drops.extend(workers.drops.iter().cloned());
-        for (_, id, progress) in &batch.rows {
+        for (id, progress) in batch.progress() {
             let id = id.to_string();
             let value = store::encode(progress);
             tx.puts
--- a/src/workspace.rs
+++ b/src/workspace.rs
@@ -168,6 +168,14 @@
 }
 
 impl Caller {
+    /// The name of the caller's workspace; none if it has none.
+    pub fn workspace(&self) -> Option<&str> {
+        match self {
+            Self::Workspace(name) => Some(name),
+            Self::Anonymous | Self::Operator => None,
+        }
+    }
+
     /// Returns whether the caller may see and cancel a job of `workspace`.  Everybody may if the
     /// job has none.
     pub fn may_see(&self, workspace: Option<&str>) -> bool {
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -347,6 +347,7 @@
         let batch = self.cell.take_batch(100);
         let copy = Batch {
             rows: batch.rows.clone(),
+            unknown_cancels: batch.unknown_cancels.clone(),
             ends: batch.ends.clone(),
             ended_lives: batch.ended_lives.clone(),
         };
--- a/tests/split_cell/mod.rs
+++ b/tests/split_cell/mod.rs
@@ -489,6 +489,57 @@
         })
     }
 
+    /// Cancels a job at a node as a caller does; none if the node does not run.
+    pub fn cancel(&self, node: usize, id: u64) -> Option<impl Future<Output = JobAnswer> + use<>> {
+        let front = Arc::clone(&self.processes.get(&node)?.front);
+        Some(async move {
+            let caller = Caller::Anonymous;
+            front
+                .cancel(&caller, JobId(id), Some(CALLER_DEADLINE))
+                .await
+        })
+    }
+
+    /// Returns the id of a job that [`Self::hand_in_late`] may hand in.
+    pub fn next_id(&mut self) -> u64 {
+        self.jobs += 1;
+        self.jobs
+    }
+
+    /// Hands a job of one task in at a node, which stands still for `delay` before it writes the row.
+    /// The node then tells the owner that it knows if it still runs.
+    pub fn hand_in_late(&self, node: usize, id: u64, delay: Millis) {
+        let row: JobRow = job(id, &queue("q", 0), vec![step(1, 1_000)]);
+        let mut tx = Transaction::default();
+        let key = RowKey::new(Table::Jobs, &job_partition(node), &row.id.to_string());
+        tx.puts.push((key, encode(&row)));
+        let body = serde_json::to_vec(&row).expect("JSON");
+        let world = Arc::clone(&self.world);
+        tokio::spawn(async move {
+            pass(delay).await;
+            world.store.commit(&tx);
+            let Some(front) = world.front(node) else {
+                return;
+            };
+            let owner = front.shared.owner().address;
+            if let Some(owner) = owner {
+                let call = NodeCall::Accepted(body);
+                // An owner that is not told finds the row by itself.
+                let _ = world.call(node, usize::from(owner.port()), call, 600).await;
+            }
+        });
+    }
+
+    /// When runs of a job began, by the clock of all workers.
+    pub fn starts(&self, id: u64) -> Vec<Millis> {
+        let history = self.history().into_iter();
+        let of_job = history.filter(|(task, _)| task.step.job.0 == id);
+        of_job
+            .flat_map(|(_, runs)| runs)
+            .map(|run| run.began)
+            .collect()
+    }
+
     /// Makes all paths whole again.
     pub fn heal(&self) {
         let mut paths = self.world.paths();
