A worker that leaves in an age keeps its runs

What would be seen: a worker whose entry says that it leaves in 2^64 - 1 ms had all that ran there stopped at once, since the time of its end wrapped around; a build that checks sums panicked in the owner's round. Found by a test for the report on odd entries, not in operation.

--- a/src/cell/progress.rs
+++ b/src/cell/progress.rs
@@ -166,7 +166,7 @@
         let (Some(since), Some(notice)) = (worker.leaving_since, worker.entry.leaving) else {
             return;
         };
-        let left = (since + notice).saturating_sub(now);
+        let left = since.saturating_add(notice).saturating_sub(now);
         let late: Vec<RunKey> = worker
             .runs
             .iter()
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -209,6 +209,15 @@
         }
     }
 
+    /// Simulates also the workers that the core has come to know since.
+    pub fn know_workers(&mut self) {
+        self.keys = self.cell.worker_keys();
+        for &key in &self.keys {
+            self.running.entry(key).or_default();
+            self.ends.entry(key).or_default();
+        }
+    }
+
     /// The key at position `number` of the core's worker keys, as they were when the bench was
     /// made.
     pub fn worker(&self, number: usize) -> WorkerKey {
--- a/tests/split_cell/mod.rs
+++ b/tests/split_cell/mod.rs
@@ -92,6 +92,11 @@
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Writes rows as another writer does.
+    pub fn commit(&self, tx: &Transaction) {
+        self.store.commit(tx);
+    }
+
     fn front(&self, node: usize) -> Option<Arc<Frontend>> {
         let fronts = self.fronts.lock().unwrap_or_else(PoisonError::into_inner);
         fronts.get(&node).and_then(Weak::upgrade)
