--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -445,7 +445,7 @@
             let step = &self.steps[key];
             let runs = by_step.get(key).map_or(0, |runs| runs.runs);
             let waiting = step.open.saturating_sub(runs);
-            if waiting == 0 || !self.jobs[step.job].queue_configured {
+            if waiting == 0 {
                 continue;
             }
             jobs.waiting.insert(step.job, ());
--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -40,10 +40,8 @@
         }
         let unread_job_progress = self.unread_job_progress.swap_remove(&row.id);
         let progress = progress.or(unread_job_progress.as_ref());
-        let (queue, queue_configured) = match self.config.queue(&row.queue.name) {
-            Some(queue) => (queue.clone(), true),
-            None => (row.queue.clone(), false),
-        };
+        let configured = self.config.queue(&row.queue.name);
+        let queue = configured.unwrap_or(&row.queue).clone();
         let workspace = row.workspace.as_ref().map(|accepted| {
             let newest = self.config.workspace(&accepted.name);
             self.ledger.open_account(newest.unwrap_or(accepted))
@@ -58,7 +56,6 @@
             text: Arc::from(row.spec.text.as_str()),
             decision: self.policy.decide(&queue, &row.spec),
             queue,
-            queue_configured,
             state: JobState::Queued,
             recorded: JobState::Queued,
             accepted_at: now,
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -62,12 +62,11 @@
     pub spec: Arc<JobSpec>,
     /// The text that each task is given, shared by all orders.
     pub text: Arc<str>,
-    /// The queue as in the latest configuration that has it.
+    /// The queue as in the latest configuration that has it: an accepted job is kept, also if its queue
+    /// is removed.
     pub queue: Queue,
     /// What the policy decided about the job.
     pub decision: Decision,
-    /// Whether the configuration in force has the queue.
-    pub queue_configured: bool,
     /// The state as decided by this owner.
     pub state: JobState,
     /// The state as last recorded in the store.
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -449,12 +449,8 @@
         self.config = config;
         self.ledger.configure(&self.config);
         for job in self.jobs.values_mut() {
-            match self.config.queue(&job.queue.name) {
-                Some(queue) => {
-                    job.queue = queue.clone();
-                    job.queue_configured = true;
-                }
-                None => job.queue_configured = false,
+            if let Some(queue) = self.config.queue(&job.queue.name) {
+                job.queue = queue.clone();
             }
             job.decision = self.policy.decide(&job.queue, &job.spec);
         }
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -28,7 +28,7 @@
                 continue;
             }
             let job = &self.jobs[step.job];
-            if !job.queue_configured || self.is_unsettled(step, &awaiting_poll) {
+            if self.is_unsettled(step, &awaiting_poll) {
                 continue;
             }
             // Checked before computing the rank, which takes longer, since most steps have no waiting
--- a/src/cell/view.rs
+++ b/src/cell/view.rs
@@ -147,9 +147,6 @@
         if !step.ready {
             return WaitReason::EarlierSteps;
         }
-        if !job.queue_configured {
-            return WaitReason::NoQueue;
-        }
         if self.is_unsettled(step, &self.jobs_awaiting_poll()) {
             return WaitReason::Settling;
         }
--- a/src/cli/show.rs
+++ b/src/cli/show.rs
@@ -145,7 +145,7 @@
         WaitReason::EarlierSteps => ("steps before it are not done", "wait"),
         WaitReason::NoQueue => (
             "the configuration in force does not have its queue",
-            "add the queue to the configuration again, or cancel the job",
+            "add the queue to the configuration again, or update the owner",
         ),
         WaitReason::Settling => (
             "a former owner may still be running it",
