A stopped owner counts no consents of voters that have restarted since

Found by reading the argument of 'Two owners' against the code: a voter that has withheld its consent and knows of the successor forgets both when it restarts. An owner that had stopped by its word then took the consent of the restarted process, and went on beside its successor's work.

Change: while an owner is not confirmed it counts only consents of processes that it had heard when it last was, as it does with their answers; one function decides that for both.

Before: a_stopped_owner_does_not_go_on_by_the_consent_of_restarted_voters fails on the commit before; it passes now, and so do the other tests of tests/two_owners.rs.

--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -52,6 +52,21 @@
     since: Millis,
 }
 
+/// Whose answers count.  A node that knows of a successor, and has not consented, forgets both when it
+/// restarts.  While the ownership is confirmed any process counts; once it is not, only one that was
+/// there when it last was ("Two owners" in `docs/DESIGN.md`).
+#[derive(Debug, Clone, Copy)]
+struct Counting {
+    is_active: bool,
+    confirmed_at: Millis,
+}
+
+impl Counting {
+    fn is_known(&self, member: &Member) -> bool {
+        self.is_active || member.boot_since <= self.confirmed_at
+    }
+}
+
 impl Engine {
     pub(super) async fn confirm_loop(self: Arc<Self>) {
         let mut attempted = 0;
@@ -147,9 +162,10 @@
     fn has_consent(&self) -> bool {
         let wanted = self.standing().wanted(self.epoch);
         if let Some(wanted) = wanted {
+            let counts = self.counting();
             let members = self.shared.members();
             let consenting = members.iter().filter(|(_, member)| {
-                let answer = member.following;
+                let answer = member.following.filter(|_| counts.is_known(member));
                 answer.is_some_and(|answer| {
                     answer.boot == member.boot && answer.consent == Consent::Given(wanted)
                 })
@@ -209,18 +225,22 @@
             .collect()
     }
 
+    /// Returns whose answers count at present.
+    fn counting(&self) -> Counting {
+        Counting {
+            is_active: self.is_active(),
+            confirmed_at: self.confirmed_at.load(Ordering::Relaxed),
+        }
+    }
+
     /// The nodes that have answered a call sent since `asked` and know of no successor; this one is
-    /// one of them.  A node that knows of a successor forgets that when it restarts.  While the
-    /// ownership is confirmed any process counts; once it is not, only one that was there when it
-    /// last was ("Two owners" in `docs/DESIGN.md`).
+    /// one of them.
     fn supporters(&self, asked: Millis) -> Vec<Supporter> {
-        let is_active = self.is_active();
-        let confirmed_at = self.confirmed_at.load(Ordering::Relaxed);
+        let counts = self.counting();
         let supports = |member: &Member| {
-            let is_same_process = member.boot_since <= confirmed_at;
             let answer = member.following.filter(|answer| answer.until >= asked);
             answer.is_some_and(|answer| answer.boot == member.boot && answer.epoch <= self.epoch)
-                && (is_active || is_same_process)
+                && counts.is_known(member)
         };
         let members = self.shared.members();
         let others = members.iter().filter(|(_, member)| supports(member));
--- a/tests/split_cell/mod.rs
+++ b/tests/split_cell/mod.rs
@@ -445,6 +445,17 @@
         }
     }
 
+    /// Makes all paths between the nodes of two sides whole again.
+    pub fn join(&self, near: &[usize], far: &[usize]) {
+        let mut paths = self.world.paths();
+        for &a in near {
+            for &b in far {
+                paths.nodes.remove(&(a, b));
+                paths.nodes.remove(&(b, a));
+            }
+        }
+    }
+
     /// Cuts the paths from these nodes to these workers.
     pub fn cut_workers(&self, nodes: &[usize], workers: impl Iterator<Item = u16> + Clone) {
         for &node in nodes {
--- a/tests/two_owners.rs
+++ b/tests/two_owners.rs
@@ -135,6 +135,38 @@
     cell.end();
 }
 
+/// An owner that has stopped must not go on because voters that knew of its successor have restarted, and
+/// consent now.
+#[tokio::test(start_paused = true)]
+async fn a_stopped_owner_does_not_go_on_by_the_consent_of_restarted_voters() {
+    // Arrange: two nodes with the store have elected a successor, which has started lost tasks.
+    let mut cell = SplitCell::settled().await;
+    let owner = cell.owners()[0];
+    let (near, far) = sides(&cell, 5);
+    cell.submit(owner, 8, 40_000).await.expect("a job");
+    pass(2_000).await;
+    cell.set_store(&near, StoreState::TurnsAway);
+    cell.part(&near, &far);
+    cell.cut_workers(&far, 0..4);
+    cell.cut_workers(&near, 4..WORKERS);
+    pass(LONG).await;
+
+    // Act: these restart, are turned away by the store as well, and reach the others again.
+    let all: Vec<usize> = (0..NODES).collect();
+    cell.join(&near, &far);
+    cell.set_store(&all, StoreState::TurnsAway);
+    for &node in &far {
+        cell.kill(node);
+        cell.start(node);
+    }
+    pass(8_000).await;
+
+    // Assert.
+    assert!(!cell.active_owners().contains(&owner));
+    assert!(cell.overlapping_runs().is_empty());
+    cell.end();
+}
+
 /// An owner that reads jobs from the store, but not whether it still owns the cell, must not start
 /// what its successor has started.
 #[tokio::test(start_paused = true)]
