A successor goes by withheld consents only after owners that ask for them

Found by reading: an owner of the version before asks for no consents and goes on by any majority, so neither voters that withhold theirs nor a missing entry say that it has stopped.

Change: the row of ownership says whether all owners that may act ask for consents. After one that does not, only most voters, or the longest term, count, as before.

The new test has voters that withhold their consent, too few of them, and a former owner that asks for none; its last case fails without the change to node::succession.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -288,8 +288,8 @@
     settle_deadline: Millis,
     /// When the leases of a former owner have run out that stopped at once.
     prompt_settle_time: Millis,
-    /// Some node has consented to a former owner's going on without it.
-    former_owner_has_consent: bool,
+    /// A former owner may go on for long without the store.
+    former_owner_may_go_on: bool,
     /// How steadily the platform's entries of workers were read.
     entry_reads: EntryReads,
     /// When nobody else owned the cell, by our clock; [`Millis::MAX`] if there never is another owner.
@@ -365,7 +365,7 @@
             unsettled: roster::UnsettledJobs::Any,
             settle_deadline: prompt_settle_time,
             prompt_settle_time,
-            former_owner_has_consent: false,
+            former_owner_may_go_on: false,
             entry_reads: EntryReads::default(),
             exclusive_at: Millis::MAX,
             orders: Vec::new(),
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -249,8 +249,8 @@
 
     /// Sets whether a former owner may go on for long without the store.  One that may not has
     /// stopped soon after the claim, unless all its voters answer it.
-    pub fn set_former_owner_has_consent(&mut self, has_consent: bool) {
-        self.former_owner_has_consent = has_consent;
+    pub fn set_former_owner_may_go_on(&mut self, may_go_on: bool) {
+        self.former_owner_may_go_on = may_go_on;
     }
 
     /// Returns whether no run of a former owner can be left that this one does not know of.
@@ -273,7 +273,7 @@
     fn is_taken_as_gone(&self, worker: &Worker, now: Millis) -> bool {
         let missing = worker.unlisted_since.filter(|_| !worker.entry_outdated);
         let lease_end = self.prompt_settle_time.max(worker.long_lease_until);
-        !self.former_owner_has_consent
+        !self.former_owner_may_go_on
             && now >= lease_end
             && missing.is_some_and(|since| self.entry_reads.prove_gone(since))
     }
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -401,6 +401,8 @@
         await_winner(shared, owner);
         return;
     }
+    let former_owners = FormerOwners::before_claim(former.as_ref(), &shared.address.to_string());
+    let former_asks = former.as_ref().is_some_and(|owner| owner.asks_consent);
     let claimed = OwnerRow {
         name: shared.name.clone(),
         address: shared.address.to_string(),
@@ -408,7 +410,8 @@
         epoch: tuning::next_epoch(former.as_ref().map_or(0, |owner| owner.epoch)),
         batch: 0,
         released: false,
-        former_owners: FormerOwners::before_claim(former.as_ref(), &shared.address.to_string()),
+        asks_consent: former_owners.is_none() || former_asks,
+        former_owners,
     };
     let former = former.map(|owner| owner.name);
     tracing::info!(epoch = claimed.epoch, ?former, "cell is claimed");
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -265,6 +265,12 @@
         self.succession().former().cloned()
     }
 
+    /// Returns whether all owners that may still act, this one included, go on without the store only
+    /// with the consent of voters.
+    pub(super) fn former_owners_ask_consent(&self) -> bool {
+        self.succession().asks_consent()
+    }
+
     /// Looks whether the former owners have stopped, so that their leases run out, or may go on
     /// without the store.
     pub(super) fn review_succession(&self) {
@@ -277,10 +283,10 @@
             if is_settled && stopped.is_none() {
                 succession.close_without_voters(self.successor(), &members, now);
             }
-            (stopped, succession.has_consent(self.successor(), &members))
+            (stopped, succession.may_go_on(self.successor(), &members))
         };
         let mut cell = self.cell();
-        cell.set_former_owner_has_consent(may_go_on);
+        cell.set_former_owner_may_go_on(may_go_on);
         if let Some(at) = stopped {
             cell.note_former_owners_stopped(at);
         }
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -183,10 +183,10 @@
     // Even if all rows were read, the former owner may still be notified of new jobs for a while.
     cell.set_has_unread_jobs(true);
     let voters = Voters::read(&former.0);
-    let succession = Succession::new(
-        recording::read_former_owners(&former.0, epoch),
-        voters.clone(),
-    );
+    let claim = recording::read_claim(&former.0, epoch);
+    let asks_consent = claim.as_ref().is_some_and(|claim| claim.asks_consent);
+    let former_owners = claim.and_then(|claim| claim.former_owners);
+    let succession = Succession::new(former_owners, asks_consent, voters.clone());
     if succession.former().is_some() {
         cell.await_former_owners();
     }
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -57,6 +57,10 @@
     /// Owners before this one that may still act; none if all are known to have stopped.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub former_owners: Option<FormerOwners>,
+    /// This owner and those that may still act go on without the store only with the consent of
+    /// voters.  Not set by owners of a version before.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub asks_consent: bool,
 }
 
 impl OwnerRow {
@@ -236,6 +240,7 @@
             batch: number,
             released: release,
             former_owners: self.former_owners(),
+            asks_consent: self.former_owners_ask_consent(),
         };
         tx.puts.push((OwnerRow::key(), owner.write()));
         tx.puts.extend(workers.puts.iter().cloned());
@@ -263,11 +268,10 @@
     }
 }
 
-/// Returns which former owners may still act, as the claim under `epoch` says.
-pub fn read_former_owners(rows: &[Row], epoch: u64) -> Option<FormerOwners> {
+/// Returns the claim under `epoch`, which says which former owners may still act.
+pub fn read_claim(rows: &[Row], epoch: u64) -> Option<OwnerRow> {
     let row = rows.iter().find(|row| row.key == OWNER_KEY)?;
-    let owner = OwnerRow::read(row).filter(|owner| owner.epoch == epoch)?;
-    owner.former_owners
+    OwnerRow::read(row).filter(|owner| owner.epoch == epoch)
 }
 
 fn remaining_leases_key() -> RowKey {
--- a/src/node/succession.rs
+++ b/src/node/succession.rs
@@ -172,6 +172,8 @@
 pub struct Succession {
     /// Those that are not known to have stopped; none if all have.
     former: Option<FormerOwners>,
+    /// They go on without the store only with the consent of voters.
+    ask_consent: bool,
     /// The voters by whom they may go on.
     voters: Voters,
     /// Since when some voter has known of this ownership.
@@ -193,8 +195,9 @@
 
 impl Succession {
     /// Begins with the former owners that may act at the time of the claim.
-    pub fn new(former: Option<FormerOwners>, voters: Option<Voters>) -> Self {
+    pub fn new(former: Option<FormerOwners>, ask_consent: bool, voters: Option<Voters>) -> Self {
         Self {
+            ask_consent,
             // Owners of a version that records no voters stop by themselves.
             former: former.filter(|_| voters.is_some()),
             voters: voters.unwrap_or_default(),
@@ -207,6 +210,12 @@
         self.former.as_ref()
     }
 
+    /// Returns whether all owners that may still act, the present one included, go on without the store
+    /// only with the consent of voters.
+    pub fn asks_consent(&self) -> bool {
+        self.former.is_none() || self.ask_consent
+    }
+
     /// Since when no former owner takes in new jobs that it is told of; none if that is not known.
     /// One takes them in only while the store or all voters confirm it.
     pub fn no_new_jobs_since(&self, successor: Successor<'_>) -> Option<Millis> {
@@ -283,18 +292,20 @@
             .collect();
         let by_majority = lasting_since(votes, self.voters.majority());
         let by_withheld = lasting_since(&withheld, self.voters.dispensable() + 1);
+        let by_withheld = by_withheld.filter(|_| self.ask_consent);
         by_majority.into_iter().chain(by_withheld).min()
     }
 
-    /// Returns whether some node has consented to a former owner's going on without it.
-    pub fn has_consent(&self, successor: Successor<'_>, members: &Members) -> bool {
+    /// Returns whether a former owner may go on for long without the store: some node has consented to
+    /// that, or it does not ask.
+    pub fn may_go_on(&self, successor: Successor<'_>, members: &Members) -> bool {
         let is_given =
             |consent: Consent| matches!(consent, Consent::Given(id) if id.epoch < successor.epoch);
         let answers = members.iter().filter_map(|(_, member)| member.following);
         let mut consents = answers
             .map(|answer| answer.consent)
             .chain([successor.consent]);
-        self.former.is_some() && consents.any(is_given)
+        self.former.is_some() && (!self.ask_consent || consents.any(is_given))
     }
 
     /// Stops looking for evidence if no voter is left that could give it.  Only for a settled owner:
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -181,6 +181,7 @@
 fn another_node_releases_cell(node: &VirtualNode, epoch: u64) {
     let row = OwnerRow {
         former_owners: None,
+        asks_consent: true,
         name: String::from("n1"),
         address: String::from("127.0.0.1:1"),
         boot: 1,
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -53,7 +53,7 @@
         name: String::from("n6"),
         boot: 1,
     };
-    Succession::new(Some(former), Some(Voters::choose("n0", members)))
+    Succession::new(Some(former), true, Some(Voters::choose("n0", members)))
 }
 
 fn successor() -> Successor<'static> {
@@ -147,6 +147,7 @@
         batch: 5,
         released,
         former_owners: follows_another.then(|| one("n9")),
+        asks_consent: true,
     };
     let found = FormerOwners::before_claim(Some(&former), "10.0.0.2:1");
     let expected = several.map(|several| match several {
@@ -156,3 +157,49 @@
     });
     assert_eq!(found, expected);
 }
+
+/// A node that has not consented answers a call that was sent at `at`.
+fn withhold(members: &mut Members, number: u16, at: Millis) {
+    let name = format!("n{number}");
+    let beat = Heartbeat {
+        name: name.clone(),
+        boot: 1,
+        address: row(number).address.to_string(),
+        millicores: 500,
+        epoch: EPOCH,
+        consent: Consent::Withheld,
+        ..Heartbeat::default()
+    };
+    members.apply_heartbeat(&beat, Source::Secondhand, at);
+    members.note_store_answer(&name, at);
+}
+
+/// More than a quarter of the voters prove a stop if they withhold their consent, unless the former owner
+/// is of a version that asks for none.
+#[yare::parameterized(
+    two = { 2, true, true },
+    one_is_too_few = { 1, true, false },
+    former_owner_asks_for_none = { 2, false, false },
+)]
+fn voters_that_withhold_their_consent_prove_that_a_former_owner_has_stopped(
+    voters: u16,
+    asks: bool,
+    has_stopped: bool,
+) {
+    // Arrange.
+    let mut members = members();
+    let former = FormerOwners::One {
+        name: String::from("n6"),
+        boot: 1,
+    };
+    let mut succession = Succession::new(Some(former), asks, Some(Voters::choose("n0", &members)));
+
+    // Act.
+    for at in (CLAIMED + 100..=CLAIMED + 2_200).step_by(100) {
+        (1..=voters).for_each(|number| withhold(&mut members, number, at));
+    }
+    let stopped = succession.review(successor(), &members, CLAIMED + 2_200);
+
+    // Assert.
+    assert_eq!(stopped.is_some(), has_stopped);
+}
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -391,6 +391,7 @@
 pub fn claim(store: &MemoryStore, name: &str, boot: u64, epoch: u64) -> u64 {
     let row = OwnerRow {
         former_owners: None,
+        asks_consent: true,
         name: name.to_owned(),
         address: String::from("127.0.0.1:100"),
         boot,
