Never more than half of a service's workers are shunned

What would be seen: thirty jobs in a row that fail everywhere, with nothing that ends well between them, had all workers shunned, and the next job waited for some 9 s.

Change: a worker is shunned, for failures or slow runs, only while half of its service is left. Beyond that there is nobody to go to, and work would stand still.

--- a/src/cell/health.rs
+++ b/src/cell/health.rs
@@ -213,13 +213,32 @@
         }
     }
 
+    /// Returns whether half of a worker's service is left if the worker is shunned.
+    fn may_be_spared(&self, key: WorkerKey, now: Millis) -> bool {
+        let service = &self.workers[key].entry.service;
+        let workers = self.workers.iter();
+        let of_service = workers.filter(|(_, worker)| worker.entry.service == *service);
+        let (mut all, mut avoided) = (0, 0);
+        for (other, worker) in of_service {
+            let is_avoided = worker.health.on_trial || worker.health.shunned_until > now;
+            all += 1;
+            avoided += usize::from(is_avoided || other == key);
+        }
+        2 * avoided <= all
+    }
+
     /// Shuns a worker on which runs are slow: nothing is placed on it for [`tuning::SHUN_TIME`], and
     /// then only one task until a run there succeeds.
     pub(super) fn shun(&mut self, key: WorkerKey, now: Millis) {
         self.shun_for(key, false, now);
     }
 
+    /// Shuns a worker, unless half of its service are shunned or on trial already: there are none to go
+    /// to, so work would only stand still.
     fn shun_for(&mut self, key: WorkerKey, failures: bool, now: Millis) {
+        if !self.may_be_spared(key, now) {
+            return;
+        }
         let worker = &mut self.workers[key];
         worker.health.shun(failures, now);
         tracing::info!(
--- a/tests/failing_tasks.rs
+++ b/tests/failing_tasks.rs
@@ -231,6 +231,31 @@
     assert_eq!(started.count(), 8);
 }
 
+/// Jobs that fail wherever they run, and nothing else, must not have all workers shunned, so that the next
+/// job waits.
+#[yare::parameterized(
+    one_task = { 1, 1 },
+    five_tasks = { 5, 1 },
+    many_jobs = { 5, 4 },
+)]
+fn a_job_starts_at_once_after_many_that_have_failed(tasks: u32, jobs: u64) {
+    // Arrange.
+    let mut trouble = Trouble::new(16, 0, 50);
+    for id in FIRST_FAILING..FIRST_FAILING + 30 * jobs {
+        trouble.accept(&job(id, &patient_queue(), vec![step(tasks, 1_000)]));
+        trouble.pass(100 / jobs);
+    }
+
+    // Act.
+    trouble.longest_wait = 0;
+    trouble.accepted.clear();
+    trouble.accept(&short_job(1));
+    trouble.pass(5_000);
+
+    // Assert.
+    assert!(trouble.longest_wait < 500, "{} ms", trouble.longest_wait);
+}
+
 /// Failing jobs and bad workers at random: other jobs must not wait where there is room.
 fn play(seed: u64) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(seed);
