Plain names in cell::health and cell::roster, and comments that had become wrong

Found by reading the whole change once more; no logic is changed. Names that spoke of guilt say what they do; is_taken_as_gone had the wording of the users' pages.

clippy is clean; failing_tasks, two_owners, succession, confirming, documents and odd_entries pass.

--- a/src/cell/health.rs
+++ b/src/cell/health.rs
@@ -4,8 +4,8 @@
 //! of a step only as far as other steps don't fail on that worker.  So for each worker the steps are
 //! kept that have failed there since a run succeeded there, and for each step the workers on which it
 //! has failed since a run of it went well.  A failure counts against the worker unless its step has
-//! failed on more workers than steps have failed on this one: that explains all failures by the fewest
-//! culprits.  Once a run of the step goes well elsewhere, its failures count in any case ("Failing
+//! failed on more workers than steps have failed on this one: that explains all failures by as few
+//! faulty workers and steps as possible.  Once a run of the step goes well elsewhere, its failures count in any case ("Failing
 //! tasks" in `docs/DESIGN.md`).
 
 use crate::cell::job::Run;
@@ -30,7 +30,7 @@
     /// succeeded.
     pub on_trial: bool,
     /// The worker is shunned or on trial for failures only.
-    is_blamed_for_failures: bool,
+    is_shunned_for_failures: bool,
 }
 
 /// A step that has failed on a worker.
@@ -57,14 +57,14 @@
             .sum()
     }
 
-    fn is_convicted(&self) -> bool {
+    fn fails_too_often(&self) -> bool {
         self.failures() >= tuning::MAX_CONSECUTIVE_FAILURES
     }
 
     fn note_success(&mut self) {
         self.recent.clear();
         self.on_trial = false;
-        self.is_blamed_for_failures = false;
+        self.is_shunned_for_failures = false;
     }
 
     fn note_failure(&mut self, step: StepKey) {
@@ -85,21 +85,21 @@
 
     /// Shuns the worker from `now` on.
     fn shun(&mut self, for_failures: bool, now: Millis) {
-        let is_blamed_otherwise = self.on_trial && !self.is_blamed_for_failures;
+        let is_shunned_otherwise = self.on_trial && !self.is_shunned_for_failures;
         self.shunned_until = now + tuning::SHUN_TIME;
         self.on_trial = true;
-        self.is_blamed_for_failures = for_failures && !is_blamed_otherwise;
+        self.is_shunned_for_failures = for_failures && !is_shunned_otherwise;
     }
 
     /// Uses the worker again if it was shunned for failures that do not count against it any more.
     /// Returns whether it was.
-    fn acquit(&mut self, now: Millis) -> bool {
-        if !self.is_blamed_for_failures || self.is_convicted() {
+    fn end_shunning(&mut self, now: Millis) -> bool {
+        if !self.is_shunned_for_failures || self.fails_too_often() {
             return false;
         }
         self.shunned_until = self.shunned_until.min(now);
         self.on_trial = false;
-        self.is_blamed_for_failures = false;
+        self.is_shunned_for_failures = false;
         true
     }
 }
@@ -133,7 +133,7 @@
                 if let Some(worker) = self.workers.get_mut(run.worker) {
                     worker.health.note_success();
                 }
-                self.blame_workers(run.step, now);
+                self.count_against_workers(run.step, now);
             }
             EndKind::Failed => self.note_failure(run, now),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
@@ -142,7 +142,7 @@
 
     fn note_failure(&mut self, run: &Run, now: Millis) {
         if self.goes_well_elsewhere(run, now) {
-            self.blame_workers(run.step, now);
+            self.count_against_workers(run.step, now);
         }
         let Some(worker) = self.workers.get_mut(run.worker) else {
             return;
@@ -155,7 +155,7 @@
             let change = |failed: &mut FailedStep| failed.workers = workers.len();
             self.review_health(key, run.step, change, now);
         }
-        if self.workers[run.worker].health.is_convicted() {
+        if self.workers[run.worker].health.fails_too_often() {
             self.shun_for(run.worker, true, now);
         }
     }
@@ -178,7 +178,7 @@
 
     /// Counts the failures of a step against the workers on which they were, since one of its runs
     /// has gone well elsewhere.
-    fn blame_workers(&mut self, step: StepKey, now: Millis) {
+    fn count_against_workers(&mut self, step: StepKey, now: Millis) {
         let workers = std::mem::take(&mut self.steps[step].failed_workers);
         for key in workers.0 {
             self.review_health(key, step, |failed| failed.is_sound = true, now);
@@ -197,24 +197,24 @@
             return;
         };
         let health = &mut worker.health;
-        let was_convicted = health.is_convicted();
+        let failed_too_often = health.fails_too_often();
         let Some(failed) = health.recent.iter_mut().find(|failed| failed.step == step) else {
             return;
         };
         change(failed);
-        if health.acquit(now) {
+        if health.end_shunning(now) {
             tracing::info!(
                 step = %self.steps[step].name,
                 worker = worker.entry.life.id,
                 "worker is used again: the step fails elsewhere"
             );
-        } else if !was_convicted && health.is_convicted() {
+        } else if !failed_too_often && health.fails_too_often() {
             self.shun_for(key, true, now);
         }
     }
 
     /// Returns whether half of a worker's service is left if the worker is shunned.
-    fn may_be_spared(&self, key: WorkerKey, now: Millis) -> bool {
+    fn is_half_left_without(&self, key: WorkerKey, now: Millis) -> bool {
         let service = &self.workers[key].entry.service;
         let workers = self.workers.iter();
         let of_service = workers.filter(|(_, worker)| worker.entry.service == *service);
@@ -236,7 +236,7 @@
     /// Shuns a worker, unless half of its service are shunned or on trial already: there are none to go
     /// to, so work would only stand still.
     fn shun_for(&mut self, key: WorkerKey, failures: bool, now: Millis) {
-        if !self.may_be_spared(key, now) {
+        if !self.is_half_left_without(key, now) {
             return;
         }
         let worker = &mut self.workers[key];
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -268,9 +268,9 @@
         self.entry_reads.fail();
     }
 
-    /// Returns whether nothing of a former owner is left on a worker, since the platform takes it as
-    /// gone and leases of an owner that stopped at the claim have run out.
-    fn is_taken_as_gone(&self, worker: &Worker, now: Millis) -> bool {
+    /// Returns whether nothing of a former owner is left on a worker: its entry is missing, and leases of
+    /// an owner that stopped at the claim have run out.
+    fn is_presumed_gone(&self, worker: &Worker, now: Millis) -> bool {
         let missing = worker.unlisted_since.filter(|_| !worker.entry_outdated);
         let lease_end = self.prompt_settle_time.max(worker.long_lease_until);
         !self.former_owner_may_go_on
@@ -320,7 +320,7 @@
     fn find_unsettled(&self, now: Millis) -> UnsettledJobs {
         let mut unsettled = BTreeSet::new();
         let is_unsettled = |worker: &&Worker| {
-            !worker.fenced && now < worker.inherited_until && !self.is_taken_as_gone(worker, now)
+            !worker.fenced && now < worker.inherited_until && !self.is_presumed_gone(worker, now)
         };
         for worker in self.workers.values().filter(is_unsettled) {
             match &worker.inherited {
--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -128,7 +128,7 @@
     }
 
     /// Confirms the ownership without its row if most of the recorded voters say that they know of no
-    /// successor, and nearly all have consented before: one that starts what may run already has the
+    /// successor, and three quarters have consented before: one that starts what may run already has the
     /// answers of most voters, or of more that have not consented than this owner can do without ("Two
     /// owners" in `docs/DESIGN.md`).
     fn apply_support(&self) {
--- a/src/node/consent.rs
+++ b/src/node/consent.rs
@@ -1,8 +1,8 @@
 //! Consents, by which an owner goes on without the store after some nodes have fallen silent.
 //!
 //! An owner that reaches neither the store nor all voters can't tell nodes that are lost from nodes
-//! that are cut off, reach the store and claim the cell.  So it goes on only if nearly all voters
-//! have consented to that while they still answered.  A voter that has not consented, and knows of a
+//! that are cut off, reach the store and claim the cell.  So it goes on only if at least three
+//! quarters of the voters have consented to that while they still answered.  A voter that has not consented, and knows of a
 //! successor, proves to it that the owner stops ("Two owners" in `docs/DESIGN.md`).
 
 use crate::rpc::node::Heartbeat;
--- a/src/node/succession.rs
+++ b/src/node/succession.rs
@@ -21,7 +21,7 @@
 /// The key of the row with the voters.
 const VOTERS_KEY: &str = "voters";
 /// For how long an owner goes on that neither the store nor all voters have confirmed, in
-/// milliseconds.  A successor waits this long if most voters are lost for good.
+/// milliseconds.  A successor waits this long if the voters that are left prove nothing sooner.
 pub const MAX_TERM_BY_MAJORITY: Millis = 60_000;
 
 /// An owner without the store can do without one in this many of its voters, if all others have
--- a/tests/failing_tasks.rs
+++ b/tests/failing_tasks.rs
@@ -212,7 +212,7 @@
 /// A worker that was shunned for the failures of a job must be used again once that job fails
 /// elsewhere as well.
 #[test]
-fn a_worker_that_was_shunned_for_a_failing_job_is_acquitted() {
+fn a_worker_that_was_shunned_for_a_failing_job_is_used_again() {
     // Arrange: three tasks of one job fail on the only worker that has room.
     let mut trouble = Trouble::new(2, 0, 100);
     let fill = job(1, &patient_queue(), vec![step(1, 16_000)]);
