A cancellation of an unknown job holds for its caller's jobs only

What would be seen: a caller of one workspace cancels an id whose job, of another workspace, is on its way. That job was accepted, never ran, and its own callers got 410 (LOST). A second workspace that cancelled the same id was told 410 while nothing was recorded for it (UNASKED).

Cause: the cancellation was kept as the progress of an ended job, under the job's id alone, whoever had cancelled it. Any row that came later was taken for that job's.

Change: a cancellation names its caller, and holds for jobs that the caller may see; such a job is accepted and ends as cancelled, like any other. Each has a row of its own, under the job's id and a number that is used once, so that neither a job's progress nor a deletion that the store does late can take its place. A GET for such an id is answered with 410 now, as for any other job that is not there.

Ruled out: to decide by the workspace in the job's progress. It can't hold two callers, and the progress of the other workspace's job needs the same key.

--- a/src/cell/intake.rs
+++ b/src/cell/intake.rs
@@ -88,6 +88,11 @@
         if self.may_have_unrecorded_starts {
             self.set_record_starts_first(key);
         }
+        let workspace = self.workspace_of(key).map(|workspace| &*workspace.name);
+        if self.unknown_cancels.hold_for(row.id, workspace) {
+            tracing::info!(job = %row.id, "job was cancelled before it came");
+            self.end_job(key, JobState::Cancelled);
+        }
     }
 
     /// Adds the progress that a former owner recorded of a job whose row was not found: the job has
@@ -259,7 +264,6 @@
     pub fn cancel(&mut self, id: JobId) -> CancelOutcome {
         let Some(&key) = self.job_ids.get(&id) else {
             return match self.ended.contains_key(&id) {
-                true if self.unknown_cancels.is_unrecorded(id) => CancelOutcome::Decided,
                 true => CancelOutcome::Final,
                 false => CancelOutcome::Unknown,
             };
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -52,7 +52,7 @@
 pub mod task_set;
 mod trial;
 pub mod tuning;
-mod unknown_cancel;
+pub mod unknown_cancel;
 pub mod urgency;
 pub mod view;
 pub mod wait;
@@ -196,7 +196,7 @@
     job_ids: IndexMap<JobId, JobKey>,
     /// Jobs that ended under a former owner.
     ended: IndexMap<JobId, EndedJob>,
-    /// Cancellations of jobs that are not known, which are in `ended` too.
+    /// Cancellations of jobs that are not known.
     unknown_cancels: UnknownCancels,
     /// Recorded progress of jobs whose own rows could not be read yet.
     unread_job_progress: IndexMap<JobId, record::JobProgress>,
@@ -325,7 +325,7 @@
             jobs: SlotMap::with_key(),
             job_ids: IndexMap::new(),
             ended: IndexMap::new(),
-            unknown_cancels: UnknownCancels::default(),
+            unknown_cancels: UnknownCancels::new(epoch),
             unread_job_progress: IndexMap::new(),
             former_lives: IndexMap::new(),
             pending_losses: IndexMap::new(),
--- a/src/cell/query.rs
+++ b/src/cell/query.rs
@@ -13,7 +13,7 @@
     /// `docs/DESIGN.md`).
     pub fn state(&self, id: JobId) -> Option<JobState> {
         if let Some(ended) = self.ended.get(&id) {
-            return (!self.unknown_cancels.is_unrecorded(id)).then_some(ended.state);
+            return Some(ended.state);
         }
         let job = self.jobs.get(*self.job_ids.get(&id)?)?;
         Some(if job.recorded.is_final() {
@@ -66,8 +66,7 @@
                 .get(key)
                 .is_some_and(|job: &Job| job.recorded.is_final())
         };
-        let is_kept = self.ended.contains_key(&id) && !self.unknown_cancels.is_unrecorded(id);
-        is_kept || self.job_ids.get(&id).is_some_and(|&key| recorded(key))
+        self.ended.contains_key(&id) || self.job_ids.get(&id).is_some_and(|&key| recorded(key))
     }
 
     /// Returns whether a job is known, ended ones included.
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -14,6 +14,7 @@
 use crate::cell::sequence::Sequence;
 use crate::cell::spec::{JobId, JobSpec, TaskPlace};
 use crate::cell::task_set::TaskSet;
+use crate::cell::unknown_cancel::{CancelNumber, UnknownCancel};
 use crate::cell::{Cell, JobKey, Milestone, StepKey, WorkerKey, tuning};
 use crate::clock::Millis;
 use crate::queue::Queue;
@@ -79,8 +80,8 @@
 pub struct Batch {
     /// The jobs with their progress.
     pub rows: Vec<(JobKey, JobId, JobProgress)>,
-    /// Cancelled jobs that are not known.
-    pub unknown_cancels: Vec<(JobId, JobProgress)>,
+    /// Cancellations of jobs that are not known.
+    pub unknown_cancels: Vec<(CancelNumber, UnknownCancel)>,
     /// For each worker the number of the last end that is covered by the rows.
     pub ends: Vec<(WorkerKey, u64)>,
     /// Lives that have ended and of which everything known is covered by the rows.
@@ -90,14 +91,7 @@
 impl Batch {
     /// Returns whether there are no rows to write.
     pub fn is_empty(&self) -> bool {
-        self.progress().next().is_none()
-    }
-
-    /// The rows to write, by their jobs.
-    pub fn progress(&self) -> impl Iterator<Item = (JobId, &JobProgress)> {
-        let known = self.rows.iter().map(|(_, id, progress)| (*id, progress));
-        let unknown = self.unknown_cancels.iter();
-        known.chain(unknown.map(|(id, progress)| (*id, progress)))
+        self.rows.is_empty() && self.unknown_cancels.is_empty()
     }
 }
 
@@ -114,7 +108,7 @@
             .collect();
         dirty.sort_by_key(|&key| !self.jobs[key].state.is_final());
         let mut batch = Batch {
-            unknown_cancels: self.unrecorded_cancels(most),
+            unknown_cancels: self.unknown_cancels.unrecorded(most),
             ..Batch::default()
         };
         let most = most - batch.unknown_cancels.len();
@@ -203,8 +197,8 @@
 
     /// Notes that a batch is durable, and stops the runs of jobs whose end it records.
     pub fn batch_recorded(&mut self, batch: Batch, now: Millis) {
-        for (id, _) in batch.unknown_cancels {
-            self.unknown_cancels.mark_recorded(id);
+        for (number, _) in batch.unknown_cancels {
+            self.unknown_cancels.mark_recorded(number);
         }
         for (key, _, progress) in batch.rows {
             let Some(job) = self.jobs.get_mut(key) else {
@@ -266,7 +260,6 @@
     /// its tasks may still run or its end is not recorded.
     pub fn forget_job(&mut self, id: JobId) -> bool {
         self.ended.swap_remove(&id);
-        self.unknown_cancels.forget(id);
         let Some(&key) = self.job_ids.get(&id) else {
             return true;
         };
--- a/src/node/cleaning.rs
+++ b/src/node/cleaning.rs
@@ -8,8 +8,10 @@
 use std::collections::{HashMap, VecDeque};
 
 use crate::cell::spec::JobId;
+use crate::cell::unknown_cancel::CancelNumber;
 use crate::clock::Millis;
 use crate::node::engine::Engine;
+use crate::node::recording;
 use crate::node::shared::CELL_PARTITION;
 use crate::store::{Row, RowKey, StoreCall, StoreError, Table, Transaction};
 
@@ -30,6 +32,9 @@
     /// Ended jobs whose own rows are deleted, each with the time from which its end is kept; the
     /// oldest first.
     ended: VecDeque<(Millis, JobId)>,
+    /// Recorded cancellations of unknown jobs, each with the time from which it is kept; the oldest
+    /// first.
+    cancels: VecDeque<(Millis, CancelNumber)>,
     /// When rows were last deleted.
     last_cleaned: Millis,
 }
@@ -49,6 +54,12 @@
         self.ended.extend(ids.into_iter().map(|id| (now, id)));
     }
 
+    /// Adds cancellations of unknown jobs that are recorded.
+    pub fn add_cancels(&mut self, numbers: Vec<CancelNumber>, now: Millis) {
+        self.cancels
+            .extend(numbers.into_iter().map(|number| (now, number)));
+    }
+
     /// Deletes the rows that are no longer needed, once per `CLEAN_INTERVAL`.
     pub async fn clean(&mut self, engine: &Engine) {
         let now = engine.shared.now();
@@ -58,6 +69,7 @@
         self.last_cleaned = now;
         self.delete_job_rows(engine, now).await;
         self.delete_ends(engine, now).await;
+        self.delete_cancels(engine, now).await;
     }
 
     async fn delete_job_rows(&mut self, engine: &Engine, now: Millis) {
@@ -79,11 +91,7 @@
     }
 
     async fn delete_ends(&mut self, engine: &Engine, now: Millis) {
-        let old = self
-            .ended
-            .iter()
-            .take_while(|(since, _)| since + END_RETENTION <= now);
-        let expired: Vec<JobId> = old.map(|(_, id)| *id).take(MAX_ROWS).collect();
+        let expired: Vec<JobId> = expired(&self.ended, now);
         match delete_rows(engine, Table::Progress, CELL_PARTITION, &expired).await {
             Ok(()) => {
                 self.ended.drain(..expired.len());
@@ -94,6 +102,37 @@
             Err(err) => tracing::debug!(%err, "cannot delete ends of jobs yet"),
         }
     }
+
+    async fn delete_cancels(&mut self, engine: &Engine, now: Millis) {
+        let expired: Vec<CancelNumber> = expired(&self.cancels, now);
+        let keys = {
+            let cell = engine.cell();
+            let cancels = expired
+                .iter()
+                .filter_map(|&number| Some((number, cell.unknown_cancel(number)?)));
+            cancels
+                .map(|(number, cancel)| recording::cancel_key(number, cancel))
+                .collect()
+        };
+        match delete_keys(engine, keys).await {
+            Ok(()) => {
+                self.cancels.drain(..expired.len());
+                let mut cell = engine.cell();
+                expired
+                    .into_iter()
+                    .for_each(|number| cell.forget_unknown_cancel(number));
+            }
+            Err(err) => tracing::debug!(%err, "cannot delete cancellations of unknown jobs yet"),
+        }
+    }
+}
+
+/// Returns what has been kept for [`END_RETENTION`], as much as fits in one transaction.
+fn expired<T: Copy>(kept: &VecDeque<(Millis, T)>, now: Millis) -> Vec<T> {
+    let old = kept
+        .iter()
+        .take_while(|(since, _)| since + END_RETENTION <= now);
+    old.map(|(_, item)| *item).take(MAX_ROWS).collect()
 }
 
 async fn delete_rows(
@@ -102,12 +141,16 @@
     partition: &str,
     ids: &[JobId],
 ) -> Result<(), StoreError> {
-    if ids.is_empty() {
+    let key = |id: &JobId| RowKey::new(table, partition, &id.to_string());
+    delete_keys(engine, ids.iter().map(key).collect()).await
+}
+
+async fn delete_keys(engine: &Engine, keys: Vec<RowKey>) -> Result<(), StoreError> {
+    if keys.is_empty() {
         return Ok(());
     }
-    let key = |id: &JobId| RowKey::new(table, partition, &id.to_string());
     let tx = Transaction {
-        drops: ids.iter().map(key).collect(),
+        drops: keys,
         ..Transaction::default()
     };
     engine.shared.store(StoreCall::Commit(tx)).await.map(drop)
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -17,6 +17,7 @@
 use crate::cell::job::JobState;
 use crate::cell::record::JobRow;
 use crate::cell::spec::JobId;
+use crate::cell::unknown_cancel::CancelNumber;
 use crate::cell::view::JobView;
 use crate::cell::{Cell, Milestone, WorkerKey, tuning};
 use crate::clock::{self, Millis};
@@ -512,15 +513,16 @@
     /// Cancels a job and waits until that is recorded, for at most `CANCEL_TIMEOUT`.  Also a job that is
     /// not known: its row may still come.
     pub async fn cancel(&self, request: &JobRequest) -> NodeReply {
-        let id = request.job;
-        let outcome = self.cell().cancel(id);
-        if outcome == CancelOutcome::Final {
-            return NodeReply::Cancelled;
+        let JobRequest { job: id, caller } = request;
+        if let Some(answer) = self.cancel_known(*id).await {
+            return answer;
         }
-        if outcome == CancelOutcome::Decided {
-            return self.await_cancellation(id, NodeReply::Cancelled).await;
+        let now = self.shared.now();
+        let repeated = self.cell().recent_unknown_cancel(*id, caller, now);
+        if let Some(number) = repeated {
+            return self.await_unknown_cancel(number).await;
         }
-        match loading::find_job(&self.shared, id).await {
+        match loading::find_job(&self.shared, *id).await {
             Ok(Some(row)) if !self.accepted(&row) => return NodeReply::Unavailable,
             Ok(_) => {}
             Err(_) => return NodeReply::Unavailable,
@@ -529,28 +531,57 @@
         if !self.may_see(request) {
             return NodeReply::UnknownJob;
         }
-        let workspace = request.caller.workspace().map(str::to_owned);
-        let answer = {
+        let cancelled = {
+            let now = self.shared.now();
             let mut cell = self.cell();
-            match cell.cancel(id) {
-                CancelOutcome::Unknown if !cell.cancel_unknown(id, workspace) => {
-                    self.shared.metrics.event("unknown_cancel_refused");
-                    return NodeReply::Unavailable;
-                }
-                CancelOutcome::Unknown => NodeReply::UnknownJob,
-                CancelOutcome::Decided | CancelOutcome::Final => NodeReply::Cancelled,
+            match cell.knows_job(*id) {
+                true => None,
+                false => Some(cell.cancel_unknown(*id, caller, now)),
             }
         };
-        self.await_cancellation(id, answer).await
+        match cancelled {
+            None => self
+                .cancel_known(*id)
+                .await
+                .unwrap_or(NodeReply::Unavailable),
+            Some(Some(number)) => self.await_unknown_cancel(number).await,
+            Some(None) => {
+                self.shared.metrics.event("unknown_cancel_refused");
+                NodeReply::Unavailable
+            }
+        }
+    }
+
+    /// Cancels a job that is known, and waits until that is recorded; returns none if it is not known.
+    async fn cancel_known(&self, id: JobId) -> Option<NodeReply> {
+        let outcome = self.cell().cancel(id);
+        match outcome {
+            CancelOutcome::Unknown => None,
+            CancelOutcome::Final => Some(NodeReply::Cancelled),
+            CancelOutcome::Decided => {
+                let is_recorded = |cell: &Cell| cell.is_end_recorded(id);
+                Some(self.await_record(is_recorded, NodeReply::Cancelled).await)
+            }
+        }
+    }
+
+    /// Waits until the cancellation of an unknown job is recorded.
+    async fn await_unknown_cancel(&self, number: CancelNumber) -> NodeReply {
+        let is_recorded = |cell: &Cell| cell.is_unknown_cancel_recorded(number);
+        self.await_record(is_recorded, NodeReply::UnknownJob).await
     }
 
-    /// Returns `answer` once the cancellation of a job is recorded.
-    async fn await_cancellation(&self, id: JobId, answer: NodeReply) -> NodeReply {
+    /// Returns `answer` once a cancellation is recorded.
+    async fn await_record(
+        &self,
+        is_recorded: impl Fn(&Cell) -> bool,
+        answer: NodeReply,
+    ) -> NodeReply {
         self.record.notify_one();
         let until_recorded = async {
             loop {
                 let recorded = self.recorded.notified();
-                if self.cell().cancel(id) == CancelOutcome::Final {
+                if is_recorded(&self.cell()) {
                     return;
                 }
                 recorded.await;
--- a/src/node/following.rs
+++ b/src/node/following.rs
@@ -183,7 +183,7 @@
                 Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
             }
             let cancelled = self.cell().take_recorded_cancels();
-            cleaner.add_ended(cancelled, self.shared.now());
+            cleaner.add_cancels(cancelled, self.shared.now());
             cleaner.clean(&self).await;
         }
     }
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -8,6 +8,7 @@
 use crate::cell::Cell;
 use crate::cell::record::{JobProgress, JobRow};
 use crate::cell::spec::JobId;
+use crate::cell::unknown_cancel::CancelNumber;
 use crate::cell::worker::WorkerEntry;
 use crate::clock;
 use crate::node::roster_rows::RosterRows;
@@ -159,6 +160,10 @@
     }
     let mut recorded: HashMap<String, JobProgress> = HashMap::new();
     for row in &progress {
+        if let Some(number) = recording::read_cancel_key(&row.key) {
+            restore_unknown_cancel(&mut cell, number, row);
+            continue;
+        }
         match serde_json::from_str(&row.value) {
             Ok(progress) => {
                 recorded.insert(row.key.clone(), progress);
@@ -209,6 +214,13 @@
     })
 }
 
+fn restore_unknown_cancel(cell: &mut Cell, number: CancelNumber, row: &Row) {
+    match serde_json::from_str(&row.value) {
+        Ok(cancel) => cell.restore_unknown_cancel(number, cancel),
+        Err(err) => tracing::error!(key = row.key, %err, "cannot parse a cancellation"),
+    }
+}
+
 /// The rows of jobs from those partitions that could be read.
 pub struct JobRows {
     /// The rows.
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -12,6 +12,8 @@
 
 use crate::cell::lapse::RemainingLeases;
 use crate::cell::record::Batch;
+use crate::cell::spec::JobId;
+use crate::cell::unknown_cancel::{CancelNumber, UnknownCancel};
 use crate::node::engine::Engine;
 use crate::node::roster_rows::RosterWrite;
 use crate::node::shared::CELL_PARTITION;
@@ -24,6 +26,8 @@
 
 /// The key of the row with the remaining leases of silent workers, which an owner writes when it
 /// gives the cell up.
+/// Separates the id of a job from the number of its cancellation in a key.
+const CANCEL_SEPARATOR: char = '-';
 const REMAINING_LEASES_KEY: &str = "lapses";
 
 /// The least time between two transactions.  Each transaction has a cost, and this pause is short
@@ -166,8 +170,10 @@
     /// Logs which row holds the ends that callers are told from now on: that of each job's progress,
     /// as of this version of the store.
     fn log_recorded_ends(&self, batch: &Batch, version: Version) {
-        let ended = batch.progress().filter(|(_, row)| row.state.is_final());
-        let ended: Vec<String> = ended.map(|(id, _)| id.to_string()).collect();
+        let ended = batch.rows.iter().filter(|(.., row)| row.state.is_final());
+        let ended = ended.map(|(_, id, _)| id);
+        let cancelled = batch.unknown_cancels.iter().map(|(_, cancel)| &cancel.job);
+        let ended: Vec<String> = ended.chain(cancelled).map(JobId::to_string).collect();
         if ended.is_empty() {
             return;
         }
@@ -245,12 +251,16 @@
         tx.puts.push((OwnerRow::key(), owner.write()));
         tx.puts.extend(workers.puts.iter().cloned());
         tx.drops.extend(workers.drops.iter().cloned());
-        for (id, progress) in batch.progress() {
+        for (_, id, progress) in &batch.rows {
             let id = id.to_string();
             let value = store::encode(progress);
             tx.puts
                 .push((RowKey::new(Table::Progress, CELL_PARTITION, &id), value));
         }
+        for (number, cancel) in &batch.unknown_cancels {
+            tx.puts
+                .push((cancel_key(*number, cancel), store::encode(cancel)));
+        }
         tx
     }
 }
@@ -274,6 +284,20 @@
     OwnerRow::read(row).filter(|owner| owner.epoch == epoch)
 }
 
+/// The key of the row of a cancellation of an unknown job: that of the job's progress, a separator and
+/// the number, in hexadecimal digits.
+pub fn cancel_key(number: CancelNumber, cancel: &UnknownCancel) -> RowKey {
+    let key = format!("{}{CANCEL_SEPARATOR}{:x}", cancel.job, number.0);
+    RowKey::new(Table::Progress, CELL_PARTITION, &key)
+}
+
+/// Returns the number of the cancellation that has its row under this key; none if it is that of a
+/// job's progress.
+pub fn read_cancel_key(key: &str) -> Option<CancelNumber> {
+    let (_, number) = key.split_once(CANCEL_SEPARATOR)?;
+    u64::from_str_radix(number, 16).ok().map(CancelNumber)
+}
+
 fn remaining_leases_key() -> RowKey {
     RowKey::new(Table::Cells, CELL_PARTITION, REMAINING_LEASES_KEY)
 }
--- a/src/workspace.rs
+++ b/src/workspace.rs
@@ -157,7 +157,8 @@
 }
 
 /// Who makes a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Caller {
     /// A caller without a known key: on a public queue, or if there are no workspaces.
     Anonymous,
@@ -168,14 +169,6 @@
 }
 
 impl Caller {
-    /// The name of the caller's workspace; none if it has none.
-    pub fn workspace(&self) -> Option<&str> {
-        match self {
-            Self::Workspace(name) => Some(name),
-            Self::Anonymous | Self::Operator => None,
-        }
-    }
-
     /// Returns whether the caller may see and cancel a job of `workspace`.  Everybody may if the
     /// job has none.
     pub fn may_see(&self, workspace: Option<&str>) -> bool {
--- a/tests/split_cell/mod.rs
+++ b/tests/split_cell/mod.rs
@@ -30,7 +30,7 @@
 use crossweir::store::{
     RowKey, Store, StoreCall, StoreError, StoreReply, Table, Transaction, encode,
 };
-use crossweir::workspace::Caller;
+use crossweir::workspace::{Caller, Workspace};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use tokio::task::AbortHandle;
@@ -498,18 +498,34 @@
 
     /// Asks a node for the state of a job as a caller does; none if the node does not run.
     pub fn ask(&self, node: usize, id: u64) -> Option<impl Future<Output = JobAnswer> + use<>> {
+        self.ask_as(Caller::Anonymous, node, id)
+    }
+
+    /// Asks as a certain caller.
+    pub fn ask_as(
+        &self,
+        caller: Caller,
+        node: usize,
+        id: u64,
+    ) -> Option<impl Future<Output = JobAnswer> + use<>> {
         let front = Arc::clone(&self.processes.get(&node)?.front);
-        Some(async move {
-            let caller = Caller::Anonymous;
-            front.state(&caller, JobId(id), Some(CALLER_DEADLINE)).await
-        })
+        Some(async move { front.state(&caller, JobId(id), Some(CALLER_DEADLINE)).await })
     }
 
     /// Cancels a job at a node as a caller does; none if the node does not run.
     pub fn cancel(&self, node: usize, id: u64) -> Option<impl Future<Output = JobAnswer> + use<>> {
+        self.cancel_as(Caller::Anonymous, node, id)
+    }
+
+    /// Cancels a job as a certain caller.
+    pub fn cancel_as(
+        &self,
+        caller: Caller,
+        node: usize,
+        id: u64,
+    ) -> Option<impl Future<Output = JobAnswer> + use<>> {
         let front = Arc::clone(&self.processes.get(&node)?.front);
         Some(async move {
-            let caller = Caller::Anonymous;
             front
                 .cancel(&caller, JobId(id), Some(CALLER_DEADLINE))
                 .await
@@ -525,7 +541,21 @@
     /// Hands a job of one task in at a node, which stands still for `delay` before it writes the row.
     /// The node then tells the owner that it knows if it still runs.
     pub fn hand_in_late(&self, node: usize, id: u64, delay: Millis) {
-        let row: JobRow = job(id, &queue("q", 0), vec![step(1, 1_000)]);
+        self.hand_in_late_for(None, node, id, delay);
+    }
+
+    /// Hands such a job in for a workspace.
+    pub fn hand_in_late_for(
+        &self,
+        workspace: Option<Workspace>,
+        node: usize,
+        id: u64,
+        delay: Millis,
+    ) {
+        let row = JobRow {
+            workspace,
+            ..job(id, &queue("q", 0), vec![step(1, 1_000)])
+        };
         let mut tx = Transaction::default();
         let key = RowKey::new(Table::Jobs, &job_partition(node), &row.id.to_string());
         tx.puts.push((key, encode(&row)));
@@ -546,6 +576,21 @@
         });
     }
 
+    /// Counts the rows of a table of the cell, of which the store lists 500 at most.
+    pub async fn count_rows(&self, table: Table) -> usize {
+        let list = StoreCall::List {
+            table,
+            partition: CELL_PARTITION.to_owned(),
+            from: String::new(),
+            until: String::new(),
+            limit: 500,
+        };
+        match self.world.store.call(list).await {
+            Ok(StoreReply::Rows { rows, .. }) => rows.len(),
+            other => panic!("{other:?}"),
+        }
+    }
+
     /// When runs of a job began, by the clock of all workers.
     pub fn starts(&self, id: u64) -> Vec<Millis> {
         let history = self.history().into_iter();
