A consent is noted for the standing that it was given to; comments fit in the lines

Read: an owner looks up its standing, collects consents and notes that they are enough in three steps. They run without a break today, so nothing could be seen; the number is compared now, so that the argument ("Two owners" in DESIGN) does not rest on that.

--- a/src/cell/candidates.rs
+++ b/src/cell/candidates.rs
@@ -196,8 +196,8 @@
     }
 }
 
-/// The best worker for a task; one on which the task, or another of its step, has failed is chosen only
-/// if there is no other.
+/// The best worker for a task; one on which the task, or another of its step, has failed is chosen
+/// only if there is no other.
 pub(super) fn best_worker(
     candidates: &[PlacementCandidate],
     avoid: Option<WorkerKey>,
--- a/src/cell/health.rs
+++ b/src/cell/health.rs
@@ -1,12 +1,12 @@
 //! Whose fault a failure is: that of the worker, which is then shunned, or that of the step.
 //!
-//! A failure says something of a worker only as far as the step does not fail elsewhere, and something
-//! of a step only as far as other steps don't fail on that worker.  So for each worker the steps are
-//! kept that have failed there since a run succeeded there, and for each step the workers on which it
-//! has failed since a run of it went well.  A failure counts against the worker unless its step has
-//! failed on more workers than steps have failed on this one: that explains all failures by as few
-//! faulty workers and steps as possible.  Once a run of the step goes well elsewhere, its failures count in any case ("Failing
-//! tasks" in `docs/DESIGN.md`).
+//! A failure says something of a worker only as far as the step does not fail elsewhere, and
+//! something of a step only as far as other steps don't fail on that worker.  So for each worker
+//! the steps are kept that have failed there since a run succeeded there, and for each step the
+//! workers on which it has failed since a run of it went well.  A failure counts against the worker
+//! unless its step has failed on more workers than steps have failed on this one: that explains all
+//! failures by as few faulty workers and steps as possible.  Once a run of the step goes well
+//! elsewhere, its failures count in any case ("Failing tasks" in `docs/DESIGN.md`).
 
 use crate::cell::job::Run;
 use crate::cell::order::EndKind;
@@ -233,8 +233,8 @@
         self.shun_for(key, false, now);
     }
 
-    /// Shuns a worker, unless half of its service are shunned or on trial already: there are none to go
-    /// to, so work would only stand still.
+    /// Shuns a worker, unless half of its service are shunned or on trial already: there are none
+    /// to go to, so work would only stand still.
     fn shun_for(&mut self, key: WorkerKey, failures: bool, now: Millis) {
         if !self.is_half_left_without(key, now) {
             return;
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -62,8 +62,8 @@
     pub spec: Arc<JobSpec>,
     /// The text that each task is given, shared by all orders.
     pub text: Arc<str>,
-    /// The queue as in the latest configuration that has it: an accepted job is kept, also if its queue
-    /// is removed.
+    /// The queue as in the latest configuration that has it: an accepted job is kept, also if its
+    /// queue is removed.
     pub queue: Queue,
     /// What the policy decided about the job.
     pub decision: Decision,
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -292,7 +292,8 @@
     former_owner_may_go_on: bool,
     /// How steadily the platform's entries of workers were read.
     entry_reads: EntryReads,
-    /// When nobody else owned the cell, by our clock; [`Millis::MAX`] if there never is another owner.
+    /// When nobody else owned the cell, by our clock; [`Millis::MAX`] if there never is another
+    /// owner.
     exclusive_at: Millis,
     /// Orders that have not been taken yet.
     orders: Vec<Order>,
@@ -521,7 +522,8 @@
         }
     }
 
-    /// Returns whether a successor may have renewed a lease before it ran out, and the runs may go on.
+    /// Returns whether a successor may have renewed a lease before it ran out, and the runs may go
+    /// on.
     fn may_be_renewed_by_successor(&self, worker: &Worker) -> bool {
         worker.lease_end >= self.exclusive_at
     }
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -268,8 +268,8 @@
         self.entry_reads.fail();
     }
 
-    /// Returns whether nothing of a former owner is left on a worker: its entry is missing, and leases of
-    /// an owner that stopped at the claim have run out.
+    /// Returns whether nothing of a former owner is left on a worker: its entry is missing, and
+    /// leases of an owner that stopped at the claim have run out.
     fn is_presumed_gone(&self, worker: &Worker, now: Millis) -> bool {
         let missing = worker.unlisted_since.filter(|_| !worker.entry_outdated);
         let lease_end = self.prompt_settle_time.max(worker.long_lease_until);
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -448,8 +448,8 @@
         }
     }
 
-    /// Has a lasting task that fails again and again soon after its start wait before the next one: its
-    /// starts cost others, and the room that it takes for a moment is lost to them.
+    /// Has a lasting task that fails again and again soon after its start wait before the next one:
+    /// its starts cost others, and the room that it takes for a moment is lost to them.
     fn pause_lasting_task(&mut self, run: &Run, now: Millis) {
         let step = &mut self.steps[run.step];
         if !step.step().lasting {
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -115,8 +115,8 @@
 /// The most cancellations of unknown jobs that an owner keeps, each for five minutes: 33 a second.  A
 /// successor reads a row of 100 bytes for each.
 pub const MAX_UNKNOWN_CANCELS: usize = 10_000;
-/// A cancellation of an unknown job that is younger than this is not recorded again when it is repeated,
-/// so each holds for four minutes at least.
+/// A cancellation of an unknown job that is younger than this is not recorded again when it is
+/// repeated, so each holds for four minutes at least.
 pub const CANCEL_RENEWAL: Millis = 60_000;
 /// A worker is shunned after this many failures in a row that count against it.
 pub const MAX_CONSECUTIVE_FAILURES: u32 = 3;
--- a/src/cell/unknown_cancel.rs
+++ b/src/cell/unknown_cancel.rs
@@ -1,10 +1,10 @@
 //! Cancellations of jobs that are not known: their rows may still come.
 //!
-//! A caller that got no answer to a submission may cancel the job while the submission is still on its
-//! way, in a node that stands still or in a transaction that the store does late.  So the cancellation
-//! is recorded, and a row that comes later is that of a cancelled job.  It holds only for jobs that its
-//! caller may see, since another workspace may use the same id ("What is told, and what holds it" in
-//! `docs/DESIGN.md`).
+//! A caller that got no answer to a submission may cancel the job while the submission is still on
+//! its way, in a node that stands still or in a transaction that the store does late.  So the
+//! cancellation is recorded, and a row that comes later is that of a cancelled job.  It holds only
+//! for jobs that its caller may see, since another workspace may use the same id ("What is told,
+//! and what holds it" in `docs/DESIGN.md`).
 //!
 //! Each cancellation has a row of its own, whose key is used once: no row of a job's progress and no
 //! late deletion can take its place.
--- a/src/cell/wait.rs
+++ b/src/cell/wait.rs
@@ -10,8 +10,8 @@
 pub enum WaitReason {
     /// Steps that must come first are not done.
     EarlierSteps,
-    /// The configuration in force does not have the queue of the job.  Only owners of a version before
-    /// give this reason; they do not run such jobs on.
+    /// The configuration in force does not have the queue of the job.  Only owners of a version
+    /// before give this reason; they do not run such jobs on.
     NoQueue,
     /// Runs of the tasks that a former owner started may still be going on.
     Settling,
--- a/src/node/confirming.rs
+++ b/src/node/confirming.rs
@@ -27,8 +27,8 @@
 const CONFIRM_POLL: Duration = Duration::from_millis(250);
 /// An ownership that was confirmed within this time, in milliseconds, is not confirmed again yet.
 const CONFIRM_AFTER: Millis = 700;
-/// The shortest time between two attempts to confirm the ownership, in milliseconds, if that is needed
-/// at once.
+/// The shortest time between two attempts to confirm the ownership, in milliseconds, if that is
+/// needed at once.
 const MIN_CONFIRM_INTERVAL: Millis = 100;
 /// When the store has not answered for this long, the other nodes are asked as well.  A read takes
 /// 6 ms, and time spent waiting here is taken from the 2 s for which a confirmation lasts.
@@ -52,9 +52,9 @@
     since: Millis,
 }
 
-/// Whose answers count.  A node that knows of a successor, and has not consented, forgets both when it
-/// restarts.  While the ownership is confirmed any process counts; once it is not, only one that was
-/// there when it last was ("Two owners" in `docs/DESIGN.md`).
+/// Whose answers count.  A node that knows of a successor, and has not consented, forgets both when
+/// it restarts.  While the ownership is confirmed any process counts; once it is not, only one that
+/// was there when it last was ("Two owners" in `docs/DESIGN.md`).
 #[derive(Debug, Clone, Copy)]
 struct Counting {
     is_active: bool,
@@ -127,10 +127,10 @@
         }
     }
 
-    /// Confirms the ownership without its row if most of the recorded voters say that they know of no
-    /// successor, and three quarters have consented before: one that starts what may run already has the
-    /// answers of most voters, or of more that have not consented than this owner can do without ("Two
-    /// owners" in `docs/DESIGN.md`).
+    /// Confirms the ownership without its row if most of the recorded voters say that they know of
+    /// no successor, and three quarters have consented before: one that starts what may run already
+    /// has the answers of most voters, or of more that have not consented than this owner can do
+    /// without ("Two owners" in `docs/DESIGN.md`).
     fn apply_support(&self) {
         let asked = self.shared.now().saturating_sub(RECENT_ANSWER);
         let supporters = self.supporters(asked);
@@ -173,7 +173,7 @@
             let names = consenting.map(|(name, _)| name.as_str());
             let names = names.chain([self.shared.name.as_str()]).collect();
             if self.voters().have_consented(&names) {
-                self.standing().note_consent();
+                self.standing().note_consent(wanted);
             }
         }
         self.standing().has_consent()
@@ -195,8 +195,8 @@
         row_in(reply.ok()?)
     }
 
-    /// Asks a node for the row.  If it cannot read it, its answer to a heartbeat still tells whether it
-    /// knows of a successor.
+    /// Asks a node for the row.  If it cannot read it, its answer to a heartbeat still tells
+    /// whether it knows of a successor.
     async fn ask_node(&self, name: String, addr: SocketAddr) -> Option<RowRead> {
         let call = read_owner_call();
         let reply = route::ask_to_relay(&self.shared, addr, &call, READ_LIMIT).await;
@@ -208,8 +208,8 @@
         None
     }
 
-    /// The nodes that were heard recently, know of no higher epoch and may reach the store, with their
-    /// addresses.
+    /// The nodes that were heard recently, know of no higher epoch and may reach the store, with
+    /// their addresses.
     fn peers_to_ask(&self, sent: Millis) -> Vec<(String, SocketAddr)> {
         let lacks_store = |member: &Member| {
             let asked = member.no_store_asked;
--- a/src/node/consent.rs
+++ b/src/node/consent.rs
@@ -2,8 +2,9 @@
 //!
 //! An owner that reaches neither the store nor all voters can't tell nodes that are lost from nodes
 //! that are cut off, reach the store and claim the cell.  So it goes on only if at least three
-//! quarters of the voters have consented to that while they still answered.  A voter that has not consented, and knows of a
-//! successor, proves to it that the owner stops ("Two owners" in `docs/DESIGN.md`).
+//! quarters of the voters have consented to that while they still answered.  A voter that has not
+//! consented, and knows of a successor, proves to it that the owner stops ("Two owners" in
+//! `docs/DESIGN.md`).
 
 use crate::rpc::node::Heartbeat;
 
@@ -111,9 +112,10 @@
             .then_some(StandingId { epoch, number })
     }
 
-    /// Notes that enough voters have consented.
-    pub fn note_consent(&mut self) {
-        if self.is_without_store && !self.has_consent {
+    /// Notes that enough voters have consented to a standing, unless it has changed since.
+    pub fn note_consent(&mut self, standing: StandingId) {
+        let is_present = self.is_without_store && self.number == standing.number;
+        if is_present && !self.has_consent {
             tracing::info!(number = self.number, "owner may go on without some voters");
             self.has_consent = true;
         }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -337,9 +337,9 @@
         self.cell().pending().into_iter().collect()
     }
 
-    /// Returns how long new jobs are expected to wait.  Nothing is computed unless jobs may be refused.
-    /// An owner that may not give orders knows no waits, since it cannot tell whether its jobs still
-    /// wait.
+    /// Returns how long new jobs are expected to wait.  Nothing is computed unless jobs may be
+    /// refused.  An owner that may not give orders knows no waits, since it cannot tell whether its
+    /// jobs still wait.
     pub fn expected_waits(&self) -> HeardWaits {
         if self.shared.options.reject_after.is_none() {
             return HeardWaits::default();
@@ -432,8 +432,8 @@
         }
     }
 
-    /// Returns for how long the transaction in flight has been tried, in milliseconds; 0 if none is in
-    /// flight.
+    /// Returns for how long the transaction in flight has been tried, in milliseconds; 0 if none is
+    /// in flight.
     pub(super) fn record_age(&self) -> Millis {
         match self.record_began.load(Ordering::Relaxed) {
             0 => 0,
@@ -510,8 +510,8 @@
         self.cell().may_see(&request.caller, request.job)
     }
 
-    /// Cancels a job and waits until that is recorded, for at most `CANCEL_TIMEOUT`.  Also a job that is
-    /// not known: its row may still come.
+    /// Cancels a job and waits until that is recorded, for at most `CANCEL_TIMEOUT`.  Also a job
+    /// that is not known: its row may still come.
     pub async fn cancel(&self, request: &JobRequest) -> NodeReply {
         let JobRequest { job: id, caller } = request;
         if let Some(answer) = self.cancel_known(*id).await {
@@ -552,7 +552,8 @@
         }
     }
 
-    /// Cancels a job that is known, and waits until that is recorded; returns none if it is not known.
+    /// Cancels a job that is known, and waits until that is recorded; returns none if it is not
+    /// known.
     async fn cancel_known(&self, id: JobId) -> Option<NodeReply> {
         let outcome = self.cell().cancel(id);
         match outcome {
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -284,8 +284,8 @@
     OwnerRow::read(row).filter(|owner| owner.epoch == epoch)
 }
 
-/// The key of the row of a cancellation of an unknown job: that of the job's progress, a separator and
-/// the number, in hexadecimal digits.
+/// The key of the row of a cancellation of an unknown job: that of the job's progress, a separator
+/// and the number, in hexadecimal digits.
 pub fn cancel_key(number: CancelNumber, cancel: &UnknownCancel) -> RowKey {
     let key = format!("{}{CANCEL_SEPARATOR}{:x}", cancel.job, number.0);
     RowKey::new(Table::Progress, CELL_PARTITION, &key)
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -558,8 +558,8 @@
         }
     }
 
-    /// Applies a heartbeat of another node: to the list of nodes and to what is known of the owner.  If
-    /// it shows a higher epoch, this node's own engine retires.
+    /// Applies a heartbeat of another node: to the list of nodes and to what is known of the owner.
+    /// If it shows a higher epoch, this node's own engine retires.
     pub fn apply_heartbeat(&self, beat: &Heartbeat) {
         let now = self.now();
         self.apply_members(beat, now);
--- a/src/node/succession.rs
+++ b/src/node/succession.rs
@@ -210,8 +210,8 @@
         self.former.as_ref()
     }
 
-    /// Returns whether all owners that may still act, the present one included, go on without the store
-    /// only with the consent of voters.
+    /// Returns whether all owners that may still act, the present one included, go on without the
+    /// store only with the consent of voters.
     pub fn asks_consent(&self) -> bool {
         self.former.is_none() || self.ask_consent
     }
@@ -296,8 +296,8 @@
         by_majority.into_iter().chain(by_withheld).min()
     }
 
-    /// Returns whether a former owner may go on for long without the store: some node has consented to
-    /// that, or it does not ask.
+    /// Returns whether a former owner may go on for long without the store: some node has consented
+    /// to that, or it does not ask.
     pub fn may_go_on(&self, successor: Successor<'_>, members: &Members) -> bool {
         let is_given =
             |consent: Consent| matches!(consent, Consent::Given(id) if id.epoch < successor.epoch);
--- a/src/node/transaction.rs
+++ b/src/node/transaction.rs
@@ -87,8 +87,8 @@
         Outcome::Retired
     }
 
-    /// Makes one attempt.  While the answer is late, reads the ownership row: a newer one is as good as
-    /// the answer that there is a conflict.
+    /// Makes one attempt.  While the answer is late, reads the ownership row: a newer one is as
+    /// good as the answer that there is a conflict.
     async fn commit(&self, tx: Transaction, expected: Version) -> Result<StoreReply, StoreError> {
         let sent = Instant::now();
         let answer = self.shared.store(StoreCall::Commit(tx));
--- a/tests/failing_tasks.rs
+++ b/tests/failing_tasks.rs
@@ -231,8 +231,8 @@
     assert_eq!(started.count(), 8);
 }
 
-/// Jobs that fail wherever they run, and nothing else, must not have all workers shunned, so that the next
-/// job waits.
+/// Jobs that fail wherever they run, and nothing else, must not have all workers shunned, so that
+/// the next job waits.
 #[yare::parameterized(
     one_task = { 1, 1 },
     five_tasks = { 5, 1 },
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -273,8 +273,8 @@
     assert!(next.iter().any(is_next), "the owner still starts tasks");
 }
 
-/// Odd rows of any writer must not end a node, nor keep it from reading on, taking over and using a new
-/// worker.
+/// Odd rows of any writer must not end a node, nor keep it from reading on, taking over and using a
+/// new worker.
 #[tokio::test(start_paused = true)]
 async fn nodes_go_on_beside_odd_rows_in_every_table() {
     // Arrange.
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -174,8 +174,8 @@
     members.note_store_answer(&name, at);
 }
 
-/// More than a quarter of the voters prove a stop if they withhold their consent, unless the former owner
-/// is of a version that asks for none.
+/// More than a quarter of the voters prove a stop if they withhold their consent, unless the former
+/// owner is of a version that asks for none.
 #[yare::parameterized(
     two = { 2, true, true },
     one_is_too_few = { 1, true, false },
--- a/tests/two_owners.rs
+++ b/tests/two_owners.rs
@@ -15,8 +15,8 @@
 const LONG: Millis = 12_000;
 /// Accepted work may stand still for 3 s that begin 4 s after the last loss.
 const SOON: Millis = 7_000;
-/// An entry that goes proves that its worker is gone unless the store turns away more nodes, and serves
-/// the others (docs/DESIGN.md, "Two owners").
+/// An entry that goes proves that its worker is gone unless the store turns away more nodes, and
+/// serves the others (docs/DESIGN.md, "Two owners").
 const MOST_TURNED_AWAY: usize = 5;
 
 /// A partition: the owner and nodes beside it, all of which the store treats as given, and the rest.
@@ -135,8 +135,8 @@
     cell.end();
 }
 
-/// An owner that has stopped must not go on because voters that knew of its successor have restarted, and
-/// consent now.
+/// An owner that has stopped must not go on because voters that knew of its successor have
+/// restarted, and consent now.
 #[tokio::test(start_paused = true)]
 async fn a_stopped_owner_does_not_go_on_by_the_consent_of_restarted_voters() {
     // Arrange: two nodes with the store have elected a successor, which has started lost tasks.
@@ -388,8 +388,8 @@
     assert!(faults.is_empty(), "{} worlds: {faults:#?}", faults.len());
 }
 
-/// A random world without cuts: nodes and workers are lost for good, in series, and others may come in
-/// the nodes' place.  What was accepted before must go on soon after the last loss.
+/// A random world without cuts: nodes and workers are lost for good, in series, and others may come
+/// in the nodes' place.  What was accepted before must go on soon after the last loss.
 async fn play_losses(seed: u64) -> Result<(), String> {
     // Arrange.
     let mut rng = StdRng::seed_from_u64(seed);
--- a/tests/unknown_cancels.rs
+++ b/tests/unknown_cancels.rs
@@ -1,5 +1,5 @@
-//! A job that is cancelled before its row has come must not run when it comes ("What is told, and what
-//! holds it" in `docs/DESIGN.md`).
+//! A job that is cancelled before its row has come must not run when it comes ("What is told, and
+//! what holds it" in `docs/DESIGN.md`).
 
 mod cell_core;
 mod split_cell;
@@ -39,8 +39,8 @@
     AllAreRestarted,
 }
 
-/// A submission that stands still in a node must not take effect after its job was cancelled at another
-/// one, whichever nodes are lost in between.
+/// A submission that stands still in a node must not take effect after its job was cancelled at
+/// another one, whichever nodes are lost in between.
 #[yare::parameterized(
     nothing = { Meanwhile::Nothing },
     owner_is_killed = { Meanwhile::OwnerIsKilled },
@@ -92,7 +92,8 @@
     Caller::Workspace(workspace.to_owned())
 }
 
-/// The cancellation of an id must not take away the job that another workspace has handed in under it.
+/// The cancellation of an id must not take away the job that another workspace has handed in under
+/// it.
 #[yare::parameterized(
     nothing = { Meanwhile::Nothing },
     owner_is_killed = { Meanwhile::OwnerIsKilled },
@@ -210,8 +211,8 @@
     cell.end();
 }
 
-/// The rows of such cancellations must go again, so that callers who cancel unknown ids cannot fill the
-/// store.
+/// The rows of such cancellations must go again, so that callers who cancel unknown ids cannot fill
+/// the store.
 #[tokio::test(start_paused = true)]
 async fn the_row_of_a_cancelled_unknown_job_is_dropped_in_time() {
     // Arrange.
@@ -231,7 +232,8 @@
     cell.end();
 }
 
-/// A cancellation that is repeated when the first one is nearly forgotten must hold for as long again.
+/// A cancellation that is repeated when the first one is nearly forgotten must hold for as long
+/// again.
 #[yare::parameterized(
     owner_lives = { Meanwhile::Nothing },
     owner_is_killed = { Meanwhile::OwnerIsKilled },
@@ -322,8 +324,8 @@
     }
 }
 
-/// A random world: jobs of workspaces and public ones that are handed in late and cancelled by whoever
-/// it may be, while nodes are lost and the store is away.
+/// A random world: jobs of workspaces and public ones that are handed in late and cancelled by
+/// whoever it may be, while nodes are lost and the store is away.
 async fn play(seed: u64) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut cell = SplitCell::settled().await;
@@ -377,7 +379,8 @@
     }
 }
 
-/// In no world may a cancelled job run, nor may one be lost that only callers of others have cancelled.
+/// In no world may a cancelled job run, nor may one be lost that only callers of others have
+/// cancelled.
 #[test]
 fn no_cancelled_job_runs_in_random_worlds() {
     let faults = faults_of_worlds(|seed| async move { play(seed).await.err() });
