--- a/src/cell/unknown_cancel.rs
+++ b/src/cell/unknown_cancel.rs
@@ -149,9 +149,11 @@
 
     /// Adds a cancellation that a former owner has recorded.
     pub fn restore_unknown_cancel(&mut self, number: CancelNumber, cancel: UnknownCancel) {
+        let cancels = &mut self.unknown_cancels;
+        cancels.last_number = cancels.last_number.max(number.0);
         // By our clock the time at which it was cancelled is not known, so it is never a recent one.
-        self.unknown_cancels.keep(number, cancel, 0);
-        self.unknown_cancels.recorded.push(number);
+        cancels.keep(number, cancel, 0);
+        cancels.recorded.push(number);
     }
 
     /// Returns whether a cancellation is recorded.
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -513,16 +513,19 @@
     /// Cancels a job and waits until that is recorded, for at most `CANCEL_TIMEOUT`.  Also a job
     /// that is not known: its row may still come.
     pub async fn cancel(&self, request: &JobRequest) -> NodeReply {
-        let JobRequest { job: id, caller } = request;
-        if let Some(answer) = self.cancel_known(*id).await {
+        let &JobRequest {
+            job: id,
+            ref caller,
+        } = request;
+        if let Some(answer) = self.cancel_known(id).await {
             return answer;
         }
         let now = self.shared.now();
-        let repeated = self.cell().recent_unknown_cancel(*id, caller, now);
+        let repeated = self.cell().recent_unknown_cancel(id, caller, now);
         if let Some(number) = repeated {
             return self.await_unknown_cancel(number).await;
         }
-        match loading::find_job(&self.shared, *id).await {
+        match loading::find_job(&self.shared, id).await {
             Ok(Some(row)) if !self.accepted(&row) => return NodeReply::Unavailable,
             Ok(_) => {}
             Err(_) => return NodeReply::Unavailable,
@@ -531,25 +534,22 @@
         if !self.may_see(request) {
             return NodeReply::UnknownJob;
         }
-        let cancelled = {
+        let number = {
             let now = self.shared.now();
             let mut cell = self.cell();
-            match cell.knows_job(*id) {
+            match cell.knows_job(id) {
                 true => None,
-                false => Some(cell.cancel_unknown(*id, caller, now)),
+                false => cell.cancel_unknown(id, caller, now),
             }
         };
-        match cancelled {
-            None => self
-                .cancel_known(*id)
-                .await
-                .unwrap_or(NodeReply::Unavailable),
-            Some(Some(number)) => self.await_unknown_cancel(number).await,
-            Some(None) => {
-                self.shared.metrics.event("unknown_cancel_refused");
-                NodeReply::Unavailable
-            }
+        if let Some(number) = number {
+            return self.await_unknown_cancel(number).await;
+        }
+        if let Some(answer) = self.cancel_known(id).await {
+            return answer;
         }
+        self.shared.metrics.event("unknown_cancel_refused");
+        NodeReply::Unavailable
     }
 
     /// Cancels a job that is known, and waits until that is recorded; returns none if it is not
