Tests: tasks run twice under a lease that their successor doesn't know (known red)

Workers of the fixture had clocks that begin at 0, so that the age of a life showed in its clock; clocks can now begin at any reading, as they do on the platform.

--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -29,59 +29,81 @@
 /// The Unix time, in milliseconds, at time 0 of a [`Site`].
 pub const UNIX_START: Millis = 1_700_000_000_000;
 
-/// One life of a worker, whose clock reads 0 at its start.  Times passed in and returned are the
-/// site's, except where the worker's clock is named.
+/// One life of a worker, with a clock of its own.  Times passed in and returned are the site's,
+/// except where the worker's clock is named.
 pub struct WorkerLife {
     /// The worker's state, in times of its own clock.
     pub memory: MemoryWorker,
     began: Millis,
+    /// What its clock read when it began.
+    first_reading: Millis,
 }
 
 impl WorkerLife {
     /// A life whose clock reads 0 at the time `began`.
     pub fn begun_at(began: Millis, memory: MemoryWorker) -> Self {
-        Self { memory, began }
+        Self {
+            memory,
+            began,
+            first_reading: 0,
+        }
+    }
+
+    /// The same life with a clock that reads `first_reading` when it begins.
+    pub fn with_first_reading(mut self, first_reading: Millis) -> Self {
+        self.first_reading = first_reading;
+        self
     }
 
-    /// When the life's clock read 0.
+    /// When the life began.
     pub fn began(&self) -> Millis {
         self.began
     }
 
+    /// What its clock reads at a time.
+    pub fn clock(&self, now: Millis) -> Millis {
+        now - self.began + self.first_reading
+    }
+
+    /// The time at which its clock reads `clock`.
+    fn time(&self, clock: Millis) -> Millis {
+        (clock + self.began).saturating_sub(self.first_reading)
+    }
+
     /// Executes a start.  Returns its outcome and the time by the worker's clock.
     pub fn start(&mut self, order: &StartOrder, now: Millis) -> (StartOutcome, Millis) {
-        let clock = now - self.began;
+        let clock = self.clock(now);
         (self.memory.start(order, clock), clock)
     }
 
     /// Executes a stop.
     pub fn stop(&mut self, order: &StopOrder, now: Millis) -> Result<(), Refusal> {
-        self.memory.stop(order, now - self.began)
+        self.memory.stop(order, self.clock(now))
     }
 
     /// Answers a poll.
     pub fn poll(&mut self, order: &PollOrder, now: Millis) -> Result<PollReport, PollFailure> {
-        self.memory.poll(order, now - self.began)
+        self.memory.poll(order, self.clock(now))
     }
 
     /// Ends the runs that have run their time or whose lease has expired.
     pub fn settle(&mut self, now: Millis) {
-        self.memory.end_due_runs(now - self.began);
+        self.memory.end_due_runs(self.clock(now));
     }
 
     /// Ends this life, and all its runs, by a crash.
     pub fn crash(&mut self, now: Millis) {
-        self.memory.crash(now - self.began);
+        self.memory.crash(self.clock(now));
     }
 
     /// When the lease expires, and with it all runs, unless it is renewed.
     pub fn lease_end(&self) -> Millis {
-        self.began + self.memory.lease_end()
+        self.time(self.memory.lease_end())
     }
 
     /// All runs, in the order in which they began.
     pub fn runs(&self) -> impl Iterator<Item = RunRecord> {
-        let at = |clock| self.began + clock;
+        let at = |clock| self.time(clock);
         self.memory.history.iter().map(move |run| RunRecord {
             began: at(run.began),
             ended: run.ended.map(|(clock, how)| (at(clock), how)),
@@ -176,9 +198,16 @@
 
     /// Starts the next life of a worker, under the same id.  The platform does not list it yet.
     pub fn begin_life(&mut self, index: usize) {
+        self.begin_life_reading(index, 0);
+    }
+
+    /// Starts the next life of a worker, with a clock that reads `first_reading`.
+    pub fn begin_life_reading(&mut self, index: usize, first_reading: Millis) {
+        let born = UNIX_START + self.now;
         let life = &mut self.entries[index].life;
-        life.born = Some(UNIX_START + self.now);
-        let alive = WorkerLife::begun_at(self.now, MemoryWorker::born_at(UNIX_START + self.now));
+        life.born = Some(born);
+        let alive = WorkerLife::begun_at(self.now, MemoryWorker::born_at(born));
+        let alive = alive.with_first_reading(first_reading);
         self.alive.insert(life.id.clone(), alive);
     }
 
