A successor counts on the longest lease of a life unless that is ruled out for good

Cause: an order that was meant for a former life of a worker gives the present one a lease by the former clock, up to the longest of 10 s. Each owner decided by itself whether that may have happened: by former lives that it had seen itself, and by a clock that reads less than 22 s, as if clocks began at 0. The roster told a successor of it, which used that only to settle and forgot it with the worker's first answer.

Change: what counts is no longer who has seen a restart. Each life may have the longest lease until that is ruled out: no order for a former life can be on its way (this owner has used none, and the last of a former owner has come), or the life refuses such orders since an answer that is longer ago than the longest lease. What is ruled out holds for the whole life and for all owners, and the roster says so; without its word a successor assumes the longest lease from its first answer on. Entries of the version before count as not known. A worker that is not in the roster costs no write.

--- a/src/cell/lost.rs
+++ b/src/cell/lost.rs
@@ -43,7 +43,7 @@
         if worker.roster_state != RosterState::Absent {
             let entry = RosterEntry {
                 jobs: None,
-                long_lease: false,
+                long_lease: None,
                 lost: Some(LostLife::This),
                 worker: worker.entry.clone(),
             };
--- a/src/cell/membership.rs
+++ b/src/cell/membership.rs
@@ -85,6 +85,8 @@
         worker.entry_outdated = false;
         worker.next = None;
         let born = entry.life.born.or(worker.entry.life.born);
+        let is_first_report = born.is_some() && !worker.entry.life.may_recur();
+        worker.may_have_long_lease |= is_first_report && !worker.fenced;
         worker.entry = entry;
         worker.entry.life.born = born;
     }
@@ -98,6 +100,7 @@
         worker.leaving_since = worker.entry.leaving.map(|_| now);
         worker.set_former_lives(self.former_lives.swap_remove(&id).unwrap_or_default(), now);
         let key = self.workers.insert(worker);
+        self.workers[key].may_have_long_lease &= self.may_get_former_orders(key, now);
         self.speeds.worker_added();
         self.worker_ids.insert(id, key);
     }
@@ -251,6 +254,22 @@
         (listed, open)
     }
 
+    /// Returns whether an order that was meant for a former life of a worker's id can have reached
+    /// the present life, or given it a lease that goes on.
+    ///
+    /// An order for a life that this owner has used may be on its way as long as the owner remembers
+    /// that life, and one of a former owner until [`Cell::note_former_owners_stopped`] and
+    /// [`tuning::MAX_ORDER_DELAY`] tell that the last has come.  The age of a life does not show:
+    /// its clock may begin at any reading, and the time of day steps.
+    pub(super) fn may_get_former_orders(&self, key: WorkerKey, now: Millis) -> bool {
+        let worker = &self.workers[key];
+        let has_former_life = worker.former.epoch_offset() > 0;
+        let former_leases_end = self
+            .former_orders_end
+            .saturating_add(FormerLives::MAX_LEASE);
+        worker.entry.life.may_recur() && (has_former_life || now < former_leases_end)
+    }
+
     /// Ends the other lives at the address and machine of a worker that has answered for the first
     /// time, to a poll sent at `sent`. Lives that were known before that had begun earlier, so they
     /// have ended. A life listed since may be the later one; its own answer will show that.
--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeSet;
 
 use crate::cell::job::{Phase, Run};
-use crate::cell::life::FormerLives;
 use crate::cell::membership::LostBy;
 use crate::cell::name::TaskName;
 use crate::cell::order::{
@@ -50,11 +49,13 @@
         let first = !worker.fenced;
         worker.fenced = true;
         self.clear_survived_losses(key, order.sequence, now);
+        let may_get_former_orders = self.may_get_former_orders(key, now);
         let worker = &mut self.workers[key];
         if first {
             self.counts.unread_ends += u64::from(has_discarded_ends(worker, report));
             worker.lease_end = 0;
-            if may_have_former_life_lease(worker, report) {
+            worker.may_have_long_lease &= may_get_former_orders;
+            if worker.may_have_long_lease {
                 worker.assume_longest_lease(now);
             }
             // A former owner may have renewed the lease just now. Without this a task was started
@@ -401,13 +402,6 @@
     }
 }
 
-/// Returns whether a life may hold a lease that was meant for the clock of a former life, given by
-/// this owner or another: a start that arrives late gives such a lease, even if it is refused.
-fn may_have_former_life_lease(worker: &Worker, report: &PollReport) -> bool {
-    let is_young = report.born.is_some() && report.clock <= FormerLives::RELEVANT_FOR;
-    is_young || worker.former.epoch_offset() > 0
-}
-
 /// Returns whether a life that has not answered before has discarded ends that nobody has read:
 /// each life numbers its ends from one without gaps.
 fn has_discarded_ends(worker: &Worker, report: &PollReport) -> bool {
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -28,8 +28,10 @@
     #[serde(default)]
     pub jobs: Option<Vec<JobId>>,
     /// What runs there may have the longest lease that a worker gives, instead of the owner's.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub long_lease: bool,
+    /// `None` if that is not known: a former version did not tell it of a life that it had not
+    /// heard.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub long_lease: Option<bool>,
     /// Set if a life of the worker has ended on which a former owner may have started tasks without
     /// recording that.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -127,7 +129,7 @@
         RosterEntry {
             worker: worker.entry.clone(),
             jobs: self.named_jobs(worker),
-            long_lease: worker.has_long_lease,
+            long_lease: Some(worker.may_have_long_lease),
             lost: self
                 .ended_entry_of(&worker.entry.life.id)
                 .map(|_| LostLife::Former),
@@ -165,24 +167,21 @@
     /// Updates how each worker stands in the roster.
     pub(super) fn update_roster(&mut self, now: Millis) {
         for worker in self.workers.values_mut() {
-            let has_long_lease = now < worker.long_lease_until;
-            if has_long_lease != worker.has_long_lease {
-                worker.has_long_lease = has_long_lease;
-                self.roster_version += 1;
-                self.roster_changes.insert(worker.entry.life.id.clone());
-                if has_long_lease {
-                    // Nothing is started there before the long lease is recorded for a successor.
-                    worker.roster_state_version = self.roster_version;
-                }
-            }
+            worker.end_long_lease(now);
             let target = target_roster_state(worker, self.settled, now);
-            if target == worker.roster_state {
+            let long_lease = target != RosterState::Absent && worker.may_have_long_lease;
+            let is_changed = target != worker.roster_state;
+            if !is_changed && long_lease == worker.lists_long_lease {
                 continue;
             }
             self.roster_version += 1;
             self.roster_changes.insert(worker.entry.life.id.clone());
             worker.roster_state = target;
-            worker.roster_state_version = self.roster_version;
+            worker.lists_long_lease = long_lease;
+            if is_changed || long_lease {
+                // Nothing is started there before this is recorded for a successor.
+                worker.roster_state_version = self.roster_version;
+            }
         }
     }
 
@@ -202,9 +201,9 @@
                 long_lease,
                 ..
             } = entry;
-            let id = worker.life.id.clone();
+            let life = worker.life.clone();
             self.list_worker(worker, now);
-            if let Some(&key) = self.worker_ids.get(&id) {
+            if let Some(&key) = self.worker_ids.get(&life.id) {
                 let worker = &mut self.workers[key];
                 // The recorded state stays until the worker has answered: a roster that this owner
                 // records before that, or when it gives up the cell, must not leave the worker out.
@@ -213,7 +212,10 @@
                     None => RosterState::AnyJob,
                 };
                 worker.inherited = Some(jobs.map_or(InheritedWork::Any, InheritedWork::Jobs));
-                if long_lease {
+                let is_ruled_out = long_lease == Some(false) && worker.entry.life == life;
+                worker.may_have_long_lease &= !is_ruled_out;
+                worker.lists_long_lease = worker.may_have_long_lease;
+                if worker.may_have_long_lease {
                     worker.long_lease_until = now + FormerLives::MAX_LEASE;
                 }
             }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -105,11 +105,14 @@
     pub clock: Option<(Millis, Millis)>,
     /// When everything here must have ended unless the lease is renewed.
     pub lease_end: Millis,
-    /// Until when something may run here under the longest lease: an order meant for the clock of
-    /// another life can give it.
+    /// What runs here may have the longest lease: an order that was meant for the clock of a former
+    /// life of this id can give it.  Once this is ruled out it stays so for the whole life, whoever
+    /// owns the cell ([`Cell::may_get_former_orders`](crate::cell::Cell::may_get_former_orders)).
+    pub may_have_long_lease: bool,
+    /// Until when such a lease may last; zero if it is not known to have begun.
     pub long_lease_until: Millis,
-    /// The roster says that something may run here under the longest lease.
-    pub has_long_lease: bool,
+    /// What the roster says of `may_have_long_lease`.
+    pub lists_long_lease: bool,
     /// It is an idle worker beyond the reserve, so it is neither polled nor used.
     pub parked: bool,
     /// When it was last unparked; zero if it never was.
@@ -162,6 +165,7 @@
     /// Creates a worker of which only the entry is known.
     pub fn new(entry: WorkerEntry) -> Self {
         Self {
+            may_have_long_lease: entry.life.may_recur(),
             entry,
             listed: Sequence::default(),
             next: None,
@@ -185,7 +189,7 @@
             clock: None,
             lease_end: 0,
             long_lease_until: 0,
-            has_long_lease: false,
+            lists_long_lease: false,
             parked: false,
             unparked_at: 0,
             runs: Vec::new(),
@@ -255,6 +259,7 @@
     /// Records that this life has answered with `born` as its start time.
     pub fn confirm_life(&mut self, born: Option<Millis>) {
         self.reported_born = born;
+        self.may_have_long_lease |= born.is_some() && !self.entry.life.may_recur();
         self.entry.life.born = born.or(self.entry.life.born);
     }
 
@@ -270,6 +275,7 @@
                 self.entry_outdated = true;
             }
         }
+        self.may_have_long_lease = self.entry.life.may_recur();
         self.leaving_since = self.entry.leaving.map(|_| now);
     }
 
@@ -388,7 +394,8 @@
         let is_sound =
             !self.has_uncertain_life() && !self.entry_outdated && !self.suspected && !self.sealed;
         let stays = self.unlisted_since.is_none() && self.entry.leaving.is_none();
-        is_empty && is_recorded && is_sound && stays && !self.has_long_lease
+        let has_known_lease = !self.fenced || !self.may_have_long_lease;
+        is_empty && is_recorded && is_sound && stays && has_known_lease
     }
 
     /// Adds a run and takes up its room.
@@ -463,9 +470,20 @@
     /// while nothing runs.
     pub fn assume_longest_lease(&mut self, now: Millis) {
         self.extend_lease(now, tuning::MAX_LEASE);
+        if self.former.epochs_are_exhausted() {
+            // This life does not refuse such orders, so a late one can still give that lease.
+            self.lease_end = self.lease_end.max(now + FormerLives::RELEVANT_FOR);
+        }
+        self.may_have_long_lease = true;
         self.long_lease_until = self.lease_end;
     }
 
+    /// Rules out the longest lease once it is over: since its first answer under this owner's epoch
+    /// the life refuses what could give one.
+    pub fn end_long_lease(&mut self, now: Millis) {
+        self.may_have_long_lease &= !self.fenced || now < self.long_lease_until;
+    }
+
     /// Returns whether the platform has not listed it for more than `GONE_AFTER`.  It then counts
     /// as gone even if it still answers, since some workers leave without notice.
     pub fn is_gone(&self, now: Millis) -> bool {
--- a/src/node/roster_rows.rs
+++ b/src/node/roster_rows.rs
@@ -331,7 +331,9 @@
         found.insert(entry.worker.life.id.clone(), entry);
         return;
     };
-    known.long_lease |= entry.long_lease;
+    if entry.long_lease != Some(false) || entry.worker.life != known.worker.life {
+        known.long_lease = Some(true);
+    }
     known.lost = match (known.lost, entry.lost) {
         (known, entry) if known == entry => known,
         // One of the entries describes a life that is still in use.
--- a/tests/caps.rs
+++ b/tests/caps.rs
@@ -227,7 +227,7 @@
     let entry = |number| RosterEntry {
         worker: worker(number),
         jobs: None,
-        long_lease: false,
+        long_lease: Some(false),
         lost: None,
     };
     cell.restore_roster((0..4).map(entry).collect(), 1_000);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -578,7 +578,7 @@
     RosterEntry {
         worker,
         jobs,
-        long_lease: false,
+        long_lease: Some(false),
         lost: None,
     }
 }
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -12,11 +12,14 @@
 mod lives;
 mod random_world;
 
-use random_world::{World, number, print_log};
+use crossweir::clock::Millis;
+use random_world::{Moment, World, number, print_log};
 
 /// The seeds that are run by default.
 const FIRST_SEED: u64 = 1;
 const RUNS: u64 = 40;
+/// An owner that is lost after a worker has started again is lost within this time.
+const MAX_TIME_TO_LOSS: Millis = 1_200;
 /// How many of these seeds are run twice in each world.
 const REPEATED: u64 = 8;
 
@@ -124,6 +127,23 @@
     }
 }
 
+/// Guards against a task that runs twice at the same time: a worker that starts again grants what
+/// was meant for its former life a longer lease than an owner, or its successor, counts on.
+#[test]
+fn no_task_runs_twice_under_a_lease_that_was_meant_for_another_clock() {
+    print_log();
+    let first = number("CROSSWEIR_SEED", FIRST_SEED);
+    for seed in first..first + number("CROSSWEIR_RUNS", RUNS) {
+        println!("seed {seed}");
+        let mut world = World::with_kept_ids(seed, false)
+            .with_unrelated_clocks(seed)
+            .losing_owners(seed, &[Moment::Life], MAX_TIME_TO_LOSS);
+        world.play();
+        world.verify();
+        world.verify_attempts();
+    }
+}
+
 #[test]
 fn a_crashing_task_is_not_started_a_sixth_time_on_workers_with_kept_ids() {
     play_with_kept_ids(50_338, true);
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -425,7 +425,7 @@
         let entry = |number| RosterEntry {
             worker: worker(number),
             jobs: None,
-            long_lease: false,
+            long_lease: Some(false),
             lost: None,
         };
         cell.restore_roster(vec![entry(0), entry(1)], 1_000);
--- a/tests/late_entries.rs
+++ b/tests/late_entries.rs
@@ -99,7 +99,7 @@
     let roster = [life("present"), worker(1)].map(|worker| RosterEntry {
         worker,
         jobs: None,
-        long_lease: false,
+        long_lease: Some(false),
         lost: None,
     });
     cell.restore_roster(roster.to_vec(), 1_000);
--- a/tests/listed_lives.rs
+++ b/tests/listed_lives.rs
@@ -59,7 +59,7 @@
     let roster = [0, 1].map(|number| RosterEntry {
         worker: worker(number),
         jobs: None,
-        long_lease: false,
+        long_lease: Some(false),
         lost: None,
     });
     cell.restore_roster(roster.to_vec(), 1_000);
--- a/tests/long_leases.rs
+++ b/tests/long_leases.rs
@@ -12,6 +12,7 @@
 
 use cell_core::{step, worker};
 use crossweir::cell::job::JobState;
+use crossweir::cell::order::{Order, StartOrder};
 use crossweir::cell::spec::JobId;
 use crossweir::clock::Millis;
 use lives::Site;
@@ -40,6 +41,17 @@
     site.begin_life_reading(0, NEXT_READING);
 }
 
+/// Takes the starts that the owner has just ordered, so that they arrive late.
+fn intercept_starts(site: &mut Site) -> Vec<StartOrder> {
+    site.cell.schedule(site.now);
+    let orders = site.cell.take_orders().into_iter();
+    let starts = orders.filter_map(|order| match order {
+        Order::Start(start) => Some(start),
+        _ => None,
+    });
+    starts.collect()
+}
+
 /// Starts a task on a worker that has the longest lease, by a start that was meant for its former
 /// life and was answered by the present one.
 fn start_under_long_lease(site: &mut Site) -> JobId {
@@ -88,6 +100,97 @@
     assert_eq!(site.state(id), Some(JobState::Succeeded));
 }
 
+/// Guards against the same over several owners, each of which has heard the worker only briefly.
+#[test]
+fn each_further_successor_counts_on_the_longest_lease() {
+    // Arrange
+    let mut site = site_with_history();
+    let id = start_under_long_lease(&mut site);
+
+    // Act
+    for _ in 0..3 {
+        site.take_over();
+        site.pass(50);
+    }
+    cut_off_beside_another(&mut site);
+
+    // Assert
+    site.check_runs();
+    assert_eq!(site.state(id), Some(JobState::Succeeded));
+}
+
+/// What the platform lists when the successor reads it.
+#[derive(Debug, Clone, Copy)]
+enum Listed {
+    FormerLife,
+    PresentLife,
+    Nothing,
+}
+
+/// Guards against the same where no record tells of the restart: the former owner was lost before
+/// it noticed, and a start of its own reaches the next life before the successor's first poll.
+#[parameterized(
+    former_life = { Listed::FormerLife },
+    present_life = { Listed::PresentLife },
+    nothing = { Listed::Nothing },
+)]
+fn a_successor_counts_on_the_longest_lease_of_a_life_that_no_owner_had_noticed(listed: Listed) {
+    // Arrange: a start is on its way when the worker starts again and the owner is lost.
+    let mut site = site_with_history();
+    let id = site.submit(LONG_RUN, vec![step(1, 1_000)]);
+    let late = intercept_starts(&mut site);
+    let former = site.entries[0].clone();
+    restart_unnoticed(&mut site);
+
+    // Act
+    let present = site.entries[0].clone();
+    match listed {
+        Listed::FormerLife => site.entries[0] = former,
+        Listed::PresentLife => {}
+        Listed::Nothing => site.entries.clear(),
+    }
+    site.take_over();
+    site.entries = vec![present];
+    for start in &late {
+        let _ = site.execute_start(start);
+    }
+    site.pass(50);
+    assert_eq!(site.count_running(id), 1);
+    cut_off_beside_another(&mut site);
+
+    // Assert
+    site.check_runs();
+    assert_eq!(site.state(id), Some(JobState::Succeeded));
+}
+
+/// Guards against the same where the worker was not in the roster any more when its next life
+/// began, so that nothing tells the successor that the id was in use.
+#[test]
+fn a_successor_counts_on_the_longest_lease_of_a_life_whose_id_had_left_the_roster() {
+    // Arrange: a start is on its way to a worker that is then taken for lost.
+    let mut site = site_with_history();
+    let id = site.submit(LONG_RUN, vec![step(1, 1_000)]);
+    let late = intercept_starts(&mut site);
+    site.end_life(0);
+    let first = site.entries[0].life.id.clone();
+    site.cell.unlist_worker(&first, site.now);
+    site.pass(6_000);
+
+    // Act: the worker is back, another owner follows, and then the start arrives.
+    site.begin_life_reading(0, NEXT_READING);
+    site.take_over();
+    for start in &late {
+        let _ = site.execute_start(start);
+    }
+    site.pass(50);
+    assert_eq!(site.count_running(id), 1);
+    cut_off_beside_another(&mut site);
+
+    // Assert
+    site.check_runs();
+    assert_eq!(site.state(id), Some(JobState::Succeeded));
+}
+
 /// Guards against the same with an owner in between that did not reach the worker: it handed over
 /// the time until its own settling, although the roster told of a longer lease.
 #[test]
--- a/tests/presumed_over.rs
+++ b/tests/presumed_over.rs
@@ -51,7 +51,7 @@
     let used = |worker| RosterEntry {
         worker,
         jobs: None,
-        long_lease: false,
+        long_lease: Some(false),
         lost: None,
     };
     cell.restore_roster(vec![used(life("w5")), used(worker(1))], now);
--- a/tests/random_world/mod.rs
+++ b/tests/random_world/mod.rs
@@ -78,6 +78,14 @@
 const MAX_LISTING_DELAY: Millis = 1_000;
 /// Longest time after the end of a life until a write that it had in flight reaches the store.
 const MAX_ENTRY_DELAY: Millis = 3_000;
+/// Where clocks tell nothing of a life's age, they begin below this reading.
+const MAX_FIRST_READING: Millis = 10_000_000;
+/// How old a life is when it is cut off there, and for how long it stays so.
+const YOUNG_LIFE: std::ops::Range<Millis> = 300..1_500;
+const CUT_OF_YOUNG_LIFE: std::ops::Range<Millis> = 2_000..9_000;
+/// In worlds with long runs, every second job has tasks of up to this time, which is longer than an
+/// owner's lease and the silence of most workers.
+const MAX_LONG_RUN_TIME: u64 = 9_000;
 /// The interval at which each worker writes its entry, which is dropped after three intervals
 /// without a write.
 const HEARTBEAT: Millis = 1_500;
@@ -175,6 +183,12 @@
     pending_listings: Vec<(Millis, usize)>,
     /// Workers restart under the same id.
     keeps_ids: bool,
+    /// Draws the first reading of each life's clock; `None` if all clocks begin at 0.
+    clocks: Option<StdRng>,
+    /// Some tasks run for up to [`MAX_LONG_RUN_TIME`].
+    has_long_runs: bool,
+    /// Workers that will be cut off: from when, their ids, and until when.
+    coming_cuts: Vec<(Millis, String, Millis)>,
     /// Entries of ended lives are restored by late writes, and those of new lives are delayed.
     has_late_entries: bool,
     delayed_entries: Vec<FormerEntry>,
@@ -269,6 +283,9 @@
             listed_entries: entries.clone(),
             pending_listings: Vec::new(),
             keeps_ids: false,
+            clocks: None,
+            has_long_runs: false,
+            coming_cuts: Vec::new(),
             has_late_entries: false,
             delayed_entries: Vec::new(),
             stale_entries: Vec::new(),
@@ -406,6 +423,16 @@
         world
     }
 
+    /// Lets the clocks of workers begin at any reading, cuts off young lives, and some tasks run for
+    /// longer than an owner's lease: a lease that was meant for another clock then lasts longer than
+    /// its owner meant, and shows.
+    pub fn with_unrelated_clocks(mut self, seed: u64) -> Self {
+        self.clocks = Some(StdRng::seed_from_u64(seed));
+        self.has_long_runs = true;
+        self.draw_clocks();
+        self
+    }
+
     /// Adds late entries of workers: ended lives are listed again, and new lives are listed late.
     pub fn with_late_entries(mut self) -> Self {
         self.has_late_entries = true;
@@ -503,6 +530,7 @@
         }
         self.store_down_until = 0;
         self.disconnected_until.clear();
+        self.coming_cuts.clear();
         if !self.caps.is_empty() {
             self.change_caps(FINAL_CAP..FINAL_CAP + 1);
         }
@@ -571,7 +599,11 @@
         let queue = &self.queues[usize::from(later)];
         let mut row = job(number, queue, vec![first, second]);
         let shortest = if self.keeps_ids { MIN_RUN_TIME } else { 20 };
-        row.spec.text = self.rng.random_range(shortest..MAX_RUN_TIME).to_string();
+        let longest = match self.has_long_runs && number.is_multiple_of(2) {
+            true => MAX_LONG_RUN_TIME,
+            false => MAX_RUN_TIME,
+        };
+        row.spec.text = self.rng.random_range(shortest..longest).to_string();
         row.workspace = self.workspace_of(number);
         if self.has_crashing_tasks && self.rng.random_ratio(1, 6) {
             row.spec.text = CRASHING_TASK.to_owned();
@@ -612,6 +644,7 @@
         self.lose_due_owner();
         tracing::trace!(now = self.now, "tick");
         self.begin_due_lives();
+        self.begin_due_cuts();
         self.list_new_lives();
         self.update_stale_entries();
         self.note_lease_expiries();
--- a/tests/random_world/owner_loss.rs
+++ b/tests/random_world/owner_loss.rs
@@ -28,9 +28,12 @@
     Claim,
     /// Rows that could not be read at first are read.
     Reading,
+    /// A worker has started again under its id.
+    Life,
 }
 
 impl Moment {
+    /// All but [`Moment::Life`], which occurs only in worlds with kept ids.
     pub const ALL: [Self; 7] = [
         Self::Crash,
         Self::Start,
@@ -46,6 +49,7 @@
     fn percent(self) -> u32 {
         match self {
             Self::Crash => 70,
+            Self::Life => 60,
             Self::Claim | Self::Reading => 30,
             Self::Ends => 10,
             Self::Start | Self::Answer => 8,
--- a/tests/random_world/wire.rs
+++ b/tests/random_world/wire.rs
@@ -316,16 +316,13 @@
 
     pub(super) fn start_arrives(&mut self, epoch: u64, order: StartOrder) {
         let now = self.now;
-        let began = self
-            .workers
-            .get(&order.to.life.id)
-            .map(|worker| worker.began());
+        let worker = self.workers.get(&order.to.life.id);
+        let clock = worker.map_or(now, |worker| worker.clock(now));
         let outcome = self.execute_start(&order);
         if outcome == StartOutcome::Started && epoch != self.epoch {
             // It was sent by a former owner, and its successor does not know of it.
             self.note_start_by_wrong_life(&order);
         }
-        let clock = now - began.unwrap_or_default();
         self.send_answer(epoch, Payload::StartAnswer(order.run, outcome, Some(clock)));
     }
 
--- a/tests/random_world/workers.rs
+++ b/tests/random_world/workers.rs
@@ -1,8 +1,9 @@
 //! Ends and beginnings of workers' lives, and their entries in the store.
 
 use super::{
-    ENTRY_LIFETIME, FAILING_LIFE_ONE_IN, FormerEntry, HEARTBEAT, MAX_CRASH_DOWNTIME,
-    MAX_ENTRY_DELAY, MAX_LISTING_DELAY, MAX_RESTART_TIME, Moment, TICK, World,
+    CUT_OF_YOUNG_LIFE, ENTRY_LIFETIME, FAILING_LIFE_ONE_IN, FormerEntry, HEARTBEAT,
+    MAX_CRASH_DOWNTIME, MAX_ENTRY_DELAY, MAX_FIRST_READING, MAX_LISTING_DELAY, MAX_RESTART_TIME,
+    Moment, TICK, World, YOUNG_LIFE,
 };
 use crate::lives::{UNIX_START, WorkerLife};
 use crossweir::cell::name::TaskName;
@@ -143,9 +144,54 @@
         self.listed.remove(&life.id);
         self.lease_expiries.remove(&life.id);
         let worker = WorkerLife::begun_at(self.now, memory);
+        let worker = worker.with_first_reading(self.draw_first_reading());
+        let life = &self.entries[place].life;
         self.workers.insert(life.id.clone(), worker);
         let listed = self.now + self.rng.random_range(0..MAX_LISTING_DELAY);
         self.pending_listings.push((listed, place));
+        self.draw_cut_of_young_life(place);
+        self.note_moment(Moment::Life);
+    }
+
+    /// In worlds with unrelated clocks, cuts off every second life soon after it has begun.
+    fn draw_cut_of_young_life(&mut self, place: usize) {
+        let (id, now) = (self.entries[place].life.id.clone(), self.now);
+        if self.faults_ended {
+            return;
+        }
+        let Some(rng) = &mut self.clocks else {
+            return;
+        };
+        if rng.random_bool(0.5) {
+            let from = now + rng.random_range(YOUNG_LIFE);
+            let until = from + rng.random_range(CUT_OF_YOUNG_LIFE);
+            self.coming_cuts.push((from, id, until));
+        }
+    }
+
+    /// Cuts off the workers for which that is due.
+    pub(super) fn begin_due_cuts(&mut self) {
+        let now = self.now;
+        let due = |cut: &mut (Millis, String, Millis)| cut.0 <= now;
+        for (_, id, until) in self.coming_cuts.extract_if(.., due) {
+            self.disconnected_until.insert(id, until);
+        }
+    }
+
+    /// What the clock of the next life reads when it begins.
+    fn draw_first_reading(&mut self) -> Millis {
+        let clocks = self.clocks.as_mut();
+        clocks.map_or(0, |rng| rng.random_range(0..MAX_FIRST_READING))
+    }
+
+    /// Sets the clocks of all workers anew.
+    pub(super) fn draw_clocks(&mut self) {
+        let ids: Vec<String> = self.workers.keys().cloned().collect();
+        for id in ids {
+            let reading = self.draw_first_reading();
+            let worker = self.workers.remove(&id).expect("a worker");
+            self.workers.insert(id, worker.with_first_reading(reading));
+        }
     }
 
     pub(super) fn list_new_lives(&mut self) {
--- a/tests/roster_rows.rs
+++ b/tests/roster_rows.rs
@@ -24,7 +24,7 @@
     let entry = |number| RosterEntry {
         worker: worker(number),
         jobs: jobs.clone(),
-        long_lease: false,
+        long_lease: Some(false),
         lost: None,
     };
     (0..count).map(entry).collect()
