An owner that gives the cell up hands over the longest lease of workers that it hasn't reached

What callers would see: a task runs twice at the same time after two changes of owner in a few seconds, the second one planned. Found by reading.

Cause: an owner hands over for how long something may still run on silent workers. For one that it had not reached itself it named the time until it would settle for its own lease, although the roster had told it of the longest one.

--- a/src/cell/lapse.rs
+++ b/src/cell/lapse.rs
@@ -44,7 +44,8 @@
             let until = if worker.fenced {
                 worker.lease_end
             } else {
-                worker.inherited_until.min(settle_deadline)
+                let latest = settle_deadline.max(worker.long_lease_until);
+                worker.inherited_until.min(latest)
             };
             if until == Millis::MAX {
                 // A former owner may renew it still.
