The owner tells for how long it asked about no step with nothing running, and which answers were used

Operators saw tasks wait for advice for half a minute while most room was free, and neither the line `tasks wait` nor the metrics told for how long nobody had asked about them, or whether the questions that were asked brought starts.

The line and the metrics now have `longest_unasked_ms` and `used_answers`.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -100,6 +100,7 @@
         let Some(timing) = self.jobs[self.steps[key].job].queue.advice else {
             return;
         };
+        self.note_unasked(key, round.now);
         let plan = match self.options.advice_planning {
             true => self.plan_question(key, needed, &timing, round),
             false => Some(QuestionPlan::unplanned(needed)),
@@ -140,6 +141,7 @@
         self.counts.questions += 1;
         let step = &mut self.steps[key];
         step.advice.asking = true;
+        step.advice.unasked_since = None;
         step.advice.named = match self.options.advice_planning {
             true => workers.clone(),
             false => Vec::new(),
@@ -409,6 +411,7 @@
             good = approved.len(),
             "advice came"
         );
+        step.advice.has_unused_answer = !approved.is_empty();
         let share = approved.len() as f64 / order.workers.len().max(1) as f64;
         let approved_share = self
             .approved_share
--- a/src/cell/gang.rs
+++ b/src/cell/gang.rs
@@ -44,6 +44,9 @@
             };
             started.extend(self.start(key, index as u32, placement, round));
         }
+        if !started.is_empty() {
+            self.note_asked_step_started(key);
+        }
         self.log_starts(key, &started, round);
         None
     }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -118,6 +118,11 @@
     pub kept_since: Option<Millis>,
     /// When the last question was answered or failed, by our clock; 0 before that.
     pub last_answer: Millis,
+    /// Since when the step has lacked tickets without being asked about; `None` while a question is in
+    /// flight and after a start.
+    pub unasked_since: Option<Millis>,
+    /// An answer has come since the last start, and it approved a worker.
+    pub has_unused_answer: bool,
     /// The last search found no workers to ask about, and the next one is made from this time on.
     pub search_after: Millis,
 }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -38,6 +38,7 @@
 pub mod progress;
 mod query;
 mod question_plan;
+mod question_turns;
 pub mod record;
 mod reservation;
 pub mod roster;
@@ -107,6 +108,9 @@
     pub stops: u64,
     /// Questions to the advice service on which workers may run a step.
     pub questions: u64,
+    /// Answers that approved a worker and were followed by a start of their step before the next
+    /// answer.
+    pub used_answers: u64,
     /// Searches for workers to name in such a question, one per step.
     pub advice_searches: u64,
     /// Workers examined in these searches.
@@ -259,6 +263,9 @@
     longest_kept: Option<StepKey>,
     /// How many waiting steps were kept from asking in the last scheduling round.
     steps_not_asking: u32,
+    /// For how long the advice service had not been asked about any one waiting step with nothing
+    /// running, at most, as of the last scheduling round.
+    longest_unasked: Millis,
     /// The share of workers that the advice service approves for a step, learned by queue.
     approved_share: BTreeMap<String, f64>,
     /// The Unix time in milliseconds; none until it has been passed in.
@@ -351,6 +358,7 @@
             last_overdue_question: 0,
             longest_kept: None,
             steps_not_asking: 0,
+            longest_unasked: 0,
             estimate_errors: BTreeMap::new(),
             speeds: Speeds::default(),
             approved_share: BTreeMap::new(),
@@ -393,6 +401,13 @@
         self.steps_not_asking
     }
 
+    /// For how long, in milliseconds, the advice service had not been asked about the waiting step
+    /// that has gone without a question for longest, among those with nothing running; 0 if there is
+    /// none.
+    pub fn longest_unasked(&self) -> Millis {
+        self.longest_unasked
+    }
+
     /// Returns how many steps are kept in memory, and how many of them have unfinished tasks.
     pub fn step_counts(&self) -> (usize, usize) {
         (self.steps.len(), self.open_steps.len())
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -48,6 +48,7 @@
         order.sort_unstable();
         self.order_by_shares(&mut order, now);
         let mut round = Round::new(now);
+        self.note_longest_unasked(&order, now);
         for step in self.take_turns(order) {
             let Some((mut reason, tasks)) = self.schedule_step(step.key, &mut round) else {
                 continue;
@@ -140,6 +141,9 @@
             self.refresh_candidate(&mut candidates, key, worker, round);
             left -= 1;
         }
+        if !started.is_empty() {
+            self.note_asked_step_started(key);
+        }
         self.log_starts(key, &started, round);
         if left == 0 {
             return None;
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -392,6 +392,7 @@
             metrics.gauge("open_steps", open_steps as i64);
             let parked = cell.count_workers().parked;
             metrics.gauge("steps_not_asking", i64::from(cell.steps_not_asking()));
+            metrics.gauge("longest_unasked_ms", cell.longest_unasked() as i64);
             (
                 counts,
                 room,
@@ -414,6 +415,7 @@
             ("starts", counts.starts),
             ("stops", counts.stops),
             ("questions", counts.questions),
+            ("used_answers", counts.used_answers),
             ("advice_looks", counts.advice_searches),
             ("advice_workers", counts.advice_workers),
             ("places", counts.candidates_examined),
--- a/src/node/summary.rs
+++ b/src/node/summary.rs
@@ -12,6 +12,8 @@
     waiting: Waiting,
     /// The number of waiting steps that were kept from asking the advice service.
     steps_not_asking: u32,
+    /// For how long a waiting step with nothing running has gone without a question, at most.
+    longest_unasked: Millis,
     /// The room that runs take up.
     held: Demand,
     /// The whole room of all workers.
@@ -36,6 +38,7 @@
         Self {
             waiting: cell.waiting().clone(),
             steps_not_asking: cell.steps_not_asking(),
+            longest_unasked: cell.longest_unasked(),
             held,
             capacity,
             workers: cell.count_workers(),
@@ -57,6 +60,7 @@
         tracing::info!(
             waiting = texts.join(", "),
             steps_not_asking = self.steps_not_asking,
+            longest_unasked_ms = self.longest_unasked,
             held_millicores = self.held.millicores,
             millicores = self.capacity.millicores,
             held_mib = self.held.memory,
@@ -79,6 +83,7 @@
             all_advice_looks = self.counts.advice_searches,
             all_advice_workers = self.counts.advice_workers,
             all_questions = self.counts.questions,
+            all_used_answers = self.counts.used_answers,
             "tasks wait"
         );
     }
