Lanes to the advice service are given in turn to steps that nobody asked about

Cause: lanes were given in the order of decisions alone, and a step in front asks anew as often as it is answered, also if no answer brings a start: about room that is only foreseen and does not become free, or about a service that is full. Steps behind it got no lane, however much room was free for them. Neither order nor planning of questions gives them a bound.

Change: a step with nothing running that has not been asked about for 1 s, and for which a worker has unreserved room at the end of a round, is asked about in turn, the longest unasked first.

--- a/src/cell/advice.rs
+++ b/src/cell/advice.rs
@@ -13,7 +13,6 @@
 use slotmap::Key;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::cell::advice_plan::lanes_for_short_questions;
 use crate::cell::job::Ticket;
 use crate::cell::order::{AdviceOrder, Order};
 use crate::cell::question_plan::QuestionPlan;
@@ -32,6 +31,8 @@
     pub busy: bool,
     /// That question is expected to take longer than [`tuning::LONG_ADVICE`].
     pub long: bool,
+    /// That question was asked in turn.
+    pub in_turn: bool,
 }
 
 /// A worker that a question may name.
@@ -40,7 +41,7 @@
     /// The advice service has approved it for the step.
     pub(super) approved: bool,
     /// How many of the tasks that need tickets have room there now.
-    fit: u32,
+    pub(super) fit: u32,
     /// When the first task is expected to have room there.
     free_at: Millis,
 }
@@ -74,25 +75,6 @@
         }
     }
 
-    /// Finds a free lane for a question.  Long questions leave one of several usable lanes to short
-    /// ones, or more if questions are planned.
-    pub(super) fn free_lane(&self, long: bool) -> Option<usize> {
-        let up = self.lanes.iter().filter(|lane| lane.up).count();
-        let long_busy = self
-            .lanes
-            .iter()
-            .filter(|lane| lane.busy && lane.long)
-            .count();
-        let reserved = match self.options.advice_planning {
-            true => lanes_for_short_questions(up),
-            false => usize::from(up > 1),
-        };
-        if long && up > 1 && long_busy + reserved >= up {
-            return None;
-        }
-        self.lanes.iter().position(|lane| lane.up && !lane.busy)
-    }
-
     /// Asks about a step that lacks tickets for `needed` tasks, if a lane is free and there are
     /// workers to ask about.
     pub(super) fn request_advice(&mut self, key: StepKey, needed: u32, round: &mut Round) {
@@ -132,12 +114,28 @@
             return;
         }
         let expected = timing.duration(workers.len());
-        let long = expected > tuning::LONG_ADVICE;
-        let Some(lane) = self.free_lane(long) else {
+        let Some(lane) = self.free_lane(expected > tuning::LONG_ADVICE) else {
             return;
         };
-        self.lanes[lane].busy = true;
-        self.lanes[lane].long = long;
+        self.last_in_turn = false;
+        self.send_question(key, needed, workers, lane, expected);
+    }
+
+    /// Asks about a step through a free lane.
+    pub(super) fn send_question(
+        &mut self,
+        key: StepKey,
+        needed: u32,
+        workers: Vec<WorkerKey>,
+        lane: usize,
+        expected: Millis,
+    ) {
+        self.lanes[lane] = Lane {
+            up: true,
+            busy: true,
+            long: expected > tuning::LONG_ADVICE,
+            in_turn: self.last_in_turn,
+        };
         self.counts.questions += 1;
         let step = &mut self.steps[key];
         step.advice.asking = true;
@@ -150,6 +148,7 @@
             request = %step.name.job,
             step = %step.name,
             lane,
+            in_turn = self.last_in_turn,
             workers = workers.len(),
             needed,
             "advice asked"
@@ -330,7 +329,7 @@
 
     /// The workers of a step's service that will take work, starting at a position that depends on
     /// the step and the time.
-    fn usable_workers_rotated(
+    pub(super) fn usable_workers_rotated(
         &self,
         key: StepKey,
         round: &mut Round,
--- a/src/cell/advice_plan.rs
+++ b/src/cell/advice_plan.rs
@@ -16,6 +16,7 @@
 use indexmap::IndexMap;
 
 use crate::cell::spec::Demand;
+use crate::cell::tuning;
 
 /// The most workers that all claims of a round examine, which bounds the work of a round.  It is
 /// enough for 11 passes over 350 workers.  Steps that come after that ask as if there were no budget.
@@ -34,6 +35,11 @@
     }
 }
 
+/// Returns how many of the lanes that long questions may use are given to questions in turn.
+pub fn lanes_for_turns(for_long: usize) -> usize {
+    for_long.div_ceil(tuning::LANES_PER_TURN_LANE)
+}
+
 /// The room of one worker.
 #[derive(Debug, Clone, Copy)]
 struct Room {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -23,6 +23,7 @@
 pub mod health;
 pub mod intake;
 pub mod job;
+mod lanes;
 pub mod lapse;
 mod ledger;
 pub mod life;
@@ -266,6 +267,10 @@
     /// For how long the advice service had not been asked about any one waiting step with nothing
     /// running, at most, as of the last scheduling round.
     longest_unasked: Millis,
+    /// A step is due for a question in turn, and room is free for it.
+    turn_waits: bool,
+    /// The last question was asked in turn.
+    last_in_turn: bool,
     /// The share of workers that the advice service approves for a step, learned by queue.
     approved_share: BTreeMap<String, f64>,
     /// The Unix time in milliseconds; none until it has been passed in.
@@ -359,6 +364,8 @@
             longest_kept: None,
             steps_not_asking: 0,
             longest_unasked: 0,
+            turn_waits: false,
+            last_in_turn: false,
             estimate_errors: BTreeMap::new(),
             speeds: Speeds::default(),
             approved_share: BTreeMap::new(),
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -49,7 +49,7 @@
         self.order_by_shares(&mut order, now);
         let mut round = Round::new(now);
         self.note_longest_unasked(&order, now);
-        for step in self.take_turns(order) {
+        for step in self.take_turns(&order) {
             let Some((mut reason, tasks)) = self.schedule_step(step.key, &mut round) else {
                 continue;
             };
@@ -61,6 +61,7 @@
             }
             round.record_wait(step.priority, reason, tasks);
         }
+        self.ask_in_turn(&order, &mut round);
         self.counts.candidates_examined += round.candidates_examined;
         self.steps_not_asking = round.steps_not_asking;
         if let Some((_, key)) = round.longest_kept {
@@ -71,9 +72,9 @@
 
     /// Limits a round to [`tuning::MAX_STEPS_PER_ROUND`] waiting steps, so that the owner answers
     /// others in between: the first ones, and as many of the rest, which take turns.
-    fn take_turns(&mut self, order: Vec<OrderedStep>) -> Vec<OrderedStep> {
+    fn take_turns(&mut self, order: &[OrderedStep]) -> Vec<OrderedStep> {
         if order.len() <= tuning::MAX_STEPS_PER_ROUND {
-            return order;
+            return order.to_vec();
         }
         let half = tuning::MAX_STEPS_PER_ROUND / 2;
         let (first, rest) = order.split_at(half);
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -110,6 +110,15 @@
 /// The shortest time between two questions of steps that have been kept from asking for
 /// [`MAX_ADVICE_DELAY`].  At 0.8 s per question they take less than two lanes.
 pub const OVERDUE_QUESTION_INTERVAL: Millis = 500;
+/// A step with nothing running, for which room is free, is asked about in turn once it has gone
+/// without a question for this time.  The platform wants a job to have something running within 3 s.
+pub const MAX_UNASKED: Millis = 1_000;
+/// One in this many lanes that a long question may use is given to questions in turn while steps are
+/// due for one.  The others keep to the order of decisions.
+pub const LANES_PER_TURN_LANE: usize = 4;
+/// The most steps per scheduling round for which room is sought before they are asked about in turn.
+/// It bounds the work of a round.
+pub const MAX_TURN_SEARCHES: usize = 16;
 /// Questions that are expected to take longer than this leave one lane free for short ones.
 pub const LONG_ADVICE: Millis = 150;
 /// The most cancellations of unknown jobs that an owner keeps, each for five minutes: 33 a second.  A
