--- a/src/cell/lanes.rs
+++ b/src/cell/lanes.rs
@@ -54,9 +54,9 @@
 
     fn lane_use(&self) -> LaneUse {
         let mut lanes = LaneUse::default();
-        for lane in &self.lanes {
-            lanes.up += usize::from(lane.up);
-            lanes.free += usize::from(lane.up && !lane.busy);
+        for lane in self.lanes.iter().filter(|lane| lane.up) {
+            lanes.up += 1;
+            lanes.free += usize::from(!lane.busy);
             lanes.long += usize::from(lane.busy && lane.long);
             lanes.in_turn += usize::from(lane.busy && lane.in_turn);
         }
