Idle workers that may have the longest lease are parked and count as a reserve

What operators would see: soon after a change of owner the owner of a large cell polls all of its workers.

Cause: since the longest lease is assumed until it is ruled out, idle workers that had just answered did not count as idle, so the owner woke others in their place, which then did not count either.

Change: what a lease may be says nothing of an idle worker. Its owner still knows it when it is woken, and nothing runs there for a successor to miss.

--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -394,8 +394,7 @@
         let is_sound =
             !self.has_uncertain_life() && !self.entry_outdated && !self.suspected && !self.sealed;
         let stays = self.unlisted_since.is_none() && self.entry.leaving.is_none();
-        let has_known_lease = !self.fenced || !self.may_have_long_lease;
-        is_empty && is_recorded && is_sound && stays && has_known_lease
+        is_empty && is_recorded && is_sound && stays
     }
 
     /// Adds a run and takes up its room.
