What runs on workers that a successor has not reached is reckoned by the last order that may bind

What callers would see: tasks run twice at the same time after a change of owner, on workers that had started again and are cut off before the successor's first poll.

Cause: the roster's word was applied to whatever life has the id; the longest lease was counted from when the rows were read, though a former owner's orders arrive up to 12 s after it stops; and an owner that gave up named, for a life that it had just found, the time of its own settling, which was long past.

Change: an unreached worker waits for the last order of former owners and the longest lease after it, unless the roster rules that out for the life that the platform lists, and each worker for itself instead of for the latest of all. An owner that gives up hands that over, or the lease that it has reckoned itself.

Shown: four of the six tests of tests/unreached_lives.rs failed before and pass now.

--- a/src/cell/lapse.rs
+++ b/src/cell/lapse.rs
@@ -11,7 +11,7 @@
 
 use crate::cell::roster::RosterState;
 use crate::cell::worker::Worker;
-use crate::cell::{Cell, tuning};
+use crate::cell::{Cell, WorkerKey, tuning};
 use crate::clock::Millis;
 
 /// The most workers that are handed over, so that they fit into a row of the store. A successor
@@ -32,21 +32,18 @@
     /// Returns for how long something may still run on silent workers. From here on this owner
     /// renews no lease there and starts nothing.
     pub fn seal_silent(&mut self, now: Millis) -> RemainingLeases {
-        let settle_deadline = self.settle_deadline;
+        let workers = self.workers.iter();
+        let unrenewed = workers.filter(|(_, worker)| has_unrenewed_lease(worker));
         let mut within = BTreeMap::new();
-        for worker in self.workers.values_mut().filter(|w| has_unrenewed_lease(w)) {
+        for key in unrenewed.map(|(key, _)| key).collect::<Vec<_>>() {
+            let until = self.unrenewed_lease_end(key);
+            let worker = &mut self.workers[key];
             worker.sealed = true;
             if worker.has_unrecorded_ends() {
                 // These ends outlast the lease, and a successor can learn of them only from this
                 // worker, so it must not rely on the lease.
                 continue;
             }
-            let until = if worker.fenced {
-                worker.lease_end
-            } else {
-                let latest = settle_deadline.max(worker.long_lease_until);
-                worker.inherited_until.min(latest)
-            };
             if until == Millis::MAX {
                 // A former owner may renew it still.
                 continue;
@@ -61,6 +58,16 @@
         }
     }
 
+    /// Returns until when something may run on a worker whose lease is not being renewed.
+    fn unrenewed_lease_end(&self, key: WorkerKey) -> Millis {
+        let worker = &self.workers[key];
+        if worker.fenced || worker.inherited.is_none() {
+            return worker.lease_end;
+        }
+        let inherited_until = worker.inherited_until.min(self.inherited_lease_end(worker));
+        worker.lease_end.max(inherited_until)
+    }
+
     /// Applies what the former owner has handed over. Call this after its roster was taken in;
     /// values of any other than the direct predecessor are ignored.
     pub fn apply_remaining_leases(&mut self, leases: &RemainingLeases, now: Millis) {
--- a/src/cell/membership.rs
+++ b/src/cell/membership.rs
@@ -264,10 +264,7 @@
     pub(super) fn may_get_former_orders(&self, key: WorkerKey, now: Millis) -> bool {
         let worker = &self.workers[key];
         let has_former_life = worker.former.epoch_offset() > 0;
-        let former_leases_end = self
-            .former_orders_end
-            .saturating_add(FormerLives::MAX_LEASE);
-        worker.entry.life.may_recur() && (has_former_life || now < former_leases_end)
+        worker.entry.life.may_recur() && (has_former_life || now < self.former_leases_end())
     }
 
     /// Ends the other lives at the address and machine of a worker that has answered for the first
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -280,6 +280,22 @@
             && missing.is_some_and(|since| self.entry_reads.prove_gone(since))
     }
 
+    /// Returns until when the last order of a former owner may bind, whatever life it was meant for.
+    pub(super) fn former_leases_end(&self) -> Millis {
+        self.former_orders_end
+            .saturating_add(FormerLives::MAX_LEASE)
+    }
+
+    /// Returns until when something of a former owner may run on a worker that this one has not
+    /// reached: an order that was meant for a former life can still give it the longest lease, unless
+    /// the roster rules that out for the life that the platform lists.
+    pub(super) fn inherited_lease_end(&self, worker: &Worker) -> Millis {
+        match worker.may_have_long_lease || worker.next.is_some() {
+            true => self.former_leases_end(),
+            false => self.settle_deadline,
+        }
+    }
+
     /// Notes that no former owner has given orders or renewed leases since `at`.
     pub fn note_former_owners_stopped(&mut self, at: Millis) {
         let settled = at + tuning::LEASE_WINDOW + tuning::LEASE_MARGIN;
@@ -294,35 +310,29 @@
             return;
         }
         self.unsettled = self.find_unsettled(now);
-        let fenced = self.unsettled == UnsettledJobs::Jobs(BTreeSet::new());
-        if !fenced && now < self.latest_settle_deadline() {
+        if self.unsettled != UnsettledJobs::Jobs(BTreeSet::new()) {
             return;
         }
         self.settled = true;
         let workers = self.workers.iter();
         let unreached = workers.filter(|(_, worker)| !worker.fenced && worker.inherited.is_some());
-        for key in unreached.map(|(key, _)| key).collect::<Vec<_>>() {
+        let unreached: Vec<WorkerKey> = unreached.map(|(key, _)| key).collect();
+        let fenced = unreached.is_empty();
+        for key in unreached {
             self.keep_ended_life(key);
         }
-        self.unsettled = UnsettledJobs::Jobs(BTreeSet::new());
         tracing::info!(epoch = self.epoch, fenced, "ownership settled");
         self.break_partial_gangs(now);
     }
 
-    /// Returns when the last run of a former owner has ended, also where it may have the longest
-    /// lease.
-    fn latest_settle_deadline(&self) -> Millis {
-        let unfenced = self.workers.values().filter(|worker| !worker.fenced);
-        let longest = unfenced.map(|worker| worker.long_lease_until).max();
-        longest.unwrap_or_default().max(self.settle_deadline)
-    }
-
     /// Returns the jobs of which a former owner may still run something on workers that have not
     /// answered this owner.
     fn find_unsettled(&self, now: Millis) -> UnsettledJobs {
         let mut unsettled = BTreeSet::new();
+        let may_run_on =
+            |worker: &Worker| now < worker.inherited_until.min(self.inherited_lease_end(worker));
         let is_unsettled = |worker: &&Worker| {
-            !worker.fenced && now < worker.inherited_until && !self.is_presumed_gone(worker, now)
+            !worker.fenced && may_run_on(worker) && !self.is_presumed_gone(worker, now)
         };
         for worker in self.workers.values().filter(is_unsettled) {
             match &worker.inherited {
