--- a/tests/advice_planning.rs
+++ b/tests/advice_planning.rs
@@ -403,6 +403,21 @@
     assert_eq!(again[0].lane, 1);
 }
 
+/// Guards against long questions that wait for an answer which a lost node still owes.
+#[test]
+fn a_long_question_uses_the_last_lane_while_one_of_a_lost_node_is_unanswered() {
+    let mut bench = planning(4, 2);
+    bench.accept(&job(1, &batch(), vec![step(1, 1_000)]));
+    assert_eq!(questions(&bench.decide()).len(), 1);
+
+    bench.cell.set_lanes(&[false, true]);
+    bench.accept(&job(2, &batch(), vec![step(1, 1_000)]));
+    let asked = questions(&bench.decide());
+
+    assert_eq!(asked.len(), 1);
+    assert_eq!(asked[0].lane, 1);
+}
+
 #[test]
 fn a_late_answer_gives_tickets_and_a_start() {
     let mut bench = planning(4, 2);
