Tests of turns: the runs of the full service keep looking as if they were about to end

Their progress stood still from the first poll, so after 0.4 s no room was foreseen any more, and what held all lanes back was the limit of 16 searches a round. With progress from 0 to 99% the steps in front ask about foreseen room as well.

--- a/tests/question_turns.rs
+++ b/tests/question_turns.rs
@@ -117,14 +117,21 @@
     /// Fills all workers of the common service.  Their runs never end, and always look as if they
     /// were about to: room is foreseen there that never becomes free.
     fn fill_for_longer_than_foreseen(&mut self, workers: u32) {
-        for number in 0..workers as usize {
-            let key = self.bench.worker(number);
-            self.bench.fixed_percent.insert(key, 99);
-        }
         let plain = queue("plain", 0);
         let row = job(1_000, &plain, vec![step(workers, 16_000)]);
         self.bench.accept(&row);
         assert_eq!(self.bench.start_all().len(), workers as usize);
+        self.report_percent(workers, 0);
+        self.bench.poll_all();
+        self.report_percent(workers, 99);
+    }
+
+    /// Sets the progress that the first workers report for their runs.
+    fn report_percent(&mut self, workers: u32, percent: u32) {
+        for number in 0..workers as usize {
+            let key = self.bench.worker(number);
+            self.bench.fixed_percent.insert(key, percent);
+        }
     }
 
     /// One round: answers and ends that are due, a poll of all workers, and decisions.
