What callers make a node hold is bounded as a sum

Callers saw: a node ran out of memory under clients that nobody controls. Cause: what one connection may hold was limited, the sum over connections was not. A head could grow to 417 kB in the HTTP library, a body to the configuration's limit, each for as many connections as there were descriptors, and nothing ended a request that stood still. Bodies were kept as the pieces in which they came, and a piece of a byte keeps the buffer of kilobytes that it was read into. Change: connections are listed (http::connections); their number, what is read ahead on each, and the sum of bodies are bounded. Beyond the number the one that has stood still longest is closed, beyond the sum the largest body is refused. The server of volo_http hands connections on as they are, so hyper's is used directly; services, requests and responses stay those of volo. The test's settings now lower [node] memory as well, which the daemon did not know; crowd, bounds and checks are as they were. tests/load_control.rs passes limits to the server, since that asks for them.

--- a/src/bin/crossweird/node.rs
+++ b/src/bin/crossweird/node.rs
@@ -7,9 +7,11 @@
 use anyhow::Context;
 use crossweir::http::api::Api;
 use crossweir::http::client::HttpClient;
+use crossweir::http::connections::{Closed, Connections};
 use crossweir::http::operator::OperatorToken;
 use crossweir::http::server;
 use crossweir::log;
+use crossweir::node::front::Frontend;
 use crossweir::node::process::{self, Node};
 use crossweir::node::settings::Settings;
 use crossweir::node::shared::Links;
@@ -79,16 +81,28 @@
     let reached_at = settings.advertise.unwrap_or(peers_at);
     let node = Node::new(&settings, reached_at, |peers| links(&settings, peers))?;
     let front = node.start(peers);
-    spawn_server(ingress::serve(callers, Arc::clone(&front)));
+    let connections = connections(&settings, &front);
+    let serving = ingress::serve(callers, Arc::clone(&front), Arc::clone(&connections));
+    spawn_server(serving);
     spawn_server(ingress::serve_status(ready, Arc::clone(&front)));
     spawn_server(ingress::serve_status(metrics, Arc::clone(&front)));
     if let Some((listener, _)) = api_listener {
-        spawn_server(server::serve(listener, Api::new(Arc::clone(&front), token)));
+        let api = Api::new(Arc::clone(&front), token);
+        spawn_server(server::serve_within(listener, api, connections));
     }
     process::run_until_terminated(&front, || reload(&settings, &path)).await?;
     Ok(())
 }
 
+/// Creates the list of callers' connections, at whichever of the interfaces.
+fn connections(settings: &Settings, front: &Frontend) -> Arc<Connections> {
+    let shared = Arc::clone(&front.shared);
+    Connections::new(settings.caller_limits(), move |closed| match closed {
+        Closed::ForRoom => shared.metrics.event("caller_closed_for_room"),
+        Closed::Stalled => shared.metrics.event("caller_stalled"),
+    })
+}
+
 /// Spawns a server.  If it ends by itself, the node lacks an interface, so a panic aborts the
 /// process.
 fn spawn_server(server: impl Future<Output = crossweir::Result<()>> + Send + 'static) {
--- a/src/http/api.rs
+++ b/src/http/api.rs
@@ -11,7 +11,8 @@
 use volo::service::Service;
 use volo_http::body::Body;
 use volo_http::context::ServerContext;
-use volo_http::http::{HeaderMap, Method, StatusCode};
+use volo_http::http::request::Parts;
+use volo_http::http::{Extensions, HeaderMap, Method, StatusCode};
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -149,15 +150,13 @@
         match (&parts.method, path.as_slice()) {
             (&Method::GET, ["health"]) => self.health(),
             (&Method::GET, ["metrics"]) => self.metrics(),
-            (&Method::POST, ["v1", "jobs"]) => self.submit(&parts.headers, body).await,
+            (&Method::POST, ["v1", "jobs"]) => self.submit(&parts, body).await,
             (&Method::GET, ["v1", "jobs", id]) => self.explain(&parts.headers, id.parse()?).await,
             (&Method::DELETE, ["v1", "jobs", id]) => self.cancel(&parts.headers, id.parse()?).await,
             (&Method::GET, ["v1", "status"]) => {
                 Ok(response::json(StatusCode::OK, &self.frontend.status()))
             }
-            (method, ["v1", "operator", "policy"]) => {
-                self.policy(method, &parts.headers, body).await
-            }
+            (method, ["v1", "operator", "policy"]) => self.policy(method, &parts, body).await,
             _ => Err(Refusal::NoSuchPath.into()),
         }
     }
@@ -204,8 +203,8 @@
         self.caller(&config, true, headers)
     }
 
-    async fn submit(&self, headers: &HeaderMap, body: Body) -> Result<Response, Rejection> {
-        let submission: Submission = self.read_json(body).await?;
+    async fn submit(&self, parts: &Parts, body: Body) -> Result<Response, Rejection> {
+        let submission: Submission = self.read_json(body, &parts.extensions).await?;
         let id: JobId = submission.id.parse()?;
         submission.job.check()?;
         let Some(config) = self.frontend.shared.config() else {
@@ -215,7 +214,7 @@
             let refusal = self.frontend.refusal_by_configuration(Refusal::NoQueue);
             return Err(refusal.into());
         };
-        let caller = self.caller(&config, queue.public, headers)?;
+        let caller = self.caller(&config, queue.public, &parts.headers)?;
         let submitted = self
             .frontend
             .submit(&caller, queue, id, submission.job, None);
@@ -259,15 +258,15 @@
     async fn policy(
         &self,
         method: &Method,
-        headers: &HeaderMap,
+        parts: &Parts,
         body: Body,
     ) -> Result<Response, Rejection> {
-        if !self.token.is_in(headers) {
+        if !self.token.is_in(&parts.headers) {
             return Err(Refusal::NotOperator.into());
         }
         match *method {
             Method::GET => self.show_policy().await,
-            Method::PUT => self.set_policy(body).await,
+            Method::PUT => self.set_policy(body, &parts.extensions).await,
             _ => Err(Refusal::NoSuchPath.into()),
         }
     }
@@ -285,8 +284,8 @@
         Ok(response::json(StatusCode::OK, &view))
     }
 
-    async fn set_policy(&self, body: Body) -> Result<Response, Rejection> {
-        let change: PolicyChange = self.read_json(body).await?;
+    async fn set_policy(&self, body: Body, extensions: &Extensions) -> Result<Response, Rejection> {
+        let change: PolicyChange = self.read_json(body, extensions).await?;
         Program::parse_and_test(&change.source).map_err(|err| Rejection {
             detail: Some(err.to_string()),
             ..Refusal::BadPolicy.into()
@@ -304,10 +303,14 @@
     }
 
     /// Reads and decodes a JSON body; refuses one with an unknown key.
-    async fn read_json<T: DeserializeOwned + Serialize>(&self, body: Body) -> Result<T, Rejection> {
+    async fn read_json<T: DeserializeOwned + Serialize>(
+        &self,
+        body: Body,
+        extensions: &Extensions,
+    ) -> Result<T, Rejection> {
         let config = self.frontend.shared.config();
         let max_bytes = config.map_or(DEFAULT_MAX_BODY, |config| config.max_body);
-        let bytes = body::read(body, max_bytes).await?;
+        let bytes = body::read(body, extensions, max_bytes).await?;
         let malformed = |err: serde_json::Error| Rejection {
             detail: Some(err.to_string()),
             ..Refusal::Spec(SpecError::Malformed).into()
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 pub mod api;
 pub mod body;
 pub mod client;
+pub mod connections;
 pub mod operator;
 pub mod response;
 pub mod server;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,33 +1,38 @@
 //! The HTTP server.
 
 use std::convert::Infallible;
-use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
-use futures::FutureExt;
-use futures::future::BoxFuture;
-use tokio::net::TcpListener;
-use volo::net::conn::Conn;
-use volo::net::incoming::{Incoming, MakeIncoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use volo::net::Address;
 use volo::service::Service;
+use volo_http::body::Body;
 use volo_http::context::ServerContext;
-use volo_http::http::{HeaderMap, header};
+use volo_http::http::{HeaderMap, HeaderValue, header};
 use volo_http::request::Request;
 use volo_http::response::Response;
-use volo_http::server::Server;
 
-use crate::error::{Error, Result};
+use crate::error::Result;
+use crate::http::connections::{Connection, Connections, Limits, Watched};
 use crate::keep_alive;
 use crate::queue::Configuration;
 use crate::workspace::{Caller, KeyError};
 
 /// The largest number of headers that a request may have.
 const MAX_HEADERS: usize = 64;
+/// The most bytes that are read ahead on a connection, and so the most that a head may have.
+const MAX_HEAD: usize = 16_384;
+/// How often it is checked whether a request takes too long.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves HTTP until the task is dropped.
-///
-/// The server of `volo_http` would shut down on any signal, also on one that only asks the process
-/// to read its settings again.  It is therefore given a shutdown hook that never completes, and the
-/// process itself decides when to end.
+/// Serves HTTP within the default limits until the task is dropped.
 ///
 /// # Errors
 /// Fails if the server stops by itself.
@@ -38,12 +43,127 @@
         + Sync
         + 'static,
 {
-    let mut server = Server::new(service).register_shutdown_hook(never);
-    server.http1_config().set_max_headers(MAX_HEADERS);
-    server
-        .run(TimeoutListener(listener))
-        .await
-        .map_err(Error::HttpServer)
+    let connections = Connections::new(Limits::default(), |_| ());
+    serve_within(listener, service, connections).await
+}
+
+/// Serves HTTP until the task is dropped; `connections` bounds what callers hold.
+///
+/// The server of `volo_http` is not used, since it hands connections to the HTTP library as they
+/// are: neither what arrives on them could be counted nor could one of them be closed.
+///
+/// # Errors
+/// Fails if the server stops by itself.
+pub async fn serve_within<S>(
+    listener: TcpListener,
+    service: S,
+    connections: Arc<Connections>,
+) -> Result<()>
+where
+    S: Service<ServerContext, Request, Response = Response, Error = Infallible>
+        + Send
+        + Sync
+        + 'static,
+{
+    let service = Arc::new(service);
+    let checking = check_times(&connections);
+    tokio::pin!(checking);
+    loop {
+        let accepting = accept(&listener, &connections);
+        let (stream, peer, connection) = tokio::select! {
+            accepted = accepting => accepted,
+            () = &mut checking => return Ok(()),
+        };
+        let service = Arc::clone(&service);
+        tokio::spawn(serve_connection(stream, peer, connection, service));
+    }
+}
+
+async fn check_times(connections: &Connections) {
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        connections.check_times();
+    }
+}
+
+/// Accepts a connection, and sets time-outs on it, so that the kernel closes it once its caller has
+/// gone silent.
+async fn accept(
+    listener: &TcpListener,
+    connections: &Arc<Connections>,
+) -> (TcpStream, SocketAddr, Arc<Connection>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                set_options(&stream);
+                return (stream, peer, connections.admit().await);
+            }
+            Err(err) => {
+                tracing::warn!(%err, "cannot accept a connection");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn set_options(stream: &TcpStream) {
+    if let Err(err) = keep_alive::set_caller_timeouts(stream) {
+        tracing::debug!(%err, "cannot set keep-alive; a silent caller is not noticed");
+    }
+    if let Err(err) = stream.set_nodelay(true) {
+        tracing::debug!(%err, "cannot set TCP_NODELAY; answers may be delayed");
+    }
+}
+
+async fn serve_connection<S>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    connection: Arc<Connection>,
+    service: Arc<S>,
+) where
+    S: Service<ServerContext, Request, Response = Response, Error = Infallible>
+        + Send
+        + Sync
+        + 'static,
+{
+    let answering = service_fn(|req: hyper::Request<hyper::body::Incoming>| {
+        answer(&*service, peer, &connection, req.map(Body::from_incoming))
+    });
+    let stream = Watched {
+        stream,
+        connection: Arc::clone(&connection),
+    };
+    let serving = http1::Builder::new()
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEAD)
+        .serve_connection(TokioIo::new(stream), answering);
+    tokio::select! {
+        served = serving => {
+            if let Err(err) = served {
+                tracing::debug!(%err, %peer, "connection ended");
+            }
+        }
+        () = connection.closed() => tracing::debug!(%peer, "connection closed"),
+    }
+}
+
+async fn answer<S>(
+    service: &S,
+    peer: SocketAddr,
+    connection: &Arc<Connection>,
+    mut req: Request,
+) -> std::result::Result<Response, Infallible>
+where
+    S: Service<ServerContext, Request, Response = Response, Error = Infallible>,
+{
+    req.extensions_mut().insert(connection.begin_answer());
+    let mut cx = ServerContext::new(Address::from(peer));
+    let mut response = service.call(&mut cx, req).await?;
+    if !connection.end_answer() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
 }
 
 /// Identifies the caller by the `Authorization` header of a request.  Several such headers count as
@@ -63,30 +183,3 @@
     };
     config.identify_caller(is_public, key_header)
 }
-
-/// A listener that sets time-outs on the connections it accepts, so that the kernel closes those
-/// whose caller has gone silent.  Otherwise each would hold memory and a descriptor for ever.
-#[derive(Debug)]
-struct TimeoutListener(TcpListener);
-
-impl MakeIncoming for TimeoutListener {
-    type Incoming = Self;
-
-    async fn make_incoming(self) -> io::Result<Self> {
-        Ok(self)
-    }
-}
-
-impl Incoming for TimeoutListener {
-    async fn accept(&mut self) -> io::Result<Option<Conn>> {
-        let (stream, _) = self.0.accept().await?;
-        if let Err(err) = keep_alive::set_caller_timeouts(&stream) {
-            tracing::debug!(%err, "cannot set keep-alive; a silent caller is not noticed");
-        }
-        Ok(Some(Conn::from(stream)))
-    }
-}
-
-fn never() -> BoxFuture<'static, ()> {
-    std::future::pending().boxed()
-}
--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -44,7 +44,13 @@
         "node",
         "descriptors",
         "number",
-        "File descriptors that the process may have open; 4096 if not given.  Connections to workers take up to 60% of them; the owner of the cell needs three for each worker.",
+        "File descriptors that the process may have open; 4096 if not given.  Connections to workers take up to 60% of them, those of callers up to 20%; the owner of the cell needs three for each worker.",
+    ),
+    optional(
+        "node",
+        "memory",
+        "number",
+        "Megabytes of memory that the process may have; 260 if not given.  Bodies of callers' requests take up to 10% of them.",
     ),
     optional(
         "node",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::cell::options::Options;
 use crate::error::{Error, Result, SettingsFault, SettingsRule};
+use crate::http::connections::Limits;
 use crate::node::setting_keys::KEYS;
 
 /// The settings of a node.
@@ -20,6 +21,8 @@
     pub millicores: u32,
     /// How many file descriptors the process may have open.
     pub descriptors: u32,
+    /// How much memory the VM gives the process, in megabytes.
+    pub memory: u32,
     /// Which lines are logged, as filter directives of `tracing`.
     pub log: String,
     /// The address on which callers are served through the platform's interface.
@@ -58,6 +61,18 @@
 /// The share of the file descriptors that connections to workers may use, in percent.  The rest is
 /// left for callers, other nodes, the store and files.
 const WORKERS_PERCENT: u32 = 60;
+/// The share of the file descriptors that connections of callers may use, in percent.  It leaves
+/// another fifth for other nodes, the store and files.
+const CALLERS_PERCENT: u32 = 20;
+/// The default memory of a process, in megabytes.
+const DEFAULT_MEMORY: u32 = 260;
+/// The least memory with which a node works, in megabytes.
+const MIN_MEMORY: u32 = 32;
+/// The share of the memory that bodies of callers' requests may use, in percent.  While a job is
+/// decoded and written, up to three copies of it exist.
+const BODIES_PERCENT: usize = 10;
+/// The bytes of a megabyte.
+const MEGABYTE: usize = 1_000_000;
 /// The greatest CPU capacity that the settings accept, in cores.
 const MAX_CORES: f64 = 1_024.0;
 /// The greatest value of `[scheduling] reject_after`.  Greater ones would hardly ever refuse a job.
@@ -111,6 +126,14 @@
     pub fn worker_connections(&self) -> usize {
         (self.descriptors * WORKERS_PERCENT / 100) as usize
     }
+
+    /// Returns what callers' connections may hold together.
+    pub fn caller_limits(&self) -> Limits {
+        Limits {
+            connections: (self.descriptors * CALLERS_PERCENT / 100) as usize,
+            body_bytes: self.memory as usize * MEGABYTE * BODIES_PERCENT / 100,
+        }
+    }
 }
 
 /// Reads values from the parsed file and collects the faults in them.
@@ -133,7 +156,15 @@
         let advice = self.optional_address("advice", "address");
         let seeds = self.addresses("peers", "seeds");
         let millicores = self.millicores();
-        let descriptors = self.descriptors();
+        let expected = "a whole number of at least 256";
+        let descriptors = self.at_least(
+            "descriptors",
+            MIN_DESCRIPTORS,
+            DEFAULT_DESCRIPTORS,
+            expected,
+        );
+        let expected = "a whole number of at least 32";
+        let memory = self.at_least("memory", MIN_MEMORY, DEFAULT_MEMORY, expected);
         let scheduling = self.scheduling();
         self.check_distinct(&[callers, ready, peers, metrics, api]);
         Some(Settings {
@@ -141,6 +172,7 @@
             hall: self.text("node", "hall")?,
             millicores,
             descriptors,
+            memory,
             log: self.text("node", "log").unwrap_or(DEFAULT_LOG.to_owned()),
             callers: callers?,
             ready: ready?,
@@ -229,17 +261,17 @@
         }
     }
 
-    fn descriptors(&mut self) -> u32 {
-        let (section, key) = ("node", "descriptors");
-        let Some(value) = self.text(section, key) else {
-            return DEFAULT_DESCRIPTORS;
+    /// Returns a whole number of the section `node`; `otherwise` if the key is missing.  The number
+    /// must be `min` or more, which `expected` says in words.
+    fn at_least(&mut self, key: &str, min: u32, otherwise: u32, expected: &'static str) -> u32 {
+        let Some(value) = self.text("node", key) else {
+            return otherwise;
         };
         match value.parse() {
-            Ok(descriptors) if descriptors >= MIN_DESCRIPTORS => descriptors,
+            Ok(number) if number >= min => number,
             _ => {
-                let expected = "a whole number of at least 256";
-                self.report(section, key, SettingsRule::WrongType { value, expected });
-                DEFAULT_DESCRIPTORS
+                self.report("node", key, SettingsRule::WrongType { value, expected });
+                otherwise
             }
         }
     }
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -12,6 +12,10 @@
     UnknownKey,
     /// The body is larger than the configuration allows.
     BodySize,
+    /// The bodies of all connections are too large together, and this one is the largest.
+    NoRoom,
+    /// The body took too long to arrive.
+    BodyTimeout,
     /// The path does not exist, or not with this method.
     NoSuchPath,
     /// No queue has this name or path.
@@ -87,7 +91,7 @@
 
 impl Refusal {
     /// All refusals, for the reference in `docs/METRICS.md`.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 31] = [
         Self::Spec(SpecError::BadId),
         Self::Spec(SpecError::Malformed),
         Self::Spec(SpecError::TextTooLong),
@@ -97,6 +101,8 @@
         Self::Spec(SpecError::Demand),
         Self::UnknownKey,
         Self::BodySize,
+        Self::NoRoom,
+        Self::BodyTimeout,
         Self::NoSuchPath,
         Self::NoQueue,
         Self::NoSuchJob,
@@ -140,6 +146,16 @@
                 "The body is larger than the configuration allows.",
                 "Send less.",
             ),
+            Self::NoRoom => unavailable(
+                "no_room",
+                "There is no room for so large a body beside those of other callers; the job was not taken.",
+                "Come back at Retry-After; find who sends large bodies if it persists.",
+            ),
+            Self::BodyTimeout => unavailable(
+                "body_timeout",
+                "The body stood still for 20 s or took a minute; the job was not taken.",
+                "Send faster; look at the link if it persists.",
+            ),
             Self::NoSuchPath => not_run(
                 "no_such_path",
                 404,
--- a/tests/crowds/site.rs
+++ b/tests/crowds/site.rs
@@ -17,8 +17,10 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The lowered limits of the node.
+/// The lowered limits of the node: the least that its settings accept.
 const DESCRIPTORS: usize = 256;
+/// In megabytes.
+const MEMORY: usize = 32;
 
 /// A process that is killed and reaped on drop.
 struct Process(Child);
@@ -107,7 +109,7 @@
 fn settings_text(store: &str) -> String {
     let any = "127.0.0.1:0";
     format!(
-        "[node]\nname = n1\nhall = north\ndescriptors = {DESCRIPTORS}\n\
+        "[node]\nname = n1\nhall = north\ndescriptors = {DESCRIPTORS}\nmemory = {MEMORY}\n\
          [listen]\ncallers = {any}\nready = {any}\npeers = {any}\nmetrics = {any}\n\
          [store]\naddress = {store}\n"
     )
--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -35,6 +35,7 @@
 use crossweir::embedded::worker::MemoryWorkers;
 use crossweir::http::api::Api;
 use crossweir::http::client::{FullResponse, HttpClient};
+use crossweir::http::connections::{Connections, Limits};
 use crossweir::http::operator::OperatorToken;
 use crossweir::http::server;
 use crossweir::node::admission::{Admission, Arrival, FirstRefusals, HeardWaits, MAX_AGE};
@@ -58,6 +59,11 @@
 use volo_http::http::{Method, StatusCode};
 
 /// The settings of all tests that refuse jobs.
+/// What callers may hold: more than these tests need.
+const LIMITS: Limits = Limits {
+    connections: 800,
+    body_bytes: 26_000_000,
+};
 const OPTIONS: Options = Options {
     worker_speed: false,
     shares: false,
@@ -1126,7 +1132,9 @@
     let front = Arc::new(Frontend::new(Arc::clone(&node.shared)));
     let (callers, callers_address) = listen().await;
     let (api, api_address) = listen().await;
-    tokio::spawn(ingress::serve(callers, Arc::clone(&front)));
+    let connections = Connections::new(LIMITS, |_| ());
+    let serving = ingress::serve(callers, Arc::clone(&front), connections);
+    tokio::spawn(serving);
     let token = OperatorToken::load(None).expect("no token");
     tokio::spawn(server::serve(api, Api::new(front, token)));
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -109,3 +109,23 @@
     };
     assert_eq!(settings.scheduling, expected);
 }
+
+#[parameterized(
+    too_little = { "31" },
+    no_number = { "much" },
+)]
+fn memory_that_is_too_little_is_a_fault(value: &str) {
+    let source = VALID.replace("hall = north", &format!("hall = north\nmemory = {value}"));
+    let fault = format!("test.ini: [node] memory: `{value}` is not a whole number of at least 32");
+    assert_eq!(faults(&source), [fault]);
+}
+
+#[test]
+fn callers_may_hold_a_fifth_of_the_descriptors_and_a_tenth_of_the_memory() {
+    let limited = "hall = north\nmemory = 100\ndescriptors = 1000";
+    let source = VALID.replace("hall = north", limited);
+    let limits = Settings::parse(&source, "test.ini")
+        .expect("no faults")
+        .caller_limits();
+    assert_eq!((limits.connections, limits.body_bytes), (200, 10_000_000));
+}
