A job that the store cannot keep is refused by itself

Callers saw: ordinary jobs were refused with 503 while others handed in jobs that are legal by the size of their body and longer than a row of the store. Cause: jobs that arrive together go into one transaction, which the store rejects as a whole. The queue before it could also hold 512 rows of a body's size, 134 MB, and a decoded job with long lists in `after` takes four times its body, and was held while the owner was asked. Evidence: the test, failing on the code before: the ordinary job was refused. Change: the row is encoded before anything is waited for, and a longer one than the store accepts is refused with 413. The queue holds 34 MB at most by that.

--- a/src/embedded/store.rs
+++ b/src/embedded/store.rs
@@ -13,8 +13,8 @@
     Row, RowKey, Store, StoreCall, StoreError, StoreReply, Table, Transaction, Version,
 };
 
-/// The longest value of a row, in bytes; the same as the users' platform's.
-pub const MAX_ROW_BYTES: usize = 65_536;
+pub use crate::store::MAX_ROW_BYTES;
+
 /// The most rows that a transaction may name in its expected versions, writes and removals; the
 /// same as the users' platform's.
 pub const MAX_TRANSACTION_ROWS: usize = 100;
--- a/src/http/api.rs
+++ b/src/http/api.rs
@@ -224,6 +224,7 @@
             SubmitOutcome::Doubtful => Err(Refusal::Doubtful.into()),
             SubmitOutcome::BeyondCap => Err(Refusal::BeyondCap.into()),
             SubmitOutcome::IdInUse => Err(Refusal::IdInUse.into()),
+            SubmitOutcome::TooLarge => Err(Refusal::JobSize.into()),
             SubmitOutcome::Overloaded(pause) => Err(Rejection {
                 pause,
                 ..Refusal::Overloaded.into()
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -16,7 +16,7 @@
 use crate::node::intake::{Intake, SubmitOutcome};
 use crate::node::owner_calls::{OWNER_TIMEOUT, ask_owner, notify_owner, serve_as_owner};
 use crate::node::shared::{CELL_PARTITION, Shared};
-use crate::node::{configuration_transfer, loading};
+use crate::node::{configuration_transfer, intake, loading};
 use crate::queue::Queue;
 use crate::refusal::Refusal;
 use crate::rpc::node::{JobRequest, NodeCall, NodeReply, NodeService};
@@ -162,12 +162,16 @@
             spec,
             workspace,
         };
+        // Before anything is waited for, since a job may take several times the memory of its row.
+        let Some(value) = intake::encode(&row) else {
+            return SubmitOutcome::TooLarge;
+        };
         let began = self.shared.now();
         let outcome = match self.is_id_taken(caller, id).await {
             true => SubmitOutcome::IdInUse,
             false => match self.find_overload(&row).await {
                 Some(overload) => SubmitOutcome::Overloaded(overload.pause),
-                None => self.write(&row, deadline).await,
+                None => self.write(id, value, deadline).await,
             },
         };
         let now = self.shared.now();
@@ -289,11 +293,11 @@
         self.shared.config()?.workspace(name).cloned()
     }
 
-    async fn write(&self, row: &JobRow, deadline: Option<Millis>) -> SubmitOutcome {
+    async fn write(&self, id: JobId, value: String, deadline: Option<Millis>) -> SubmitOutcome {
         if !self.shared.can_reach_store() {
             return SubmitOutcome::Refused;
         }
-        let writing = self.intake.write(row);
+        let writing = self.intake.write(id, value);
         tokio::pin!(writing);
         if let Ok(outcome) = tokio::time::timeout(answer_limit(deadline), &mut writing).await {
             return outcome;
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -10,11 +10,13 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::cell::record::JobRow;
+use crate::cell::spec::JobId;
 use crate::clock::Millis;
 use crate::node::job_batch::{self, Batch, MAX_SLOW_STORE_WRITERS, SLOW_STORE_BATCHES, WritePlan};
 use crate::node::shared::Shared;
 use crate::rpc::PeerError;
 use crate::rpc::node::{NodeCall, NodeReply};
+use crate::store::MAX_ROW_BYTES;
 
 /// How many jobs may wait to be written: enough for a burst of some seconds.  Further ones are
 /// refused.
@@ -44,11 +46,25 @@
     BeyondCap,
     /// The job was not accepted: a job of another workspace has its id.
     IdInUse,
+    /// The job was not accepted: it is larger than a row of the store may be.
+    TooLarge,
     /// The job was not accepted: it would wait for too long.  The caller should submit it again
     /// after so many milliseconds.
     Overloaded(Millis),
 }
 
+/// Encodes the row of a job; none if it is longer than the store accepts, since it would have the
+/// whole batch rejected.
+pub fn encode(row: &JobRow) -> Option<String> {
+    match serde_json::to_string(row) {
+        Ok(value) => (value.len() <= MAX_ROW_BYTES).then_some(value),
+        Err(err) => {
+            tracing::error!(%err, request = %row.id, "cannot encode a job");
+            None
+        }
+    }
+}
+
 /// A job row that waits to be written.
 struct PendingWrite {
     key: String,
@@ -71,16 +87,9 @@
         Self { tx }
     }
 
-    /// Writes the row of a job that a caller submitted at this node.
-    pub async fn write(&self, row: &JobRow) -> SubmitOutcome {
-        let value = match serde_json::to_string(row) {
-            Ok(value) => value,
-            Err(err) => {
-                tracing::error!(%err, request = %row.id, "cannot encode a job");
-                return SubmitOutcome::Refused;
-            }
-        };
-        self.enqueue(row.id.to_string(), value, true).await
+    /// Writes the row of a job that a caller submitted at this node, as [`encode`] returns it.
+    pub async fn write(&self, job: JobId, value: String) -> SubmitOutcome {
+        self.enqueue(job.to_string(), value, true).await
     }
 
     /// Writes job rows that another node has forwarded, and returns the outcome of each, in the
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -16,6 +16,8 @@
     NoRoom,
     /// The body took too long to arrive.
     BodyTimeout,
+    /// The job is larger than a row of the store may be.
+    JobSize,
     /// The path does not exist, or not with this method.
     NoSuchPath,
     /// No queue has this name or path.
@@ -91,7 +93,7 @@
 
 impl Refusal {
     /// All refusals, for the reference in `docs/METRICS.md`.
-    pub const ALL: [Self; 31] = [
+    pub const ALL: [Self; 32] = [
         Self::Spec(SpecError::BadId),
         Self::Spec(SpecError::Malformed),
         Self::Spec(SpecError::TextTooLong),
@@ -103,6 +105,7 @@
         Self::BodySize,
         Self::NoRoom,
         Self::BodyTimeout,
+        Self::JobSize,
         Self::NoSuchPath,
         Self::NoQueue,
         Self::NoSuchJob,
@@ -156,6 +159,12 @@
                 "The body stood still for 20 s or took a minute; the job was not taken.",
                 "Send faster; look at the link if it persists.",
             ),
+            Self::JobSize => not_run(
+                "job_size",
+                413,
+                "The job is larger than the store can keep in a row.",
+                "Send less.",
+            ),
             Self::NoSuchPath => not_run(
                 "no_such_path",
                 404,
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -671,8 +671,8 @@
     })
 }
 
-/// An outcome is encoded as its index here, so the order is part of the protocol.  Load is judged
-/// before a row is written, so `Overloaded` is never sent.
+/// An outcome is encoded as its index here, so the order is part of the protocol.  Load and size are
+/// judged before a row is written, so `Overloaded` and `TooLarge` are never sent.
 const OUTCOMES: [SubmitOutcome; 5] = [
     SubmitOutcome::Doubtful,
     SubmitOutcome::Accepted,
--- a/src/store.rs
+++ b/src/store.rs
@@ -8,6 +8,9 @@
 
 use crate::clock::Millis;
 
+/// The longest value of a row, in bytes.
+pub const MAX_ROW_BYTES: usize = 65_536;
+
 /// The version of a row or of the whole store, which rises with each transaction.  Zero means that
 /// the row does not exist.
 pub type Version = u64;
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -10,6 +10,7 @@
 
 use cell_core::{queue, step};
 use crossweir::cell::spec::{JobId, JobSpec};
+use crossweir::embedded::store::MAX_ROW_BYTES;
 use crossweir::node::front::{Frontend, JobAnswer};
 use crossweir::node::intake::SubmitOutcome;
 use crossweir::node::shared::{JOB_PARTITIONS, job_partition};
@@ -122,6 +123,26 @@
     assert_eq!(outcome, SubmitOutcome::Accepted);
 }
 
+/// One row that the store rejects had its whole batch refused.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_the_store_cannot_keep_spoils_none_beside_it() {
+    // Arrange.
+    let front = Frontend::new(virtual_node(&[]).shared);
+    let q = queue("q", 0);
+    let mut large = spec();
+    large.steps[0].image = "x".repeat(MAX_ROW_BYTES);
+
+    // Act: both are handed in at the same time.
+    let (first, second) = tokio::join!(
+        front.submit(&Caller::Anonymous, &q, JobId(1), large, None),
+        front.submit(&Caller::Anonymous, &q, JobId(2), spec(), None),
+    );
+
+    // Assert.
+    assert_eq!(first, SubmitOutcome::TooLarge);
+    assert_eq!(second, SubmitOutcome::Accepted);
+}
+
 /// Submits a job while the store takes 600 ms for each answer, at a node that comes after `others`
 /// peers in the order of names.  Returns the outcome, and how many job rows peers were asked to
 /// write.
