Callers who keep all connections busy no longer keep others out

Callers saw: beside 4,000 connections that send questions one after another, or that take no answers, an ordinary caller got no connection (trial by hand, x86_64, debug build: no answer within 8 s). Cause: a connection that is being answered is not closed to make room, and one with a next request in its buffer is always being answered.

--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -25,6 +25,12 @@
 /// How long a body may take as a whole.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// How long the caller may take nothing of an answer while others wait for a connection: as long as
+/// callers wait.
+const UNTAKEN_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often it is checked meanwhile whether a connection can be closed.
+const ROOM_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What the connections of a server may hold together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -95,9 +101,14 @@
     }
 
     /// Returns whether the connection may be closed to make room: whoever has sent a whole request
-    /// gets a complete answer.
-    fn may_be_closed(&self) -> bool {
-        !self.is_leaving() && matches!(self.phase, Phase::Head { .. } | Phase::Body { .. })
+    /// gets a complete answer, unless nothing of it is taken.
+    fn may_be_closed(&self, now: Instant) -> bool {
+        match self.phase {
+            _ if self.is_leaving() => false,
+            Phase::Head { .. } | Phase::Body { .. } => true,
+            Phase::Answering => false,
+            Phase::Sending => now - self.progress > UNTAKEN_TIMEOUT,
+        }
     }
 
     fn close(&mut self, reason: Closed) {
@@ -132,6 +143,8 @@
     open: SlotMap<DefaultKey, Entry>,
     /// The sum of what they hold.
     held: usize,
+    /// A new connection waits for room.
+    is_full: bool,
 }
 
 /// The connections of a server.
@@ -156,30 +169,36 @@
         })
     }
 
+    /// Returns whether a new connection waits for room.
+    pub fn is_full(&self) -> bool {
+        self.lock().is_full
+    }
+
     /// Adds a connection once there is room for it.  Closes, if there are too many, the one on
-    /// which nothing has happened for the longest time; those that are being answered end by
-    /// themselves.
+    /// which nothing has happened for the longest time; those that are being answered are closed
+    /// with their answer.
     pub(super) async fn admit(self: &Arc<Self>) -> Arc<Connection> {
         loop {
             let freed = self.freed.notified();
             if let Some(connection) = self.try_admit() {
                 return connection;
             }
-            freed.await;
+            // An answer that is not taken comes to its time without a wake-up.
+            let _ = tokio::time::timeout(ROOM_INTERVAL, freed).await;
         }
     }
 
     fn try_admit(self: &Arc<Self>) -> Option<Arc<Connection>> {
         let mut state = self.lock();
-        if state.open.len() >= self.limits.connections {
+        state.is_full = state.open.len() >= self.limits.connections;
+        if state.is_full {
             if state.open.values().any(|entry| entry.closed.is_some()) {
                 return None;
             }
-            let idle = state
-                .open
-                .values_mut()
-                .filter(|entry| entry.may_be_closed());
-            if let Some(oldest) = idle.min_by_key(|entry| entry.progress) {
+            let now = Instant::now();
+            let open = state.open.values_mut();
+            let closable = open.filter(|entry| entry.may_be_closed(now));
+            if let Some(oldest) = closable.min_by_key(|entry| entry.progress) {
                 oldest.close(Closed::ForRoom);
             }
             return None;
@@ -302,14 +321,18 @@
         Handle(Arc::clone(self))
     }
 
-    /// A request is answered.  Returns whether the connection can serve another one.
+    /// A request is answered.  Returns whether the connection stays: it does not if its body was
+    /// given up, or if others wait for a connection, since requests that follow one another without
+    /// a pause would never let it be closed.
     pub(super) fn end_answer(&self) -> bool {
         self.connections.release(self.key);
-        let given_up = self.connections.update(self.key, |entry| {
-            entry.phase = Phase::Sending;
-            entry.given_up.take()
-        });
-        matches!(given_up, Some(None))
+        let mut state = self.connections.lock();
+        let is_full = state.is_full;
+        let Some(entry) = state.open.get_mut(self.key) else {
+            return false;
+        };
+        entry.phase = Phase::Sending;
+        entry.given_up.take().is_none() && !is_full
     }
 
     fn set_phase(&self, phase: Phase) {
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -56,6 +56,11 @@
 /// Lets a crowd send `bytes` to a port and stay, and checks what must hold meanwhile and
 /// afterwards.
 fn withstand(port: Port, bytes: Vec<u8>) {
+    withstand_readers(port, bytes, false);
+}
+
+/// Does the same; with `narrow` the crowd's machines take few bytes of the answers.
+fn withstand_readers(port: Port, bytes: Vec<u8>, narrow: bool) {
     let _alone = alone();
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(async {
@@ -68,7 +73,7 @@
         let at_rest = site.peak_memory();
 
         // Act.
-        let crowd = Crowd::send(port.of(&site), bytes).await;
+        let crowd = Crowd::send(port.of(&site), bytes, narrow).await;
         let descriptors = site.descriptors();
         let beside = clients::hand_in(site.callers, 2).await;
         let slow = clients::hand_in_slowly(site.callers, 3).await;
@@ -182,3 +187,10 @@
 fn long_heads_at_the_port_of_the_metrics_are_withstood() {
     withstand(Port::Metrics, head_without_end(300_000));
 }
+
+/// Connections on which answers were being sent were never closed to make room, so callers who take
+/// none kept all others out.
+#[test]
+fn callers_who_take_no_answers_are_withstood() {
+    withstand_readers(Port::Callers, clients::questions(20_000), true);
+}
--- a/tests/crowds/clients.rs
+++ b/tests/crowds/clients.rs
@@ -6,7 +6,7 @@
 
 use futures::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::site::{HOST, PATH};
 
@@ -22,16 +22,21 @@
 /// The bytes that a crowd member sends at a time.
 const PIECE: usize = 16_384;
 
+/// The receive buffer of a client that takes few bytes.
+const NARROW: u32 = 4_096;
+
 /// The connections of a crowd, which stay open until it is dropped.
 pub struct Crowd {
     _connections: Vec<TcpStream>,
 }
 
 impl Crowd {
-    /// Opens [`CROWD`] connections to `at`, and sends `bytes` over each, at the same time.
-    pub async fn send(at: SocketAddr, bytes: Vec<u8>) -> Self {
+    /// Opens [`CROWD`] connections to `at`, and sends `bytes` over each, at the same time.  Nobody
+    /// reads the answers; with `narrow` the kernel takes few of them either.
+    pub async fn send(at: SocketAddr, bytes: Vec<u8>, narrow: bool) -> Self {
         let bytes = Arc::new(bytes);
-        let members = (0..CROWD).map(|_| tokio::spawn(send_and_stay(at, Arc::clone(&bytes))));
+        let members =
+            (0..CROWD).map(|_| tokio::spawn(send_and_stay(at, Arc::clone(&bytes), narrow)));
         let connections = join_all(members).await;
         let open = connections
             .into_iter()
@@ -43,8 +48,13 @@
 }
 
 /// Sends bytes until the other side closes the connection; returns it if that stays open.
-async fn send_and_stay(at: SocketAddr, bytes: Arc<Vec<u8>>) -> Option<TcpStream> {
-    let mut stream = TcpStream::connect(at).await.ok()?;
+async fn send_and_stay(at: SocketAddr, bytes: Arc<Vec<u8>>, narrow: bool) -> Option<TcpStream> {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    if narrow {
+        let set = socket.set_recv_buffer_size(NARROW);
+        set.expect("the kernel accepts it");
+    }
+    let mut stream = socket.connect(at).await.ok()?;
     let sending = async {
         for piece in bytes.chunks(PIECE) {
             stream.write_all(piece).await?;
@@ -75,6 +85,13 @@
     read_status(&mut stream).await
 }
 
+/// Requests for the state of a job that nobody handed in, all at once.
+pub fn questions(count: usize) -> Vec<u8> {
+    format!("GET {PATH}{:016x} HTTP/1.1\r\nhost: {HOST}\r\n\r\n", 9)
+        .repeat(count)
+        .into_bytes()
+}
+
 /// Returns the status of a GET request; none if no complete answer comes.
 pub async fn get(at: SocketAddr, path: &str) -> Option<u16> {
     let mut stream = TcpStream::connect(at).await.ok()?;
