A call from another node is bounded in length before its memory is taken

What a trial saw: 1,000 connections to the port of other nodes, each announcing a message of 64 MB and sending 1 MB, took 21 GB (x86_64, debug build); that trial also took more than half of the machine's memory, which was not meant. Cause: the library takes the memory of a message when its length is announced, and accepts 64 MB. Change: calls of more than 4 MB end their connection, four times the largest transaction that one node relays for another. Answers, which come from nodes that this one has chosen, are as before.

--- a/src/rpc/transport.rs
+++ b/src/rpc/transport.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use capnp::capability::FromClientHook;
+use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -28,6 +29,11 @@
 /// How long connecting may take: the round trip between halls is some milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The longest call that another node may send, in words of eight bytes: four times the 1 MB of the
+/// largest transaction that one node relays for another.  The memory of a message is taken as soon
+/// as its length is announced.
+const MAX_CALL_WORDS: usize = 4 * 1_024 * 1_024 / 8;
+
 /// A queued call.
 pub struct PendingCall<C, R> {
     /// The address of the called node.
@@ -227,7 +233,8 @@
 }
 
 fn open<C: FromClientHook + Clone + 'static>(stream: TcpStream, addr: SocketAddr) -> Connection<C> {
-    let network = network(stream, rpc_twoparty_capnp::Side::Client);
+    let options = ReaderOptions::new();
+    let network = network(stream, rpc_twoparty_capnp::Side::Client, options);
     let mut system = RpcSystem::new(Box::new(network), None);
     let client: C = system.bootstrap(rpc_twoparty_capnp::Side::Server);
     let rpc_task = task::spawn_local(async move {
@@ -248,7 +255,9 @@
                 if let Err(err) = keep_alive::set_peer_timeouts(&stream) {
                     tracing::warn!(%err, "cannot set keep-alive; a silent node is noticed late");
                 }
-                let network = network(stream, rpc_twoparty_capnp::Side::Server);
+                let mut options = ReaderOptions::new();
+                options.traversal_limit_in_words(Some(MAX_CALL_WORDS));
+                let network = network(stream, rpc_twoparty_capnp::Side::Server, options);
                 let system = RpcSystem::new(Box::new(network), Some(server.clone()));
                 task::spawn_local(async move {
                     if let Err(err) = system.await {
@@ -267,6 +276,7 @@
 fn network(
     stream: TcpStream,
     side: rpc_twoparty_capnp::Side,
+    options: ReaderOptions,
 ) -> twoparty::VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
     if let Err(err) = stream.set_nodelay(true) {
         tracing::debug!(%err, "cannot set TCP_NODELAY; small messages may be delayed");
@@ -276,6 +286,6 @@
         futures::io::BufReader::new(reader),
         futures::io::BufWriter::new(writer),
         side,
-        Default::default(),
+        options,
     )
 }
