--- a/src/bin/crossweird/node.rs
+++ b/src/bin/crossweird/node.rs
@@ -105,10 +105,10 @@
 
 /// Spawns a server.  If it ends by itself, the node lacks an interface, so a panic aborts the
 /// process.
-fn spawn_server(server: impl Future<Output = crossweir::Result<()>> + Send + 'static) {
+fn spawn_server(server: impl Future<Output = ()> + Send + 'static) {
     task::spawn(async {
-        let outcome = server.await;
-        panic!("a server of the node has ended: {outcome:?}");
+        server.await;
+        panic!("a server of the node has ended");
     });
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -34,9 +34,6 @@
     /// The metrics registry rejected a collector or could not encode one.
     #[error("metrics registry: {0}")]
     Metrics(#[from] prometheus::Error),
-    /// The HTTP server stopped with an error.
-    #[error("http server: {0}")]
-    HttpServer(Box<dyn std::error::Error + Send + Sync>),
     /// The operators' token cannot be read.
     #[error("cannot read the operators' token in {}: {source}", path.display())]
     Token {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -17,7 +17,6 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
-use crate::error::Result;
 use crate::http::connections::{Connection, Connections, Limits, Watched};
 use crate::keep_alive;
 use crate::queue::Configuration;
@@ -33,10 +32,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves HTTP within the default limits until the task is dropped.
-///
-/// # Errors
-/// Fails if the server stops by itself.
-pub async fn serve<S>(listener: TcpListener, service: S) -> Result<()>
+pub async fn serve<S>(listener: TcpListener, service: S)
 where
     S: Service<ServerContext, Request, Response = Response, Error = Infallible>
         + Send
@@ -44,21 +40,14 @@
         + 'static,
 {
     let connections = Connections::new(Limits::default(), |_| ());
-    serve_within(listener, service, connections).await
+    serve_within(listener, service, connections).await;
 }
 
 /// Serves HTTP until the task is dropped; `connections` bounds what callers hold.
 ///
 /// The server of `volo_http` is not used, since it hands connections to the HTTP library as they
 /// are: neither what arrives on them could be counted nor could one of them be closed.
-///
-/// # Errors
-/// Fails if the server stops by itself.
-pub async fn serve_within<S>(
-    listener: TcpListener,
-    service: S,
-    connections: Arc<Connections>,
-) -> Result<()>
+pub async fn serve_within<S>(listener: TcpListener, service: S, connections: Arc<Connections>)
 where
     S: Service<ServerContext, Request, Response = Response, Error = Infallible>
         + Send
@@ -72,7 +61,7 @@
         let accepting = accept(&listener, &connections);
         let (stream, peer, connection) = tokio::select! {
             accepted = accepting => accepted,
-            () = &mut checking => return Ok(()),
+            () = &mut checking => return,
         };
         let service = Arc::clone(&service);
         tokio::spawn(serve_connection(stream, peer, connection, service));
@@ -152,7 +141,7 @@
     peer: SocketAddr,
     connection: &Arc<Connection>,
     mut req: Request,
-) -> std::result::Result<Response, Infallible>
+) -> Result<Response, Infallible>
 where
     S: Service<ServerContext, Request, Response = Response, Error = Infallible>,
 {
@@ -175,7 +164,7 @@
     config: &Configuration,
     is_public: bool,
     headers: &HeaderMap,
-) -> std::result::Result<Caller, KeyError> {
+) -> Result<Caller, KeyError> {
     let mut values = headers.get_all(header::AUTHORIZATION).iter();
     let key_header = match (values.next(), values.next()) {
         (Some(value), None) => Some(value.as_bytes()),
