--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -12,6 +12,12 @@
     UnknownKey,
     /// The body is larger than the configuration allows.
     BodySize,
+    /// The bodies of all connections are too large together, and this one is the largest.
+    NoRoom,
+    /// The body took too long to arrive.
+    BodyTimeout,
+    /// The job is larger than a row of the store may be.
+    JobSize,
     /// The path does not exist, or not with this method.
     NoSuchPath,
     /// No queue has this name or path.
@@ -87,7 +93,7 @@
 
 impl Refusal {
     /// All refusals, for the reference in `docs/METRICS.md`.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 32] = [
         Self::Spec(SpecError::BadId),
         Self::Spec(SpecError::Malformed),
         Self::Spec(SpecError::TextTooLong),
@@ -97,6 +103,9 @@
         Self::Spec(SpecError::Demand),
         Self::UnknownKey,
         Self::BodySize,
+        Self::NoRoom,
+        Self::BodyTimeout,
+        Self::JobSize,
         Self::NoSuchPath,
         Self::NoQueue,
         Self::NoSuchJob,
@@ -140,6 +149,22 @@
                 "The body is larger than the configuration allows.",
                 "Send less.",
             ),
+            Self::NoRoom => unavailable(
+                "no_room",
+                "There is no room for so large a body beside those of other callers; the job was not taken.",
+                "Come back at Retry-After; find who sends large bodies if it persists.",
+            ),
+            Self::BodyTimeout => unavailable(
+                "body_timeout",
+                "The body stood still for 20 s or took a minute; the job was not taken.",
+                "Send faster; look at the link if it persists.",
+            ),
+            Self::JobSize => not_run(
+                "job_size",
+                413,
+                "The job is larger than the store can keep in a row.",
+                "Send less.",
+            ),
             Self::NoSuchPath => not_run(
                 "no_such_path",
                 404,
