Callers' connections take 15% of the descriptors, so that those of 584 nodes fit beside them

Cause: with a fifth, an owner of the largest cell could open 4,262 of 4,100 descriptors with workers, callers, nodes, store and files together, by the sum in docs/CAPACITY.md; a crowd would then keep nodes out. Now it is 4,057. 615 connections are left for callers at 4,100 descriptors; the largest site has 4,800 clients on 584 nodes. Reckoned, not measured.

--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -44,7 +44,7 @@
         "node",
         "descriptors",
         "number",
-        "File descriptors that the process may have open; 4096 if not given.  Connections to workers take up to 60% of them, those of callers up to 20%; the owner of the cell needs three for each worker.",
+        "File descriptors that the process may have open; 4096 if not given.  Connections to workers take up to 60% of them, those of callers up to 15%; the owner of the cell needs three for each worker.",
     ),
     optional(
         "node",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -61,9 +61,9 @@
 /// The share of the file descriptors that connections to workers may use, in percent.  The rest is
 /// left for callers, other nodes, the store and files.
 const WORKERS_PERCENT: u32 = 60;
-/// The share of the file descriptors that connections of callers may use, in percent.  It leaves
-/// another fifth for other nodes, the store and files.
-const CALLERS_PERCENT: u32 = 20;
+/// The share of the file descriptors that connections of callers may use, in percent.  It leaves a
+/// quarter for other nodes, of which there may be some 600, the store and files.
+const CALLERS_PERCENT: u32 = 15;
 /// The default memory of a process, in megabytes.
 const DEFAULT_MEMORY: u32 = 260;
 /// The least memory with which a node works, in megabytes.
