--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -28,8 +28,8 @@
     #[serde(default)]
     pub jobs: Option<Vec<JobId>>,
     /// What runs there may have the longest lease that a worker gives, instead of the owner's.
-    /// `None` if that is not known: a former version did not tell it of a life that it had not
-    /// heard.
+    /// `None` if that does not matter, since the life has ended, or is not known: a former version did
+    /// not tell it of a life that it had not heard.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub long_lease: Option<bool>,
     /// Set if a life of the worker has ended on which a former owner may have started tasks without
