--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -211,6 +211,32 @@
         self.alive.insert(life.id.clone(), alive);
     }
 
+    /// Starts a worker again at once, with a clock that reads `first_reading`; nobody tells the owner.
+    pub fn restart_unnoticed(&mut self, index: usize, first_reading: Millis) {
+        self.end_life(index);
+        self.begin_life_reading(index, first_reading);
+    }
+
+    /// Adds a worker, which the platform lists.
+    pub fn add_worker(&mut self) {
+        let index = self.entries.len();
+        self.entries.push(worker(index as u16));
+        self.begin_life(index);
+        self.list(index);
+    }
+
+    /// Runs a scheduling round and returns the starts that it orders, so that they arrive when the test
+    /// says.
+    pub fn intercept_starts(&mut self) -> Vec<StartOrder> {
+        self.cell.schedule(self.now);
+        let orders = self.cell.take_orders().into_iter();
+        let starts = orders.filter_map(|order| match order {
+            Order::Start(start) => Some(start),
+            _ => None,
+        });
+        starts.collect()
+    }
+
     /// Tells the owner that the platform lists the present life of a worker.
     pub fn list(&mut self, index: usize) {
         let entry = self.entries[index].clone();
--- a/tests/long_leases.rs
+++ b/tests/long_leases.rs
@@ -10,9 +10,8 @@
 mod cell_core;
 mod lives;
 
-use cell_core::{step, worker};
+use cell_core::step;
 use crossweir::cell::job::JobState;
-use crossweir::cell::order::{Order, StartOrder};
 use crossweir::cell::spec::JobId;
 use crossweir::clock::Millis;
 use lives::Site;
@@ -35,27 +34,10 @@
     site
 }
 
-/// The worker starts again unnoticed, under a clock that reads less than before.
-fn restart_unnoticed(site: &mut Site) {
-    site.end_life(0);
-    site.begin_life_reading(0, NEXT_READING);
-}
-
-/// Takes the starts that the owner has just ordered, so that they arrive late.
-fn intercept_starts(site: &mut Site) -> Vec<StartOrder> {
-    site.cell.schedule(site.now);
-    let orders = site.cell.take_orders().into_iter();
-    let starts = orders.filter_map(|order| match order {
-        Order::Start(start) => Some(start),
-        _ => None,
-    });
-    starts.collect()
-}
-
 /// Starts a task on a worker that has the longest lease, by a start that was meant for its former
 /// life and was answered by the present one.
 fn start_under_long_lease(site: &mut Site) -> JobId {
-    restart_unnoticed(site);
+    site.restart_unnoticed(0, NEXT_READING);
     let _ = site.submit(100, vec![step(1, 1_000)]);
     site.decide();
     site.list(0);
@@ -70,18 +52,12 @@
 /// lease; then it can be reached again.
 fn cut_off_beside_another(site: &mut Site) {
     let cut = site.cut_off(0);
-    add_worker(site);
+    site.add_worker();
     site.pass(12_000);
     site.reconnect(0, cut);
     site.pass(8_000);
 }
 
-fn add_worker(site: &mut Site) {
-    site.entries.push(worker(1));
-    site.begin_life(1);
-    site.list(1);
-}
-
 /// Guards against a task that runs twice at the same time: a successor went by its own lease on a
 /// worker of which the roster told that it may have the longest one.
 #[test]
@@ -138,9 +114,9 @@
     // Arrange: a start is on its way when the worker starts again and the owner is lost.
     let mut site = site_with_history();
     let id = site.submit(LONG_RUN, vec![step(1, 1_000)]);
-    let late = intercept_starts(&mut site);
+    let late = site.intercept_starts();
     let former = site.entries[0].clone();
-    restart_unnoticed(&mut site);
+    site.restart_unnoticed(0, NEXT_READING);
 
     // Act
     let present = site.entries[0].clone();
@@ -170,7 +146,7 @@
     // Arrange: a start is on its way to a worker that is then taken for lost.
     let mut site = site_with_history();
     let id = site.submit(LONG_RUN, vec![step(1, 1_000)]);
-    let late = intercept_starts(&mut site);
+    let late = site.intercept_starts();
     site.end_life(0);
     let first = site.entries[0].life.id.clone();
     site.cell.unlist_worker(&first, site.now);
@@ -199,7 +175,7 @@
     let mut site = site_with_history();
     let id = start_under_long_lease(&mut site);
     let cut = site.cut_off(0);
-    add_worker(&mut site);
+    site.add_worker();
     site.take_over();
     site.pass(1_000);
 
@@ -226,7 +202,7 @@
 fn lost_work_starts_soon_where_no_order_for_a_former_life_can_matter(successors: usize) {
     // Arrange
     let mut site = site_with_history();
-    add_worker(&mut site);
+    site.add_worker();
     site.pass(30_000);
     let id = site.submit(20_000, vec![step(8, 4_000)]);
     site.pass(100);
@@ -238,9 +214,7 @@
         site.pass(100);
     }
     let _cut = site.cut_off(0);
-    site.entries.push(worker(2));
-    site.begin_life(2);
-    site.list(2);
+    site.add_worker();
     site.pass(ORDINARY_RESTART);
 
     // Assert
@@ -253,7 +227,7 @@
 fn lost_work_starts_soon_once_the_longest_lease_is_over() {
     // Arrange
     let mut site = site_with_history();
-    restart_unnoticed(&mut site);
+    site.restart_unnoticed(0, NEXT_READING);
     site.list(0);
     site.pass(12_000);
     let id = site.submit(20_000, vec![step(4, 4_000)]);
@@ -264,7 +238,7 @@
     site.take_over();
     site.pass(100);
     let _cut = site.cut_off(0);
-    add_worker(&mut site);
+    site.add_worker();
     site.pass(ORDINARY_RESTART);
 
     // Assert
--- a/tests/unreached_lives.rs
+++ b/tests/unreached_lives.rs
@@ -6,8 +6,8 @@
 mod cell_core;
 mod lives;
 
-use cell_core::{step, worker};
-use crossweir::cell::order::{Order, StartOrder, StartOutcome};
+use cell_core::step;
+use crossweir::cell::order::{StartOrder, StartOutcome};
 use crossweir::cell::spec::JobId;
 use crossweir::clock::Millis;
 use lives::{Site, WorkerLife};
@@ -24,22 +24,12 @@
     site
 }
 
-/// The worker starts again unnoticed, under a clock that reads less than before.
-fn restart_unnoticed(site: &mut Site) {
-    site.end_life(0);
-    site.begin_life_reading(0, NEXT_READING);
-}
-
 /// Submits a job of one task and takes its start, so that it arrives when the test says.
 fn submit_and_intercept(site: &mut Site, length: Millis) -> (JobId, StartOrder) {
     let id = site.submit(length, vec![step(1, 1_000)]);
-    site.cell.schedule(site.now);
-    let orders = site.cell.take_orders().into_iter();
-    let mut starts = orders.filter_map(|order| match order {
-        Order::Start(start) => Some(start),
-        _ => None,
-    });
-    (id, starts.next().expect("a start"))
+    let starts = site.intercept_starts();
+    let start = starts.into_iter().next();
+    (id, start.expect("a start"))
 }
 
 /// Makes the first worker unreachable; the platform goes on listing it.
@@ -48,12 +38,6 @@
     site.alive.remove(id).expect("a worker that is up")
 }
 
-fn add_worker(site: &mut Site) {
-    site.entries.push(worker(1));
-    site.begin_life(1);
-    site.list(1);
-}
-
 /// What the platform lists when the successor reads it.
 #[derive(Debug, Clone, Copy)]
 enum Listed {
@@ -68,7 +52,7 @@
     let mut site = site_with_history();
     let (id, late) = submit_and_intercept(&mut site, LONG_RUN);
     let former = site.entries[0].clone();
-    restart_unnoticed(&mut site);
+    site.restart_unnoticed(0, NEXT_READING);
     let _unheard = site.execute_start(&late);
     assert_eq!(site.count_running(id), 1);
     let present = site.entries[0].clone();
@@ -80,7 +64,7 @@
     }
     site.take_over();
     site.entries = vec![present];
-    add_worker(&mut site);
+    site.add_worker();
     site.pass(12_000);
     site.reconnect(0, cut);
     site.pass(8_000);
@@ -114,7 +98,7 @@
     let mut site = site_with_history();
     let (id, first) = submit_and_intercept(&mut site, 16_000);
     let (_, second) = submit_and_intercept(&mut site, 100);
-    restart_unnoticed(&mut site);
+    site.restart_unnoticed(0, NEXT_READING);
     let (outcome, clock) = site.execute_start(&first);
     site.cell
         .start_answered(first.run, outcome, clock, site.now);
@@ -125,7 +109,7 @@
     // Act
     let mut cut = take_away(&mut site);
     site.take_over();
-    add_worker(&mut site);
+    site.add_worker();
     site.pass(8_000);
     let (outcome, _) = cut.start(&second, site.now);
     assert_eq!(outcome, StartOutcome::Started);
@@ -150,10 +134,10 @@
     site.take_over();
     site.cell.await_former_owners();
     let cut = site.alive.remove(&life).expect("a worker that is up");
-    add_worker(&mut site);
+    site.add_worker();
     site.pass(5_000);
     site.alive.insert(life.clone(), cut);
-    restart_unnoticed(&mut site);
+    site.restart_unnoticed(0, NEXT_READING);
     site.list(0);
     let _unheard = site.execute_start(&last);
     assert_eq!(site.count_running(id), 1);
@@ -171,7 +155,7 @@
 /// lost.  Returns that life.
 fn lose_answer_of_next_life(site: &mut Site) -> WorkerLife {
     let (id, start) = submit_and_intercept(site, LONG_RUN);
-    restart_unnoticed(site);
+    site.restart_unnoticed(0, NEXT_READING);
     let _unheard = site.execute_start(&start);
     assert_eq!(site.count_running(id), 1);
     let cut = take_away(site);
@@ -193,7 +177,7 @@
         if is_listed {
             site.list(0);
         }
-        add_worker(&mut site);
+        site.add_worker();
         site.pass(12_000);
         site.reconnect(0, cut);
         site.pass(8_000);
@@ -210,7 +194,7 @@
     // Arrange
     let mut site = site_with_history();
     let (id, start) = submit_and_intercept(&mut site, LONG_RUN);
-    restart_unnoticed(&mut site);
+    site.restart_unnoticed(0, NEXT_READING);
     let _unheard = site.execute_start(&start);
     assert_eq!(site.count_running(id), 1);
     site.poll_all();
@@ -219,7 +203,7 @@
     let cut = take_away(&mut site);
 
     // Act
-    add_worker(&mut site);
+    site.add_worker();
     let leases = site.cell.seal_silent(site.now);
     site.record();
     site.take_over();
