Test: the server of the stalled calls listens with a queue for all of them

Cause: 1,500 calls come faster than a server on a busy machine accepts them, the queue of the listener overflows, and the kernel closes a connection whose bytes stay unacknowledged for 150 ms; a longer time-out doesn't help. The product is as it was. Nothing that the test checks has changed.

--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -8,7 +8,7 @@
 
 use crossweir::http::client::{CallError, HttpClient, Limits};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use volo_http::http::Method;
 
@@ -60,12 +60,21 @@
     answered: AtomicUsize,
 }
 
+/// Listens with a queue that holds all calls.  On a busy machine they come faster than the server
+/// accepts them, and the kernel closes a connection of ours for which there is no place.
+fn listen_for_all_calls() -> std::net::TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(any).expect("a port");
+    let listener = socket.listen(2 * CALLS as u32).expect("a listener");
+    listener.into_std().expect("a listener")
+}
+
 /// Starts a server on a thread of its own, which answers once its gate is open.
 fn start_gated_server() -> (SocketAddr, Arc<Gate>) {
     let gate = Arc::<Gate>::default();
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listener = listen_for_all_calls();
     let address = listener.local_addr().expect("an address");
-    listener.set_nonblocking(true).expect("a listener");
     let seen = Arc::clone(&gate);
     std::thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread()
