The memory of a node is that of its machine if the settings do not name it

Change: deploy/node.ini is as it was. Without [node] memory a node takes what the kernel tells of its machine, 260 MB at most, since a machine may have other processes.

--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -50,7 +50,7 @@
         "node",
         "memory",
         "number",
-        "Megabytes of memory that the process may have; 260 if not given.  Bodies of callers' requests take up to 10% of them.",
+        "Megabytes of memory that the process may have; those of the machine if not given, and 260 at most.  Bodies of callers' requests take up to 10% of them.",
     ),
     optional(
         "node",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use ini::Ini;
+use nix::sys::sysinfo;
 
 use crate::cell::options::Options;
 use crate::error::{Error, Result, SettingsFault, SettingsRule};
@@ -64,8 +65,9 @@
 /// The share of the file descriptors that connections of callers may use, in percent.  It leaves a
 /// quarter for other nodes, of which there may be some 600, the store and files.
 const CALLERS_PERCENT: u32 = 15;
-/// The default memory of a process, in megabytes.
-const DEFAULT_MEMORY: u32 = 260;
+/// The most that counts as the memory of a process if the settings do not name it, in megabytes: a
+/// machine may have other processes.
+const MAX_DEFAULT_MEMORY: u32 = 260;
 /// The least memory with which a node works, in megabytes.
 const MIN_MEMORY: u32 = 32;
 /// The share of the memory that bodies of callers' requests may use, in percent.  While a job is
@@ -164,7 +166,7 @@
             expected,
         );
         let expected = "a whole number of at least 32";
-        let memory = self.at_least("memory", MIN_MEMORY, DEFAULT_MEMORY, expected);
+        let memory = self.at_least("memory", MIN_MEMORY, default_memory(), expected);
         let scheduling = self.scheduling();
         self.check_distinct(&[callers, ready, peers, metrics, api]);
         Some(Settings {
@@ -354,3 +356,18 @@
         });
     }
 }
+
+/// Returns the memory that a process may have if the settings do not name it, in megabytes.
+fn default_memory() -> u32 {
+    match sysinfo::sysinfo() {
+        Ok(info) => {
+            let megabytes = info.ram_total() / MEGABYTE as u64;
+            let most = u64::from(MAX_DEFAULT_MEMORY);
+            megabytes.clamp(u64::from(MIN_MEMORY), most) as u32
+        }
+        Err(err) => {
+            tracing::warn!(%err, "cannot read how much memory the machine has");
+            MAX_DEFAULT_MEMORY
+        }
+    }
+}
