An owner that gives up passes on no shorter time for a life that it has not heard

Found by reading the whole change. In the first seconds of an owner a life may run what a former owner's late order has begun, so a successor would not have waited for it.

Change: such a worker gets the same time as any other that was not reached, or the lease that was reckoned, whichever is later. No case is known in which a task ran twice; tests/long_leases.rs, unreached_lives.rs, handing_over.rs, two_owners.rs and election.rs fail on the two known reds only.

--- a/src/cell/lapse.rs
+++ b/src/cell/lapse.rs
@@ -61,7 +61,7 @@
     /// Returns until when something may run on a worker whose lease is not being renewed.
     fn unrenewed_lease_end(&self, key: WorkerKey) -> Millis {
         let worker = &self.workers[key];
-        if worker.fenced || worker.inherited.is_none() {
+        if worker.fenced {
             return worker.lease_end;
         }
         let inherited_until = worker.inherited_until.min(self.inherited_lease_end(worker));
