--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -105,6 +105,12 @@
     pub starts: u64,
     /// Starts that were recorded before they were ordered.
     pub planned: u64,
+    /// Starts that a worker refused, or that could not be sent.
+    pub refused_starts: u64,
+    /// Starts without an answer.
+    pub unanswered_starts: u64,
+    /// Polls that could not be sent or brought no answer.
+    pub failed_polls: u64,
     /// Stops ordered.
     pub stops: u64,
     /// Questions to the advice service on which workers may run a step.
--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -74,6 +74,7 @@
 
     /// Processes a poll that failed.
     pub fn poll_failed(&mut self, key: WorkerKey, failure: PollFailure, now: Millis) {
+        self.counts.failed_polls += 1;
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -153,6 +153,7 @@
                 self.mark_job_running(job);
             }
             StartOutcome::Unanswered => {
+                self.counts.unanswered_starts += 1;
                 if run.phase == Phase::Sent {
                     run.phase = Phase::Doubtful;
                     run.doubt_heard = Some(heard);
@@ -164,7 +165,10 @@
                 self.stop_gang(step, now, "a start of the gang was not answered");
                 self.stop_run(key, now, "start was not answered");
             }
-            StartOutcome::Refused(refusal) => self.start_refused(key, refusal, now),
+            StartOutcome::Refused(refusal) => {
+                self.counts.refused_starts += 1;
+                self.start_refused(key, refusal, now);
+            }
         }
     }
 
