A lease runs out only by silence that was listened to

Cause: the owner took the lease of a silent worker as over when its own clock said so, also if an answer of the worker had arrived and was not processed, since the owner was late itself. The platform counts what a worker has listed as known, so a task that had ended well was started again (TWICE).

Change: the core is told until when all that had arrived is processed (Cell::set_heard_until), and leases run out only up to then. The engine lets everything run that is ready before it looks at leases that are over.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -313,6 +313,9 @@
     /// When nobody else owned the cell, by our clock; [`Millis::MAX`] if there never is another
     /// owner.
     exclusive_at: Millis,
+    /// All answers that had arrived by this time, by our clock, are processed; [`Millis::MAX`] if
+    /// answers are processed as they arrive.
+    heard_until: Millis,
     /// Orders that have not been taken yet.
     orders: Vec<Order>,
     /// Waiting times that have not been taken yet.
@@ -390,6 +393,7 @@
             former_owner_may_go_on: false,
             entry_reads: EntryReads::default(),
             exclusive_at: Millis::MAX,
+            heard_until: Millis::MAX,
             orders: Vec::new(),
             job_waits: Vec::new(),
             waiting: Waiting::new(),
@@ -527,8 +531,7 @@
         self.stop_runs_outlasting_worker(key, now);
         self.note_suspects_of_silent(key, now);
         let worker = &self.workers[key];
-        if !worker.is_silent()
-            || now <= worker.lease_end
+        if !self.has_run_out(worker, now.min(self.heard_until))
             || self.may_be_renewed_by_successor(worker)
         {
             return;
@@ -550,6 +553,25 @@
         }
     }
 
+    /// Returns whether the lease of a silent worker was over at `at`.
+    fn has_run_out(&self, worker: &Worker, at: Millis) -> bool {
+        worker.is_silent() && at > worker.lease_end
+    }
+
+    /// Returns whether the lease of a silent worker is over whose runs are not given up yet.  An
+    /// answer of the worker may have arrived and not have been processed.
+    pub fn has_lapsing_runs(&self, now: Millis) -> bool {
+        self.workers
+            .values()
+            .any(|worker| self.has_run_out(worker, now) && !worker.runs.is_empty())
+    }
+
+    /// Sets the time, by our clock, until which all answers that had arrived are processed.
+    /// Silence counts only until then.
+    pub fn set_heard_until(&mut self, at: Millis) {
+        self.heard_until = at;
+    }
+
     /// Returns whether a successor may have renewed a lease before it ran out, and the runs may go
     /// on.
     fn may_be_renewed_by_successor(&self, worker: &Worker) -> bool {
@@ -565,8 +587,9 @@
     /// successor has renewed them.
     pub fn awaits_confirmation(&self, now: Millis) -> bool {
         self.workers.values().any(|worker| {
-            let has_run_out = worker.is_silent() && now > worker.lease_end;
-            has_run_out && !worker.runs.is_empty() && self.may_be_renewed_by_successor(worker)
+            self.has_run_out(worker, now)
+                && !worker.runs.is_empty()
+                && self.may_be_renewed_by_successor(worker)
         })
     }
 
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -33,6 +33,7 @@
 use crate::node::summary::Summary;
 use crate::rpc::node::{JobRequest, NodeReply};
 use crate::store::Version;
+use crate::timeout;
 
 /// Maximum time between two scheduling rounds, so that leases and retries are handled in time even
 /// if nothing else happens.
@@ -607,6 +608,10 @@
             if !self.is_active() {
                 continue;
             }
+            let heard_until = self.shared.now();
+            if self.cell().has_lapsing_runs(heard_until) {
+                timeout::catch_up().await;
+            }
             let now = self.shared.now();
             let is_summary_due = now.saturating_sub(summarized_at) >= SUMMARY_INTERVAL;
             let halls = self.shared.hall_rows().evacuated();
@@ -617,6 +622,7 @@
                 }
                 cell.set_wall_clock(clock::unix_time());
                 cell.set_exclusive_at(self.exclusive_at.load(Ordering::Relaxed));
+                cell.set_heard_until(heard_until);
                 cell.tick(now);
                 if cell.awaits_confirmation(now) {
                     self.confirm_needed.notify_one();
