A node forgets that the store was slow once it has seen nothing of it for long

Cause: while the store counts as slow for a node, the first nodes by name write its jobs. It then sends no transaction itself, so its estimate, which only its own answers lower, stays what it was: it forwarded its jobs for the rest of its life. A slow episode or a slow start of the whole cell therefore made a few nodes of one hall, the owner often among them, write for all others, and switched off for good what a node decides only by a store that is not slow.

--- a/src/node/route.rs
+++ b/src/node/route.rs
@@ -196,7 +196,7 @@
             }
             Ok(Err(err)) => Err(err),
             Err(_) => {
-                self.lock_latency().note_timeout();
+                self.lock_latency().note_timeout(now);
                 Err(StoreError::Unanswered)
             }
         }
--- a/src/node/store_latency.rs
+++ b/src/node/store_latency.rs
@@ -23,6 +23,11 @@
 /// latency.
 const SILENCE_LIMIT: Millis = 100;
 
+/// What this node has last seen of the store's latency counts for this long, in milliseconds: as long
+/// as two answers may take at most.  While the store counts as slow other nodes write the jobs of
+/// this one, so that it sees no further answers.
+const EVIDENCE_LIFETIME: Millis = 2 * MAX_TIMEOUT;
+
 /// The present timeout, and the transactions in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreLatency {
@@ -33,6 +38,8 @@
     unanswered_since: Millis,
     /// When the last answer arrived; none if there was none.
     last_answer: Option<Millis>,
+    /// When a transaction was last answered or given up; none if there was none.
+    last_evidence: Option<Millis>,
 }
 
 impl Default for StoreLatency {
@@ -42,6 +49,7 @@
             in_flight: 0,
             unanswered_since: 0,
             last_answer: None,
+            last_evidence: None,
         }
     }
 }
@@ -56,7 +64,13 @@
     pub fn is_slow(&self, now: Millis) -> bool {
         let silent =
             self.in_flight > 0 && now.saturating_sub(self.unanswered_since) > SILENCE_LIMIT;
-        silent || self.timeout > SLOW_TIMEOUT
+        silent || (self.timeout > SLOW_TIMEOUT && self.has_evidence(now))
+    }
+
+    /// Returns whether this node has lately seen how long the store takes.
+    fn has_evidence(&self, now: Millis) -> bool {
+        let is_recent = |at: Millis| now.saturating_sub(at) < EVIDENCE_LIFETIME;
+        self.last_evidence.is_some_and(is_recent)
     }
 
     /// Returns whether the store is slow but does answer, so that waiting longer can succeed.
@@ -83,11 +97,16 @@
         self.unanswered_since = now;
         self.last_answer = Some(now);
         let target = (LATENCY_FACTOR * took).clamp(MIN_TIMEOUT, MAX_TIMEOUT);
-        self.timeout = target.max(self.timeout * MIN_KEPT_PERCENT / 100);
+        self.timeout = match self.has_evidence(now) {
+            true => target.max(self.timeout * MIN_KEPT_PERCENT / 100),
+            false => target,
+        };
+        self.last_evidence = Some(now);
     }
 
     /// Notes that no answer arrived within the timeout.
-    pub fn note_timeout(&mut self) {
+    pub fn note_timeout(&mut self, now: Millis) {
+        self.last_evidence = Some(now);
         self.timeout = (2 * self.timeout).min(MAX_TIMEOUT);
     }
 }
--- a/tests/patience.rs
+++ b/tests/patience.rs
@@ -1,5 +1,6 @@
 //! The timeout for answers of the store, which follows the latency of the answers that arrive.
 
+use crossweir::clock::Millis;
 use crossweir::node::store_latency::{MAX_TIMEOUT, MIN_TIMEOUT, StoreLatency};
 
 #[test]
@@ -20,7 +21,7 @@
     let timeouts = (0..).take_while(|_| {
         let short = latency.timeout() < 700;
         if short {
-            latency.note_timeout();
+            latency.note_timeout(0);
         }
         short
     });
@@ -37,7 +38,7 @@
         latency.note_answer(7, 0);
         latency.note_answer(7, 0);
         latency.note_answer(7, 0);
-        latency.note_timeout();
+        latency.note_timeout(0);
         assert!(latency.timeout() <= 4 * MIN_TIMEOUT);
     }
 }
@@ -67,3 +68,41 @@
         assert!(!latency.is_slow(now + 40));
     }
 }
+
+/// A slow episode: two timeouts by which the store counts as slow at this time.
+fn slow_at(now: Millis) -> StoreLatency {
+    let mut latency = StoreLatency::default();
+    latency.note_timeout(now);
+    latency.note_timeout(now);
+    assert!(latency.is_slow(now));
+    latency
+}
+
+/// Guards against a node whose jobs other nodes write for the rest of its life: it saw no answer
+/// itself after a slow episode, so the store stayed slow for it.
+#[test]
+fn a_store_of_which_a_node_has_seen_nothing_for_long_is_not_slow() {
+    // Arrange.
+    let mut latency = slow_at(1_000);
+
+    // Act: other nodes write this one's jobs.
+    let later = 1_000 + 4 * MAX_TIMEOUT;
+
+    // Assert: it writes one itself, and goes by the answer to that.
+    assert!(!latency.is_slow(later));
+    latency.note_answer(7, later);
+    assert!(!latency.is_slow(later));
+}
+
+#[test]
+fn a_store_that_is_still_slow_after_a_while_counts_as_slow_again() {
+    // Arrange.
+    let mut latency = slow_at(1_000);
+    let later = 1_000 + 4 * MAX_TIMEOUT;
+
+    // Act.
+    latency.note_answer(700, later);
+
+    // Assert.
+    assert!(latency.is_slow(later));
+}
