The owner tells how long its calls take and what its link carries

A full link, workers that are cut off, and a late processor or store all showed as silent workers and unanswered starts. Once a second the owner now logs the calls of that second (answered, not answered, mean and longest time) and the bytes and new connections exchanged with workers, with the platform and with other nodes; the totals are metrics. No logic is changed.

--- a/src/bin/crossweird/node.rs
+++ b/src/bin/crossweird/node.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context;
 use crossweir::http::api::Api;
-use crossweir::http::client::HttpClient;
+use crossweir::http::client::{HttpClient, Limits};
 use crossweir::http::connections::{Closed, Connections};
 use crossweir::http::operator::OperatorToken;
 use crossweir::http::server;
@@ -21,6 +21,7 @@
 use crossweir::platform::store::PlatformStore;
 use crossweir::platform::workers::PlatformWorkers;
 use crossweir::rpc::node::NodeLink;
+use crossweir::traffic::{Party, Traffic};
 use tokio::runtime::Runtime;
 use tokio::task::{self, LocalSet};
 
@@ -79,7 +80,9 @@
         .map(|(_, address)| address.to_string());
     tracing::info!(callers = %callers_at, ready = %ready_at, peers = %peers_at, metrics = %metrics_at, api, "node listens");
     let reached_at = settings.advertise.unwrap_or(peers_at);
-    let node = Node::new(&settings, reached_at, |peers| links(&settings, peers))?;
+    let node = Node::new(&settings, reached_at, |peers, traffic| {
+        links(&settings, peers, traffic)
+    })?;
     let front = node.start(peers);
     let connections = connections(&settings, &front);
     let serving = ingress::serve(callers, Arc::clone(&front), Arc::clone(&connections));
@@ -112,11 +115,15 @@
     });
 }
 
-fn links(settings: &Settings, peers: Arc<dyn NodeLink>) -> Links {
-    let client = HttpClient::new();
+fn links(settings: &Settings, peers: Arc<dyn NodeLink>, traffic: &Traffic) -> Links {
+    let platform = Arc::clone(traffic.counter(Party::Platform));
+    let client = HttpClient::counted(Limits::default(), platform);
     Links {
         store: Arc::new(PlatformStore::new(client.clone(), settings.store)),
-        workers: Arc::new(PlatformWorkers::new(settings.worker_connections())),
+        workers: Arc::new(PlatformWorkers::new(
+            settings.worker_connections(),
+            Arc::clone(traffic.counter(Party::Workers)),
+        )),
         advisor: settings
             .advice
             .map(|address| Arc::new(PlatformAdvisor::new(client, address)) as _),
--- a/src/embedded/mod.rs
+++ b/src/embedded/mod.rs
@@ -99,7 +99,7 @@
     let ids = entries.into_iter().map(|entry| entry.life.id);
     let workers = Arc::new(MemoryWorkers::new(clock, ids));
     let (listener, address) = process::bind(settings.peers).await?;
-    let node = Node::new(&settings, address, |peers| Links {
+    let node = Node::new(&settings, address, |peers, _| Links {
         store,
         workers,
         advisor: None,
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -20,6 +20,7 @@
 use volo_http::http::header;
 use volo_http::http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 
+use crate::traffic::Counter;
 use crate::{keep_alive, timeout};
 
 /// How long connecting may take.
@@ -113,8 +114,13 @@
 
     /// Creates a client with these limits.
     pub fn with_limits(limits: Limits) -> Self {
+        Self::counted(limits, Arc::default())
+    }
+
+    /// Creates a client with these limits, whose connections and bytes are counted by `counter`.
+    pub fn counted(limits: Limits, counter: Arc<Counter>) -> Self {
         Self {
-            pool: Arc::new(ConnectionPool::new(limits)),
+            pool: Arc::new(ConnectionPool::new(limits, counter)),
         }
     }
 
@@ -225,7 +231,7 @@
             }
         }
         let permit = self.pool.acquire_permit().await;
-        let sender = connect(host).await?;
+        let sender = connect(host, &self.pool.counter).await?;
         Ok(Connection {
             sender,
             _permit: permit,
@@ -268,13 +274,13 @@
     Ok((host.to_owned(), req))
 }
 
-async fn connect(host: &str) -> Result<Sender, CallError> {
+async fn connect(host: &str, counter: &Arc<Counter>) -> Result<Sender, CallError> {
     let deadline = Instant::now() + CONNECT_TIMEOUT;
     let connecting = timeout::wait_until(deadline, keep_alive::connect(host)).await;
     let stream = connecting
         .ok_or(CallError::NotSent)?
         .map_err(|_| CallError::NotSent)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::handshake(TokioIo::new(counter.count(stream)))
         .await
         .map_err(|_| CallError::NotSent)?;
     let host = host.to_owned();
@@ -351,6 +357,7 @@
     /// The number of calls that wait for a connection permit.
     waiting_for_permit: AtomicUsize,
     hosts: Mutex<Hosts>,
+    counter: Arc<Counter>,
 }
 
 struct Hosts {
@@ -372,7 +379,7 @@
 }
 
 impl ConnectionPool {
-    fn new(limits: Limits) -> Self {
+    fn new(limits: Limits, counter: Arc<Counter>) -> Self {
         let hosts = Hosts {
             by_name: HashMap::new(),
             last_sweep: Instant::now(),
@@ -382,6 +389,7 @@
             permits: Arc::new(Semaphore::new(limits.total)),
             waiting_for_permit: AtomicUsize::new(0),
             hosts: Mutex::new(hosts),
+            counter,
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rpc;
 pub mod store;
 pub mod timeout;
+pub mod traffic;
 pub mod workspace;
 
 pub use crate::error::{Error, Result};
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::{Encoder, HistogramVec, IntCounterVec, IntGaugeVec, Registry, TextEncoder};
 
 use crate::error::Result;
+use crate::traffic::{Party, Traffic};
 
 /// The upper bounds of the buckets for waiting times, in seconds.
 const WAIT_BUCKETS: [f64; 10] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.3, 10.0, 60.0];
@@ -21,6 +22,8 @@
     events: IntCounterVec,
     gauges: IntGaugeVec,
     waits: HistogramVec,
+    traffic: Traffic,
+    traffic_gauges: IntGaugeVec,
 }
 
 impl Metrics {
@@ -72,6 +75,14 @@
         );
         let waits = HistogramVec::new(opts, &["class"])?;
         registry.register(Box::new(waits.clone()))?;
+        let traffic_gauges = IntGaugeVec::new(
+            prometheus::opts!(
+                "crossweir_traffic",
+                "Bytes and connections since the process began, by party."
+            ),
+            &["party", "what"],
+        )?;
+        registry.register(Box::new(traffic_gauges.clone()))?;
         Ok(Self {
             registry,
             refusals,
@@ -81,6 +92,8 @@
             events,
             gauges,
             waits,
+            traffic: Traffic::default(),
+            traffic_gauges,
         })
     }
 
@@ -125,11 +138,32 @@
             .observe(millis as f64 / 1000.0);
     }
 
+    /// Returns the counters of bytes and connections.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
+    fn export_traffic(&self) {
+        for (party, volume) in Party::ALL.iter().zip(self.traffic.volumes()) {
+            for (what, value) in [
+                ("sent_bytes", volume.sent),
+                ("received_bytes", volume.received),
+                ("connections", volume.connections),
+            ] {
+                let gauge = self
+                    .traffic_gauges
+                    .with_label_values(&[party.label(), what]);
+                gauge.set(value as i64);
+            }
+        }
+    }
+
     /// Renders all metrics in the text format of Prometheus.
     ///
     /// # Errors
     /// Fails if a collector cannot be encoded.
     pub fn render(&self) -> Result<Vec<u8>> {
+        self.export_traffic();
         let mut buf = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
         Ok(buf)
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -22,6 +22,7 @@
 use crate::cell::{Cell, Milestone, WorkerKey, tuning};
 use crate::clock::{self, Millis};
 use crate::node::admission::{FirstRefusals, HeardWaits};
+use crate::node::call_times::CallClock;
 use crate::node::consent::{OwnerStanding, Standing};
 use crate::node::heartbeat;
 use crate::node::loading;
@@ -30,7 +31,7 @@
 use crate::node::roster_rows::RosterRows;
 use crate::node::shared::Shared;
 use crate::node::succession::{self, FormerOwners, RecordedVoters, Succession, Successor, Voters};
-use crate::node::summary::Summary;
+use crate::node::summary::{self, Summary};
 use crate::rpc::node::{JobRequest, NodeReply};
 use crate::store::Version;
 use crate::timeout;
@@ -61,6 +62,8 @@
     /// The version of the transaction that claimed the cell.
     pub(super) claim_version: Version,
     pub(super) shared: Arc<Shared>,
+    /// The calls to workers that have ended since the last summary.
+    pub(super) calls: CallClock,
     cell: Mutex<Cell>,
     /// How long new jobs are expected to wait.
     publication: Mutex<Publication>,
@@ -128,6 +131,7 @@
             held_since: shared.now(),
             claim_version: version,
             shared: Arc::clone(shared),
+            calls: CallClock::default(),
             cell: Mutex::new(loaded.cell),
             publication: Mutex::new(Publication::new(shared.now())),
             first_refusals: Mutex::default(),
@@ -601,6 +605,7 @@
         let mut last_round = Duration::ZERO;
         let mut summarized_at = 0;
         let mut rounds = RoundStats::default();
+        let mut volumes = self.shared.metrics.traffic().volumes();
         loop {
             // Either something has happened, or it is time to check the leases.
             let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
@@ -641,6 +646,7 @@
                 summarized_at = now;
                 rounds = RoundStats::default();
                 summary.log();
+                summary::log_traffic(self.calls.take(), &self.shared, &mut volumes);
             }
             let duration = self.shared.now().saturating_sub(now);
             rounds.note(duration, orders.len());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 //! `docs/DESIGN.md` explains how the nodes of a cell work together.
 
 pub mod admission;
+pub mod call_times;
 pub mod cleaning;
 pub mod configuration;
 pub mod configuration_transfer;
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -48,8 +48,11 @@
     }
 
     async fn start_run(&self, order: StartOrder) {
+        let sent = self.shared.now();
         let (outcome, clock) = self.shared.workers.start(&order).await;
         let now = self.shared.now();
+        let is_answered = outcome != StartOutcome::Unanswered;
+        self.calls.note(is_answered.then(|| now - sent));
         if let StartOutcome::Refused(refusal) = outcome {
             self.shared.metrics.refusal(refusal.code());
         }
@@ -60,8 +63,11 @@
     }
 
     async fn stop_run(&self, order: StopOrder) {
+        let sent = self.shared.now();
         let answer = self.shared.workers.stop(&order).await;
         let now = self.shared.now();
+        let is_answered = answer != Err(None);
+        self.calls.note(is_answered.then(|| now - sent));
         match (answer, order.run) {
             (Ok(()), Some(run)) => {
                 self.cell().stop_confirmed(run);
@@ -161,6 +167,9 @@
         order.wait = order.wait.min(max_wait.as_millis() as Millis);
         let answer = self.shared.workers.poll(&order).await;
         let now = self.shared.now();
+        let is_answered = !matches!(answer, Err(PollFailure::Unanswered));
+        let time = now.saturating_sub(sent + order.wait);
+        self.calls.note(is_answered.then_some(time));
         match answer {
             Ok(report) => {
                 let has_news = !report.ended.is_empty() || order.due.is_none();
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -19,6 +19,7 @@
 use crate::node::shared::{Identity, Links, Shared};
 use crate::node::{configuration, election};
 use crate::rpc::node as rpc;
+use crate::traffic::{Party, Traffic};
 
 /// How long callers are still served after the signal to terminate: the load balancer needs two
 /// health checks, of a second each, to notice.
@@ -39,16 +40,19 @@
 
 impl Node {
     /// Creates a node that other nodes reach at `address`.  `links` gets the link that carries
-    /// calls to the other nodes, and returns the links that the node uses.
+    /// calls to the other nodes and the counters of traffic, and returns the links that the node
+    /// uses.
     ///
     /// # Errors
     /// Fails if a metrics collector cannot be registered.
     pub fn new(
         settings: &Settings,
         address: SocketAddr,
-        links: impl FnOnce(Arc<dyn rpc::NodeLink>) -> Links,
+        links: impl FnOnce(Arc<dyn rpc::NodeLink>, &Traffic) -> Links,
     ) -> Result<Self> {
-        let (link, driver) = rpc::link();
+        let metrics = Metrics::new()?;
+        let traffic = metrics.traffic().clone();
+        let (link, driver) = rpc::link(Arc::clone(traffic.counter(Party::Nodes)));
         let boot = StdRng::from_os_rng().random();
         let shared = Shared::new(
             Identity {
@@ -59,8 +63,8 @@
             settings.seeds.clone(),
             Arc::new(SystemClock::new()),
             Load::new(settings.millicores),
-            Metrics::new()?,
-            links(Arc::new(link)),
+            metrics,
+            links(Arc::new(link), &traffic),
             settings.scheduling,
         );
         Ok(Self {
@@ -74,7 +78,11 @@
     pub fn start(self, peers: TcpListener) -> Arc<Frontend> {
         let shared = &self.front.shared;
         tokio::task::spawn_local(self.driver.run());
-        tokio::task::spawn_local(rpc::serve(peers, self.front.clone()));
+        tokio::task::spawn_local(rpc::serve(
+            peers,
+            self.front.clone(),
+            Arc::clone(shared.metrics.traffic().counter(Party::Nodes)),
+        ));
         tokio::spawn(Arc::clone(shared).probe_store());
         tokio::spawn(load::watch(Arc::clone(shared)));
         tokio::spawn(election::register(Arc::clone(shared)));
--- a/src/node/summary.rs
+++ b/src/node/summary.rs
@@ -5,7 +5,10 @@
 use crate::cell::wait::Waiting;
 use crate::cell::{Cell, Counts, WorkerCounts};
 use crate::clock::Millis;
+use crate::node::call_times::CallTimes;
 use crate::node::pace::RoundStats;
+use crate::node::shared::Shared;
+use crate::traffic::{Party, Volume};
 
 /// What the owner logs about the cell and about itself.
 pub struct Summary {
@@ -92,3 +95,30 @@
         );
     }
 }
+
+/// Logs how long the owner's calls to workers took since the last line, and what was exchanged with
+/// whom: `volumes` is what had been exchanged by then, and is updated.
+pub fn log_traffic(calls: CallTimes, shared: &Shared, volumes: &mut [Volume; Party::ALL.len()]) {
+    let total = shared.metrics.traffic().volumes();
+    let before = std::mem::replace(volumes, total);
+    let texts = Party::ALL.iter().zip(total).zip(before);
+    let texts = texts.map(|((party, total), before)| {
+        let volume = total.since(before);
+        format!(
+            "{} sent {} received {} connections {}",
+            party.label(),
+            volume.sent,
+            volume.received,
+            volume.connections
+        )
+    });
+    let texts: Vec<String> = texts.collect();
+    tracing::info!(
+        answered_calls = calls.answered,
+        unanswered_calls = calls.unanswered,
+        mean_call_ms = calls.mean(),
+        longest_call_ms = calls.longest,
+        traffic = texts.join(", "),
+        "calls to workers"
+    );
+}
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -16,6 +16,7 @@
 use crate::node::intake::SubmitOutcome;
 use crate::rpc::node_capnp as wire;
 use crate::rpc::{PeerError, transport};
+use crate::traffic::Counter;
 use crate::workspace::Caller;
 
 /// The size of a Cap'n Proto word, the unit of encoded messages.
@@ -259,9 +260,9 @@
 /// The half that owns the connections and must run inside a `LocalSet`.
 pub type RpcNodeDriver = transport::Driver<NodeProtocol>;
 
-/// Creates both halves of the link to other nodes.
-pub fn link() -> (RpcNodeLink, RpcNodeDriver) {
-    let (calls, driver) = transport::link();
+/// Creates both halves of the link to other nodes, whose bytes are counted by `counter`.
+pub fn link(counter: Arc<Counter>) -> (RpcNodeLink, RpcNodeDriver) {
+    let (calls, driver) = transport::link(counter);
     (RpcNodeLink { calls }, driver)
 }
 
@@ -320,9 +321,9 @@
 /// Serves the calls of other nodes that arrive at `listener`, until the task is dropped.
 ///
 /// It must run inside a `LocalSet`, since Cap'n Proto's objects are bound to one thread.
-pub async fn serve(listener: TcpListener, service: Arc<dyn NodeService>) {
+pub async fn serve(listener: TcpListener, service: Arc<dyn NodeService>, counter: Arc<Counter>) {
     let node: wire::node::Client = capnp_rpc::new_client(NodeServer { service });
-    transport::serve(listener, node.client).await;
+    transport::serve(listener, node.client, counter).await;
 }
 
 fn write_heartbeat(heartbeat: &Heartbeat, mut out: wire::beat::Builder) {
--- a/src/rpc/transport.rs
+++ b/src/rpc/transport.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use capnp::capability::FromClientHook;
@@ -22,6 +22,7 @@
 
 use crate::clock::Millis;
 use crate::rpc::PeerError;
+use crate::traffic::Counter;
 use crate::{keep_alive, timeout};
 
 /// How many calls may wait in the queue: as many as the busiest process makes in some seconds.
@@ -57,10 +58,10 @@
     tx: mpsc::Sender<PendingCall<C, R>>,
 }
 
-/// Creates both ends of a queue of calls.
-pub fn link<P: Protocol>() -> (Calls<P::Call, P::Reply>, Driver<P>) {
+/// Creates both ends of a queue of calls, whose connections and bytes are counted by `counter`.
+pub fn link<P: Protocol>(counter: Arc<Counter>) -> (Calls<P::Call, P::Reply>, Driver<P>) {
     let (tx, rx) = mpsc::channel(QUEUE_LENGTH);
-    (Calls { tx }, Driver { rx })
+    (Calls { tx }, Driver { rx, counter })
 }
 
 impl<C, R> Calls<C, R> {
@@ -105,12 +106,13 @@
 /// `LocalSet`.
 pub struct Driver<P: Protocol> {
     rx: mpsc::Receiver<PendingCall<P::Call, P::Reply>>,
+    counter: Arc<Counter>,
 }
 
 impl<P: Protocol> Driver<P> {
     /// Makes the queued calls, each in a task of its own, until the sending end is dropped.
     pub async fn run(mut self) {
-        let connections = Connections::new();
+        let connections = Connections::new(self.counter);
         while let Some(pending) = self.rx.recv().await {
             let connections = Rc::clone(&connections);
             task::spawn_local(async move {
@@ -149,12 +151,14 @@
 /// The newest connection to each address.
 struct Connections<C> {
     by_address: Mutex<HashMap<SocketAddr, Rc<Connection<C>>>>,
+    counter: Arc<Counter>,
 }
 
 impl<C: FromClientHook + Clone + 'static> Connections<C> {
-    fn new() -> Rc<Self> {
+    fn new(counter: Arc<Counter>) -> Rc<Self> {
         Rc::new(Self {
             by_address: Mutex::default(),
+            counter,
         })
     }
 
@@ -180,7 +184,7 @@
         if let Some(connection) = self.find_open(addr) {
             return Ok(connection);
         }
-        let connection = Rc::new(open(stream, addr));
+        let connection = Rc::new(open(stream, addr, &self.counter));
         self.lock().insert(addr, Rc::clone(&connection));
         Ok(connection)
     }
@@ -232,9 +236,13 @@
     }
 }
 
-fn open<C: FromClientHook + Clone + 'static>(stream: TcpStream, addr: SocketAddr) -> Connection<C> {
+fn open<C: FromClientHook + Clone + 'static>(
+    stream: TcpStream,
+    addr: SocketAddr,
+    counter: &Arc<Counter>,
+) -> Connection<C> {
     let options = ReaderOptions::new();
-    let network = network(stream, rpc_twoparty_capnp::Side::Client, options);
+    let network = network(stream, counter, rpc_twoparty_capnp::Side::Client, options);
     let mut system = RpcSystem::new(Box::new(network), None);
     let client: C = system.bootstrap(rpc_twoparty_capnp::Side::Server);
     let rpc_task = task::spawn_local(async move {
@@ -245,10 +253,15 @@
     Connection { client, rpc_task }
 }
 
-/// Serves the calls that arrive at `listener`, until the task is dropped.
+/// Serves the calls that arrive at `listener`, until the task is dropped.  `counter` counts their
+/// connections and bytes.
 ///
 /// It must run inside a `LocalSet`.
-pub async fn serve(listener: TcpListener, server: capnp::capability::Client) {
+pub async fn serve(
+    listener: TcpListener,
+    server: capnp::capability::Client,
+    counter: Arc<Counter>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -257,7 +270,7 @@
                 }
                 let mut options = ReaderOptions::new();
                 options.traversal_limit_in_words(Some(MAX_CALL_WORDS));
-                let network = network(stream, rpc_twoparty_capnp::Side::Server, options);
+                let network = network(stream, &counter, rpc_twoparty_capnp::Side::Server, options);
                 let system = RpcSystem::new(Box::new(network), Some(server.clone()));
                 task::spawn_local(async move {
                     if let Err(err) = system.await {
@@ -275,13 +288,14 @@
 
 fn network(
     stream: TcpStream,
+    counter: &Arc<Counter>,
     side: rpc_twoparty_capnp::Side,
     options: ReaderOptions,
 ) -> twoparty::VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
     if let Err(err) = stream.set_nodelay(true) {
         tracing::debug!(%err, "cannot set TCP_NODELAY; small messages may be delayed");
     }
-    let (reader, writer) = stream.compat().split();
+    let (reader, writer) = counter.count(stream).compat().split();
     twoparty::VatNetwork::new(
         futures::io::BufReader::new(reader),
         futures::io::BufWriter::new(writer),
--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -1080,8 +1080,8 @@
 async fn waits_arrive_at_other_nodes_as_they_were_sent() {
     let test = async {
         let (listener, address) = listen().await;
-        tokio::task::spawn_local(node::serve(listener, Arc::new(Echo)));
-        let (link, driver) = node::link();
+        tokio::task::spawn_local(node::serve(listener, Arc::new(Echo), Arc::default()));
+        let (link, driver) = node::link(Arc::default());
         tokio::task::spawn_local(driver.run());
         let mut beat = owner_beat(3, 70_000);
         beat.waits.push(entry("q", "team", 80_000));
--- a/tests/long_calls.rs
+++ b/tests/long_calls.rs
@@ -31,7 +31,7 @@
         // Arrange.
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        task::spawn_local(node::serve(listener, Arc::new(NoNode)));
+        task::spawn_local(node::serve(listener, Arc::new(NoNode), Arc::default()));
         let mut stream = TcpStream::connect(address).await.expect("a connection");
 
         // Act: one segment of that length, of which nothing comes.
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -229,9 +229,13 @@
 /// Returns a link through a proxy to a node, with a connection that has been used.
 async fn linked_nodes() -> (Arc<RpcNodeLink>, Proxy) {
     let (listener, address) = listen().await;
-    task::spawn_local(node::serve(listener, Arc::new(FixedStateNode)));
+    task::spawn_local(node::serve(
+        listener,
+        Arc::new(FixedStateNode),
+        Arc::default(),
+    ));
     let proxy = Proxy::to(address).await;
-    let (link, driver) = node::link();
+    let (link, driver) = node::link(Arc::default());
     task::spawn_local(driver.run());
     let link = Arc::new(link);
     assert_eq!(ask(&link, &proxy, TIMEOUT).await, Ok(()));
@@ -383,7 +387,11 @@
     let test = async {
         // Arrange.
         let (listener, address) = listen().await;
-        task::spawn_local(node::serve(listener, Arc::new(FixedStateNode)));
+        task::spawn_local(node::serve(
+            listener,
+            Arc::new(FixedStateNode),
+            Arc::default(),
+        ));
 
         // Act.
         let caller = TcpStream::connect(address).await.expect("a connection");
