An answer of a worker that comes after its time limit is taken in

Cause: each call was given up 250 ms after it was due, its connection was closed, and the answer in it was lost. The worker had told its ends in it. On a full link every answer takes longer, so nine calls in ten were given up; each further one needed a new connection and was as late, so the link stayed full of calls that brought nothing, until all leases had run out.

It counts as given when its poll was sent, so it neither permits the worker to forget ends nor shows that the worker is fit for work.

Ruled out: TCP_USER_TIMEOUT.

--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -43,7 +43,7 @@
         worker.last_poll = order.sequence;
         worker.forgotten_end = worker.forgotten_end.max(order.forget);
         worker.last_answer = heard;
-        worker.last_heard = now;
+        worker.last_heard = heard_at(order, now);
         worker.silent_since = None;
         worker.clock = Some((report.clock, now));
         let first = !worker.fenced;
@@ -403,6 +403,13 @@
     }
 }
 
+/// Returns when the worker gave an answer that arrives now, at least: an answer that is late may have
+/// been given soon after its poll was sent.
+fn heard_at(order: &PollOrder, now: Millis) -> Millis {
+    let is_late = now > order.sent + order.wait + tuning::MAX_ANSWER_AGE;
+    if is_late { order.sent } else { now }
+}
+
 /// Returns whether a life that has not answered before has discarded ends that nobody has read:
 /// each life numbers its ends from one without gaps.
 fn has_discarded_ends(worker: &Worker, report: &PollReport) -> bool {
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -24,6 +24,9 @@
 /// A start that a worker has not carried out this long after it was sent is delayed on its way.
 /// Equals the time for which its answer is awaited.
 pub const START_ANSWER_WAIT: Millis = 250;
+/// An answer to a poll that takes longer, beyond the time for which the worker holds it back, says
+/// nothing of how the worker is now.
+pub const MAX_ANSWER_AGE: Millis = 250;
 /// The most by which a worker's clock may run slow, in thousandths, fixed by the platform.
 pub const MAX_CLOCK_DRIFT_PERMILLE: Millis = 21;
 /// How long by our clock a lease may last that is given now.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -141,13 +141,38 @@
         headers: &[(&'static str, String)],
         body: Vec<u8>,
         timeout: Duration,
+    ) -> Result<FullResponse, CallError> {
+        self.call_patiently(method, url, headers, body, timeout, timeout)
+            .await
+    }
+
+    /// Sends `body` with `headers` if a connection is available within `connect_timeout`, and reads
+    /// the complete response within `timeout`, both from now on.
+    ///
+    /// # Errors
+    /// As [`HttpClient::call`].
+    pub async fn call_patiently(
+        &self,
+        method: Method,
+        url: &str,
+        headers: &[(&'static str, String)],
+        body: Vec<u8>,
+        connect_timeout: Duration,
+        timeout: Duration,
     ) -> Result<FullResponse, CallError> {
         let (host, req) = build_request(method, url, headers, body)?;
-        let deadline = Instant::now() + timeout;
-        let (connection, _slot) = self.acquire(&host, deadline).await?;
+        let began = Instant::now();
+        let (connection, _slot) = self.acquire(&host, began + connect_timeout).await?;
         let limits = ResponseTimeout::ByCaller;
-        let answer = timeout::wait_until(deadline, self.exchange(&host, connection, req, limits));
-        answer.await.unwrap_or(Err(CallError::Unanswered))
+        let exchange = self.exchange(&host, connection, req, limits);
+        let answer = timeout::wait_until(began + timeout, exchange).await;
+        answer.unwrap_or(Err(CallError::Unanswered))
+    }
+
+    /// Closes the idle connections to a host and port of which a call gets no response: they may have
+    /// gone silent as well.
+    pub fn close_idle(&self, host: &str) {
+        self.pool.close_idle(host);
     }
 
     /// Reads `url`.  The response must begin within `timeout`, and its body must not pause for
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -64,6 +64,8 @@
     pub(super) shared: Arc<Shared>,
     /// The calls to workers that have ended since the last summary.
     pub(super) calls: CallClock,
+    /// The workers of which an answer is awaited that is late.
+    pub(super) late_polls: Mutex<HashSet<WorkerKey>>,
     cell: Mutex<Cell>,
     /// How long new jobs are expected to wait.
     publication: Mutex<Publication>,
@@ -132,6 +134,7 @@
             claim_version: version,
             shared: Arc::clone(shared),
             calls: CallClock::default(),
+            late_polls: Mutex::default(),
             cell: Mutex::new(loaded.cell),
             publication: Mutex::new(Publication::new(shared.now())),
             first_refusals: Mutex::default(),
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -1,15 +1,21 @@
 //! What a platform provides for a node, besides the store: calls to workers, the advice service,
 //! and a decoder for the rows that the platform writes.
 
+use std::time::Duration;
+
 use futures::future::BoxFuture;
 
 use crate::cell::order::{
-    PollFailure, PollOrder, PollReport, Refusal, StartOrder, StartOutcome, StopOrder,
+    Addressee, PollFailure, PollOrder, PollReport, Refusal, StartOrder, StartOutcome, StopOrder,
 };
 use crate::cell::worker::WorkerEntry;
 use crate::clock::Millis;
 use crate::queue::Configuration;
 
+/// How long a worker may take to answer a poll, unless the link to the workers says otherwise: some
+/// milliseconds are usual.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Sends orders to workers and polls them.
 pub trait Workers: Send + Sync {
     /// Orders a worker to start a run.  Also returns the worker's clock, in milliseconds, if the
@@ -24,9 +30,22 @@
 
     /// Polls a worker for its runs and ends, and renews the lease of its runs.
     ///
+    /// The answer is awaited for longer than [`Workers::answer_timeout`]: a worker that has answered
+    /// has told its ends, so an answer that comes late must not be lost.
+    ///
     /// # Errors
     /// See [`PollFailure`].
     fn poll<'a>(&'a self, order: &'a PollOrder) -> BoxFuture<'a, Result<PollReport, PollFailure>>;
+
+    /// How long the answer to a poll may take, beyond the time for which the worker holds it back,
+    /// until the worker counts as silent.
+    fn answer_timeout(&self) -> Duration {
+        ANSWER_TIMEOUT
+    }
+
+    /// Notes that a poll of a worker is not answered within [`Workers::answer_timeout`], so that the
+    /// next call uses another connection.
+    fn note_late(&self, _to: &Addressee) {}
 }
 
 /// The ids of workers that may run a step, each with the ticket that a start there must carry.
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -1,16 +1,22 @@
 //! Carries out the core's orders (starts, stops, advice questions), and polls the workers.
 
-use std::sync::Arc;
+use std::collections::HashSet;
+use std::pin::Pin;
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::cell::WorkerKey;
 use crate::cell::order::{
-    AdviceOrder, Order, PollFailure, Refusal, StartOrder, StartOutcome, StopOrder,
+    AdviceOrder, Order, PollFailure, PollOrder, PollReport, Refusal, StartOrder, StartOutcome,
+    StopOrder,
 };
 use crate::clock::Millis;
 use crate::node::engine::Engine;
 use crate::node::links::Tickets;
 use crate::rpc::node::{NodeCall, NodeReply};
+use crate::timeout;
 
 /// The pause after the first failed poll in a row, of which only the answer may have been lost.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -38,6 +44,10 @@
     Gone,
 }
 
+/// A poll whose answer is awaited, with its order.
+type PendingPoll =
+    Pin<Box<dyn Future<Output = (PollOrder, Result<PollReport, PollFailure>)> + Send>>;
+
 impl Engine {
     pub(super) async fn execute(self: Arc<Self>, order: Order) {
         match order {
@@ -62,7 +72,7 @@
         }
     }
 
-    async fn stop_run(&self, order: StopOrder) {
+    async fn stop_run(self: Arc<Self>, order: StopOrder) {
         let sent = self.shared.now();
         let answer = self.shared.workers.stop(&order).await;
         let now = self.shared.now();
@@ -159,40 +169,92 @@
     }
 
     /// Polls a worker once.  The poll may wait for an end, but no longer than `max_wait`.
-    async fn poll_worker(&self, key: WorkerKey, max_wait: Duration) -> PollResult {
-        let sent = self.shared.now();
-        let Some(mut order) = self.cell().poll_order(key, sent) else {
+    async fn poll_worker(self: &Arc<Self>, key: WorkerKey, max_wait: Duration) -> PollResult {
+        let Some(mut order) = self.cell().poll_order(key, self.shared.now()) else {
             return PollResult::Gone;
         };
         order.wait = order.wait.min(max_wait.as_millis() as Millis);
-        let answer = self.shared.workers.poll(&order).await;
-        let now = self.shared.now();
-        let is_answered = !matches!(answer, Err(PollFailure::Unanswered));
-        let time = now.saturating_sub(sent + order.wait);
-        self.calls.note(is_answered.then_some(time));
+        let to = order.to.clone();
+        let limit = self.shared.workers.answer_timeout() + Duration::from_millis(order.wait);
+        let deadline = Instant::now() + limit;
+        let mut poll = self.send_poll(order);
+        let Some((order, answer)) = timeout::wait_until(deadline, &mut poll).await else {
+            self.shared.workers.note_late(&to);
+            self.calls.note(None);
+            self.poll_failed(key, PollFailure::Unanswered);
+            self.await_late_answer(key, poll);
+            return PollResult::Failed;
+        };
         match answer {
             Ok(report) => {
-                let has_news = !report.ended.is_empty() || order.due.is_none();
-                self.cell().poll_answered(&order, &report, now);
-                if has_news {
-                    self.record.notify_one();
-                }
-                if has_news || max_wait.is_zero() {
+                let time = self.shared.now().saturating_sub(order.sent + order.wait);
+                self.calls.note(Some(time));
+                self.poll_answered(&order, &report);
+                if max_wait.is_zero() {
                     self.wake.notify_one();
                 }
                 PollResult::Answered
             }
             Err(failure) => {
-                self.cell().poll_failed(key, failure, now);
-                if failure == PollFailure::Refused(Refusal::Epoch) {
-                    self.shared.metrics.refusal(Refusal::Epoch.code());
+                if failure == PollFailure::Unanswered {
+                    self.calls.note(None);
                 }
-                self.wake.notify_one();
+                self.poll_failed(key, failure);
                 PollResult::Failed
             }
         }
     }
 
+    fn send_poll(&self, order: PollOrder) -> PendingPoll {
+        let workers = Arc::clone(&self.shared.workers);
+        Box::pin(async move {
+            let answer = workers.poll(&order).await;
+            (order, answer)
+        })
+    }
+
+    fn poll_answered(&self, order: &PollOrder, report: &PollReport) {
+        let has_news = !report.ended.is_empty() || order.due.is_none();
+        self.cell().poll_answered(order, report, self.shared.now());
+        if has_news {
+            self.record.notify_one();
+            self.wake.notify_one();
+        }
+    }
+
+    fn poll_failed(&self, key: WorkerKey, failure: PollFailure) {
+        self.cell().poll_failed(key, failure, self.shared.now());
+        if failure == PollFailure::Refused(Refusal::Epoch) {
+            self.shared.metrics.refusal(Refusal::Epoch.code());
+        }
+        self.wake.notify_one();
+    }
+
+    /// Takes in the answer to a poll that is late: the worker has told the ends in it, and on a full
+    /// link each further answer is as late.  One such poll of a worker is awaited at a time, the first
+    /// one, since others would hold connections.
+    fn await_late_answer(self: &Arc<Self>, key: WorkerKey, poll: PendingPoll) {
+        if !self.late_polls().insert(key) {
+            return;
+        }
+        let engine = Arc::clone(self);
+        self.spawn(async move {
+            let (order, answer) = poll.await;
+            engine.late_polls().remove(&key);
+            if let Ok(report) = answer {
+                engine.shared.metrics.event("late_answer");
+                engine.poll_answered(&order, &report);
+                engine.wake.notify_one();
+            }
+        });
+    }
+
+    fn late_polls(&self) -> MutexGuard<'_, HashSet<WorkerKey>> {
+        self.late_polls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Pauses before the next poll of a worker.  Waits until its ends are recorded, since the
     /// worker would list them again at once otherwise.
     async fn pause_after_poll(&self, key: WorkerKey) {
