A silent worker is written off only by evidence beyond the owner's own link

Cause: the end of a lease proves that nothing runs, not how the runs ended. An owner that does not hear answers took its own deafness for the workers' silence.

Change: after the lease, runs on a silent worker are written off only if two other nodes (witnesses) have asked it after that and have not been answered while they heard other workers, or if the platform's entry is proved gone, or (as before) another life answers. What a witness hears is processed as the answer to a poll whose place in the order was taken before the witness was asked. The worker stays silent: nothing is placed there and no lease renewed. A successor settles by the same evidence for workers that it has not reached.

Fixtures that drive the core answer as witnesses do; assertions are unchanged. The simulated peers of virtual_node play a version that knows store calls only, and the chain of owners in handing_over has one peer that is a witness.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -48,6 +48,7 @@
 pub mod schedule;
 pub mod sequence;
 pub mod shares;
+mod silence;
 pub mod spec;
 pub mod speed;
 mod start;
@@ -75,6 +76,7 @@
 use crate::cell::order::{Addressee, Order, PollOrder, StopOrder};
 use crate::cell::sequence::Sequence;
 use crate::cell::shares::SharesState;
+use crate::cell::silence::SilenceEvidence;
 use crate::cell::spec::{Demand, JobId};
 use crate::cell::speed::Speeds;
 use crate::cell::unknown_cancel::UnknownCancels;
@@ -132,6 +134,12 @@
     pub violations: u64,
     /// Runs given up because their lease ran out.
     pub lapsed: u64,
+    /// Silent workers whose runs were given up because witnesses did not reach them either.
+    pub lapsed_by_witness: u64,
+    /// Silent workers whose runs were given up because the platform had removed their entries.
+    pub lapsed_by_entry: u64,
+    /// Answers of workers that only a witness has heard.
+    pub heard_by_witness: u64,
     /// Runs taken over from a former owner.
     pub adopted: u64,
     /// Runs noted as possible causes of a crash that was then proved.
@@ -536,15 +544,12 @@
         {
             return;
         }
-        if !worker.runs.is_empty() {
-            tracing::info!(
-                worker = worker.entry.life.id,
-                heard_ms_ago = now.saturating_sub(worker.last_heard),
-                runs = worker.runs.len(),
-                "lease ran out"
-            );
+        if worker.holds_listed_work() {
+            let Some(evidence) = self.silence_evidence(worker, worker.lease_end) else {
+                return;
+            };
+            self.note_lapse(key, evidence, now);
         }
-        self.counts.lapsed += worker.runs.len() as u64;
         self.write_off(key, now);
         let worker = &self.workers[key];
         let is_recorded = !worker.has_unrecorded_ends();
@@ -553,6 +558,23 @@
         }
     }
 
+    /// Logs and counts that the lease of a silent worker has run out.
+    fn note_lapse(&mut self, key: WorkerKey, evidence: SilenceEvidence, now: Millis) {
+        let worker = &self.workers[key];
+        tracing::info!(
+            worker = worker.entry.life.id,
+            heard_ms_ago = now.saturating_sub(worker.last_heard),
+            runs = worker.runs.len(),
+            evidence = evidence.label(),
+            "lease ran out"
+        );
+        self.counts.lapsed += worker.runs.len() as u64;
+        match evidence {
+            SilenceEvidence::Witness => self.counts.lapsed_by_witness += 1,
+            SilenceEvidence::EntryGone => self.counts.lapsed_by_entry += 1,
+        }
+    }
+
     /// Returns whether the lease of a silent worker was over at `at`.
     fn has_run_out(&self, worker: &Worker, at: Millis) -> bool {
         worker.is_silent() && at > worker.lease_end
--- a/src/cell/name.rs
+++ b/src/cell/name.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::cell::spec::JobId;
 
 /// Names one step of one occurrence of a job: `job.time.step`.
@@ -23,7 +25,8 @@
 }
 
 /// Names one task of a step: `job.time.step.index`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
 pub struct TaskName {
     /// The name of the step.
     pub step: StepName,
@@ -37,6 +40,20 @@
     }
 }
 
+impl From<TaskName> for String {
+    fn from(name: TaskName) -> Self {
+        name.to_string()
+    }
+}
+
+impl TryFrom<String> for TaskName {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, NameError> {
+        text.parse()
+    }
+}
+
 /// A text that does not have the form of a [`TaskName`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("not a task name: expected <job>.<time>.<step>.<index>")]
--- a/src/cell/order.rs
+++ b/src/cell/order.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::cell::life::Life;
 use crate::cell::name::{StepName, TaskName};
 use crate::cell::sequence::Sequence;
@@ -159,7 +161,7 @@
 }
 
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndKind {
     /// The run succeeded.
     Done,
@@ -176,7 +178,7 @@
 }
 
 /// A run that is going on, as listed by the worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningEntry {
     /// The task.
     pub task: TaskName,
@@ -191,7 +193,7 @@
 }
 
 /// A run that has ended, as listed by the worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndEntry {
     /// The number of the end, which rises by one with each end of this life of the worker.
     pub end_number: u64,
@@ -206,7 +208,7 @@
 }
 
 /// The answer of a worker to a poll.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PollReport {
     /// When this life of the worker started, in Unix milliseconds, if the worker says so.
     pub born: Option<Millis>,
--- a/src/cell/poll.rs
+++ b/src/cell/poll.rs
@@ -17,9 +17,29 @@
 use crate::cell::{Cell, RunKey, WorkerKey, tuning};
 use crate::clock::Millis;
 
+/// Who has heard the answer to a poll.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HeardBy {
+    /// This owner.
+    Owner,
+    /// Another node, which has asked on this owner's behalf.
+    Witness,
+}
+
 impl Cell {
     /// Processes the answer to a poll.
     pub fn poll_answered(&mut self, order: &PollOrder, report: &PollReport, now: Millis) {
+        self.process_answer(order, report, HeardBy::Owner, now);
+    }
+
+    /// Processes the answer to a poll that this owner or a witness has sent.
+    pub(super) fn process_answer(
+        &mut self,
+        order: &PollOrder,
+        report: &PollReport,
+        heard_by: HeardBy,
+        now: Millis,
+    ) {
         let key = order.to.worker;
         let heard = self.next_sequence();
         let Some(worker) = self.workers.get_mut(key) else {
@@ -43,8 +63,15 @@
         worker.last_poll = order.sequence;
         worker.forgotten_end = worker.forgotten_end.max(order.forget);
         worker.last_answer = heard;
-        worker.last_heard = now;
-        worker.silent_since = None;
+        worker.unreached_at = None;
+        match heard_by {
+            HeardBy::Owner => {
+                worker.last_heard = now;
+                worker.silent_since = None;
+            }
+            // The answer may have waited at the witness.
+            HeardBy::Witness => worker.last_heard = worker.last_heard.max(order.sent),
+        }
         worker.clock = Some((report.clock, now));
         let first = !worker.fenced;
         worker.fenced = true;
--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -273,11 +273,8 @@
     /// Returns whether nothing of a former owner is left on a worker: its entry is missing, and
     /// leases of an owner that stopped at the claim have run out.
     fn is_presumed_gone(&self, worker: &Worker, now: Millis) -> bool {
-        let missing = worker.unlisted_since.filter(|_| !worker.entry_outdated);
         let lease_end = self.prompt_settle_time.max(worker.long_lease_until);
-        !self.former_owner_may_go_on
-            && now >= lease_end
-            && missing.is_some_and(|since| self.entry_reads.prove_gone(since))
+        !self.former_owner_may_go_on && now >= lease_end && self.is_entry_gone(worker)
     }
 
     /// Returns until when the last order of a former owner may bind, whatever life it was meant for.
@@ -325,14 +322,33 @@
         self.break_partial_gangs(now);
     }
 
+    /// Returns until when something of a former owner may run on a worker that has not answered this
+    /// one.
+    fn unreached_until(&self, worker: &Worker) -> Millis {
+        worker.inherited_until.min(self.inherited_lease_end(worker))
+    }
+
+    /// Returns whether everything that a former owner has left on an unreached worker is over, and
+    /// there is no evidence yet that this owner misses no end that the worker tells.
+    pub(super) fn holds_up_settling(&self, worker: &Worker, now: Millis) -> bool {
+        let until = self.unreached_until(worker);
+        let is_over = now >= until;
+        let is_inherited = !worker.fenced && worker.inherited.is_some();
+        is_inherited
+            && is_over
+            && self
+                .silence_evidence(worker, until.saturating_sub(1))
+                .is_none()
+    }
+
     /// Returns the jobs of which a former owner may still run something on workers that have not
     /// answered this owner.
     fn find_unsettled(&self, now: Millis) -> UnsettledJobs {
         let mut unsettled = BTreeSet::new();
-        let may_run_on =
-            |worker: &Worker| now < worker.inherited_until.min(self.inherited_lease_end(worker));
         let is_unsettled = |worker: &&Worker| {
-            !worker.fenced && may_run_on(worker) && !self.is_presumed_gone(worker, now)
+            let may_run_on = now < self.unreached_until(worker);
+            let is_open = may_run_on || self.holds_up_settling(worker, now);
+            !worker.fenced && is_open && !self.is_presumed_gone(worker, now)
         };
         for worker in self.workers.values().filter(is_unsettled) {
             match &worker.inherited {
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -216,6 +216,15 @@
 /// A worker that the platform has not listed for this time counts as gone.  Entries that expired
 /// while the store was unavailable are back within two seconds of its return.
 pub const GONE_AFTER: Millis = 2_500;
+/// The minimum time between two questions to witnesses about one worker: a witness takes about as
+/// long to find that a worker does not answer.
+pub const SILENCE_QUESTION_INTERVAL: Millis = 500;
+/// The most workers that one question to a witness names.
+pub const MAX_SILENCE_QUESTIONS: usize = 64;
+/// The most workers that a question names besides, to show that the witness can hear.
+pub const MAX_CONTROL_WORKERS: usize = 2;
+/// A worker that this owner has heard within this time shows by its answer that a witness can hear.
+pub const CONTROL_HEARD_WITHIN: Millis = 1_000;
 /// A worker that has been silent for this time is recorded with the jobs that it may still run.
 /// A lost answer is followed by another poll after 20 ms, and each record is a write of 15 KB.
 pub const NAME_JOBS_AFTER: Millis = 150;
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -99,6 +99,11 @@
     pub last_answer: Sequence,
     /// Since when calls have not been answered; none if the last one was.
     pub silent_since: Option<Millis>,
+    /// When witnesses were last asked about it, which do what this owner can't: reach it.
+    pub witness_asked_at: Option<Millis>,
+    /// When the latest question was sent by which witnesses found it not to answer; none if it has
+    /// answered since.
+    pub unreached_at: Option<Millis>,
     /// When it gave notice that it leaves.
     pub leaving_since: Option<Millis>,
     /// The last reading of the worker's clock, and when it arrived.
@@ -185,6 +190,8 @@
             last_poll: Sequence::default(),
             last_answer: Sequence::default(),
             silent_since: None,
+            witness_asked_at: None,
+            unreached_at: None,
             leaving_since: None,
             clock: None,
             lease_end: 0,
@@ -356,6 +363,16 @@
         self.more_ends = false;
     }
 
+    /// Returns whether it has runs, or runs or ends that it has listed and that are not taken in yet.
+    pub fn holds_listed_work(&self) -> bool {
+        let holds_ends = self.holds_ends || self.more_ends;
+        !self.runs.is_empty()
+            || self.unknown_runs > 0
+            || !self.unread_jobs.is_empty()
+            || self.has_unread_runs
+            || holds_ends
+    }
+
     /// Returns whether it lists, or may list, ends that are not recorded: a successor can learn of
     /// them from this worker only.
     pub fn has_unrecorded_ends(&self) -> bool {
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
 
 use crate::cell::expected_wait::Publication;
@@ -32,6 +32,7 @@
 use crate::node::shared::Shared;
 use crate::node::succession::{self, FormerOwners, RecordedVoters, Succession, Successor, Voters};
 use crate::node::summary::{self, Summary};
+use crate::node::witness_calls;
 use crate::rpc::node::{JobRequest, NodeReply};
 use crate::store::Version;
 use crate::timeout;
@@ -109,6 +110,10 @@
     /// The names of the nodes whose connections to the advice service are the core's lanes, by the
     /// index of the lane; the first is our own.
     lanes: Mutex<Vec<String>>,
+    /// The questions to witnesses that are open.
+    pub(super) questions: Arc<Semaphore>,
+    /// How many questions to witnesses have proved nothing about some worker.
+    pub(super) vain_questions: AtomicUsize,
     tasks: Mutex<JoinSet<()>>,
 }
 
@@ -158,6 +163,8 @@
             polled_workers: Mutex::default(),
             unpark_notifiers: Mutex::default(),
             lanes: Mutex::new(vec![shared.name.clone()]),
+            questions: Arc::new(Semaphore::new(witness_calls::MAX_QUESTIONS)),
+            vain_questions: AtomicUsize::new(0),
             tasks: Mutex::default(),
         });
         engine.spawn(Arc::clone(&engine).schedule_loop());
@@ -427,6 +434,9 @@
             ("steps_examined", counts.steps_examined),
             ("withheld_starts", counts.violations),
             ("lapsed_runs", counts.lapsed),
+            ("lapsed_by_witness", counts.lapsed_by_witness),
+            ("lapsed_by_entry", counts.lapsed_by_entry),
+            ("heard_by_witness", counts.heard_by_witness),
             ("adopted_runs", counts.adopted),
             ("crashes", counts.crashes),
             ("recorded_first", counts.planned),
@@ -648,6 +658,7 @@
                 summary.log();
                 summary::log_traffic(self.calls.take(), &self.shared, &mut volumes);
             }
+            self.ask_witnesses(now);
             let duration = self.shared.now().saturating_sub(now);
             rounds.note(duration, orders.len());
             last_round = Duration::from_millis(duration);
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -16,6 +16,7 @@
 use crate::node::intake::{Intake, SubmitOutcome};
 use crate::node::owner_calls::{OWNER_TIMEOUT, ask_owner, notify_owner, serve_as_owner};
 use crate::node::shared::{CELL_PARTITION, Shared};
+use crate::node::witness;
 use crate::node::{configuration_transfer, intake, loading};
 use crate::queue::Queue;
 use crate::refusal::Refusal;
@@ -496,12 +497,16 @@
     }
 }
 
-/// Makes a call to the store for another node; both the call and the answer are JSON.
+/// Makes a call to the store, or to workers, for another node; both the call and the answer are
+/// JSON.
 async fn relay(shared: &Arc<Shared>, body: &[u8]) -> NodeReply {
+    if let Ok(call) = serde_json::from_slice(body) {
+        return witness::serve(shared, &call).await;
+    }
     let call = match serde_json::from_slice(body) {
         Ok(call) => call,
         Err(err) => {
-            tracing::error!(%err, "cannot decode a call to be relayed to the store");
+            tracing::error!(%err, "cannot decode a call to be relayed");
             return NodeReply::Unavailable;
         }
     };
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -465,6 +465,17 @@
         self.watchers = all.into_iter().map(|(_, name)| name.clone()).collect();
     }
 
+    /// The addresses of nodes that were heard within `window` and may ask workers for this node, the
+    /// strongest first.
+    pub fn witnesses(&self, now: Millis, window: Millis) -> Vec<SocketAddr> {
+        let known = self.known.iter();
+        let mut heard: Vec<(&String, &Member)> = known
+            .filter(|(_, member)| !member.leaving && member.was_heard(window, now))
+            .collect();
+        heard.sort_by_key(|(name, member)| (Reverse(member.strength), *name));
+        heard.iter().map(|(_, member)| member.address).collect()
+    }
+
     /// The addresses of nodes that were heard within `window` and reach the store, the most
     /// recently heard first.
     pub fn relays(&self, now: Millis, window: Millis) -> Vec<SocketAddr> {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -39,3 +39,5 @@
 pub mod succession;
 pub mod summary;
 mod transaction;
+pub mod witness;
+mod witness_calls;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use crate::cell::options::Options;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::clock::{Clock, Millis};
 use crate::metrics::Metrics;
@@ -21,6 +21,7 @@
 use crate::node::members::{Members, NodeRow, Source};
 use crate::node::owner::Owner;
 use crate::node::route::{RELAY_WINDOW, ReplyTimeout, RoutedStore};
+use crate::node::witness;
 use crate::queue::Configuration;
 use crate::rpc::node::{Heartbeat, NodeLink};
 use crate::store::{StoreCall, StoreError, StoreReply};
@@ -105,6 +106,8 @@
     freshness: Mutex<Freshness>,
     hall_rows: Mutex<HallRows>,
     owner: Mutex<Owner>,
+    /// The calls of owners that this node carries out as a witness.
+    pub(super) probe_calls: Semaphore,
     consent: Mutex<ConsentRecord>,
     /// The engine, while this node owns the cell.
     engine: Mutex<Option<Arc<Engine>>>,
@@ -145,6 +148,7 @@
             peers: links.peers,
             store: RoutedStore::new(links.store),
             members: Mutex::new(members),
+            probe_calls: Semaphore::new(witness::MAX_PROBE_CALLS),
             config: RwLock::new(None),
             newer_config_noticed: Notify::new(),
             encoded_config: Mutex::default(),
--- a/tests/cancelling.rs
+++ b/tests/cancelling.rs
@@ -24,7 +24,7 @@
 fn stops_after_poll(bench: &mut Bench, running: Vec<RunningEntry>) -> Vec<StopOrder> {
     let worker = bench.worker(0);
     bench.poll_with_lists(worker, running, Vec::new());
-    bench.cell.tick(bench.now);
+    cell_core::tick(&mut bench.cell, bench.now);
     stops(&bench.cell.take_orders())
 }
 
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -284,7 +284,7 @@
     bench.cell.list_worker(cell_core::worker(1), bench.now);
     let key = bench.cell.worker_keys()[1];
     bench.poll_with_report(key, &Default::default());
-    bench.cell.tick(bench.now);
+    cell_core::tick(&mut bench.cell, bench.now);
     let (version, roster) = bench.cell.roster();
     assert_eq!(roster.len(), 2);
     assert!(
@@ -592,7 +592,7 @@
 
     // Act.
     cell.poll_failed(cut, PollFailure::Unanswered, 1_050);
-    cell.tick(1_100);
+    cell_core::tick(&mut cell, 1_100);
 
     // Assert: the next owner must wait for the worker as well, so it stays in the roster.
     let (_, roster) = cell.roster();
@@ -620,7 +620,7 @@
     bench.now += 10;
     bench.poll(silent);
     bench.accept(&job(2, &q, vec![step(1, 1_000)]));
-    bench.cell.tick(bench.now);
+    cell_core::tick(&mut bench.cell, bench.now);
     let before = bench.start_all().len();
     let (version, plain) = bench.cell.roster();
     bench.cell.mark_roster_recorded(version);
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -191,7 +191,7 @@
         cell.list_workers((0..workers).map(worker).collect(), 1_000);
         let mut bench = Self::with(cell, 1_000);
         bench.poll_all();
-        bench.cell.tick(bench.now);
+        tick(&mut bench.cell, bench.now);
         bench.cell.mark_roster_recorded(bench.cell.roster_version());
         bench
     }
@@ -232,7 +232,7 @@
     /// Advances time without any poll.  Changes of the roster count as recorded at once.
     pub fn pass(&mut self, time: Millis) {
         self.now += time;
-        self.cell.tick(self.now);
+        tick(&mut self.cell, self.now);
         self.cell.mark_roster_recorded(self.cell.roster_version());
     }
 
@@ -370,6 +370,15 @@
     }
 }
 
+/// Lets a core do what is due.  The witnesses that it asks do not reach the workers that it does not
+/// hear.
+pub fn tick(cell: &mut Cell, now: Millis) {
+    for question in cell.take_silence_questions(now) {
+        cell.note_unreached(&question);
+    }
+    cell.tick(now);
+}
+
 /// The starts among `orders`.
 pub fn starts(orders: &[Order]) -> Vec<StartOrder> {
     let start = |order: &Order| match order {
--- a/tests/crashing_tasks.rs
+++ b/tests/crashing_tasks.rs
@@ -139,7 +139,7 @@
     fn run_round(&mut self) {
         self.restart_due_workers();
         self.poll_all();
-        self.cell.tick(self.now);
+        cell_core::tick(&mut self.cell, self.now);
         self.cell.schedule(self.now);
         for order in self.cell.take_orders() {
             match order {
--- a/tests/forgotten_starts.rs
+++ b/tests/forgotten_starts.rs
@@ -94,7 +94,7 @@
             let progress = self.progress.get(&JobId(id));
             self.cell.accept(&row(id), progress, true, self.now);
         }
-        self.cell.tick(self.now);
+        cell_core::tick(&mut self.cell, self.now);
     }
 
     /// A new owner claims the cell and reads everything except the culprit's row.
@@ -142,7 +142,7 @@
             };
             self.cell.poll_answered(&order, &report, self.now);
         }
-        self.cell.tick(self.now);
+        cell_core::tick(&mut self.cell, self.now);
     }
 
     /// Replaces a worker that is down by its next life `life`, and lists that.
--- a/tests/handing_over.rs
+++ b/tests/handing_over.rs
@@ -44,7 +44,9 @@
 use crossweir::store::{RowKey, Table, Transaction, encode};
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use virtual_node::{VirtualNode, claim, set_up_cell, virtual_node_with_workers};
+use virtual_node::{
+    Relay, VirtualNode, claim, heartbeat_of_peer, set_up_cell, virtual_node_with_workers,
+};
 
 /// How long each owner holds the cell.
 const TERM: Duration = Duration::from_millis(1_500);
@@ -164,9 +166,16 @@
             made = Some(Arc::clone(&partly_silent));
             partly_silent
         };
-        let node = virtual_node_with_workers(&[], workers, Arc::new(JsonDecoder));
+        let node = virtual_node_with_workers(&[Relay::Witness], workers, Arc::new(JsonDecoder));
         set_up_cell(&node, std::slice::from_ref(q), &[worker(0), worker(1)]);
         let engine = own(&node, 1).await;
+        let shared = Arc::clone(&node.shared);
+        tokio::spawn(async move {
+            loop {
+                shared.apply_heartbeat(&heartbeat_of_peer(1));
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        });
         Self {
             node,
             control,
--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -136,7 +136,7 @@
         self.begin_due_lives();
         self.end_due_waits();
         self.site.poll_all();
-        self.site.cell.tick(self.site.now);
+        self.site.tick();
         self.site.cell.schedule(self.site.now);
         let mut has_started = false;
         for order in self.site.cell.take_orders() {
--- a/tests/lives/mod.rs
+++ b/tests/lives/mod.rs
@@ -311,9 +311,27 @@
         }
     }
 
+    /// Lets the core do what is due.  Witnesses reach the workers that are not cut off.
+    pub fn tick(&mut self) {
+        let now = self.now;
+        for question in self.cell.take_silence_questions(now) {
+            match self.alive.get_mut(&question.to.life.id) {
+                Some(alive) => match alive.poll(&question, now) {
+                    Ok(report) => self.cell.witness_heard(&question, &report, now),
+                    Err(failure) => {
+                        let key = question.to.worker;
+                        self.cell.poll_failed(key, failure, now);
+                    }
+                },
+                None => self.cell.note_unreached(&question),
+            }
+        }
+        self.cell.tick(now);
+    }
+
     /// Runs a scheduling round and executes all of its orders at once.
     pub fn decide(&mut self) {
-        self.cell.tick(self.now);
+        self.tick();
         self.cell.schedule(self.now);
         for order in self.cell.take_orders() {
             match order {
--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -1235,7 +1235,7 @@
         }
         let batch = self.cell.take_batch(1_000);
         self.cell.batch_recorded(batch, self.now);
-        self.cell.tick(self.now);
+        cell_core::tick(&mut self.cell, self.now);
         self.cell.mark_roster_recorded(self.cell.roster_version());
         self.cell.schedule(self.now);
         for order in self.cell.take_orders() {
--- a/tests/lost_starts.rs
+++ b/tests/lost_starts.rs
@@ -80,7 +80,7 @@
             self.site.cell.start_answered(run, outcome, None, now);
         }
         self.site.poll_all();
-        self.site.cell.tick(now);
+        self.site.tick();
         self.site.cell.schedule(now);
         for order in self.site.cell.take_orders() {
             match order {
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -166,7 +166,7 @@
                 }
                 bench.know_workers();
                 bench.poll_all();
-                bench.cell.tick(bench.now);
+                cell_core::tick(&mut bench.cell, bench.now);
                 bench.record();
                 bench.cell.expected_waits(bench.now);
                 bench.cell.room();
--- a/tests/random_world/wire.rs
+++ b/tests/random_world/wire.rs
@@ -149,7 +149,7 @@
     pub(super) fn poll_arrives(&mut self, epoch: u64, order: PollOrder) {
         let lost_before = self.chance(4) || self.is_disconnected(&order.to.life.id);
         let lost_before = lost_before || self.is_lost_with_its_life(&order);
-        let lost_after = self.chance(4);
+        let lost_after = self.chance(4) || self.is_deaf();
         let is_down = self.is_down(&order.to.life.id);
         tracing::debug!(
             now = self.now,
@@ -232,12 +232,31 @@
         }
     }
 
+    /// Witnesses answer the owner's questions about workers that it does not hear.
+    fn ask_witnesses(&mut self) {
+        let now = self.now;
+        for question in self.owner.cell.take_silence_questions(now) {
+            let id = &question.to.life.id;
+            if self.is_disconnected(id) || !self.workers.contains_key(id) {
+                self.owner.cell.note_unreached(&question);
+                continue;
+            }
+            let worker = self.workers.get_mut(id).expect("a worker");
+            if let Ok(report) = worker.poll(&question, now) {
+                self.listed.insert(id.clone(), report.ended.clone());
+                let cell = &mut self.owner.cell;
+                cell.witness_heard(&question, &report, now);
+            }
+        }
+    }
+
     pub(super) fn run_scheduling_round(&mut self) {
         if let Some(operator) = &mut self.operator {
             self.owner
                 .cell
                 .set_evacuated_halls(&operator.known_halls(self.now));
         }
+        self.ask_witnesses();
         self.owner.cell.tick(self.now);
         self.owner.cell.schedule(self.now);
         for order in self.owner.cell.take_orders() {
@@ -323,6 +342,9 @@
             // It was sent by a former owner, and its successor does not know of it.
             self.note_start_by_wrong_life(&order);
         }
+        if self.is_deaf() {
+            return self.send_lost_start_answer(order.run);
+        }
         self.send_answer(epoch, Payload::StartAnswer(order.run, outcome, Some(clock)));
     }
 
@@ -403,7 +425,9 @@
         let Some(worker) = self.workers.get_mut(&order.to.life.id) else {
             return;
         };
-        if let (Ok(()), Some(run)) = (worker.stop(&order, self.now), order.run) {
+        if let (Ok(()), Some(run)) = (worker.stop(&order, self.now), order.run)
+            && !self.is_deaf()
+        {
             self.send_answer(epoch, Payload::StopAnswer(order.to.worker, run));
         }
     }
--- a/tests/turns.rs
+++ b/tests/turns.rs
@@ -159,7 +159,7 @@
     bench.accept(&report(3, 1, 1_000));
     bench.now += 1_000;
     bench.cell.set_wall_clock(1_060_000);
-    bench.cell.tick(bench.now);
+    cell_core::tick(&mut bench.cell, bench.now);
 
     // Act, assert
     assert_eq!(next(&mut bench), Some(JobId(3)));
--- a/tests/unreached_lives.rs
+++ b/tests/unreached_lives.rs
@@ -102,7 +102,7 @@
     let (outcome, clock) = site.execute_start(&first);
     site.cell
         .start_answered(first.run, outcome, clock, site.now);
-    site.cell.tick(site.now);
+    site.tick();
     site.record();
     assert_eq!(site.count_running(id), 1);
 
@@ -198,7 +198,7 @@
     let _unheard = site.execute_start(&start);
     assert_eq!(site.count_running(id), 1);
     site.poll_all();
-    site.cell.tick(site.now);
+    site.tick();
     site.record();
     let cut = take_away(&mut site);
 
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -26,6 +26,7 @@
 use crossweir::node::load::Load;
 use crossweir::node::recording::OwnerRow;
 use crossweir::node::shared::{Identity, Links, Shared};
+use crossweir::node::witness::{self, ProbeCall};
 use crossweir::queue::{Configuration, Draft, Queue};
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{Heartbeat, NodeCall, NodeLink, NodeReply, PieceRequest};
@@ -113,6 +114,9 @@
     Hangs,
     /// No process listens at its address.
     Gone,
+    /// It makes the call, and asks workers as a witness; the others are of a version that knows calls
+    /// to the store only.
+    Witness,
     /// It makes the call, and answers as the owner of a cell that knows only the job with the id 1,
     /// and that the job with the id 7 was first refused 4 s ago.
     Owner,
@@ -121,6 +125,7 @@
 /// The simulated peers; the peer at port 1 behaves as the first of `relays`, and so on.
 pub struct Peers {
     store: Arc<MemoryStore>,
+    workers: Arc<dyn Workers>,
     relays: Vec<Relay>,
     /// How many job rows the peers were asked to write.
     written: Arc<AtomicUsize>,
@@ -178,9 +183,18 @@
                 NodeCall::State(_) if relay == Relay::Silent => return Err(PeerError::Unanswered),
                 _ => return Ok(NodeReply::Unavailable),
             };
+            if let (Relay::Witness, Ok(ProbeCall { probes })) =
+                (relay, serde_json::from_slice(&body))
+            {
+                let findings = witness::ask(&*self.workers, &probes).await;
+                let body = witness::encode(findings).expect("plain data");
+                return Ok(NodeReply::Relayed(body));
+            }
             let reply = match relay {
-                Relay::Works | Relay::Owner => {
-                    let call = serde_json::from_slice(&body).expect("a call");
+                Relay::Works | Relay::Witness | Relay::Owner => {
+                    let Ok(call) = serde_json::from_slice(&body) else {
+                        return Ok(NodeReply::Unavailable);
+                    };
                     self.store.call(call).await
                 }
                 Relay::Away => Err(StoreError::Unavailable),
@@ -288,13 +302,18 @@
 
     /// The node receives a heartbeat of the peer at this port, which reaches the store.
     pub fn hear(&self, port: u16) {
-        self.shared.apply_heartbeat(&Heartbeat {
-            name: format!("n{port}"),
-            boot: 1,
-            address: format!("127.0.0.1:{port}"),
-            reaches_store: true,
-            ..Heartbeat::default()
-        });
+        self.shared.apply_heartbeat(&heartbeat_of_peer(port));
+    }
+}
+
+/// The heartbeat of the peer at this port, which reaches the store.
+pub fn heartbeat_of_peer(port: u16) -> Heartbeat {
+    Heartbeat {
+        name: format!("n{port}"),
+        boot: 1,
+        address: format!("127.0.0.1:{port}"),
+        reaches_store: true,
+        ..Heartbeat::default()
     }
 }
 
@@ -354,13 +373,15 @@
         configuration: Arc::default(),
     });
     let written = Arc::<AtomicUsize>::default();
+    let workers = workers(Arc::clone(&clock));
     let links = Links {
         store: faulty_store.clone(),
-        workers: workers(Arc::clone(&clock)),
+        workers: Arc::clone(&workers),
         advisor: None,
         decoder,
         peers: Arc::new(Peers {
             store: Arc::clone(&store),
+            workers,
             relays: relays.to_vec(),
             written: Arc::clone(&written),
             configuration: Arc::clone(&faulty_store.configuration),
--- a/tests/worker_lives.rs
+++ b/tests/worker_lives.rs
@@ -449,7 +449,7 @@
         }
     }
     for _ in 0..3 {
-        site.cell.tick(site.now);
+        site.tick();
         site.record();
     }
     assert_eq!(site.count_running(id), 1);
