Random worlds with owners that hear no worker for seconds

A full link of the owner loses the answers of all workers for seconds; the random worlds had no such fault. They now have it, beside lost messages and new owners, and check that no task ends well twice. Witnesses hear the workers all the same.

--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -99,7 +99,7 @@
     pub last_answer: Sequence,
     /// Since when calls have not been answered; none if the last one was.
     pub silent_since: Option<Millis>,
-    /// When witnesses were last asked about it, which do what this owner can't: reach it.
+    /// When witnesses, nodes that ask it on this owner's behalf, were last asked about it.
     pub witness_asked_at: Option<Millis>,
     /// When the latest question was sent by which witnesses found it not to answer; none if it has
     /// answered since.
--- a/src/node/witness_calls.rs
+++ b/src/node/witness_calls.rs
@@ -1,5 +1,6 @@
 //! The owner's questions to witnesses about workers that it does not hear.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -65,7 +66,7 @@
     }
 
     /// Asks these witnesses about the workers of `orders`, and passes what they have found to the core.
-    async fn question(&self, witnesses: &[std::net::SocketAddr], orders: &[PollOrder]) {
+    async fn question(&self, witnesses: &[SocketAddr], orders: &[PollOrder]) {
         let probes = orders.iter().map(Probe::of).collect();
         let Ok(body) = serde_json::to_vec(&ProbeCall { probes }) else {
             return;
@@ -93,12 +94,7 @@
         self.wake.notify_one();
     }
 
-    async fn ask_witness(
-        &self,
-        address: std::net::SocketAddr,
-        body: Vec<u8>,
-        probes: usize,
-    ) -> Answer {
+    async fn ask_witness(&self, address: SocketAddr, body: Vec<u8>, probes: usize) -> Answer {
         let call = NodeCall::Relay(body);
         match self
             .shared
@@ -183,8 +179,8 @@
 
     /// Returns whether nothing is known of some worker.
     fn is_in_vain(&self) -> bool {
-        let is_known = self.findings > 0 && !self.is_lost;
-        let mut decided = self.agreed.iter().zip(&self.heard);
-        decided.any(|(agreed, heard)| !heard && !(is_known && *agreed))
+        let is_valid = self.findings > 0 && !self.is_lost;
+        let is_decided = |place: usize| self.heard[place] || (is_valid && self.agreed[place]);
+        !(0..self.agreed.len()).all(is_decided)
     }
 }
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -49,6 +49,21 @@
     }
 }
 
+/// Guards against a task that runs twice: an owner that heard no worker for seconds took all of them
+/// for lost, and started tasks again that had ended well.
+#[test]
+fn no_task_ends_well_twice_while_owners_are_deaf() {
+    print_log();
+    let first = number("CROSSWEIR_SEED", FIRST_SEED);
+    for seed in first..first + number("CROSSWEIR_RUNS", RUNS) {
+        println!("seed {seed}");
+        let mut world = World::new(seed).with_deaf_owners();
+        world.play();
+        world.verify();
+        world.verify_single_ends();
+    }
+}
+
 /// A run that differs between executions with one seed can neither reproduce a fault nor show that
 /// it is fixed.
 #[test]
--- a/tests/random_world/checks.rs
+++ b/tests/random_world/checks.rs
@@ -18,6 +18,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 impl World {
+    /// No task has ended well twice, as long as no worker is lost or cut off from witnesses.
+    pub fn verify_single_ends(&self) {
+        let mut done = BTreeMap::new();
+        for run in self.workers.values().flat_map(WorkerLife::runs) {
+            if run.ended.is_some_and(|(_, how)| how == EndKind::Done) {
+                *done.entry(run.task).or_insert(0) += 1;
+            }
+        }
+        let twice: Vec<_> = done.into_iter().filter(|(_, ends)| *ends > 1).collect();
+        assert_eq!(twice, []);
+    }
+
     /// Nothing is started in a hall that was evacuated more than [`MAX_NOTICE_DELAY`] ago: by then
     /// the owner knows of it.
     pub(super) fn check_hall(&self, order: &StartOrder) {
--- a/tests/random_world/mod.rs
+++ b/tests/random_world/mod.rs
@@ -191,6 +191,10 @@
     coming_cuts: Vec<(Millis, String, Millis)>,
     /// Entries of ended lives are restored by late writes, and those of new lives are delayed.
     has_late_entries: bool,
+    /// Owners are deaf for seconds, and that is the only fault beside lost messages and new owners.
+    deafens_owners: bool,
+    /// Until then no answer of a worker reaches the owner; witnesses hear workers all the same.
+    deaf_until: Millis,
     delayed_entries: Vec<FormerEntry>,
     stale_entries: Vec<FormerEntry>,
     /// Ended lives of workers, with what they have run.
@@ -287,6 +291,8 @@
             has_long_runs: false,
             coming_cuts: Vec::new(),
             has_late_entries: false,
+            deafens_owners: false,
+            deaf_until: 0,
             delayed_entries: Vec::new(),
             stale_entries: Vec::new(),
             entries,
@@ -439,6 +445,16 @@
         self
     }
 
+    /// Replaces most faults by owners that hear no worker for seconds, as with a full link.
+    pub fn with_deaf_owners(mut self) -> Self {
+        self.deafens_owners = true;
+        self
+    }
+
+    pub(super) fn is_deaf(&self) -> bool {
+        self.now < self.deaf_until
+    }
+
     /// Draws with this chance whether a fault occurs; never once the faults have ended.
     pub(super) fn chance(&mut self, percent: u32) -> bool {
         !self.faults_ended && self.rng.random_ratio(percent, 100)
@@ -529,6 +545,7 @@
             worker.memory.fails_all_tasks = false;
         }
         self.store_down_until = 0;
+        self.deaf_until = 0;
         self.disconnected_until.clear();
         self.coming_cuts.clear();
         if !self.caps.is_empty() {
@@ -544,6 +561,9 @@
     }
 
     pub(super) fn inject_faults(&mut self) {
+        if self.deafens_owners {
+            return self.deafen_owners();
+        }
         if self.chance(6) && self.rows.len() < 30 {
             self.submit();
         }
@@ -578,6 +598,18 @@
         }
     }
 
+    fn deafen_owners(&mut self) {
+        if self.chance(6) && self.rows.len() < 30 {
+            self.submit();
+        }
+        if self.chance(1) && self.rng.random_ratio(1, 4) {
+            self.take_over();
+        }
+        if self.chance(1) {
+            self.deaf_until = self.now + self.rng.random_range(200..8_000);
+        }
+    }
+
     pub(super) fn submit(&mut self) {
         let number = self.rows.len() as u64 + 1;
         let tasks = self.rng.random_range(1..6);
