Strength is what processors and link allow, and a full link counts as overload

Cause: strength was the cores of the VM alone, so a node of 0.3 of a core with 10 Mbit/s kept the cell beside nodes that can do far more, and an owner whose link was full did not notice it.

Change: `[node] link` names the bandwidth; strength is the smaller of what cores and link allow, 250 thousandths of a core for 25 Mbit/s. An owner of which most calls to workers and other nodes are late or not answered for 1.5 s, while its turns come in time, has no strength until that is over, makes way for any node above its own capacity, and remembers for a minute that it lost the cell so.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -17,6 +17,7 @@
 use crate::clock::Millis;
 use crate::node::engine::Engine;
 use crate::node::heartbeat::{self, HEARTBEAT_TIMEOUT};
+use crate::node::load::{Load, OWNER_MILLICORES};
 use crate::node::loading;
 use crate::node::members::{self, Source};
 use crate::node::owner;
@@ -35,14 +36,12 @@
 const VOUCH_WINDOW: Millis = 300;
 /// How long a candidate waits for each one that goes before it: a claim takes 15 ms.
 const RANK_DELAY: Duration = Duration::from_millis(60);
-/// The CPU time that owning a cell of several hundred workers takes at its peak, in thousandths of
-/// a core: 350 workers take 200 under ordinary load.
-const OWNER_MILLICORES: u32 = 250;
 /// The longest time, in milliseconds, by which a node that can spend less than [`OWNER_MILLICORES`]
 /// delays its claim.  All nodes of a site start within 300 ms, and those that start first do not
 /// know the others yet.
 const MAX_WEAKNESS_DELAY: Millis = 500;
-/// An owner gives the cell up to a node that has at least this many times its strength.
+/// An owner that is not overloaded gives the cell up to a node that has at least this many times its
+/// strength.
 const STRENGTH_RATIO: u32 = 2;
 /// An owner gives the cell up to a stronger node only after it has owned the cell for this long, in
 /// milliseconds, since each change of owners stops scheduling for some 150 ms.
@@ -225,27 +224,59 @@
     };
     engine.set_lanes();
     engine.review_succession();
-    if should_yield(shared, &engine, shared.now()) {
+    if let Some(reason) = reason_to_yield(shared, &engine, shared.now()) {
         shared.metrics.event("cell_yielded");
-        give_up(shared, YIELD_TIMEOUT, "another node is stronger").await;
+        give_up(shared, YIELD_TIMEOUT, reason).await;
     }
 }
 
-/// Returns whether this owner should give the cell up, since another node that could claim it is
-/// far stronger.  Not before [`MIN_TERM`] has passed, and not while this node does not reach the
-/// store or the store is slow, as the release could not be written quickly then.
-fn should_yield(shared: &Shared, engine: &Engine, now: Millis) -> bool {
-    let may_be_released = shared.reaches_store() && !shared.store_is_slow();
+/// Returns why this owner should give the cell up, if another node that could claim it is so much
+/// stronger.  Not before [`MIN_TERM`] has passed, and not while this node does not reach the store or
+/// the store is slow, as the release could not be written quickly then.
+///
+/// A full link makes the store look slow as well, and does not become less full by waiting.
+fn reason_to_yield(shared: &Shared, engine: &Engine, now: Millis) -> Option<&'static str> {
+    let yields_for_link = yields_for_link(&shared.load);
+    let may_be_released = shared.reaches_store() && (yields_for_link || !shared.store_is_slow());
     if now.saturating_sub(engine.held_since) < MIN_TERM || !may_be_released {
-        return false;
+        return None;
     }
-    let enough = STRENGTH_RATIO * shared.load.strength().max(1);
-    shared
+    let enough = enough_strength(&shared.load);
+    let is_outdone = shared
         .members()
         .iter()
         .filter(|(_, m)| m.reaches_store && !m.leaving)
         .filter(|(_, m)| now.saturating_sub(m.last_heard) < VOUCH_WINDOW)
-        .any(|(_, m)| m.strength >= enough)
+        .any(|(_, m)| m.strength >= enough);
+    let reason = if shared.load.is_behind() {
+        "another node is stronger, and turns come late"
+    } else if yields_for_link {
+        "another node is stronger, and the link is full"
+    } else {
+        "another node is stronger"
+    };
+    is_outdone.then_some(reason)
+}
+
+/// Returns whether an owner gives the cell up to any stronger node, since its link is full.  Not a
+/// second time while it remembers the first: it has the cell again because no other node took it.
+fn yields_for_link(load: &Load) -> bool {
+    load.is_link_full() && !load.remembers_full_link() && !load.is_behind()
+}
+
+/// The strength from which on another node should own the cell rather than a node with this load.
+///
+/// A node whose turns come late can hardly act at all.  One whose link is full makes way only for a
+/// node that can do more than itself when idle: among nodes with equal links, another owner would
+/// soon be where this one is.
+fn enough_strength(load: &Load) -> u32 {
+    if load.is_behind() {
+        STRENGTH_RATIO
+    } else if yields_for_link(load) {
+        load.capacity().saturating_add(1)
+    } else {
+        load.capacity().saturating_mul(STRENGTH_RATIO)
+    }
 }
 
 /// Claims the cell of a silent owner, unless at least half of the nodes that answer vouch for it or
@@ -583,11 +614,16 @@
     let owned = engine.is_some();
     if let Some(engine) = engine {
         let released = tokio::time::timeout(limit, engine.record_once(true)).await;
+        let figures = shared.load.link_figures();
         tracing::info!(
             epoch = engine.epoch,
             reason,
             released = released.is_ok(),
             late_ms = shared.load.average_delay(),
+            link_full = shared.load.is_link_full(),
+            slow_workers = figures.slow_workers,
+            workers = figures.workers,
+            capacity = shared.load.capacity(),
             "cell is given up"
         );
         engine.retire(reason);
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Millis;
 use crate::node::election;
+use crate::node::link_load::{Call, Ending, Peer};
 use crate::node::members::Members;
 use crate::node::owner;
 use crate::node::shared::Shared;
@@ -127,6 +128,17 @@
     let beat = shared.addressed_to(&node.name, beat);
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
-        election::exchange(&shared, node.address, beat, HEARTBEAT_TIMEOUT).await;
+        let sent = shared.now();
+        let answer = election::exchange(&shared, node.address, beat, HEARTBEAT_TIMEOUT).await;
+        let ending = match answer {
+            Some(_) => Ending::Answered,
+            None => Ending::Unanswered,
+        };
+        let call = Call {
+            took: shared.now().saturating_sub(sent),
+            wait: 0,
+            ending,
+        };
+        shared.load.note_call(Peer::Node(node.address), call);
     });
 }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -39,7 +39,9 @@
 pub struct NodeRow {
     /// The address at which it answers other nodes.
     pub address: SocketAddr,
-    /// The CPU capacity of its VM, in thousandths of a core.
+    /// The capacity of its VM, in thousandths of a core: what its processors and its link allow.
+    /// Nodes of versions that know no links tell their processors; all nodes use the number that a
+    /// node tells of itself, so their digests and watchers agree.
     pub millicores: u32,
 }
 
@@ -48,7 +50,7 @@
 pub struct Member {
     /// The address at which it answers.
     pub address: SocketAddr,
-    /// The CPU capacity of its VM, in thousandths of a core; zero if that was never reported.
+    /// The capacity of its VM, in thousandths of a core; zero if that was never reported.
     pub millicores: u32,
     /// Identifies the current start of its process; zero if it was never heard.
     pub boot: u64,
@@ -64,7 +66,7 @@
     pub configuration: u64,
     /// The highest epoch that it knows.
     pub epoch: u64,
-    /// The CPU capacity that it can spend on owning the cell, in thousandths of a core.
+    /// What it can spend on owning the cell, in thousandths of a core.
     pub strength: u32,
     /// For how long it had not heard the owner when it was last heard, in milliseconds.
     pub owner_silence: Millis,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 pub mod heartbeat;
 pub mod intake;
 pub mod job_batch;
+pub mod link_load;
 pub mod links;
 pub mod load;
 pub mod loading;
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -9,6 +9,7 @@
 };
 use crate::clock::Millis;
 use crate::node::engine::Engine;
+use crate::node::link_load::{self, Call, Ending, Peer};
 use crate::node::links::Tickets;
 use crate::rpc::node::{NodeCall, NodeReply};
 
@@ -47,12 +48,40 @@
         }
     }
 
+    /// Notes a call to a worker that took `took` milliseconds, of which the worker may have held the
+    /// answer back for `wait`: for the log, and as evidence about the own link.
+    fn note_call(
+        &self,
+        worker: WorkerKey,
+        took: Millis,
+        wait: Millis,
+        is_answered: bool,
+        refusal: Option<Refusal>,
+    ) {
+        self.calls
+            .note(is_answered.then_some(took.saturating_sub(wait)));
+        let ending = match refusal {
+            Some(Refusal::Busy) => Ending::NotMade,
+            // Without a connection for so long, it is not a port that nobody listens at.
+            Some(Refusal::NotSent) if took > link_load::LATE_AFTER => Ending::Unanswered,
+            Some(Refusal::NotSent) => Ending::NotMade,
+            _ if is_answered => Ending::Answered,
+            _ => Ending::Unanswered,
+        };
+        let call = Call { took, wait, ending };
+        self.shared.load.note_call(Peer::Worker(worker), call);
+    }
+
     async fn start_run(&self, order: StartOrder) {
         let sent = self.shared.now();
         let (outcome, clock) = self.shared.workers.start(&order).await;
         let now = self.shared.now();
         let is_answered = outcome != StartOutcome::Unanswered;
-        self.calls.note(is_answered.then(|| now - sent));
+        let refusal = match outcome {
+            StartOutcome::Refused(refusal) => Some(refusal),
+            _ => None,
+        };
+        self.note_call(order.to.worker, now - sent, 0, is_answered, refusal);
         if let StartOutcome::Refused(refusal) = outcome {
             self.shared.metrics.refusal(refusal.code());
         }
@@ -67,7 +96,8 @@
         let answer = self.shared.workers.stop(&order).await;
         let now = self.shared.now();
         let is_answered = answer != Err(None);
-        self.calls.note(is_answered.then(|| now - sent));
+        let refusal = answer.err().flatten();
+        self.note_call(order.to.worker, now - sent, 0, is_answered, refusal);
         match (answer, order.run) {
             (Ok(()), Some(run)) => {
                 self.cell().stop_confirmed(run);
@@ -168,8 +198,11 @@
         let answer = self.shared.workers.poll(&order).await;
         let now = self.shared.now();
         let is_answered = !matches!(answer, Err(PollFailure::Unanswered));
-        let time = now.saturating_sub(sent + order.wait);
-        self.calls.note(is_answered.then_some(time));
+        let refusal = match answer {
+            Err(PollFailure::Refused(refusal)) => Some(refusal),
+            _ => None,
+        };
+        self.note_call(key, now - sent, order.wait, is_answered, refusal);
         match answer {
             Ok(report) => {
                 let has_news = !report.ended.is_empty() || order.due.is_none();
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -62,7 +62,7 @@
             },
             settings.seeds.clone(),
             Arc::new(SystemClock::new()),
-            Load::new(settings.millicores),
+            Load::new(settings.millicores).with_link(settings.link),
             metrics,
             links(Arc::new(link), &traffic),
             settings.scheduling,
--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -38,7 +38,13 @@
         "node",
         "processors",
         "number",
-        "CPU cores that the VM gives the node, fractions allowed; 1 if not given.  The nodes with the most own the cell first.",
+        "CPU cores that the VM gives the node, fractions allowed; 1 if not given.  The nodes with the most own the cell first, as far as their links allow.",
+    ),
+    optional(
+        "node",
+        "link",
+        "number",
+        "Mbit/s that the VM's link carries for the node in each direction, fractions allowed; of a link that is shared with other processes, the node's part.  Not known, and not limiting, if not given.",
     ),
     optional(
         "node",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -20,6 +20,8 @@
     pub hall: String,
     /// The CPU capacity that the VM gives the node, in thousandths of a core.
     pub millicores: u32,
+    /// The bandwidth of the VM's link in each direction, in kilobits a second; none if not known.
+    pub link: Option<u32>,
     /// How many file descriptors the process may have open.
     pub descriptors: u32,
     /// How much memory the VM gives the process, in megabytes.
@@ -77,6 +79,10 @@
 const MEGABYTE: usize = 1_000_000;
 /// The greatest CPU capacity that the settings accept, in cores.
 const MAX_CORES: f64 = 1_024.0;
+/// The kilobits of a megabit.
+const KILOBITS: f64 = 1_000.0;
+/// The greatest bandwidth that the settings accept, in megabits a second.
+const MAX_MEGABITS: f64 = 1_000_000.0;
 /// The greatest value of `[scheduling] reject_after`.  Greater ones would hardly ever refuse a job.
 const MAX_REJECT_AFTER: u32 = 100;
 
@@ -158,6 +164,7 @@
         let advice = self.optional_address("advice", "address");
         let seeds = self.addresses("peers", "seeds");
         let millicores = self.millicores();
+        let link = self.link();
         let expected = "a whole number of at least 256";
         let descriptors = self.at_least(
             "descriptors",
@@ -173,6 +180,7 @@
             name: self.text("node", "name")?,
             hall: self.text("node", "hall")?,
             millicores,
+            link,
             descriptors,
             memory,
             log: self.text("node", "log").unwrap_or(DEFAULT_LOG.to_owned()),
@@ -263,6 +271,22 @@
         }
     }
 
+    /// Returns the bandwidth of the link in kilobits a second; none if the key is missing.
+    fn link(&mut self) -> Option<u32> {
+        let (section, key) = ("node", "link");
+        let value = self.text(section, key)?;
+        match value.parse::<f64>() {
+            Ok(megabits) if megabits > 0.0 && megabits <= MAX_MEGABITS => {
+                Some((megabits * KILOBITS).ceil() as u32)
+            }
+            _ => {
+                let expected = "a number of Mbit/s above 0 and up to 1000000";
+                self.report(section, key, SettingsRule::WrongType { value, expected });
+                None
+            }
+        }
+    }
+
     /// Returns a whole number of the section `node`; `otherwise` if the key is missing.  The number
     /// must be `min` or more, which `expected` says in words.
     fn at_least(&mut self, key: &str, min: u32, otherwise: u32, expected: &'static str) -> u32 {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -127,7 +127,7 @@
     ) -> Arc<Self> {
         let row = NodeRow {
             address: identity.address,
-            millicores: load.millicores(),
+            millicores: load.capacity(),
         };
         let members = Members::new(&identity.name, &row);
         Arc::new(Self {
@@ -348,6 +348,10 @@
         );
         self.metrics
             .gauge("late_ms", self.load.average_delay() as i64);
+        self.metrics
+            .gauge("link_full", i64::from(self.load.is_link_full()));
+        self.metrics
+            .gauge("strength", i64::from(self.load.strength()));
         if self.options.reject_after.is_some() {
             let (waits, epoch) = self.expected_waits();
             let longest = waits.longest(epoch, self.now());
@@ -462,7 +466,7 @@
     pub fn row(&self) -> NodeRow {
         NodeRow {
             address: self.address,
-            millicores: self.load.millicores(),
+            millicores: self.load.capacity(),
         }
     }
 
@@ -528,7 +532,7 @@
                 true => Some(0),
                 false => owner.claim_age(now),
             },
-            millicores: self.load.millicores(),
+            millicores: self.load.capacity(),
             strength: self.load.strength(),
             pending: pending.unwrap_or_default(),
             waits: engine.map_or_else(Vec::new, |engine| engine.expected_waits().waits),
--- a/tests/configuration_bound.rs
+++ b/tests/configuration_bound.rs
@@ -39,6 +39,7 @@
     VmPlan {
         millicores,
         bytes_per_ms: megabits * MEGABIT,
+        tells_link: false,
     }
 }
 
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -7,12 +7,18 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crossweir::cell::tuning;
+use crossweir::cell::{WorkerKey, tuning};
 use crossweir::node::election;
+use crossweir::node::link_load::{Call, Ending, Peer};
+use crossweir::node::load::{self, Load};
 use crossweir::node::recording::OwnerRow;
 use crossweir::rpc::node::Heartbeat;
 use crossweir::store::{Store, StoreCall, StoreReply, Table, Transaction};
-use virtual_node::{Relay, VirtualNode, claim, virtual_node, virtual_node_with_millicores};
+use slotmap::KeyData;
+use virtual_node::{
+    Relay, VirtualNode, claim, virtual_node, virtual_node_with_load, virtual_node_with_millicores,
+};
+use yare::parameterized;
 
 /// A heartbeat of a node that has just started and knows of epoch 5.
 fn heartbeat_after_start() -> Heartbeat {
@@ -146,6 +152,117 @@
     assert_eq!((row.epoch, row.released), (tuning::next_epoch(0), false));
 }
 
+/// A load with processors of half a core, and a link that carries the calls of a tenth of one.
+fn narrow_load() -> Load {
+    Load::new(500).with_link(Some(10_000))
+}
+
+/// All calls of this owner are late from now on: to workers, and to other nodes.
+fn fill_link(node: &VirtualNode) -> AbortOnDrop {
+    let shared = Arc::clone(&node.shared);
+    let late = Call {
+        took: 240,
+        wait: 0,
+        ending: Ending::Answered,
+    };
+    let calls = tokio::spawn(async move {
+        loop {
+            for number in 1..=48 {
+                let worker = WorkerKey::from(KeyData::from_ffi((1 << 32) + number));
+                shared.load.note_call(Peer::Worker(worker), late);
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    AbortOnDrop(calls.abort_handle())
+}
+
+/// A task that ends with the test.
+struct AbortOnDrop(tokio::task::AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An owner with a narrow link that receives heartbeats of a peer of this strength for 8 s.
+async fn narrow_owner_that_hears_peer(strength: u32, is_full: bool) -> VirtualNode {
+    let node = virtual_node_with_load(narrow_load());
+    tokio::spawn(load::watch(Arc::clone(&node.shared)));
+    time_to_claim(&node).await;
+    let _full = is_full.then(|| fill_link(&node));
+    hear_peer(&node, strength, 8).await;
+    node
+}
+
+// Guards against an owner that keeps the cell for its many processors although its link cannot carry
+// the calls, and against one that makes way for a node which can do no more.
+#[parameterized(
+    twice_as_strong = { 200, false, true },
+    little_stronger = { 150, false, false },
+    stronger_beside_a_full_link = { 101, true, true },
+    equal_beside_a_full_link = { 100, true, false },
+    weaker_beside_a_full_link = { 90, true, false },
+    of_a_version_that_tells_processors = { 500, false, true },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn an_owner_with_a_narrow_link_yields_to(strength: u32, is_full: bool, yields: bool) {
+    let node = narrow_owner_that_hears_peer(strength, is_full).await;
+    let row = owner_row(&node).await;
+    let has_yielded = row.released || row.epoch > tuning::next_epoch(0);
+    assert_eq!(has_yielded, yields, "{row:?}");
+}
+
+// Guards against ownership that circulates among nodes of which none can carry the cell.
+#[tokio::test(start_paused = true)]
+async fn an_owner_that_gets_the_cell_back_yields_for_its_link_only_once_in_a_while() {
+    // Arrange: a stronger node is there, but never takes the cell.
+    let node = virtual_node_with_load(narrow_load());
+    tokio::spawn(load::watch(Arc::clone(&node.shared)));
+    time_to_claim(&node).await;
+    let _full = fill_link(&node);
+
+    // Act.
+    hear_peer(&node, 150, 50).await;
+
+    // Assert: the first claim, and one after the cell was given up once.
+    let row = owner_row(&node).await;
+    assert_eq!(row.epoch, tuning::next_epoch(tuning::next_epoch(0)));
+    assert!(!row.released && node.shared.engine().is_some());
+    assert_eq!(node.shared.heartbeat().strength, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_link_is_a_reason_to_yield_also_while_the_store_is_slow() {
+    // Arrange: answers of the store are as late as all others.
+    let node = virtual_node_with_load(narrow_load());
+    tokio::spawn(load::watch(Arc::clone(&node.shared)));
+    time_to_claim(&node).await;
+    node.faulty_store.delay.store(300, Ordering::Relaxed);
+    let _full = fill_link(&node);
+
+    // Act.
+    hear_peer(&node, 150, 8).await;
+
+    // Assert.
+    let row = owner_row(&node).await;
+    assert!(row.released || row.epoch > tuning::next_epoch(0), "{row:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_with_a_narrow_link_claims_the_cell_later_but_does() {
+    let (wide, narrow) = (
+        virtual_node_with_load(Load::new(500).with_link(Some(200_000))),
+        virtual_node_with_load(narrow_load()),
+    );
+
+    let (wide, narrow) = (time_to_claim(&wide).await, time_to_claim(&narrow).await);
+
+    assert!(wide < 200, "{wide}");
+    assert!((wide + 250..wide + 600).contains(&narrow), "{narrow}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_others_need_not_wait_for_an_owner_that_has_given_the_cell_up() {
     let node = virtual_node(&[Relay::Gone]);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -88,6 +88,31 @@
     );
 }
 
+#[parameterized(
+    none = { "", Some(None) },
+    whole = { "link = 200\n", Some(Some(200_000)) },
+    fraction = { "link = 1000.0\n", Some(Some(1_000_000)) },
+    part = { "link = 0.0001\n", Some(Some(1)) },
+    empty = { "link =\n", Some(None) },
+    zero = { "link = 0\n", None },
+    negative = { "link = -10\n", None },
+    no_number = { "link = NaN\n", None },
+    endless = { "link = inf\n", None },
+    unit = { "link = 10 Mbit/s\n", None },
+)]
+fn the_link_is_a_number_of_megabits_a_second(line: &str, kilobits: Option<Option<u32>>) {
+    let source = VALID.replace("hall = north\n", &format!("hall = north\n{line}"));
+    let settings = Settings::parse(&source, "test.ini");
+    assert_eq!(settings.ok().map(|settings| settings.link), kilobits);
+}
+
+#[test]
+fn a_link_that_is_no_number_is_a_fault() {
+    let source = VALID.replace("hall = north", "hall = north\nlink = fast");
+    let fault = "test.ini: [node] link: `fast` is not a number of Mbit/s above 0 and up to 1000000";
+    assert_eq!(faults(&source), [fault]);
+}
+
 #[test]
 fn optional_parts_of_scheduling_are_off_unless_the_settings_ask_for_them() {
     let settings = Settings::parse(VALID, "test.ini").expect("no faults");
--- a/tests/virtual_cell/link.rs
+++ b/tests/virtual_cell/link.rs
@@ -65,6 +65,19 @@
     }
 }
 
+impl Link {
+    /// Queues up to `bytes` for sending, as far as the queue gets no longer than `most`.  Returns how
+    /// long the last byte of the queue has to wait.
+    pub fn offer(&self, bytes: usize, most: Duration) -> Duration {
+        let now = Instant::now();
+        let queued = self.outgoing.reserve(0).saturating_duration_since(now);
+        let room = most.saturating_sub(queued).as_millis() as usize;
+        let room_bytes = room.saturating_mul(self.outgoing.bytes_per_ms);
+        let free_at = self.outgoing.reserve(bytes.min(room_bytes));
+        free_at.saturating_duration_since(now)
+    }
+}
+
 /// Waits until `bytes` have gone from one VM to another.  A transfer that is dropped stops after
 /// the segment that is on its way.
 pub async fn transfer(from: &Link, to: &Link, bytes: usize) {
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -17,7 +17,7 @@
 use crossweir::metrics::Metrics;
 use crossweir::node::front::Frontend;
 use crossweir::node::links::Decoder;
-use crossweir::node::load::Load;
+use crossweir::node::load::{self, Load};
 use crossweir::node::recording::OwnerRow;
 use crossweir::node::shared::{Identity, Links, Shared};
 use crossweir::node::{configuration, election};
@@ -51,6 +51,16 @@
     pub millicores: u32,
     /// The bandwidth of its link in each direction.
     pub bytes_per_ms: usize,
+    /// Its settings name the bandwidth.
+    pub tells_link: bool,
+}
+
+impl VmPlan {
+    /// The bandwidth as the settings name it, in kilobits a second.
+    fn link(self) -> Option<u32> {
+        self.tells_link
+            .then(|| (self.bytes_per_ms * 1_000 / link::MEGABIT) as u32)
+    }
 }
 
 /// Carries calls between nodes, and counts calls and bytes.
@@ -268,6 +278,11 @@
         &self.front.shared
     }
 
+    /// The link of its VM.
+    pub fn link(&self) -> &Arc<Link> {
+        &self.node_store.link
+    }
+
     pub fn owns(&self) -> bool {
         self.shared().engine().is_some()
     }
@@ -277,6 +292,7 @@
     VmPlan {
         millicores: if place < STRONG_NODES { 500 } else { 120 },
         bytes_per_ms: UNLIMITED,
+        tells_link: false,
     }
 }
 
@@ -369,7 +385,7 @@
             },
             seeds.to_vec(),
             Arc::new(RuntimeClock(Instant::now())),
-            Load::new(vm.millicores),
+            Load::new(vm.millicores).with_link(vm.link()),
             Metrics::new().expect("collectors"),
             links,
             Options::default(),
@@ -378,6 +394,7 @@
         self.network.nodes().insert(address, Arc::downgrade(&front));
         let mut tasks = vec![
             tokio::spawn(Arc::clone(&shared).probe_store()).abort_handle(),
+            tokio::spawn(load::watch(Arc::clone(&shared))).abort_handle(),
             tokio::spawn(election::register(Arc::clone(&shared))).abort_handle(),
             tokio::spawn(election::run(Arc::clone(&shared))).abort_handle(),
         ];
--- a/tests/virtual_node/mod.rs
+++ b/tests/virtual_node/mod.rs
@@ -310,6 +310,18 @@
     build_without_workers(millicores, relays, clock)
 }
 
+/// Makes the same node on a VM with this load.
+pub fn virtual_node_with_load(load: Load) -> VirtualNode {
+    let clock = Arc::new(RuntimeClock(Instant::now()));
+    build(
+        load,
+        &[],
+        clock,
+        |_| Arc::new(NoWorkers),
+        Arc::new(NoDecoder),
+    )
+}
+
 /// Makes the same node with `clock` as its clock.
 pub fn virtual_node_with_clock(relays: &[Relay], clock: Arc<dyn Clock>) -> VirtualNode {
     build_without_workers(1_000, relays, clock)
