Tests of rows and of links that are full; fmt

Cause: a row that a version without links wrote tells cores only, and nothing showed that it is replaced once; the tests of whole cells did not show that the owner's link counts as full.

Change: both are asserted.

--- a/tests/election.rs
+++ b/tests/election.rs
@@ -11,9 +11,11 @@
 use crossweir::node::election;
 use crossweir::node::link_load::{Call, Ending, Peer};
 use crossweir::node::load::{self, Load};
+use crossweir::node::members::NodeRow;
 use crossweir::node::recording::OwnerRow;
+use crossweir::node::shared::NODES_PARTITION;
 use crossweir::rpc::node::Heartbeat;
-use crossweir::store::{Store, StoreCall, StoreReply, Table, Transaction};
+use crossweir::store::{RowKey, Store, StoreCall, StoreReply, Table, Transaction, Version, encode};
 use slotmap::KeyData;
 use virtual_node::{
     Relay, VirtualNode, claim, virtual_node, virtual_node_with_load, virtual_node_with_millicores,
@@ -157,6 +159,42 @@
     Load::new(500).with_link(Some(10_000))
 }
 
+/// The node's own row as it is in the store, and its version.
+async fn own_row(node: &VirtualNode) -> (String, Version) {
+    let call = StoreCall::row(Table::Nodes, NODES_PARTITION, &node.shared.name);
+    match node.store.call(call).await {
+        Ok(StoreReply::Rows { rows, .. }) => (rows[0].value.clone(), rows[0].version),
+        other => panic!("no row: {other:?}"),
+    }
+}
+
+// Guards against rows by which a node with many processors and a narrow link becomes a watcher, and
+// against rows that are written again at each start.
+#[tokio::test(start_paused = true)]
+async fn a_node_replaces_a_row_that_tells_only_its_processors_once() {
+    // Arrange: a version that knew no links wrote the row.
+    let node = virtual_node_with_load(narrow_load());
+    let former = NodeRow {
+        millicores: 500,
+        ..node.shared.row()
+    };
+    let key = RowKey::new(Table::Nodes, NODES_PARTITION, &node.shared.name);
+    let mut tx = Transaction::default();
+    tx.puts.push((key, encode(&former)));
+    node.store.commit(&tx);
+
+    // Act.
+    election::register(Arc::clone(&node.shared)).await;
+    let (row, version) = own_row(&node).await;
+    election::register(Arc::clone(&node.shared)).await;
+    let (_, later_version) = own_row(&node).await;
+
+    // Assert.
+    let row: NodeRow = serde_json::from_str(&row).expect("a row");
+    assert_eq!(row.millicores, 100);
+    assert_eq!(version, later_version);
+}
+
 /// All calls of this owner are late from now on: to workers, and to other nodes.
 fn fill_link(node: &VirtualNode) -> AbortOnDrop {
     let shared = Arc::clone(&node.shared);
--- a/tests/full_links.rs
+++ b/tests/full_links.rs
@@ -53,6 +53,12 @@
     (held, owners.len())
 }
 
+/// Whether the owner has noticed that its link is full.
+fn is_owner_full(cell: &VirtualCell) -> bool {
+    let owner = cell.members.iter().find(|member| member.owns());
+    owner.is_some_and(|owner| owner.shared().load.is_link_full())
+}
+
 /// The calls of the node to all workers take this long, in milliseconds.
 fn note_calls(member: &virtual_cell::Member, took: Millis) {
     let call = Call {
@@ -96,6 +102,7 @@
     tokio::time::sleep(Duration::from_secs(4)).await;
     let (_, owners) = own_under_load(&cell, 20).await;
     assert_eq!(owners, 1, "all that are left are equal");
+    assert!(is_owner_full(&cell));
 
     // Act: one more node starts, which is wide.
     let wide = cell.add(&[]);
@@ -122,6 +129,7 @@
 
     let (_, owners) = own_under_load(&cell, 120).await;
 
+    assert!(is_owner_full(&cell));
     assert_eq!(owners, 1);
     cell.kill_all();
 }
@@ -133,6 +141,7 @@
 
     let (held, owners) = own_under_load(&cell, 120).await;
 
+    assert!(is_owner_full(&cell));
     assert!(owners <= 2, "{owners} owners: {held:?}");
     cell.kill_all();
 }
