Calls count as late after 50 ms, and not for the wait for the own turns

Change: a call is late 50 ms after the usual time, which leaves the store's answers time to come; what the own turns are late is added, so that a weak processor does not pass for a full link.

--- a/src/node/link_load.rs
+++ b/src/node/link_load.rs
@@ -12,8 +12,14 @@
 use crate::clock::Millis;
 
 /// How much longer than the shortest call to the same worker or node a call may take, in
-/// milliseconds, before it counts as late.  Calls take a few milliseconds.
-pub const LATE_AFTER: Millis = 100;
+/// milliseconds, before it counts as late.  Calls take a few milliseconds, and a transaction of the
+/// store, by which the cell is released, must still be answered in time.
+pub const LATE_AFTER: Millis = 50;
+/// The most that counts as the usual time of a call, in milliseconds, in case all calls to a worker
+/// were late.
+pub const MAX_USUAL: Millis = 100;
+/// How many of this node's own turns a call may have to wait for.
+const TURNS: Millis = 2;
 /// How long evidence is gathered before it is judged, in milliseconds.  Most workers are polled
 /// once in this time.
 pub const WINDOW: Millis = 500;
@@ -69,8 +75,8 @@
 impl Call {
     /// Returns what the call shows, if anything: an answer that may have been held back for just as
     /// long as it took shows nothing.
-    fn evidence(self, shortest: Millis) -> Option<Evidence> {
-        let limit = shortest + LATE_AFTER;
+    fn evidence(self, usual: Millis) -> Option<Evidence> {
+        let limit = usual + LATE_AFTER;
         match self.ending {
             Ending::NotMade => None,
             Ending::Unanswered => Some(Evidence::Unanswered),
@@ -92,12 +98,14 @@
 }
 
 impl Record {
-    fn note(&mut self, call: Call) {
+    /// Notes a call of a node whose turns come `delay` milliseconds late.
+    fn note(&mut self, call: Call, delay: Millis) {
         if call.ending == Ending::Answered && call.took >= call.wait {
             let time = call.took - call.wait;
             self.shortest = Some(self.shortest.map_or(time, |shortest| shortest.min(time)));
         }
-        match call.evidence(self.shortest.unwrap_or_default().min(LATE_AFTER)) {
+        let shortest = self.shortest.unwrap_or_default().min(MAX_USUAL);
+        match call.evidence(shortest + TURNS * delay) {
             Some(Evidence::InTime) => self.in_time += 1,
             Some(Evidence::Late) => self.late += 1,
             Some(Evidence::Unanswered) => self.unanswered += 1,
@@ -185,9 +193,9 @@
 }
 
 impl LinkWatch {
-    /// Notes a call that has ended.
-    pub fn note(&mut self, peer: Peer, call: Call) {
-        self.records.entry(peer).or_default().note(call);
+    /// Notes a call that has ended, while this node's own turns come `delay` milliseconds late.
+    pub fn note(&mut self, peer: Peer, call: Call, delay: Millis) {
+        self.records.entry(peer).or_default().note(call, delay);
     }
 
     /// Judges the calls of the present window once it is over.  Calls that ended while this node's
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -121,7 +121,7 @@
 
     /// Notes a call of this node to a worker or to another node.
     pub fn note_call(&self, peer: Peer, call: Call) {
-        self.link_watch().note(peer, call);
+        self.link_watch().note(peer, call, self.average_delay());
     }
 
     /// Judges by the calls of late whether the link is full.  Only an owner makes enough calls to
