--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -14,6 +14,7 @@
 };
 use crate::clock::Millis;
 use crate::node::engine::Engine;
+use crate::node::link_load::{self, Call, Ending, Peer};
 use crate::node::links::Tickets;
 use crate::rpc::node::{NodeCall, NodeReply};
 use crate::timeout;
@@ -57,12 +58,40 @@
         }
     }
 
+    /// Notes a call to a worker that took `took` milliseconds, of which the worker may have held the
+    /// answer back for `wait`: for the log, and as evidence about the own link.
+    fn note_call(
+        &self,
+        worker: WorkerKey,
+        took: Millis,
+        wait: Millis,
+        is_answered: bool,
+        refusal: Option<Refusal>,
+    ) {
+        self.calls
+            .note(is_answered.then_some(took.saturating_sub(wait)));
+        let ending = match refusal {
+            Some(Refusal::Busy) => Ending::NotMade,
+            // Without a connection for so long, it is not a port that nobody listens at.
+            Some(Refusal::NotSent) if took > link_load::LATE_AFTER => Ending::Unanswered,
+            Some(Refusal::NotSent) => Ending::NotMade,
+            _ if is_answered => Ending::Answered,
+            _ => Ending::Unanswered,
+        };
+        let call = Call { took, wait, ending };
+        self.shared.load.note_call(Peer::Worker(worker), call);
+    }
+
     async fn start_run(&self, order: StartOrder) {
         let sent = self.shared.now();
         let (outcome, clock) = self.shared.workers.start(&order).await;
         let now = self.shared.now();
         let is_answered = outcome != StartOutcome::Unanswered;
-        self.calls.note(is_answered.then(|| now - sent));
+        let refusal = match outcome {
+            StartOutcome::Refused(refusal) => Some(refusal),
+            _ => None,
+        };
+        self.note_call(order.to.worker, now - sent, 0, is_answered, refusal);
         if let StartOutcome::Refused(refusal) = outcome {
             self.shared.metrics.refusal(refusal.code());
         }
@@ -77,7 +106,8 @@
         let answer = self.shared.workers.stop(&order).await;
         let now = self.shared.now();
         let is_answered = answer != Err(None);
-        self.calls.note(is_answered.then(|| now - sent));
+        let refusal = answer.err().flatten();
+        self.note_call(order.to.worker, now - sent, 0, is_answered, refusal);
         match (answer, order.run) {
             (Ok(()), Some(run)) => {
                 self.cell().stop_confirmed(run);
@@ -174,21 +204,27 @@
             return PollResult::Gone;
         };
         order.wait = order.wait.min(max_wait.as_millis() as Millis);
-        let to = order.to.clone();
-        let limit = self.shared.workers.answer_timeout() + Duration::from_millis(order.wait);
+        let (to, sent, wait) = (order.to.clone(), order.sent, order.wait);
+        let limit = self.shared.workers.answer_timeout() + Duration::from_millis(wait);
         let deadline = Instant::now() + limit;
         let mut poll = self.send_poll(order);
-        let Some((order, answer)) = timeout::wait_until(deadline, &mut poll).await else {
+        let answer = timeout::wait_until(deadline, &mut poll).await;
+        let took = self.shared.now().saturating_sub(sent);
+        let Some((order, answer)) = answer else {
             self.shared.workers.note_late(&to);
-            self.calls.note(None);
+            self.note_call(key, took, wait, false, None);
             self.poll_failed(key, PollFailure::Unanswered);
             self.await_late_answer(key, poll);
             return PollResult::Failed;
         };
+        let is_answered = !matches!(answer, Err(PollFailure::Unanswered));
+        let refusal = match answer {
+            Err(PollFailure::Refused(refusal)) => Some(refusal),
+            _ => None,
+        };
+        self.note_call(key, took, wait, is_answered, refusal);
         match answer {
             Ok(report) => {
-                let time = self.shared.now().saturating_sub(order.sent + order.wait);
-                self.calls.note(Some(time));
                 self.poll_answered(&order, &report);
                 if max_wait.is_zero() {
                     self.wake.notify_one();
@@ -196,9 +232,6 @@
                 PollResult::Answered
             }
             Err(failure) => {
-                if failure == PollFailure::Unanswered {
-                    self.calls.note(None);
-                }
                 self.poll_failed(key, failure);
                 PollResult::Failed
             }
@@ -243,6 +276,8 @@
             engine.late_polls().remove(&key);
             if let Ok(report) = answer {
                 engine.shared.metrics.event("late_answer");
+                let took = engine.shared.now().saturating_sub(order.sent);
+                engine.note_call(key, took, order.wait, true, None);
                 engine.poll_answered(&order, &report);
                 engine.wake.notify_one();
             }
