The starts in flight are limited by a window that follows the time that they take

Cause: the owner ordered 850 starts in its first second. They filled its link, nine calls in ten were given up at 250 ms, and what was repeated because of that kept the link full. Change: a window limits the starts that are sent and not answered, of 8 to 64. It grows by 4 a round trip while starts take up to 60 ms beyond the lowest time of the last 10 to 20 s and the window is used, and is halved, once a round trip at most, if they take more than 120 ms beyond it, or are not answered. Starts that a later one has overtaken by 50 ms wait for their workers alone: they neither fill the window nor shrink it, so silent workers keep nobody else waiting. What is decided beyond the window stays in the order of decisions, where urgent tasks overtake. Starts that wait for their records are limited to two windows in all.

Fixture: Bench::start_all goes on with further rounds while the window has held starts back, so "all that can start" stays what it says; nothing else of the tests is changed for this.

--- a/src/cell/gang.rs
+++ b/src/cell/gang.rs
@@ -34,6 +34,10 @@
             self.request_capacity(key, missing, round);
             return Some((self.placement_wait_reason(key, round.now), size));
         };
+        if self.is_start_window_full() {
+            self.note_start_held_back();
+            return Some((WaitReason::Soon, size));
+        }
         let number = self.next_run_number();
         let mut started = Vec::new();
         for (index, worker) in chosen.into_iter().enumerate() {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -51,6 +51,7 @@
 pub mod spec;
 pub mod speed;
 mod start;
+mod start_pace;
 pub mod task_set;
 mod trial;
 pub mod tuning;
@@ -77,6 +78,7 @@
 use crate::cell::shares::SharesState;
 use crate::cell::spec::{Demand, JobId};
 use crate::cell::speed::Speeds;
+use crate::cell::start_pace::StartPace;
 use crate::cell::unknown_cancel::UnknownCancels;
 use crate::cell::wait::Waiting;
 use crate::cell::worker::{NextForget, Worker};
@@ -316,6 +318,8 @@
     /// All answers that had arrived by this time, by our clock, are processed; [`Millis::MAX`] if
     /// answers are processed as they arrive.
     heard_until: Millis,
+    /// The starts in flight, and how many there may be.
+    start_pace: StartPace,
     /// Orders that have not been taken yet.
     orders: Vec<Order>,
     /// Waiting times that have not been taken yet.
@@ -394,6 +398,7 @@
             entry_reads: EntryReads::default(),
             exclusive_at: Millis::MAX,
             heard_until: Millis::MAX,
+            start_pace: StartPace::default(),
             orders: Vec::new(),
             job_waits: Vec::new(),
             waiting: Waiting::new(),
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -107,14 +107,17 @@
     }
 
     /// How many more starts may be planned for the job of a step; the size of a job's row is
-    /// limited.
+    /// limited, and so is what one owner can have recorded and send.
     pub(super) fn planned_starts_left(&self, key: StepKey) -> usize {
         let job = self.steps[key].job;
         let planned = self.planned.iter().filter_map(|&run| self.runs.get(run));
         let of_job = planned.filter(|run| self.steps[run.step].job == job);
         let waiting = tuning::MAX_PLANNED_STARTS.saturating_sub(of_job.count());
         let recorded = self.count_losses(job, |loss| loss.planned);
-        waiting.min(tuning::MAX_UNPROVEN_PLANNED_STARTS.saturating_sub(recorded))
+        let unproven = tuning::MAX_UNPROVEN_PLANNED_STARTS.saturating_sub(recorded);
+        waiting
+            .min(unproven)
+            .min(self.planned_starts_within_window())
     }
 
     /// Counts the losses of a job's tasks for which `counts` holds.
@@ -125,8 +128,8 @@
         losses.filter(|&loss| counts(loss)).count()
     }
 
-    /// Sends the planned starts that are recorded, and drops those whose placement is no longer
-    /// valid.
+    /// Sends the planned starts that are recorded, as far as the window of starts allows, and drops
+    /// those whose placement is no longer valid.  Members of a gang do not wait for the window.
     pub(super) fn send_planned_starts(&mut self, now: Millis) {
         for key in std::mem::take(&mut self.planned) {
             if !self.is_planned(key) {
@@ -135,7 +138,13 @@
             if !self.can_send_planned_start(key, now) {
                 self.drop_planned_start(key);
             } else if self.may_send_planned_start(key, now) && self.is_trial_conclusive(key, now) {
-                self.send_start(key, now);
+                let step = self.runs[key].step;
+                if self.is_start_window_full() && !self.steps[step].step().gang {
+                    self.note_start_held_back();
+                    self.planned.push(key);
+                } else {
+                    self.send_start(key, now);
+                }
             } else {
                 self.planned.push(key);
             }
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -121,6 +121,7 @@
         now: Millis,
     ) {
         let heard = self.next_sequence();
+        self.note_start_outcome(key, outcome, now);
         let Some(run) = self.runs.get_mut(key) else {
             self.start_answered_late(key, outcome, now);
             return;
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -18,6 +18,7 @@
         self.update_speeds(now);
         // A task whose planned start is dropped here waits again, so this comes before waiting
         // tasks are collected.
+        self.begin_start_round(now);
         self.send_planned_starts(now);
         let mut order: Vec<OrderedStep> = Vec::new();
         let mut work = RemainingWork::default();
@@ -50,6 +51,12 @@
         let mut round = Round::new(now);
         self.note_longest_unasked(&order, now);
         for step in self.take_turns(&order) {
+            if self.is_start_window_full() {
+                self.note_start_held_back();
+                let waiting = self.steps[step.key].idle as usize;
+                round.record_wait(step.priority, WaitReason::Soon, waiting);
+                continue;
+            }
             let Some((mut reason, tasks)) = self.schedule_step(step.key, &mut round) else {
                 continue;
             };
@@ -61,7 +68,9 @@
             }
             round.record_wait(step.priority, reason, tasks);
         }
-        self.ask_in_turn(&order, &mut round);
+        if !self.is_start_window_full() {
+            self.ask_in_turn(&order, &mut round);
+        }
         self.counts.candidates_examined += round.candidates_examined;
         self.steps_not_asking = round.steps_not_asking;
         if let Some((_, key)) = round.longest_kept {
@@ -126,6 +135,11 @@
                 }
                 break;
             };
+            if self.is_start_window_full() {
+                self.note_start_held_back();
+                limit = Some(WaitReason::Soon);
+                break;
+            }
             if self.is_recorded_first(key, index, round.now) {
                 let left = planned_starts_left.get_or_insert_with(|| self.planned_starts_left(key));
                 if *left == 0 {
--- a/src/cell/start.rs
+++ b/src/cell/start.rs
@@ -124,6 +124,7 @@
             checkpoint,
         };
         self.counts.starts += 1;
+        self.start_pace.note_sent(key, now);
         self.orders.push(Order::Start(order));
     }
 
--- a/src/cell/start_pace.rs
+++ b/src/cell/start_pace.rs
@@ -1,105 +1,192 @@
-//! How many starts are sent at a time, and how long new tasks wait because of that.
+//! How many starts are in flight at a time.
 //!
-//! An owner that orders more starts than it can carry out keeps them in its own queue of ready
-//! tasks.  More urgent tasks cannot overtake them there, and their tickets and orders expire while
-//! they wait.  So the number of starts in flight is limited, and whatever is decided beyond it stays in the
-//! order of decisions.  The limit also tells how long a new job would wait for the owner: nodes
-//! refuse jobs that would wait for too long ("A slow owner" in `docs/DESIGN.md`).
+//! An owner that orders more starts than its link and its processor carry fills its own queues.  More
+//! urgent tasks cannot overtake there, answers come after their time limits, and what is repeated
+//! because of that fills the queues further.  So a window limits the starts that are sent and not
+//! answered; whatever is decided beyond it stays in the order of decisions.  The window follows the
+//! time that starts take: it grows by steps while answers come quickly, and is halved, once a round
+//! trip at most, when they come late ("Pacing" in `docs/DESIGN.md`).
 
 use std::collections::BTreeMap;
 
-use crate::cell::expected_wait::ExpectedWait;
-use crate::cell::wait::WaitReason;
-use crate::cell::{Cell, tuning};
+use crate::cell::order::{Refusal, StartOutcome};
+use crate::cell::{Cell, RunKey, tuning};
 use crate::clock::Millis;
 
-/// The weight of the newest start in the mean times and shares: one in this many.
-const SAMPLE_WEIGHT: f64 = 1.0 / 128.0;
-/// The least share of the starts that tasks of a priority are assumed to get, however many are more
-/// urgent.
-const MIN_SHARE: f64 = 0.05;
-
-/// The starts that are in flight, and how quickly starts are answered.
-#[derive(Debug, Default)]
+/// The starts in flight, and how many there may be.
+#[derive(Debug)]
 pub(super) struct StartPace {
+    /// When each start was sent whose outcome is not known.
+    sent: BTreeMap<RunKey, Millis>,
+    /// How many of them may still be on their way.
     in_flight: usize,
-    /// The mean time from the order of a start to its answer, in milliseconds.
-    mean_time: f64,
-    /// The share of the starts that have each priority.
-    shares: BTreeMap<u32, f64>,
-    /// When tasks last waited because too many starts were in flight.
-    limited_at: Option<Millis>,
+    /// The most starts that may be in flight.
+    window: f64,
+    /// The latest time at which a start was sent that was answered since.
+    answered_sent: Millis,
+    /// When the window was last halved.
+    halved_at: Millis,
+    times: LowestTimes,
+    /// Tasks wait because too many starts are in flight.
+    holds_back: bool,
+}
+
+impl Default for StartPace {
+    fn default() -> Self {
+        Self {
+            sent: BTreeMap::new(),
+            in_flight: 0,
+            window: tuning::MAX_START_WINDOW,
+            answered_sent: 0,
+            halved_at: 0,
+            times: LowestTimes::default(),
+            holds_back: false,
+        }
+    }
 }
 
 impl StartPace {
-    /// Notes that a start of a task with this priority is sent.
-    pub(super) fn note_sent(&mut self, priority: u32) {
+    /// Notes that a start is sent.
+    pub(super) fn note_sent(&mut self, run: RunKey, now: Millis) {
+        self.sent.insert(run, now);
         self.in_flight += 1;
-        for share in self.shares.values_mut() {
-            *share *= 1.0 - SAMPLE_WEIGHT;
+    }
+
+    /// Notes that a start was answered at `now`, whatever the answer is.
+    pub(super) fn note_answered(&mut self, run: RunKey, now: Millis) {
+        let is_in_use = self.in_flight as f64 * 2.0 >= self.window;
+        let Some(sent) = self.sent.remove(&run) else {
+            return;
+        };
+        self.answered_sent = self.answered_sent.max(sent);
+        let time = now.saturating_sub(sent);
+        let delay = time.saturating_sub(self.times.note(time, now));
+        if delay > tuning::SLOW_START_DELAY {
+            self.shrink(sent, now);
+        } else if delay <= tuning::QUICK_START_DELAY && is_in_use {
+            let window = self.window + tuning::START_WINDOW_STEP / self.window;
+            self.window = window.min(tuning::MAX_START_WINDOW);
+        }
+    }
+
+    /// Notes that a start was not answered in time.  If one that was sent well after it was answered,
+    /// our own link and processor have carried it, and only its worker is silent.
+    pub(super) fn note_unanswered(&mut self, run: RunKey, now: Millis) {
+        let Some(sent) = self.sent.remove(&run) else {
+            return;
+        };
+        if !self.is_overtaken(sent) {
+            self.shrink(sent, now);
         }
-        *self.shares.entry(priority).or_default() += SAMPLE_WEIGHT;
     }
 
-    /// Notes the outcome of a start, which took `time` milliseconds if that is known.
-    pub(super) fn note_answered(&mut self, time: Option<Millis>) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        if let Some(time) = time {
-            self.mean_time += (time as f64 - self.mean_time) * SAMPLE_WEIGHT;
+    /// Notes that a start was not sent, which tells nothing of the time that starts take.
+    pub(super) fn note_not_sent(&mut self, run: RunKey) {
+        self.sent.remove(&run);
+    }
+
+    /// Halves the window, unless that was done after this start was sent: what the smaller window
+    /// brings is not known yet.
+    fn shrink(&mut self, sent: Millis, now: Millis) {
+        if sent < self.halved_at {
+            return;
         }
+        self.halved_at = now;
+        self.window = (self.window / 2.0).max(tuning::MIN_START_WINDOW);
     }
 
-    /// Returns whether no further start should be sent until others are answered.
-    pub(super) fn is_at_limit(&self) -> bool {
-        self.in_flight >= tuning::MAX_STARTS_IN_FLIGHT
+    /// Returns whether a start that was sent well after this time was answered.
+    fn is_overtaken(&self, sent: Millis) -> bool {
+        sent + tuning::START_OVERTAKEN_AFTER < self.answered_sent
+    }
+
+    /// Counts the starts that may still be on their way, and forgets those that are no longer valid.
+    /// Those that others have overtaken wait for their workers alone.
+    fn recount(&mut self, now: Millis) {
+        self.sent
+            .retain(|_, sent| now <= *sent + tuning::START_VALIDITY);
+        let in_flight = self.sent.values().filter(|sent| !self.is_overtaken(**sent));
+        self.in_flight = in_flight.count();
+    }
+
+    /// How many starts may be in flight.
+    fn window(&self) -> usize {
+        self.window as usize
     }
+}
 
-    /// Returns whether tasks have lately waited because too many starts were in flight.
-    fn was_limited(&self, now: Millis) -> bool {
-        self.limited_at
-            .is_some_and(|at| now.saturating_sub(at) < tuning::START_LIMIT_MEMORY)
+/// The lowest time of a start of late, in milliseconds.
+#[derive(Debug)]
+struct LowestTimes {
+    began: Millis,
+    /// Those of this period and of the one before.
+    lowest: [Millis; 2],
+}
+
+impl Default for LowestTimes {
+    fn default() -> Self {
+        Self {
+            began: 0,
+            lowest: [Millis::MAX; 2],
+        }
     }
+}
 
-    /// How long it takes until so many tasks of a priority and more urgent ones have started, in
-    /// milliseconds.
-    fn time_for(&self, tasks: usize, priority: u32) -> Millis {
-        let more_urgent: f64 = self.shares.range(..priority).map(|(_, share)| share).sum();
-        let share = (1.0 - more_urgent).max(MIN_SHARE);
-        let batches = tasks as f64 / tuning::MAX_STARTS_IN_FLIGHT as f64;
-        (batches * self.mean_time / share) as Millis
+impl LowestTimes {
+    /// Notes the time of a start, and returns the lowest one.
+    fn note(&mut self, time: Millis, now: Millis) -> Millis {
+        if now.saturating_sub(self.began) >= tuning::LOWEST_TIME_PERIOD {
+            self.began = now;
+            self.lowest = [Millis::MAX, self.lowest[0]];
+        }
+        self.lowest[0] = self.lowest[0].min(time);
+        self.lowest[0].min(self.lowest[1])
     }
 }
 
 impl Cell {
+    /// The most starts that may be in flight at present.
+    pub fn start_window(&self) -> usize {
+        self.start_pace.window()
+    }
+
     /// Returns whether no further start should be sent until others are answered.
-    pub fn has_max_starts_in_flight(&self) -> bool {
-        self.start_pace.is_at_limit()
+    pub(super) fn is_start_window_full(&self) -> bool {
+        self.start_pace.in_flight >= self.start_pace.window()
+    }
+
+    /// Notes the outcome of a start for the window.
+    pub(super) fn note_start_outcome(&mut self, run: RunKey, outcome: StartOutcome, now: Millis) {
+        let pace = &mut self.start_pace;
+        match outcome {
+            StartOutcome::Unanswered => pace.note_unanswered(run, now),
+            StartOutcome::Refused(Refusal::NotSent | Refusal::Busy) => pace.note_not_sent(run),
+            StartOutcome::Started | StartOutcome::Refused(_) => pace.note_answered(run, now),
+        }
+        pace.recount(now);
     }
 
     /// Notes that tasks wait because too many starts are in flight.
-    pub(super) fn note_start_limit(&mut self, now: Millis) {
-        self.start_pace.limited_at = Some(now);
+    pub(super) fn note_start_held_back(&mut self) {
+        self.start_pace.holds_back = true;
     }
 
-    /// Returns how long the first task of a new job would wait for the owner, by queue; nothing
-    /// unless tasks wait for the owner.
-    pub fn owner_waits(&self, now: Millis) -> Vec<ExpectedWait> {
-        if self.has_unread_jobs || !self.start_pace.was_limited(now) {
-            return Vec::new();
-        }
-        let queues = self.config.queues().iter();
-        let wait = |priority| {
-            let before = self.waiting.range(..=(priority, WaitReason::Soon));
-            let for_owner = before
-                .filter(|((_, reason), _)| matches!(reason, WaitReason::Soon | WaitReason::Advice));
-            let tasks: u32 = for_owner.map(|(_, tasks)| tasks).sum();
-            self.start_pace.time_for(tasks as usize, priority)
-        };
-        let waits = queues.map(|queue| ExpectedWait {
-            queue: queue.name.clone(),
-            workspace: String::new(),
-            wait: wait(queue.priority),
-        });
-        waits.collect()
+    /// Returns whether tasks that were held back can start: half of the window is free.  With a round
+    /// for each single answer, the owner would do little else.
+    pub fn has_room_for_held_starts(&self) -> bool {
+        let pace = &self.start_pace;
+        pace.holds_back && pace.in_flight * 2 <= pace.window()
+    }
+
+    /// How many more starts may be planned over all jobs.
+    pub(super) fn planned_starts_within_window(&self) -> usize {
+        let most = tuning::PLANNED_START_WINDOWS * self.start_pace.window();
+        most.saturating_sub(self.planned.len())
+    }
+
+    /// Forgets that tasks were held back, as a new scheduling round begins.
+    pub(super) fn begin_start_round(&mut self, now: Millis) {
+        self.start_pace.holds_back = false;
+        self.start_pace.recount(now);
     }
 }
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -219,6 +219,26 @@
 /// A worker that has been silent for this time is recorded with the jobs that it may still run.
 /// A lost answer is followed by another poll after 20 ms, and each record is a write of 15 KB.
 pub const NAME_JOBS_AFTER: Millis = 150;
+/// The most starts in flight, with which an ownership begins; a gang may exceed it.  A start takes 5 ms
+/// while the owner has time, so this many allow 12,000 a second.
+pub const MAX_START_WINDOW: f64 = 64.0;
+/// The fewest starts that may be in flight: 32 a second if each takes 250 ms.
+pub const MIN_START_WINDOW: f64 = 8.0;
+/// By how many starts the window grows in a round trip in which all answers are quick.
+pub const START_WINDOW_STEP: f64 = 4.0;
+/// A start that takes no more than this beyond the lowest time of late is quick: rounds of the owner
+/// and waits for its processor take up to this time.
+pub const QUICK_START_DELAY: Millis = 60;
+/// A start that takes more than this beyond the lowest time of late shows that our link or processor
+/// is behind: half of the time for which an answer is awaited.
+pub const SLOW_START_DELAY: Millis = 120;
+/// A start is overtaken if one that was sent this much later was answered before it.
+pub const START_OVERTAKEN_AFTER: Millis = 50;
+/// Half of the time for which the lowest time of a start counts.
+pub const LOWEST_TIME_PERIOD: Millis = 10_000;
+/// The most starts that wait for their records, in windows of starts.  Each costs a part of a row, and
+/// its placement is out of date by the time that a link or store that is behind has carried it.
+pub const PLANNED_START_WINDOWS: usize = 2;
 /// The run numbers of an owner start at its epoch times this value, above those of all
 /// predecessors.
 pub const RUNS_PER_EPOCH: u64 = 1_000_000;
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -56,8 +56,12 @@
         if let StartOutcome::Refused(refusal) = outcome {
             self.shared.metrics.refusal(refusal.code());
         }
-        self.cell().start_answered(order.run, outcome, clock, now);
-        if outcome != StartOutcome::Started {
+        let has_room = {
+            let mut cell = self.cell();
+            cell.start_answered(order.run, outcome, clock, now);
+            cell.has_room_for_held_starts()
+        };
+        if has_room || outcome != StartOutcome::Started {
             self.wake.notify_one();
         }
     }
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -248,13 +248,21 @@
         self.cell.take_orders()
     }
 
-    /// Runs a scheduling round and executes all of its starts.
+    /// Runs a scheduling round and executes all of its starts, and further rounds for what the window
+    /// of starts held back.
     pub fn start_all(&mut self) -> Vec<StartOrder> {
-        let starts = starts(&self.decide());
-        for start in &starts {
-            self.start(start);
+        let mut all = Vec::new();
+        loop {
+            let sent = starts(&self.decide());
+            for start in &sent {
+                self.start(start);
+            }
+            let is_last = sent.is_empty();
+            all.extend(sent);
+            if is_last || !self.cell.has_room_for_held_starts() {
+                return all;
+            }
         }
-        starts
     }
 
     /// Executes one start, and answers it.
