A stop that nobody confirms is repeated less and less often while its worker is not heard

Cause: each unconfirmed stop was sent again every 300 ms. Change: the pause doubles from 300 ms up to 2.4 s while nothing is heard of the worker. Once it has answered a poll since, the stop is due 300 ms after it was sent, as before: at once if that is past. The first repeat still comes after 300 ms in any case, so a task of a cancelled job runs on no longer.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -257,6 +257,8 @@
 pub struct Stop {
     /// When the stop was last sent, by our clock.
     pub sent: Millis,
+    /// How many times it was sent again.
+    pub repeats: u32,
     /// When the stop was confirmed.  The answer to a poll sent later shows its effect.
     pub confirmed: Option<Sequence>,
 }
--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -253,8 +253,10 @@
 
     fn send_stop(&mut self, key: RunKey, now: Millis) {
         let run = &mut self.runs[key];
+        let repeats = run.stop.map_or(0, |stop| stop.repeats + 1);
         run.stop = Some(Stop {
             sent: now,
+            repeats,
             confirmed: None,
         });
         let (worker, number) = (run.worker, run.number);
@@ -295,23 +297,30 @@
         run.is_some_and(|run| run.phase == Phase::Doubtful)
     }
 
-    /// Repeats stops that were not confirmed within [`tuning::STOP_RETRY`].
+    /// Repeats stops that were not confirmed.
     pub(super) fn repeat_stops(&mut self, now: Millis) {
-        let due: Vec<RunKey> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| {
-                run.stop.is_some_and(|stop| {
-                    stop.confirmed.is_none() && stop.sent + tuning::STOP_RETRY <= now
-                })
-            })
-            .map(|(key, _)| key)
-            .collect();
-        for key in due {
+        let runs = self.runs.iter();
+        let due = runs.filter(|(_, run)| self.is_stop_due(run, now));
+        for key in due.map(|(key, _)| key).collect::<Vec<_>>() {
             self.send_stop(key, now);
         }
     }
 
+    /// Returns whether an unconfirmed stop must be repeated.  While nothing is heard of the worker
+    /// the pause doubles, since the worker, or our own link to it, carries nothing.  Once the worker
+    /// has answered a poll since, and the run is still not known to be over, the stop is due
+    /// [`tuning::STOP_RETRY`] after it was sent.
+    fn is_stop_due(&self, run: &Run, now: Millis) -> bool {
+        let Some(stop) = run.stop.filter(|stop| stop.confirmed.is_none()) else {
+            return false;
+        };
+        let worker = &self.workers[run.worker];
+        let was_heard = !worker.is_silent() && worker.last_heard > stop.sent;
+        let doublings = if was_heard { 0 } else { stop.repeats };
+        let factor = 1 << doublings.min(tuning::MAX_STOP_DOUBLINGS);
+        stop.sent + tuning::STOP_RETRY * factor <= now
+    }
+
     /// Processes the end of a known run.
     pub(super) fn run_ended(&mut self, key: RunKey, end: &EndEntry, now: Millis) {
         self.note_survival(key);
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -62,6 +62,9 @@
 pub const MAX_ENDS_LISTED: usize = 500;
 /// How long after an unanswered or unconfirmed stop it is sent again.
 pub const STOP_RETRY: Millis = 300;
+/// How many times the pause between two such stops doubles while nothing is heard of the worker: up
+/// to 2.4 s.
+pub const MAX_STOP_DOUBLINGS: u32 = 3;
 /// The estimated time from a stop to the news of the run's end: the platform's bounds lie between
 /// 200 and 900 ms, and most stops are quicker.
 pub const TYPICAL_STOP_TIME: Millis = 300;
