Workers that do not answer are probed less often, and only some of them at a time

Cause: each silent worker was polled every 250 ms. An owner whose link was full counted 332 of 343 workers as silent, and 580 to 650 polls a second failed, each over a new connection; they kept the link full. Change: the pauses after failed polls in a row are 20 ms, 250 ms, 500 ms, then 1 s, each shortened by up to a quarter by the worker's key and the number of the failure, so that workers that fell silent together are not probed together. One in eight workers, and 16 at least, may be probed at a time; those that wait longest go first. Polls of workers that answer renew leases and never wait here.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -27,6 +27,7 @@
 use crate::node::heartbeat;
 use crate::node::loading;
 use crate::node::pace::{self, RoundStats};
+use crate::node::probes::ProbeLimit;
 use crate::node::recording::MAX_JOBS;
 use crate::node::roster_rows::RosterRows;
 use crate::node::shared::Shared;
@@ -102,6 +103,8 @@
     succession: Mutex<Succession>,
     /// All entries of workers that were written before this time, by our clock, are applied.
     pub(super) workers_read_at: AtomicU64,
+    /// Limits how many silent workers are polled at a time.
+    pub(super) probes: ProbeLimit,
     /// The workers for which a poll loop was started.
     polled_workers: Mutex<HashSet<WorkerKey>>,
     /// Wakes the poll loops of parked workers.
@@ -155,6 +158,7 @@
             standing: Mutex::default(),
             succession: Mutex::new(loaded.succession),
             workers_read_at: AtomicU64::new(shared.now()),
+            probes: ProbeLimit::default(),
             polled_workers: Mutex::default(),
             unpark_notifiers: Mutex::default(),
             lanes: Mutex::new(vec![shared.name.clone()]),
@@ -695,6 +699,7 @@
     /// Starts a poll loop for each worker that has none yet.
     pub(super) fn poll_new_workers(self: &Arc<Self>) {
         let keys = self.cell().worker_keys();
+        self.probes.raise(keys.len());
         let mut polled_workers = self
             .polled_workers
             .lock()
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -27,6 +27,7 @@
 pub mod owner_calls;
 pub mod pace;
 pub mod policy;
+pub mod probes;
 pub mod process;
 pub mod recording;
 pub mod roster_rows;
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -10,12 +10,11 @@
 use crate::clock::Millis;
 use crate::node::engine::Engine;
 use crate::node::links::Tickets;
+use crate::node::probes;
 use crate::rpc::node::{NodeCall, NodeReply};
 
-/// The pause after the first failed poll in a row, of which only the answer may have been lost.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// The pause after each further failed poll.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// How often it is checked whether an owner that may not give orders may do so again.
+const STANDBY_PAUSE: Duration = Duration::from_millis(250);
 /// How long a worker's next poll is put off at most while its ends wait to be recorded.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(400);
 /// The pause between two polls of a worker that lists held ends, whose jobs are not read yet.  Such
@@ -132,13 +131,19 @@
         let mut failures = 0;
         loop {
             if !self.is_active() {
-                tokio::time::sleep(RETRY_PAUSE).await;
+                tokio::time::sleep(STANDBY_PAUSE).await;
                 continue;
             }
             if self.cell().is_parked(key) {
                 self.wait_until_unparked(key).await;
             }
-            match self.poll_worker(key, POLL_WAIT_LIMIT).await {
+            let probe = match failures {
+                0 => None,
+                _ => self.probes.acquire().await,
+            };
+            let result = self.poll_worker(key, POLL_WAIT_LIMIT).await;
+            drop(probe);
+            match result {
                 PollResult::Gone => {
                     // Another life may have taken its place, which needs a poll loop of its own.
                     self.poll_new_workers();
@@ -150,13 +155,7 @@
                 }
                 PollResult::Failed => {
                     failures += 1;
-                    let first = failures == 1;
-                    tokio::time::sleep(if first {
-                        FIRST_RETRY_PAUSE
-                    } else {
-                        RETRY_PAUSE
-                    })
-                    .await;
+                    tokio::time::sleep(probes::pause_after(failures, key)).await;
                 }
             }
         }
