A start that was not sent shows nothing of its worker

Cause: a start for which no connection could be opened in time marked its worker as silent, though the poll that was open there was well. A silent worker's next poll renews no lease. With a full link this was the owner's own fault. If it is gone, the poll that is open there, or the next one, fails and shows it. The pause no longer shortens a longer one.

--- a/src/cell/run.rs
+++ b/src/cell/run.rs
@@ -208,9 +208,11 @@
         let worker = &mut self.workers[worker_key];
         match refusal {
             Refusal::Gone => self.lose_worker(worker_key, now, LostBy::OtherLife),
-            Refusal::NotSent => worker.mark_silent(now),
-            Refusal::Unhealthy => {
-                worker.health.shunned_until = now + tuning::UNHEALTHY_PAUSE;
+            // What was not sent shows nothing of the worker: our own link may be the cause.  If the
+            // worker is gone, the poll that is open there or the next one fails as well.
+            Refusal::NotSent | Refusal::Unhealthy => {
+                let until = now + tuning::UNHEALTHY_PAUSE;
+                worker.health.shunned_until = worker.health.shunned_until.max(until);
             }
             Refusal::Late => worker.clock = None,
             Refusal::Ticket => {
--- a/tests/start_window.rs
+++ b/tests/start_window.rs
@@ -207,3 +207,22 @@
     // Assert.
     assert_eq!(sent.len(), size as usize);
 }
+
+/// Guards against a worker that counts as silent, and whose lease runs out, since our own link could
+/// not carry a start.
+#[test]
+fn a_start_that_was_not_sent_shows_nothing_of_its_worker() {
+    // Arrange.
+    let (mut bench, sent) = busy_core(1);
+    let refused = StartOutcome::Refused(crossweir::cell::order::Refusal::NotSent);
+
+    // Act.
+    let now = bench.now;
+    bench.cell.start_answered(sent[0].run, refused, None, now);
+
+    // Assert.
+    assert_eq!(bench.cell.count_workers().silent, 0);
+    let next = starts(&bench.decide());
+    assert_eq!(next.len(), 1, "the task starts elsewhere");
+    assert_ne!(next[0].to.worker, sent[0].to.worker);
+}
