--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -65,6 +65,9 @@
 pub const MAX_ENDS_LISTED: usize = 500;
 /// How long after an unanswered or unconfirmed stop it is sent again.
 pub const STOP_RETRY: Millis = 300;
+/// How many times the pause between two such stops doubles while nothing is heard of the worker: up
+/// to 2.4 s.
+pub const MAX_STOP_DOUBLINGS: u32 = 3;
 /// The estimated time from a stop to the news of the run's end: the platform's bounds lie between
 /// 200 and 900 ms, and most stops are quicker.
 pub const TYPICAL_STOP_TIME: Millis = 300;
@@ -231,6 +234,26 @@
 /// A worker that has been silent for this time is recorded with the jobs that it may still run.
 /// A lost answer is followed by another poll after 20 ms, and each record is a write of 15 KB.
 pub const NAME_JOBS_AFTER: Millis = 150;
+/// The most starts in flight, with which an ownership begins; a gang may exceed it.  A start takes 5 ms
+/// while the owner has time, so this many allow 12,000 a second.
+pub const MAX_START_WINDOW: f64 = 64.0;
+/// The fewest starts that may be in flight: 32 a second if each takes 250 ms.
+pub const MIN_START_WINDOW: f64 = 8.0;
+/// By how many starts the window grows in a round trip in which all answers are quick.
+pub const START_WINDOW_STEP: f64 = 4.0;
+/// A start that takes no more than this beyond the lowest time of late is quick: rounds of the owner
+/// and waits for its processor take up to this time.
+pub const QUICK_START_DELAY: Millis = 60;
+/// A start that takes more than this beyond the lowest time of late shows that our link or processor
+/// is behind: half of the time for which an answer is awaited.
+pub const SLOW_START_DELAY: Millis = 120;
+/// A start is overtaken if one that was sent this much later was answered before it.
+pub const START_OVERTAKEN_AFTER: Millis = 50;
+/// Half of the time for which the lowest time of a start counts.
+pub const LOWEST_TIME_PERIOD: Millis = 10_000;
+/// The most starts that wait for their records, in windows of starts.  Each costs a part of a row, and
+/// its placement is out of date by the time that a link or store that is behind has carried it.
+pub const PLANNED_START_WINDOWS: usize = 2;
 /// The run numbers of an owner start at its epoch times this value, above those of all
 /// predecessors.
 pub const RUNS_PER_EPOCH: u64 = 1_000_000;
--- a/tests/cell_core/mod.rs
+++ b/tests/cell_core/mod.rs
@@ -248,8 +248,18 @@
         self.cell.take_orders()
     }
 
-    /// Runs a scheduling round and executes all of its starts.
+    /// Runs a scheduling round and executes all of its starts, and further rounds for what the window
+    /// of starts held back.
     pub fn start_all(&mut self) -> Vec<StartOrder> {
+        let mut starts = self.start_round();
+        while self.cell.has_room_for_held_starts() {
+            starts.extend(self.start_round());
+        }
+        starts
+    }
+
+    /// Runs a scheduling round and executes all of its starts.
+    pub fn start_round(&mut self) -> Vec<StartOrder> {
         let starts = starts(&self.decide());
         for start in &starts {
             self.start(start);
