Fixtures: the split cell takes any number of workers and something between nodes and world

Cause: tests of narrow links need the split cell's nodes, paths and records of runs, with more workers and with links on the way; the virtual cell's links had a fixed rate.

Change: SplitCell::settled_with, submit_step, join_workers, gauge; faults_of for given seeds; Link::set_rate; the sizes of rows beside the link. What the present tests do is unchanged.

--- a/tests/split_cell/mod.rs
+++ b/tests/split_cell/mod.rs
@@ -1,10 +1,11 @@
-//! Fixture: a cell of seven nodes and eight workers in virtual time, in which single paths between
+//! Fixture: a cell of seven nodes and, usually, eight workers in virtual time, in which single paths between
 //! nodes, to workers and to the store can be cut, nodes be killed and started again, and workers be
 //! lost for good.
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
     EndKind, PollFailure, PollOrder, PollReport, Refusal, StartOrder, StartOutcome, StopOrder,
 };
 use crossweir::cell::record::JobRow;
-use crossweir::cell::spec::JobId;
+use crossweir::cell::spec::{JobId, Step};
 use crossweir::clock::{Clock, Millis};
 use crossweir::embedded::JsonDecoder;
 use crossweir::embedded::store::MemoryStore;
@@ -140,11 +141,36 @@
 }
 
 /// The world as one node sees it.
-struct View {
+pub struct View {
     node: usize,
     world: Arc<World>,
 }
 
+impl View {
+    pub fn node(&self) -> usize {
+        self.node
+    }
+}
+
+/// What a node calls.
+pub struct Reached {
+    pub store: Arc<dyn Store>,
+    pub workers: Arc<dyn Workers>,
+    pub peers: Arc<dyn NodeLink>,
+}
+
+/// Puts something between each node and its view of the world.
+pub type Between = Box<dyn Fn(Arc<View>) -> Reached>;
+
+/// Puts nothing between them.
+fn nothing(view: Arc<View>) -> Reached {
+    Reached {
+        store: view.clone(),
+        workers: view.clone(),
+        peers: view,
+    }
+}
+
 impl Store for View {
     fn call(&self, call: StoreCall) -> BoxFuture<'_, Result<StoreReply, StoreError>> {
         async move {
@@ -266,6 +292,8 @@
     pub world: Arc<World>,
     clock: Arc<dyn Clock>,
     processes: BTreeMap<usize, Process>,
+    workers: u16,
+    between: Between,
     boots: u64,
     jobs: u64,
 }
@@ -277,16 +305,21 @@
 impl SplitCell {
     /// Starts all nodes, and waits until one of them owns the cell and has settled.
     pub async fn settled() -> Self {
+        Self::settled_with(WORKERS, Box::new(nothing)).await
+    }
+
+    /// Does the same with so many workers, and with something between the nodes and the world.
+    pub async fn settled_with(workers: u16, between: Between) -> Self {
         let clock: Arc<dyn Clock> = Arc::new(RuntimeClock(Instant::now()));
         let store = MemoryStore::default();
         let mut tx = Transaction::default();
-        for number in 0..WORKERS {
+        for number in 0..workers {
             let entry = worker(number);
             let key = RowKey::new(Table::Workers, "", &entry.life.id);
             tx.puts.push((key, encode(&entry)));
         }
         store.commit(&tx);
-        let ids = (0..WORKERS).map(|number| format!("w{number}"));
+        let ids = (0..workers).map(|number| format!("w{number}"));
         let world = World {
             paths: Mutex::new(Paths {
                 nodes: BTreeSet::new(),
@@ -302,6 +335,8 @@
             world: Arc::new(world),
             clock,
             processes: BTreeMap::new(),
+            workers,
+            between,
             boots: 0,
             jobs: 0,
         };
@@ -323,12 +358,13 @@
             node,
             world: Arc::clone(&self.world),
         });
+        let reached = (self.between)(view);
         let links = Links {
-            store: view.clone(),
-            workers: view.clone(),
+            store: reached.store,
+            workers: reached.workers,
             advisor: None,
             decoder: Arc::new(JsonDecoder),
-            peers: view,
+            peers: reached.peers,
         };
         let identity = Identity {
             name: format!("n{node}"),
@@ -408,10 +444,15 @@
     /// Hands a job of equal tasks in at a node, which tells the owner that it knows.  Returns the
     /// id, or none if the node runs not or does not reach the store.
     pub async fn submit(&mut self, node: usize, tasks: u32, time: Millis) -> Option<u64> {
+        self.submit_step(node, step(tasks, 8_000), time).await
+    }
+
+    /// Does the same with a job of this step.
+    pub async fn submit_step(&mut self, node: usize, step: Step, time: Millis) -> Option<u64> {
         let serves = self.world.paths().store[node] == StoreState::Serves;
         let process = self.processes.get(&node).filter(|_| serves)?;
         self.jobs += 1;
-        let mut row: JobRow = job(self.jobs, &queue("q", 0), vec![step(tasks, 8_000)]);
+        let mut row: JobRow = job(self.jobs, &queue("q", 0), vec![step]);
         row.spec.text = time.to_string();
         let mut tx = Transaction::default();
         let key = RowKey::new(Table::Jobs, &job_partition(node), &row.id.to_string());
@@ -428,6 +469,19 @@
         Some(self.jobs)
     }
 
+    /// The state that a node's metrics show under this name; none if there is none.
+    pub fn gauge(&self, node: usize, what: &str) -> Option<u64> {
+        let shared = &self.processes.get(&node)?.front.shared;
+        if let Some(engine) = shared.engine() {
+            engine.export_counts(&shared.metrics);
+        }
+        let text = shared.metrics.render().expect("metrics");
+        let name = format!("crossweir_state{{what=\"{what}\"}} ");
+        let text = String::from_utf8(text).expect("text");
+        let value = text.lines().find_map(|line| line.strip_prefix(&name))?;
+        value.parse().ok()
+    }
+
     /// Sets how the store treats these nodes.
     pub fn set_store(&self, nodes: &[usize], state: StoreState) {
         for &node in nodes {
@@ -464,6 +518,14 @@
         }
     }
 
+    /// Makes the paths to these workers whole again.
+    pub fn join_workers(&self, workers: &[u16]) {
+        let mut paths = self.world.paths();
+        paths
+            .workers
+            .retain(|(_, worker)| !workers.contains(worker));
+    }
+
     /// Loses a worker for good, with what runs there and with the ends that it lists.
     pub fn lose_worker(&self, number: u16) {
         self.world.paths().lost_workers.insert(number);
@@ -483,7 +545,7 @@
     pub fn list_workers(&self) {
         let mut tx = Transaction::default();
         let lost = self.world.paths().lost_workers.clone();
-        for number in (0..WORKERS).filter(|number| !lost.contains(number)) {
+        for number in (0..self.workers).filter(|number| !lost.contains(number)) {
             let entry = worker(number);
             let key = RowKey::new(Table::Workers, "", &entry.life.id);
             tx.puts.push((key, encode(&entry)));
@@ -656,7 +718,8 @@
     }
 }
 
-fn number(name: &str, otherwise: u64) -> u64 {
+/// Reads a number from the environment.
+pub fn number(name: &str, otherwise: u64) -> u64 {
     let value = std::env::var(name).ok();
     value.map_or(otherwise, |value| value.parse().expect("a number"))
 }
@@ -668,7 +731,14 @@
     F: Future<Output = Option<String>>,
 {
     let first = number("CROSSWEIR_SEED", 1);
-    let seeds = first..first + number("CROSSWEIR_RUNS", 40);
+    faults_of(first..first + number("CROSSWEIR_RUNS", 40), play)
+}
+
+/// Plays the random worlds of these seeds in the same way.
+pub fn faults_of<F>(seeds: Range<u64>, play: impl Fn(u64) -> F) -> Vec<String>
+where
+    F: Future<Output = Option<String>>,
+{
     let fault = |seed| {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_time()
--- a/tests/virtual_cell/link.rs
+++ b/tests/virtual_cell/link.rs
@@ -1,9 +1,10 @@
 //! Links with a bandwidth: bytes wait in a queue for each direction of a VM's link.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use crossweir::store::StoreError;
+use crossweir::store::{Row, StoreError};
 use tokio::time::Instant;
 
 /// Concurrent transfers take turns on a link after this many bytes.
@@ -15,21 +16,22 @@
 
 /// One direction of a link.
 struct Direction {
-    bytes_per_ms: usize,
+    bytes_per_ms: AtomicUsize,
     free_at: Mutex<Instant>,
 }
 
 impl Direction {
     fn new(bytes_per_ms: usize) -> Self {
         Self {
-            bytes_per_ms,
+            bytes_per_ms: bytes_per_ms.into(),
             free_at: Mutex::new(Instant::now()),
         }
     }
 
     /// Queues bytes; returns when the last of them has been sent.
     fn reserve(&self, bytes: usize) -> Instant {
-        let micros = bytes as u64 * 1_000 / self.bytes_per_ms as u64;
+        let bytes_per_ms = self.bytes_per_ms.load(Ordering::Relaxed);
+        let micros = bytes as u64 * 1_000 / bytes_per_ms as u64;
         let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
         *free_at = (*free_at).max(Instant::now()) + Duration::from_micros(micros);
         *free_at
@@ -51,6 +53,15 @@
         }
     }
 
+    /// Changes the bandwidth in each direction, for bytes that are not queued yet.
+    pub fn set_rate(&self, bytes_per_ms: usize) {
+        for direction in [&self.incoming, &self.outgoing] {
+            direction
+                .bytes_per_ms
+                .store(bytes_per_ms, Ordering::Relaxed);
+        }
+    }
+
     /// Waits until `bytes` have arrived from a store whose link is unlimited.
     ///
     /// # Errors
@@ -80,3 +91,18 @@
         .step_by(SEGMENT_BYTES)
         .map(move |start| SEGMENT_BYTES.min(bytes - start))
 }
+
+/// The size of rows in an answer of the store: their values are sent as base64.
+pub fn row_bytes(rows: &[Row]) -> usize {
+    rows.iter()
+        .map(|row| row.key.len() + value_bytes(&row.value))
+        .sum()
+}
+
+/// The size of a row of the store without its key, in bytes.
+pub fn value_bytes(value: &str) -> usize {
+    value.len() * 4 / 3 + ROW_OVERHEAD
+}
+
+/// The size of a row without its key and value, in bytes.
+const ROW_OVERHEAD: usize = 60;
--- a/tests/virtual_cell/mod.rs
+++ b/tests/virtual_cell/mod.rs
@@ -24,14 +24,14 @@
 use crossweir::platform::store::READ_STALL_TIMEOUT;
 use crossweir::rpc::PeerError;
 use crossweir::rpc::node::{NodeCall, NodeLink, NodeReply, NodeService};
-use crossweir::store::{Row, Store, StoreCall, StoreError, StoreReply};
+use crossweir::store::{Store, StoreCall, StoreError, StoreReply};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use crate::virtual_node::{NoDecoder, NoWorkers, RuntimeClock};
-use link::{Link, UNLIMITED, transfer};
+use link::{Link, UNLIMITED, row_bytes, transfer};
 
 /// The delay of a message in one direction.
 const ONE_WAY_DELAY: Duration = Duration::from_millis(1);
@@ -182,23 +182,13 @@
             .unwrap_or(Err(StoreError::Unavailable))?;
         if let StoreReply::Rows { rows, .. } = &reply {
             self.link
-                .receive(wire_bytes(rows), READ_STALL_TIMEOUT)
+                .receive(row_bytes(rows), READ_STALL_TIMEOUT)
                 .await?;
         }
         Ok(reply)
     }
 }
 
-/// The size of rows in an answer of the store: their values are sent as base64.
-fn wire_bytes(rows: &[Row]) -> usize {
-    rows.iter()
-        .map(|row| row.key.len() + row.value.len() * 4 / 3 + ROW_OVERHEAD)
-        .sum()
-}
-
-/// The size of a row without its key and value, in bytes.
-const ROW_OVERHEAD: usize = 60;
-
 /// How slow the store is, and how many claims of the cell it has received.
 #[derive(Default)]
 pub struct StoreTiming {
