The window of starts opens with 16, and a late answer ends the pause before the next poll

Cause: an owner sent 64 starts at once before it knew what its link carries. On the narrowest link of the tests (100 bytes/ms, of which an idle owner takes 57) they arrived 2.3 s late, and 20 runs lapsed 0.17 s after they had begun, when their starts' first leases were over.

Change: an ownership begins with a window of 16 starts, which grows to 64 within some twelve round trips while answers come quickly. Beside that a worker whose late answer arrives is polled at once, with a renewal, instead of after up to 1 s.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -580,6 +580,11 @@
         }
     }
 
+    /// Returns whether the last call to a worker was not answered.
+    pub fn is_silent(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(Worker::is_silent)
+    }
+
     /// Returns whether the lease of a silent worker was over at `at`.
     fn has_run_out(&self, worker: &Worker, at: Millis) -> bool {
         worker.is_silent() && at > worker.lease_end
--- a/src/cell/start_pace.rs
+++ b/src/cell/start_pace.rs
@@ -36,7 +36,7 @@
         Self {
             sent: BTreeMap::new(),
             in_flight: 0,
-            window: tuning::MAX_START_WINDOW,
+            window: tuning::FIRST_START_WINDOW,
             answered_sent: 0,
             halved_at: 0,
             times: LowestTimes::default(),
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -234,9 +234,12 @@
 /// A worker that has been silent for this time is recorded with the jobs that it may still run.
 /// A lost answer is followed by another poll after 20 ms, and each record is a write of 15 KB.
 pub const NAME_JOBS_AFTER: Millis = 150;
-/// The most starts in flight, with which an ownership begins; a gang may exceed it.  A start takes 5 ms
-/// while the owner has time, so this many allow 12,000 a second.
+/// The most starts in flight; a gang may exceed it.  A start takes 5 ms while the owner has time, so
+/// this many allow 12,000 a second.
 pub const MAX_START_WINDOW: f64 = 64.0;
+/// The most starts in flight as an ownership begins: what the link carries is not known yet.  It takes
+/// twelve round trips, some 60 ms, until the window is at its largest.
+pub const FIRST_START_WINDOW: f64 = 16.0;
 /// The fewest starts that may be in flight: 32 a second if each takes 250 ms.
 pub const MIN_START_WINDOW: f64 = 8.0;
 /// By how many starts the window grows in a round trip in which all answers are quick.
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -66,8 +66,8 @@
     pub(super) shared: Arc<Shared>,
     /// The calls to workers that have ended since the last summary.
     pub(super) calls: CallClock,
-    /// The workers of which an answer is awaited that is late.
-    pub(super) late_polls: Mutex<HashSet<WorkerKey>>,
+    /// The workers of which an answer is awaited that is late, each with what tells that it has come.
+    pub(super) late_polls: Mutex<HashMap<WorkerKey, Arc<Notify>>>,
     cell: Mutex<Cell>,
     /// How long new jobs are expected to wait.
     publication: Mutex<Publication>,
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -1,10 +1,13 @@
 //! Carries out the core's orders (starts, stops, advice questions), and polls the workers.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::pin::Pin;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures::future;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::cell::WorkerKey;
@@ -195,7 +198,10 @@
                 }
                 PollResult::Failed => {
                     failures += 1;
-                    tokio::time::sleep(probes::pause_after(failures, key)).await;
+                    self.pause_after_failure(key, failures).await;
+                    if !self.cell().is_silent(key) {
+                        failures = 0;
+                    }
                 }
             }
         }
@@ -270,9 +276,11 @@
     /// link each further answer is as late.  One such poll of a worker is awaited at a time, the first
     /// one, since others would hold connections.
     fn await_late_answer(self: &Arc<Self>, key: WorkerKey, poll: PendingPoll) {
-        if !self.late_polls().insert(key) {
-            return;
-        }
+        let answered = Arc::new(Notify::new());
+        match self.late_polls().entry(key) {
+            Entry::Occupied(_) => return,
+            Entry::Vacant(entry) => entry.insert(Arc::clone(&answered)),
+        };
         let engine = Arc::clone(self);
         self.spawn(async move {
             let (order, answer) = poll.await;
@@ -283,11 +291,27 @@
                 engine.note_call(key, took, order.wait, true, None);
                 engine.poll_answered(&order, &report);
                 engine.wake.notify_one();
+                answered.notify_one();
             }
         });
     }
 
-    fn late_polls(&self) -> MutexGuard<'_, HashSet<WorkerKey>> {
+    /// Pauses after a failed poll, the last of so many in a row.  A late answer ends the pause: the
+    /// lease of a worker that answers should be renewed.
+    async fn pause_after_failure(&self, key: WorkerKey, failures: u32) {
+        let answered = self.late_polls().get(&key).cloned();
+        let late_answer = async {
+            match answered {
+                Some(answered) => answered.notified().await,
+                None => future::pending().await,
+            }
+        };
+        let pause = probes::pause_after(failures, key);
+        // Either way it is time for the next poll.
+        let _ = tokio::time::timeout(pause, late_answer).await;
+    }
+
+    fn late_polls(&self) -> MutexGuard<'_, HashMap<WorkerKey, Arc<Notify>>> {
         self.late_polls
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
