--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -231,7 +231,7 @@
 pub const START_WINDOW_STEP: f64 = 4.0;
 /// A start that takes no more than this beyond the lowest time of late is quick: rounds of the owner
 /// and waits for its processor take up to this time.
-pub const QUICK_START_DELAY: Millis = 60;
+pub const QUICK_START_DELAY: Millis = 40;
 /// A start that takes more than this beyond the lowest time of late shows that our link or processor
 /// is behind: half of the time for which an answer is awaited.
 pub const SLOW_START_DELAY: Millis = 120;
