--- a/tests/start_window.rs
+++ b/tests/start_window.rs
@@ -5,8 +5,11 @@
 use std::collections::BTreeSet;
 
 use cell_core::{Bench, job, queue, starts, step};
-use crossweir::cell::order::{StartOrder, StartOutcome};
+use crossweir::cell::job::JobState;
+use crossweir::cell::order::{Refusal, StartOrder, StartOutcome};
+use crossweir::cell::record::JobProgress;
 use crossweir::cell::spec::JobId;
+use crossweir::cell::task_set::TaskSet;
 use crossweir::cell::tuning;
 use crossweir::clock::Millis;
 use crossweir::queue::Queue;
@@ -208,13 +211,51 @@
     assert_eq!(sent.len(), size as usize);
 }
 
+/// The progress of a job of a former owner, of which each start is recorded before it is sent.
+fn progress_of_recorded_starts() -> JobProgress {
+    JobProgress {
+        state: JobState::Running,
+        tasks: Vec::new(),
+        done: TaskSet::default(),
+        record_starts_first: true,
+        workspace: None,
+    }
+}
+
+/// Guards against a link and a store that are full of rows for starts whose placement is out of date
+/// when they are recorded: only the starts of each single job were limited.
+#[test]
+fn starts_that_wait_for_their_records_are_limited_over_all_jobs() {
+    // Arrange.
+    let queues = queues();
+    let mut bench = Bench::new(WORKERS, &queues);
+    let progress = progress_of_recorded_starts();
+    for id in 1..=10 {
+        let row = job(id, &queues[1], vec![step(100, 10)]);
+        bench.cell.accept(&row, Some(&progress), false, bench.now);
+    }
+    for _ in 0..200 {
+        bench.pass(100);
+        bench.poll_all();
+    }
+
+    // Act.
+    for _ in 0..10 {
+        bench.cell.schedule(bench.now);
+    }
+
+    // Assert.
+    let most = tuning::PLANNED_START_WINDOWS * bench.cell.start_window();
+    assert_eq!(bench.cell.counts().planned, most as u64);
+}
+
 /// Guards against a worker that counts as silent, and whose lease runs out, since our own link could
 /// not carry a start.
 #[test]
 fn a_start_that_was_not_sent_shows_nothing_of_its_worker() {
     // Arrange.
     let (mut bench, sent) = busy_core(1);
-    let refused = StartOutcome::Refused(crossweir::cell::order::Refusal::NotSent);
+    let refused = StartOutcome::Refused(Refusal::NotSent);
 
     // Act.
     let now = bench.now;
