A worker with a listed next life is asked about at both addresses

Cause: a question to witnesses went to one of two addresses, and that of a next life, which may not answer yet, would have counted as silence of the present one.

Change: both are asked; only the present life's address counts as evidence.

--- a/src/cell/silence.rs
+++ b/src/cell/silence.rs
@@ -13,7 +13,9 @@
 //! place in the order of calls is taken before the witness is asked, so what was said to or heard from
 //! the worker before that is reflected in the answer, as in that to any poll.
 
-use crate::cell::order::{PollOrder, PollReport};
+use std::net::SocketAddr;
+
+use crate::cell::order::{Addressee, PollOrder, PollReport};
 use crate::cell::poll::HeardBy;
 use crate::cell::worker::Worker;
 use crate::cell::{Cell, WorkerKey, tuning};
@@ -42,7 +44,7 @@
     /// Returns probes of the silent workers about which witnesses are to be asked now, of each worker
     /// at most once in [`tuning::SILENCE_QUESTION_INTERVAL`] and of at most
     /// [`tuning::MAX_SILENCE_QUESTIONS`] workers.  Those that have not been asked about for longest come
-    /// first.
+    /// first.  A worker of which another life is listed is asked at both addresses.
     pub fn take_silence_questions(&mut self, now: Millis) -> Vec<PollOrder> {
         let is_due = |worker: &Worker| {
             let last = worker.witness_asked_at;
@@ -55,12 +57,17 @@
             .collect();
         due.sort_unstable();
         due.truncate(tuning::MAX_SILENCE_QUESTIONS);
-        due.into_iter()
-            .map(|(_, key)| {
-                self.workers[key].witness_asked_at = Some(now);
-                self.probe(key, now)
-            })
-            .collect()
+        let mut probes = Vec::new();
+        for (_, key) in due {
+            let worker = &mut self.workers[key];
+            worker.witness_asked_at = Some(now);
+            let next = worker.next.as_ref().map(|next| next.entry.address);
+            let addresses = [Some(worker.entry.address), next];
+            for address in addresses.into_iter().flatten() {
+                probes.push(self.probe(key, address, now));
+            }
+        }
+        probes
     }
 
     /// Returns probes of up to [`tuning::MAX_CONTROL_WORKERS`] workers that this owner has just heard.
@@ -79,15 +86,18 @@
         heard.truncate(tuning::MAX_CONTROL_WORKERS);
         heard
             .into_iter()
-            .map(|(_, key)| self.probe(key, now))
+            .map(|(_, key)| self.probe(key, self.workers[key].entry.address, now))
             .collect()
     }
 
     /// Prepares a poll that renews no lease, forgets nothing and does not wait.
-    fn probe(&mut self, key: WorkerKey, now: Millis) -> PollOrder {
+    fn probe(&mut self, key: WorkerKey, address: SocketAddr, now: Millis) -> PollOrder {
         PollOrder {
             sequence: self.next_sequence(),
-            to: self.addressee(key),
+            to: Addressee {
+                address,
+                ..self.addressee(key)
+            },
             sent: now,
             forget: 0,
             due: None,
@@ -96,12 +106,14 @@
     }
 
     /// Notes that no witness has reached the worker of a probe, although all of them heard other
-    /// workers meanwhile.  That counts for nothing if the worker was heard since the probe was prepared.
+    /// workers meanwhile.  That counts for nothing if the worker was heard since the probe was prepared,
+    /// or if the probe went to the address of another life.
     pub fn note_unreached(&mut self, order: &PollOrder) {
         let Some(worker) = self.workers.get_mut(order.to.worker) else {
             return;
         };
-        if worker.last_answer < order.sequence {
+        let is_present_life = order.to.address == worker.entry.address;
+        if is_present_life && worker.last_answer < order.sequence {
             worker.unreached_at = worker.unreached_at.max(Some(order.sent));
         }
     }
--- a/src/node/witness.rs
+++ b/src/node/witness.rs
@@ -20,8 +20,8 @@
 use crate::node::shared::Shared;
 use crate::rpc::node::NodeReply;
 
-/// The most workers that one call names.
-pub const MAX_PROBES: usize = tuning::MAX_SILENCE_QUESTIONS + tuning::MAX_CONTROL_WORKERS;
+/// The most addresses that one call names: up to two of each worker.
+pub const MAX_PROBES: usize = 2 * tuning::MAX_SILENCE_QUESTIONS + tuning::MAX_CONTROL_WORKERS;
 /// The most calls that a witness carries out at a time; it polls up to [`MAX_PROBES`] workers for each.
 pub const MAX_PROBE_CALLS: usize = 16;
 /// How often a worker that does not answer is asked: one answer may be lost.
--- a/tests/silence_evidence.rs
+++ b/tests/silence_evidence.rs
@@ -214,6 +214,48 @@
     assert_eq!(bench.state(1), Some(JobState::Running));
 }
 
+/// Guards against evidence from another address: a life is listed that has not answered, and the
+/// present one may answer at its own address.
+#[test]
+fn a_worker_with_a_listed_next_life_is_asked_at_both_addresses() {
+    // Arrange: the worker tells when its life began.
+    let queue = queue("q", 0);
+    let mut entry = worker(0);
+    entry.life.born = Some(1);
+    let mut cell = Cell::new(1, configuration(std::slice::from_ref(&queue)), 1_000);
+    cell.list_workers(vec![entry.clone()], 1_000);
+    let mut bench = Bench::with(cell, 1_000);
+    let report = PollReport {
+        born: Some(1),
+        clock: 1_000,
+        ..PollReport::default()
+    };
+    let key = bench.worker(0);
+    bench.poll_with_report(key, &report);
+    bench.pass(0);
+    bench.accept(&job(1, &queue, vec![step(1, 1_000)]));
+    assert_eq!(bench.start_all().len(), 1);
+    fall_silent(&mut bench, key);
+    let mut next = worker(99);
+    next.life = entry.life.clone();
+    next.life.born = Some(5);
+    bench.cell.list_worker(next.clone(), bench.now);
+    pass_without_witness(&mut bench, key, LONG);
+
+    // Act.
+    let questions = bench.cell.take_silence_questions(bench.now);
+    let addresses: Vec<_> = questions.iter().map(|order| order.to.address).collect();
+    bench.cell.note_unreached(&questions[1]);
+    pass_without_witness(&mut bench, key, 100);
+    let by_next = bench.cell.counts().lapsed;
+    bench.cell.note_unreached(&questions[0]);
+    pass_without_witness(&mut bench, key, 100);
+
+    // Assert.
+    assert_eq!(addresses, [entry.address, next.address]);
+    assert_eq!((by_next, bench.cell.counts().lapsed), (0, 1));
+}
+
 #[test]
 fn questions_are_bounded_in_number_and_pace() {
     // Arrange: a hundred workers with a run each are silent.
