--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    fn note_written(&self, result: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(written)) = result {
+            self.sent.fetch_add(*written as u64, Ordering::Relaxed);
+        }
+    }
+
     /// Counts a connection, and from now on the bytes on it.
     pub fn count<S>(self: &Arc<Self>, stream: S) -> Counted<S> {
         self.connections.fetch_add(1, Ordering::Relaxed);
@@ -141,11 +147,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(written)) = &result {
-            self.counter
-                .sent
-                .fetch_add(*written as u64, Ordering::Relaxed);
-        }
+        self.counter.note_written(&result);
         result
     }
 
@@ -155,11 +157,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        if let Poll::Ready(Ok(written)) = &result {
-            self.counter
-                .sent
-                .fetch_add(*written as u64, Ordering::Relaxed);
-        }
+        self.counter.note_written(&result);
         result
     }
 
--- a/tests/silence_evidence.rs
+++ b/tests/silence_evidence.rs
@@ -5,7 +5,7 @@
 mod split_cell;
 mod virtual_node;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cell_core::{Bench, configuration, job, listed_end, queue, starts, step, worker};
@@ -378,9 +378,10 @@
     assert_eq!(cell.count_workers().answered, 1);
 }
 
-/// Workers of which some answer, with this many ends each.
+/// Workers of which some answer, with this many ends each, and others are late with every answer.
 struct SomeWorkers {
     ends: BTreeMap<String, usize>,
+    late: BTreeSet<String>,
 }
 
 impl Workers for SomeWorkers {
@@ -401,6 +402,9 @@
             ended: (1..=ends).map(end).collect(),
             ..PollReport::default()
         });
+        if self.late.contains(&order.to.life.id) {
+            return std::future::pending().boxed();
+        }
         async move { report.ok_or(PollFailure::Unanswered) }.boxed()
     }
 }
@@ -415,11 +419,17 @@
 
 /// Asks a witness about the workers up to this number, of which these answer with so many ends.
 async fn ask_witness(probes: u16, ends: &[(u16, usize)]) -> NodeReply {
+    ask_witness_of_late(probes, ends, &[]).await
+}
+
+/// The same, while the answers of these workers are late.
+async fn ask_witness_of_late(probes: u16, ends: &[(u16, usize)], late: &[u16]) -> NodeReply {
     let ends = ends
         .iter()
         .map(|(number, ends)| (format!("w{number}"), *ends));
     let ends = ends.collect();
-    let workers = move |_| -> Arc<dyn Workers> { Arc::new(SomeWorkers { ends }) };
+    let late = late.iter().map(|number| format!("w{number}")).collect();
+    let workers = move |_| -> Arc<dyn Workers> { Arc::new(SomeWorkers { ends, late }) };
     let node = virtual_node_with_workers(&[], workers, Arc::new(JsonDecoder));
     let front = Frontend::new(Arc::clone(&node.shared));
     let probes = (0..probes).map(probe).collect();
@@ -441,6 +451,16 @@
     assert_eq!(findings(&reply, 3), vec![Finding::Unknown; 3]);
 }
 
+/// Guards against a witness that throws a late answer away as the owner did, and calls a worker
+/// unreached that has told it an end.
+#[tokio::test(start_paused = true)]
+async fn a_worker_whose_answer_to_a_witness_is_late_is_not_unreached() {
+    let reply = ask_witness_of_late(3, &[(1, 0)], &[2]).await;
+    let heard = Finding::Heard(PollReport::default());
+    let expected = [Finding::Unreached, heard, Finding::Unknown];
+    assert_eq!(findings(&reply, 3), expected);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_witness_tells_who_answers_and_who_does_not() {
     let reply = ask_witness(3, &[(1, 0)]).await;
