A poll that is sent after the evidence holds nothing up

Change: only polls hold evidence up that were sent before it: before witnesses said that they don't reach the worker, or before its entry went or its lease was over.

--- a/src/cell/silence.rs
+++ b/src/cell/silence.rs
@@ -17,7 +17,8 @@
 
 use crate::cell::order::{Addressee, PollFailure, PollOrder, PollReport, Refusal};
 use crate::cell::poll::HeardBy;
-use crate::cell::worker::Worker;
+use crate::cell::sequence::Sequence;
+use crate::cell::worker::{OpenPoll, Worker};
 use crate::cell::{Cell, WorkerKey, tuning};
 use crate::clock::Millis;
 
@@ -112,6 +113,7 @@
     /// workers meanwhile.  That counts for nothing if the worker was heard since the probe was prepared,
     /// or if the probe went to the address of another life.
     pub fn note_unreached(&mut self, order: &PollOrder) {
+        let noted = self.next_sequence();
         let Some(worker) = self.workers.get_mut(order.to.worker) else {
             return;
         };
@@ -119,6 +121,7 @@
         let is_present_life = order.to.address == worker.entry.address;
         if is_present_life && worker.last_answer < order.sequence {
             worker.unreached_at = worker.unreached_at.max(Some(order.sent));
+            worker.unreached_noted = noted;
         }
     }
 
@@ -143,23 +146,35 @@
         }
     }
 
-    /// Notes that a poll of a worker is sent, or can't be answered any more.
-    pub fn set_poll_open(&mut self, key: WorkerKey, is_open: bool) {
+    /// Notes that a poll is sent.
+    pub fn poll_opened(&mut self, order: &PollOrder) {
+        if let Some(worker) = self.workers.get_mut(order.to.worker) {
+            worker.open_polls.push(OpenPoll {
+                sequence: order.sequence,
+                sent: order.sent,
+            });
+        }
+    }
+
+    /// Notes that the poll of this number is answered, or can't be any more.
+    pub fn poll_closed(&mut self, key: WorkerKey, sequence: Sequence) {
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.open_polls = match is_open {
-                true => worker.open_polls + 1,
-                false => worker.open_polls.saturating_sub(1),
-            };
+            worker.open_polls.retain(|poll| poll.sequence != sequence);
         }
     }
 
     /// Returns the evidence that a worker is cut off or lost since `end`, when everything that may have
-    /// run there was over; none if there is none.  Nothing counts while a poll or a question may still
-    /// be answered: the worker may have told an end in that answer.
+    /// run there was over; none if there is none.  It counts for nothing while a question, or a poll that
+    /// was sent before, may still be answered: the worker may have told an end in that answer.
     pub(super) fn silence_evidence(&self, worker: &Worker, end: Millis) -> Option<SilenceEvidence> {
-        let may_be_answered = worker.open_polls > 0 || worker.is_questioned;
-        self.found_evidence(worker, end)
-            .filter(|_| !may_be_answered)
+        let evidence = self.found_evidence(worker, end)?;
+        let gone_at = worker.unlisted_since.unwrap_or_default().max(end);
+        let was_sent_before = |poll: &OpenPoll| match evidence {
+            SilenceEvidence::Witness => poll.sequence < worker.unreached_noted,
+            SilenceEvidence::EntryGone => poll.sent <= gone_at,
+        };
+        let may_be_answered = worker.is_questioned || worker.open_polls.iter().any(was_sent_before);
+        (!may_be_answered).then_some(evidence)
     }
 
     /// Returns the evidence that was found so far, also while a poll or a question is open.
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -52,6 +52,15 @@
     UpTo(u64),
 }
 
+/// A poll of which the answer may be under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenPoll {
+    /// Its place in the order of calls sent and answers heard.
+    pub sequence: Sequence,
+    /// When it was sent, by our clock.
+    pub sent: Millis,
+}
+
 /// One life of a worker of the cell.  Times are by the owner's clock unless stated otherwise.
 #[derive(Debug)]
 pub struct Worker {
@@ -99,8 +108,8 @@
     pub last_answer: Sequence,
     /// Since when calls have not been answered; none if the last one was.
     pub silent_since: Option<Millis>,
-    /// How many polls of this owner may still be answered.
-    pub open_polls: u32,
+    /// The polls of this owner that may still be answered.
+    pub open_polls: Vec<OpenPoll>,
     /// Witnesses, nodes that ask it on this owner's behalf, are being asked about it.
     pub is_questioned: bool,
     /// When witnesses were last asked about it.
@@ -108,6 +117,8 @@
     /// When the latest question was sent by which witnesses found it not to answer; none if it has
     /// answered since.
     pub unreached_at: Option<Millis>,
+    /// When that was noted.
+    pub unreached_noted: Sequence,
     /// When it gave notice that it leaves.
     pub leaving_since: Option<Millis>,
     /// The last reading of the worker's clock, and when it arrived.
@@ -194,10 +205,11 @@
             last_poll: Sequence::default(),
             last_answer: Sequence::default(),
             silent_since: None,
-            open_polls: 0,
+            open_polls: Vec::new(),
             is_questioned: false,
             witness_asked_at: None,
             unreached_at: None,
+            unreached_noted: Sequence::default(),
             leaving_since: None,
             clock: None,
             lease_end: 0,
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -15,6 +15,7 @@
     AdviceOrder, Order, PollFailure, PollOrder, PollReport, Refusal, StartOrder, StartOutcome,
     StopOrder,
 };
+use crate::cell::sequence::Sequence;
 use crate::clock::Millis;
 use crate::node::engine::Engine;
 use crate::node::link_load::{self, Call, Ending, Peer};
@@ -218,7 +219,8 @@
             return PollResult::Gone;
         };
         order.wait = order.wait.min(max_wait.as_millis() as Millis);
-        let (to, sent, wait) = (order.to.clone(), order.sent, order.wait);
+        let (to, sequence) = (order.to.clone(), order.sequence);
+        let (sent, wait) = (order.sent, order.wait);
         let limit = self.shared.workers.answer_timeout() + Duration::from_millis(wait);
         let deadline = Instant::now() + limit;
         let mut poll = self.send_poll(order);
@@ -228,7 +230,7 @@
             self.shared.workers.note_late(&to);
             self.note_call(key, took, wait, false, None);
             self.poll_failed(key, PollFailure::Unanswered);
-            self.await_late_answer(key, poll);
+            self.await_late_answer(key, sequence, poll);
             return PollResult::Failed;
         };
         let is_answered = !matches!(answer, Err(PollFailure::Unanswered));
@@ -237,7 +239,7 @@
             _ => None,
         };
         self.note_call(key, took, wait, is_answered, refusal);
-        self.close_poll(key);
+        self.close_poll(key, sequence);
         match answer {
             Ok(report) => {
                 self.poll_answered(&order, &report);
@@ -257,12 +259,12 @@
     fn open_poll(&self, key: WorkerKey) -> Option<PollOrder> {
         let mut cell = self.cell();
         let order = cell.poll_order(key, self.shared.now())?;
-        cell.set_poll_open(key, true);
+        cell.poll_opened(&order);
         Some(order)
     }
 
-    fn close_poll(&self, key: WorkerKey) {
-        self.cell().set_poll_open(key, false);
+    fn close_poll(&self, key: WorkerKey, sequence: Sequence) {
+        self.cell().poll_closed(key, sequence);
     }
 
     fn send_poll(&self, order: PollOrder) -> PendingPoll {
@@ -293,16 +295,16 @@
     /// Takes in the answer to a poll that is late: the worker has told the ends in it, and on a full
     /// link each further answer is as late.  [`MAX_LATE_POLLS`] of a worker are awaited at a time, since
     /// each holds a connection.
-    fn await_late_answer(self: &Arc<Self>, key: WorkerKey, poll: PendingPoll) {
+    fn await_late_answer(self: &Arc<Self>, key: WorkerKey, sequence: Sequence, poll: PendingPoll) {
         let Some(answered) = self.add_late_poll(key) else {
-            self.close_poll(key);
+            self.close_poll(key, sequence);
             return;
         };
         let engine = Arc::clone(self);
         self.spawn(async move {
             let (order, answer) = poll.await;
             engine.remove_late_poll(key);
-            engine.close_poll(key);
+            engine.close_poll(key, sequence);
             if let Ok(report) = answer {
                 engine.shared.metrics.event("late_answer");
                 let took = engine.shared.now().saturating_sub(order.sent);
--- a/tests/silence_evidence.rs
+++ b/tests/silence_evidence.rs
@@ -189,12 +189,15 @@
     // Arrange.
     let (mut bench, start) = silent_worker();
     let key = start.to.worker;
-    bench.cell.set_poll_open(key, true);
+    let open = bench.cell.poll_order(key, bench.now).expect("a worker");
+    bench.cell.poll_opened(&open);
 
-    // Act.
+    // Act: another poll that is sent later, and never answered, changes nothing.
     bench.pass(LONG);
+    let later = bench.cell.poll_order(key, bench.now).expect("a worker");
+    bench.cell.poll_opened(&later);
     let while_open = bench.cell.counts().lapsed;
-    bench.cell.set_poll_open(key, false);
+    bench.cell.poll_closed(key, open.sequence);
     bench.pass(10);
 
     // Assert.
