A poll counts as closed only when its answer is taken in

Between the two another thread could have decided on the worker by evidence that the answer disproves. Found by reading; the tests of late answers and of silence pass as before (x86_64).

--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -239,8 +239,7 @@
             _ => None,
         };
         self.note_call(key, took, wait, is_answered, refusal);
-        self.close_poll(key, sequence);
-        match answer {
+        let result = match answer {
             Ok(report) => {
                 self.poll_answered(&order, &report);
                 if max_wait.is_zero() {
@@ -252,7 +251,10 @@
                 self.poll_failed(key, failure);
                 PollResult::Failed
             }
-        }
+        };
+        // Only now: what the answer tells must be known before the poll counts as closed.
+        self.close_poll(key, sequence);
+        result
     }
 
     /// Prepares a poll, which counts as open until [`Engine::close_poll`].
@@ -304,15 +306,15 @@
         self.spawn(async move {
             let (order, answer) = poll.await;
             engine.remove_late_poll(key);
-            engine.close_poll(key, sequence);
             if let Ok(report) = answer {
                 engine.shared.metrics.event("late_answer");
                 let took = engine.shared.now().saturating_sub(order.sent);
                 engine.note_call(key, took, order.wait, true, None);
                 engine.poll_answered(&order, &report);
-                engine.wake.notify_one();
                 answered.notify_one();
             }
+            engine.close_poll(key, sequence);
+            engine.wake.notify_one();
         });
     }
 
