What a worker has told stays told: at a witness, and at a successor whose poll is open

- A witness asks a worker that it has heard again, as a sign that it can hear.
If that answer was late, it replaced the first one, with the ends in it, by "unknown".
What was heard is kept.
- A successor took a missing entry as proof for a worker that it had not reached, also while its own poll was open there.
It goes by the same check of open calls now as for a lease that is over.
- A question that could not be encoded left its workers marked as being asked for good, without a word.
It is plain data and is encoded like the rows of the store.

Evidence (x86_64): what_a_worker_has_told_a_witness_is_kept_if_its_next_answer_is_late fails with the former witness.rs, a_successor_does_not_settle_by_a_missing_entry_while_a_poll_is_open with the former roster.rs; the third has no test.

--- a/src/cell/roster.rs
+++ b/src/cell/roster.rs
@@ -274,7 +274,10 @@
     /// leases of an owner that stopped at the claim have run out.
     fn is_presumed_gone(&self, worker: &Worker, now: Millis) -> bool {
         let lease_end = self.prompt_settle_time.max(worker.long_lease_until);
-        !self.former_owner_may_go_on && now >= lease_end && self.is_entry_gone(worker)
+        !self.former_owner_may_go_on
+            && now >= lease_end
+            && self.is_entry_gone(worker)
+            && self.silence_evidence(worker, lease_end).is_some()
     }
 
     /// Returns until when the last order of a former owner may bind, whatever life it was meant for.
--- a/src/node/witness.rs
+++ b/src/node/witness.rs
@@ -119,10 +119,13 @@
             .iter()
             .any(|answer| matches!(answer, Finding::Heard(_)));
         for (&place, answer) in places.iter().zip(answers) {
-            if answer != Finding::Unreached {
-                findings[place] = answer;
-            } else if findings[place] == Finding::Unreached && !can_hear {
-                findings[place] = Finding::Unknown;
+            let is_heard = matches!(findings[place], Finding::Heard(_));
+            match answer {
+                // What a worker has told is not lost because its next answer is late.
+                Finding::Unknown if is_heard => {}
+                Finding::Unreached if is_heard || can_hear => {}
+                Finding::Unreached => findings[place] = Finding::Unknown,
+                _ => findings[place] = answer,
             }
         }
     }
--- a/src/node/witness_calls.rs
+++ b/src/node/witness_calls.rs
@@ -13,6 +13,7 @@
 use crate::node::witness::{self, Finding, Probe, ProbeCall};
 use crate::rpc::PeerError;
 use crate::rpc::node::{NodeCall, NodeReply};
+use crate::store;
 
 /// The most questions that are open at a time, each about up to
 /// [`MAX_SILENCE_QUESTIONS`](crate::cell::tuning::MAX_SILENCE_QUESTIONS) workers.
@@ -68,9 +69,7 @@
     /// Asks these witnesses about the workers of `orders`, and passes what they have found to the core.
     async fn question(&self, witnesses: &[SocketAddr], orders: &[PollOrder]) {
         let probes = orders.iter().map(Probe::of).collect();
-        let Ok(body) = serde_json::to_vec(&ProbeCall { probes }) else {
-            return;
-        };
+        let body = store::encode(&ProbeCall { probes }).into_bytes();
         let calls = witnesses.iter();
         let mut calls: FuturesUnordered<_> = calls
             .map(|&address| self.ask_witness(address, body.clone(), orders.len()))
--- a/tests/silence_evidence.rs
+++ b/tests/silence_evidence.rs
@@ -6,7 +6,7 @@
 mod virtual_node;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use cell_core::{Bench, configuration, job, listed_end, queue, starts, step, worker};
 use crossweir::cell::job::JobState;
@@ -347,6 +347,32 @@
     (cell, 1_000 + LONG)
 }
 
+/// Guards against the same by a missing entry: the worker has told its ends in an answer that is under
+/// way, and left.
+#[test]
+fn a_successor_does_not_settle_by_a_missing_entry_while_a_poll_is_open() {
+    // Arrange.
+    let (mut cell, mut now) = successor_with_an_unreached_worker();
+    let key = cell.worker_keys()[0];
+    let open = cell.poll_order(key, now).expect("a worker");
+    cell.poll_opened(&open);
+    for _ in 0..20 {
+        cell.note_entries_read(now);
+        now += 400;
+    }
+
+    // Act.
+    cell.unlist_worker("w0", now);
+    cell.note_entries_read(now);
+    cell.tick(now);
+    let while_open = cell.is_settled();
+    cell.poll_closed(key, open.sequence);
+    cell.tick(now + 10);
+
+    // Assert.
+    assert_eq!((while_open, cell.is_settled()), (false, true));
+}
+
 /// Guards against a successor that starts inherited work again because its own link is full.
 #[test]
 fn a_successor_does_not_settle_by_time_alone() {
@@ -385,6 +411,8 @@
 struct SomeWorkers {
     ends: BTreeMap<String, usize>,
     late: BTreeSet<String>,
+    /// Those that were asked before.
+    asked: Mutex<BTreeSet<String>>,
 }
 
 impl Workers for SomeWorkers {
@@ -408,10 +436,21 @@
         if self.late.contains(&order.to.life.id) {
             return std::future::pending().boxed();
         }
+        let is_first = self
+            .asked
+            .lock()
+            .expect("ids")
+            .insert(order.to.life.id.clone());
+        if !is_first && order.to.life.id == TURNS_LATE {
+            return std::future::pending().boxed();
+        }
         async move { report.ok_or(PollFailure::Unanswered) }.boxed()
     }
 }
 
+/// The worker that answers the first call only.
+const TURNS_LATE: &str = "w7";
+
 fn probe(number: u16) -> Probe {
     Probe {
         life: Life::of(format!("w{number}")),
@@ -432,7 +471,13 @@
         .map(|(number, ends)| (format!("w{number}"), *ends));
     let ends = ends.collect();
     let late = late.iter().map(|number| format!("w{number}")).collect();
-    let workers = move |_| -> Arc<dyn Workers> { Arc::new(SomeWorkers { ends, late }) };
+    let workers = move |_| -> Arc<dyn Workers> {
+        Arc::new(SomeWorkers {
+            ends,
+            late,
+            asked: Mutex::default(),
+        })
+    };
     let node = virtual_node_with_workers(&[], workers, Arc::new(JsonDecoder));
     let front = Frontend::new(Arc::clone(&node.shared));
     let probes = (0..probes).map(probe).collect();
@@ -464,6 +509,17 @@
     assert_eq!(findings(&reply, 3), expected);
 }
 
+/// Guards against an end that a witness loses: a worker had told it, and was asked again since others had
+/// not answered, and that answer was late.
+#[tokio::test(start_paused = true)]
+async fn what_a_worker_has_told_a_witness_is_kept_if_its_next_answer_is_late() {
+    let reply = ask_witness(8, &[(7, 1)]).await;
+    let Finding::Heard(report) = &findings(&reply, 8)[7] else {
+        panic!("not heard: {reply:?}");
+    };
+    assert_eq!(report.ended.len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_witness_tells_who_answers_and_who_does_not() {
     let reply = ask_witness(3, &[(1, 0)]).await;
