The owner tells the calls of each kind, what it records and its window of starts

On a full link nothing told how many bytes are polls, starts and records, nor whether the window of starts or the link held starts back. The line 'calls to workers' has the counts of each second, 'tasks wait' the starts in flight and their window.

--- a/src/cell/start_pace.rs
+++ b/src/cell/start_pace.rs
@@ -145,6 +145,11 @@
 }
 
 impl Cell {
+    /// How many starts are in flight.
+    pub fn starts_in_flight(&self) -> usize {
+        self.start_pace.in_flight
+    }
+
     /// The most starts that may be in flight at present.
     pub fn start_window(&self) -> usize {
         self.start_pace.window()
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -17,6 +17,7 @@
 };
 use crate::cell::sequence::Sequence;
 use crate::clock::Millis;
+use crate::node::call_times::CallKind;
 use crate::node::engine::Engine;
 use crate::node::link_load::{self, Call, Ending, Peer};
 use crate::node::links::Tickets;
@@ -70,14 +71,14 @@
     /// answer back for `wait`: for the log, and as evidence about the own link.
     fn note_call(
         &self,
-        worker: WorkerKey,
+        (kind, worker): (CallKind, WorkerKey),
         took: Millis,
         wait: Millis,
         is_answered: bool,
         refusal: Option<Refusal>,
     ) {
         self.calls
-            .note(is_answered.then_some(took.saturating_sub(wait)));
+            .note(kind, is_answered.then_some(took.saturating_sub(wait)));
         let ending = match refusal {
             Some(Refusal::Busy) => Ending::NotMade,
             // Without a connection for so long, it is not a port that nobody listens at.
@@ -99,7 +100,8 @@
             StartOutcome::Refused(refusal) => Some(refusal),
             _ => None,
         };
-        self.note_call(order.to.worker, now - sent, 0, is_answered, refusal);
+        let call = (CallKind::Start, order.to.worker);
+        self.note_call(call, now - sent, 0, is_answered, refusal);
         if let StartOutcome::Refused(refusal) = outcome {
             self.shared.metrics.refusal(refusal.code());
         }
@@ -119,7 +121,8 @@
         let now = self.shared.now();
         let is_answered = answer != Err(None);
         let refusal = answer.err().flatten();
-        self.note_call(order.to.worker, now - sent, 0, is_answered, refusal);
+        let call = (CallKind::Stop, order.to.worker);
+        self.note_call(call, now - sent, 0, is_answered, refusal);
         match (answer, order.run) {
             (Ok(()), Some(run)) => {
                 self.cell().stop_confirmed(run);
@@ -228,7 +231,7 @@
         let took = self.shared.now().saturating_sub(sent);
         let Some((order, answer)) = answer else {
             self.shared.workers.note_late(&to);
-            self.note_call(key, took, wait, false, None);
+            self.note_call((CallKind::Poll, key), took, wait, false, None);
             self.poll_failed(key, PollFailure::Unanswered);
             self.await_late_answer(key, sequence, poll);
             return PollResult::Failed;
@@ -238,7 +241,7 @@
             Err(PollFailure::Refused(refusal)) => Some(refusal),
             _ => None,
         };
-        self.note_call(key, took, wait, is_answered, refusal);
+        self.note_call((CallKind::Poll, key), took, wait, is_answered, refusal);
         let result = match answer {
             Ok(report) => {
                 self.poll_answered(&order, &report);
@@ -309,7 +312,7 @@
             if let Ok(report) = answer {
                 engine.shared.metrics.event("late_answer");
                 let took = engine.shared.now().saturating_sub(order.sent);
-                engine.note_call(key, took, order.wait, true, None);
+                engine.note_call((CallKind::Poll, key), took, order.wait, true, None);
                 engine.poll_answered(&order, &report);
                 answered.notify_one();
             }
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -146,6 +146,8 @@
             tx.puts
                 .push((remaining_leases_key(), store::encode(&leases)));
         }
+        let bytes = tx.puts.iter().map(|(_, value)| value.len() as u64).sum();
+        self.calls.note_transaction(bytes);
         self.record_began
             .store(self.shared.now(), Ordering::Relaxed);
         match self.transact(&tx, row.0, number).await {
--- a/src/node/summary.rs
+++ b/src/node/summary.rs
@@ -31,6 +31,8 @@
     counts: Counts,
     /// The average wake-up delay of the owner's timers, in milliseconds.
     delay: Millis,
+    /// How many starts are in flight, and how many may be.
+    starts_in_flight: (usize, usize),
 }
 
 impl Summary {
@@ -50,6 +52,7 @@
             rounds,
             counts: cell.counts(),
             delay,
+            starts_in_flight: (cell.starts_in_flight(), cell.start_window()),
         }
     }
 
@@ -80,6 +83,8 @@
             deciding_ms = self.rounds.total_time,
             longest_round_ms = self.rounds.longest,
             orders = self.rounds.orders,
+            starts_in_flight = self.starts_in_flight.0,
+            start_window = self.starts_in_flight.1,
             all_starts = self.counts.starts,
             all_refused_starts = self.counts.refused_starts,
             all_unanswered_starts = self.counts.unanswered_starts,
@@ -118,6 +123,11 @@
         unanswered_calls = calls.unanswered,
         mean_call_ms = calls.mean(),
         longest_call_ms = calls.longest,
+        polls = calls.polls,
+        starts = calls.starts,
+        stops = calls.stops,
+        transactions = calls.transactions,
+        recorded_bytes = calls.recorded_bytes,
         traffic = texts.join(", "),
         "calls to workers"
     );
