Beyond the owner's limit, jobs in time start before late ones

Cause: the order within a priority is by the latest start, so a backlog of late jobs goes before all that could still be in time, whatever holds starts back.

Now, while the owner holds starts back, jobs that can't end in time go behind all others; one in four of its rounds begins with them, so that they end as well.

--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -376,6 +376,35 @@
         waits
     }
 
+    /// Returns how long new jobs wait because the owner can't send all starts at once, by queue; empty
+    /// while it can.
+    ///
+    /// A job waits for the tasks of its priority and of lower priority numbers that are in time: late
+    /// ones have a share of their own.
+    pub fn start_waits(&self, now: Millis) -> Vec<ExpectedWait> {
+        let Some(rate) = self.start_rate_in_time(now).filter(|_| !self.has_unread_jobs) else {
+            return Vec::new();
+        };
+        let mut by_priority: BTreeMap<u32, u64> = BTreeMap::new();
+        for &key in &self.open_steps {
+            let step = &self.steps[key];
+            if step.ready && step.idle > 0 && !self.is_late(key, now) {
+                let priority = self.jobs[step.job].decision.priority;
+                *by_priority.entry(priority).or_default() += u64::from(step.idle);
+            }
+        }
+        let queues = self.config.queues();
+        let waits = queues.iter().map(|queue| {
+            let before: u64 = by_priority.range(..=queue.priority).map(|(_, n)| n).sum();
+            ExpectedWait {
+                queue: queue.name.clone(),
+                workspace: String::new(),
+                wait: (before as f64 * 1_000.0 / rate) as Millis,
+            }
+        });
+        select_published(waits.collect())
+    }
+
     /// The workers that accept work, by service.  Parked workers count: they are used as soon as
     /// there is work for them.
     fn usable_by_service(&self, now: Millis) -> BTreeMap<&str, Usable> {
--- a/src/cell/gang.rs
+++ b/src/cell/gang.rs
@@ -35,7 +35,7 @@
             return Some((self.placement_wait_reason(key, round.now), size));
         };
         if self.is_start_window_full() {
-            self.note_start_held_back();
+            self.note_start_held_back(round.now);
             return Some((WaitReason::Soon, size));
         }
         let number = self.next_run_number();
--- a/src/cell/plan.rs
+++ b/src/cell/plan.rs
@@ -140,7 +140,7 @@
             } else if self.may_send_planned_start(key, now) && self.is_trial_conclusive(key, now) {
                 let step = self.runs[key].step;
                 if self.is_start_window_full() && !self.steps[step].step().gang {
-                    self.note_start_held_back();
+                    self.note_start_held_back(now);
                     self.planned.push(key);
                 } else {
                     self.send_start(key, now);
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -23,6 +23,7 @@
         let mut order: Vec<OrderedStep> = Vec::new();
         let mut work = RemainingWork::default();
         let awaiting_poll = self.jobs_awaiting_poll();
+        let deferred = self.deferred_jobs(now);
         for (position, &key) in self.open_steps.iter().enumerate() {
             let step = &self.steps[key];
             if !step.ready {
@@ -38,6 +39,7 @@
                 continue;
             }
             order.push(OrderedStep {
+                deferred: deferred.is_some_and(|late| late == self.is_late(key, now)),
                 priority: job.decision.priority,
                 beyond_share: false,
                 rank: self.rank(key, &mut work, now),
@@ -52,7 +54,7 @@
         self.note_longest_unasked(&order, now);
         for step in self.take_turns(&order) {
             if self.is_start_window_full() {
-                self.note_start_held_back();
+                self.note_start_held_back(round.now);
                 let waiting = self.steps[step.key].idle as usize;
                 round.record_wait(step.priority, WaitReason::Soon, waiting);
                 continue;
@@ -136,7 +138,7 @@
                 break;
             };
             if self.is_start_window_full() {
-                self.note_start_held_back();
+                self.note_start_held_back(round.now);
                 limit = Some(WaitReason::Soon);
                 break;
             }
--- a/src/cell/shares.rs
+++ b/src/cell/shares.rs
@@ -348,6 +348,8 @@
 /// A waiting step in the order of a round.  The fields are in the order of their significance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct OrderedStep {
+    /// Goes behind all others, while the owner can't send all starts that have room.
+    pub(super) deferred: bool,
     pub(super) priority: u32,
     /// The step's workspace already has its share of the contended capacity.
     pub(super) beyond_share: bool,
@@ -446,7 +448,7 @@
         self.note_contention(contended, now);
         if !self.shares.beyond.is_empty() {
             // Stable and over a few sorted runs, so this takes linear time.
-            order.sort_by_key(|step| (step.priority, step.beyond_share));
+            order.sort_by_key(|step| (step.deferred, step.priority, step.beyond_share));
         }
     }
 
--- a/src/cell/start_pace.rs
+++ b/src/cell/start_pace.rs
@@ -29,6 +29,11 @@
     times: LowestTimes,
     /// Tasks wait because too many starts are in flight.
     holds_back: bool,
+    /// When tasks were last held back; none if they never were.
+    held_back_at: Option<Millis>,
+    /// How many rounds have sent starts while tasks were held back.
+    held_back_rounds: u32,
+    rate: StartRate,
 }
 
 impl Default for StartPace {
@@ -41,6 +46,9 @@
             halved_at: 0,
             times: LowestTimes::default(),
             holds_back: false,
+            held_back_at: None,
+            held_back_rounds: 0,
+            rate: StartRate::default(),
         }
     }
 }
@@ -50,6 +58,7 @@
     pub(super) fn note_sent(&mut self, run: RunKey, now: Millis) {
         self.sent.insert(run, now);
         self.in_flight += 1;
+        self.rate.note(now);
     }
 
     /// Notes that a start was answered at `now`, whatever the answer is.
@@ -113,6 +122,42 @@
     fn window(&self) -> usize {
         self.window as usize
     }
+
+    /// Returns whether starts were held back of late, so that the owner is the limit of its cell and
+    /// not the room on the workers.
+    fn is_limit(&self, now: Millis) -> bool {
+        let held_back = self.held_back_at;
+        held_back.is_some_and(|at| now.saturating_sub(at) < tuning::HELD_BACK_FOR)
+    }
+}
+
+/// How many starts are sent.
+#[derive(Debug, Default)]
+struct StartRate {
+    period_began: Millis,
+    in_period: u32,
+    /// The starts a second in the last period.
+    last: Option<f64>,
+}
+
+impl StartRate {
+    fn note(&mut self, now: Millis) {
+        self.advance(now);
+        self.in_period += 1;
+    }
+
+    /// Begins another period if this one is over.
+    fn advance(&mut self, now: Millis) {
+        let took = now.saturating_sub(self.period_began);
+        if took < tuning::START_RATE_PERIOD {
+            return;
+        }
+        // A period in which hardly any time was used says nothing about the next one.
+        let is_recent = took < 2 * tuning::START_RATE_PERIOD;
+        self.last = is_recent.then(|| f64::from(self.in_period) * 1_000.0 / took as f64);
+        self.period_began = now;
+        self.in_period = 0;
+    }
 }
 
 /// The lowest time of a start of late, in milliseconds.
@@ -172,8 +217,33 @@
     }
 
     /// Notes that tasks wait because too many starts are in flight.
-    pub(super) fn note_start_held_back(&mut self) {
+    pub(super) fn note_start_held_back(&mut self, now: Millis) {
         self.start_pace.holds_back = true;
+        self.start_pace.held_back_at = Some(now);
+    }
+
+    /// Returns whether the owner, and not room, is what tasks wait for.
+    pub(super) fn is_owner_the_limit(&self, now: Millis) -> bool {
+        self.start_pace.is_limit(now)
+    }
+
+    /// How many starts a second the owner carries for jobs in time; none while it holds nothing back.
+    pub(super) fn start_rate_in_time(&self, now: Millis) -> Option<f64> {
+        let pace = &self.start_pace;
+        let rate = pace.rate.last.filter(|_| pace.is_limit(now))?;
+        let late_rounds = f64::from(tuning::LATE_ROUNDS);
+        Some(rate.max(1.0) * (late_rounds - 1.0) / late_rounds)
+    }
+
+    /// Returns whether jobs that are late already go first in a round of an owner that is the limit:
+    /// in one of [`tuning::LATE_ROUNDS`] that can send starts.
+    pub(super) fn is_round_for_late_jobs(&mut self) -> bool {
+        if self.is_start_window_full() {
+            return false;
+        }
+        let pace = &mut self.start_pace;
+        pace.held_back_rounds += 1;
+        pace.held_back_rounds.is_multiple_of(tuning::LATE_ROUNDS)
     }
 
     /// Returns whether tasks that were held back can start: half of the window is free.  With a round
@@ -192,6 +262,7 @@
     /// Forgets that tasks were held back, as a new scheduling round begins.
     pub(super) fn begin_start_round(&mut self, now: Millis) {
         self.start_pace.holds_back = false;
+        self.start_pace.rate.advance(now);
         self.start_pace.recount(now);
     }
 }
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -257,6 +257,13 @@
 /// The most starts that wait for their records, in windows of starts.  Each costs a part of a row, and
 /// its placement is out of date by the time that a link or store that is behind has carried it.
 pub const PLANNED_START_WINDOWS: usize = 2;
+/// One in this many rounds of an owner that holds starts back begins with the jobs that are late
+/// already, so that they end as well.
+pub const LATE_ROUNDS: u32 = 4;
+/// An owner that has held starts back within this time is the limit of its cell.
+pub const HELD_BACK_FOR: Millis = 1_000;
+/// How long starts are counted to tell how many the owner carries.
+pub const START_RATE_PERIOD: Millis = 1_000;
 /// The run numbers of an owner start at its epoch times this value, above those of all
 /// predecessors.
 pub const RUNS_PER_EPOCH: u64 = 1_000_000;
--- a/src/cell/urgency.rs
+++ b/src/cell/urgency.rs
@@ -60,6 +60,21 @@
         left.saturating_sub(path_behind(&step.spec, usize::from(step.name.step)))
     }
 
+    /// Returns whether a job can't end within its granted time any more, by its caller's estimates.
+    /// Lasting steps are never late: they are worth something whenever they run.
+    pub(super) fn is_late(&self, key: StepKey, now: Millis) -> bool {
+        let step = &self.steps[key];
+        !step.step().lasting && self.latest_start(&self.jobs[step.job], step, now) < now
+    }
+
+    /// Which jobs go behind the others in a round: those that are late, or in some rounds those that
+    /// are not.  None if the owner can send all starts that have room ("Beyond the owner's limit" in
+    /// `docs/DESIGN.md`).
+    pub(super) fn deferred_jobs(&mut self, now: Millis) -> Option<bool> {
+        self.is_owner_the_limit(now)
+            .then(|| !self.is_round_for_late_jobs())
+    }
+
     /// The time from which a job's granted time counts: when the job was taken in or, if later,
     /// when the occurrence was due.
     fn deadline_base(&self, job: &Job, time: u32, now: Millis) -> Millis {
