Done tasks are recorded as ranges in rows of any job

Records took two fifths of a full link: each transaction named each done task of each changed job anew, some 52 bytes a task, so a job of n tasks costs n squared. Jobs of over 256 tasks had ranges already, a few bytes for each gap; now all have. The version before reads them.

--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -39,10 +39,10 @@
 pub struct JobProgress {
     /// The state of the job.
     pub state: JobState,
-    /// The progress of tasks that have failed, have a checkpoint or have lost workers; also of done
-    /// tasks if these are few.
+    /// The progress of tasks that have failed, have a checkpoint or have lost workers.  Former
+    /// versions also name done tasks here if these are few.
     pub tasks: Vec<TaskProgress>,
-    /// The tasks that are done, if they are too many to be in `tasks`.
+    /// The tasks that are done.
     #[serde(default, skip_serializing_if = "TaskSet::is_empty")]
     pub done: TaskSet,
     /// A former owner may have started tasks of the job without recording that, so each further
@@ -149,15 +149,10 @@
         if job.state.is_final() {
             return progress;
         }
-        if job.done.has_at_most(tuning::MAX_LISTED_TASKS) {
-            progress.tasks = done_task_progress(job).collect();
-        } else {
-            progress.done = job.done.clone();
-        }
-        let used = encoded_size(&progress.tasks) + encoded_size(&progress.done);
-        let (open, omitted) =
-            self.open_task_progress(job, tuning::MAX_RECORD_BYTES.saturating_sub(used));
-        progress.tasks.extend(open);
+        progress.done = job.done.clone();
+        let left = tuning::MAX_RECORD_BYTES.saturating_sub(encoded_size(&progress.done));
+        let (open, omitted) = self.open_task_progress(job, left);
+        progress.tasks = open;
         if omitted > 0 {
             self.counts.omitted_progress += omitted as u64;
             tracing::warn!(job = %job.id, omitted, "progress of some tasks is not recorded");
@@ -397,16 +392,3 @@
 fn encoded_size(part: &impl Serialize) -> usize {
     serde_json::to_vec(part).map_or(usize::MAX, |json| json.len())
 }
-
-/// Names each task of a job that is done by itself.
-fn done_task_progress(job: &Job) -> impl Iterator<Item = TaskProgress> {
-    let numbers = job.done.ranges().cloned().flatten();
-    let places = numbers.filter_map(|number| job.spec.task_place(number));
-    places.map(|place| TaskProgress {
-        place,
-        done: true,
-        failed: Vec::new(),
-        checkpoint: String::new(),
-        losses: Vec::new(),
-    })
-}
--- a/src/cell/task_set.rs
+++ b/src/cell/task_set.rs
@@ -41,15 +41,6 @@
     pub fn ranges(&self) -> impl Iterator<Item = &Range<u64>> {
         self.0.iter()
     }
-
-    /// Returns whether there are at most `most` tasks in the set.
-    pub fn has_at_most(&self, most: u64) -> bool {
-        let mut left = Some(most);
-        for range in self.ranges() {
-            left = left.and_then(|left| left.checked_sub(range.end - range.start));
-        }
-        left.is_some()
-    }
 }
 
 impl Serialize for TaskSet {
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -313,8 +313,6 @@
 /// cause a gap in the ranges of done tasks; the ranges of 640,000 tasks with this many gaps take
 /// less than 35 KB of the job's record.
 pub const MAX_UNFINISHED_STARTS: u32 = 10_000;
-/// A record names each done task by itself, as former versions do, up to this many.
-pub const MAX_LISTED_TASKS: u64 = 256;
 /// The most bytes of a job's record for its tasks; the store accepts rows of up to 64 KB.
 pub const MAX_RECORD_BYTES: usize = 60_000;
 /// The most starts of one job that wait to be recorded at a time: each takes some 170 bytes of the
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -773,12 +773,13 @@
     bench.end(first.task, first.number, EndKind::Done);
     bench.poll_all();
     let batch = bench.cell.take_batch(1);
-    assert_eq!(batch.rows[0].2.tasks.len(), 1);
+    assert_eq!(batch.rows[0].2.done.ranges().count(), 1);
 
     bench.cell.batch_rejected(batch);
     let short = bench.record();
 
     assert!(short.rows[0].2.tasks.is_empty());
+    assert!(short.rows[0].2.done.is_empty());
     assert_eq!(bench.state(1), Some(JobState::Failed));
     assert_eq!(stops(&bench.decide()).len(), 1, "the other task is stopped");
 }
--- a/tests/owner_limit.rs
+++ b/tests/owner_limit.rs
@@ -7,7 +7,7 @@
 
 use cell_core::{Bench, job, queue, starts, step};
 use crossweir::cell::expected_wait::ExpectedWait;
-use crossweir::cell::order::StartOrder;
+use crossweir::cell::order::{EndKind, StartOrder};
 use crossweir::cell::spec::{JobId, Step};
 use crossweir::cell::tuning;
 use crossweir::clock::Millis;
@@ -224,3 +224,25 @@
     assert_eq!(owner.wait("urgent"), 0);
     assert_eq!(owner.bench.cell.expected_waits(owner.bench.now)[0].wait, 0);
 }
+
+/// Guards against rows that name each done task anew in each transaction: they took two fifths of an
+/// owner's link.
+#[test]
+fn a_done_task_adds_hardly_anything_to_the_row_of_its_job() {
+    // Arrange.
+    const DONE: u32 = 100;
+    let mut bench = Bench::new(WORKERS, &[batch()]);
+    bench.accept(&job(1, &batch(), vec![step(2 * DONE, 1)]));
+    let started = bench.start_all();
+
+    // Act.
+    for start in started.iter().take(DONE as usize) {
+        bench.end(start.task, start.number, EndKind::Done);
+    }
+    bench.poll_all();
+    let rows = bench.record().rows;
+
+    // Assert: a few bytes for each gap.
+    let row = serde_json::to_string(&rows[0].2).expect("JSON");
+    assert!(row.len() < 4 * DONE as usize, "{} bytes", row.len());
+}
