--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -41,6 +41,34 @@
     pub wait: Millis,
 }
 
+/// How long new jobs wait for their starts because the owner can send no more of them, whatever room
+/// the workers have.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StartWaits {
+    /// How many starts a second the owner carries for jobs in time; zero if it holds nothing back.
+    pub rate: u32,
+    /// The wait in milliseconds from each of these priority numbers on, in ascending order.
+    pub by_priority: Vec<(u32, Millis)>,
+}
+
+impl StartWaits {
+    /// Returns how long the last start of a new job waits that has so many tasks.
+    pub fn wait(&self, priority: u32, tasks: u64) -> Millis {
+        if self.rate == 0 {
+            return 0;
+        }
+        let before = self.by_priority.iter().rev();
+        let before = before.map(|entry| *entry).find(|entry| entry.0 <= priority);
+        let before = before.map_or(0, |(_, wait)| wait);
+        before.saturating_add(start_time(tasks, self.rate))
+    }
+}
+
+/// How long so many starts take at `rate` a second, in milliseconds.
+fn start_time(starts: u64, rate: u32) -> Millis {
+    starts.saturating_mul(1_000) / u64::from(rate.max(1))
+}
+
 /// Work that goes before a new job: that of one job, or of all jobs under one limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
@@ -102,8 +130,10 @@
     held_since: Millis,
     /// When `waits` was computed; none before the first time.
     pub computed_at: Option<Millis>,
-    /// The waits as last computed.
+    /// The waits for room as last computed.
     pub waits: Vec<ExpectedWait>,
+    /// The waits for starts as last computed.
+    pub start_waits: StartWaits,
 }
 
 impl Publication {
@@ -113,22 +143,30 @@
             held_since,
             computed_at: None,
             waits: Vec::new(),
+            start_waits: StartWaits::default(),
         }
     }
 
     /// Computes the waits again if that is due.
-    pub fn refresh(&mut self, now: Millis, compute: impl FnOnce() -> Vec<ExpectedWait>) {
+    pub fn refresh(
+        &mut self,
+        now: Millis,
+        compute: impl FnOnce() -> (Vec<ExpectedWait>, StartWaits),
+    ) {
         let is_fresh = |at: Millis| now.saturating_sub(at) < COMPUTE_INTERVAL;
         if now < self.held_since + QUIET_AFTER_CLAIM || self.computed_at.is_some_and(is_fresh) {
             return;
         }
-        self.waits = select_published(compute());
+        let (waits, start_waits) = compute();
+        self.waits = select_published(waits);
+        self.start_waits = start_waits;
         self.computed_at = Some(now);
     }
 
     /// Drops the waits, so that none are known until they are computed again.
     pub fn withdraw(&mut self) {
         self.waits.clear();
+        self.start_waits = StartWaits::default();
         self.computed_at = None;
     }
 }
@@ -376,33 +414,34 @@
         waits
     }
 
-    /// Returns how long new jobs wait because the owner can't send all starts at once, by queue; empty
-    /// while it can.
+    /// Returns how long new jobs wait because the owner can't send all starts at once.
     ///
     /// A job waits for the tasks of its priority and of lower priority numbers that are in time: late
     /// ones have a share of their own.
-    pub fn start_waits(&self, now: Millis) -> Vec<ExpectedWait> {
-        let Some(rate) = self.start_rate_in_time(now).filter(|_| !self.has_unread_jobs) else {
-            return Vec::new();
+    pub fn start_waits(&self, now: Millis) -> StartWaits {
+        let Some(rate) = self
+            .start_rate_in_time(now)
+            .filter(|_| !self.has_unread_jobs)
+        else {
+            return StartWaits::default();
         };
-        let mut by_priority: BTreeMap<u32, u64> = BTreeMap::new();
+        let mut tasks: BTreeMap<u32, u64> = BTreeMap::new();
         for &key in &self.open_steps {
             let step = &self.steps[key];
             if step.ready && step.idle > 0 && !self.is_late(key, now) {
                 let priority = self.jobs[step.job].decision.priority;
-                *by_priority.entry(priority).or_default() += u64::from(step.idle);
+                *tasks.entry(priority).or_default() += u64::from(step.idle);
             }
         }
-        let queues = self.config.queues();
-        let waits = queues.iter().map(|queue| {
-            let before: u64 = by_priority.range(..=queue.priority).map(|(_, n)| n).sum();
-            ExpectedWait {
-                queue: queue.name.clone(),
-                workspace: String::new(),
-                wait: (before as f64 * 1_000.0 / rate) as Millis,
-            }
+        let mut before = 0;
+        let by_priority = tasks.into_iter().map(|(priority, tasks)| {
+            before += tasks;
+            (priority, start_time(before, rate))
         });
-        select_published(waits.collect())
+        StartWaits {
+            rate,
+            by_priority: by_priority.take(MAX_PUBLISHED).collect(),
+        }
     }
 
     /// The workers that accept work, by service.  Parked workers count: they are used as soon as
--- a/src/cell/options.rs
+++ b/src/cell/options.rs
@@ -16,9 +16,17 @@
     /// A job that is expected to take more than this many times the time that its queue grants is
     /// refused; `None` if jobs are never refused for load.
     pub reject_after: Option<u32>,
+    /// A job that can't end in the time that its queue grants, since the owner can't send its starts
+    /// in time, is refused.
+    pub reject_late: bool,
 }
 
 impl Options {
+    /// Returns whether jobs may be refused for load.
+    pub fn may_reject(&self) -> bool {
+        self.reject_after.is_some() || self.reject_late
+    }
+
     /// Returns the longest time that a job may be expected to take, in milliseconds, if its queue
     /// grants `granted`; `None` if there is no limit.
     pub fn max_job_time(&self, granted: Millis) -> Option<Millis> {
--- a/src/cell/start_pace.rs
+++ b/src/cell/start_pace.rs
@@ -131,16 +131,23 @@
     }
 }
 
-/// How many starts are sent.
+/// How many starts are sent while others are held back.
 #[derive(Debug, Default)]
 struct StartRate {
     period_began: Millis,
     in_period: u32,
     /// The starts a second in the last period.
-    last: Option<f64>,
+    last: Option<u32>,
 }
 
 impl StartRate {
+    fn beginning(now: Millis) -> Self {
+        Self {
+            period_began: now,
+            ..Self::default()
+        }
+    }
+
     fn note(&mut self, now: Millis) {
         self.advance(now);
         self.in_period += 1;
@@ -152,9 +159,8 @@
         if took < tuning::START_RATE_PERIOD {
             return;
         }
-        // A period in which hardly any time was used says nothing about the next one.
-        let is_recent = took < 2 * tuning::START_RATE_PERIOD;
-        self.last = is_recent.then(|| f64::from(self.in_period) * 1_000.0 / took as f64);
+        let a_second = u64::from(self.in_period) * 1_000 / took;
+        self.last = Some(a_second as u32);
         self.period_began = now;
         self.in_period = 0;
     }
@@ -218,8 +224,13 @@
 
     /// Notes that tasks wait because too many starts are in flight.
     pub(super) fn note_start_held_back(&mut self, now: Millis) {
-        self.start_pace.holds_back = true;
-        self.start_pace.held_back_at = Some(now);
+        let pace = &mut self.start_pace;
+        if !pace.is_limit(now) {
+            // Until now there were fewer tasks to start than could be sent.
+            pace.rate = StartRate::beginning(now);
+        }
+        pace.holds_back = true;
+        pace.held_back_at = Some(now);
     }
 
     /// Returns whether the owner, and not room, is what tasks wait for.
@@ -228,11 +239,10 @@
     }
 
     /// How many starts a second the owner carries for jobs in time; none while it holds nothing back.
-    pub(super) fn start_rate_in_time(&self, now: Millis) -> Option<f64> {
+    pub(super) fn start_rate_in_time(&self, now: Millis) -> Option<u32> {
         let pace = &self.start_pace;
         let rate = pace.rate.last.filter(|_| pace.is_limit(now))?;
-        let late_rounds = f64::from(tuning::LATE_ROUNDS);
-        Some(rate.max(1.0) * (late_rounds - 1.0) / late_rounds)
+        Some((rate * (tuning::LATE_ROUNDS - 1) / tuning::LATE_ROUNDS).max(1))
     }
 
     /// Returns whether jobs that are late already go first in a round of an owner that is the limit:
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -13,7 +13,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::cell::expected_wait::{ExpectedWait, NO_WORKSPACE};
+use crate::cell::expected_wait::{ExpectedWait, NO_WORKSPACE, StartWaits};
 use crate::cell::options::Options;
 use crate::cell::spec::{JobId, JobSpec};
 use crate::cell::urgency::critical_path;
@@ -54,8 +54,10 @@
     pub epoch: u64,
     /// When they arrived, or were computed here; none if they are not known.
     pub heard_at: Option<Millis>,
-    /// The waits above zero.
+    /// The waits for room above zero.
     pub waits: Vec<ExpectedWait>,
+    /// The waits for the owner's starts.
+    pub start_waits: StartWaits,
 }
 
 impl HeardWaits {
@@ -65,6 +67,7 @@
             epoch: beat.epoch,
             heard_at: Some(now),
             waits: beat.waits.clone(),
+            start_waits: beat.start_waits.clone(),
         }
     }
 
@@ -78,8 +81,9 @@
     /// Returns the longest wait; none if the waits are not to be used.
     pub fn longest(&self, epoch: u64, now: Millis) -> Option<Millis> {
         self.age(epoch, now)?;
-        let longest = self.waits.iter().map(|entry| entry.wait).max();
-        Some(longest.unwrap_or_default())
+        let waits = self.waits.iter().map(|entry| entry.wait);
+        let for_starts = self.start_waits.by_priority.iter().map(|entry| entry.1);
+        Some(waits.chain(for_starts).max().unwrap_or_default())
     }
 
     /// Returns the wait for jobs of a workspace in a queue: its own if there is one, else that of
@@ -103,6 +107,10 @@
     pub id: JobId,
     /// The name of its queue.
     pub queue: &'a str,
+    /// The priority number of its queue.
+    pub priority: u32,
+    /// How many tasks it has.
+    pub tasks: u64,
     /// The name of its workspace; empty if it has none.
     pub workspace: &'a str,
     /// The length of its critical path by its caller's estimates, in milliseconds.
@@ -122,6 +130,8 @@
         Some(Self {
             id,
             queue: &queue.name,
+            priority: queue.priority,
+            tasks: spec.tasks_per_occurrence(),
             workspace,
             critical_path,
             granted: queue.granted_time(critical_path),
@@ -217,22 +227,26 @@
         (waits, epoch): (&HeardWaits, u64),
         now: Millis,
     ) -> Option<Overload> {
-        let limit = self.limit(job, options, now)?;
         let age = waits.age(epoch, now)?;
-        let wait = waits.wait(job.queue, job.workspace);
         let since_first = self.first_refusals.since(job.id, now).unwrap_or_default();
-        let accepted_wait = limit.checked_sub(job.critical_path)?;
-        let accepted_wait = accepted_wait.saturating_sub(since_first);
-        if wait <= accepted_wait || self.is_doubtful(job.id, now) {
+        let overload = |expected: ExpectedTime| {
+            let limit = self.reduce_limit(job, expected.limit, now);
+            let accepted_wait = limit.checked_sub(job.critical_path)?;
+            let accepted_wait = accepted_wait.saturating_sub(since_first);
+            let excess = expected.wait.checked_sub(accepted_wait + 1)? + 1;
+            Some(Overload {
+                wait: expected.wait,
+                age,
+                limit,
+                since_first,
+                pause: pause(excess, job.id),
+            })
+        };
+        if self.is_doubtful(job.id, now) {
             return None;
         }
-        Some(Overload {
-            wait,
-            age,
-            limit,
-            since_first,
-            pause: pause(wait - accepted_wait, job.id),
-        })
+        let overloads = expected_times(job, options, waits).filter_map(overload);
+        overloads.max_by_key(|overload| overload.pause)
     }
 
     fn is_limit_reduced(&self, job: &Arrival<'_>, now: Millis) -> bool {
@@ -240,13 +254,14 @@
         refused_at.is_some_and(|&at| now.saturating_sub(at) < REDUCED_FOR)
     }
 
-    /// The longest time that a job may be expected to take; none without a limit.
-    fn limit(&self, job: &Arrival<'_>, options: &Options, now: Millis) -> Option<Millis> {
-        let limit = options.max_job_time(job.granted)?;
-        Some(match self.is_limit_reduced(job, now) {
-            true => limit.saturating_mul(REDUCED_LIMIT_PERCENT) / 100,
-            false => limit,
-        })
+    /// The longest time that a job may be expected to take at present, of which `limit` is usual.
+    /// A limit that the job could keep without any wait stays one.
+    fn reduce_limit(&self, job: &Arrival<'_>, limit: Millis, now: Millis) -> Millis {
+        if !self.is_limit_reduced(job, now) {
+            return limit;
+        }
+        let reduced = limit.saturating_mul(REDUCED_LIMIT_PERCENT) / 100;
+        reduced.max(job.critical_path.min(limit))
     }
 
     /// Returns whether a job that this node would accept could be refused if another node had
@@ -261,15 +276,16 @@
         (waits, epoch): (&HeardWaits, u64),
         now: Millis,
     ) -> bool {
-        let limit = self.limit(job, options, now);
-        let accepted_wait = limit.and_then(|limit| limit.checked_sub(job.critical_path));
-        let is_long = |accepted_wait: Millis| {
-            let wait = waits.wait(job.queue, job.workspace);
-            wait > accepted_wait.saturating_mul(ASKED_WAIT_PERCENT) / 100
+        let is_long = |expected: ExpectedTime| {
+            let limit = self.reduce_limit(job, expected.limit, now);
+            let accepted_wait = limit.checked_sub(job.critical_path);
+            accepted_wait.is_some_and(|accepted_wait| {
+                expected.wait > accepted_wait.saturating_mul(ASKED_WAIT_PERCENT) / 100
+            })
         };
         waits.age(epoch, now).is_some()
             && !self.is_doubtful(job.id, now)
-            && accepted_wait.is_some_and(is_long)
+            && expected_times(job, options, waits).any(is_long)
     }
 
     /// Notes that the owner knows of a refusal of a job `since` milliseconds ago.
@@ -280,7 +296,9 @@
         since: Millis,
         now: Millis,
     ) {
-        if let Some(limit) = options.max_job_time(job.granted) {
+        let unknown = HeardWaits::default();
+        let limits = expected_times(job, options, &unknown);
+        if let Some(limit) = limits.map(|expected| expected.limit).max() {
             self.first_refusals.note(job.id, since, limit, now);
         }
     }
@@ -317,6 +335,30 @@
     }
 }
 
+/// A wait that is expected, and the longest time that a job may take with it.
+#[derive(Debug, Clone, Copy)]
+struct ExpectedTime {
+    wait: Millis,
+    limit: Millis,
+}
+
+/// How long a job waits for room and for the owner's starts, as far as these count.
+fn expected_times(
+    job: &Arrival<'_>,
+    options: &Options,
+    waits: &HeardWaits,
+) -> impl Iterator<Item = ExpectedTime> {
+    let for_room = options.max_job_time(job.granted).map(|limit| ExpectedTime {
+        wait: waits.wait(job.queue, job.workspace),
+        limit,
+    });
+    let for_starts = options.reject_late.then(|| ExpectedTime {
+        wait: waits.start_waits.wait(job.priority, job.tasks),
+        limit: job.granted,
+    });
+    for_room.into_iter().chain(for_starts)
+}
+
 fn limit_key(job: &Arrival<'_>) -> (String, String) {
     (job.queue.to_owned(), job.workspace.to_owned())
 }
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -361,7 +361,8 @@
     /// refused.  An owner that may not give orders knows no waits, since it cannot tell whether its
     /// jobs still wait.
     pub fn expected_waits(&self) -> HeardWaits {
-        if self.shared.options.reject_after.is_none() {
+        let options = self.shared.options;
+        if !options.may_reject() {
             return HeardWaits::default();
         }
         let now = self.shared.now();
@@ -370,7 +371,12 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         if self.is_active() {
-            publication.refresh(now, || self.cell().expected_waits(now));
+            publication.refresh(now, || {
+                let cell = self.cell();
+                let waits = options.reject_after.map(|_| cell.expected_waits(now));
+                let start_waits = options.reject_late.then(|| cell.start_waits(now));
+                (waits.unwrap_or_default(), start_waits.unwrap_or_default())
+            });
         } else {
             publication.withdraw();
         }
@@ -378,6 +384,7 @@
             epoch: self.epoch,
             heard_at: publication.computed_at,
             waits: publication.waits.clone(),
+            start_waits: publication.start_waits.clone(),
         }
     }
 
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -176,7 +176,7 @@
             },
         };
         let now = self.shared.now();
-        if outcome == SubmitOutcome::Doubtful && self.shared.options.reject_after.is_some() {
+        if outcome == SubmitOutcome::Doubtful && self.shared.options.may_reject() {
             self.admission().note_doubtful(id, now);
         }
         tracing::info!(
@@ -221,7 +221,9 @@
     /// the owner reads their rows late, so it cannot tell which jobs are known.
     async fn find_overload(&self, row: &JobRow) -> Option<Overload> {
         let shared = &self.shared;
-        shared.options.reject_after?;
+        if !shared.options.may_reject() {
+            return None;
+        }
         let workspace = row.workspace.as_ref().map(|w| w.name.as_str());
         let job = Arrival::new(row.id, &row.queue, workspace.unwrap_or_default(), &row.spec)?;
         let (waits, epoch) = shared.expected_waits();
--- a/src/node/setting_keys.rs
+++ b/src/node/setting_keys.rs
@@ -132,6 +132,12 @@
         "whole number",
         "Refuses a job that is expected to take more than this many times what its queue grants, 1 to 100; never if not given.",
     ),
+    optional(
+        "scheduling",
+        "reject_late",
+        "yes or no",
+        "Refuses a job at once that can't end in the time that its queue grants, since the owner can send no more starts; `no` if not given.",
+    ),
     optional(
         "operator",
         "token_file",
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -308,6 +308,7 @@
             shares: self.flag("scheduling", "shares"),
             advice_planning: self.flag("scheduling", "advice_planning"),
             reject_after: self.reject_after(),
+            reject_late: self.flag("scheduling", "reject_late"),
         }
     }
 
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -356,7 +356,7 @@
             .gauge("link_full", i64::from(self.load.is_link_full()));
         self.metrics
             .gauge("strength", i64::from(self.load.strength()));
-        if self.options.reject_after.is_some() {
+        if self.options.may_reject() {
             let (waits, epoch) = self.expected_waits();
             let longest = waits.longest(epoch, self.now());
             self.metrics
@@ -503,6 +503,10 @@
     /// Builds a heartbeat without changes of the list of nodes.
     pub fn heartbeat(&self) -> Heartbeat {
         let now = self.now();
+        let waits = match self.engine() {
+            Some(engine) => engine.expected_waits(),
+            None => HeardWaits::default(),
+        };
         let owner = self.owner().clone();
         let engine = self.engine();
         let pending = engine.as_ref().map(|engine| engine.pending());
@@ -539,7 +543,8 @@
             millicores: self.load.capacity(),
             strength: self.load.strength(),
             pending: pending.unwrap_or_default(),
-            waits: engine.map_or_else(Vec::new, |engine| engine.expected_waits().waits),
+            waits: waits.waits,
+            start_waits: waits.start_waits,
             standing: Standing::Unstated,
             standing_number: 0,
             receiver_boot: 0,
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -164,6 +164,8 @@
   # The owner and its standing to which the sender has consented.
   consentEpoch @25 :UInt64;
   consentNumber @26 :UInt32;
+  # Set by the owner only: how long new jobs wait since it can send no more starts, by priority.
+  startWaits @27 :StartWaits;
 }
 
 struct End {
@@ -195,6 +197,18 @@
   millis @2 :UInt32;
 }
 
+struct StartWaits {
+  # How many starts a second the owner carries for jobs in time; 0 if it holds nothing back.
+  rate @0 :UInt32;
+  byPriority @1 :List(StartWait);
+}
+
+struct StartWait {
+  priority @0 :UInt32;
+  # For jobs of this priority and of all greater numbers up to the next entry.
+  millis @1 :UInt32;
+}
+
 struct Advise {
   step @0 :Text;
   workers @1 :List(Text);
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -8,7 +8,7 @@
 use futures::future::BoxFuture;
 use tokio::net::TcpListener;
 
-use crate::cell::expected_wait::ExpectedWait;
+use crate::cell::expected_wait::{ExpectedWait, StartWaits};
 use crate::cell::job::JobState;
 use crate::cell::spec::JobId;
 use crate::clock::Millis;
@@ -69,6 +69,8 @@
     pub strength: u32,
     /// Set by the owner only: the longest expected waits of new jobs, without those that are zero.
     pub waits: Vec<ExpectedWait>,
+    /// Set by the owner only: how long new jobs wait since it can send no more starts.
+    pub start_waits: StartWaits,
     /// Set by the owner only: how it stands without the store.
     pub standing: Standing,
     /// Rises each time `standing` changes under `epoch`.
@@ -349,25 +351,59 @@
     out.set_standing_number(heartbeat.standing_number);
     out.set_receiver_boot(heartbeat.receiver_boot);
     write_consent(heartbeat.consent, out.reborrow());
-    let mut changes = out.reborrow().init_changes(heartbeat.changes.len() as u32);
-    for (index, change) in heartbeat.changes.iter().enumerate() {
-        write_change(change, changes.reborrow().get(index as u32));
+    write_heartbeat_lists(heartbeat, out);
+}
+
+/// Writes the lists of a heartbeat.  Most are empty, and one that is left out takes no bytes.
+fn write_heartbeat_lists(heartbeat: &Heartbeat, mut out: wire::beat::Builder) {
+    if !heartbeat.changes.is_empty() {
+        let mut changes = out.reborrow().init_changes(heartbeat.changes.len() as u32);
+        for (index, change) in heartbeat.changes.iter().enumerate() {
+            write_change(change, changes.reborrow().get(index as u32));
+        }
+    }
+    if !heartbeat.pending.is_empty() {
+        let mut pending = out.reborrow().init_pending(heartbeat.pending.len() as u32);
+        for (index, (queue, jobs)) in heartbeat.pending.iter().enumerate() {
+            let mut entry = pending.reborrow().get(index as u32);
+            entry.set_queue(queue);
+            entry.set_jobs(*jobs);
+        }
+    }
+    if !heartbeat.waits.is_empty() {
+        let mut waits = out.reborrow().init_waits(heartbeat.waits.len() as u32);
+        for (index, wait) in heartbeat.waits.iter().enumerate() {
+            let mut entry = waits.reborrow().get(index as u32);
+            entry.set_queue(&wait.queue);
+            entry.set_workspace(&wait.workspace);
+            entry.set_millis(u32::try_from(wait.wait).unwrap_or(u32::MAX));
+        }
     }
-    let mut pending = out.reborrow().init_pending(heartbeat.pending.len() as u32);
-    for (index, (queue, jobs)) in heartbeat.pending.iter().enumerate() {
-        let mut entry = pending.reborrow().get(index as u32);
-        entry.set_queue(queue);
-        entry.set_jobs(*jobs);
+    if heartbeat.start_waits != StartWaits::default() {
+        write_start_waits(&heartbeat.start_waits, out.init_start_waits());
     }
-    let mut waits = out.init_waits(heartbeat.waits.len() as u32);
-    for (index, wait) in heartbeat.waits.iter().enumerate() {
-        let mut entry = waits.reborrow().get(index as u32);
-        entry.set_queue(&wait.queue);
-        entry.set_workspace(&wait.workspace);
-        entry.set_millis(u32::try_from(wait.wait).unwrap_or(u32::MAX));
+}
+
+fn write_start_waits(waits: &StartWaits, mut out: wire::start_waits::Builder) {
+    out.set_rate(waits.rate);
+    let mut entries = out.init_by_priority(waits.by_priority.len() as u32);
+    for (index, &(priority, wait)) in waits.by_priority.iter().enumerate() {
+        let mut entry = entries.reborrow().get(index as u32);
+        entry.set_priority(priority);
+        entry.set_millis(u32::try_from(wait).unwrap_or(u32::MAX));
     }
 }
 
+fn read_start_waits(heartbeat: wire::beat::Reader) -> capnp::Result<StartWaits> {
+    let waits = heartbeat.get_start_waits()?;
+    let entries = waits.get_by_priority()?.iter();
+    let entries = entries.map(|entry| (entry.get_priority(), Millis::from(entry.get_millis())));
+    Ok(StartWaits {
+        rate: waits.get_rate(),
+        by_priority: entries.collect(),
+    })
+}
+
 fn encode_standing(standing: Standing) -> u16 {
     match standing {
         Standing::Unstated => 0,
@@ -476,6 +512,7 @@
         millicores: heartbeat.get_millicores(),
         pending,
         waits,
+        start_waits: read_start_waits(heartbeat)?,
         standing: decode_standing(heartbeat.get_standing()),
         standing_number: heartbeat.get_standing_number(),
         receiver_boot: heartbeat.get_receiver_boot(),
--- a/src/rpc/node_capnp.rs
+++ b/src/rpc/node_capnp.rs
@@ -3860,11 +3860,19 @@
         pub fn get_consent_number(self) -> u32 {
             self.reader.get_data_field::<u32>(24)
         }
+        #[inline]
+        pub fn get_start_waits(self) -> ::capnp::Result<crate::rpc::node_capnp::start_waits::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_start_waits(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 13, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 13, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4186,6 +4194,22 @@
         pub fn set_consent_number(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(24, value);
         }
+        #[inline]
+        pub fn get_start_waits(self) -> ::capnp::Result<crate::rpc::node_capnp::start_waits::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_start_waits(&mut self, value: crate::rpc::node_capnp::start_waits::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_start_waits(self, ) -> crate::rpc::node_capnp::start_waits::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), 0)
+        }
+        #[inline]
+        pub fn has_start_waits(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4195,214 +4219,224 @@
         }
     }
     impl Pipeline  {
+        pub fn get_start_waits(&self) -> crate::rpc::node_capnp::start_waits::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(7))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 454] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 470] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(3, 62, 160, 251, 87, 11, 78, 175),
             ::capnp::word(11, 0, 0, 0, 1, 0, 13, 0),
             ::capnp::word(210, 198, 161, 244, 224, 91, 211, 183),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 239, 5, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 39, 6, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 3, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(17, 3, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(25, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(33, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(41, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(89, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(113, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(121, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(133, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(141, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(149, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(177, 3, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(189, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(197, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 0, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(205, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(213, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 38, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(25, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(225, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(26, 0, 0, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(233, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(27, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4652,6 +4686,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 87, 97, 105),
+            ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 107, 253, 42, 208, 174, 82, 186),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4682,6 +4725,7 @@
                 24 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 25 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 26 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                27 => <crate::rpc::node_capnp::start_waits::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4695,9 +4739,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,9,17,6,19,24,25,26,3,15,5,13,16,0,20,14,8,4,10,7,23,21,22,12,11,18];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,9,17,6,19,24,25,26,3,15,5,13,16,0,20,14,8,4,10,7,23,21,22,27,12,11,18];
         pub(crate) const TYPE_ID: u64 = 0xaf4e_0b57_fba0_3e03;
     }
 }
@@ -5779,6 +5823,470 @@
     }
 }
 
+pub mod start_waits {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_rate(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_by_priority(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::rpc::node_capnp::start_wait::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_by_priority(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_rate(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_rate(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_by_priority(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::rpc::node_capnp::start_wait::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_by_priority(&mut self, value: ::capnp::struct_list::Reader<'_,crate::rpc::node_capnp::start_wait::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_by_priority(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::rpc::node_capnp::start_wait::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_by_priority(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(88, 107, 253, 42, 208, 174, 82, 186),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(210, 198, 161, 244, 224, 91, 211, 183),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 116, 97, 114, 116),
+            ::capnp::word(87, 97, 105, 116, 115, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 97, 116, 101, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 121, 80, 114, 105, 111, 114, 105),
+            ::capnp::word(116, 121, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 160, 28, 53, 72, 75, 202, 161),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::rpc::node_capnp::start_wait::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xba52_aed0_2afd_6b58;
+    }
+}
+
+pub mod start_wait {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_priority(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_millis(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_priority(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_priority(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_millis(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_millis(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(107, 160, 28, 53, 72, 75, 202, 161),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(210, 198, 161, 244, 224, 91, 211, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 116, 97, 114, 116),
+            ::capnp::word(87, 97, 105, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 114, 105, 111, 114, 105, 116, 121),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 105, 108, 108, 105, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xa1ca_4b48_351c_a06b;
+    }
+}
+
 pub mod advise {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -19,7 +19,7 @@
 };
 use crossweir::cell::expected_wait::{
     COMPUTE_INTERVAL, ExpectedWait, Load, MAX_PUBLISHED, NO_WORKSPACE, Publication,
-    QUIET_AFTER_CLAIM, expected_wait, select_published,
+    QUIET_AFTER_CLAIM, StartWaits, expected_wait, select_published,
 };
 use crossweir::cell::job::JobState;
 use crossweir::cell::name::TaskName;
@@ -69,6 +69,7 @@
     shares: false,
     advice_planning: false,
     reject_after: Some(3),
+    reject_late: false,
 };
 
 fn load(work: f64, millicores: f64) -> Load {
@@ -175,7 +176,7 @@
 #[test]
 fn a_new_owner_publishes_nothing_in_its_first_second() {
     let mut publication = Publication::new(5_000);
-    let compute = || vec![entry("q", "", 60_000)];
+    let compute = || (vec![entry("q", "", 60_000)], StartWaits::default());
     publication.refresh(5_000 + QUIET_AFTER_CLAIM - 1, compute);
     assert_eq!(
         (publication.computed_at, publication.waits.len()),
@@ -192,7 +193,7 @@
     for now in 2_000..3_000 {
         publication.refresh(now, || {
             computed += 1;
-            Vec::new()
+            (Vec::new(), StartWaits::default())
         });
     }
     assert_eq!(computed, 1_000 / COMPUTE_INTERVAL);
@@ -444,6 +445,8 @@
     Arrival {
         id: JobId(id),
         queue: "q",
+        priority: 0,
+        tasks: 1,
         workspace: "",
         critical_path: 1_000,
         granted: GRANTED,
@@ -455,6 +458,7 @@
         epoch: 4,
         heard_at: Some(10_000),
         waits: vec![entry("other", "", 90_000), entry("q", "", wait)],
+        start_waits: StartWaits::default(),
     }
 }
 
@@ -482,6 +486,62 @@
     );
 }
 
+/// Settings by which a job is refused only for the owner's starts.
+const REJECT_LATE: Options = Options {
+    reject_after: None,
+    reject_late: true,
+    ..OPTIONS
+};
+
+/// What an owner tells that carries 10 starts a second, of which urgent tasks wait for this long.
+fn heard_starts(wait: Millis) -> HeardWaits {
+    HeardWaits {
+        start_waits: StartWaits {
+            rate: 10,
+            by_priority: vec![(0, wait), (2, 60_000)],
+        },
+        ..heard(0)
+    }
+}
+
+/// Guards against jobs that are taken in by an owner that can't start them in time: each was late, and
+/// made those behind it late.
+#[test]
+fn a_job_that_the_owner_cannot_start_in_time_is_refused_at_once() {
+    let (admission, spare) = (Admission::default(), GRANTED - 1_000);
+    let judge = |job: &Arrival<'_>, wait| {
+        let waits = heard_starts(wait);
+        let overload = admission.judge(job, &REJECT_LATE, (&waits, 4), 10_200);
+        overload.map(|overload| (overload.wait, overload.limit))
+    };
+    // Its own start takes 100 ms.
+    assert_eq!(judge(&arrival(1), spare - 100), None);
+    let refused = (spare + 1, GRANTED);
+    assert_eq!(judge(&arrival(1), spare - 99), Some(refused));
+    // A job of more tasks takes longer, and one of lower priority waits for what goes before it.
+    let (tasks, priority) = (11, 2);
+    let large = Arrival {
+        tasks,
+        ..arrival(2)
+    };
+    assert!(judge(&large, spare - 1_000).is_some());
+    let batch = Arrival {
+        priority,
+        ..arrival(3)
+    };
+    assert!(judge(&batch, 0).is_some());
+}
+
+#[test]
+fn no_job_is_refused_for_starts_by_an_owner_that_holds_none_back() {
+    let waits = HeardWaits {
+        start_waits: StartWaits::default(),
+        ..heard(90_000)
+    };
+    let overload = Admission::default().judge(&arrival(1), &REJECT_LATE, (&waits, 4), 10_200);
+    assert_eq!(overload, None);
+}
+
 #[test]
 fn nothing_is_refused_without_the_option() {
     let off = Options::default();
@@ -1087,6 +1147,7 @@
         beat.waits.push(entry("q", "team", 80_000));
         beat.waits.push(entry("q", NO_WORKSPACE, 75_000));
         beat.waits.push(entry("never", "", Millis::MAX));
+        beat.start_waits = heard_starts(700).start_waits;
         let call = NodeCall::Beat(Box::new(beat.clone()));
         let reply: Result<NodeReply, PeerError> = link.call(address, call, 2_000).await;
         // A wait beyond the range of the field is still far beyond any limit.
@@ -1428,11 +1489,14 @@
         world.step();
         let now = world.now;
         if now.is_multiple_of(HEARD_EVERY) {
-            publication.refresh(now, || world.cell.expected_waits(now));
+            publication.refresh(now, || {
+                (world.cell.expected_waits(now), StartWaits::default())
+            });
             waits = HeardWaits {
                 epoch: 1,
                 heard_at: Some(now),
                 waits: publication.waits.clone(),
+                start_waits: StartWaits::default(),
             };
         }
         for job in &mut jobs {
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -137,6 +137,7 @@
         shares: true,
         advice_planning: true,
         reject_after: Some(3),
+        reject_late: false,
     }
 }
 
--- a/tests/owner_limit.rs
+++ b/tests/owner_limit.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use cell_core::{Bench, job, queue, starts, step};
-use crossweir::cell::expected_wait::ExpectedWait;
+use crossweir::cell::expected_wait::StartWaits;
 use crossweir::cell::order::{EndKind, StartOrder};
 use crossweir::cell::spec::{JobId, Step};
 use crossweir::cell::tuning;
@@ -120,10 +120,10 @@
         jobs.filter(|(_, in_time)| *in_time == TASKS).count()
     }
 
-    fn wait(&self, queue: &str) -> Millis {
+    /// How long the first start of a new job of this queue waits.
+    fn wait(&self, queue: &Queue) -> Millis {
         let waits = self.bench.cell.start_waits(self.bench.now);
-        let wait = waits.into_iter().find(|entry| entry.queue == queue);
-        wait.map_or(0, |entry: ExpectedWait| entry.wait)
+        waits.wait(queue.priority, 0)
     }
 }
 
@@ -166,14 +166,14 @@
     // Arrange.
     let mut owner = SlowOwner::new();
     owner.overload(FIRST_ROUNDS);
-    let before = owner.wait("urgent");
+    let before = owner.wait(&urgent());
 
     // Act.
     owner.submit_step(&urgent(), step(20 * STARTS as u32, 1));
     owner.carry();
 
     // Assert: 20 round trips, of which the late ones get a share.
-    let added = owner.wait("urgent") - before;
+    let added = owner.wait(&urgent()) - before;
     let least = 20 * ROUND_TRIP;
     assert!((least..2 * least).contains(&added), "{before} + {added}");
 }
@@ -188,8 +188,12 @@
     (0..FIRST_ROUNDS * 2).for_each(|_| owner.carry());
 
     // Assert.
-    assert_eq!(owner.wait("urgent"), 0);
-    assert!(owner.wait("batch") > ROUND_TRIP, "{}", owner.wait("batch"));
+    assert_eq!(owner.wait(&urgent()), 0);
+    assert!(
+        owner.wait(&batch()) > ROUND_TRIP,
+        "{}",
+        owner.wait(&batch())
+    );
 }
 
 #[test]
@@ -206,7 +210,7 @@
     }
 
     // Assert.
-    assert_eq!(bench.cell.start_waits(bench.now), []);
+    assert_eq!(bench.cell.start_waits(bench.now), StartWaits::default());
 }
 
 /// Guards against waits that outlast the overload: callers were refused by an owner that was idle.
@@ -215,13 +219,13 @@
     // Arrange.
     let mut owner = SlowOwner::new();
     owner.overload(FIRST_ROUNDS);
-    assert!(owner.wait("urgent") > 0);
+    assert!(owner.wait(&urgent()) > 0);
 
     // Act.
     (0..FIRST_ROUNDS * 4).for_each(|_| owner.carry());
 
     // Assert.
-    assert_eq!(owner.wait("urgent"), 0);
+    assert_eq!(owner.wait(&urgent()), 0);
     assert_eq!(owner.bench.cell.expected_waits(owner.bench.now)[0].wait, 0);
 }
 
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -35,6 +35,7 @@
     shares: true,
     advice_planning: false,
     reject_after: None,
+    reject_late: false,
 };
 
 /// A capacity of 100 cores, 1,000 MiB and 10 accelerators.
