What an owner sends at rest follows its link

At rest an owner sent 85 to 100 of the 250 KB a second that 2 Mbit/s carry: 50 in heartbeats to 17 nodes, 35 in polls of 120 idle workers, and no more was left when work came.

Heartbeats to watchers come at 100 ms on links of 10 Mbit/s or more, and up to 200 ms apart on narrower ones; the owner is suspected after three of them, as before, so after 0.7 s at most. Idle polls, 750 a second at most, are fewer in proportion for an owner below a quarter of a core or 25 Mbit/s; they wait longer at the worker, 1.5 s at most, and end as soon as a run does.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -328,6 +328,8 @@
     heard_until: Millis,
     /// The starts in flight, and how many there may be.
     start_pace: StartPace,
+    /// The most polls without news, a second.
+    max_idle_polls: u64,
     /// Orders that have not been taken yet.
     orders: Vec<Order>,
     /// Waiting times that have not been taken yet.
@@ -407,6 +409,7 @@
             exclusive_at: Millis::MAX,
             heard_until: Millis::MAX,
             start_pace: StartPace::default(),
+            max_idle_polls: tuning::MAX_IDLE_POLLS_PER_SECOND,
             orders: Vec::new(),
             job_waits: Vec::new(),
             waiting: Waiting::new(),
@@ -503,6 +506,11 @@
         self.recharge_room();
     }
 
+    /// Sets how many polls without news the owner can make, a second; at least one.
+    pub fn set_max_idle_polls(&mut self, a_second: u64) {
+        self.max_idle_polls = a_second.max(1);
+    }
+
     /// Switches optional parts of scheduling on or off.
     pub fn set_options(&mut self, options: Options) {
         self.options = options;
@@ -670,11 +678,10 @@
     }
 
     /// Returns how long a poll waits at a worker for an end.  It grows with the number of unparked
-    /// workers, up to `MAX_POLL_WAIT`, to keep polls without news below
-    /// `MAX_IDLE_POLLS_PER_SECOND`.
+    /// workers, up to `MAX_POLL_WAIT`, to keep polls without news below what the owner can do.
     fn poll_wait(&self) -> Millis {
         let workers = (self.workers.len() - self.parked) as Millis;
-        let wait = workers * 1_000 / tuning::MAX_IDLE_POLLS_PER_SECOND;
+        let wait = workers * 1_000 / self.max_idle_polls;
         wait.clamp(tuning::POLL_WAIT, tuning::MAX_POLL_WAIT)
     }
 
--- a/src/node/heartbeat.rs
+++ b/src/node/heartbeat.rs
@@ -54,7 +54,14 @@
 impl Schedule {
     /// Returns the nodes that are due now, and schedules their next heartbeats.  A node that was
     /// not known before is due at once.
-    pub fn take_due(&mut self, members: &Members, now: Millis) -> Vec<Due> {
+    ///
+    /// `watcher_interval` is that of heartbeats to watchers, in milliseconds.
+    pub fn take_due(
+        &mut self,
+        members: &Members,
+        watcher_interval: Millis,
+        now: Millis,
+    ) -> Vec<Due> {
         let nodes = members.iter().count().max(1) as Millis;
         let mut due = Vec::new();
         for (place, (name, member)) in members.iter().enumerate() {
@@ -62,7 +69,7 @@
             // bounded number in each heartbeat.
             let is_short = members.watches(name) || !members.is_in_sync(member);
             let interval = if is_short {
-                WATCHER_INTERVAL
+                watcher_interval
             } else {
                 DEFAULT_INTERVAL
             };
@@ -90,12 +97,13 @@
 /// Sends heartbeats to the other nodes for as long as this node owns the cell.
 pub async fn run(shared: &Arc<Shared>) {
     let mut schedule = Schedule::default();
+    let watcher_interval = shared.load.watcher_interval();
     let mut reviewed = 0;
     let mut beat: Option<(Millis, Heartbeat)> = None;
     shared.members().restart_silence(shared.now());
     while shared.engine().is_some() {
         let now = shared.now();
-        let due = schedule.take_due(&shared.members(), now);
+        let due = schedule.take_due(&shared.members(), watcher_interval, now);
         // Building a heartbeat counts all jobs, so one is reused for many nodes.
         beat = beat.filter(|(made, _)| now.saturating_sub(*made) < WATCHER_INTERVAL);
         let (made, base) = beat.get_or_insert_with(|| (now, shared.heartbeat()));
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -10,8 +10,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use crate::cell::tuning;
 use crate::clock::Millis;
 use crate::node::link_load::{Call, Figures, LinkWatch, Peer};
+use crate::node::owner;
 use crate::node::shared::Shared;
 
 /// How often the wake-up delay is measured.
@@ -29,6 +31,13 @@
 /// a second (docs/CAPACITY.md, "Links").
 pub const OWNER_KILOBITS: u32 = 25_000;
 
+/// The link, in kilobits a second, of which heartbeats to watchers at their usual interval take a
+/// twentieth.
+const USUAL_HEARTBEATS_FROM: u32 = 10_000;
+/// The longest interval of heartbeats to watchers, in milliseconds.  Others vouch for an owner that
+/// they have heard within 300 ms, and urgent jobs have 0.9 s to spare.
+const MAX_WATCHER_INTERVAL: Millis = 200;
+
 /// The capacity and the load of a node.
 #[derive(Debug)]
 pub struct Load {
@@ -89,6 +98,25 @@
         self.millicores.min(by_link)
     }
 
+    /// Returns how many polls without news the node can make as the owner, a second: all that are
+    /// wanted if it can own a cell of several hundred workers, and fewer in proportion.
+    pub fn max_idle_polls(&self) -> u64 {
+        let part = u64::from(self.capacity().min(OWNER_MILLICORES));
+        tuning::MAX_IDLE_POLLS_PER_SECOND * part / u64::from(OWNER_MILLICORES)
+    }
+
+    /// Returns the interval at which the node sends heartbeats to watchers as the owner, in
+    /// milliseconds.  It is longer on a narrow link, which they would fill.
+    pub fn watcher_interval(&self) -> Millis {
+        let link = self
+            .link
+            .unwrap_or(u32::MAX)
+            .clamp(1, USUAL_HEARTBEATS_FROM);
+        let interval =
+            owner::HEARTBEAT_INTERVAL * Millis::from(USUAL_HEARTBEATS_FROM) / Millis::from(link);
+        interval.min(MAX_WATCHER_INTERVAL)
+    }
+
     /// Returns how much CPU the node can spend on owning the cell, in thousandths of a core; zero
     /// while it is overloaded, and for some time after it has lost the cell with a full link.
     pub fn strength(&self) -> u32 {
--- a/src/node/loading.rs
+++ b/src/node/loading.rs
@@ -147,6 +147,7 @@
     let config = shared.config().unwrap_or_default();
     let mut cell = Cell::new(epoch, config, now);
     cell.set_options(shared.options);
+    cell.set_max_idle_polls(shared.load.max_idle_polls());
     cell.set_wall_clock(clock::unix_time());
     let (roster, workers) = RosterRows::read(&former.0);
     if roster.has_unreadable_rows() {
