--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -51,7 +51,31 @@
     pub by_priority: Vec<(u32, Millis)>,
 }
 
+/// What a new job asks of the owner's starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartDemand {
+    /// The priority number of its queue.
+    pub priority: u32,
+    /// How many tasks it has, at least one.
+    pub tasks: u64,
+    /// How long its last start may wait, in milliseconds.
+    pub spare: Millis,
+}
+
 impl StartWaits {
+    /// The wait of a job about which the owner was asked, its own starts included.
+    pub fn told(wait: Millis) -> Self {
+        Self {
+            rate: u32::MAX,
+            by_priority: vec![(0, wait)],
+        }
+    }
+
+    /// Returns whether the owner holds starts back.
+    pub fn is_limited(&self) -> bool {
+        self.rate > 0
+    }
+
     /// Returns how long the last start of a new job waits that has so many tasks.
     pub fn wait(&self, priority: u32, tasks: u64) -> Millis {
         if self.rate == 0 {
@@ -416,23 +440,30 @@
 
     /// Returns how long new jobs wait because the owner can't send all starts at once.
     ///
-    /// A job waits for the tasks of its priority and of lower priority numbers that are in time: late
-    /// ones have a share of their own.
+    /// A job waits for the tasks of its priority and of lower priority numbers that are in time, those
+    /// of later steps included: late ones have a share of their own.
     pub fn start_waits(&self, now: Millis) -> StartWaits {
-        let Some(rate) = self
-            .start_rate_in_time(now)
-            .filter(|_| !self.has_unread_jobs)
-        else {
+        let rate = self.start_rate(now).filter(|_| !self.has_unread_jobs);
+        let Some(mut rate) = rate else {
             return StartWaits::default();
         };
         let mut tasks: BTreeMap<u32, u64> = BTreeMap::new();
+        let mut has_late_tasks = false;
         for &key in &self.open_steps {
             let step = &self.steps[key];
-            if step.ready && step.idle > 0 && !self.is_late(key, now) {
+            if step.idle == 0 {
+                continue;
+            }
+            if self.is_late(key, now) {
+                has_late_tasks = true;
+            } else {
                 let priority = self.jobs[step.job].decision.priority;
                 *tasks.entry(priority).or_default() += u64::from(step.idle);
             }
         }
+        if has_late_tasks {
+            rate = (rate * (tuning::LATE_ROUNDS - 1) / tuning::LATE_ROUNDS).max(1);
+        }
         let mut before = 0;
         let by_priority = tasks.into_iter().map(|(priority, tasks)| {
             before += tasks;
--- a/src/cell/start_pace.rs
+++ b/src/cell/start_pace.rs
@@ -58,7 +58,7 @@
     pub(super) fn note_sent(&mut self, run: RunKey, now: Millis) {
         self.sent.insert(run, now);
         self.in_flight += 1;
-        self.rate.note(now);
+        self.rate.sent_since += 1;
     }
 
     /// Notes that a start was answered at `now`, whatever the answer is.
@@ -131,38 +131,35 @@
     }
 }
 
-/// How many starts are sent while others are held back.
+/// How many starts are sent while others are held back.  Other times say nothing of what the owner
+/// carries.
 #[derive(Debug, Default)]
 struct StartRate {
-    period_began: Millis,
-    in_period: u32,
+    /// When the last round began, and how many starts were sent since.
+    round_began: Millis,
+    sent_since: u32,
+    /// For how long starts were held back in this period, and how many were sent then.
+    held_back: Millis,
+    sent: u32,
     /// The starts a second in the last period.
     last: Option<u32>,
 }
 
 impl StartRate {
-    fn beginning(now: Millis) -> Self {
-        Self {
-            period_began: now,
-            ..Self::default()
+    /// Notes that another round begins; `is_held_back` says whether starts were held back since the
+    /// last one.
+    fn begin_round(&mut self, is_held_back: bool, now: Millis) {
+        if is_held_back {
+            self.held_back += now.saturating_sub(self.round_began);
+            self.sent += self.sent_since;
         }
-    }
-
-    fn note(&mut self, now: Millis) {
-        self.advance(now);
-        self.in_period += 1;
-    }
-
-    /// Begins another period if this one is over.
-    fn advance(&mut self, now: Millis) {
-        let took = now.saturating_sub(self.period_began);
-        if took < tuning::START_RATE_PERIOD {
-            return;
+        self.round_began = now;
+        self.sent_since = 0;
+        if self.held_back >= tuning::START_RATE_PERIOD {
+            self.last = Some((u64::from(self.sent) * 1_000 / self.held_back) as u32);
+            self.held_back = 0;
+            self.sent = 0;
         }
-        let a_second = u64::from(self.in_period) * 1_000 / took;
-        self.last = Some(a_second as u32);
-        self.period_began = now;
-        self.in_period = 0;
     }
 }
 
@@ -224,13 +221,8 @@
 
     /// Notes that tasks wait because too many starts are in flight.
     pub(super) fn note_start_held_back(&mut self, now: Millis) {
-        let pace = &mut self.start_pace;
-        if !pace.is_limit(now) {
-            // Until now there were fewer tasks to start than could be sent.
-            pace.rate = StartRate::beginning(now);
-        }
-        pace.holds_back = true;
-        pace.held_back_at = Some(now);
+        self.start_pace.holds_back = true;
+        self.start_pace.held_back_at = Some(now);
     }
 
     /// Returns whether the owner, and not room, is what tasks wait for.
@@ -238,11 +230,11 @@
         self.start_pace.is_limit(now)
     }
 
-    /// How many starts a second the owner carries for jobs in time; none while it holds nothing back.
-    pub(super) fn start_rate_in_time(&self, now: Millis) -> Option<u32> {
+    /// How many starts a second the owner carries, one at least; none while it holds nothing back.
+    pub(super) fn start_rate(&self, now: Millis) -> Option<u32> {
         let pace = &self.start_pace;
         let rate = pace.rate.last.filter(|_| pace.is_limit(now))?;
-        Some((rate * (tuning::LATE_ROUNDS - 1) / tuning::LATE_ROUNDS).max(1))
+        Some(rate.max(1))
     }
 
     /// Returns whether jobs that are late already go first in a round of an owner that is the limit:
@@ -271,8 +263,9 @@
 
     /// Forgets that tasks were held back, as a new scheduling round begins.
     pub(super) fn begin_start_round(&mut self, now: Millis) {
-        self.start_pace.holds_back = false;
-        self.start_pace.rate.advance(now);
-        self.start_pace.recount(now);
+        let pace = &mut self.start_pace;
+        pace.rate.begin_round(pace.holds_back, now);
+        pace.holds_back = false;
+        pace.recount(now);
     }
 }
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -8,12 +8,12 @@
 //! A refused job must not run, and a job must not be refused for a load that is over.  A node
 //! therefore refuses only by a recent value of the present owner, and accepts in case of doubt.
 
-use std::collections::HashMap;
 use std::collections::hash_map::Entry;
+use std::collections::{HashMap, VecDeque};
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::cell::expected_wait::{ExpectedWait, NO_WORKSPACE, StartWaits};
+use crate::cell::expected_wait::{ExpectedWait, NO_WORKSPACE, StartDemand, StartWaits};
 use crate::cell::options::Options;
 use crate::cell::spec::{JobId, JobSpec};
 use crate::cell::urgency::critical_path;
@@ -47,6 +47,10 @@
 /// milliseconds: writes are retried for 2 s, and the owner looks for new rows once a second.
 const DOUBT_WINDOW: Millis = 5_000;
 
+/// A job that was let in is known to the owner, and counted in its waits, after this time, in
+/// milliseconds: it is written to the store and announced meanwhile.
+const KNOWN_AFTER: Millis = 300;
+
 /// The expected waits of new jobs as a node knows them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HeardWaits {
@@ -203,6 +207,38 @@
     }
 }
 
+/// The starts of jobs that the owner has let in and may not know yet.
+///
+/// Each node hears of waits a few times a second.  Without this, all of them would accept jobs by the
+/// same value as soon as it falls.
+#[derive(Debug, Default)]
+pub struct AdmittedStarts(VecDeque<(Millis, StartDemand)>);
+
+impl AdmittedStarts {
+    /// Lets a job in if its starts wait no longer than they may, by the waits that the owner knows.
+    ///
+    /// # Errors
+    /// Fails with the time for which they would wait, in milliseconds.
+    pub fn admit(
+        &mut self,
+        demand: StartDemand,
+        waits: &StartWaits,
+        now: Millis,
+    ) -> Result<(), Millis> {
+        self.0
+            .retain(|(at, _)| now.saturating_sub(*at) < KNOWN_AFTER);
+        let before = self.0.iter().map(|(_, before)| before);
+        let before = before.filter(|before| before.priority <= demand.priority);
+        let before: u64 = before.map(|before| before.tasks).sum();
+        let wait = waits.wait(demand.priority, before.saturating_add(demand.tasks));
+        if wait > demand.spare {
+            return Err(wait);
+        }
+        self.0.push_back((now, demand));
+        Ok(())
+    }
+}
+
 /// The decisions of one node, and what it remembers of earlier ones.
 #[derive(Debug, Default)]
 pub struct Admission {
@@ -249,6 +285,25 @@
         overloads.max_by_key(|overload| overload.pause)
     }
 
+    /// Returns what a job asks of the owner's starts; none if it is not refused for these.
+    pub fn start_demand(
+        &self,
+        job: &Arrival<'_>,
+        options: &Options,
+        now: Millis,
+    ) -> Option<StartDemand> {
+        if !options.reject_late {
+            return None;
+        }
+        let limit = self.reduce_limit(job, job.granted, now);
+        let since_first = self.first_refusals.since(job.id, now).unwrap_or_default();
+        Some(StartDemand {
+            priority: job.priority,
+            tasks: job.tasks.max(1),
+            spare: limit.saturating_sub(job.critical_path + since_first),
+        })
+    }
+
     fn is_limit_reduced(&self, job: &Arrival<'_>, now: Millis) -> bool {
         let refused_at = self.refused_at.get(&limit_key(job));
         refused_at.is_some_and(|&at| now.saturating_sub(at) < REDUCED_FOR)
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
 
-use crate::cell::expected_wait::Publication;
+use crate::cell::expected_wait::{Publication, StartDemand};
 use crate::cell::intake::CancelOutcome;
 use crate::cell::job::JobState;
 use crate::cell::record::JobRow;
@@ -21,7 +21,7 @@
 use crate::cell::view::JobView;
 use crate::cell::{Cell, Milestone, WorkerKey, tuning};
 use crate::clock::{self, Millis};
-use crate::node::admission::{FirstRefusals, HeardWaits};
+use crate::node::admission::{AdmittedStarts, FirstRefusals, HeardWaits};
 use crate::node::call_times::CallClock;
 use crate::node::consent::{OwnerStanding, Standing};
 use crate::node::heartbeat;
@@ -74,6 +74,8 @@
     publication: Mutex<Publication>,
     /// When nodes first refused jobs because of load.  A successor does not know it.
     first_refusals: Mutex<FirstRefusals>,
+    /// The starts of jobs that were let in of late.
+    admitted_starts: Mutex<AdmittedStarts>,
     /// Triggers a scheduling round.
     pub(super) wake: Notify,
     /// Triggers the recording of what has changed.
@@ -147,6 +149,7 @@
             cell: Mutex::new(loaded.cell),
             publication: Mutex::new(Publication::new(shared.now())),
             first_refusals: Mutex::default(),
+            admitted_starts: Mutex::default(),
             wake: Notify::new(),
             record: Notify::new(),
             confirm_needed: Notify::new(),
@@ -390,11 +393,35 @@
 
     /// Answers a node that may refuse a job because of load, and remembers its refusal for
     /// `refused_for` milliseconds if the job is not known.
-    pub async fn intake(&self, job: JobId, refused_for: Millis) -> NodeReply {
+    ///
+    /// A job that the node does not refuse is let in here, if `starts` says what it asks of the
+    /// starts.
+    pub async fn intake(
+        &self,
+        job: JobId,
+        refused_for: Millis,
+        starts: Option<StartDemand>,
+    ) -> NodeReply {
         if let Some(state) = self.state_or_end(job).await {
             return NodeReply::State(state);
         }
         let now = self.shared.now();
+        let since = self.note_refusal(job, refused_for, now);
+        if refused_for == 0
+            && let Some(demand) = starts
+            && let Err(wait) = self.admit(demand, since.unwrap_or_default(), now)
+        {
+            return NodeReply::StartsWait(wait);
+        }
+        match since {
+            Some(since) => NodeReply::FirstRefused(since),
+            None => NodeReply::UnknownJob,
+        }
+    }
+
+    /// Notes that a node refuses a job for `refused_for` milliseconds, if that is not zero.  Returns
+    /// how long ago it was first refused, if it was.
+    fn note_refusal(&self, job: JobId, refused_for: Millis, now: Millis) -> Option<Millis> {
         let mut refusals = self
             .first_refusals
             .lock()
@@ -402,10 +429,23 @@
         if refused_for > 0 {
             refusals.note(job, 0, refused_for, now);
         }
-        match refusals.since(job, now) {
-            Some(since) => NodeReply::FirstRefused(since),
-            None => NodeReply::UnknownJob,
-        }
+        refusals.since(job, now)
+    }
+
+    /// Lets in a job that was first refused `since` milliseconds ago.
+    ///
+    /// # Errors
+    /// Fails with the time for which its starts would have waited since then, if that is too long.
+    fn admit(&self, demand: StartDemand, since: Millis, now: Millis) -> Result<(), Millis> {
+        let waits = self.expected_waits().start_waits;
+        let spare = demand.spare.saturating_sub(since);
+        let demand = StartDemand { spare, ..demand };
+        let mut admitted = self
+            .admitted_starts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let admitted = admitted.admit(demand, &waits, now);
+        admitted.map_err(|wait| wait.saturating_add(since))
     }
 
     /// Exports the core's counts as metrics.
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -7,12 +7,13 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 
+use crate::cell::expected_wait::StartWaits;
 use crate::cell::job::JobState;
 use crate::cell::record::{JobProgress, JobRow};
 use crate::cell::spec::{JobId, JobSpec};
 use crate::cell::view::JobView;
 use crate::clock::Millis;
-use crate::node::admission::{Admission, Arrival, Overload};
+use crate::node::admission::{Admission, Arrival, HeardWaits, Overload};
 use crate::node::intake::{Intake, SubmitOutcome};
 use crate::node::owner_calls::{OWNER_TIMEOUT, ask_owner, notify_owner, serve_as_owner};
 use crate::node::shared::{CELL_PARTITION, Shared};
@@ -86,6 +87,17 @@
     }
 }
 
+/// Whether a job is refused because of load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Admittance {
+    /// It is not.
+    Granted,
+    /// It is, and will never run.
+    Refused(Overload),
+    /// It can't be started in time, and may have been accepted before.
+    Unknown,
+}
+
 impl Frontend {
     /// Creates the frontend of a node and starts its intake.
     pub fn new(shared: Arc<Shared>) -> Self {
@@ -171,8 +183,9 @@
         let outcome = match self.is_id_taken(caller, id).await {
             true => SubmitOutcome::IdInUse,
             false => match self.find_overload(&row).await {
-                Some(overload) => SubmitOutcome::Overloaded(overload.pause),
-                None => self.write(id, value, deadline).await,
+                Admittance::Refused(overload) => SubmitOutcome::Overloaded(overload.pause),
+                Admittance::Unknown => SubmitOutcome::Doubtful,
+                Admittance::Granted => self.write(id, value, deadline).await,
             },
         };
         let now = self.shared.now();
@@ -215,48 +228,73 @@
         matches!(seen, Some(NodeReply::UnknownJob))
     }
 
-    /// Returns why a job is refused because of load; none if it is accepted.
+    /// Decides whether a job is refused because of load.
     ///
     /// Nothing is refused while the store is slow: the outcome of many writes is unknown then, and
     /// the owner reads their rows late, so it cannot tell which jobs are known.
-    async fn find_overload(&self, row: &JobRow) -> Option<Overload> {
+    ///
+    /// While the owner can send no more starts, it is asked about each job.  If it does not answer
+    /// about one that can't be started in time, the job is neither refused, since it may be known, nor
+    /// written, since it would be late and make others late.
+    async fn find_overload(&self, row: &JobRow) -> Admittance {
         let shared = &self.shared;
         if !shared.options.may_reject() {
-            return None;
+            return Admittance::Granted;
         }
         let workspace = row.workspace.as_ref().map(|w| w.name.as_str());
-        let job = Arrival::new(row.id, &row.queue, workspace.unwrap_or_default(), &row.spec)?;
+        let job = Arrival::new(row.id, &row.queue, workspace.unwrap_or_default(), &row.spec);
+        let Some(job) = job else {
+            return Admittance::Granted;
+        };
         let (waits, epoch) = shared.expected_waits();
         let now = shared.now();
         if shared.store_is_slow() {
             self.admission().note_accepted(&job);
-            return None;
+            return Admittance::Granted;
         }
         let options = &shared.options;
-        let judge = |admission: &Admission| admission.judge(&job, options, (&waits, epoch), now);
-        let (mut overload, asks) = {
+        let judge = |admission: &Admission, waits: &HeardWaits| {
+            admission.judge(&job, options, (waits, epoch), now)
+        };
+        let (mut overload, asks, starts) = {
             let admission = self.admission();
             let asks = admission.may_have_lost_time(&job, options, (&waits, epoch), now);
-            (judge(&admission), asks)
+            let starts = admission.start_demand(&job, options, now);
+            (judge(&admission, &waits), asks, starts)
         };
-        if overload.is_some() || asks {
+        let is_limited = waits.age(epoch, now).is_some() && waits.start_waits.is_limited();
+        if overload.is_some() || asks || is_limited {
             let call = NodeCall::Intake {
                 job: row.id,
                 refused_for: overload.map_or(0, |overload| overload.limit),
+                starts,
             };
-            match ask_owner(shared, call, ID_TIMEOUT).await {
+            let limit = if is_limited {
+                OWNER_TIMEOUT
+            } else {
+                ID_TIMEOUT
+            };
+            match ask_owner(shared, call, limit).await {
                 Some(NodeReply::UnknownJob) => {}
                 Some(NodeReply::FirstRefused(since)) => {
                     let mut admission = self.admission();
                     admission.note_first_refusal(&job, options, since, now);
-                    overload = judge(&admission);
+                    overload = judge(&admission, &waits);
+                }
+                Some(NodeReply::StartsWait(wait)) => {
+                    let told = HeardWaits {
+                        start_waits: StartWaits::told(wait),
+                        ..waits.clone()
+                    };
+                    overload = judge(&self.admission(), &told);
                 }
-                _ => return None,
+                None if is_limited && overload.is_some() => return Admittance::Unknown,
+                _ => return Admittance::Granted,
             }
         }
         let Some(overload) = overload else {
             self.admission().note_accepted(&job);
-            return None;
+            return Admittance::Granted;
         };
         self.admission().note_refused(&job, &overload, now);
         tracing::info!(
@@ -273,7 +311,7 @@
             retry_ms = overload.pause,
             "job refused because of load"
         );
-        Some(overload)
+        Admittance::Refused(overload)
     }
 
     fn admission(&self) -> MutexGuard<'_, Admission> {
--- a/src/node/owner_calls.rs
+++ b/src/node/owner_calls.rs
@@ -59,7 +59,11 @@
             }
         }
         NodeCall::Cancel(request) => engine.cancel(&request).await,
-        NodeCall::Intake { job, refused_for } => engine.intake(job, refused_for).await,
+        NodeCall::Intake {
+            job,
+            refused_for,
+            starts,
+        } => engine.intake(job, refused_for, starts).await,
         _ => NodeReply::NotOwner,
     }
 }
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -68,6 +68,12 @@
   # The sender refuses the job unless the owner knows it, and the refusal counts against the job's
   # limit for this long, in milliseconds; 0 if the sender does not refuse it.
   refusedFor @1 :UInt32;
+  # The priority number of its queue.
+  priority @2 :UInt32;
+  # How many tasks it has; 0 from a node that doesn't ask how long their starts wait.
+  tasks @3 :UInt64;
+  # How long its starts may wait, in milliseconds.
+  spare @4 :UInt64;
 }
 
 struct Question {
@@ -107,6 +113,9 @@
     configurationPiece @13 :Piece;
     # The receiver has no newer configuration than the sender.
     nothingNewer @14 :Void;
+    # The owner does not know the job, and its starts would wait for so many milliseconds, which is
+    # longer than they may.
+    startsWait @15 :UInt64;
   }
 }
 
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -8,7 +8,7 @@
 use futures::future::BoxFuture;
 use tokio::net::TcpListener;
 
-use crate::cell::expected_wait::{ExpectedWait, StartWaits};
+use crate::cell::expected_wait::{ExpectedWait, StartDemand, StartWaits};
 use crate::cell::job::JobState;
 use crate::cell::spec::JobId;
 use crate::clock::Millis;
@@ -181,6 +181,8 @@
         /// The sender refuses the job unless the owner knows it, and the refusal counts against the
         /// job's limit for this long, in milliseconds; 0 if the sender does not refuse it.
         refused_for: Millis,
+        /// What the job asks of the owner's starts; none if the sender does not refuse jobs for these.
+        starts: Option<StartDemand>,
     },
 }
 
@@ -217,6 +219,9 @@
     Written(Vec<SubmitOutcome>),
     /// The owner does not know the job, and a node refused it first so many milliseconds ago.
     FirstRefused(Millis),
+    /// The owner does not know the job, and its starts would wait for so many milliseconds, longer
+    /// than they may.
+    StartsWait(Millis),
 }
 
 impl NodeCall {
@@ -566,10 +571,19 @@
         }
         NodeCall::Relay(call) => out.set_relay(call),
         NodeCall::Explain(request) => write_job_request(request, out.init_explain_for()),
-        NodeCall::Intake { job, refused_for } => {
+        NodeCall::Intake {
+            job,
+            refused_for,
+            starts,
+        } => {
             let mut intake = out.init_intake();
             intake.set_job(job.0);
             intake.set_refused_for(u32::try_from(*refused_for).unwrap_or(u32::MAX));
+            if let Some(demand) = starts {
+                intake.set_priority(demand.priority);
+                intake.set_tasks(demand.tasks);
+                intake.set_spare(demand.spare);
+            }
         }
         NodeCall::Write(rows) => {
             let mut list = out.init_write(rows.len() as u32);
@@ -604,9 +618,15 @@
         }
         wire::request::Intake(intake) => {
             let intake = intake?;
+            let demand = StartDemand {
+                priority: intake.get_priority(),
+                tasks: intake.get_tasks(),
+                spare: intake.get_spare(),
+            };
             NodeCall::Intake {
                 job: JobId(intake.get_job()),
                 refused_for: intake.get_refused_for().into(),
+                starts: (demand.tasks > 0).then_some(demand),
             }
         }
         wire::request::Configuration(version) => NodeCall::Configuration(version),
@@ -638,6 +658,7 @@
         NodeReply::State(state) => out.set_state(state_number(*state)),
         NodeReply::UnknownJob => out.set_unknown_job(()),
         NodeReply::FirstRefused(since) => out.set_first_refused(*since),
+        NodeReply::StartsWait(wait) => out.set_starts_wait(*wait),
         NodeReply::Cancelled => out.set_cancelled(()),
         NodeReply::Unavailable => out.set_unavailable(()),
         NodeReply::Tickets(tickets) => {
@@ -677,6 +698,7 @@
         wire::reply::State(number) => NodeReply::State(state_from_number(number)?),
         wire::reply::UnknownJob(()) => NodeReply::UnknownJob,
         wire::reply::FirstRefused(since) => NodeReply::FirstRefused(since),
+        wire::reply::StartsWait(wait) => NodeReply::StartsWait(wait),
         wire::reply::Cancelled(()) => NodeReply::Cancelled,
         wire::reply::Unavailable(()) => NodeReply::Unavailable,
         wire::reply::Tickets(tickets) => {
--- a/src/rpc/node_capnp.rs
+++ b/src/rpc/node_capnp.rs
@@ -1961,11 +1961,23 @@
         pub fn get_refused_for(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_priority(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_tasks(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_spare(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2031,6 +2043,30 @@
         pub fn set_refused_for(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_priority(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_priority(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_tasks(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_tasks(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_spare(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_spare(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2042,38 +2078,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(94, 150, 76, 135, 128, 163, 229, 197),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(210, 198, 161, 244, 224, 91, 211, 183),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 73, 110, 116, 97, 107),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(106, 111, 98, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2091,11 +2148,39 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 105, 111, 114, 105, 116, 121),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 115, 107, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 97, 114, 101, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2109,9 +2194,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,4,3];
         pub(crate) const TYPE_ID: u64 = 0xc5e5_a380_874c_965e;
     }
 }
@@ -2635,7 +2720,7 @@
 }
 
 pub mod reply {
-    pub use self::Which::{Beat,NotOwner,Taken,State,UnknownJob,Cancelled,Unavailable,Tickets,Configuration,Relayed,Explained,Written,FirstRefused,ConfigurationPiece,NothingNewer};
+    pub use self::Which::{Beat,NotOwner,Taken,State,UnknownJob,Cancelled,Unavailable,Tickets,Configuration,Relayed,Explained,Written,FirstRefused,ConfigurationPiece,NothingNewer,StartsWait};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2810,6 +2895,11 @@
                         ()
                     ))
                 }
+                15 => {
+                    ::core::result::Result::Ok(StartsWait(
+                        self.reader.get_data_field::<u64>(1)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -3007,6 +3097,11 @@
             self.builder.set_data_field::<u16>(0, 14);
         }
         #[inline]
+        pub fn set_starts_wait(&mut self, value: u64)  {
+            self.builder.set_data_field::<u16>(0, 15);
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -3084,6 +3179,11 @@
                         ()
                     ))
                 }
+                15 => {
+                    ::core::result::Result::Ok(StartsWait(
+                        self.builder.get_data_field::<u64>(1)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -3098,129 +3198,136 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 260] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 276] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(123, 138, 172, 156, 20, 224, 251, 136),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(210, 198, 161, 244, 224, 91, 211, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 15, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 16, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 112, 108, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 243, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 241, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 240, 255, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 62, 160, 251, 87, 11, 78, 175),
@@ -3359,6 +3466,15 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 115, 87, 97),
+            ::capnp::word(105, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3377,6 +3493,7 @@
                 12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 13 => <crate::rpc::node_capnp::piece::Owned as ::capnp::introspect::Introspect>::introspect(),
                 14 => <() as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3391,8 +3508,8 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,8,13,10,12,1,14,9,3,2,7,6,4,11];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,8,13,10,12,1,14,9,15,3,2,7,6,4,11];
         pub(crate) const TYPE_ID: u64 = 0x88fb_e014_9cac_8a7b;
     }
     pub enum Which<A0,A1,A2,A3,A4,A5,A6> {
@@ -3411,6 +3528,7 @@
         FirstRefused(u64),
         ConfigurationPiece(A6),
         NothingNewer(()),
+        StartsWait(u64),
     }
     pub type WhichReader<'a,> = Which<::capnp::Result<crate::rpc::node_capnp::beat::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::rpc::node_capnp::ticket::Owned>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<::capnp::primitive_list::Reader<'a,u16>>,::capnp::Result<crate::rpc::node_capnp::piece::Reader<'a>>>;
     pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::rpc::node_capnp::beat::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::rpc::node_capnp::ticket::Owned>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<::capnp::primitive_list::Builder<'a,u16>>,::capnp::Result<crate::rpc::node_capnp::piece::Builder<'a>>>;
--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -19,7 +19,7 @@
 };
 use crossweir::cell::expected_wait::{
     COMPUTE_INTERVAL, ExpectedWait, Load, MAX_PUBLISHED, NO_WORKSPACE, Publication,
-    QUIET_AFTER_CLAIM, StartWaits, expected_wait, select_published,
+    QUIET_AFTER_CLAIM, StartDemand, StartWaits, expected_wait, select_published,
 };
 use crossweir::cell::job::JobState;
 use crossweir::cell::name::TaskName;
@@ -38,7 +38,9 @@
 use crossweir::http::connections::{Connections, Limits};
 use crossweir::http::operator::OperatorToken;
 use crossweir::http::server;
-use crossweir::node::admission::{Admission, Arrival, FirstRefusals, HeardWaits, MAX_AGE};
+use crossweir::node::admission::{
+    Admission, AdmittedStarts, Arrival, FirstRefusals, HeardWaits, MAX_AGE,
+};
 use crossweir::node::engine::Engine;
 use crossweir::node::front::Frontend;
 use crossweir::node::intake::SubmitOutcome;
@@ -532,6 +534,30 @@
     assert!(judge(&batch, 0).is_some());
 }
 
+/// Guards against nodes that all accept by the same value: 59 jobs were let in within a second in
+/// which an owner could start two.
+#[test]
+fn an_owner_lets_in_no_more_jobs_than_it_can_start_in_time() {
+    // Arrange: 10 starts a second, and a job of 10 tasks may wait for 2 s.
+    let (priority, tasks, spare) = (0, 10, 2_000);
+    let demand = StartDemand {
+        priority,
+        tasks,
+        spare,
+    };
+    let waits = heard_starts(0).start_waits;
+    let mut admitted = AdmittedStarts::default();
+
+    // Act.
+    let mut admit = |now| admitted.admit(demand, &waits, now);
+    let first = [admit(0), admit(0), admit(10)];
+    let once_they_are_known = admit(310);
+
+    // Assert.
+    assert_eq!(first, [Ok(()), Ok(()), Err(3_000)]);
+    assert_eq!(once_they_are_known, Ok(()));
+}
+
 #[test]
 fn no_job_is_refused_for_starts_by_an_owner_that_holds_none_back() {
     let waits = HeardWaits {
@@ -887,17 +913,23 @@
     let front = Frontend::new(Arc::clone(&node.shared));
 
     // A node that only asks leaves nothing behind.
-    assert_eq!(engine.intake(JobId(3), 0).await, NodeReply::UnknownJob);
+    assert_eq!(
+        engine.intake(JobId(3), 0, None).await,
+        NodeReply::UnknownJob
+    );
     assert!(is_refused(submit(&front, 3).await));
     tokio::time::sleep(Duration::from_millis(2_000)).await;
-    let asked = engine.intake(JobId(3), 5_000).await;
+    let asked = engine.intake(JobId(3), 5_000, None).await;
     assert_eq!(asked, NodeReply::FirstRefused(2_000));
 
     // The limit of the job is 5,550 ms from the first refusal.
     tokio::time::sleep(Duration::from_millis(3_600)).await;
-    assert_eq!(engine.intake(JobId(3), 0).await, NodeReply::UnknownJob);
+    assert_eq!(
+        engine.intake(JobId(3), 0, None).await,
+        NodeReply::UnknownJob
+    );
     // A job that the owner has is never refused.
-    let known = engine.intake(JobId(1), 5_000).await;
+    let known = engine.intake(JobId(1), 5_000, None).await;
     assert!(matches!(known, NodeReply::State(_)), "{known:?}");
 }
 
@@ -1129,7 +1161,9 @@
     fn serve(&self, call: NodeCall) -> BoxFuture<'_, NodeReply> {
         let reply = match call {
             NodeCall::Beat(beat) => NodeReply::Beat(beat),
-            NodeCall::Intake { job, refused_for } => NodeReply::FirstRefused(job.0 + refused_for),
+            NodeCall::Intake {
+                job, refused_for, ..
+            } => NodeReply::FirstRefused(job.0 + refused_for),
             _ => NodeReply::Unavailable,
         };
         std::future::ready(reply).boxed()
@@ -1153,9 +1187,15 @@
         // A wait beyond the range of the field is still far beyond any limit.
         beat.waits[3].wait = Millis::from(u32::MAX);
         assert_eq!(reply, Ok(NodeReply::Beat(Box::new(beat))));
+        let demand = StartDemand {
+            priority: 2,
+            tasks: 13,
+            spare: 900,
+        };
         let intake = NodeCall::Intake {
             job: JobId(70_000),
             refused_for: 67_200,
+            starts: Some(demand),
         };
         let reply = link.call(address, intake, 2_000).await;
         assert_eq!(reply, Ok(NodeReply::FirstRefused(137_200)));
