Where late jobs are refused, one that was let in and has begun is finished first

Now a job that has begun is never late with [scheduling] reject_late, so its tasks go by their time before those of new jobs and count in the waits by which these are let in. Only steps that are ready count in the waits: later ones need their starts later.

Test: a_job_that_has_begun_is_finished_first_where_late_ones_are_refused, whose first case fails without the rule, the second with it for all.

--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -440,8 +440,8 @@
 
     /// Returns how long new jobs wait because the owner can't send all starts at once.
     ///
-    /// A job waits for the tasks of its priority and of lower priority numbers that are in time, those
-    /// of later steps included: late ones have a share of their own.
+    /// A job waits for the tasks of its priority and of lower priority numbers that are in time: late
+    /// ones have a share of their own.
     pub fn start_waits(&self, now: Millis) -> StartWaits {
         let rate = self.start_rate(now).filter(|_| !self.has_unread_jobs);
         let Some(mut rate) = rate else {
@@ -451,7 +451,7 @@
         let mut has_late_tasks = false;
         for &key in &self.open_steps {
             let step = &self.steps[key];
-            if step.idle == 0 {
+            if step.idle == 0 || !step.ready {
                 continue;
             }
             if self.is_late(key, now) {
--- a/src/cell/urgency.rs
+++ b/src/cell/urgency.rs
@@ -6,7 +6,7 @@
 
 use slotmap::SecondaryMap;
 
-use crate::cell::job::{Job, StepRun};
+use crate::cell::job::{Job, JobState, StepRun};
 use crate::cell::spec::{JobSpec, Step};
 use crate::cell::{Cell, JobKey, StepKey, tuning};
 use crate::clock::Millis;
@@ -61,10 +61,16 @@
     }
 
     /// Returns whether a job can't end within its granted time any more, by its caller's estimates.
-    /// Lasting steps are never late: they are worth something whenever they run.
+    ///
+    /// Where jobs are refused that can't be in time, one that has begun is never late: it is finished,
+    /// since what it has done would be in vain.  Lasting steps are never late: they are worth something
+    /// whenever they run.
     pub(super) fn is_late(&self, key: StepKey, now: Millis) -> bool {
         let step = &self.steps[key];
-        !step.step().lasting && self.latest_start(&self.jobs[step.job], step, now) < now
+        let job = &self.jobs[step.job];
+        let is_finished_first = self.options.reject_late && job.state != JobState::Queued;
+        let can_be_late = !is_finished_first && !step.step().lasting;
+        can_be_late && self.latest_start(job, step, now) < now
     }
 
     /// Which jobs go behind the others in a round: those that are late, or in some rounds those that
--- a/tests/owner_limit.rs
+++ b/tests/owner_limit.rs
@@ -7,6 +7,7 @@
 
 use cell_core::{Bench, job, queue, starts, step};
 use crossweir::cell::expected_wait::StartWaits;
+use crossweir::cell::options::Options;
 use crossweir::cell::order::{EndKind, StartOrder};
 use crossweir::cell::spec::{JobId, Step};
 use crossweir::cell::tuning;
@@ -229,6 +230,35 @@
     assert_eq!(owner.bench.cell.expected_waits(owner.bench.now)[0].wait, 0);
 }
 
+/// Guards against jobs that are let in, begun and then left: of what they had done nothing came.
+#[yare::parameterized(
+    where_jobs_are_refused = { true, false },
+    where_all_are_accepted = { false, true },
+)]
+fn a_job_that_has_begun_is_finished_first_where_late_ones_are_refused(
+    reject_late: bool,
+    new_one_overtakes: bool,
+) {
+    // Arrange: an owner at its limit has begun a job that is late by now.
+    let mut owner = SlowOwner::new();
+    owner.bench.cell.set_options(Options {
+        reject_late,
+        ..Options::default()
+    });
+    let large = step(20 * STARTS as u32, 1);
+    owner.submit_step(&urgent(), large);
+    (0..ROUNDS / 8).for_each(|_| owner.carry());
+
+    // Act.
+    owner.submit(&urgent());
+    (0..STARTS).for_each(|_| owner.carry_one());
+
+    // Assert.
+    let mut in_flight = owner.in_flight.iter();
+    let is_of_new = in_flight.any(|start| start.task.step.job == JobId(2));
+    assert_eq!(is_of_new, new_one_overtakes);
+}
+
 /// Guards against rows that name each done task anew in each transaction: they took two fifths of an
 /// owner's link.
 #[test]
