--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -82,7 +82,7 @@
             return 0;
         }
         let before = self.by_priority.iter().rev();
-        let before = before.map(|entry| *entry).find(|entry| entry.0 <= priority);
+        let before = before.copied().find(|entry| entry.0 <= priority);
         let before = before.map_or(0, |(_, wait)| wait);
         before.saturating_add(start_time(tasks, self.rate))
     }
