--- a/tests/owner_limit.rs
+++ b/tests/owner_limit.rs
@@ -156,7 +156,7 @@
 
     // Assert.
     let starts = ROUNDS as u32 * STARTS as u32;
-    let least = starts / tuning::LATE_ROUNDS as u32 / 2;
+    let least = starts / tuning::LATE_ROUNDS / 2;
     assert!(owner.late_starts >= least, "{} starts", owner.late_starts);
 }
 
