Names for which jobs go behind in a round; an endless limit can't overflow

deferred_jobs returned an optional flag whose sense was told by a comment; Deferral names it. A queue with an endless granted time made the comparison with the expected wait overflow, which ends a debug build. An owner that holds nothing back keeps no list of what it lets in.

--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -45,7 +45,8 @@
 /// the workers have.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StartWaits {
-    /// How many starts a second the owner carries for jobs in time; zero if it holds nothing back.
+    /// How many starts a second the owner carries, without the share of late jobs if there are any;
+    /// zero if it holds nothing back.
     pub rate: u32,
     /// The wait in milliseconds from each of these priority numbers on, in ascending order.
     pub by_priority: Vec<(u32, Millis)>,
--- a/src/cell/schedule.rs
+++ b/src/cell/schedule.rs
@@ -23,7 +23,7 @@
         let mut order: Vec<OrderedStep> = Vec::new();
         let mut work = RemainingWork::default();
         let awaiting_poll = self.jobs_awaiting_poll();
-        let deferred = self.deferred_jobs(now);
+        let deferral = self.deferral(now);
         for (position, &key) in self.open_steps.iter().enumerate() {
             let step = &self.steps[key];
             if !step.ready {
@@ -39,7 +39,7 @@
                 continue;
             }
             order.push(OrderedStep {
-                deferred: deferred.is_some_and(|late| late == self.is_late(key, now)),
+                deferred: deferral.is_some_and(|deferral| self.is_deferred(key, deferral, now)),
                 priority: job.decision.priority,
                 beyond_share: false,
                 rank: self.rank(key, &mut work, now),
--- a/src/cell/urgency.rs
+++ b/src/cell/urgency.rs
@@ -12,6 +12,15 @@
 use crate::clock::Millis;
 use crate::policy::Turn;
 
+/// Which jobs go behind all others in a round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Deferral {
+    /// Those that can't be in time any more.
+    Late,
+    /// Those that still can.
+    InTime,
+}
+
 /// The remaining work of jobs, computed once in a scheduling round for all steps of a job.
 #[derive(Debug, Default)]
 pub(super) struct RemainingWork {
@@ -73,12 +82,21 @@
         can_be_late && self.latest_start(job, step, now) < now
     }
 
-    /// Which jobs go behind the others in a round: those that are late, or in some rounds those that
-    /// are not.  None if the owner can send all starts that have room ("Beyond the owner's limit" in
-    /// `docs/DESIGN.md`).
-    pub(super) fn deferred_jobs(&mut self, now: Millis) -> Option<bool> {
-        self.is_owner_the_limit(now)
-            .then(|| !self.is_round_for_late_jobs())
+    /// Which jobs go behind the others in a round; none if the owner can send all starts that have room
+    /// ("Beyond the owner's limit" in `docs/DESIGN.md`).
+    pub(super) fn deferral(&mut self, now: Millis) -> Option<Deferral> {
+        if !self.is_owner_the_limit(now) {
+            return None;
+        }
+        Some(match self.is_round_for_late_jobs() {
+            true => Deferral::InTime,
+            false => Deferral::Late,
+        })
+    }
+
+    /// Returns whether a step goes behind the others in a round.
+    pub(super) fn is_deferred(&self, key: StepKey, deferral: Deferral, now: Millis) -> bool {
+        self.is_late(key, now) == (deferral == Deferral::Late)
     }
 
     /// The time from which a job's granted time counts: when the job was taken in or, if later,
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -234,7 +234,9 @@
         if wait > demand.spare {
             return Err(wait);
         }
-        self.0.push_back((now, demand));
+        if waits.is_limited() {
+            self.0.push_back((now, demand));
+        }
         Ok(())
     }
 }
@@ -269,7 +271,8 @@
             let limit = self.reduce_limit(job, expected.limit, now);
             let accepted_wait = limit.checked_sub(job.critical_path)?;
             let accepted_wait = accepted_wait.saturating_sub(since_first);
-            let excess = expected.wait.checked_sub(accepted_wait + 1)? + 1;
+            let excess = expected.wait.checked_sub(accepted_wait);
+            let excess = excess.filter(|&excess| excess > 0)?;
             Some(Overload {
                 wait: expected.wait,
                 age,
