--- a/src/cell/start_pace.rs
+++ b/src/cell/start_pace.rs
@@ -31,7 +31,7 @@
     holds_back: bool,
     /// When tasks were last held back; none if they never were.
     held_back_at: Option<Millis>,
-    /// How many rounds have sent starts while tasks were held back.
+    /// How many rounds could send starts while the owner was the limit.
     held_back_rounds: u32,
     rate: StartRate,
 }
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -182,7 +182,7 @@
         let began = self.shared.now();
         let outcome = match self.is_id_taken(caller, id).await {
             true => SubmitOutcome::IdInUse,
-            false => match self.find_overload(&row).await {
+            false => match self.admittance(&row).await {
                 Admittance::Refused(overload) => SubmitOutcome::Overloaded(overload.pause),
                 Admittance::Unknown => SubmitOutcome::Doubtful,
                 Admittance::Granted => self.write(id, value, deadline).await,
@@ -236,7 +236,7 @@
     /// While the owner can send no more starts, it is asked about each job.  If it does not answer
     /// about one that can't be started in time, the job is neither refused, since it may be known, nor
     /// written, since it would be late and make others late.
-    async fn find_overload(&self, row: &JobRow) -> Admittance {
+    async fn admittance(&self, row: &JobRow) -> Admittance {
         let shared = &self.shared;
         if !shared.options.may_reject() {
             return Admittance::Granted;
--- a/src/node/recording.rs
+++ b/src/node/recording.rs
@@ -24,10 +24,10 @@
 /// The key of the ownership row.
 pub const OWNER_KEY: &str = "owner";
 
-/// The key of the row with the remaining leases of silent workers, which an owner writes when it
-/// gives the cell up.
 /// Separates the id of a job from the number of its cancellation in a key.
 const CANCEL_SEPARATOR: char = '-';
+/// The key of the row with the remaining leases of silent workers, which an owner writes when it
+/// gives the cell up.
 const REMAINING_LEASES_KEY: &str = "lapses";
 
 /// The least time between two transactions.  Each transaction has a cost, and this pause is short
@@ -43,6 +43,7 @@
 const MAX_ROWS: usize = 96;
 /// The most rows of the roster in a transaction, so that there is room for jobs beside them.
 const MAX_ROSTER_ROWS: usize = 48;
+
 /// The ownership row, which names the owner of the cell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRow {
--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -60,12 +60,12 @@
 };
 use volo_http::http::{Method, StatusCode};
 
-/// The settings of all tests that refuse jobs.
 /// What callers may hold: more than these tests need.
 const LIMITS: Limits = Limits {
     connections: 800,
     body_bytes: 26_000_000,
 };
+/// The settings of all tests that refuse jobs for room.
 const OPTIONS: Options = Options {
     worker_speed: false,
     shares: false,
