Nodes vouch for an owner as long after its heartbeat as its interval allows

Owners on links below 10 Mbit/s send heartbeats to watchers up to 200 ms apart, and a watcher vouched only for one that it had heard within 300 ms, as with 100 ms: one that comes 100 ms late, which on a full link is usual, left an owner without vouchers once another node suspected it.

The window is longer by as much as the interval is. Owners at the usual interval see no difference.

--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -294,10 +294,13 @@
     if !shared.owner().is_suspect(shared.now()) {
         return;
     }
-    let epoch = shared.owner().epoch;
+    let (epoch, window) = {
+        let owner = shared.owner();
+        (owner.epoch, VOUCH_WINDOW + owner.extra_interval())
+    };
     let vouching = beats
         .iter()
-        .filter(|beat| beat.epoch >= epoch && beat.owner_silence < VOUCH_WINDOW)
+        .filter(|beat| beat.epoch >= epoch && beat.owner_silence < window)
         .count();
     if vouching > 0 && vouching * 2 >= beats.len() {
         find_owner(shared, &beats).await;
--- a/src/node/load.rs
+++ b/src/node/load.rs
@@ -34,9 +34,6 @@
 /// The link, in kilobits a second, of which heartbeats to watchers at their usual interval take a
 /// twentieth.
 const USUAL_HEARTBEATS_FROM: u32 = 10_000;
-/// The longest interval of heartbeats to watchers, in milliseconds.  Others vouch for an owner that
-/// they have heard within 300 ms, and urgent jobs have 0.9 s to spare.
-const MAX_WATCHER_INTERVAL: Millis = 200;
 
 /// The capacity and the load of a node.
 #[derive(Debug)]
@@ -114,7 +111,7 @@
             .clamp(1, USUAL_HEARTBEATS_FROM);
         let interval =
             owner::HEARTBEAT_INTERVAL * Millis::from(USUAL_HEARTBEATS_FROM) / Millis::from(link);
-        interval.min(MAX_WATCHER_INTERVAL)
+        interval.min(owner::MAX_WATCHER_INTERVAL)
     }
 
     /// Returns how much CPU the node can spend on owning the cell, in thousandths of a core; zero
--- a/src/node/owner.rs
+++ b/src/node/owner.rs
@@ -13,6 +13,9 @@
 const TOLERATED_MISSES: Millis = 3;
 /// Interval of the owner's heartbeats to a node that was not told another one, in milliseconds.
 pub const HEARTBEAT_INTERVAL: Millis = 100;
+/// The longest interval of an owner's heartbeats to watchers, in milliseconds, which it has on a
+/// narrow link.  Urgent jobs have 0.9 s to spare.
+pub const MAX_WATCHER_INTERVAL: Millis = 200;
 
 /// What this node knows of the owner of the cell.
 #[derive(Debug, Clone)]
@@ -66,6 +69,13 @@
         self.interval = Millis::from(interval).max(HEARTBEAT_INTERVAL);
     }
 
+    /// By how much the owner's heartbeats to watchers may come later than usual, in milliseconds, by
+    /// the interval that it tells this node.
+    pub fn extra_interval(&self) -> Millis {
+        let interval = self.interval.min(MAX_WATCHER_INTERVAL);
+        interval.saturating_sub(HEARTBEAT_INTERVAL)
+    }
+
     /// Time since the owner was heard or a claim was seen, in milliseconds; the maximum if there
     /// was neither.
     fn inactivity(&self, now: Millis) -> Millis {
