Only what could start makes new jobs wait for starts, at the rate of this overload

Found in a reading of the diff: callers inside their limits could be refused - because of tasks that have no room, or are beyond the cap of their workspace: they take no starts, and were counted as if they went before; - by the rate of an earlier overload, which was kept until starts had been held back for another second: an owner that was slowed once told minutes later that it carried a few starts; - after a freeze: the time for which the owner stood still counted as time without starts.

Counted are now tasks that are within quota and cap and fit into the free room of their service; the rate is forgotten a second after nothing is held back any more, and rounds that come more than 500 ms after the last are left out. The waits for starts have a module of their own.

--- a/src/cell/expected_wait.rs
+++ b/src/cell/expected_wait.rs
@@ -13,6 +13,7 @@
 
 use crate::cell::job::Run;
 use crate::cell::spec::Demand;
+use crate::cell::start_wait::StartWaits;
 use crate::cell::{Cell, JobKey, StepKey, WorkspaceKey, tuning};
 use crate::clock::Millis;
 
@@ -41,59 +42,6 @@
     pub wait: Millis,
 }
 
-/// How long new jobs wait for their starts because the owner can send no more of them, whatever room
-/// the workers have.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct StartWaits {
-    /// How many starts a second the owner carries, without the share of late jobs if there are any;
-    /// zero if it holds nothing back.
-    pub rate: u32,
-    /// The wait in milliseconds from each of these priority numbers on, in ascending order.
-    pub by_priority: Vec<(u32, Millis)>,
-}
-
-/// What a new job asks of the owner's starts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StartDemand {
-    /// The priority number of its queue.
-    pub priority: u32,
-    /// How many tasks it has, at least one.
-    pub tasks: u64,
-    /// How long its last start may wait, in milliseconds.
-    pub spare: Millis,
-}
-
-impl StartWaits {
-    /// The wait of a job about which the owner was asked, its own starts included.
-    pub fn told(wait: Millis) -> Self {
-        Self {
-            rate: u32::MAX,
-            by_priority: vec![(0, wait)],
-        }
-    }
-
-    /// Returns whether the owner holds starts back.
-    pub fn is_limited(&self) -> bool {
-        self.rate > 0
-    }
-
-    /// Returns how long the last start of a new job waits that has so many tasks.
-    pub fn wait(&self, priority: u32, tasks: u64) -> Millis {
-        if self.rate == 0 {
-            return 0;
-        }
-        let before = self.by_priority.iter().rev();
-        let before = before.copied().find(|entry| entry.0 <= priority);
-        let before = before.map_or(0, |(_, wait)| wait);
-        before.saturating_add(start_time(tasks, self.rate))
-    }
-}
-
-/// How long so many starts take at `rate` a second, in milliseconds.
-fn start_time(starts: u64, rate: u32) -> Millis {
-    starts.saturating_mul(1_000) / u64::from(rate.max(1))
-}
-
 /// Work that goes before a new job: that of one job, or of all jobs under one limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
@@ -439,43 +387,6 @@
         waits
     }
 
-    /// Returns how long new jobs wait because the owner can't send all starts at once.
-    ///
-    /// A job waits for the tasks of its priority and of lower priority numbers that are in time: late
-    /// ones have a share of their own.
-    pub fn start_waits(&self, now: Millis) -> StartWaits {
-        let rate = self.start_rate(now).filter(|_| !self.has_unread_jobs);
-        let Some(mut rate) = rate else {
-            return StartWaits::default();
-        };
-        let mut tasks: BTreeMap<u32, u64> = BTreeMap::new();
-        let mut has_late_tasks = false;
-        for &key in &self.open_steps {
-            let step = &self.steps[key];
-            if step.idle == 0 || !step.ready {
-                continue;
-            }
-            if self.is_late(key, now) {
-                has_late_tasks = true;
-            } else {
-                let priority = self.jobs[step.job].decision.priority;
-                *tasks.entry(priority).or_default() += u64::from(step.idle);
-            }
-        }
-        if has_late_tasks {
-            rate = (rate * (tuning::LATE_ROUNDS - 1) / tuning::LATE_ROUNDS).max(1);
-        }
-        let mut before = 0;
-        let by_priority = tasks.into_iter().map(|(priority, tasks)| {
-            before += tasks;
-            (priority, start_time(before, rate))
-        });
-        StartWaits {
-            rate,
-            by_priority: by_priority.take(MAX_PUBLISHED).collect(),
-        }
-    }
-
     /// The workers that accept work, by service.  Parked workers count: they are used as soon as
     /// there is work for them.
     fn usable_by_service(&self, now: Millis) -> BTreeMap<&str, Usable> {
--- a/src/cell/ledger.rs
+++ b/src/cell/ledger.rs
@@ -138,6 +138,14 @@
         account.workspace.admits(&all)
     }
 
+    /// What a workspace may still hold beside its known and unknown runs.
+    pub(super) fn left(&self, key: WorkspaceKey) -> Demand {
+        let account = &self.accounts[key];
+        account
+            .workspace
+            .left_beside(&account.held.plus(&account.unknown))
+    }
+
     fn clear_unknown(&mut self) {
         for account in self.accounts.values_mut() {
             account.unknown = Demand::default();
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -53,6 +53,7 @@
 pub mod speed;
 mod start;
 mod start_pace;
+pub mod start_wait;
 pub mod task_set;
 mod trial;
 pub mod tuning;
--- a/src/cell/start_pace.rs
+++ b/src/cell/start_pace.rs
@@ -147,10 +147,11 @@
 
 impl StartRate {
     /// Notes that another round begins; `is_held_back` says whether starts were held back since the
-    /// last one.
+    /// last one.  If that was long ago, this process stood still, which says nothing of its link.
     fn begin_round(&mut self, is_held_back: bool, now: Millis) {
-        if is_held_back {
-            self.held_back += now.saturating_sub(self.round_began);
+        let took = now.saturating_sub(self.round_began);
+        if is_held_back && took <= tuning::MAX_COUNTED_ROUND {
+            self.held_back += took;
             self.sent += self.sent_since;
         }
         self.round_began = now;
@@ -264,6 +265,10 @@
     /// Forgets that tasks were held back, as a new scheduling round begins.
     pub(super) fn begin_start_round(&mut self, now: Millis) {
         let pace = &mut self.start_pace;
+        if !pace.is_limit(now) {
+            // What the owner carried in an earlier overload may not be what it carries in the next.
+            pace.rate = StartRate::default();
+        }
         pace.rate.begin_round(pace.holds_back, now);
         pace.holds_back = false;
         pace.recount(now);
--- a/src/cell/tuning.rs
+++ b/src/cell/tuning.rs
@@ -262,6 +262,8 @@
 pub const LATE_ROUNDS: u32 = 4;
 /// An owner that has held starts back within this time is the limit of its cell.
 pub const HELD_BACK_FOR: Millis = 1_000;
+/// The longest time between two rounds in which starts are counted: rounds come ten times a second.
+pub const MAX_COUNTED_ROUND: Millis = 500;
 /// For how long starts are counted, while others are held back, to tell how many the owner carries.
 pub const START_RATE_PERIOD: Millis = 1_000;
 /// The run numbers of an owner start at its epoch times this value, above those of all
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -13,9 +13,10 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::cell::expected_wait::{ExpectedWait, NO_WORKSPACE, StartDemand, StartWaits};
+use crate::cell::expected_wait::{ExpectedWait, NO_WORKSPACE};
 use crate::cell::options::Options;
 use crate::cell::spec::{JobId, JobSpec};
+use crate::cell::start_wait::{StartDemand, StartWaits};
 use crate::cell::urgency::critical_path;
 use crate::clock::Millis;
 use crate::queue::Queue;
--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -12,11 +12,12 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
 
-use crate::cell::expected_wait::{Publication, StartDemand};
+use crate::cell::expected_wait::Publication;
 use crate::cell::intake::CancelOutcome;
 use crate::cell::job::JobState;
 use crate::cell::record::JobRow;
 use crate::cell::spec::JobId;
+use crate::cell::start_wait::StartDemand;
 use crate::cell::unknown_cancel::CancelNumber;
 use crate::cell::view::JobView;
 use crate::cell::{Cell, Milestone, WorkerKey, tuning};
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -7,10 +7,10 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 
-use crate::cell::expected_wait::StartWaits;
 use crate::cell::job::JobState;
 use crate::cell::record::{JobProgress, JobRow};
 use crate::cell::spec::{JobId, JobSpec};
+use crate::cell::start_wait::StartWaits;
 use crate::cell::view::JobView;
 use crate::clock::Millis;
 use crate::node::admission::{Admission, Arrival, HeardWaits, Overload};
--- a/src/rpc/node.rs
+++ b/src/rpc/node.rs
@@ -8,9 +8,10 @@
 use futures::future::BoxFuture;
 use tokio::net::TcpListener;
 
-use crate::cell::expected_wait::{ExpectedWait, StartDemand, StartWaits};
+use crate::cell::expected_wait::ExpectedWait;
 use crate::cell::job::JobState;
 use crate::cell::spec::JobId;
+use crate::cell::start_wait::{StartDemand, StartWaits};
 use crate::clock::Millis;
 use crate::node::consent::{Consent, Standing, StandingId};
 use crate::node::intake::SubmitOutcome;
--- a/src/workspace.rs
+++ b/src/workspace.rs
@@ -33,6 +33,19 @@
             && within(held.gpus, self.cap.gpus)
     }
 
+    /// What the tasks of the workspace may hold beside `held`.
+    pub fn left_beside(&self, held: &Demand) -> Demand {
+        let left = |held: u64, cap: u64| match cap {
+            0 => u64::MAX,
+            cap => cap.saturating_sub(held),
+        };
+        Demand {
+            millicores: left(held.millicores, self.cap.millicores),
+            memory: left(held.memory, self.cap.memory),
+            gpus: left(held.gpus, self.cap.gpus),
+        }
+    }
+
     /// Returns whether every step of a job could run if the workspace held nothing else.
     pub fn could_run(&self, spec: &JobSpec) -> bool {
         let could = |step: &Step| self.admits(&step.demand.of_tasks(step.tasks_at_once()));
