A job that is not written, as the owner is silent, leaves no doubt behind

A node that had no answer from an owner at its limit about a job that can't be in time answered 'doubtful' and noted the job so, and took it in without asking when it came back within 5 s: the door that the owner keeps was open at the second try. The text blamed the store. And the question, 0.6 s, was not taken from the time that the caller has left for the write: with a slow answer of the store 0.6 + 0.75 x 3 s are more than the 3 s that callers wait.

The outcome is one of its own, OwnerSilent (504, owner_silent, with Retry-After): nothing was written, nothing is noted, and the log line of the refusal says owner_is_silent. The write gets what the question leaves.

tests/load_control.rs, a_job_that_cannot_start_in_time_is_not_written_while_the_owner_is_silent: accepted at the second try before.

--- a/src/http/api.rs
+++ b/src/http/api.rs
@@ -229,6 +229,10 @@
                 pause,
                 ..Refusal::Overloaded.into()
             }),
+            SubmitOutcome::OwnerSilent(pause) => Err(Rejection {
+                pause,
+                ..Refusal::OwnerSilent.into()
+            }),
         }
     }
 
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -94,8 +94,8 @@
     Granted,
     /// It is, and will never run.
     Refused(Overload),
-    /// It can't be started in time, and may have been accepted before.
-    Unknown,
+    /// It can't be started in time, and the owner does not say whether it was accepted before.
+    Unknown(Overload),
 }
 
 impl Frontend {
@@ -184,8 +184,12 @@
             true => SubmitOutcome::IdInUse,
             false => match self.admittance(&row).await {
                 Admittance::Refused(overload) => SubmitOutcome::Overloaded(overload.pause),
-                Admittance::Unknown => SubmitOutcome::Doubtful,
-                Admittance::Granted => self.write(id, value, deadline).await,
+                Admittance::Unknown(overload) => SubmitOutcome::OwnerSilent(overload.pause),
+                Admittance::Granted => {
+                    let asked = self.shared.now().saturating_sub(began);
+                    let left = deadline.map(|deadline| deadline.saturating_sub(asked));
+                    self.write(id, value, left).await
+                }
             },
         };
         let now = self.shared.now();
@@ -262,6 +266,7 @@
             let starts = admission.start_demand(&job, options, now);
             (judge(&admission, &waits), asks, starts)
         };
+        let mut owner_is_silent = false;
         let is_limited = waits.age(epoch, now).is_some() && waits.start_waits.is_limited();
         if overload.is_some() || asks || is_limited {
             let call = NodeCall::Intake {
@@ -288,7 +293,7 @@
                     };
                     overload = judge(&self.admission(), &told);
                 }
-                None if is_limited && overload.is_some() => return Admittance::Unknown,
+                None if is_limited && overload.is_some() => owner_is_silent = true,
                 _ => return Admittance::Granted,
             }
         }
@@ -296,7 +301,6 @@
             self.admission().note_accepted(&job);
             return Admittance::Granted;
         };
-        self.admission().note_refused(&job, &overload, now);
         tracing::info!(
             request = %row.id,
             queue = job.queue,
@@ -309,8 +313,13 @@
             limit_ms = overload.limit,
             since_first_ms = overload.since_first,
             retry_ms = overload.pause,
+            owner_is_silent,
             "job refused because of load"
         );
+        if owner_is_silent {
+            return Admittance::Unknown(overload);
+        }
+        self.admission().note_refused(&job, &overload, now);
         Admittance::Refused(overload)
     }
 
--- a/src/node/intake.rs
+++ b/src/node/intake.rs
@@ -51,6 +51,9 @@
     /// The job was not accepted: it would wait for too long.  The caller should submit it again
     /// after so many milliseconds.
     Overloaded(Millis),
+    /// The owner does not say whether the job was accepted before, and it would wait for too long.
+    /// Nothing was written.  The caller should submit it again after so many milliseconds.
+    OwnerSilent(Millis),
 }
 
 /// Encodes the row of a job; none if it is longer than the store accepts, since it would have the
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -42,6 +42,8 @@
     StoreUnavailable,
     /// The store did not confirm whether it recorded the job.
     Doubtful,
+    /// The job would end too late, and the owner does not say whether it was accepted before.
+    OwnerSilent,
     /// Neither the cell's owner nor the store gave an answer.
     OwnerUnavailable,
     /// The owner's counts of pending jobs are too old.
@@ -93,7 +95,7 @@
 
 impl Refusal {
     /// All refusals, for the reference in `docs/METRICS.md`.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::Spec(SpecError::BadId),
         Self::Spec(SpecError::Malformed),
         Self::Spec(SpecError::TextTooLong),
@@ -118,6 +120,7 @@
         Self::NoConfiguration,
         Self::StoreUnavailable,
         Self::Doubtful,
+        Self::OwnerSilent,
         Self::OwnerUnavailable,
         Self::PendingUnknown,
         Self::NotReady,
@@ -233,6 +236,12 @@
                 "The store did not answer; the job may have been taken.",
                 "Hand the job in again under the same id; it stays one job.",
             ),
+            Self::OwnerSilent => uncertain(
+                "owner_silent",
+                504,
+                "The job would end too late; it may have been taken before, which the owner of the cell did not say.",
+                "Hand the job in again under the same id at Retry-After; it stays one job.",
+            ),
             Self::OwnerUnavailable => uncertain(
                 "owner_unavailable",
                 503,
--- a/tests/load_control.rs
+++ b/tests/load_control.rs
@@ -964,6 +964,31 @@
     }
 }
 
+/// Guards against an owner that is at its limit, answers late because of that, and is given more
+/// jobs that it can't start in time, at the second try at the latest.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_cannot_start_in_time_is_not_written_while_the_owner_is_silent() {
+    for relay in [Relay::Silent, Relay::Gone] {
+        // Arrange.
+        let mut node = node_beside(relay);
+        Arc::get_mut(&mut node.shared).expect("nobody else").options = REJECT_LATE;
+        let front = Frontend::new(Arc::clone(&node.shared));
+        let beat = Heartbeat {
+            waits: Vec::new(),
+            start_waits: heard_starts(90_000).start_waits,
+            ..owner_beat(1, 0)
+        };
+        node.shared.apply_heartbeat(&beat);
+
+        // Act.
+        let outcomes = [submit(&front, 2).await, submit(&front, 2).await];
+
+        // Assert: neither accepted, nor refused as one that never runs.
+        let is_open = |outcome: &SubmitOutcome| matches!(outcome, SubmitOutcome::OwnerSilent(_));
+        assert!(outcomes.iter().all(is_open), "{outcomes:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_job_with_a_doubtful_outcome_is_not_refused_when_it_is_submitted_again() {
     // Arrange: the store takes the job's row and does not answer in time.
